Lay down the core: tables, systems and one tick

Cause: the users ask for entities in tables, with systems that run over them each tick, before anything else is built.

--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/packages/config/src/zinnialead_config/__init__.py
@@ -0,0 +1,1 @@
+"""Read settings and tickets, checked on load."""
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/__init__.py
@@ -0,0 +1,1 @@
+"""Group the core's components, one folder each."""
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -0,0 +1,41 @@
+"""Let work under one key run at most once."""
+
+from zinnialead_core.components.keys.messages import BarKey
+from zinnialead_core.components.keys.messages import ClaimAnswer
+from zinnialead_core.components.keys.messages import ClaimAsk
+from zinnialead_core.components.keys.messages import ClaimEnd
+from zinnialead_core.components.keys.models import Barred
+from zinnialead_core.components.keys.models import Claimed
+from zinnialead_core.components.keys.models import ClaimRow
+from zinnialead_core.components.keys.models import ClaimTable
+from zinnialead_core.components.keys.models import Denial
+from zinnialead_core.components.keys.models import Denied
+from zinnialead_core.components.keys.models import Ended
+from zinnialead_core.components.keys.models import Granted
+from zinnialead_core.components.keys.models import KeyState
+from zinnialead_core.components.keys.models import new_claims
+from zinnialead_core.components.keys.models import new_registrations
+from zinnialead_core.components.keys.models import Recorded
+from zinnialead_core.components.keys.models import RegistrationRow
+from zinnialead_core.components.keys.models import RegistrationTable
+
+__all__ = [
+    'BarKey',
+    'Barred',
+    'ClaimAnswer',
+    'ClaimAsk',
+    'ClaimEnd',
+    'ClaimRow',
+    'ClaimTable',
+    'Claimed',
+    'Denial',
+    'Denied',
+    'Ended',
+    'Granted',
+    'KeyState',
+    'Recorded',
+    'RegistrationRow',
+    'RegistrationTable',
+    'new_claims',
+    'new_registrations',
+]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -0,0 +1,38 @@
+"""Answer look-ups from the tables; a look-up writes to none."""
+
+from zinnialead_core.components.lookups import const
+from zinnialead_core.components.lookups import models
+from zinnialead_core.components import members
+from zinnialead_core import ids
+from zinnialead_core import world as world_module
+
+
+def look_up(
+    world: world_module.World, now_ms: float, question: models.LookUp
+) -> models.LookUpAnswer:
+    """Return the entries to use, those of the caller's domain first.
+
+    Reads ``members`` and ``states``.
+    """
+    domain = question.domain or world.node.domain
+    domains = world.states['in-force'].domains
+    home = domains.get(domain)
+    region = home.region if home else world.node.region
+
+    def distance(row: members.MemberRow) -> tuple[bool, bool, ids.EntryId]:
+        known = domains.get(row.domain)
+        far = known is None or known.region != region
+        return (row.domain != domain, far, row.entry)
+
+    alive = [
+        row
+        for row in world.members.values()
+        if row.health is members.Health.ALIVE
+    ]
+    nearest = sorted(alive, key=distance)[: const.CHOICES_MAX]
+    choices = tuple(
+        models.Choice(row.entry, row.domain, row.address) for row in nearest
+    )
+    ref = world.node.ref
+    prefix = f'z1.{ref.entry}.{ref.incarnation}.{int(now_ms)}'
+    return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/members/__init__.py
@@ -0,0 +1,17 @@
+"""Know which entries are alive."""
+
+from zinnialead_core.components.members.messages import Probe
+from zinnialead_core.components.members.messages import ProbeAnswer
+from zinnialead_core.components.members.models import Health
+from zinnialead_core.components.members.models import MemberRow
+from zinnialead_core.components.members.models import new_probes
+from zinnialead_core.components.members.models import ProbeTable
+
+__all__ = [
+    'Health',
+    'MemberRow',
+    'Probe',
+    'ProbeAnswer',
+    'ProbeTable',
+    'new_probes',
+]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/members/diagnostics.py
@@ -0,0 +1,27 @@
+"""Describe the members for a dump."""
+
+import typing
+
+from zinnialead_core import world as world_module
+
+
+class MemberDump(typing.TypedDict):
+    """Show what is believed of one entry."""
+
+    incarnation: int
+    domain: str
+    health: str
+    state_number: int
+
+
+def dump(world: world_module.World) -> dict[str, MemberDump]:
+    """Return the members' part of the state dump."""
+    return {
+        str(row.entry): MemberDump(
+            incarnation=row.incarnation,
+            domain=row.domain,
+            health=row.health.value,
+            state_number=row.state_number,
+        )
+        for row in world.members.values()
+    }
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/members/messages.py
@@ -0,0 +1,32 @@
+"""Define the messages that show which entries are alive."""
+
+import dataclasses
+
+from zinnialead_core.components.members import models
+from zinnialead_core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a peer whether it is alive, with news of a few members."""
+
+    sequence: int
+    state_number: int
+    news: tuple[models.MemberRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """Answer a probe, with news of a few members."""
+
+    sequence: int
+    state_number: int
+    news: tuple[models.MemberRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeFor:
+    """Ask a peer to probe ``target`` in the sender's place."""
+
+    sequence: int
+    target: ids.EntryId
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/requests/diagnostics.py
@@ -0,0 +1,29 @@
+"""Describe the requests in hand for a dump."""
+
+import collections
+import typing
+
+from zinnialead_core import world as world_module
+
+
+class RequestsDump(typing.TypedDict):
+    """Count the requests in hand by what they wait for."""
+
+    in_hand: int
+    by_phase: dict[str, int]
+    retry_tokens: dict[str, float]
+    stopping: bool
+
+
+def dump(world: world_module.World) -> RequestsDump:
+    """Return the requests' part of the state dump."""
+    table = world.requests
+    phases = collections.Counter(
+        row.phase.value for row in table.rows.values()
+    )
+    return RequestsDump(
+        in_hand=len(table.rows),
+        by_phase=dict(phases),
+        retry_tokens={str(k): v for k, v in table.retry_tokens.items()},
+        stopping=bool(table.stopping),
+    )
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -0,0 +1,48 @@
+"""Define the rows of the requests tables."""
+
+import enum
+import typing
+
+from zinnialead_core import ids
+from zinnialead_core import verdict
+
+
+class Phase(enum.Enum):
+    """Say what a request waits for."""
+
+    CLAIM = 'claim'
+    SLOT = 'slot'
+    UPSTREAM = 'upstream'
+    BACKOFF = 'backoff'
+
+
+class RequestRow(typing.NamedTuple):
+    """Hold one request between its arrival and its answer."""
+
+    request_id: ids.RequestId
+    service: ids.ServiceId
+    rank: ids.RankId
+    arrived_ms: float
+    deadline_ms: float
+    idempotent: bool
+    keyed: bool
+    replayable: bool
+    body_bytes: int
+    phase: Phase
+    attempt: int
+    upstream: ids.UpstreamId | None
+    caller_gone: bool
+    worst: verdict.Verdict
+
+
+class RequestTable(typing.NamedTuple):
+    """Hold the requests in hand, and what the retry budget has left."""
+
+    rows: dict[ids.RequestId, RequestRow]
+    retry_tokens: dict[ids.ServiceId, float]
+    stopping: set[str]
+
+
+def new_table() -> RequestTable:
+    """Return a table without requests."""
+    return RequestTable({}, {}, set())
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/requests/retries.py
@@ -0,0 +1,52 @@
+"""Decide whether and when an attempt is tried again."""
+
+from zinnialead_core.components.requests import const
+from zinnialead_core.components.requests import models
+from zinnialead_core import ids
+from zinnialead_core import verdict
+from zinnialead_core import world as world_module
+
+
+def earn(world: world_module.World, service: ids.ServiceId) -> None:
+    """Add what one accepted request gives to the retry budget."""
+    tokens = world.requests.retry_tokens
+    earned = tokens.get(service, 1.0) + const.RETRY_TOKENS_PER_REQUEST
+    tokens[service] = min(const.RETRY_TOKENS_MAX, earned)
+
+
+def delay_ms(
+    world: world_module.World,
+    now_ms: float,
+    row: models.RequestRow,
+    outcome: verdict.Outcome,
+) -> float | None:
+    """Return the pause before the next attempt, or None for no retry."""
+    may_repeat = row.idempotent or row.worst is verdict.Verdict.NOT_RUN
+    if not may_repeat or not row.replayable:
+        return None
+    if row.attempt >= const.ATTEMPTS_MAX:
+        return None
+    tokens = world.requests.retry_tokens
+    if tokens.get(row.service, 0.0) < 1.0:
+        world.counters['requests.retry_budget_empty'] += 1
+        return None
+    pause_ms = _backoff_ms(world, row.attempt, outcome)
+    if now_ms + pause_ms >= row.deadline_ms:
+        return None
+    tokens[row.service] -= 1.0
+    world.counters['requests.retried'] += 1
+    return pause_ms
+
+
+def _backoff_ms(
+    world: world_module.World, attempt: int, outcome: verdict.Outcome
+) -> float:
+    ceiling = min(
+        const.RETRY_BACKOFF_MAX_MS, const.RETRY_BACKOFF_MS * 2**attempt
+    )
+    pause_ms = world.random.uniform(0.0, ceiling)
+    match outcome:
+        case verdict.Shed(retry_after_ms):
+            return max(pause_ms, retry_after_ms)
+        case _:
+            return pause_ms
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/slots/__init__.py
@@ -0,0 +1,25 @@
+"""Share the upstreams' slots through one queue a service and domain."""
+
+from zinnialead_core.components.slots.messages import SlotAnswer
+from zinnialead_core.components.slots.messages import SlotAsk
+from zinnialead_core.components.slots.messages import SlotReturn
+from zinnialead_core.components.slots.models import AskRow
+from zinnialead_core.components.slots.models import AskTable
+from zinnialead_core.components.slots.models import GrantRow
+from zinnialead_core.components.slots.models import new_asks
+from zinnialead_core.components.slots.models import new_queues
+from zinnialead_core.components.slots.models import QueuedRow
+from zinnialead_core.components.slots.models import QueueTable
+
+__all__ = [
+    'AskRow',
+    'AskTable',
+    'GrantRow',
+    'QueueTable',
+    'QueuedRow',
+    'SlotAnswer',
+    'SlotAsk',
+    'SlotReturn',
+    'new_asks',
+    'new_queues',
+]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/store/__init__.py
@@ -0,0 +1,31 @@
+"""Decide when to call the platform's store, and what to ask it."""
+
+from zinnialead_core.components.store.calls import Call
+from zinnialead_core.components.store.calls import Conflict
+from zinnialead_core.components.store.calls import Create
+from zinnialead_core.components.store.calls import Failed
+from zinnialead_core.components.store.calls import Found
+from zinnialead_core.components.store.calls import Missing
+from zinnialead_core.components.store.calls import Read
+from zinnialead_core.components.store.calls import Result
+from zinnialead_core.components.store.calls import TooOld
+from zinnialead_core.components.store.calls import Update
+from zinnialead_core.components.store.calls import Watch
+from zinnialead_core.components.store.models import new_table
+from zinnialead_core.components.store.models import StoreTable
+
+__all__ = [
+    'Call',
+    'Conflict',
+    'Create',
+    'Failed',
+    'Found',
+    'Missing',
+    'Read',
+    'Result',
+    'StoreTable',
+    'TooOld',
+    'Update',
+    'Watch',
+    'new_table',
+]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -0,0 +1,79 @@
+"""Define the calls to the platform's store and their results."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Read one object."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Watch:
+    """Wait for a version of an object newer than ``version``."""
+
+    name: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Create:
+    """Write an object that must not exist yet."""
+
+    name: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """Write an object that must still be at ``version``."""
+
+    name: str
+    value: bytes
+    version: int
+
+
+Call = Read | Watch | Create | Update
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """Report an object as read, watched or written."""
+
+    name: str
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """Report that the object does not exist."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Report that the object is at another version: nothing written."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooOld:
+    """Report that the store no longer knows the watch's version."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """Report a call without an answer; a write may have taken effect."""
+
+    name: str
+    detail: str
+
+
+Result = Found | Missing | Conflict | TooOld | Failed
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/store/const.py
@@ -0,0 +1,8 @@
+"""Hold the constants of the store component."""
+
+STATE_OBJECT = 'state'
+CALL_TIMEOUT_MS = 5_000.0
+WATCH_TIMEOUT_MS = 30_000.0
+BACKOFF_MIN_MS = 200.0
+BACKOFF_MAX_MS = 30_000.0
+READERS_PER_DOMAIN = 2
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/tickets/__init__.py
@@ -0,0 +1,43 @@
+"""Keep the state that tickets put in force, which never goes back."""
+
+from zinnialead_core.components.tickets.messages import StateAsk
+from zinnialead_core.components.tickets.messages import StateData
+from zinnialead_core.components.tickets.messages import StateNumber
+from zinnialead_core.components.tickets.models import BlockRow
+from zinnialead_core.components.tickets.models import Cap
+from zinnialead_core.components.tickets.models import DomainDrain
+from zinnialead_core.components.tickets.models import DomainRow
+from zinnialead_core.components.tickets.models import Drain
+from zinnialead_core.components.tickets.models import empty_state
+from zinnialead_core.components.tickets.models import LinkBudget
+from zinnialead_core.components.tickets.models import RankRow
+from zinnialead_core.components.tickets.models import RegionDrain
+from zinnialead_core.components.tickets.models import RegionLimit
+from zinnialead_core.components.tickets.models import ServiceRow
+from zinnialead_core.components.tickets.models import ShiftCap
+from zinnialead_core.components.tickets.models import State
+from zinnialead_core.components.tickets.models import TicketNote
+from zinnialead_core.components.tickets.models import UpstreamDrain
+from zinnialead_core.components.tickets.models import UpstreamRow
+
+__all__ = [
+    'BlockRow',
+    'Cap',
+    'DomainDrain',
+    'DomainRow',
+    'Drain',
+    'LinkBudget',
+    'RankRow',
+    'RegionDrain',
+    'RegionLimit',
+    'ServiceRow',
+    'ShiftCap',
+    'State',
+    'StateAsk',
+    'StateData',
+    'StateNumber',
+    'TicketNote',
+    'UpstreamDrain',
+    'UpstreamRow',
+    'empty_state',
+]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/tickets/const.py
@@ -0,0 +1,3 @@
+"""Hold the constants of the tickets component."""
+
+IN_FORCE = 'in-force'
--- /dev/null
+++ b/packages/core/src/zinnialead_core/dump.py
@@ -0,0 +1,53 @@
+"""Describe the whole state of an entry on request."""
+
+import typing
+
+from zinnialead_core.components.keys import diagnostics as keys
+from zinnialead_core.components.lookups import diagnostics as lookups
+from zinnialead_core.components.members import diagnostics as members
+from zinnialead_core.components.requests import diagnostics as requests
+from zinnialead_core.components.slots import diagnostics as slots
+from zinnialead_core.components.steering import diagnostics as steering
+from zinnialead_core.components.store import diagnostics as store
+from zinnialead_core.components.tickets import diagnostics as tickets
+from zinnialead_core.components.upstreams import diagnostics as upstreams
+from zinnialead_core import world as world_module
+
+
+class Dump(typing.TypedDict):
+    """Show every component's part of an entry's state."""
+
+    entry: str
+    incarnation: int
+    domain: str
+    region: str
+    keys: keys.KeysDump
+    lookups: lookups.LookUpsDump
+    members: dict[str, members.MemberDump]
+    requests: requests.RequestsDump
+    slots: slots.SlotsDump
+    steering: dict[str, steering.LoadDump]
+    store: store.StoreDump
+    tickets: tickets.TicketsDump
+    upstreams: dict[str, upstreams.UpstreamDump]
+    counters: dict[str, int]
+
+
+def dump(world: world_module.World) -> Dump:
+    """Return the state of an entry without keys, bodies or secrets."""
+    return Dump(
+        entry=world.node.ref.entry,
+        incarnation=world.node.ref.incarnation,
+        domain=world.node.domain,
+        region=world.node.region,
+        keys=keys.dump(world),
+        lookups=lookups.dump(world),
+        members=members.dump(world),
+        requests=requests.dump(world),
+        slots=slots.dump(world),
+        steering=steering.dump(world),
+        store=store.dump(world),
+        tickets=tickets.dump(world),
+        upstreams=upstreams.dump(world),
+        counters=dict(world.counters),
+    )
--- /dev/null
+++ b/packages/core/src/zinnialead_core/outputs.py
@@ -0,0 +1,109 @@
+"""Define everything that the core can ask of the outside."""
+
+import dataclasses
+import typing
+
+from zinnialead_core.components import store
+from zinnialead_core import ids
+from zinnialead_core import verdict
+
+if typing.TYPE_CHECKING:
+    from zinnialead_core import inputs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notify:
+    """Hand an input to the systems within the same tick."""
+
+    item: 'inputs.Input'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendPeer:
+    """Send a message to an entry; one to itself stays in the tick."""
+
+    entry: ids.EntryId
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send a request to an upstream; ``deadline_ms`` bounds the attempt."""
+
+    request_id: ids.RequestId
+    attempt: int
+    upstream: ids.UpstreamId
+    address: str
+    deadline_ms: float
+    idempotent: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelDispatch:
+    """Cancel one attempt at an upstream."""
+
+    request_id: ids.RequestId
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Give the caller the upstream's answer of this attempt."""
+
+    request_id: ids.RequestId
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """Give the caller the answer recorded under the request's key."""
+
+    request_id: ids.RequestId
+    status: int
+    record: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse the caller's request."""
+
+    request_id: ids.RequestId
+    refusal: verdict.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallStore:
+    """Make one call to the platform's store."""
+
+    call_id: int
+    call: store.Call
+    deadline_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogChange:
+    """Log one change of state."""
+
+    component: str
+    subject: str
+    before: str
+    after: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopped:
+    """Tell the application that nothing is in flight any more."""
+
+
+Output = (
+    Notify
+    | SendPeer
+    | Dispatch
+    | CancelDispatch
+    | Relay
+    | Replay
+    | Refuse
+    | CallStore
+    | LogChange
+    | Stopped
+)
--- /dev/null
+++ b/packages/core/src/zinnialead_core/tick.py
@@ -0,0 +1,69 @@
+"""Run the systems over the tables, in one written order."""
+
+from collections import abc
+
+from zinnialead_core.components.keys import coordinator as keys
+from zinnialead_core.components.members import coordinator as members
+from zinnialead_core.components.requests import coordinator as requests
+from zinnialead_core.components.slots import coordinator as slots
+from zinnialead_core.components.steering import coordinator as steering
+from zinnialead_core.components.store import coordinator as store
+from zinnialead_core.components.tickets import coordinator as tickets
+from zinnialead_core.components.upstreams import coordinator as upstreams
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_core import timers
+from zinnialead_core import world as world_module
+
+# Each system sees what the ones before it wrote in the same pass.
+SYSTEMS = (
+    store.run,
+    tickets.run,
+    members.run,
+    upstreams.run,
+    steering.run,
+    keys.run,
+    requests.run,
+    slots.run,
+)
+
+
+def tick(
+    world: world_module.World,
+    now_ms: float,
+    inputs: abc.Iterable[inp.Input],
+) -> abc.Iterator[out.Output]:
+    """Yield what the outside must do about ``inputs`` and due timers.
+
+    The systems run again over what they tell each other, until nothing
+    is left to tell.
+    """
+    due = timers.pop_due(world.timers, now_ms)
+    batch = [*inputs, *map(inp.TimerDue, due)]
+    while batch:
+        told: list[inp.Input] = []
+        for output in _one_pass(world, now_ms, batch):
+            match output:
+                case out.Notify(item):
+                    told.append(item)
+                case out.SendPeer(entry, message) if (
+                    entry == world.node.ref.entry
+                ):
+                    told.append(inp.PeerMessage(world.node.ref, message))
+                case _:
+                    yield output
+        batch = told
+
+
+def next_due_ms(world: world_module.World) -> float | None:
+    """Return when the next tick is due without an input, if at all."""
+    return timers.next_due_ms(world.timers)
+
+
+def _one_pass(
+    world: world_module.World,
+    now_ms: float,
+    batch: abc.Sequence[inp.Input],
+) -> abc.Iterator[out.Output]:
+    for system in SYSTEMS:
+        yield from system(world, now_ms, batch)
--- /dev/null
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -0,0 +1,151 @@
+"""Keep the timers that tell the core when to run next."""
+
+from collections import abc
+import dataclasses
+import heapq
+import typing
+
+from zinnialead_core import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestDeadline:
+    """Fire when a request's time is over."""
+
+    request_id: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryDue:
+    """Fire when a refused attempt may be tried again."""
+
+    request_id: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimTimeout:
+    """Fire when a registrar has not answered a claim."""
+
+    request_id: ids.RequestId
+    step: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeysExpiry:
+    """Fire when records of keys may be dropped."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskTimeout:
+    """Fire when a slot owner has not answered."""
+
+    ask_id: ids.AskId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueExpiry:
+    """Fire when a queued ask's time is over."""
+
+    ask_id: ids.AskId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotsDue:
+    """Fire when a slot owner has queued work to look at again."""
+
+    service: ids.ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRound:
+    """Fire when the next peer is to be probed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeTimeout:
+    """Fire when a probed peer has not answered."""
+
+    entry: ids.EntryId
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpreadRound:
+    """Fire when the state in force is compared with a peer's."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreDue:
+    """Fire when the store may be called again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadRound:
+    """Fire when loads are exchanged."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamDue:
+    """Fire when an upstream's state is to be looked at again."""
+
+    upstream: ids.UpstreamId
+
+
+Timer = (
+    RequestDeadline
+    | RetryDue
+    | ClaimTimeout
+    | KeysExpiry
+    | AskTimeout
+    | QueueExpiry
+    | SlotsDue
+    | ProbeRound
+    | ProbeTimeout
+    | SpreadRound
+    | StoreDue
+    | LoadRound
+    | UpstreamDue
+)
+
+
+class TimerTable(typing.NamedTuple):
+    """Hold due times by timer, and a heap with stale entries left in."""
+
+    due_ms: dict[Timer, float]
+    heap: list[tuple[float, int, Timer]]
+    sequence: list[int]
+
+
+def new_table() -> TimerTable:
+    """Return a table without timers."""
+    return TimerTable({}, [], [0])
+
+
+def start(table: TimerTable, timer: Timer, due_ms: float) -> None:
+    """Set a timer, in place of an earlier setting of the same one."""
+    table.due_ms[timer] = due_ms
+    table.sequence[0] += 1
+    heapq.heappush(table.heap, (due_ms, table.sequence[0], timer))
+
+
+def stop(table: TimerTable, timer: Timer) -> None:
+    """Forget a timer."""
+    table.due_ms.pop(timer, None)
+
+
+def next_due_ms(table: TimerTable) -> float | None:
+    """Return when the earliest timer is due, or None without timers."""
+    while table.heap:
+        due_ms, _, timer = table.heap[0]
+        if table.due_ms.get(timer) == due_ms:
+            return due_ms
+        heapq.heappop(table.heap)
+    return None
+
+
+def pop_due(table: TimerTable, now_ms: float) -> abc.Iterator[Timer]:
+    """Yield the timers due by ``now_ms`` in order, and forget them."""
+    while (due_ms := next_due_ms(table)) is not None and due_ms <= now_ms:
+        _, _, timer = heapq.heappop(table.heap)
+        del table.due_ms[timer]
+        yield timer
--- /dev/null
+++ b/packages/core/src/zinnialead_core/verdict.py
@@ -0,0 +1,105 @@
+"""Say whether a request may have run, and why it was refused."""
+
+import dataclasses
+import enum
+import typing
+
+
+class Verdict(enum.StrEnum):
+    """Say what is known about the effect of a request."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+
+
+class Reason(enum.StrEnum):
+    """Name the cause of a refusal."""
+
+    BAD_REQUEST = 'bad-request'
+    UNKNOWN_SERVICE = 'unknown-service'
+    UNKNOWN_RANK = 'unknown-rank'
+    KEY_MISSING = 'key-missing'
+    KEY_IN_PROGRESS = 'key-in-progress'
+    KEY_BARRED = 'key-barred'
+    KEY_EXPIRED = 'key-expired'
+    KEY_UNDECIDED = 'key-undecided'
+    KEY_REGISTRAR_DOWN = 'key-registrar-down'
+    KEYS_FULL = 'keys-full'
+    DEADLINE_PASSED = 'deadline-passed'
+    DEADLINE_TOO_SHORT = 'deadline-too-short'
+    QUEUE_FULL = 'queue-full'
+    NO_UPSTREAM = 'no-upstream'
+    RETRY_BUDGET = 'retry-budget'
+    CAP_REACHED = 'cap-reached'
+    STOPPING = 'stopping'
+    NOT_READY = 'not-ready'
+    UPSTREAM_LOST = 'upstream-lost'
+    CALLER_GONE = 'caller-gone'
+
+
+class Refusal(typing.NamedTuple):
+    """Answer a request without the answer of an upstream."""
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    retry_after_ms: float = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """Report a whole answer of an upstream.
+
+    ``record`` is the encoded answer to replay under the request's key, or
+    None where it was too large to keep.
+    """
+
+    status: int
+    record: bytes | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """Report that the upstream refused the request before running it."""
+
+    retry_after_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """Report that no byte of the request reached the upstream."""
+
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NeverStarted:
+    """Report a cancellation that the upstream acknowledged as unstarted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Report that the request was sent and its end is unknown."""
+
+    detail: str = ''
+
+
+Outcome = Answered | Shed | NotSent | NeverStarted | Lost
+
+
+def verdict_of(outcome: Outcome) -> Verdict:
+    """Return what an attempt's outcome says about the request's effect.
+
+    >>> verdict_of(Shed()).value
+    'not-run'
+    >>> verdict_of(Lost()).value
+    'may-have-run'
+    """
+    match outcome:
+        case Answered():
+            return Verdict.RAN
+        case Shed() | NotSent() | NeverStarted():
+            return Verdict.NOT_RUN
+        case Lost():
+            return Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/core/src/zinnialead_core/world.py
@@ -0,0 +1,68 @@
+"""Hold the tables that the systems run over."""
+
+import collections
+import random
+import typing
+
+from zinnialead_core.components import keys
+from zinnialead_core.components import members
+from zinnialead_core.components import requests
+from zinnialead_core.components import slots
+from zinnialead_core.components import steering
+from zinnialead_core.components import store
+from zinnialead_core.components import tickets
+from zinnialead_core.components import upstreams
+from zinnialead_core import ids
+from zinnialead_core import timers
+
+
+class NodeRow(typing.NamedTuple):
+    """Say which entry this is."""
+
+    ref: ids.EntryRef
+    domain: ids.DomainId
+    region: ids.RegionId
+    address: str
+
+
+class World(typing.NamedTuple):
+    """Hold every table of one entry."""
+
+    node: NodeRow
+    states: dict[str, tickets.State]
+    members: dict[ids.EntryId, members.MemberRow]
+    probes: members.ProbeTable
+    upstreams: dict[ids.UpstreamId, upstreams.HealthRow]
+    requests: requests.RequestTable
+    asks: slots.AskTable
+    queues: slots.QueueTable
+    claims: keys.ClaimTable
+    registrations: keys.RegistrationTable
+    loads: steering.LoadTable
+    shifts: steering.ShiftTable
+    store: store.StoreTable
+    timers: timers.TimerTable
+    counters: collections.Counter[str]
+    random: random.Random
+
+
+def new_world(node: NodeRow, seed: int) -> World:
+    """Return the tables of an entry that knows only itself."""
+    return World(
+        node=node,
+        states={'in-force': tickets.empty_state()},
+        members={},
+        probes=members.new_probes(),
+        upstreams={},
+        requests=requests.new_table(),
+        asks=slots.new_asks(),
+        queues=slots.new_queues(),
+        claims=keys.new_claims(),
+        registrations=keys.new_registrations(),
+        loads=steering.new_loads(),
+        shifts=steering.new_shifts(),
+        store=store.new_table(),
+        timers=timers.new_table(),
+        counters=collections.Counter(),
+        random=random.Random(seed),
+    )
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the process that stands on every entry VM."""
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Show, measure and fuzz the system on one machine."""
--- /dev/null
+++ b/packages/standins/src/zinnialead_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the store, the upstreams and the callers."""
--- /dev/null
+++ b/tests/core/test_tick.py
@@ -0,0 +1,59 @@
+"""Take requests through one entry's tick."""
+
+from core import samples
+import zinnialead_core as core
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_core import verdict
+
+
+def test_a_request_is_dispatched_and_relayed():
+    world = samples.world()
+    [dispatch] = core.tick(world, 0.0, [samples.request(1)])
+    assert isinstance(dispatch, out.Dispatch)
+    done = inp.DispatchDone(1, dispatch.attempt, verdict.Answered(200))
+    assert list(core.tick(world, 10.0, [done])) == [out.Relay(1, 1)]
+    assert world.queues.in_use[dispatch.upstream] == 0
+
+
+def test_a_key_runs_once_and_is_replayed():
+    world = samples.world()
+    first = samples.request(1, service='intake', key='k')
+    [dispatch] = core.tick(world, 0.0, [first])
+    second = samples.request(2, service='intake', key='k')
+    [refusal] = core.tick(world, 1.0, [second])
+    assert refusal.refusal.reason is verdict.Reason.KEY_IN_PROGRESS
+    done = inp.DispatchDone(1, 1, verdict.Answered(201, b'booked'))
+    assert list(core.tick(world, 10.0, [done])) == [out.Relay(1, 1)]
+    third = samples.request(3, service='intake', key='k')
+    [replay] = core.tick(world, 20.0, [third])
+    assert replay == out.Replay(3, 201, b'booked')
+    assert dispatch.idempotent is False
+
+
+def test_waiting_work_is_granted_most_urgent_first():
+    world = samples.world(slots=1)
+    list(core.tick(world, 0.0, [samples.request(1)]))
+    later = [samples.request(2, rank='night'), samples.request(3)]
+    assert list(core.tick(world, 1.0, later)) == []
+    done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [done]))
+    assert [x.request_id for x in outputs] == [1, 3]
+
+
+def test_a_deadline_in_the_queue_is_a_true_not_run():
+    world = samples.world(slots=1)
+    list(core.tick(world, 0.0, [samples.request(1)]))
+    late = samples.request(2, deadline_ms=50.0)
+    assert list(core.tick(world, 1.0, [late])) == []
+    [refusal] = core.tick(world, 50.0, [])
+    assert refusal.refusal.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_a_stop_waits_for_work_in_flight():
+    world = samples.world()
+    list(core.tick(world, 0.0, [samples.request(1)]))
+    assert list(core.tick(world, 1.0, [inp.StopAsked()])) == []
+    done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [done]))
+    assert outputs == [out.Relay(1, 1), out.Stopped()]
