--- /dev/null
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -0,0 +1,24 @@
+"""Name every message that entries send each other."""
+
+from zinnialead_core.components.keys import messages as keys
+from zinnialead_core.components.members import messages as members
+from zinnialead_core.components.slots import messages as slots
+from zinnialead_core.components.steering import messages as steering
+from zinnialead_core.components.tickets import messages as tickets
+
+Message = (
+    keys.BarKey
+    | keys.ClaimAnswer
+    | keys.ClaimAsk
+    | keys.ClaimEnd
+    | members.Probe
+    | members.ProbeAnswer
+    | members.ProbeFor
+    | slots.SlotAnswer
+    | slots.SlotAsk
+    | slots.SlotReturn
+    | steering.LoadReport
+    | tickets.StateAsk
+    | tickets.StateData
+    | tickets.StateNumber
+)
--- a/packages/core/src/zinnialead_core/verdict.py
+++ b/packages/core/src/zinnialead_core/verdict.py
@@ -30,6 +30,7 @@
     DEADLINE_TOO_SHORT = 'deadline-too-short'
     QUEUE_FULL = 'queue-full'
     NO_UPSTREAM = 'no-upstream'
+    NO_HEADROOM = 'no-headroom'
     RETRY_BUDGET = 'retry-budget'
     CAP_REACHED = 'cap-reached'
     STOPPING = 'stopping'
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/__init__.py
@@ -0,0 +1,1 @@
+"""Group the daemon's components, one folder each."""
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -0,0 +1,78 @@
+"""Run a tick for each input and at each due timer."""
+
+from collections import abc
+import time
+
+import trio
+
+import zinnialead_core as core
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_daemon.components.engine import const
+from zinnialead_daemon.components.engine import models
+
+
+def wall_clock() -> abc.Callable[[], float]:
+    """Return a clock in ms since 1970 that never goes back."""
+    offset_s = time.time() - time.monotonic()
+    return lambda: (offset_s + time.monotonic()) * const.MS_PER_S
+
+
+def new_engine(
+    world: core.World, now_ms: abc.Callable[[], float] | None = None
+) -> models.Engine:
+    """Return an engine that carries out nothing yet."""
+    return models.Engine(
+        world=world,
+        now_ms=now_ms or wall_clock(),
+        handlers={},
+        earlier=trio.Event(),
+    )
+
+
+def feed(engine: models.Engine, *inputs: inp.Input) -> None:
+    """Run one tick over ``inputs`` and carry out what it asks for."""
+    outputs = list(core.tick(engine.world, engine.now_ms(), inputs))
+    for output in outputs:
+        carry_out(engine.handlers, output)
+    due_ms = core.next_due_ms(engine.world)
+    if due_ms is None:
+        return
+    if engine.awaited_ms is None or due_ms < engine.awaited_ms:
+        engine.earlier.set()
+
+
+async def run_timers(engine: models.Engine) -> None:
+    """Sleep until the earliest timer is due, and tick, for good."""
+    while True:
+        engine.earlier = trio.Event()
+        engine.awaited_ms = core.next_due_ms(engine.world)
+        if engine.awaited_ms is None:
+            await engine.earlier.wait()
+            continue
+        left_ms = engine.awaited_ms - engine.now_ms()
+        with trio.move_on_after(max(0.0, left_ms) / const.MS_PER_S):
+            await engine.earlier.wait()
+            continue
+        feed(engine)
+
+
+def carry_out(handlers: models.Handlers, output: out.Output) -> None:
+    """Hand one output to the part that carries it out."""
+    match output:
+        case out.SendPeer():
+            handlers['send_peer'](output)
+        case out.Dispatch():
+            handlers['dispatch'](output)
+        case out.CancelDispatch():
+            handlers['cancel'](output)
+        case out.Relay() | out.Replay() | out.Refuse():
+            handlers['answer'](output)
+        case out.CallStore():
+            handlers['call_store'](output)
+        case out.LogChange():
+            handlers['log_change'](output)
+        case out.Stopped():
+            handlers['stopped']()
+        case out.Notify():
+            raise AssertionError(f'{output} left the tick')
