--- a/packages/core/src/zinnialead_core/components/keys/__init__.py
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -1,9 +1,12 @@
 """Let work under one key run at most once."""
 
+from zinnialead_core.components.keys.issued import prefix
 from zinnialead_core.components.keys.messages import BarKey
 from zinnialead_core.components.keys.messages import ClaimAnswer
 from zinnialead_core.components.keys.messages import ClaimAsk
 from zinnialead_core.components.keys.messages import ClaimEnd
+from zinnialead_core.components.keys.messages import ClaimEndAck
+from zinnialead_core.components.keys.models import Answer
 from zinnialead_core.components.keys.models import Barred
 from zinnialead_core.components.keys.models import Claimed
 from zinnialead_core.components.keys.models import ClaimRow
@@ -11,31 +14,46 @@
 from zinnialead_core.components.keys.models import Denial
 from zinnialead_core.components.keys.models import Denied
 from zinnialead_core.components.keys.models import Ended
+from zinnialead_core.components.keys.models import Free
+from zinnialead_core.components.keys.models import Freed
 from zinnialead_core.components.keys.models import Granted
+from zinnialead_core.components.keys.models import KeyEnd
 from zinnialead_core.components.keys.models import KeyState
 from zinnialead_core.components.keys.models import new_claims
 from zinnialead_core.components.keys.models import new_registrations
+from zinnialead_core.components.keys.models import NotRegistrar
 from zinnialead_core.components.keys.models import Recorded
 from zinnialead_core.components.keys.models import RegistrationRow
 from zinnialead_core.components.keys.models import RegistrationTable
+from zinnialead_core.components.keys.models import Undecided
+from zinnialead_core.components.keys.models import Waiting
 
 __all__ = [
+    'Answer',
     'BarKey',
     'Barred',
     'ClaimAnswer',
     'ClaimAsk',
     'ClaimEnd',
+    'ClaimEndAck',
     'ClaimRow',
     'ClaimTable',
     'Claimed',
     'Denial',
     'Denied',
     'Ended',
+    'Free',
+    'Freed',
     'Granted',
+    'KeyEnd',
     'KeyState',
+    'NotRegistrar',
     'Recorded',
     'RegistrationRow',
     'RegistrationTable',
+    'Undecided',
+    'Waiting',
     'new_claims',
     'new_registrations',
+    'prefix',
 ]
--- a/packages/core/src/zinnialead_core/components/keys/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/keys/diagnostics.py
@@ -17,10 +17,10 @@
 def dump(world: world_module.World) -> KeysDump:
     """Return the keys' part of the state dump."""
     states = collections.Counter(
-        type(row.state).__name__ for row in world.registrations.values()
+        type(row.state).__name__ for row in world.registrations.rows.values()
     )
     return KeysDump(
         claims=len(world.claims),
-        registrations=len(world.registrations),
+        registrations=len(world.registrations.rows),
         by_state=dict(states),
     )
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/keys/ends.py
@@ -0,0 +1,159 @@
+"""Tell the registrars of a key how the work under it ended."""
+
+from collections import abc
+
+from zinnialead_core.components.keys import const
+from zinnialead_core.components.keys import messages
+from zinnialead_core.components.keys import models
+from zinnialead_core import ids
+from zinnialead_core import outputs as out
+from zinnialead_core import timers
+from zinnialead_core import verdict
+from zinnialead_core import world as world_module
+
+Step = models.Step
+
+
+def ask_id(
+    world: world_module.World, claim: models.ClaimRow
+) -> ids.AskId:
+    """Return the id of a claim, the same for all attempts of a request."""
+    return ids.AskId(world.node.ref, claim.request_id, 0)
+
+
+def timeout(claim: models.ClaimRow) -> timers.ClaimTimeout:
+    """Return the timer of the step that a claim is at."""
+    return timers.ClaimTimeout(claim.request_id, int(claim.step))
+
+
+def send(
+    world: world_module.World,
+    now_ms: float,
+    claim: models.ClaimRow,
+    end: models.KeyEnd,
+) -> abc.Iterator[out.Output]:
+    """End a claim and report it until the registrars confirm it."""
+    timers.stop(world.timers, timeout(claim))
+    claim = claim._replace(
+        step=Step.END,
+        end=end,
+        sequence=claim.sequence + 1,
+        tries=0,
+        waiting=False,
+        unacked=_told(claim),
+    )
+    yield from _resend(world, now_ms, claim)
+
+
+def on_ended(
+    world: world_module.World,
+    now_ms: float,
+    request_id: ids.RequestId,
+    outcome: verdict.Outcome,
+) -> abc.Iterator[out.Output]:
+    """End the claim of a request whose work is over, or never began."""
+    claim = world.claims.get(request_id)
+    if claim is None or claim.step is Step.END:
+        return
+    if claim.step is Step.BIND:
+        del world.claims[request_id]
+        return
+    yield from send(world, now_ms, claim, _end_of(outcome))
+
+
+def on_late_outcome(
+    world: world_module.World,
+    now_ms: float,
+    request_id: ids.RequestId,
+    outcome: verdict.Outcome,
+) -> abc.Iterator[out.Output]:
+    """Report the real end of work that was given up as undecided."""
+    claim = world.claims.get(request_id)
+    if claim is None or claim.step is not Step.END:
+        return
+    match (claim.end, outcome):
+        case (models.Undecided(), verdict.Answered()):
+            world.counters['keys.late_end'] += 1
+            yield from send(world, now_ms, claim, _end_of(outcome))
+
+
+def on_ack(
+    world: world_module.World,
+    now_ms: float,
+    sender: ids.EntryRef,
+    ack: messages.ClaimEndAck,
+) -> abc.Iterator[out.Output]:
+    """Take in that a registrar recorded the end of a claim."""
+    claim = world.claims.get(ack.ask_id.request_id)
+    if claim is None or ack.ask_id != ask_id(world, claim):
+        return
+    if claim.step is not Step.END or claim.sequence != ack.sequence:
+        return
+    left = tuple(x for x in claim.unacked if x.entry != sender.entry)
+    world.claims[claim.request_id] = claim._replace(unacked=left)
+    if not left:
+        _close(world, now_ms, claim)
+    yield from ()
+
+
+def on_timeout(
+    world: world_module.World, now_ms: float, request_id: ids.RequestId
+) -> abc.Iterator[out.Output]:
+    """Report an end again, or stop reporting it."""
+    claim = world.claims.get(request_id)
+    if claim is None or claim.step is not Step.END:
+        return
+    if not claim.unacked:
+        del world.claims[request_id]
+        return
+    if claim.tries >= const.ENDS_MAX:
+        world.counters['keys.end_unconfirmed'] += 1
+        _close(world, now_ms, claim._replace(unacked=()))
+        return
+    world.counters['keys.end_resent'] += 1
+    yield from _resend(world, now_ms, claim)
+
+
+def _told(claim: models.ClaimRow) -> tuple[ids.EntryRef, ...]:
+    if claim.step is Step.HOME:
+        return claim.registrars[:1]
+    return claim.registrars
+
+
+def _resend(
+    world: world_module.World, now_ms: float, claim: models.ClaimRow
+) -> abc.Iterator[out.Output]:
+    pause_ms = const.CLAIM_TIMEOUT_MS * 2.0**claim.tries
+    due_ms = now_ms + min(pause_ms, const.END_TIMEOUT_MAX_MS)
+    claim = claim._replace(tries=claim.tries + 1)
+    world.claims[claim.request_id] = claim
+    timers.start(world.timers, timeout(claim), due_ms)
+    message = messages.ClaimEnd(
+        claim.key, ask_id(world, claim), claim.sequence, claim.end
+    )
+    for registrar in claim.unacked:
+        yield out.SendPeer(registrar.entry, message)
+
+
+def _close(
+    world: world_module.World, now_ms: float, claim: models.ClaimRow
+) -> None:
+    match claim.end:
+        case models.Undecided():
+            # The row stays for a while, since the outcome may still come.
+            world.claims[claim.request_id] = claim._replace(unacked=())
+            due_ms = now_ms + const.LATE_OUTCOME_MS
+            timers.start(world.timers, timeout(claim), due_ms)
+        case _:
+            timers.stop(world.timers, timeout(claim))
+            world.claims.pop(claim.request_id, None)
+
+
+def _end_of(outcome: verdict.Outcome) -> models.KeyEnd:
+    match outcome:
+        case verdict.Answered(status, record):
+            return models.Ended(status, record)
+        case verdict.Lost():
+            return models.Undecided()
+        case verdict.Shed() | verdict.NotSent() | verdict.NeverStarted():
+            return None
--- a/packages/core/src/zinnialead_core/components/keys/messages.py
+++ b/packages/core/src/zinnialead_core/components/keys/messages.py
@@ -12,25 +12,23 @@
 
     key: ids.Key
     ask_id: ids.AskId
-    lifetime_left_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAnswer:
-    """Answer a claim or a bar."""
+class BarKey:
+    """Ask a registrar to bar a key that nobody has claimed."""
 
     key: ids.Key
     ask_id: ids.AskId
-    answer: models.Granted | models.Denial
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class BarKey:
-    """Ask a registrar to bar a key that it has never seen."""
+class ClaimAnswer:
+    """Answer a claim or a bar."""
 
     key: ids.Key
     ask_id: ids.AskId
-    lifetime_left_ms: float
+    answer: models.Answer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,4 +37,14 @@
 
     key: ids.Key
     ask_id: ids.AskId
-    state: models.Ended | models.Undecided | models.Barred | None
+    sequence: int
+    state: models.KeyEnd
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimEndAck:
+    """Confirm that a registrar has recorded an end."""
+
+    key: ids.Key
+    ask_id: ids.AskId
+    sequence: int
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -11,6 +11,7 @@
     | keys.ClaimAnswer
     | keys.ClaimAsk
     | keys.ClaimEnd
+    | keys.ClaimEndAck
     | members.Probe
     | members.ProbeAnswer
     | members.ProbeFor
