Read, check, fold and file tickets; load settings

Cause: daemon, command line and benches need one ticket format. Change: settings and tickets by pydantic into the core's rows, problems naming file, field and reason; filing as a generator of store calls that settles races and lost answers by reading back; plans and warnings; settings and tickets of both deployments. Conclusion: tickets are refused whole or in force whole.

--- /dev/null
+++ b/packages/config/src/zinnialead_config/filing/__init__.py
@@ -0,0 +1,25 @@
+"""File tickets in the store, and plan them before."""
+
+from zinnialead_config.filing.coordinator import file_ticket
+from zinnialead_config.filing.models import Filed
+from zinnialead_config.filing.models import LostRace
+from zinnialead_config.filing.models import Outcome
+from zinnialead_config.filing.models import Refused
+from zinnialead_config.filing.models import Unknown
+from zinnialead_config.filing.planning import Change
+from zinnialead_config.filing.planning import changes
+from zinnialead_config.filing.planning import Warned
+from zinnialead_config.filing.planning import warnings
+
+__all__ = [
+    'Change',
+    'Filed',
+    'LostRace',
+    'Outcome',
+    'Refused',
+    'Unknown',
+    'Warned',
+    'changes',
+    'file_ticket',
+    'warnings',
+]
--- /dev/null
+++ b/packages/config/src/zinnialead_config/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read the settings of one entry."""
--- /dev/null
+++ b/packages/config/src/zinnialead_config/settings/models.py
@@ -0,0 +1,85 @@
+"""Define the settings of one entry."""
+
+import typing
+
+import pydantic
+
+from zinnialead_config.settings import const
+
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65_535)]
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
+]
+Address = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$'),
+]
+Secret = typing.Annotated[
+    str, pydantic.Field(min_length=const.TOKEN_MIN_CHARS)
+]
+
+
+class PeerKey(typing.NamedTuple):
+    """Hold one key that entries sign their messages with."""
+
+    key_id: typing.Annotated[int, pydantic.Field(ge=0, le=255)]
+    secret: Secret
+
+
+class Tls(typing.NamedTuple):
+    """Name the files that HTTP over TLS is served with."""
+
+    certificate_file: str
+    key_file: str
+
+
+class Seed(typing.NamedTuple):
+    """Name an entry to start from while the store is down."""
+
+    entry: Name
+    domain: Name
+    address: Address
+
+
+class Bounds(typing.NamedTuple):
+    """Bound what one entry takes in."""
+
+    connections_max: pydantic.PositiveInt = const.CONNECTIONS_MAX
+    exchanges_max: pydantic.PositiveInt = const.EXCHANGES_MAX
+    headers_max: pydantic.PositiveInt = const.HEADERS_MAX
+    header_max_bytes: pydantic.PositiveInt = const.HEADER_MAX_BYTES
+
+
+class Statsd(typing.NamedTuple):
+    """Say where the metrics go."""
+
+    host: str
+    port: Port = const.STATSD_PORT
+    period_ms: pydantic.PositiveFloat = const.STATSD_PERIOD_MS
+
+
+class Settings(typing.NamedTuple):
+    """Hold the settings of one entry.
+
+    ``callers_bind``, ``operators_bind`` and ``peers_bind`` are ``IP:port``;
+    ``callers_address`` and ``peers_address`` are what others are told where
+    it differs from the bind.  The first of ``peer_keys`` signs, all verify.
+    """
+
+    entry: Name
+    domain: Name
+    region: Name
+    callers_bind: Address
+    operators_bind: Address
+    peers_bind: Address
+    operators_token: Secret
+    peer_keys: typing.Annotated[
+        tuple[PeerKey, ...], pydantic.Field(min_length=1)
+    ]
+    store_addresses: tuple[Address, ...] = ()
+    seeds: tuple[Seed, ...] = ()
+    callers_address: Address | None = None
+    peers_address: Address | None = None
+    tls: Tls | None = None
+    bounds: Bounds = Bounds()
+    statsd: Statsd | None = None
--- /dev/null
+++ b/packages/config/src/zinnialead_config/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check and fold tickets."""
--- /dev/null
+++ b/packages/config/src/zinnialead_config/tickets/documents.py
@@ -0,0 +1,183 @@
+"""Define the JSON documents of tickets and of the state in force."""
+
+import typing
+
+import pydantic
+import typing_extensions
+
+STRICT = pydantic.with_config(pydantic.ConfigDict(extra='forbid', strict=True))
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
+]
+PlaceName = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}/[a-z0-9-]{1,63}$'),
+]
+Address = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$'),
+]
+Ms = typing.Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
+Share = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
+Count = typing.Annotated[int, pydantic.Field(gt=0, le=1_000_000)]
+Rate = typing.Annotated[float, pydantic.Field(ge=0, le=1e12)]
+
+
+@STRICT
+class ServiceDocument(typing_extensions.TypedDict):
+    """Describe a service."""
+
+    idempotent: bool
+    default_rank: Name
+    deadline_max_ms: Ms
+    service_time_ms: Ms
+    body_max_bytes: Count
+    queue_max: Count
+
+
+@STRICT
+class DomainDocument(typing_extensions.TypedDict):
+    """Describe a failure domain."""
+
+    region: Name
+    entries_max: Count
+
+
+@STRICT
+class RankDocument(typing_extensions.TypedDict):
+    """Describe a rank; the lowest ``order`` is served first."""
+
+    order: typing.Annotated[int, pydantic.Field(ge=0, le=99)]
+    worth: Rate
+    floor_share: Share
+    target_ms: Ms
+
+
+@STRICT
+class UpstreamDocument(typing_extensions.TypedDict):
+    """Describe an upstream of a place."""
+
+    address: Address
+    slots: Count
+    connections_max: Count
+
+
+@STRICT
+class PlaceDocument(typing_extensions.TypedDict):
+    """List all upstreams of a service in a failure domain."""
+
+    upstreams: dict[Name, UpstreamDocument]
+
+
+@STRICT
+class UpstreamDrainDocument(typing_extensions.TypedDict):
+    """Drain an upstream."""
+
+    kind: typing.Literal['upstream']
+    upstream: Name
+
+
+@STRICT
+class DomainDrainDocument(typing_extensions.TypedDict):
+    """Drain a failure domain."""
+
+    kind: typing.Literal['domain']
+    domain: Name
+
+
+@STRICT
+class RegionDrainDocument(typing_extensions.TypedDict):
+    """Drain a region."""
+
+    kind: typing.Literal['region']
+    region: Name
+
+
+DrainDocument = typing.Annotated[
+    UpstreamDrainDocument | DomainDrainDocument | RegionDrainDocument,
+    pydantic.Field(discriminator='kind'),
+]
+
+
+@STRICT
+class ShiftCapDocument(typing_extensions.TypedDict):
+    """Cap the requests shifted between two regions."""
+
+    kind: typing.Literal['shift']
+    from_region: Name
+    to_region: Name
+    requests_per_s: Rate
+
+
+@STRICT
+class RegionLimitDocument(typing_extensions.TypedDict):
+    """Limit a service's requests in flight in a region."""
+
+    kind: typing.Literal['region']
+    region: Name
+    service: Name
+    in_flight: Count
+
+
+@STRICT
+class LinkBudgetDocument(typing_extensions.TypedDict):
+    """Limit the bytes that shifts put on a link."""
+
+    kind: typing.Literal['link']
+    from_region: Name
+    to_region: Name
+    bytes_per_s: Rate
+
+
+CapDocument = typing.Annotated[
+    ShiftCapDocument | RegionLimitDocument | LinkBudgetDocument,
+    pydantic.Field(discriminator='kind'),
+]
+
+
+@STRICT
+class BlockDocument(typing_extensions.TypedDict):
+    """Give the failure domain that a block of clients is nearest to."""
+
+    domain: Name
+
+
+class Sections(typing_extensions.TypedDict, total=False):
+    """Hold what a ticket touches, each item whole; null removes it."""
+
+    services: dict[Name, ServiceDocument | None]
+    domains: dict[Name, DomainDocument | None]
+    ranks: dict[Name, RankDocument | None]
+    places: dict[PlaceName, PlaceDocument | None]
+    drains: dict[Name, DrainDocument | None]
+    caps: dict[Name, CapDocument | None]
+    blocks: dict[str, BlockDocument | None]
+
+
+@STRICT
+class TicketDocument(Sections):
+    """Hold one ticket."""
+
+    number: Count
+    operator: typing.Annotated[str, pydantic.Field(min_length=1)]
+    note: typing_extensions.NotRequired[str]
+
+
+@STRICT
+class NoteDocument(typing_extensions.TypedDict):
+    """Name who filed one of the last tickets."""
+
+    number: int
+    digest: str
+    operator: str
+    filed_ms: float
+
+
+@STRICT
+class StateDocument(Sections):
+    """Hold the whole state in force."""
+
+    format: int
+    number: int
+    history: list[NoteDocument]
--- /dev/null
+++ b/packages/config/src/zinnialead_config/tickets/rows.py
@@ -0,0 +1,148 @@
+"""Turn the items of tickets into the rows of the core, and back."""
+
+from collections import abc
+
+from zinnialead_config.tickets import documents
+from zinnialead_core.components import tickets
+from zinnialead_core import ids
+
+
+def service(name: str, item: documents.ServiceDocument) -> tickets.ServiceRow:
+    """Return the row of a service."""
+    return tickets.ServiceRow(
+        service=ids.ServiceId(name),
+        idempotent=item['idempotent'],
+        default_rank=ids.RankId(item['default_rank']),
+        deadline_max_ms=item['deadline_max_ms'],
+        service_time_ms=item['service_time_ms'],
+        body_max_bytes=item['body_max_bytes'],
+        queue_max=item['queue_max'],
+    )
+
+
+def domain(name: str, item: documents.DomainDocument) -> tickets.DomainRow:
+    """Return the row of a failure domain."""
+    return tickets.DomainRow(
+        ids.DomainId(name), ids.RegionId(item['region']), item['entries_max']
+    )
+
+
+def rank(name: str, item: documents.RankDocument) -> tickets.RankRow:
+    """Return the row of a rank."""
+    return tickets.RankRow(
+        ids.RankId(name),
+        item['order'],
+        item['worth'],
+        item['floor_share'],
+        item['target_ms'],
+    )
+
+
+def block(prefix: str, item: documents.BlockDocument) -> tickets.BlockRow:
+    """Return the row of a block of clients."""
+    return tickets.BlockRow(prefix, ids.DomainId(item['domain']))
+
+
+def upstreams(
+    known: abc.Mapping[ids.UpstreamId, tickets.UpstreamRow],
+    places: abc.Mapping[str, documents.PlaceDocument | None],
+) -> dict[ids.UpstreamId, tickets.UpstreamRow]:
+    """Return the upstreams with those of the touched places replaced."""
+    result = {
+        name: row
+        for name, row in known.items()
+        if f'{row.service}/{row.domain}' not in places
+    }
+    for place, item in places.items():
+        for row in _upstreams_of(place, item):
+            result[row.upstream] = row
+    return result
+
+
+def _upstreams_of(
+    place: str, item: documents.PlaceDocument | None
+) -> abc.Iterator[tickets.UpstreamRow]:
+    if item is None:
+        return
+    service_name, _, domain_name = place.partition('/')
+    for name, upstream in item['upstreams'].items():
+        yield tickets.UpstreamRow(
+            ids.UpstreamId(name),
+            ids.ServiceId(service_name),
+            ids.DomainId(domain_name),
+            upstream['address'],
+            upstream['slots'],
+            upstream['connections_max'],
+        )
+
+
+def drain(_name: str, item: documents.DrainDocument) -> tickets.Drain:
+    """Return the data class of a drain."""
+    match item:
+        case {'kind': 'upstream', 'upstream': str(upstream)}:
+            return tickets.UpstreamDrain(ids.UpstreamId(upstream))
+        case {'kind': 'domain', 'domain': str(domain_name)}:
+            return tickets.DomainDrain(ids.DomainId(domain_name))
+        case {'kind': 'region', 'region': str(region)}:
+            return tickets.RegionDrain(ids.RegionId(region))
+    raise AssertionError(f'unchecked drain: {item}')
+
+
+def cap(_name: str, item: documents.CapDocument) -> tickets.Cap:
+    """Return the data class of a cap."""
+    match item['kind']:
+        case 'shift':
+            return tickets.ShiftCap(
+                ids.RegionId(item['from_region']),
+                ids.RegionId(item['to_region']),
+                item['requests_per_s'],
+            )
+        case 'region':
+            return tickets.RegionLimit(
+                ids.RegionId(item['region']),
+                ids.ServiceId(item['service']),
+                item['in_flight'],
+            )
+        case 'link':
+            return tickets.LinkBudget(
+                ids.RegionId(item['from_region']),
+                ids.RegionId(item['to_region']),
+                item['bytes_per_s'],
+            )
+
+
+def drain_document(item: tickets.Drain) -> documents.DrainDocument:
+    """Return the document of a drain."""
+    match item:
+        case tickets.UpstreamDrain(upstream):
+            return {'kind': 'upstream', 'upstream': upstream}
+        case tickets.DomainDrain(domain_name):
+            return {'kind': 'domain', 'domain': domain_name}
+        case tickets.RegionDrain(region):
+            return {'kind': 'region', 'region': region}
+
+
+def cap_document(item: tickets.Cap) -> documents.CapDocument:
+    """Return the document of a cap."""
+    match item:
+        case tickets.ShiftCap(from_region, to_region, requests_per_s):
+            return {
+                'kind': 'shift',
+                'from_region': from_region,
+                'to_region': to_region,
+                'requests_per_s': requests_per_s,
+            }
+        case tickets.RegionLimit(region, service_name, in_flight):
+            return {
+                'kind': 'region',
+                'region': region,
+                'service': service_name,
+                'in_flight': in_flight,
+            }
+        case tickets.LinkBudget(from_region, to_region, bytes_per_s):
+            return {
+                'kind': 'link',
+                'from_region': from_region,
+                'to_region': to_region,
+                'bytes_per_s': bytes_per_s,
+            }
--- /dev/null
+++ b/tests/config/test_settings.py
@@ -0,0 +1,24 @@
+"""Load settings from file, environment and flags."""
+
+import pathlib
+
+from zinnialead_config.settings import coordinator as settings
+
+EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples/umusozi/entry.json'
+
+
+def test_flags_go_before_environment_before_file():
+    environment = {'ZINNIALEAD_ENTRY': 'e-1', 'ZINNIALEAD_DOMAIN': 'd-1'}
+    found = settings.load(EXAMPLE, environment, {'entry': 'e-2'}).ok
+    assert (found.entry, found.domain) == ('e-2', 'd-1')
+    assert found.region == 'kigali'
+    assert found.peer_keys[0].key_id == 1
+
+
+def test_problems_name_the_field():
+    text = EXAMPLE.read_text().replace('"region"', '"regoin"')
+    found = {item.path for item in settings.parse(text, 'x', {}).error}
+    assert found == {'region', 'regoin'}
+    text = EXAMPLE.read_text().replace('replace-this-peers-secret', 'short')
+    [problem] = settings.parse(text, 'x', {}).error
+    assert problem.path == 'peer_keys.0.secret'
--- /dev/null
+++ b/tests/config/test_tickets.py
@@ -0,0 +1,88 @@
+"""Read, check and fold tickets."""
+
+import pathlib
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+import zinnialead_config as config
+from zinnialead_config.tickets import coordinator as tickets
+from zinnialead_core.components import tickets as core_tickets
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+DEPLOYMENTS = ('sabarmati', 'umusozi')
+
+
+def in_force(deployment: str) -> core_tickets.State:
+    state = core_tickets.empty_state()
+    for path in sorted((EXAMPLES / deployment).glob('0*.json')):
+        state = config.fold(state, config.load_ticket(path).ok).ok
+    return state
+
+
+def problems_of(text: str) -> dict[str, str]:
+    result = tickets.parse(text, 't.json').bind(
+        lambda ticket: config.fold(core_tickets.empty_state(), ticket)
+    )
+    return {item.path: item.reason for item in result.error}
+
+
+@pytest.mark.parametrize('deployment', DEPLOYMENTS)
+def test_the_examples_fold_and_survive_encoding(deployment):
+    state = in_force(deployment)
+    assert state.number == 2
+    assert len(state.upstreams) in (36, 42)
+    assert config.decode_state(config.encode_state(state)).ok == state
+
+
+def test_problems_name_the_field():
+    assert '(top)' in problems_of('{"number": 1, ')
+    assert 'ranks.r.floor_share' in problems_of(
+        '{"number": 1, "operator": "x", "ranks": {"r": {"order": 0,'
+        ' "worth": 1, "floor_share": 2, "target_ms": 1}}}'
+    )
+    assert 'surprise' in problems_of(
+        '{"number": 1, "operator": "x", "surprise": {}}'
+    )
+    found = problems_of(
+        '{"number": 1, "operator": "x", "drains":'
+        ' {"d": {"kind": "region", "region": "kigali"}}}'
+    )
+    assert found == {'drains.d': "no domain stands in region 'kigali'"}
+
+
+def test_a_ticket_out_of_sequence_is_refused():
+    text = '{"number": 3, "operator": "x"}'
+    assert 'can not follow ticket 0' in problems_of(text)['number']
+
+
+def test_null_removes_and_a_place_is_replaced_whole():
+    state = in_force('umusozi')
+    text = (
+        '{"number": 3, "operator": "x", "drains": {"pricebook-1": null},'
+        ' "places": {"pricebook/kigali-a": {"upstreams": {"new":'
+        ' {"address": "127.0.0.1:9", "slots": 1, "connections_max": 1}}}}}'
+    )
+    folded = config.fold(state, tickets.parse(text, 't').ok).ok
+    assert folded.drains == {}
+    here = [
+        row.upstream
+        for row in folded.upstreams.values()
+        if (row.service, row.domain) == ('pricebook', 'kigali-a')
+    ]
+    assert here == ['new']
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(st.binary(max_size=200))
+def test_no_bytes_raise(raw):
+    assert config.decode_state(raw).is_error()
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(st.data())
+def test_a_cut_ticket_is_refused(data):
+    text = (EXAMPLES / 'umusozi' / '0002-drain-upstream.json').read_text()
+    cut = data.draw(st.integers(0, text.rindex('}') - 1))
+    assert tickets.parse(text[:cut], 't.json').is_error()
