--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
@@ -0,0 +1,78 @@
+"""Answer operators' calls that carry the credential."""
+
+import functools
+import hmac
+
+from zinnialead_core import inputs as inp
+from zinnialead_daemon.components.engine import coordinator as engines
+from zinnialead_daemon.components.engine import diagnostics
+from zinnialead_daemon.components.operators import const
+from zinnialead_daemon.components.operators import documents
+from zinnialead_daemon.components.operators import fleet
+from zinnialead_daemon.components.operators import models
+from zinnialead_daemon import http
+
+JSON = [(b'content-type', b'application/json')]
+
+
+def asgi_app(operators: models.Operators) -> http.AsgiApp:
+    """Return the ASGI application that serves operators."""
+    return functools.partial(_serve, operators)
+
+
+async def _serve(
+    operators: models.Operators,
+    scope: http.Scope,
+    receive: http.Receive,
+    send: http.Send,
+) -> None:
+    match _answer(operators, scope):
+        case http.Problem() as problem:
+            await http.send_problem(send, problem)
+        case answer:
+            await http.respond(send, 200, JSON, documents.encode(answer))
+
+
+def _answer(
+    operators: models.Operators, scope: http.Scope
+) -> object | http.Problem:
+    if not allowed(operators.token, scope['headers']):
+        operators.engine.world.counters['operators.denied'] += 1
+        return http.Problem(401, 'credential', 'a bearer token is needed')
+    engine = operators.engine
+    match scope['method'], scope['path']:
+        case 'GET', const.DUMP_PATH:
+            return full_dump(operators)
+        case 'GET', const.FLEET_PATH:
+            return fleet.fleet(engine.world, engine.now_ms())
+        case 'GET', const.STATE_PATH:
+            return engine.world.states['in-force']
+        case 'POST', const.STOP_PATH:
+            engines.feed(engine, inp.StopAsked())
+            in_hand = len(engine.world.requests.rows)
+            return models.Stopping(stopping=True, in_hand=in_hand)
+        case method, path:
+            return http.Problem(
+                404, 'no-such-path', f'{method} {path} is not served'
+            )
+
+
+def full_dump(operators: models.Operators) -> models.FullDump:
+    """Return the core's dump and a part for each edge."""
+    return models.FullDump(
+        core=diagnostics.dump(operators.engine),
+        edges={name: part() for name, part in operators.edges.items()},
+    )
+
+
+def allowed(token: bytes, headers: http.Headers) -> bool:
+    """Return whether the headers carry the operators' token.
+
+    >>> allowed(b's3', [(b'authorization', b'Bearer s3')])
+    True
+    >>> allowed(b'', [(b'authorization', b'Bearer ')])
+    False
+    """
+    given = dict(headers).get(const.HEADER_AUTHORIZATION, b'')
+    expected = const.SCHEME + token
+    return bool(token) and hmac.compare_digest(given, expected)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -0,0 +1,125 @@
+"""Describe the fleet as one entry sees it."""
+
+from collections import abc
+
+import zinnialead_core as core
+from zinnialead_core.components import tickets
+from zinnialead_daemon.components.operators import const
+from zinnialead_daemon.components.operators import models
+
+SHIFT_WINDOW_MS = 1_000.0
+
+
+def fleet(world: core.World, now_ms: float) -> models.Fleet:
+    """Return members, upstreams, queues, drains, shifts and refusals."""
+    node = world.node
+    return models.Fleet(
+        entry=node.ref.entry,
+        domain=node.domain,
+        region=node.region,
+        incarnation=node.ref.incarnation,
+        state_number=world.states['in-force'].number,
+        members=list(_members(world, now_ms)),
+        upstreams=list(_upstreams(world)),
+        queues=list(_queues(world)),
+        drains=list(_drains(world)),
+        shifts=list(_shifts(world, now_ms)),
+        refusals={
+            name.removeprefix(const.REFUSED_PREFIX): count
+            for name, count in sorted(world.counters.items())
+            if name.startswith(const.REFUSED_PREFIX)
+        },
+    )
+
+
+def _members(
+    world: core.World, now_ms: float
+) -> abc.Iterator[models.MemberView]:
+    own = world.node.ref.entry
+    for row in sorted(world.members.values()):
+        number = row.state_number
+        if row.entry == own:
+            number = world.states['in-force'].number
+        yield models.MemberView(
+            entry=row.entry,
+            domain=row.domain,
+            address=row.address,
+            health=row.health.value,
+            incarnation=row.incarnation,
+            state_number=number,
+            heard_ago_ms=max(0.0, now_ms - row.heard_ms),
+        )
+
+
+def _upstreams(world: core.World) -> abc.Iterator[models.UpstreamView]:
+    state = world.states['in-force']
+    for row in sorted(state.upstreams.values()):
+        seen = world.upstreams.get(row.upstream)
+        yield models.UpstreamView(
+            upstream=row.upstream,
+            service=row.service,
+            domain=row.domain,
+            slots=row.slots,
+            in_use=world.queues.in_use.get(row.upstream),
+            healthy=seen.healthy if seen else None,
+            leaving=seen.leaving if seen else False,
+            draining=any(
+                covers(state, drain, row) for drain in state.drains.values()
+            ),
+        )
+
+
+def _queues(world: core.World) -> abc.Iterator[models.QueueView]:
+    for (service, rank), line in sorted(world.queues.lines.items()):
+        yield models.QueueView(service=service, rank=rank, queued=len(line))
+
+
+def _drains(world: core.World) -> abc.Iterator[models.DrainView]:
+    state = world.states['in-force']
+    for name, drain in sorted(state.drains.items()):
+        in_flight = sum(
+            world.queues.in_use.get(row.upstream, 0)
+            for row in state.upstreams.values()
+            if covers(state, drain, row)
+        )
+        match drain:
+            case tickets.UpstreamDrain(upstream):
+                kind, target = 'upstream', str(upstream)
+            case tickets.DomainDrain(domain):
+                kind, target = 'domain', str(domain)
+            case tickets.RegionDrain(region):
+                kind, target = 'region', str(region)
+        yield models.DrainView(
+            name=name, kind=kind, target=target, in_flight=in_flight
+        )
+
+
+def _shifts(
+    world: core.World, now_ms: float
+) -> abc.Iterator[models.ShiftView]:
+    since_ms = now_ms - SHIFT_WINDOW_MS
+    for name, cap in sorted(world.states['in-force'].caps.items()):
+        match cap:
+            case tickets.ShiftCap(origin, target, requests_per_s):
+                sent = world.shifts.sent_ms.get((origin, target), ())
+                yield models.ShiftView(
+                    name=name,
+                    from_region=origin,
+                    to_region=target,
+                    cap_per_s=requests_per_s,
+                    shifted_per_s=float(sum(at > since_ms for at in sent)),
+                )
+
+
+def covers(
+    state: tickets.State, drain: tickets.Drain, row: tickets.UpstreamRow
+) -> bool:
+    """Return whether a drain takes an upstream out of service."""
+    match drain:
+        case tickets.UpstreamDrain(upstream):
+            return row.upstream == upstream
+        case tickets.DomainDrain(domain):
+            return row.domain == domain
+        case tickets.RegionDrain(region):
+            place = state.domains.get(row.domain)
+            return place is not None and place.region == region
--- a/packages/daemon/src/zinnialead_daemon/http/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/http/__init__.py
@@ -1,19 +1,31 @@
 """Serve ASGI applications over HTTP."""
 
 from zinnialead_daemon.http.asgi import AsgiApp
+from zinnialead_daemon.http.asgi import discard
 from zinnialead_daemon.http.asgi import Headers
+from zinnialead_daemon.http.asgi import read_body
 from zinnialead_daemon.http.asgi import Receive
 from zinnialead_daemon.http.asgi import respond
 from zinnialead_daemon.http.asgi import Scope
 from zinnialead_daemon.http.asgi import Send
+from zinnialead_daemon.http.asgi import start
+from zinnialead_daemon.http.problems import Problem
+from zinnialead_daemon.http.problems import send_problem
+from zinnialead_daemon.http.server import Binding
 from zinnialead_daemon.http.server import serve
 
 __all__ = [
     'AsgiApp',
+    'Binding',
     'Headers',
+    'Problem',
     'Receive',
     'Scope',
     'Send',
+    'discard',
+    'read_body',
     'respond',
+    'send_problem',
     'serve',
+    'start',
 ]
--- a/packages/daemon/src/zinnialead_daemon/http/asgi.py
+++ b/packages/daemon/src/zinnialead_daemon/http/asgi.py
@@ -1,4 +1,4 @@
-"""Name the types of ASGI and send whole answers."""
+"""Name the types of ASGI, send whole answers and read small bodies."""
 
 from collections import abc
 import typing
@@ -9,18 +9,46 @@
 Send = abc.Callable[[dict[str, typing.Any]], abc.Awaitable[None]]
 AsgiApp = abc.Callable[[Scope, Receive, Send], abc.Awaitable[None]]
 
+HEADER_LENGTH = b'content-length'
+
 
 async def respond(
     send: Send, status: int, headers: Headers, body: bytes
 ) -> None:
     """Send one whole answer."""
-    start = {
+    await start(send, status, headers)
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def start(send: Send, status: int, headers: Headers) -> None:
+    """Send the head of an answer."""
+    head = {
         'type': 'http.response.start',
         'status': status,
         'headers': headers,
     }
-    await send(start)
-    await send({'type': 'http.response.body', 'body': body})
+    await send(head)
+
+
+async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
+    """Return a small body, or None for one too large or cut short."""
+    body = b''
+    while len(body) <= max_bytes:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return None
+        body += message.get('body', b'')
+        if not message.get('more_body', False):
+            return body if len(body) <= max_bytes else None
+    return None
+
+
+async def discard(receive: Receive) -> None:
+    """Read what the peer still sends until it is done or gone."""
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return
 
 
 async def lifespan(receive: Receive, send: Send) -> None:
--- /dev/null
+++ b/tests/daemon/operators/test_operators.py
@@ -0,0 +1,60 @@
+"""Read an entry through the operators' port."""
+
+import functools
+
+import httpcore
+import msgspec
+import trio
+
+from core import samples
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon.components import operators
+from zinnialead_daemon import http
+
+AUTH = [(b'authorization', b'Bearer s3cret')]
+
+
+async def ask(address, method, path, headers=()):
+    url = f'http://{address}{path}'
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request(method, url, headers=list(headers))
+
+
+async def served(nursery, world):
+    engine = engines.new_engine(world, lambda: 0.0)
+    app = operators.asgi_app(operators.Operators(engine, b's3cret'))
+    run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
+    return engine, await nursery.start(run)
+
+
+async def test_calls_without_the_credential_are_denied(nursery):
+    engine, address = await served(nursery, samples.world())
+    wrong = [(b'authorization', b'Bearer s3cre')]
+    for headers in ((), wrong):
+        answer = await ask(address, 'POST', '/v1/stop', headers)
+        assert answer.status == 401
+    assert engine.world.counters['operators.denied'] == 2
+    assert not engine.world.requests.stopping
+    nursery.cancel_scope.cancel()
+
+
+async def test_fleet_state_and_dump_are_json(nursery):
+    engine, address = await served(nursery, samples.world())
+    answers = {}
+    for path in ('/v1/fleet', '/v1/state', '/v1/dump'):
+        answer = await ask(address, 'GET', path, AUTH)
+        assert b's3cret' not in answer.content
+        answers[path] = msgspec.json.decode(answer.content)
+    assert answers['/v1/fleet']['members'][0]['state_number'] == 1
+    assert answers['/v1/state']['services']['intake']['queue_max'] == 100
+    assert answers['/v1/dump']['core']['entry'] == 'entry-1'
+    nursery.cancel_scope.cancel()
+
+
+async def test_stop_is_passed_on(nursery):
+    engine, address = await served(nursery, samples.world())
+    engine.handlers['stopped'] = lambda: None
+    answer = await ask(address, 'POST', '/v1/stop', AUTH)
+    assert msgspec.json.decode(answer.content)['stopping'] is True
+    assert engine.world.requests.stopping
+    nursery.cancel_scope.cancel()
