Let the core relay an answer before its end

Cause: an answer larger than a buffer can't be held back until its end. Change: the input AnswerStarted and the phase 'answer'; no retry after it.

--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core.components import keys
 from zinnialead_core.components.requests import admission
+from zinnialead_core.components.requests import answers
 from zinnialead_core.components.requests import models
 from zinnialead_core.components.requests import retries
 from zinnialead_core import ids
@@ -39,6 +40,8 @@
             case inp.SlotRefused(request_id, attempt, refusal):
                 if _current(world, request_id, attempt):
                     yield from _refuse(world, request_id, refusal)
+            case inp.AnswerStarted(request_id, attempt):
+                yield from answers.started(world, request_id, attempt)
             case inp.DispatchDone(request_id, attempt, outcome):
                 yield from _attempt_done(
                     world, now_ms, request_id, attempt, outcome
@@ -184,7 +187,8 @@
     if row.keyed:
         yield out.Notify(inp.ClaimEnded(row.request_id, outcome))
     world.counters[f'requests.answered.{row.rank}'] += 1
-    yield out.Relay(row.request_id, row.attempt)
+    if row.phase is not models.Phase.ANSWER:
+        yield out.Relay(row.request_id, row.attempt)
     yield from _forget(world, row.request_id)
 
 
@@ -245,7 +249,7 @@
     row = world.requests.rows.get(request_id)
     if row is None:
         return
-    if row.phase is models.Phase.UPSTREAM:
+    if row.phase in (models.Phase.UPSTREAM, models.Phase.ANSWER):
         yield out.CancelDispatch(request_id, row.attempt)
         world.requests.rows[request_id] = row._replace(
             worst=verdict.Verdict.MAY_HAVE_RUN
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -13,6 +13,7 @@
     CLAIM = 'claim'
     SLOT = 'slot'
     UPSTREAM = 'upstream'
+    ANSWER = 'answer'
     BACKOFF = 'backoff'
 
 
--- a/packages/core/src/zinnialead_core/components/requests/retries.py
+++ b/packages/core/src/zinnialead_core/components/requests/retries.py
@@ -24,6 +24,8 @@
     may_repeat = row.idempotent or row.worst is verdict.Verdict.NOT_RUN
     if not may_repeat or not row.replayable:
         return None
+    if row.phase is models.Phase.ANSWER:
+        return None
     if row.attempt >= const.ATTEMPTS_MAX:
         return None
     tokens = world.requests.retry_tokens
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -31,6 +31,14 @@
     request_id: ids.RequestId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerStarted:
+    """Report that an upstream began an answer too large to hold back."""
+
+    request_id: ids.RequestId
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatchDone:
     """Report the end of one attempt at an upstream."""
@@ -187,6 +195,7 @@
 Input = (
     RequestArrived
     | CallerGone
+    | AnswerStarted
     | DispatchDone
     | UpstreamReport
     | PeerMessage
