--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core.components.keys import claims
 from zinnialead_core.components.keys import ends
+from zinnialead_core.components.keys import issued
 from zinnialead_core.components.keys import messages
 from zinnialead_core.components.keys import models
 from zinnialead_core.components.keys import records
@@ -12,8 +13,15 @@
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
+from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
+NOT_BOUND = models.denied(
+    verdict.Verdict.MAY_HAVE_RUN,
+    verdict.Reason.KEY_UNDECIDED,
+    'the key is not bound to registrars',
+)
+
 
 def run(
     world: world_module.World,
@@ -52,7 +60,10 @@
     claim = models.ClaimRow(
         item.request_id, item.key, item.created_ms, item.deadline_ms
     )
-    yield from claims.begin(world, now_ms, claim)
+    if issued.is_issued(item.key):
+        yield from claims.begin(world, now_ms, claim)
+        return
+    yield out.Notify(inp.ClaimDenied(item.request_id, NOT_BOUND))
 
 
 def _on_message(
--- a/packages/core/src/zinnialead_core/components/keys/ends.py
+++ b/packages/core/src/zinnialead_core/components/keys/ends.py
@@ -14,9 +14,7 @@
 Step = models.Step
 
 
-def ask_id(
-    world: world_module.World, claim: models.ClaimRow
-) -> ids.AskId:
+def ask_id(world: world_module.World, claim: models.ClaimRow) -> ids.AskId:
     """Return the id of a claim, the same for all attempts of a request."""
     return ids.AskId(world.node.ref, claim.request_id, 0)
 
--- a/packages/core/src/zinnialead_core/components/keys/records.py
+++ b/packages/core/src/zinnialead_core/components/keys/records.py
@@ -65,9 +65,7 @@
         yield world.registrations.rows[key]
 
 
-def _mark(
-    marks: dict[ids.Key, None], key: ids.Key, marked: bool
-) -> None:
+def _mark(marks: dict[ids.Key, None], key: ids.Key, marked: bool) -> None:
     if marked:
         marks[key] = None
     else:
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from zinnialead_core.components import keys
+from zinnialead_core.components.keys import claims
 from zinnialead_core.components.requests import admission
 from zinnialead_core.components.requests import answers
 from zinnialead_core.components.requests import models
@@ -36,7 +37,9 @@
             case inp.ClaimDenied(request_id, denial):
                 yield from _deny(world, request_id, denial)
             case inp.SlotHeld(request_id, attempt, upstream):
-                yield from _dispatch(world, request_id, attempt, upstream)
+                yield from _dispatch(
+                    world, now_ms, request_id, attempt, upstream
+                )
             case inp.SlotRefused(request_id, attempt, refusal):
                 if _current(world, request_id, attempt):
                     yield from _refuse(world, request_id, refusal)
@@ -122,6 +125,7 @@
 
 def _dispatch(
     world: world_module.World,
+    now_ms: float,
     request_id: ids.RequestId,
     attempt: int,
     upstream: ids.UpstreamId,
@@ -131,6 +135,13 @@
     if row is None or row.attempt != attempt or known is None:
         yield out.Notify(inp.SlotGone(request_id, attempt))
         return
+    if row.phase is not models.Phase.SLOT:
+        # A duplicate of the grant that this attempt went out with.
+        return
+    if now_ms >= row.deadline_ms:
+        # An entry that was paused handles the grant before the timer.
+        yield from _deadline(world, request_id)
+        return
     world.requests.rows[request_id] = row._replace(
         phase=models.Phase.UPSTREAM, upstream=upstream
     )
@@ -256,6 +267,8 @@
         )
     if row.phase is models.Phase.SLOT:
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
+    if row.keyed and row.phase is models.Phase.CLAIM:
+        refusal = claims.overdue(world, request_id)
     yield from _refuse(world, request_id, refusal)
 
 
--- a/tests/core/samples.py
+++ b/tests/core/samples.py
@@ -1,6 +1,7 @@
 """Give the core's tests small worlds and requests."""
 
 import zinnialead_core as core
+from zinnialead_core.components import keys
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -52,6 +53,10 @@
     return made
 
 
+def issued_key(nonce: str, issued_ms: float = 0.0) -> str:
+    return f'{keys.prefix(REF, None, issued_ms)}.{nonce}'
+
+
 def request(
     request_id: int,
     service: str = 'pricebook',
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -18,16 +18,22 @@
 
 def test_a_key_runs_once_and_is_replayed():
     world = samples.world()
-    first = samples.request(1, service='intake', key='k')
+    key = samples.issued_key('k')
+    first = samples.request(1, service='intake', key=key)
     [dispatch] = core.tick(world, 0.0, [first])
-    second = samples.request(2, service='intake', key='k')
-    [refusal] = core.tick(world, 1.0, [second])
+    second = samples.request(2, service='intake', key=key, deadline_ms=5.0)
+    assert list(core.tick(world, 1.0, [second])) == []
+    [refusal] = core.tick(world, 5.0, [])
     assert refusal.refusal.reason is verdict.Reason.KEY_IN_PROGRESS
+    assert refusal.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
+    waits = samples.request(3, service='intake', key=key)
+    assert list(core.tick(world, 6.0, [waits])) == []
     done = inp.DispatchDone(1, 1, verdict.Answered(201, b'booked'))
-    assert list(core.tick(world, 10.0, [done])) == [out.Relay(1, 1)]
-    third = samples.request(3, service='intake', key='k')
-    [replay] = core.tick(world, 20.0, [third])
-    assert replay == out.Replay(3, 201, b'booked')
+    outputs = list(core.tick(world, 10.0, [done]))
+    assert outputs == [out.Relay(1, 1), out.Replay(3, 201, b'booked')]
+    late = samples.request(4, service='intake', key=key)
+    [replay] = core.tick(world, 20.0, [late])
+    assert replay == out.Replay(4, 201, b'booked')
     assert dispatch.idempotent is False
 
 
--- a/tests/daemon/test_application.py
+++ b/tests/daemon/test_application.py
@@ -31,7 +31,8 @@
     entry = await nursery.start(run)
     async with httpcore.AsyncConnectionPool() as pool:
         url = f'http://{entry}/v1/services/intake/book'
-        key = [(b'idempotency-key', b'k')]
+        issued = samples.issued_key('k', app.engine.now_ms())
+        key = [(b'idempotency-key', issued.encode())]
         for _ in range(2):
             answer = await pool.request('POST', url, headers=key)
             assert (answer.status, answer.content) == (201, b'booked')
