Give operators a command line

Cause: operators drive the system only by tickets and by reading back. Change: check, plan, file, state, diff, fleet, dump and stop; a filing whose answer is lost is read back; views of several entries are joined. Conclusion: each end of a filing has its own exit code and says whether the ticket may be in force.

--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/const.py
@@ -0,0 +1,25 @@
+"""Hold the constants of the command line."""
+
+import enum
+
+STORE_VARIABLE = 'ZINNIALEAD_STORE'
+ENTRIES_VARIABLE = 'ZINNIALEAD_ENTRIES'
+TOKEN_VARIABLE = 'ZINNIALEAD_TOKEN'  # noqa: S105 (a name, not a token)
+OBJECTS_PATH = '/apis/zinnialead/v1/objects'
+STATE_OBJECT = 'state'
+CALL_TIMEOUT_MS = 5_000.0
+WATCH_PERIOD_MS = 2_000.0
+MS_PER_S = 1_000.0
+RETRIES = 2
+
+
+class ExitCode(enum.IntEnum):
+    """Say how a command ended."""
+
+    DONE = 0
+    DIFFERENT = 1
+    USAGE = 2
+    REFUSED = 3
+    LOST_RACE = 4
+    UNKNOWN = 5
+    UNREACHABLE = 6
--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/fleet/__init__.py
@@ -0,0 +1,7 @@
+"""Show the fleet at a glance."""
+
+from zinnialead_cli.fleet.documents import FleetDocument
+from zinnialead_cli.fleet.merging import merge
+from zinnialead_cli.fleet.tables import lay_out
+
+__all__ = ['FleetDocument', 'lay_out', 'merge']
--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/fleet/documents.py
@@ -0,0 +1,71 @@
+"""Define what an entry's operators' port says of the fleet."""
+
+import typing
+
+
+class MemberDocument(typing.TypedDict):
+    """Show one entry as another one sees it."""
+
+    entry: str
+    domain: str
+    address: str
+    health: str
+    incarnation: int
+    state_number: int
+    heard_ago_ms: float
+
+
+class UpstreamDocument(typing.TypedDict):
+    """Show one upstream; ``in_use`` is null off its slot owner."""
+
+    upstream: str
+    service: str
+    domain: str
+    slots: int
+    in_use: int | None
+    healthy: bool | None
+    leaving: bool
+    draining: bool
+
+
+class QueueDocument(typing.TypedDict):
+    """Show the asks of one rank that wait at a slot owner."""
+
+    service: str
+    rank: str
+    queued: int
+
+
+class DrainDocument(typing.TypedDict):
+    """Show a drain and the work it still waits for."""
+
+    name: str
+    kind: str
+    target: str
+    in_flight: int
+
+
+class ShiftDocument(typing.TypedDict):
+    """Show a cap and what one entry shifts under it."""
+
+    name: str
+    from_region: str
+    to_region: str
+    cap_per_s: float
+    shifted_per_s: float
+
+
+class FleetDocument(typing.TypedDict):
+    """Show the fleet as one entry sees it."""
+
+    entry: str
+    domain: str
+    region: str
+    incarnation: int
+    state_number: int
+    members: list[MemberDocument]
+    upstreams: list[UpstreamDocument]
+    queues: list[QueueDocument]
+    drains: list[DrainDocument]
+    shifts: list[ShiftDocument]
+    refusals: dict[str, int]
--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/fleet/tables.py
@@ -0,0 +1,95 @@
+"""Lay out the fleet as tables for people."""
+
+from collections import abc
+
+import rich.table
+
+from zinnialead_cli.fleet import documents
+
+Fleet = documents.FleetDocument
+Row = tuple[object, ...]
+
+
+def lay_out(fleet: Fleet) -> abc.Iterator[rich.table.Table]:
+    """Yield the tables that show a fleet."""
+    yield _table(
+        f'Entries (ticket {fleet["state_number"]} in force)',
+        ('domain', 'entry', 'health', 'ticket', 'heard ms ago'),
+        (
+            (
+                row['domain'],
+                row['entry'],
+                row['health'],
+                row['state_number'],
+                round(row['heard_ago_ms']),
+            )
+            for row in fleet['members']
+        ),
+    )
+    yield _table(
+        'Upstreams',
+        ('service', 'domain', 'upstream', 'slots', 'in use', 'state'),
+        (
+            (
+                row['service'],
+                row['domain'],
+                row['upstream'],
+                row['slots'],
+                '-' if row['in_use'] is None else row['in_use'],
+                _state(row),
+            )
+            for row in fleet['upstreams']
+        ),
+    )
+    yield _table(
+        'Queues',
+        ('service', 'rank', 'waiting'),
+        (
+            (row['service'], row['rank'], row['queued'])
+            for row in fleet['queues']
+        ),
+    )
+    yield _table(
+        'Drains',
+        ('drain', 'kind', 'target', 'in flight'),
+        (
+            (row['name'], row['kind'], row['target'], row['in_flight'])
+            for row in fleet['drains']
+        ),
+    )
+    yield _table(
+        'Shifts',
+        ('cap', 'from', 'to', 'shifted/s', 'cap/s'),
+        (
+            (
+                row['name'],
+                row['from_region'],
+                row['to_region'],
+                round(row['shifted_per_s'], 1),
+                row['cap_per_s'],
+            )
+            for row in fleet['shifts']
+        ),
+    )
+    yield _table('Refusals', ('reason', 'count'), fleet['refusals'].items())
+
+
+def _state(row: documents.UpstreamDocument) -> str:
+    if row['draining']:
+        return 'draining'
+    if row['leaving']:
+        return 'leaving'
+    if row['healthy'] is None:
+        return 'not heard of'
+    return 'healthy' if row['healthy'] else 'left out'
+
+
+def _table(
+    title: str, headings: abc.Sequence[str], rows: abc.Iterable[Row]
+) -> rich.table.Table:
+    table = rich.table.Table(title=title, title_justify='left')
+    for heading in headings:
+        table.add_column(heading)
+    for row in rows:
+        table.add_row(*map(str, row))
+    return table
--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/main.py
@@ -0,0 +1,41 @@
+"""Join the operators' commands into one binary."""
+
+import importlib.metadata
+import typing
+
+import typer
+
+from zinnialead_cli.fleet import commands as fleet
+from zinnialead_cli.tickets import commands as tickets
+
+app = typer.Typer(
+    name='zinnialead',
+    help='Drive zinnialead by tickets, and read back what is in force.',
+    no_args_is_help=True,
+)
+app.command('check')(tickets.check)
+app.command('plan')(tickets.plan)
+app.command('file')(tickets.file_ticket)
+app.command('state')(tickets.state)
+app.command('diff')(tickets.diff)
+app.command('fleet')(fleet.fleet)
+app.command('dump')(fleet.dump)
+app.command('stop')(fleet.stop)
+
+
+def _version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(importlib.metadata.version('zinnialead-cli'))
+        raise typer.Exit
+
+
+@app.callback()
+def main(
+    version: typing.Annotated[
+        bool,
+        typer.Option(
+            '--version', callback=_version, help='Print the version.'
+        ),
+    ] = False,
+) -> None:
+    """Drive zinnialead by tickets, and read back what is in force."""
--- /dev/null
+++ b/packages/cli/src/zinnialead_cli/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Check, plan, file and read back tickets."""
--- /dev/null
+++ b/tests/cli/test_fleet.py
@@ -0,0 +1,56 @@
+"""Join what several entries say of the fleet."""
+
+from zinnialead_cli import fleet
+
+
+def seen(entry: str, in_use: int | None, heard_ago_ms: float):
+    member = {
+        'entry': 'e-1',
+        'domain': 'd',
+        'address': 'x',
+        'health': 'alive',
+        'incarnation': 1,
+        'state_number': 3,
+        'heard_ago_ms': heard_ago_ms,
+    }
+    upstream = {
+        'upstream': 'u-1',
+        'service': 's',
+        'domain': 'd',
+        'slots': 5,
+        'in_use': in_use,
+        'healthy': None,
+        'leaving': False,
+        'draining': False,
+    }
+    shift = {
+        'name': 'c',
+        'from_region': 'a',
+        'to_region': 'b',
+        'cap_per_s': 50.0,
+        'shifted_per_s': 2.0,
+    }
+    return {
+        'entry': entry,
+        'domain': 'd',
+        'region': 'r',
+        'incarnation': 1,
+        'state_number': 3,
+        'members': [member],
+        'upstreams': [upstream],
+        'queues': [{'service': 's', 'rank': 'urgent', 'queued': 1}],
+        'drains': [],
+        'shifts': [shift],
+        'refusals': {'queue-full': 2},
+    }
+
+
+def test_views_are_joined():
+    merged = fleet.merge([seen('e-1', None, 9.0), seen('e-2', 4, 5.0)])
+    assert merged['members'][0]['heard_ago_ms'] == 5.0
+    assert merged['upstreams'][0]['in_use'] == 4
+    assert merged['queues'][0]['queued'] == 2
+    assert merged['shifts'][0]['shifted_per_s'] == 4.0
+    assert merged['refusals'] == {'queue-full': 4}
+    titles = [table.title for table in fleet.lay_out(merged)]
+    assert titles[0] == 'Entries (ticket 3 in force)'
