--- a/packages/core/src/zinnialead_core/components/members/__init__.py
+++ b/packages/core/src/zinnialead_core/components/members/__init__.py
@@ -1,7 +1,10 @@
 """Know which entries are alive."""
 
+from zinnialead_core.components.members.messages import News
 from zinnialead_core.components.members.messages import Probe
 from zinnialead_core.components.members.messages import ProbeAnswer
+from zinnialead_core.components.members.messages import ProbeFor
+from zinnialead_core.components.members.messages import ProbeRelayed
 from zinnialead_core.components.members.models import Health
 from zinnialead_core.components.members.models import MemberRow
 from zinnialead_core.components.members.models import new_probes
@@ -10,8 +13,11 @@
 __all__ = [
     'Health',
     'MemberRow',
+    'News',
     'Probe',
     'ProbeAnswer',
+    'ProbeFor',
+    'ProbeRelayed',
     'ProbeTable',
     'new_probes',
 ]
--- a/packages/core/src/zinnialead_core/components/members/messages.py
+++ b/packages/core/src/zinnialead_core/components/members/messages.py
@@ -30,3 +30,18 @@
 
     sequence: int
     target: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRelayed:
+    """Tell the sender of a ``ProbeFor`` that its target answered."""
+
+    sequence: int
+    target: ids.EntryRef
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """Tell a peer news that cannot wait for the next probe."""
+
+    news: tuple[models.MemberRow, ...]
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -16,7 +16,11 @@
 
 
 class MemberRow(typing.NamedTuple):
-    """Hold what is believed of one entry."""
+    """Hold what is believed of one entry.
+
+    ``version`` counts how often the entry contradicted a suspicion in
+    this incarnation.
+    """
 
     entry: ids.EntryId
     incarnation: int
@@ -25,6 +29,7 @@
     health: Health
     heard_ms: float
     state_number: int
+    version: int = 0
 
 
 class ProbeTable(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/tickets/__init__.py
+++ b/packages/core/src/zinnialead_core/components/tickets/__init__.py
@@ -2,6 +2,7 @@
 
 from zinnialead_core.components.tickets.messages import StateAsk
 from zinnialead_core.components.tickets.messages import StateData
+from zinnialead_core.components.tickets.messages import StateDelta
 from zinnialead_core.components.tickets.messages import StateNumber
 from zinnialead_core.components.tickets.models import BlockRow
 from zinnialead_core.components.tickets.models import Cap
@@ -35,6 +36,7 @@
     'State',
     'StateAsk',
     'StateData',
+    'StateDelta',
     'StateNumber',
     'TicketNote',
     'UpstreamDrain',
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -11,14 +11,17 @@
     | keys.ClaimAnswer
     | keys.ClaimAsk
     | keys.ClaimEnd
+    | members.News
     | members.Probe
     | members.ProbeAnswer
     | members.ProbeFor
+    | members.ProbeRelayed
     | slots.SlotAnswer
     | slots.SlotAsk
     | slots.SlotReturn
     | steering.LoadReport
     | tickets.StateAsk
     | tickets.StateData
+    | tickets.StateDelta
     | tickets.StateNumber
 )
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Carry the messages between entries over TCP."""
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
@@ -0,0 +1,76 @@
+"""Encode what several components' messages have in common."""
+
+import math
+
+from zinnialead_core import ids
+from zinnialead_core import verdict
+from zinnialead_daemon.components.peers.codec import schema
+
+
+def finite(value: float) -> float:
+    """Return a number that can be compared, or raise ``ValueError``."""
+    if not math.isfinite(value):
+        raise ValueError(f'{value} is not a finite number')
+    return value
+
+
+def entry_ref(ref: ids.EntryRef) -> schema.Fields:
+    """Return the fields of an entry's run."""
+    return {'entry': ref.entry, 'incarnation': ref.incarnation}
+
+
+def read_entry_ref(reader: schema.Reader) -> ids.EntryRef:
+    """Return an entry's run."""
+    return ids.EntryRef(ids.EntryId(reader.entry), reader.incarnation)
+
+
+def ask_id(found: ids.AskId) -> schema.Fields:
+    """Return the fields of an ask's id."""
+    return {
+        'asker': entry_ref(found.asker),
+        'requestId': found.request_id,
+        'attempt': found.attempt,
+    }
+
+
+def read_ask_id(reader: schema.Reader) -> ids.AskId:
+    """Return an ask's id."""
+    return ids.AskId(
+        read_entry_ref(reader.asker),
+        ids.RequestId(reader.requestId),
+        reader.attempt,
+    )
+
+
+def refusal(found: verdict.Refusal) -> schema.Fields:
+    """Return the fields of a refusal."""
+    return {
+        'verdict': found.verdict.value,
+        'reason': found.reason.value,
+        'detail': found.detail,
+        'retryAfterMs': found.retry_after_ms,
+    }
+
+
+def read_refusal(reader: schema.Reader) -> verdict.Refusal:
+    """Return a refusal; a verdict that is not known may have run."""
+    return verdict.Refusal(
+        _verdict(reader.verdict),
+        _reason(reader.reason),
+        reader.detail,
+        finite(reader.retryAfterMs),
+    )
+
+
+def _verdict(value: str) -> verdict.Verdict:
+    try:
+        return verdict.Verdict(value)
+    except ValueError:
+        return verdict.Verdict.MAY_HAVE_RUN
+
+
+def _reason(value: str) -> verdict.Reason:
+    try:
+        return verdict.Reason(value)
+    except ValueError:
+        return verdict.Reason.NOT_READY
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -0,0 +1,190 @@
+"""Encode one message with its sender as the body of a frame."""
+
+import dataclasses
+import typing
+
+import capnp
+import expression
+import msgspec
+
+from zinnialead_config import documents
+from zinnialead_core.components.keys import messages as key_messages
+from zinnialead_core.components.members import messages as member_messages
+from zinnialead_core.components.slots import messages as slot_messages
+from zinnialead_core.components.steering import messages as load_messages
+from zinnialead_core.components.tickets import messages as state_messages
+from zinnialead_core import ids
+from zinnialead_core import messages
+from zinnialead_daemon.components.peers.codec import common
+from zinnialead_daemon.components.peers.codec import errors
+from zinnialead_daemon.components.peers.codec import keys
+from zinnialead_daemon.components.peers.codec import members
+from zinnialead_daemon.components.peers.codec import schema
+from zinnialead_daemon.components.peers.codec import slots
+from zinnialead_daemon.components.peers.codec import steering
+from zinnialead_daemon.components.peers.codec import tickets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Keepalive:
+    """Show that a link works; it never reaches the core."""
+
+
+class Envelope(typing.NamedTuple):
+    """Hold a message, who sent it and when."""
+
+    sender: ids.EntryRef
+    sequence: int
+    sent_ms: float
+    message: messages.Message | Keepalive
+
+
+class Coded(typing.NamedTuple):
+    """Name a member of the schema's union, with its fields."""
+
+    kind: str
+    fields: typing.Any
+
+
+def encode_body(envelope: Envelope) -> bytes:
+    """Return the body of a frame."""
+    coded = _fields(envelope.message)
+    built = schema.Envelope.new_message(
+        sender=common.entry_ref(envelope.sender),
+        sequence=envelope.sequence,
+        sentMs=envelope.sent_ms,
+        **{coded.kind: coded.fields},
+    )
+    return typing.cast('bytes', built.to_bytes_packed())
+
+
+def decode_body(
+    body: bytes,
+) -> expression.Result[Envelope, errors.FrameError]:
+    """Return what a frame's body holds, or why it is dropped."""
+    try:
+        reader = schema.Envelope.from_bytes_packed(body)
+        sender = common.read_entry_ref(reader.sender)
+        sent_ms = common.finite(reader.sentMs)
+    except (capnp.KjException, ValueError) as error:
+        return expression.Error(errors.Malformed(str(error)))
+    try:
+        kind = str(reader.which())
+    except capnp.KjException:
+        return expression.Error(errors.UnknownKind())
+    try:
+        message = _read(kind, reader)
+    except (
+        capnp.KjException,
+        ValueError,
+        msgspec.DecodeError,
+        documents.DocumentError,
+    ) as error:
+        return expression.Error(errors.Malformed(str(error)))
+    return expression.Ok(Envelope(sender, reader.sequence, sent_ms, message))
+
+
+def _fields(
+    message: messages.Message | Keepalive,
+) -> Coded:
+    match message:
+        case Keepalive():
+            return Coded('keepalive', None)
+        case key_messages.BarKey():
+            return Coded('barKey', keys.ask(message))
+        case key_messages.ClaimAnswer():
+            return Coded('claimAnswer', keys.claim_answer(message))
+        case key_messages.ClaimAsk():
+            return Coded('claimAsk', keys.ask(message))
+        case key_messages.ClaimEnd():
+            return Coded('claimEnd', keys.claim_end(message))
+        case slot_messages.SlotAnswer():
+            return Coded('slotAnswer', slots.slot_answer(message))
+        case slot_messages.SlotAsk():
+            return Coded('slotAsk', slots.slot_ask(message))
+        case slot_messages.SlotReturn():
+            return Coded('slotReturn', slots.slot_return(message))
+        case load_messages.LoadReport():
+            return Coded('loadReport', steering.load_report(message))
+        case _:
+            return _control_fields(message)
+
+
+def _control_fields(
+    message: member_messages.News
+    | member_messages.Probe
+    | member_messages.ProbeAnswer
+    | member_messages.ProbeFor
+    | member_messages.ProbeRelayed
+    | state_messages.StateAsk
+    | state_messages.StateData
+    | state_messages.StateDelta
+    | state_messages.StateNumber,
+) -> Coded:
+    match message:
+        case member_messages.Probe():
+            return Coded('probe', members.probe(message))
+        case member_messages.ProbeAnswer():
+            return Coded('probeAnswer', members.probe(message))
+        case member_messages.ProbeFor():
+            return Coded('probeFor', members.probe_for(message))
+        case member_messages.ProbeRelayed():
+            return Coded('probeRelayed', members.probe_relayed(message))
+        case member_messages.News():
+            return Coded('news', members.news(message))
+        case state_messages.StateAsk():
+            return Coded('stateAsk', tickets.state_ask(message))
+        case state_messages.StateData():
+            return Coded('stateData', tickets.state_data(message))
+        case state_messages.StateDelta():
+            return Coded('stateDelta', tickets.state_delta(message))
+        case state_messages.StateNumber():
+            return Coded('stateNumber', tickets.state_number(message))
+
+
+def _read(kind: str, reader: schema.Reader) -> messages.Message | Keepalive:
+    match kind:
+        case 'keepalive':
+            return Keepalive()
+        case 'barKey':
+            return keys.read_bar_key(reader.barKey)
+        case 'claimAnswer':
+            return keys.read_claim_answer(reader.claimAnswer)
+        case 'claimAsk':
+            return keys.read_claim_ask(reader.claimAsk)
+        case 'claimEnd':
+            return keys.read_claim_end(reader.claimEnd)
+        case 'slotAnswer':
+            return slots.read_slot_answer(reader.slotAnswer)
+        case 'slotAsk':
+            return slots.read_slot_ask(reader.slotAsk)
+        case 'slotReturn':
+            return slots.read_slot_return(reader.slotReturn)
+        case 'loadReport':
+            return steering.read_load_report(reader.loadReport)
+        case _:
+            return _read_control(kind, reader)
+
+
+def _read_control(kind: str, reader: schema.Reader) -> messages.Message:
+    match kind:
+        case 'probe':
+            return members.read_probe(reader.probe)
+        case 'probeAnswer':
+            return members.read_probe_answer(reader.probeAnswer)
+        case 'probeFor':
+            return members.read_probe_for(reader.probeFor)
+        case 'probeRelayed':
+            return members.read_probe_relayed(reader.probeRelayed)
+        case 'news':
+            return members.read_news(reader.news)
+        case 'stateAsk':
+            return tickets.read_state_ask(reader.stateAsk)
+        case 'stateData':
+            return tickets.read_state_data(reader.stateData)
+        case 'stateDelta':
+            return tickets.read_state_delta(reader.stateDelta)
+        case 'stateNumber':
+            return tickets.read_state_number(reader.stateNumber)
+        case _:
+            raise ValueError(f'no reader for {kind!r}')
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -0,0 +1,123 @@
+"""Encode the messages of the keys component."""
+
+from zinnialead_core.components.keys import messages
+from zinnialead_core.components.keys import models
+from zinnialead_core import ids
+from zinnialead_daemon.components.peers.codec import common
+from zinnialead_daemon.components.peers.codec import schema
+
+EndState = models.Ended | models.Undecided | models.Barred | None
+
+
+def ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
+    """Return the fields of a claim or of a bar."""
+    return {
+        'key': message.key,
+        'askId': common.ask_id(message.ask_id),
+        'lifetimeLeftMs': message.lifetime_left_ms,
+    }
+
+
+def read_claim_ask(reader: schema.Reader) -> messages.ClaimAsk:
+    """Return a claim."""
+    return messages.ClaimAsk(
+        ids.Key(reader.key),
+        common.read_ask_id(reader.askId),
+        common.finite(reader.lifetimeLeftMs),
+    )
+
+
+def read_bar_key(reader: schema.Reader) -> messages.BarKey:
+    """Return a bar."""
+    return messages.BarKey(
+        ids.Key(reader.key),
+        common.read_ask_id(reader.askId),
+        common.finite(reader.lifetimeLeftMs),
+    )
+
+
+def claim_answer(message: messages.ClaimAnswer) -> schema.Fields:
+    """Return the fields of an answer to a claim."""
+    fields = {'key': message.key, 'askId': common.ask_id(message.ask_id)}
+    match message.answer:
+        case models.Granted():
+            return {**fields, 'granted': None}
+        case models.Recorded(status, record):
+            return {**fields, 'recorded': _answer(status, record)}
+        case models.Denied(refusal):
+            return {**fields, 'denied': common.refusal(refusal)}
+
+
+def read_claim_answer(reader: schema.Reader) -> messages.ClaimAnswer:
+    """Return an answer to a claim."""
+    return messages.ClaimAnswer(
+        ids.Key(reader.key),
+        common.read_ask_id(reader.askId),
+        _read_granted_or_denial(reader),
+    )
+
+
+def claim_end(message: messages.ClaimEnd) -> schema.Fields:
+    """Return the fields of the end of a key's work."""
+    return {
+        'key': message.key,
+        'askId': common.ask_id(message.ask_id),
+        'state': _state(message.state),
+    }
+
+
+def read_claim_end(reader: schema.Reader) -> messages.ClaimEnd:
+    """Return the end of a key's work."""
+    return messages.ClaimEnd(
+        ids.Key(reader.key),
+        common.read_ask_id(reader.askId),
+        _read_state(reader.state),
+    )
+
+
+def _state(state: EndState) -> schema.Fields:
+    match state:
+        case models.Ended(status, record):
+            return {'ended': _answer(status, record)}
+        case models.Undecided():
+            return {'undecided': None}
+        case models.Barred():
+            return {'barred': None}
+        case None:
+            return {'notRun': None}
+
+
+def _read_state(reader: schema.Reader) -> EndState:
+    match str(reader.which()):
+        case 'ended':
+            found = _read_answer(reader.ended)
+            return models.Ended(found.status, found.record)
+        case 'barred':
+            return models.Barred()
+        case 'notRun':
+            return None
+        case _:
+            return models.Undecided()
+
+
+def _read_granted_or_denial(
+    reader: schema.Reader,
+) -> models.Granted | models.Denial:
+    match str(reader.which()):
+        case 'granted':
+            return models.Granted()
+        case 'recorded':
+            return _read_answer(reader.recorded)
+        case _:
+            return models.Denied(common.read_refusal(reader.denied))
+
+
+def _answer(status: int, record: bytes | None) -> schema.Fields:
+    if record is None:
+        return {'status': status}
+    return {'status': status, 'record': record}
+
+
+def _read_answer(reader: schema.Reader) -> models.Recorded:
+    record = bytes(reader.record) if reader._has('record') else None
+    return models.Recorded(reader.status, record)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -0,0 +1,183 @@
+# The messages between entries.  This schema only grows: a field or a member
+# of a union is never removed, renumbered or given another meaning.
+@0xb1c6a7d02f94e835;
+
+struct EntryRef {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct AskId {
+  asker @0 :EntryRef;
+  requestId @1 :UInt64;
+  attempt @2 :UInt32;
+}
+
+struct Refusal {
+  verdict @0 :Text;
+  reason @1 :Text;
+  detail @2 :Text;
+  retryAfterMs @3 :Float64;
+}
+
+struct Answer {
+  status @0 :Int32;
+  record @1 :Data;  # null where it was too large to keep
+}
+
+struct KeyState {
+  union {
+    notRun @0 :Void;
+    ended @1 :Answer;
+    undecided @2 :Void;
+    barred @3 :Void;
+  }
+}
+
+struct ClaimAsk {
+  key @0 :Text;
+  askId @1 :AskId;
+  lifetimeLeftMs @2 :Float64;
+}
+
+struct ClaimAnswer {
+  key @0 :Text;
+  askId @1 :AskId;
+  union {
+    granted @2 :Void;
+    recorded @3 :Answer;
+    denied @4 :Refusal;
+  }
+}
+
+struct ClaimEnd {
+  key @0 :Text;
+  askId @1 :AskId;
+  state @2 :KeyState;
+}
+
+struct Member {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt32;
+  domain @3 :Text;
+  address @4 :Text;
+  health @5 :Health;
+  stateNumber @6 :UInt64;
+}
+
+enum Health {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  dead @3;
+}
+
+struct Probe {
+  sequence @0 :UInt64;
+  stateNumber @1 :UInt64;
+  news @2 :List(Member);
+}
+
+struct ProbeFor {
+  sequence @0 :UInt64;
+  target @1 :Text;
+}
+
+struct ProbeRelayed {
+  sequence @0 :UInt64;
+  target @1 :EntryRef;
+}
+
+struct SlotAsk {
+  askId @0 :AskId;
+  service @1 :Text;
+  rank @2 :Text;
+  deadlineInMs @3 :Float64;
+  fromDomain @4 :Text;
+}
+
+struct SlotAnswer {
+  askId @0 :AskId;
+  upstream @1 :Text;    # null without a grant
+  refusal @2 :Refusal;  # null with a grant
+}
+
+struct SlotReturn {
+  askId @0 :AskId;
+  upstream @1 :Text;  # null to leave the queue
+  elapsedMs @2 :Float64;
+  failed @3 :Bool;
+}
+
+struct Load {
+  service @0 :Text;
+  domain @1 :Text;
+  slots @2 :UInt32;
+  inUse @3 :UInt32;
+  queued @4 :UInt32;
+  seenMs @5 :Float64;
+}
+
+struct StateNumber {
+  number @0 :UInt64;
+  digest @1 :Text;
+}
+
+struct StateAsk {
+  number @0 :UInt64;
+  digest @1 :Text;
+  part @2 :UInt32;
+  wanted @3 :UInt64;
+}
+
+# A state as msgpack, whose format has a version of its own.
+struct StateDocument {
+  format @0 :UInt16;
+  digest @1 :Data;
+  content @2 :Data;
+}
+
+struct StateData {
+  document @0 :StateDocument;
+  part @1 :UInt32;
+  parts @2 :UInt32;
+}
+
+struct StateDelta {
+  baseNumber @0 :UInt64;
+  baseDigest @1 :Text;
+  changed @2 :StateDocument;
+  removed @3 :List(Row);
+
+  struct Row {
+    table @0 :Text;
+    key @1 :Text;
+  }
+}
+
+struct Envelope {
+  sender @0 :EntryRef;
+  sequence @1 :UInt64;
+  sentMs @2 :Float64;
+  union {
+    keepalive @3 :Void;
+    barKey @4 :ClaimAsk;
+    claimAnswer @5 :ClaimAnswer;
+    claimAsk @6 :ClaimAsk;
+    claimEnd @7 :ClaimEnd;
+    probe @8 :Probe;
+    probeAnswer @9 :Probe;
+    probeFor @10 :ProbeFor;
+    probeRelayed @11 :ProbeRelayed;
+    news @12 :List(Member);
+    slotAnswer @13 :SlotAnswer;
+    slotAsk @14 :SlotAsk;
+    slotReturn @15 :SlotReturn;
+    loadReport @16 :List(Load);
+    stateAsk @17 :StateAsk;
+    stateData @18 :StateData;
+    stateDelta @19 :StateDelta;
+    stateNumber @20 :StateNumber;
+  }
+}
