Run a fleet of cores among fakes on one mock clock

Change: zinnialead_lab.fleet: event heap, network, store, upstreams, callers, injections and an oracle; the plain way as a second policy.

--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/fleet/const.py
@@ -0,0 +1,25 @@
+"""Hold the constants of the fleet of fakes."""
+
+DOMAIN_LATENCY_MS = 0.5
+REGION_LATENCY_MS = 35.0
+CALLER_LATENCY_MS = 3.0
+STORE_SERVICE_MS = 2.0
+NEW_CONNECTION_MS = 1.0
+CONNECT_TIMEOUT_MS = 500.0
+CANCEL_TIMEOUT_MS = 500.0
+# A connection not heard from for this long is replaced by a new one.
+CONNECTION_TRUST_MS = 2_000.0
+REPORT_PERIOD_MS = 1_000.0
+REPORT_LAG_MS = 500.0
+LIST_PERIOD_MS = 5_000.0
+LIST_LAG_MS = 10_000.0
+WATCH_MARGIN_MS = 100.0
+CALLERS_PER_DOMAIN = 16
+CALLER_ATTEMPTS_MAX = 4
+CALLER_PATIENCE_MS = 500.0
+# How much longer a request takes at an upstream with a cold cache.
+COLD_FACTOR = 3.0
+COLD_MS = 3_000.0
+UPSTREAM_QUEUE_MAX = 4
+STATE_OBJECT = 'state'
+PLAIN_ATTEMPTS_MAX = 4
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -0,0 +1,213 @@
+"""Bring about the faults and the operators' acts of a scenario."""
+
+import dataclasses
+
+from zinnialead_core.components import tickets
+from zinnialead_core import ids
+from zinnialead_core import inputs as inp
+from zinnialead_lab.fleet import const
+from zinnialead_lab.fleet import entries
+from zinnialead_lab.fleet import events
+from zinnialead_lab.fleet import models
+from zinnialead_lab.fleet import network
+from zinnialead_lab.fleet import store
+from zinnialead_lab.fleet import upstreams
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kill:
+    """Kill an entry's process."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restart:
+    """Start a new run of an entry with nothing in memory."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """Stop an entry's process for a while; its inputs wait."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Let a paused entry go on, with all that waited for it."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Ask an entry for a graceful stop."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """Partition each of these sets of domains from all the others."""
+
+    parts: tuple[frozenset[ids.DomainId], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetNetwork:
+    """Set what the network does to messages between entries."""
+
+    network: models.NetworkRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetStore:
+    """Set the condition of the store."""
+
+    down: bool = False
+    slow_ms: float = 0.0
+    lost_answer_share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class File:
+    """File a ticket whose folded state is ``state``."""
+
+    state: tickets.State
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetUpstream:
+    """Set what is wrong with an upstream, and how it lies."""
+
+    upstream: ids.UpstreamId
+    condition: models.Condition = models.Condition.WELL
+    lie: models.Lie = models.Lie.NONE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartCold:
+    """Bring an upstream back with a cold cache."""
+
+    upstream: ids.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """Make the open connections to an upstream silent for good."""
+
+    upstream: ids.UpstreamId
+
+
+Injection = (
+    Kill
+    | Restart
+    | Pause
+    | Resume
+    | Stop
+    | Cut
+    | SetNetwork
+    | SetStore
+    | File
+    | SetUpstream
+    | StartCold
+    | Silence
+)
+
+
+def inject(fleet: models.Fleet, injection: Injection) -> None:
+    """Bring about one fault or act now."""
+    match injection:
+        case Kill(entry):
+            _kill(fleet, entry)
+        case Restart(entry):
+            _restart(fleet, entry)
+        case Pause(entry):
+            _live(fleet, entry, models.Life.PAUSED)
+        case Resume(entry):
+            _resume(fleet, entry)
+        case Stop(entry):
+            entries.feed(fleet, entry, inp.StopAsked())
+        case Cut(parts):
+            fleet.network = fleet.network._replace(cut=parts)
+        case SetNetwork(row):
+            fleet.network = row
+        case SetStore(down, slow_ms, share):
+            fleet.store = models.StoreRow(
+                fleet.store.domain, down, slow_ms, share
+            )
+        case File(state):
+            _file(fleet, state)
+        case SetUpstream(upstream, condition, lie):
+            _set_upstream(fleet, upstream, condition, lie)
+        case StartCold(upstream):
+            cold = fleet.upstreams[upstream]
+            fleet.upstreams[upstream] = cold._replace(
+                condition=models.Condition.WELL,
+                cold_until_ms=fleet.now_ms + const.COLD_MS,
+            )
+        case Silence(upstream):
+            for entry in fleet.entries:
+                fleet.silent.add((entry, upstream))
+
+
+def _live(
+    fleet: models.Fleet, entry: ids.EntryId, life: models.Life
+) -> models.EntryRow:
+    row = fleet.entries[entry]._replace(life=life, ended_ms=fleet.now_ms)
+    fleet.entries[entry] = row
+    fleet.wakes_ms.pop(entry, None)
+    return row
+
+
+def _kill(fleet: models.Fleet, entry: ids.EntryId) -> None:
+    row = _live(fleet, entry, models.Life.DEAD)
+    cut = [call for call in fleet.calls if call.ref == row.ref]
+    for call in cut:
+        known = fleet.calls.pop(call)
+        failed = events.CallFails(known.work_id, known.attempt, sent=True)
+        network.after(fleet, const.CALLER_LATENCY_MS, failed)
+
+
+def _restart(fleet: models.Fleet, entry: ids.EntryId) -> None:
+    row = fleet.entries[entry]
+    if row.life is not models.Life.STOPPED:
+        _kill(fleet, entry)
+    entries.start(fleet, entry, row.domain, row.ref.incarnation + 1)
+    entries.feed(fleet, entry, *entries.listing(fleet))
+
+
+def _resume(fleet: models.Fleet, entry: ids.EntryId) -> None:
+    row = fleet.entries[entry]
+    if row.life is not models.Life.PAUSED:
+        return
+    row = _live(fleet, entry, models.Life.RUNNING)
+    held = list(row.held)
+    row.held.clear()
+    entries.feed(fleet, entry, *held)
+
+
+def _file(fleet: models.Fleet, state: tickets.State) -> None:
+    if not store.file(fleet, state):
+        fleet.counters['tickets.not_accepted'] += 1
+        return
+    fleet.filed_ms[state.number] = fleet.now_ms
+    if fleet.plain:
+        fleet.state = state
+        for entry in fleet.entries:
+            entries.feed(fleet, entry, inp.StateRead(state))
+
+
+def _set_upstream(
+    fleet: models.Fleet,
+    upstream: ids.UpstreamId,
+    condition: models.Condition,
+    lie: models.Lie,
+) -> None:
+    if condition is models.Condition.DEAD:
+        upstreams.die(fleet, upstream)
+    row = fleet.upstreams[upstream]
+    fleet.upstreams[upstream] = row._replace(condition=condition, lie=lie)
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/fleet/oracle.py
@@ -0,0 +1,33 @@
+"""Check what a fleet did against the promises, from the runs recorded."""
+
+import collections
+import typing
+
+from zinnialead_core import verdict
+from zinnialead_lab.fleet import models
+
+
+class Broken(typing.NamedTuple):
+    """Count the promises that a run of a fleet broke."""
+
+    double_runs: int
+    false_not_run: int
+    part_answers: int
+    reverted_tickets: int
+
+
+def check(fleet: models.Fleet) -> Broken:
+    """Return how often each promise was broken."""
+    ran = collections.Counter(
+        row.work_id for row in fleet.runs if fleet.works[row.work_id].keyed
+    )
+    false_not_run = sum(
+        row.verdict is verdict.Verdict.NOT_RUN and ran[row.work.work_id] > 0
+        for row in fleet.ends
+    )
+    return Broken(
+        double_runs=sum(count > 1 for count in ran.values()),
+        false_not_run=false_not_run,
+        part_answers=sum(not row.whole for row in fleet.ends),
+        reverted_tickets=fleet.counters['tickets.reverted'],
+    )
