Encode the claims of keys as the core now has them

Cause: the keys component and the peers' codec were built side by side, and claims have other fields and answers now. Change: schema and mapping of claims, their answers, ends and confirmations.

--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -98,6 +98,8 @@
             return Coded('claimAsk', keys.ask(message))
         case key_messages.ClaimEnd():
             return Coded('claimEnd', keys.claim_end(message))
+        case key_messages.ClaimEndAck():
+            return Coded('claimEndAck', keys.claim_end_ack(message))
         case slot_messages.SlotAnswer():
             return Coded('slotAnswer', slots.slot_answer(message))
         case slot_messages.SlotAsk():
@@ -154,6 +156,8 @@
             return keys.read_claim_ask(reader.claimAsk)
         case 'claimEnd':
             return keys.read_claim_end(reader.claimEnd)
+        case 'claimEndAck':
+            return keys.read_claim_end_ack(reader.claimEndAck)
         case 'slotAnswer':
             return slots.read_slot_answer(reader.slotAnswer)
         case 'slotAsk':
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -37,7 +37,6 @@
 struct ClaimAsk {
   key @0 :Text;
   askId @1 :AskId;
-  lifetimeLeftMs @2 :Float64;
 }
 
 struct ClaimAnswer {
@@ -47,6 +46,9 @@
     granted @2 :Void;
     recorded @3 :Answer;
     denied @4 :Refusal;
+    waiting @5 :Void;
+    freed @6 :Void;
+    notRegistrar @7 :Void;
   }
 }
 
@@ -54,6 +56,13 @@
   key @0 :Text;
   askId @1 :AskId;
   state @2 :KeyState;
+  sequence @3 :UInt32;
+}
+
+struct ClaimEndAck {
+  key @0 :Text;
+  askId @1 :AskId;
+  sequence @2 :UInt32;
 }
 
 struct Member {
@@ -179,5 +188,6 @@
     stateData @18 :StateData;
     stateDelta @19 :StateDelta;
     stateNumber @20 :StateNumber;
+    claimEndAck @21 :ClaimEndAck;
   }
 }
