Own slots whole: floors, the door, leases, owners that change

Cause: the slots, ranks, retries and upstreams stood as a thin path. A flood of urgent work starved the other ranks, work was queued that could not meet its deadline, slots of dead or paused holders stayed counted until the request's deadline, and a lost grant hung its request.

Change: the owner gives each rank its floor by credits, bounds its queue by rank, refuses at the door by the expected wait, leases slots that their holders renew, and hands its queue over when another entry becomes the owner. An asker asks `targets.next_target` again after a refusal that another domain may not share. Upstreams are left out after failures, ramped when new, and believed within bounds. A request whose caller left keeps its slot until its attempt ends.

--- a/packages/core/src/zinnialead_core/components/requests/admission.py
+++ b/packages/core/src/zinnialead_core/components/requests/admission.py
@@ -1,5 +1,6 @@
 """Check a request at the door."""
 
+from zinnialead_core.components.requests import const
 from zinnialead_core.components.requests import models
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
@@ -16,6 +17,8 @@
     service = state.services.get(item.service)
     if world.requests.stopping:
         return _refusal(verdict.Reason.STOPPING, 'this entry is stopping')
+    if len(world.requests.rows) >= const.ROWS_MAX:
+        return _refusal(verdict.Reason.QUEUE_FULL, 'this entry is full')
     if state.number == 0:
         return _refusal(verdict.Reason.NOT_READY, 'no ticket is in force')
     if service is None:
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -8,12 +8,17 @@
 
 
 class Phase(enum.Enum):
-    """Say what a request waits for."""
+    """Say what a request waits for.
+
+    One that is ``ENDING`` has been answered, or its caller has left, but
+    its attempt still keeps the upstream busy.
+    """
 
     CLAIM = 'claim'
     SLOT = 'slot'
     UPSTREAM = 'upstream'
     BACKOFF = 'backoff'
+    ENDING = 'ending'
 
 
 class RequestRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/requests/retries.py
+++ b/packages/core/src/zinnialead_core/components/requests/retries.py
@@ -8,9 +8,16 @@
 
 
 def earn(world: world_module.World, service: ids.ServiceId) -> None:
-    """Add what one accepted request gives to the retry budget."""
+    """Add what a request's first attempt gives to the retry budget.
+
+    Requests refused before an attempt earn nothing, so that a flood
+    does not fill the budget.
+    """
     tokens = world.requests.retry_tokens
-    earned = tokens.get(service, 1.0) + const.RETRY_TOKENS_PER_REQUEST
+    earned = (
+        tokens.get(service, const.RETRY_TOKENS_START)
+        + const.RETRY_TOKENS_PER_REQUEST
+    )
     tokens[service] = min(const.RETRY_TOKENS_MAX, earned)
 
 
@@ -22,12 +29,12 @@
 ) -> float | None:
     """Return the pause before the next attempt, or None for no retry."""
     may_repeat = row.idempotent or row.worst is verdict.Verdict.NOT_RUN
-    if not may_repeat or not row.replayable:
+    if not may_repeat or not row.replayable or row.caller_gone:
         return None
     if row.attempt >= const.ATTEMPTS_MAX:
         return None
     tokens = world.requests.retry_tokens
-    if tokens.get(row.service, 0.0) < 1.0:
+    if tokens.get(row.service, const.RETRY_TOKENS_START) < 1.0:
         world.counters['requests.retry_budget_empty'] += 1
         return None
     pause_ms = _backoff_ms(world, row.attempt, outcome)
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -3,8 +3,12 @@
 from collections import abc
 
 from zinnialead_core.components.slots import asker
+from zinnialead_core.components.slots import leases
+from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import owner
+from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.slots import renewals
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -19,20 +23,24 @@
 ) -> abc.Iterator[out.Output]:
     """Ask for the slots that requests want and grant those owned here.
 
-    Reads ``requests``, ``states``, ``members`` and ``upstreams``; writes
-    ``asks``, ``queues`` and ``timers``.
+    Reads ``requests``, ``states`` and ``members``; writes ``asks``,
+    ``queues``, ``upstreams`` and ``timers``.
     """
+    yield from _members_changed(world, now_ms, inputs)
     for item in inputs:
         match item:
             case inp.SlotWanted(request_id, attempt):
                 yield from asker.ask(world, now_ms, request_id, attempt)
-            case inp.SlotGone(request_id, attempt):
-                yield from asker.give_back(world, request_id, attempt)
+            case inp.SlotGone():
+                yield from asker.give_back(world, now_ms, item)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
-            case inp.TimerDue(timers.QueueExpiry(ask_id)):
-                yield from owner.expire(world, now_ms, ask_id)
+            case inp.TimerDue(timer):
+                yield from _on_timer(world, now_ms, timer)
             case inp.StateChanged():
+                ownership.refresh(world, now_ms)
+                yield from owner.grant_all(world, now_ms)
+            case inp.UpstreamReport():
                 yield from owner.grant_all(world, now_ms)
 
 
@@ -46,6 +54,57 @@
         case messages.SlotAsk():
             yield from owner.enqueue(world, now_ms, message)
         case messages.SlotAnswer():
-            yield from asker.answered(world, sender, message)
+            yield from asker.answered(world, now_ms, sender, message)
+        case messages.SlotWaiting():
+            asker.waiting(world, sender, message)
+        case messages.SlotHeldReport():
+            leases.renew(world, now_ms, message)
         case messages.SlotReturn():
-            yield from owner.take_back(world, now_ms, message)
+            yield from owner.leave(world, now_ms, message)
+
+
+def _on_timer(
+    world: world_module.World, now_ms: float, timer: timers.Timer
+) -> abc.Iterator[out.Output]:
+    match timer:
+        case timers.QueueExpiry(ask_id):
+            yield from owner.expire(world, now_ms, ask_id)
+        case timers.AskTimeout(ask_id):
+            yield from renewals.on_timer(world, now_ms, ask_id)
+        case timers.SlotsDue(service):
+            yield from owner.grant(world, now_ms, service)
+
+
+def _members_changed(
+    world: world_module.World,
+    now_ms: float,
+    inputs: abc.Sequence[inp.Input],
+) -> abc.Iterator[out.Output]:
+    """Take in all changes of members of a tick at once."""
+    changed = False
+    renewed: set[ids.EntryId] = set()
+    for item in inputs:
+        match item:
+            case inp.MemberLost(ref):
+                _lost(world, now_ms, ref)
+                changed = True
+            case inp.MemberJoined(ref):
+                earlier = ref._replace(incarnation=ref.incarnation - 1)
+                _lost(world, now_ms, earlier)
+                renewed.add(ref.entry)
+                changed = True
+            case inp.StopAsked():
+                changed = True
+    if changed:
+        ownership.refresh(world, now_ms)
+        yield from ownership.hand_over(world, now_ms)
+        yield from renewals.owners_changed(world, now_ms, renewed)
+        yield from owner.grant_all(world, now_ms)
+
+
+def _lost(world: world_module.World, now_ms: float, ref: ids.EntryRef) -> None:
+    leases.holder_lost(world, now_ms, ref)
+    for row in list(world.queues.queued.values()):
+        if leases.is_run_of(row.ask_id.asker, ref):
+            lines.leave(world, row.ask_id)
+            timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
--- a/packages/core/src/zinnialead_core/components/slots/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/slots/diagnostics.py
@@ -2,21 +2,48 @@
 
 import typing
 
+from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import door
 from zinnialead_core import world as world_module
 
 
+class ServiceSlotsDump(typing.TypedDict):
+    """Show the queue of one service, where this entry owns its slots."""
+
+    owned: bool
+    slots: int
+    service_time_ms: float
+    queued_by_rank: dict[str, int]
+
+
 class SlotsDump(typing.TypedDict):
     """Show the asks in hand and the slots in use by upstream."""
 
     asks: int
     queued: int
+    granted: int
     in_use: dict[str, int]
+    services: dict[str, ServiceSlotsDump]
 
 
 def dump(world: world_module.World) -> SlotsDump:
     """Return the slots' part of the state dump."""
+    queues = world.queues
     return SlotsDump(
         asks=len(world.asks),
-        queued=len(world.queues.queued),
-        in_use={str(k): v for k, v in world.queues.in_use.items()},
+        queued=len(queues.queued),
+        granted=len(queues.grants),
+        in_use={str(k): v for k, v in queues.in_use.items()},
+        services={
+            str(row.service): ServiceSlotsDump(
+                owned=row.owned_ms is not None,
+                slots=choice.all_slots(world, row.service),
+                service_time_ms=door.service_time_ms(world, row.service),
+                queued_by_rank={
+                    str(rank): len(line)
+                    for rank, line in queues.lines.get(row.service, {}).items()
+                },
+            )
+            for row in queues.service_loads.values()
+        },
     )
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/slots/local.py
@@ -0,0 +1,100 @@
+"""Work out what the state in force gives each service in this domain."""
+
+from collections import abc
+
+from zinnialead_core.components.slots import models
+from zinnialead_core.components import tickets
+from zinnialead_core import ids
+from zinnialead_core import world as world_module
+
+NOTHING = models.LocalRow((), None)
+
+
+def of(world: world_module.World, service: ids.ServiceId) -> models.LocalRow:
+    """Return a service's upstreams here and its share of a limit."""
+    state = world.states['in-force']
+    queues = world.queues
+    if queues.numbers[0] != state.number:
+        queues.locals.clear()
+        queues.numbers[0] = state.number
+    if service not in queues.locals:
+        queues.locals[service] = _work_out(world, state, service)
+    return queues.locals[service]
+
+
+def is_drained(state: tickets.State, row: tickets.UpstreamRow) -> bool:
+    """Return whether a ticket takes an upstream out of service."""
+    return any(_covers(state, drain, row) for drain in state.drains.values())
+
+
+def in_flight_share(
+    world: world_module.World, service: ids.ServiceId
+) -> int | None:
+    """Return this domain's share of a region's limit for a service.
+
+    The limit is split by the slots in service in each domain of the
+    region, and the shares sum to it exactly.
+    """
+    state = world.states['in-force']
+    limit = _limit(world, state, service)
+    if limit is None:
+        return None
+    here = world.node.domain
+    before = own = total = 0
+    for row in _in_service(state, service):
+        domain = state.domains.get(row.domain)
+        if domain is None or domain.region != limit.region:
+            continue
+        total += row.slots
+        before += row.slots if row.domain < here else 0
+        own += row.slots if row.domain == here else 0
+    if total == 0:
+        return 0
+    upto = limit.in_flight * (before + own) // total
+    return upto - limit.in_flight * before // total
+
+
+def _work_out(
+    world: world_module.World, state: tickets.State, service: ids.ServiceId
+) -> models.LocalRow:
+    upstreams = tuple(
+        row
+        for row in _in_service(state, service)
+        if row.domain == world.node.domain
+    )
+    return models.LocalRow(upstreams, in_flight_share(world, service))
+
+
+def _in_service(
+    state: tickets.State, service: ids.ServiceId
+) -> abc.Iterator[tickets.UpstreamRow]:
+    for row in state.upstreams.values():
+        if row.service == service and not is_drained(state, row):
+            yield row
+
+
+def _covers(
+    state: tickets.State, drain: tickets.Drain, row: tickets.UpstreamRow
+) -> bool:
+    match drain:
+        case tickets.UpstreamDrain(upstream):
+            return upstream == row.upstream
+        case tickets.DomainDrain(domain):
+            return domain == row.domain
+        case tickets.RegionDrain(region):
+            at = state.domains.get(row.domain)
+            return at is not None and at.region == region
+
+
+def _limit(
+    world: world_module.World, state: tickets.State, service: ids.ServiceId
+) -> tickets.RegionLimit | None:
+    here = state.domains.get(world.node.domain)
+    region = here.region if here else world.node.region
+    for cap in state.caps.values():
+        match cap:
+            case tickets.RegionLimit(at, of_service) if (
+                at == region and of_service == service
+            ):
+                return cap
+    return None
--- a/packages/core/src/zinnialead_core/components/slots/messages.py
+++ b/packages/core/src/zinnialead_core/components/slots/messages.py
@@ -2,19 +2,26 @@
 
 import dataclasses
 
+from zinnialead_core.components.slots import models
 from zinnialead_core import ids
 from zinnialead_core import verdict
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAsk:
-    """Ask the owner of a service's slots in a domain for one slot."""
+    """Ask the owner of a service's slots in a domain for one slot.
+
+    ``avoid`` names the upstream of the attempt before; ``forwarded`` says
+    that an entry that owns the slots no more sent the ask on.
+    """
 
     ask_id: ids.AskId
     service: ids.ServiceId
     rank: ids.RankId
     deadline_in_ms: float
     from_domain: ids.DomainId
+    avoid: ids.UpstreamId | None = None
+    forwarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +33,24 @@
     refusal: verdict.Refusal | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotWaiting:
+    """Say that an ask, sent again, still waits in the queue."""
+
+    ask_id: ids.AskId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotHeldReport:
+    """Tell a slot owner that a slot is in use, and renew its lease."""
+
+    ask_id: ids.AskId
+    service: ids.ServiceId
+    rank: ids.RankId
+    upstream: ids.UpstreamId
+    from_domain: ids.DomainId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotReturn:
     """Give a slot back, or leave the queue."""
@@ -33,4 +58,4 @@
     ask_id: ids.AskId
     upstream: ids.UpstreamId | None
     elapsed_ms: float = 0.0
-    failed: bool = False
+    end: models.SlotEnd = models.SlotEnd.UNUSED
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -1,18 +1,42 @@
 """Define the rows of the slots tables."""
 
+import enum
 import typing
 
+from zinnialead_core.components import tickets
 from zinnialead_core import ids
+from zinnialead_core import verdict
+
+
+class SlotEnd(enum.Enum):
+    """Say how the attempt that held a slot ended at its upstream."""
+
+    SERVED = 'served'
+    SHED = 'shed'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed-out'
+    UNUSED = 'unused'
 
 
 class AskRow(typing.NamedTuple):
-    """Hold an ask that this entry has open at a slot owner."""
+    """Hold an ask that this entry has open at a slot owner.
+
+    ``tried`` are the domains that refused it, ``refusal`` is what the
+    first of them said, and ``misses`` counts the times that the owner
+    left it without a word.
+    """
 
     ask_id: ids.AskId
     service: ids.ServiceId
+    rank: ids.RankId
     owner: ids.EntryId
+    domain: ids.DomainId
     sent_ms: float
     upstream: ids.UpstreamId | None
+    tried: tuple[ids.DomainId, ...]
+    refusal: verdict.Refusal | None
+    misses: int = 0
+    rounds: int = 0
 
 
 class QueuedRow(typing.NamedTuple):
@@ -24,6 +48,7 @@
     queued_ms: float
     deadline_ms: float
     from_domain: ids.DomainId
+    avoid: ids.UpstreamId | None
 
 
 class GrantRow(typing.NamedTuple):
@@ -38,16 +63,66 @@
     from_domain: ids.DomainId
 
 
+class ServiceLoadRow(typing.NamedTuple):
+    """Hold what a slot owner has measured of one service.
+
+    ``owned_ms`` is since when this entry owns the service's slots, None
+    while another one does.
+    """
+
+    service: ids.ServiceId
+    service_time_ms: float | None
+    owned_ms: float | None
+
+
+class RankLoadRow(typing.NamedTuple):
+    """Hold a rank's floor credit and its rate of arrivals in a service.
+
+    ``credit`` counts the grants that the rank's floor is owed, and
+    ``arrivals`` those of the last seconds, decayed since ``seen_ms``.
+    """
+
+    credit: float
+    arrivals: float
+    seen_ms: float
+
+
+class LocalRow(typing.NamedTuple):
+    """Hold what the state in force gives a service in this domain."""
+
+    upstreams: tuple[tickets.UpstreamRow, ...]
+    in_flight_max: int | None
+
+
+class OwnerRow(typing.NamedTuple):
+    """Hold who owned a service's slots when that was last worked out."""
+
+    owner: ids.EntryId | None
+    fresh_until_ms: float
+
+
 AskTable = dict[ids.AskId, AskRow]
+Line = dict[ids.AskId, None]
 
 
 class QueueTable(typing.NamedTuple):
-    """Hold what a slot owner knows: asks that wait and slots in use."""
+    """Hold what a slot owner knows: asks that wait and slots in use.
+
+    ``locals`` is worked out from the state whose number is the one item
+    of ``numbers``; ``peaks`` are the most slots in use of each upstream
+    since its last report.
+    """
 
     queued: dict[ids.AskId, QueuedRow]
-    lines: dict[tuple[ids.ServiceId, ids.RankId], dict[ids.AskId, None]]
+    lines: dict[ids.ServiceId, dict[ids.RankId, Line]]
     grants: dict[ids.AskId, GrantRow]
     in_use: dict[ids.UpstreamId, int]
+    peaks: dict[ids.UpstreamId, int]
+    owners: dict[tuple[ids.ServiceId, ids.DomainId], OwnerRow]
+    service_loads: dict[ids.ServiceId, ServiceLoadRow]
+    rank_loads: dict[tuple[ids.ServiceId, ids.RankId], RankLoadRow]
+    locals: dict[ids.ServiceId, LocalRow]
+    numbers: list[int]
 
 
 def new_asks() -> AskTable:
@@ -57,4 +132,4 @@
 
 def new_queues() -> QueueTable:
     """Return a table without queued asks and grants."""
-    return QueueTable({}, {}, {}, {})
+    return QueueTable({}, {}, {}, {}, {}, {}, {}, {}, {}, [-1])
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -1,11 +1,17 @@
 """Own the queue in front of the upstreams of a service in a domain."""
 
 from collections import abc
+import dataclasses
 
+from zinnialead_core.components.slots import choice
 from zinnialead_core.components.slots import const
+from zinnialead_core.components.slots import door
+from zinnialead_core.components.slots import floors
+from zinnialead_core.components.slots import leases
+from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
-from zinnialead_core.components.steering import targets
+from zinnialead_core.components.slots import ownership
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
@@ -16,78 +22,88 @@
 def enqueue(
     world: world_module.World, now_ms: float, ask: messages.SlotAsk
 ) -> abc.Iterator[out.Output]:
-    """Take an ask into its rank's line and grant what is free."""
+    """Take an ask into its rank's line, or refuse it at the door."""
     if ask.ask_id in world.queues.queued or ask.ask_id in world.queues.grants:
+        yield from _repeat(world, ask.ask_id)
         return
-    row = models.QueuedRow(
-        ask.ask_id,
-        ask.service,
-        ask.rank,
-        now_ms,
-        now_ms + ask.deadline_in_ms,
-        ask.from_domain,
-    )
-    world.queues.queued[ask.ask_id] = row
-    line = world.queues.lines.setdefault((ask.service, ask.rank), {})
-    line[ask.ask_id] = None
-    expiry = timers.QueueExpiry(ask.ask_id)
-    timers.start(world.timers, expiry, row.deadline_ms)
-    yield from grant(world, now_ms, ask.service)
+    if not ask.forwarded and not ownership.is_owner(
+        world, now_ms, ask.service
+    ):
+        world.counters['slots.forwarded'] += 1
+        on = dataclasses.replace(ask, forwarded=True)
+        yield from ownership.pass_on(world, now_ms, ask.service, on)
+        return
+    row = _row(now_ms, ask)
+    if not choice.is_served(world, ask.service):
+        yield from _refuse(world, row, _no_upstream(world, ask.service))
+    elif row.from_domain != world.node.domain:
+        yield from _enter_foreign(world, now_ms, row)
+    else:
+        yield from _enter(world, now_ms, row)
 
 
-def take_back(
+def leave(
     world: world_module.World, now_ms: float, back: messages.SlotReturn
 ) -> abc.Iterator[out.Output]:
-    """Free a slot, or drop an ask that still waits."""
-    row = _leave_queue(world, back.ask_id)
-    used = world.queues.grants.pop(back.ask_id, None)
+    """Free a slot and learn from its use, or drop an ask that waits."""
+    grant_row = leases.end(world, now_ms, back)
+    queued = lines.leave(world, back.ask_id)
+    if grant_row is None and queued is None:
+        return
     timers.stop(world.timers, timers.QueueExpiry(back.ask_id))
-    if used is not None:
-        world.queues.in_use[used.upstream] -= 1
-    gone = used or row
-    if gone is not None:
-        yield from grant(world, now_ms, gone.service)
+    gone = grant_row or queued
+    if gone is None:
+        return
+    if not ownership.is_owner(world, now_ms, gone.service):
+        yield from ownership.pass_on(world, now_ms, gone.service, back)
+    yield from grant(world, now_ms, gone.service)
 
 
 def expire(
     world: world_module.World, now_ms: float, ask_id: ids.AskId
 ) -> abc.Iterator[out.Output]:
-    """Refuse an ask whose time is over, or free a slot never returned."""
-    if ask_id in world.queues.grants:
-        world.counters['slots.grant_expired'] += 1
-        yield from take_back(world, now_ms, messages.SlotReturn(ask_id, None))
-        return
-    if _leave_queue(world, ask_id) is None:
+    """Refuse an ask that waited too long, or free a lapsed slot."""
+    held = world.queues.grants.get(ask_id)
+    if held is not None:
+        world.counters['slots.lease_lapsed'] += 1
+        leases.end(world, now_ms, messages.SlotReturn(ask_id, None))
+        yield from grant(world, now_ms, held.service)
         return
-    refusal = verdict.Refusal(
-        verdict.Verdict.NOT_RUN,
-        verdict.Reason.DEADLINE_PASSED,
-        'no slot came free before the deadline',
-    )
-    yield out.SendPeer(
-        ask_id.asker.entry, messages.SlotAnswer(ask_id, None, refusal)
-    )
+    row = lines.leave(world, ask_id)
+    if row is not None:
+        world.counters['slots.waited_in_vain'] += 1
+        left_ms = row.deadline_ms - now_ms
+        needed_ms = door.useful_ms(world, row.service)
+        yield from _refuse(world, row, door.too_short(left_ms, needed_ms))
 
 
 def grant_all(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
     """Grant free slots of every service that has asks waiting."""
-    for service in {service for service, _ in world.queues.lines}:
+    for service in list(world.queues.lines):
         yield from grant(world, now_ms, service)
 
 
 def grant(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> abc.Iterator[out.Output]:
-    """Grant free slots of a service to its asks, most urgent first."""
-    for ask_id in list(_in_rank_order(world, service)):
-        upstream = targets.free_upstream(world, service)
+    """Grant free slots of a service to its asks, as their turns come."""
+    held_until_ms = ownership.held_until_ms(world, service)
+    if now_ms < held_until_ms:
+        _look_again(world, service, held_until_ms)
+        return
+    served = choice.is_served(world, service)
+    while (ask_id := floors.next_ask(world, service)) is not None:
+        row = world.queues.queued[ask_id]
+        if not served:
+            _drop(world, row)
+            yield from _refuse(world, row, _no_upstream(world, service))
+            continue
+        upstream = choice.pick(world, now_ms, service, row.avoid)
         if upstream is None:
+            _look_again(world, service, now_ms + const.RECHECK_MS)
             return
-        row = _leave_queue(world, ask_id)
-        if row is None:
-            continue
         yield from _grant_one(world, now_ms, row, upstream)
 
 
@@ -97,36 +113,134 @@
     row: models.QueuedRow,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    expires_ms = row.deadline_ms + const.GRANT_MARGIN_MS
-    world.queues.grants[row.ask_id] = models.GrantRow(
-        row.ask_id,
-        row.service,
-        row.rank,
-        upstream,
+    floors.granted(world, row.service, row.rank)
+    _drop(world, row)
+    yield from leases.start(world, now_ms, row, upstream)
+
+
+def _enter(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> abc.Iterator[out.Output]:
+    floors.arrived(world, now_ms, row.service, row.rank)
+    refusal = _at_the_door(world, now_ms, row)
+    if refusal is not None:
+        yield from _refuse(world, row, refusal)
+        return
+    service = world.states['in-force'].services.get(row.service)
+    queue_max = service.queue_max if service else const.QUEUE_MAX
+    victim = door.victim(world, row, queue_max)
+    if victim is not None:
+        loser = lines.leave(world, victim) or row
+        timers.stop(world.timers, timers.QueueExpiry(victim))
+        yield from _refuse(world, loser, _queue_full(world, loser))
+    if victim == row.ask_id:
+        return
+    lines.join(world, row)
+    yield from grant(world, now_ms, row.service)
+    if row.ask_id in world.queues.queued:
+        expiry_ms = row.deadline_ms - door.useful_ms(world, row.service)
+        timer = timers.QueueExpiry(row.ask_id)
+        timers.start(world.timers, timer, max(now_ms, expiry_ms))
+
+
+def _at_the_door(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> verdict.Refusal | None:
+    needed_ms = door.useful_ms(world, row.service)
+    idle = not lines.waiting(world, row.service)
+    if not idle or choice.pick(world, now_ms, row.service, None) is None:
+        needed_ms = door.service_time_ms(
+            world, row.service
+        ) + door.expected_wait_ms(world, now_ms, row.service, row.rank)
+    left_ms = row.deadline_ms - now_ms
+    if left_ms <= needed_ms:
+        return door.too_short(left_ms, needed_ms)
+    return None
+
+
+def _enter_foreign(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> abc.Iterator[out.Output]:
+    upstream = None
+    held = now_ms < ownership.held_until_ms(world, row.service)
+    if not held and not lines.waiting(world, row.service):
+        upstream = choice.pick(world, now_ms, row.service, row.avoid)
+    if upstream is None:
+        refusal = verdict.Refusal(
+            verdict.Verdict.NOT_RUN,
+            verdict.Reason.NO_HEADROOM,
+            f'domain {world.node.domain!r} has no idle slot for service'
+            f' {row.service!r}',
+        )
+        yield from _refuse(world, row, refusal)
+        return
+    yield from leases.start(world, now_ms, row, upstream)
+
+
+def _repeat(
+    world: world_module.World, ask_id: ids.AskId
+) -> abc.Iterator[out.Output]:
+    held = world.queues.grants.get(ask_id)
+    answer: messages.SlotAnswer | messages.SlotWaiting
+    if held is not None:
+        answer = messages.SlotAnswer(ask_id, held.upstream)
+    else:
+        answer = messages.SlotWaiting(ask_id)
+    yield out.SendPeer(ask_id.asker.entry, answer)
+
+
+def _refuse(
+    world: world_module.World,
+    row: models.QueuedRow,
+    refusal: verdict.Refusal,
+) -> abc.Iterator[out.Output]:
+    world.counters[f'slots.refused.{refusal.reason.value}'] += 1
+    answer = messages.SlotAnswer(row.ask_id, None, refusal)
+    yield out.SendPeer(row.ask_id.asker.entry, answer)
+
+
+def _row(now_ms: float, ask: messages.SlotAsk) -> models.QueuedRow:
+    return models.QueuedRow(
+        ask.ask_id,
+        ask.service,
+        ask.rank,
         now_ms,
-        expires_ms,
-        row.from_domain,
+        now_ms + ask.deadline_in_ms,
+        ask.from_domain,
+        ask.avoid,
     )
-    used = world.queues.in_use.get(upstream, 0)
-    world.queues.in_use[upstream] = used + 1
-    expiry = timers.QueueExpiry(row.ask_id)
-    timers.start(world.timers, expiry, expires_ms)
-    answer = messages.SlotAnswer(row.ask_id, upstream)
-    yield out.SendPeer(row.ask_id.asker.entry, answer)
 
 
-def _in_rank_order(
+def _no_upstream(
     world: world_module.World, service: ids.ServiceId
-) -> abc.Iterator[ids.AskId]:
-    ranks = world.states['in-force'].ranks.values()
-    for rank in sorted(ranks, key=lambda row: row.order):
-        yield from world.queues.lines.get((service, rank.rank), {})
+) -> verdict.Refusal:
+    return verdict.Refusal(
+        verdict.Verdict.NOT_RUN,
+        verdict.Reason.NO_UPSTREAM,
+        f'domain {world.node.domain!r} has no upstream of service'
+        f' {service!r} that takes work',
+    )
 
 
-def _leave_queue(
-    world: world_module.World, ask_id: ids.AskId
-) -> models.QueuedRow | None:
-    row = world.queues.queued.pop(ask_id, None)
-    if row is not None:
-        del world.queues.lines[row.service, row.rank][ask_id]
-    return row
+def _queue_full(
+    world: world_module.World, row: models.QueuedRow
+) -> verdict.Refusal:
+    return verdict.Refusal(
+        verdict.Verdict.NOT_RUN,
+        verdict.Reason.QUEUE_FULL,
+        f'the queue of service {row.service!r} in domain'
+        f' {world.node.domain!r} is full',
+        retry_after_ms=const.QUEUE_FULL_RETRY_MS,
+    )
+
+
+def _drop(world: world_module.World, row: models.QueuedRow) -> None:
+    lines.leave(world, row.ask_id)
+    timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
+
+
+def _look_again(
+    world: world_module.World, service: ids.ServiceId, due_ms: float
+) -> None:
+    if lines.waiting(world, service):
+        timers.start(world.timers, timers.SlotsDue(service), due_ms)
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/slots/renewals.py
@@ -0,0 +1,118 @@
+"""Keep asks and slots in use known to the owners of now."""
+
+from collections import abc
+
+from zinnialead_core.components.slots import asker
+from zinnialead_core.components.slots import const
+from zinnialead_core.components.slots import messages
+from zinnialead_core.components.slots import models
+from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.steering import targets
+from zinnialead_core import ids
+from zinnialead_core import outputs as out
+from zinnialead_core import timers
+from zinnialead_core import verdict
+from zinnialead_core import world as world_module
+
+
+def on_timer(
+    world: world_module.World, now_ms: float, ask_id: ids.AskId
+) -> abc.Iterator[out.Output]:
+    """Ask again for an open ask, or renew the lease of a slot in use."""
+    row = world.asks.get(ask_id)
+    if row is None:
+        return
+    owner = ownership.owner_of(world, now_ms, row.service, row.domain)
+    if owner is not None and owner != row.owner:
+        yield from _move(world, now_ms, row, owner)
+    elif row.upstream is not None:
+        yield from _report(world, now_ms, row)
+    elif row.misses >= const.ASK_MISSES_MAX:
+        yield from _pass_over(world, now_ms, row)
+    else:
+        yield from _ask_again(world, now_ms, row)
+
+
+def owners_changed(
+    world: world_module.World,
+    now_ms: float,
+    renewed: abc.Set[ids.EntryId],
+) -> abc.Iterator[out.Output]:
+    """Take asks and slots in use to the entries that own them now.
+
+    ``renewed`` are entries that run anew and know nothing any more.
+    """
+    for row in list(world.asks.values()):
+        owner = ownership.owner_of(world, now_ms, row.service, row.domain)
+        if owner is not None and (owner != row.owner or owner in renewed):
+            yield from _move(world, now_ms, row, owner)
+
+
+def _ask_again(
+    world: world_module.World, now_ms: float, row: models.AskRow
+) -> abc.Iterator[out.Output]:
+    world.counters['slots.asked_again'] += 1
+    again = row._replace(
+        misses=row.misses + 1, rounds=min(row.rounds + 1, const.ROUNDS_MAX)
+    )
+    yield from asker.send(world, now_ms, again)
+
+
+def _pass_over(
+    world: world_module.World, now_ms: float, row: models.AskRow
+) -> abc.Iterator[out.Output]:
+    world.counters['slots.owner_silent'] += 1
+    request = world.requests.rows.get(row.ask_id.request_id)
+    if request is None:
+        asker.close(world, row.ask_id)
+        return
+    tried = (*row.tried, row.domain)
+    match targets.next_target(world, now_ms, request, tried):
+        case targets.Target() as target:
+            gone = messages.SlotReturn(row.ask_id, None)
+            yield out.SendPeer(row.owner, gone)
+            first = row.refusal or _silent(row)
+            yield from asker.ask_at(
+                world, now_ms, request, row.ask_id, target, tried, first
+            )
+        case verdict.Refusal():
+            # Membership soon names another owner: keep asking.
+            yield from _ask_again(world, now_ms, row)
+
+
+def _silent(row: models.AskRow) -> verdict.Refusal:
+    return verdict.Refusal(
+        verdict.Verdict.NOT_RUN,
+        verdict.Reason.NO_UPSTREAM,
+        f'slot owner {row.owner!r} of domain {row.domain!r} is silent',
+    )
+
+
+def _move(
+    world: world_module.World,
+    now_ms: float,
+    row: models.AskRow,
+    owner: ids.EntryId,
+) -> abc.Iterator[out.Output]:
+    world.counters['slots.owner_changed'] += 1
+    moved = row._replace(owner=owner, misses=0, rounds=0)
+    if row.upstream is not None:
+        yield from _report(world, now_ms, moved)
+        return
+    if row.owner != owner:
+        yield out.SendPeer(row.owner, messages.SlotReturn(row.ask_id, None))
+    yield from asker.send(world, now_ms, moved)
+
+
+def _report(
+    world: world_module.World, now_ms: float, row: models.AskRow
+) -> abc.Iterator[out.Output]:
+    world.asks[row.ask_id] = row
+    if row.upstream is None:
+        return
+    due_ms = now_ms + const.HELD_PERIOD_MS
+    timers.start(world.timers, timers.AskTimeout(row.ask_id), due_ms)
+    report = messages.SlotHeldReport(
+        row.ask_id, row.service, row.rank, row.upstream, world.node.domain
+    )
+    yield out.SendPeer(row.owner, report)
--- a/packages/core/src/zinnialead_core/components/steering/targets.py
+++ b/packages/core/src/zinnialead_core/components/steering/targets.py
@@ -1,12 +1,47 @@
-"""Choose the slot owner for an ask and the upstream for a grant."""
+"""Choose the domain and the slot owner for an ask."""
+
+import typing
 
 import xxhash
 
 from zinnialead_core.components import members
+from zinnialead_core.components import requests
 from zinnialead_core import ids
+from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
 
+class Target(typing.NamedTuple):
+    """Name the slot owner to ask and the domain that it owns slots in."""
+
+    entry: ids.EntryId
+    domain: ids.DomainId
+
+
+def next_target(
+    world: world_module.World,
+    now_ms: float,
+    row: requests.RequestRow,
+    tried: tuple[ids.DomainId, ...],
+) -> Target | verdict.Refusal:
+    """Return whom to ask for a slot after ``tried`` domains refused."""
+    domain = world.node.domain
+    if domain in tried:
+        return verdict.Refusal(
+            verdict.Verdict.NOT_RUN,
+            verdict.Reason.NO_HEADROOM,
+            f'domain {domain!r} has no slot for service {row.service!r}',
+        )
+    entry = slot_owner(world, row.service, domain)
+    if entry is None:
+        return verdict.Refusal(
+            verdict.Verdict.NOT_RUN,
+            verdict.Reason.NO_UPSTREAM,
+            f'no entry is known in domain {domain!r}',
+        )
+    return Target(entry, domain)
+
+
 def slot_owner(
     world: world_module.World,
     service: ids.ServiceId,
@@ -16,30 +51,29 @@
 
     It is the live entry of the domain with the highest weight in
     rendezvous hashing, so that a death moves only the dead entry's part.
+    A leaving entry owns slots only where no other entry can.
     """
+    rows = [row for row in world.members.values() if row.domain == domain]
+    leaving = members.Health.LEAVING
     alive = [
         row.entry
-        for row in world.members.values()
-        if row.domain == domain and row.health is members.Health.ALIVE
+        for row in rows
+        if row.health is members.Health.ALIVE and not _is_stopping(world, row)
     ]
-    if not alive:
-        return None
-    return max(alive, key=lambda entry: _weight(service, entry))
-
-
-def free_upstream(
-    world: world_module.World, service: ids.ServiceId
-) -> ids.UpstreamId | None:
-    """Return the upstream of this domain with the most free slots."""
-    in_use = world.queues.in_use
-    state = world.states['in-force']
-    free = [
-        (row.slots - in_use.get(row.upstream, 0), row.upstream)
-        for row in state.upstreams.values()
-        if row.service == service and row.domain == world.node.domain
+    last = [
+        row.entry
+        for row in rows
+        if row.health is leaving or _is_stopping(world, row)
     ]
-    most, upstream = max(free, default=(0, None))
-    return upstream if most > 0 else None
+    entries = alive or last
+    if not entries:
+        return None
+    return max(entries, key=lambda entry: _weight(service, entry))
+
+
+def _is_stopping(world: world_module.World, row: members.MemberRow) -> bool:
+    itself = row.entry == world.node.ref.entry
+    return itself and bool(world.requests.stopping)
 
 
 def _weight(service: ids.ServiceId, entry: ids.EntryId) -> int:
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/upstreams/believed.py
@@ -0,0 +1,60 @@
+"""Say how many slots of an upstream to believe in."""
+
+from zinnialead_core.components.upstreams import const
+from zinnialead_core.components.upstreams import models
+
+
+def slots(
+    health: models.HealthRow | None, declared: int, now_ms: float
+) -> int:
+    """Return how many slots of an upstream may be in use now.
+
+    >>> slots(None, 5, 0.0)
+    5
+    >>> slots(models.HealthRow('a', leaving=True), 5, 0.0)
+    0
+    """
+    if health is None:
+        return declared
+    if health.leaving or now_ms < health.out_until_ms:
+        return 0
+    if health.on_trial:
+        return min(1, declared)
+    usable = min(
+        _ramped(health, declared, now_ms),
+        _after_shed(health, declared, now_ms),
+        _after_report(health, declared, now_ms),
+    )
+    return min(declared, max(1, int(usable)))
+
+
+def is_leaving(health: models.HealthRow | None) -> bool:
+    """Return whether an upstream says that it is leaving."""
+    return health is not None and health.leaving
+
+
+def _ramped(health: models.HealthRow, declared: int, now_ms: float) -> float:
+    if health.since_ms is None:
+        return declared
+    return declared * (now_ms - health.since_ms) / const.RAMP_MS
+
+
+def _after_shed(
+    health: models.HealthRow, declared: int, now_ms: float
+) -> float:
+    if health.limit is None:
+        return declared
+    back = (now_ms - health.shed_ms) / const.RECOVERY_MS_PER_SLOT
+    return health.limit + back
+
+
+def _after_report(
+    health: models.HealthRow, declared: int, now_ms: float
+) -> float:
+    if health.heard_ms is None or health.excess == 0:
+        return declared
+    if now_ms - health.heard_ms > const.REPORT_STALE_MS:
+        return declared
+    if health.told_same >= const.REPORT_FROZEN_COUNT:
+        return declared
+    return declared - min(health.excess, declared * const.EXCESS_SHARE_MAX)
--- a/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
@@ -10,14 +10,28 @@
 
     healthy: bool
     leaving: bool
+    drained: bool
+    on_trial: bool
     failures: int
+    out_until_ms: float
+    believed_limit: float | None
+    told_in_flight: int | None
+    told_excess: int
 
 
 def dump(world: world_module.World) -> dict[str, UpstreamDump]:
     """Return the upstreams' part of the state dump."""
     return {
         str(row.upstream): UpstreamDump(
-            healthy=row.healthy, leaving=row.leaving, failures=row.failures
+            healthy=row.healthy,
+            leaving=row.leaving,
+            drained=row.drained,
+            on_trial=row.on_trial,
+            failures=row.failures,
+            out_until_ms=row.out_until_ms,
+            believed_limit=row.limit,
+            told_in_flight=row.told_in_flight,
+            told_excess=row.excess,
         )
         for row in world.upstreams.values()
     }
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -148,10 +148,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotGone:
-    """Tell the slots system that a request needs its slot no more."""
+    """Tell the slots system that a request needs its slot no more.
+
+    ``outcome`` is how the attempt ended, None where none was made;
+    ``timed_out`` says that the request's deadline ended it.
+    """
 
     request_id: ids.RequestId
     attempt: int
+    outcome: verdict.Outcome | None = None
+    elapsed_ms: float = 0.0
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -16,7 +16,9 @@
     | members.ProbeFor
     | slots.SlotAnswer
     | slots.SlotAsk
+    | slots.SlotHeldReport
     | slots.SlotReturn
+    | slots.SlotWaiting
     | steering.LoadReport
     | tickets.StateAsk
     | tickets.StateData
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -108,6 +108,10 @@
 )
 
 
+# The heap is rebuilt when it holds this many stale entries.
+STALE_MAX = 1_000
+
+
 class TimerTable(typing.NamedTuple):
     """Hold due times by timer, and a heap with stale entries left in."""
 
@@ -126,6 +130,15 @@
     table.due_ms[timer] = due_ms
     table.sequence[0] += 1
     heapq.heappush(table.heap, (due_ms, table.sequence[0], timer))
+    if len(table.heap) > 2 * len(table.due_ms) + STALE_MAX:
+        _drop_stale(table)
+
+
+def _drop_stale(table: TimerTable) -> None:
+    table.heap[:] = [
+        entry for entry in table.heap if table.due_ms.get(entry[2]) == entry[0]
+    ]
+    heapq.heapify(table.heap)
 
 
 def stop(table: TimerTable, timer: Timer) -> None:
