Steer between domains: redirects by the owner, caps where grants are

Cause: work waited in its own domain whatever the others had free, and nothing counted shifts. Change: a slot owner names another domain when the wait here costs more than the way; that domain's owner grants foreign asks from idle slots or refuses at once; caps and link budgets are dealt out over the owners of the region that work goes to; owners exchange loads.

--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -22,6 +22,7 @@
     key_created_ms: float | None = None
     body_bytes: int = 0
     replayable: bool = True
+    caller_domain: ids.DomainId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +48,7 @@
     attempt: int
     outcome: verdict.Outcome
     elapsed_ms: float = 0.0
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,10 +158,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotGone:
-    """Tell the slots system that a request needs its slot no more."""
+    """Tell the slots system that a request needs its slot no more.
+
+    ``outcome`` is how the attempt ended, None where none was made;
+    ``timed_out`` says that the request's deadline ended it.
+    """
 
     request_id: ids.RequestId
     attempt: int
+    outcome: verdict.Outcome | None = None
+    elapsed_ms: float = 0.0
+    timed_out: bool = False
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -3,12 +3,12 @@
 from collections import abc
 
 import zinnialead_core as core
+from zinnialead_core.components import steering
+from zinnialead_core.components.steering import caps
 from zinnialead_core.components import tickets
 from zinnialead_daemon.components.operators import const
 from zinnialead_daemon.components.operators import models
 
-SHIFT_WINDOW_MS = 1_000.0
-
 
 def fleet(world: core.World, now_ms: float) -> models.Fleet:
     """Return members, upstreams, queues, drains, shifts and refusals."""
@@ -97,17 +97,18 @@
 def _shifts(
     world: core.World, now_ms: float
 ) -> abc.Iterator[models.ShiftView]:
-    since_ms = now_ms - SHIFT_WINDOW_MS
     for name, cap in sorted(world.states['in-force'].caps.items()):
         match cap:
             case tickets.ShiftCap(origin, target, requests_per_s):
-                sent = world.shifts.sent_ms.get((origin, target), ())
+                link = steering.LinkId(origin, target)
                 yield models.ShiftView(
                     name=name,
                     from_region=origin,
                     to_region=target,
                     cap_per_s=requests_per_s,
-                    shifted_per_s=float(sum(at > since_ms for at in sent)),
+                    shifted_per_s=float(
+                        caps.shifted_per_s(world, now_ms, link)
+                    ),
                 )
 
 
