--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -58,7 +58,7 @@
         world.counters['requests.late_outcome'] += 1
         yield out.Notify(inp.SlotGone(item.request_id, item.attempt))
         return
-    if row.phase not in (models.Phase.UPSTREAM, models.Phase.ENDING):
+    if row.phase not in models.AT_UPSTREAM:
         world.counters['requests.late_outcome'] += 1
         return
     yield out.Notify(_slot_gone(row, item))
@@ -94,7 +94,8 @@
     if row.keyed:
         yield out.Notify(inp.ClaimEnded(row.request_id, outcome))
     world.counters[f'requests.answered.{row.rank}'] += 1
-    yield out.Relay(row.request_id, row.attempt)
+    if row.phase is not models.Phase.ANSWER:
+        yield out.Relay(row.request_id, row.attempt)
     yield from endings.forget(world, row.request_id)
 
 
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core.components import keys
 from zinnialead_core.components.requests import admission
+from zinnialead_core.components.requests import answers
 from zinnialead_core.components.requests import attempts
 from zinnialead_core.components.requests import endings
 from zinnialead_core.components.requests import models
@@ -40,6 +41,8 @@
                 )
             case inp.SlotRefused():
                 yield from _slot_refused(world, item)
+            case inp.AnswerStarted(request_id, attempt):
+                yield from answers.started(world, request_id, attempt)
             case inp.DispatchDone():
                 yield from attempts.done(world, now_ms, item)
             case inp.CallerGone(request_id):
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -118,7 +118,7 @@
     refusal: verdict.Refusal,
 ) -> abc.Iterator[out.Output]:
     request_id = row.request_id
-    if row.phase is not models.Phase.UPSTREAM:
+    if row.phase not in models.AT_UPSTREAM:
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -17,10 +17,15 @@
     CLAIM = 'claim'
     SLOT = 'slot'
     UPSTREAM = 'upstream'
+    ANSWER = 'answer'
     BACKOFF = 'backoff'
     ENDING = 'ending'
 
 
+AT_UPSTREAM = (Phase.UPSTREAM, Phase.ANSWER, Phase.ENDING)
+"""The phases in which an attempt keeps an upstream busy."""
+
+
 class RequestRow(typing.NamedTuple):
     """Hold one request between its arrival and its answer."""
 
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -11,9 +11,12 @@
     | keys.ClaimAnswer
     | keys.ClaimAsk
     | keys.ClaimEnd
+    | keys.ClaimEndAck
+    | members.News
     | members.Probe
     | members.ProbeAnswer
     | members.ProbeFor
+    | members.ProbeRelayed
     | slots.SlotAnswer
     | slots.SlotAsk
     | slots.SlotHeldReport
@@ -22,5 +25,6 @@
     | steering.LoadReport
     | tickets.StateAsk
     | tickets.StateData
+    | tickets.StateDelta
     | tickets.StateNumber
 )
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
@@ -0,0 +1,125 @@
+"""Encode the messages of the slots component."""
+
+from zinnialead_core.components import slots
+from zinnialead_core.components.slots import messages
+from zinnialead_core import ids
+from zinnialead_daemon.components.peers.codec import common
+from zinnialead_daemon.components.peers.codec import schema
+
+_END_NAMES = {
+    slots.SlotEnd.UNUSED: 'unused',
+    slots.SlotEnd.SERVED: 'served',
+    slots.SlotEnd.SHED: 'shed',
+    slots.SlotEnd.FAILED: 'failed',
+    slots.SlotEnd.TIMED_OUT: 'timedOut',
+}
+_ENDS = {name: end for end, name in _END_NAMES.items()}
+
+
+def slot_ask(message: messages.SlotAsk) -> schema.Fields:
+    """Return the fields of an ask for a slot."""
+    fields: schema.Fields = {
+        'askId': common.ask_id(message.ask_id),
+        'service': message.service,
+        'rank': message.rank,
+        'deadlineInMs': message.deadline_in_ms,
+        'fromDomain': message.from_domain,
+        'forwarded': message.forwarded,
+    }
+    if message.avoid is not None:
+        fields['avoid'] = message.avoid
+    return fields
+
+
+def read_slot_ask(reader: schema.Reader) -> messages.SlotAsk:
+    """Return an ask for a slot."""
+    return messages.SlotAsk(
+        common.read_ask_id(reader.askId),
+        ids.ServiceId(reader.service),
+        ids.RankId(reader.rank),
+        common.finite(reader.deadlineInMs),
+        ids.DomainId(reader.fromDomain),
+        ids.UpstreamId(reader.avoid) if reader._has('avoid') else None,
+        reader.forwarded,
+    )
+
+
+def slot_held_report(message: messages.SlotHeldReport) -> schema.Fields:
+    """Return the fields of the report of a slot in use."""
+    return {
+        'askId': common.ask_id(message.ask_id),
+        'service': message.service,
+        'rank': message.rank,
+        'upstream': message.upstream,
+        'fromDomain': message.from_domain,
+    }
+
+
+def read_slot_held_report(reader: schema.Reader) -> messages.SlotHeldReport:
+    """Return the report of a slot in use."""
+    return messages.SlotHeldReport(
+        common.read_ask_id(reader.askId),
+        ids.ServiceId(reader.service),
+        ids.RankId(reader.rank),
+        ids.UpstreamId(reader.upstream),
+        ids.DomainId(reader.fromDomain),
+    )
+
+
+def slot_waiting(message: messages.SlotWaiting) -> schema.Fields:
+    """Return the fields of the word that an ask still waits."""
+    return common.ask_id(message.ask_id)
+
+
+def read_slot_waiting(reader: schema.Reader) -> messages.SlotWaiting:
+    """Return the word that an ask still waits."""
+    return messages.SlotWaiting(common.read_ask_id(reader))
+
+
+def slot_answer(message: messages.SlotAnswer) -> schema.Fields:
+    """Return the fields of the answer to an ask."""
+    fields: schema.Fields = {'askId': common.ask_id(message.ask_id)}
+    if message.upstream is not None:
+        fields['upstream'] = message.upstream
+    if message.refusal is not None:
+        fields['refusal'] = common.refusal(message.refusal)
+    return fields
+
+
+def read_slot_answer(reader: schema.Reader) -> messages.SlotAnswer:
+    """Return the answer to an ask."""
+    refusal = None
+    if reader._has('refusal'):
+        refusal = common.read_refusal(reader.refusal)
+    return messages.SlotAnswer(
+        common.read_ask_id(reader.askId), _read_upstream(reader), refusal
+    )
+
+
+def slot_return(message: messages.SlotReturn) -> schema.Fields:
+    """Return the fields of a slot that is given back."""
+    fields: schema.Fields = {
+        'askId': common.ask_id(message.ask_id),
+        'elapsedMs': message.elapsed_ms,
+        'failed': message.end is slots.SlotEnd.FAILED,
+        'end': _END_NAMES[message.end],
+    }
+    if message.upstream is not None:
+        fields['upstream'] = message.upstream
+    return fields
+
+
+def read_slot_return(reader: schema.Reader) -> messages.SlotReturn:
+    """Return a slot that is given back."""
+    return messages.SlotReturn(
+        common.read_ask_id(reader.askId),
+        _read_upstream(reader),
+        common.finite(reader.elapsedMs),
+        _ENDS.get(str(reader.end), slots.SlotEnd.UNUSED),
+    )
+
+
+def _read_upstream(reader: schema.Reader) -> ids.UpstreamId | None:
+    if not reader._has('upstream'):
+        return None
+    return ids.UpstreamId(reader.upstream)
