Stream bodies both ways and take any input from callers

Cause: bodies were held whole without a bound, bad input could raise, a cancelled attempt went on, and a cut answer was not told from a whole one. Conclusion: bad input gets a clear answer; a cut answer shows as cut.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -61,7 +61,7 @@
     handlers['dispatch'] = lambda output: nursery.start_soon(
         upstreams.attempt, application.pools, output
     )
-    handlers['cancel'] = lambda _: None
+    handlers['cancel'] = functools.partial(upstreams.cancel, application.pools)
     handlers['answer'] = functools.partial(fronts.answer, application.front)
     handlers['send_peer'] = lambda _: None
     handlers['call_store'] = lambda _: None
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -1,38 +1,31 @@
 """Turn callers' HTTP requests into inputs and decisions into answers."""
 
-import msgspec
+import functools
+
+import expression
 import trio
 
-from zinnialead_core.components.lookups import coordinator as lookups
-from zinnialead_core.components.lookups import models as lookup_models
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
 from zinnialead_daemon.components.engine import coordinator as engines
+from zinnialead_daemon.components.front import answers
+from zinnialead_daemon.components.front import bodies
 from zinnialead_daemon.components.front import const
+from zinnialead_daemon.components.front import look_ups
 from zinnialead_daemon.components.front import models
+from zinnialead_daemon.components.front import parsing
 from zinnialead_daemon import http
 
-STATUS_OF: dict[verdict.Reason, int] = {
-    verdict.Reason.BAD_REQUEST: 400,
-    verdict.Reason.KEY_MISSING: 400,
-    verdict.Reason.UNKNOWN_RANK: 400,
-    verdict.Reason.UNKNOWN_SERVICE: 404,
-    verdict.Reason.KEY_IN_PROGRESS: 409,
-    verdict.Reason.KEY_BARRED: 409,
-    verdict.Reason.QUEUE_FULL: 429,
-    verdict.Reason.UPSTREAM_LOST: 502,
-    verdict.Reason.DEADLINE_PASSED: 504,
-}
-
-
-def answer(
-    front: models.Front, decision: out.Relay | out.Replay | out.Refuse
-) -> None:
+NOT_RUN = (const.HEADER_VERDICT, verdict.Verdict.NOT_RUN.encode())
+FULL = http.Problem(503, 'exchanges-full', 'too many requests in hand', 1000.0)
+
+
+def answer(front: models.Front, decision: models.Decision) -> None:
     """Hand the core's decision to the exchange that waits for it."""
     exchange = front.exchanges.get(decision.request_id)
-    if exchange is None:
+    if exchange is None or exchange.decision is not None:
         return
     exchange.decision = decision
     exchange.decided.set()
@@ -40,44 +33,25 @@
 
 def asgi_app(front: models.Front) -> http.AsgiApp:
     """Return the ASGI application that serves callers."""
-
-    async def serve(
-        scope: http.Scope, receive: http.Receive, send: http.Send
-    ) -> None:
-        path = scope['path']
-        if path == const.LOOK_UP_PATH:
-            await _look_up(front, scope, send)
-            return
-        if path.startswith(const.REQUEST_PREFIX):
-            await _request(front, scope, receive, send)
-            return
-        await _problem(send, 404, 'no-such-path', f'{path} is not served')
-
-    return serve
+    return functools.partial(_serve, front)
 
 
-async def _look_up(
-    front: models.Front, scope: http.Scope, send: http.Send
+async def _serve(
+    front: models.Front,
+    scope: http.Scope,
+    receive: http.Receive,
+    send: http.Send,
 ) -> None:
-    query = dict(
-        pair.split('=', 1)
-        for pair in scope['query_string'].decode().split('&')
-        if '=' in pair
-    )
-    question = lookup_models.LookUp(
-        service=ids.ServiceId(query.get('service', '')),
-        rank=None,
-        domain=query.get('domain'),
-        client=query.get('client'),
-    )
-    engine = front.engine
-    found = lookups.look_up(engine.world, engine.now_ms(), question)
-    body = {
-        'choices': [choice._asdict() for choice in found.choices],
-        'lifetime_ms': found.lifetime_ms,
-        'key_prefix': found.key_prefix,
-    }
-    await http.respond(send, 200, [], msgspec.json.encode(body))
+    path = scope['raw_path']
+    if path == const.LOOK_UP_PATH:
+        await look_ups.serve(front.engine, scope, receive, send)
+        return
+    if path.startswith(const.REQUEST_PREFIX):
+        await _request(front, scope, receive, send)
+        return
+    front.engine.world.counters['front.no_such_path'] += 1
+    problem = http.Problem(404, 'no-such-path', 'this path is not served')
+    await _reject(receive, send, problem)
 
 
 async def _request(
@@ -86,97 +60,133 @@
     receive: http.Receive,
     send: http.Send,
 ) -> None:
-    body = await _read_body(receive)
-    headers = dict(scope['headers'])
-    service, _, rest = scope['path'][len(const.REQUEST_PREFIX) :].partition(
-        '/'
-    )
-    request_id = ids.RequestId(next(front.numbers))
-    exchange = models.Exchange(
-        scope['method'], f'/{rest}', scope['headers'], body, trio.Event()
-    )
-    front.exchanges[request_id] = exchange
-    arrived = _arrived(front, request_id, service, headers, len(body))
-    engines.feed(front.engine, arrived)
-    try:
-        await exchange.decided.wait()
-        await _send_decision(send, exchange)
-    finally:
-        del front.exchanges[request_id]
-        engines.feed(front.engine, inp.CallerGone(request_id))
+    counters = front.engine.world.counters
+    match parsing.request_head(scope, front.bounds):
+        case expression.Result(tag='ok', ok=head):
+            full = _full(front, head)
+            if full is not None:
+                counters[f'front.{full.reason.replace("-", "_")}'] += 1
+                await _reject(receive, send, full)
+                return
+            await _exchange(front, head, receive, send)
+        case expression.Result(error=problem):
+            counters['front.bad_request'] += 1
+            await _reject(receive, send, problem)
+
+
+def _full(
+    front: models.Front, head: models.RequestHead
+) -> http.Problem | None:
+    if len(front.exchanges) >= front.bounds.exchanges_max:
+        return FULL
+    limit_bytes = _body_max_bytes(front, head)
+    if head.length_bytes is not None and head.length_bytes > limit_bytes:
+        detail = f'{head.length_bytes} bytes, at most {limit_bytes}'
+        return http.Problem(413, 'body-too-large', detail)
+    return None
+
+
+def _body_max_bytes(front: models.Front, head: models.RequestHead) -> int:
+    service = front.engine.world.states['in-force'].services.get(head.service)
+    if service is None:
+        return const.BODY_BUFFER_BYTES
+    return min(service.body_max_bytes, const.BODY_MAX_BYTES)
+
+
+async def _reject(
+    receive: http.Receive, send: http.Send, problem: http.Problem
+) -> None:
+    async with trio.open_nursery() as nursery:
+        # The server waits for what it received to be taken.
+        nursery.start_soon(http.discard, receive)
+        await http.send_problem(send, problem, [NOT_RUN])
+        nursery.cancel_scope.cancel()
 
 
-def _arrived(
+async def _exchange(
     front: models.Front,
-    request_id: ids.RequestId,
-    service: str,
-    headers: dict[bytes, bytes],
-    body_bytes: int,
-) -> inp.RequestArrived:
-    rank = headers.get(const.HEADER_RANK)
-    key = headers.get(const.HEADER_KEY)
-    left_ms = float(
-        headers.get(const.HEADER_DEADLINE, const.DEADLINE_DEFAULT_MS)
-    )
-    return inp.RequestArrived(
-        request_id=request_id,
-        service=ids.ServiceId(service),
-        rank=ids.RankId(rank.decode()) if rank else None,
-        deadline_ms=front.engine.now_ms() + left_ms,
-        key=ids.Key(key.decode()) if key else None,
-        body_bytes=body_bytes,
+    head: models.RequestHead,
+    receive: http.Receive,
+    send: http.Send,
+) -> None:
+    exchange = _new_exchange(front, head)
+    if not front.exchanges:
+        front.idle = trio.Event()
+    front.exchanges[exchange.request_id] = exchange
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bodies.read, front, exchange, receive)
+            await _decide(front, exchange)
+            exchange.rest.close()
+            await _answer(front, exchange, send)
+            nursery.cancel_scope.cancel()
+    finally:
+        del front.exchanges[exchange.request_id]
+        if not front.exchanges:
+            front.idle.set()
+
+
+def _new_exchange(
+    front: models.Front, head: models.RequestHead
+) -> models.Exchange:
+    rest_in, rest = trio.open_memory_channel[models.Chunk](const.CHUNKS_MAX)
+    return models.Exchange(
+        request_id=ids.RequestId(next(front.numbers)),
+        head=head,
+        ready=trio.Event(),
+        decided=trio.Event(),
+        rest_in=rest_in,
+        rest=rest,
+        body_max_bytes=_body_max_bytes(front, head),
     )
 
 
-async def _read_body(receive: http.Receive) -> bytes:
-    chunks = []
-    more = True
-    while more:
-        message = await receive()
-        chunks.append(message.get('body', b''))
-        more = message.get('more_body', False)
-    return b''.join(chunks)
-
-
-async def _send_decision(send: http.Send, exchange: models.Exchange) -> None:
-    match exchange.decision:
-        case out.Relay(_, attempt):
-            found = exchange.answers[attempt]
-            ran = (const.HEADER_VERDICT, b'ran')
-            headers = [*found.headers, ran]
-            await http.respond(send, found.status, headers, found.body)
-        case out.Replay(_, status, record):
-            ran = (const.HEADER_VERDICT, b'ran')
-            await http.respond(send, status, [ran], record or b'')
-        case out.Refuse(_, refusal):
-            status = STATUS_OF.get(refusal.reason, 503)
-            seconds = max(1, round(refusal.retry_after_ms / 1000.0))
-            await _problem(
-                send,
-                status,
-                refusal.reason.value,
-                refusal.detail,
-                [
-                    (const.HEADER_VERDICT, refusal.verdict.encode()),
-                    (b'retry-after', str(seconds).encode()),
-                ],
-            )
-
-
-async def _problem(
-    send: http.Send,
-    status: int,
-    reason: str,
-    detail: str,
-    headers: http.Headers | None = None,
+async def _decide(front: models.Front, exchange: models.Exchange) -> None:
+    started_ms = front.engine.now_ms()
+    left_ms = exchange.head.left_ms
+    with trio.move_on_after(left_ms / const.MS_PER_S):
+        await exchange.ready.wait()
+    if not exchange.ready.is_set():
+        front.engine.world.counters['front.body_late'] += 1
+        answer(front, out.Refuse(exchange.request_id, answers.BODY_LATE))
+    if exchange.too_large:
+        front.engine.world.counters['front.body_too_large'] += 1
+        answer(front, out.Refuse(exchange.request_id, answers.BODY_TOO_LARGE))
+    if exchange.gone or exchange.decision is not None:
+        return
+    engines.feed(front.engine, _arrived(exchange, started_ms))
+    grace_ms = left_ms + const.UNDECIDED_GRACE_MS
+    with trio.move_on_after(grace_ms / const.MS_PER_S):
+        await exchange.decided.wait()
+
+
+async def _answer(
+    front: models.Front, exchange: models.Exchange, send: http.Send
 ) -> None:
-    body = {
-        'type': f'urn:zinnialead:{reason}',
-        'title': reason,
-        'status': status,
-        'detail': detail,
-    }
-    content = (b'content-type', const.PROBLEM_TYPE)
-    await http.respond(
-        send, status, [content, *(headers or [])], msgspec.json.encode(body)
+    if exchange.gone:
+        return
+    if exchange.decision is None:
+        front.engine.world.counters['front.undecided'] += 1
+        engines.feed(front.engine, inp.CallerGone(exchange.request_id))
+        await answers.refuse(send, answers.UNDECIDED)
+        return
+    await answers.send_decision(send, exchange, exchange.decision)
+
+
+def _arrived(
+    exchange: models.Exchange, started_ms: float
+) -> inp.RequestArrived:
+    head = exchange.head
+    length_bytes = head.length_bytes
+    if length_bytes is None:
+        length_bytes = len(exchange.body)
+    return inp.RequestArrived(
+        request_id=exchange.request_id,
+        service=head.service,
+        rank=head.rank,
+        deadline_ms=started_ms + head.left_ms,
+        key=head.key,
+        key_created_ms=head.key_created_ms,
+        body_bytes=length_bytes,
+        replayable=exchange.whole,
     )
--- a/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
@@ -6,11 +6,22 @@
 
 
 class FrontDump(typing.TypedDict):
-    """Count the exchanges in hand."""
+    """Count the exchanges in hand, and those that wait for a body."""
 
     exchanges: int
+    exchanges_max: int
+    without_body: int
 
 
 def dump(front: models.Front) -> FrontDump:
     """Return the front's part of the state dump."""
-    return FrontDump(exchanges=len(front.exchanges))
+    waiting = [
+        exchange
+        for exchange in front.exchanges.values()
+        if not exchange.ready.is_set()
+    ]
+    return FrontDump(
+        exchanges=len(front.exchanges),
+        exchanges_max=front.bounds.exchanges_max,
+        without_body=len(waiting),
+    )
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -0,0 +1,188 @@
+"""Answer look-ups, one by its query or many in one document."""
+
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+
+from zinnialead_core.components.lookups import coordinator as lookups
+from zinnialead_core.components.lookups import models as lookup_models
+from zinnialead_core import ids
+from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.front import const
+from zinnialead_daemon import http
+
+
+class QuestionDocument(typing.TypedDict, total=False):
+    """Hold one question of a look-up."""
+
+    service: typing.Required[str]
+    rank: str
+    domain: str
+    client: str
+
+
+class QuestionsDocument(typing.TypedDict):
+    """Hold many questions asked in one call."""
+
+    questions: list[QuestionDocument]
+
+
+class ChoiceDocument(typing.TypedDict):
+    """Name one entry that may be used."""
+
+    entry: str
+    domain: str
+    address: str
+
+
+class AnswerDocument(typing.TypedDict):
+    """List the entries to use, best first."""
+
+    choices: list[ChoiceDocument]
+    lifetime_ms: float
+    key_prefix: str
+
+
+Question = expression.Result[lookup_models.LookUp, str]
+Questions = expression.Result[list[lookup_models.LookUp], str]
+FIELDS = frozenset(QuestionDocument.__annotations__)
+QUESTIONS = msgspec.json.Decoder(QuestionsDocument, strict=True)
+ENCODER = msgspec.json.Encoder()
+
+
+def parse_query(query: bytes) -> Question:
+    """Return the question that a query asks, or what is wrong with it."""
+    try:
+        pairs = urllib.parse.parse_qsl(
+            query.decode('ascii'),
+            strict_parsing=True,
+            errors='strict',
+            max_num_fields=len(FIELDS),
+        )
+    except ValueError as error:
+        return expression.Error(f'the query does not parse: {error}')
+    named = dict(pairs)
+    unknown = named.keys() - FIELDS
+    if unknown or len(named) < len(pairs) or 'service' not in named:
+        return expression.Error(
+            f'the query takes service, and once each {sorted(FIELDS)}'
+        )
+    return _question(typing.cast('QuestionDocument', named))
+
+
+def parse_document(body: bytes) -> Questions:
+    """Return the questions of a document, or what is wrong with it."""
+    try:
+        documents = QUESTIONS.decode(body)['questions']
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return expression.Error(f'the document does not parse: {error}')
+    if len(documents) > const.QUESTIONS_MAX:
+        return expression.Error(f'more than {const.QUESTIONS_MAX} questions')
+    questions = []
+    for document in documents:
+        match _question(document):
+            case expression.Result(tag='ok', ok=question):
+                questions.append(question)
+            case expression.Result(error=wrong):
+                return expression.Error(wrong)
+    return expression.Ok(questions)
+
+
+def answer(
+    engine: engine_models.Engine, question: lookup_models.LookUp
+) -> AnswerDocument:
+    """Return the answer to one question."""
+    found = lookups.look_up(engine.world, engine.now_ms(), question)
+    return AnswerDocument(
+        choices=[
+            ChoiceDocument(
+                entry=choice.entry,
+                domain=choice.domain,
+                address=choice.address,
+            )
+            for choice in found.choices
+        ],
+        lifetime_ms=found.lifetime_ms,
+        key_prefix=found.key_prefix,
+    )
+
+
+async def serve(
+    engine: engine_models.Engine,
+    scope: http.Scope,
+    receive: http.Receive,
+    send: http.Send,
+) -> None:
+    """Answer one call with one question or many."""
+    engine.world.counters['front.look_ups'] += 1
+    match scope['method']:
+        case 'GET':
+            await _serve_one(engine, scope, send)
+        case 'POST':
+            await _serve_many(engine, receive, send)
+        case method:
+            problem = http.Problem(405, 'method', f'{method} asks nothing')
+            await http.send_problem(send, problem)
+
+
+async def _serve_one(
+    engine: engine_models.Engine, scope: http.Scope, send: http.Send
+) -> None:
+    match parse_query(scope['query_string']):
+        case expression.Result(tag='ok', ok=question):
+            document = answer(engine, question)
+            await _respond(send, ENCODER.encode(document))
+        case expression.Result(error=error):
+            await _refuse(engine, send, error)
+
+
+async def _serve_many(
+    engine: engine_models.Engine, receive: http.Receive, send: http.Send
+) -> None:
+    body = await http.read_body(receive, const.LOOK_UP_MAX_BYTES)
+    if body is None:
+        await _refuse(engine, send, 'the document is too large or cut')
+        return
+    match parse_document(body):
+        case expression.Result(tag='ok', ok=questions):
+            answers = [answer(engine, question) for question in questions]
+            await _respond(send, ENCODER.encode({'answers': answers}))
+        case expression.Result(error=error):
+            await _refuse(engine, send, error)
+
+
+async def _respond(send: http.Send, body: bytes) -> None:
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+        (const.HEADER_VERDICT, b'ran'),
+    ]
+    await http.respond(send, 200, headers, body)
+
+
+async def _refuse(
+    engine: engine_models.Engine, send: http.Send, detail: str
+) -> None:
+    engine.world.counters['front.bad_look_up'] += 1
+    problem = http.Problem(400, 'bad-request', detail)
+    not_run = [(const.HEADER_VERDICT, b'not-run')]
+    await http.send_problem(send, problem, not_run)
+
+
+def _question(document: QuestionDocument) -> Question:
+    if any(
+        len(str(part)) > const.NAME_MAX_BYTES for part in document.values()
+    ):
+        return expression.Error('a question holds too long a name')
+    rank = document.get('rank')
+    domain = document.get('domain')
+    return expression.Ok(
+        lookup_models.LookUp(
+            service=ids.ServiceId(document['service']),
+            rank=None if rank is None else ids.RankId(rank),
+            domain=None if domain is None else ids.DomainId(domain),
+            client=document.get('client'),
+        )
+    )
--- a/packages/daemon/src/zinnialead_daemon/components/front/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/models.py
@@ -6,30 +6,62 @@
 
 import trio
 
+from zinnialead_config.settings import models as settings
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_daemon.components.engine import models as engine_models
 from zinnialead_daemon import http
 
+DEFAULT_BOUNDS = settings.Bounds()
+Decision = out.Relay | out.Replay | out.Refuse
+
+
+class RequestHead(typing.NamedTuple):
+    """Hold what a request says before its body."""
+
+    method: bytes
+    service: ids.ServiceId
+    target: bytes
+    rank: ids.RankId | None
+    left_ms: float
+    key: ids.Key | None
+    key_created_ms: float | None
+    length_bytes: int | None
+    headers: http.Headers
+
+
+class Chunk(typing.NamedTuple):
+    """Hold one part of a body; a body without a ``last`` one was cut."""
+
+    data: bytes
+    last: bool
+
 
 class UpstreamAnswer(typing.NamedTuple):
-    """Hold one whole answer of an upstream."""
+    """Hold an upstream's answer; ``rest`` brings what is still to come."""
 
     status: int
     headers: http.Headers
     body: bytes
+    rest: 'trio.MemoryReceiveChannel[Chunk] | None' = None
 
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """Hold one caller's request and what becomes of it."""
 
-    method: str
-    path: str
-    headers: http.Headers
-    body: bytes
+    request_id: ids.RequestId
+    head: RequestHead
+    ready: trio.Event
     decided: trio.Event
-    decision: out.Relay | out.Replay | out.Refuse | None = None
+    rest_in: 'trio.MemorySendChannel[Chunk]'
+    rest: 'trio.MemoryReceiveChannel[Chunk]'
+    body_max_bytes: int
+    body: bytes = b''
+    whole: bool = False
+    gone: bool = False
+    too_large: bool = False
+    decision: Decision | None = None
     answers: dict[int, UpstreamAnswer] = dataclasses.field(
         default_factory=dict
     )
@@ -42,8 +74,15 @@
     engine: engine_models.Engine
     exchanges: dict[ids.RequestId, Exchange]
     numbers: 'itertools.count[int]'
+    idle: trio.Event
+    bounds: settings.Bounds
 
 
-def new_front(engine: engine_models.Engine) -> Front:
+def new_front(
+    engine: engine_models.Engine,
+    bounds: settings.Bounds = DEFAULT_BOUNDS,
+) -> Front:
     """Return a front without exchanges."""
-    return Front(engine, {}, itertools.count(1))
+    idle = trio.Event()
+    idle.set()
+    return Front(engine, {}, itertools.count(1), idle, bounds)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/front/records.py
@@ -0,0 +1,36 @@
+"""Encode the answers that are kept for replay under a key."""
+
+import typing
+
+import msgspec
+
+from zinnialead_daemon.components.front import const
+from zinnialead_daemon import http
+
+
+class Record(typing.NamedTuple):
+    """Hold what is kept of an answer besides its status."""
+
+    content_type: bytes
+    body: bytes
+
+
+def encode(headers: http.Headers, body: bytes) -> bytes:
+    """Return the record of an answer."""
+    named = {name.lower(): value for name, value in headers}
+    kept = Record(named.get(const.HEADER_TYPE, b''), body)
+    return msgspec.msgpack.encode(kept)
+
+
+def decode(record: bytes) -> Record | None:
+    """Return what a record holds, or None for one that is damaged.
+
+    >>> decode(encode([(b'Content-Type', b'text/plain')], b'booked'))
+    Record(content_type=b'text/plain', body=b'booked')
+    >>> decode(b'booked') is None
+    True
+    """
+    try:
+        return msgspec.msgpack.decode(record, type=Record)
+    except msgspec.MsgspecError:
+        return None
--- a/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
@@ -3,6 +3,7 @@
 import functools
 import hmac
 
+import zinnialead_config
 from zinnialead_core import inputs as inp
 from zinnialead_daemon.components.engine import coordinator as engines
 from zinnialead_daemon.components.engine import diagnostics
@@ -29,6 +30,8 @@
     match _answer(operators, scope):
         case http.Problem() as problem:
             await http.send_problem(send, problem)
+        case bytes() as document:
+            await http.respond(send, 200, JSON, document)
         case answer:
             await http.respond(send, 200, JSON, documents.encode(answer))
 
@@ -46,7 +49,9 @@
         case 'GET', const.FLEET_PATH:
             return fleet.fleet(engine.world, engine.now_ms())
         case 'GET', const.STATE_PATH:
-            return engine.world.states['in-force']
+            return zinnialead_config.encode_state(
+                engine.world.states['in-force']
+            )
         case 'POST', const.STOP_PATH:
             engines.feed(engine, inp.StopAsked())
             in_hand = len(engine.world.requests.rows)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
@@ -0,0 +1,107 @@
+"""Build the calls to upstreams."""
+
+from collections import abc
+import functools
+
+import httpcore
+import trio
+
+from zinnialead_daemon.components.front import models as front_models
+from zinnialead_daemon.components.upstreams import const
+from zinnialead_daemon.components.upstreams import models
+from zinnialead_daemon import http
+
+SENT_EVENT = 'http11.send_request_headers.started'
+BODILESS = {b'GET', b'HEAD', b'DELETE', b'OPTIONS', b'TRACE'}
+Extensions = dict[str, object]
+
+
+class BodyCutError(Exception):
+    """Say that the caller's body ended before it was whole."""
+
+
+def request(
+    attempt: models.Attempt,
+    exchange: front_models.Exchange,
+    left_ms: float,
+) -> httpcore.Request:
+    """Return the request that one attempt sends."""
+    dispatch = attempt.dispatch
+    headers = [
+        *exchange.head.headers,
+        (const.HEADER_DEADLINE, str(int(left_ms)).encode()),
+        (const.HEADER_REQUEST, attempt.name),
+    ]
+    built = httpcore.Request(
+        exchange.head.method,
+        url(dispatch.address, exchange.head.target),
+        headers=[*headers, *_framing(exchange)],
+        content=_content(exchange),
+        extensions=extensions(left_ms),
+    )
+    built.headers.insert(0, (b'Host', dispatch.address.encode()))
+    built.extensions['trace'] = functools.partial(_trace, attempt)
+    return built
+
+
+def url(address: str, target: bytes) -> httpcore.URL:
+    """Return the URL of a target at ``host:port``, bytes unchanged.
+
+    >>> bytes(url('127.0.0.1:80', b'/a%20b?c'))
+    b'http://127.0.0.1:80/a%20b?c'
+    """
+    host, _, port = address.rpartition(':')
+    return httpcore.URL(
+        scheme=b'http', host=host.encode(), port=int(port), target=target
+    )
+
+
+def extensions(left_ms: float) -> Extensions:
+    """Return the timeouts of a call that has ``left_ms`` in all."""
+    left_s = left_ms / const.MS_PER_S
+    connect_s = min(left_s, const.CONNECT_TIMEOUT_MS / const.MS_PER_S)
+    timeouts = {
+        'connect': connect_s,
+        'pool': connect_s,
+        'read': left_s,
+        'write': left_s,
+    }
+    return {'timeout': timeouts}
+
+
+def _framing(exchange: front_models.Exchange) -> http.Headers:
+    length_bytes = exchange.head.length_bytes
+    if exchange.whole:
+        length_bytes = len(exchange.body)
+    if length_bytes is None:
+        return [(b'Transfer-Encoding', b'chunked')]
+    if length_bytes == 0 and exchange.head.method in BODILESS:
+        return []
+    return [(b'Content-Length', str(length_bytes).encode())]
+
+
+def _content(
+    exchange: front_models.Exchange,
+) -> bytes | abc.AsyncIterator[bytes]:
+    if exchange.whole:
+        return exchange.body
+    return _stream(exchange)
+
+
+async def _stream(
+    exchange: front_models.Exchange,
+) -> abc.AsyncIterator[bytes]:
+    yield exchange.body
+    while True:
+        try:
+            chunk = await exchange.rest.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError) as error:
+            raise BodyCutError('the caller left') from error
+        yield chunk.data
+        if chunk.last:
+            return
+
+
+async def _trace(attempt: models.Attempt, event: str, _: object) -> None:
+    if event == SENT_EVENT:
+        attempt.sent = True
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -1,6 +1,7 @@
 """Make one attempt at an upstream and report how it ended."""
 
 import httpcore
+import trio
 
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -8,21 +9,42 @@
 from zinnialead_daemon.components.engine import coordinator as engines
 from zinnialead_daemon.components.engine import models as engine_models
 from zinnialead_daemon.components.front import models as front_models
+from zinnialead_daemon.components.upstreams import calls
 from zinnialead_daemon.components.upstreams import const
 from zinnialead_daemon.components.upstreams import models
+from zinnialead_daemon.components.upstreams import results
+
+FAILURES = (
+    calls.BodyCutError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
 
 
 def new_pools(
     engine: engine_models.Engine, front: front_models.Front
 ) -> models.Pools:
     """Return an entry's pools, none of them open yet."""
-    return models.Pools(engine, front, {})
+    polls = _new_pool(const.POLL_CONNECTIONS_MAX)
+    return models.Pools(engine, front, {}, polls, {})
 
 
 async def attempt(pools: models.Pools, dispatch: out.Dispatch) -> None:
     """Send one request and tell the core how the attempt ended."""
     started_ms = pools.engine.now_ms()
-    outcome = await _send(pools, dispatch)
+    ref = pools.engine.world.node.ref
+    parts = (*ref, dispatch.request_id, dispatch.attempt)
+    name = '.'.join(map(str, parts)).encode()
+    left_s = (dispatch.deadline_ms - started_ms) / const.MS_PER_S
+    scope = trio.CancelScope(deadline=trio.current_time() + left_s)
+    made = models.Attempt(dispatch, name, scope)
+    attempt_id = models.AttemptId(dispatch.request_id, dispatch.attempt)
+    pools.attempts[attempt_id] = made
+    try:
+        outcome = await _send(pools, made)
+    finally:
+        del pools.attempts[attempt_id]
     done = inp.DispatchDone(
         dispatch.request_id,
         dispatch.attempt,
@@ -32,54 +54,93 @@
     engines.feed(pools.engine, done)
 
 
-async def _send(
-    pools: models.Pools, dispatch: out.Dispatch
-) -> verdict.Outcome:
+def cancel(pools: models.Pools, output: out.CancelDispatch) -> None:
+    """Cancel an attempt; its task reports what became of it."""
+    attempt_id = models.AttemptId(output.request_id, output.attempt)
+    made = pools.attempts.get(attempt_id)
+    if made is not None:
+        made.scope.cancel()
+
+
+async def close(pools: models.Pools) -> None:
+    """Close every connection."""
+    await pools.polls.aclose()
+    for pool in pools.by_address.values():
+        await pool.aclose()
+
+
+def connections(pools: models.Pools, dispatch: out.Dispatch) -> int:
+    """Return how many connections this entry may hold to an upstream."""
+    state = pools.engine.world.states['in-force']
+    row = state.upstreams.get(dispatch.upstream)
+    return row.connections_max if row else const.CONNECTIONS_DEFAULT
+
+
+async def _send(pools: models.Pools, made: models.Attempt) -> verdict.Outcome:
+    dispatch = made.dispatch
     exchange = pools.front.exchanges.get(dispatch.request_id)
     left_ms = dispatch.deadline_ms - pools.engine.now_ms()
     if exchange is None or left_ms <= 0:
         return verdict.NotSent('the caller left or the deadline passed')
-    left_s = left_ms / const.MS_PER_S
-    timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), left_s)
-    try:
-        response = await _pool(pools, dispatch.address).request(
-            exchange.method,
-            f'http://{dispatch.address}{exchange.path}',
-            headers=[
-                *exchange.headers,
-                (const.HEADER_DEADLINE, str(int(left_ms)).encode()),
-            ],
-            content=exchange.body,
-            extensions={'timeout': timeouts},
-        )
-    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-        return verdict.NotSent(f'{dispatch.address}: {error}')
-    except (
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-        httpcore.TimeoutException,
-    ) as error:
-        return verdict.Lost(f'{dispatch.address}: {error!r}')
-    return _outcome(exchange, dispatch.attempt, response)
-
-
-def _outcome(
+    with made.scope:
+        try:
+            return await _exchange(pools, made, exchange, left_ms)
+        except FAILURES as error:
+            detail = f'{dispatch.address}: {error!r}'
+            if made.sent:
+                return verdict.Lost(detail)
+            return verdict.NotSent(detail)
+    if not made.sent:
+        return verdict.NotSent('cancelled before it was sent')
+    return await _cancel_at_upstream(pools, made)
+
+
+async def _exchange(
+    pools: models.Pools,
+    made: models.Attempt,
     exchange: front_models.Exchange,
-    attempt_number: int,
-    response: httpcore.Response,
+    left_ms: float,
 ) -> verdict.Outcome:
-    headers = dict(response.headers)
-    if response.status == 503 and const.HEADER_SHED in headers:
-        return verdict.Shed()
-    body = response.content
-    exchange.answers[attempt_number] = front_models.UpstreamAnswer(
-        response.status, response.headers, body
-    )
-    small = len(body) <= const.RECORD_MAX_BYTES
-    return verdict.Answered(response.status, body if small else None)
+    request = calls.request(made, exchange, left_ms)
+    response = await _pool(pools, made.dispatch).handle_async_request(request)
+    try:
+        return await results.outcome(pools, made, exchange, response)
+    finally:
+        await response.aclose()
+
 
+async def _cancel_at_upstream(
+    pools: models.Pools, made: models.Attempt
+) -> verdict.Outcome:
+    address = made.dispatch.address
+    lost = verdict.Lost(f'{address}: cancelled while in flight')
+    with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
+        try:
+            answer = await pools.polls.request(
+                'POST',
+                calls.url(address, const.CANCEL_PATH),
+                headers=[(const.HEADER_REQUEST, made.name)],
+                extensions=calls.extensions(const.CANCEL_TIMEOUT_MS),
+            )
+        except FAILURES:
+            return lost
+        if answer.status == 200 and answer.content == const.NEVER_STARTED:
+            return verdict.NeverStarted()
+    return lost
 
-def _pool(pools: models.Pools, address: str) -> httpcore.AsyncConnectionPool:
-    if address not in pools.by_address:
-        pools.by_address[address] = httpcore.AsyncConnectionPool()
-    return pools.by_address[address]
+
+def _pool(
+    pools: models.Pools, dispatch: out.Dispatch
+) -> httpcore.AsyncConnectionPool:
+    known = pools.by_address.get(dispatch.address)
+    if known is None:
+        known = _new_pool(connections(pools, dispatch))
+        pools.by_address[dispatch.address] = known
+    return known
+
+
+def _new_pool(connections_max: int) -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=connections_max,
+        keepalive_expiry=const.KEEP_ALIVE_S,
+    )
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
@@ -1,13 +1,34 @@
 """Define the connection pools of an entry."""
 
 import dataclasses
+import typing
 
 import httpcore
+import trio
 
+from zinnialead_core import ids
+from zinnialead_core import outputs as out
 from zinnialead_daemon.components.engine import models as engine_models
 from zinnialead_daemon.components.front import models as front_models
 
 
+class AttemptId(typing.NamedTuple):
+    """Name one attempt of one request."""
+
+    request_id: ids.RequestId
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """Hold one attempt in flight; ``sent`` once a byte may have left."""
+
+    dispatch: out.Dispatch
+    name: bytes
+    scope: trio.CancelScope
+    sent: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Pools:
     """Hold one connection pool for each upstream's address."""
@@ -15,3 +36,12 @@
     engine: engine_models.Engine
     front: front_models.Front
     by_address: dict[str, httpcore.AsyncConnectionPool]
+    polls: httpcore.AsyncConnectionPool
+    attempts: dict[AttemptId, Attempt]
+
+
+class LoadDocument(typing.TypedDict, total=False):
+    """Hold what an upstream says of its load."""
+
+    in_flight: int
+    leaving: bool
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
@@ -0,0 +1,90 @@
+"""Read what upstreams say of themselves; the core mistrusts it."""
+
+from collections import abc
+
+import httpcore
+import msgspec
+import trio
+
+from zinnialead_core.components.steering import targets
+from zinnialead_core.components import tickets
+from zinnialead_core import inputs as inp
+from zinnialead_daemon.components.engine import coordinator as engines
+from zinnialead_daemon.components.upstreams import calls
+from zinnialead_daemon.components.upstreams import const
+from zinnialead_daemon.components.upstreams import coordinator
+from zinnialead_daemon.components.upstreams import models
+
+OK = 200
+
+
+async def run(pools: models.Pools) -> None:
+    """Poll the upstreams whose slots this entry owns, for good."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            rows = list(owned(pools))
+            pause_s = const.POLL_PERIOD_MS / const.MS_PER_S
+            for row in rows:
+                nursery.start_soon(poll, pools, row)
+                spread_s = const.POLL_PERIOD_MS / const.MS_PER_S / len(rows)
+                pause_s = max(spread_s, 1.0 / const.POLLS_PER_S_MAX)
+                await trio.sleep(pause_s)
+            if not rows:
+                await trio.sleep(pause_s)
+
+
+def owned(pools: models.Pools) -> abc.Iterator[tickets.UpstreamRow]:
+    """Yield the upstreams of this domain whose slots this entry owns."""
+    world = pools.engine.world
+    node = world.node
+    rows = world.states['in-force'].upstreams.values()
+    near = [row for row in rows if row.domain == node.domain]
+    own = {
+        service
+        for service in {row.service for row in near}
+        if targets.slot_owner(world, service, node.domain) == node.ref.entry
+    }
+    return (row for row in near if row.service in own)
+
+
+async def poll(pools: models.Pools, row: tickets.UpstreamRow) -> None:
+    """Read one upstream's health and load, and report them."""
+    healthy = False
+    load = models.LoadDocument()
+    with trio.move_on_after(const.POLL_TIMEOUT_MS / const.MS_PER_S):
+        try:
+            health = await _get(pools, row, const.HEALTH_PATH)
+            healthy = health.status == OK
+            load = parse_load(await _get(pools, row, const.LOAD_PATH))
+        except coordinator.FAILURES:
+            pools.engine.world.counters['upstreams.poll_failed'] += 1
+    report = inp.UpstreamReport(
+        row.upstream,
+        healthy,
+        load.get('in_flight'),
+        load.get('leaving', False),
+    )
+    engines.feed(pools.engine, report)
+
+
+def parse_load(response: httpcore.Response) -> models.LoadDocument:
+    """Return the load that an answer tells, empty where it tells none."""
+    if response.status != OK:
+        return models.LoadDocument()
+    try:
+        load = msgspec.json.decode(response.content, type=models.LoadDocument)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return models.LoadDocument()
+    if load.get('in_flight', 0) < 0:
+        return models.LoadDocument()
+    return load
+
+
+async def _get(
+    pools: models.Pools, row: tickets.UpstreamRow, path: bytes
+) -> httpcore.Response:
+    return await pools.polls.request(
+        'GET',
+        calls.url(row.address, path),
+        extensions=calls.extensions(const.POLL_TIMEOUT_MS),
+    )
--- /dev/null
+++ b/tests/daemon/front/test_front.py
@@ -0,0 +1,175 @@
+"""Take requests through one entry to an upstream over sockets."""
+
+import functools
+
+import httpcore
+import pytest
+import trio
+
+from core import samples
+from zinnialead_core import inputs as inp
+from zinnialead_daemon import application as applications
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon import http
+
+LARGE = b'x' * 300_000
+KEY = (b'idempotency-key', b'k')
+
+
+async def upstream(calls, reached, scope, receive, send):
+    body = b''
+    more = True
+    while more:
+        message = await receive()
+        body += message.get('body', b'')
+        more = message.get('more_body', False)
+    calls.append((scope['method'], scope['path'], len(body)))
+    length = [(b'content-length', str(len(LARGE)).encode())]
+    match scope['path']:
+        case '/large':
+            await http.respond(send, 200, length, LARGE)
+        case '/cut':
+            await http.start(send, 200, length)
+            part = {'type': 'http.response.body', 'body': LARGE[:-1]}
+            await send({**part, 'more_body': True})
+        case '/silent':
+            reached.set()
+            await trio.sleep_forever()
+        case '/shed':
+            shed = [(b'zinnialead-shed', b'1')]
+            await http.respond(send, 503, shed, b'')
+        case _:
+            text = [(b'content-type', b'text/plain')]
+            await http.respond(send, 201, text, b'booked')
+
+
+async def serve(nursery, reached=None):
+    calls = []
+    app = functools.partial(upstream, calls, reached or trio.Event())
+    address = await nursery.start(
+        http.serve, app, '127.0.0.1:0', trio.sleep_forever
+    )
+    state = samples.state(number=2)
+    rows = {
+        name: row._replace(address=address)
+        for name, row in state.upstreams.items()
+    }
+    services = {
+        name: row._replace(body_max_bytes=400_000)
+        for name, row in state.services.items()
+    }
+    state = state._replace(upstreams=rows, services=services)
+    entry = applications.new_application(samples.world())
+    engines.feed(entry.engine, inp.StateRead(state))
+    run = functools.partial(applications.run, entry, '127.0.0.1:0')
+    return entry, await nursery.start(run), calls
+
+
+async def ask(address, path, headers=(), content=b'', method='POST'):
+    async with httpcore.AsyncConnectionPool() as pool:
+        url = f'http://{address}/v1/services/{path}'
+        return await pool.request(
+            method, url, headers=list(headers), content=content
+        )
+
+
+def verdict_of(answer):
+    return dict(answer.headers)[b'zinnialead-verdict']
+
+
+async def test_bodies_larger_than_the_buffer_stream_both_ways(nursery):
+    entry, address, calls = await serve(nursery)
+    answer = await ask(address, 'intake/large', [KEY], LARGE)
+    assert answer.content == LARGE
+    assert calls == [('POST', '/large', len(LARGE))]
+    assert entry.engine.world.counters['requests.streamed'] == 1
+    nursery.cancel_scope.cancel()
+
+
+async def test_an_answer_cut_short_never_looks_whole(nursery):
+    entry, address, calls = await serve(nursery)
+    with pytest.raises(httpcore.RemoteProtocolError):
+        await ask(address, 'pricebook/cut')
+    assert len(calls) == 1
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_recorded_answer_is_replayed_with_its_type(nursery):
+    entry, address, calls = await serve(nursery)
+    first = await ask(address, 'intake/book', [KEY])
+    again = await ask(address, 'intake/book', [KEY])
+    for answer in (first, again):
+        assert (answer.status, answer.content) == (201, b'booked')
+        assert (b'content-type', b'text/plain') in answer.headers
+        assert verdict_of(answer) == b'ran'
+    assert len(calls) == 1
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_large_answer_that_was_not_kept_is_said_to_have_run(nursery):
+    entry, address, calls = await serve(nursery)
+    await ask(address, 'intake/large', [KEY])
+    again = await ask(address, 'intake/large', [KEY])
+    assert (again.status, verdict_of(again)) == (409, b'ran')
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_silent_upstream_may_have_run_the_work(nursery):
+    entry, address, calls = await serve(nursery)
+    soon = (b'zinnialead-deadline-ms', b'50')
+    answer = await ask(address, 'intake/silent', [KEY, soon])
+    assert (answer.status, verdict_of(answer)) == (504, b'may-have-run')
+    nursery.cancel_scope.cancel()
+
+
+async def test_shed_work_did_not_run(nursery):
+    entry, address, calls = await serve(nursery)
+    answer = await ask(address, 'intake/shed', [KEY])
+    assert verdict_of(answer) == b'not-run'
+    assert dict(answer.headers)[b'retry-after']
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_caller_that_leaves_cancels_its_attempt(nursery):
+    reached = trio.Event()
+    entry, address, calls = await serve(nursery, reached)
+    async with trio.open_nursery() as callers:
+        callers.start_soon(ask, address, 'pricebook/silent')
+        await reached.wait()
+        callers.cancel_scope.cancel()
+    await entry.front.idle.wait()
+    assert entry.engine.world.counters['front.caller_gone'] == 1
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('status', 'path', 'headers', 'content'),
+    [
+        (404, 'unknown/x', [], b''),
+        (400, 'intake/x', [], b''),
+        (400, 'intake/x', [(b'zinnialead-rank', b'?')], b''),
+        (400, 'intake/x', [(b'zinnialead-deadline-ms', b'nan')], b''),
+        (413, 'intake/x', [KEY], b'x' * 400_001),
+        (504, 'intake/x', [KEY, (b'zinnialead-deadline-ms', b'0')], b''),
+    ],
+)
+async def test_bad_input_is_not_run(nursery, status, path, headers, content):
+    entry, address, calls = await serve(nursery)
+    answer = await ask(address, path, headers, content)
+    assert (answer.status, verdict_of(answer)) == (status, b'not-run')
+    assert calls == []
+    nursery.cancel_scope.cancel()
+
+
+async def test_many_look_ups_are_answered_in_one_call(nursery):
+    entry, address, calls = await serve(nursery)
+    async with httpcore.AsyncConnectionPool() as pool:
+        url = f'http://{address}/v1/look-up'
+        body = b'{"questions": [{"service": "intake"}, {"service": "x"}]}'
+        answer = await pool.request('POST', url, content=body)
+        assert answer.content.count(b'"choices"') == 2
+        one = await pool.request('GET', f'{url}?service=intake')
+        assert b'entry-1' in one.content
+        bad = await pool.request('POST', url, content=b'{"questions": [')
+        assert (bad.status, verdict_of(bad)) == (400, b'not-run')
+    nursery.cancel_scope.cancel()
