Carry states between entries as the store holds them

Cause: config has the state's document; the peers' codec had a second one. Change: the codec uses config's; keys come from the settings. Conclusion: one document for a state.

--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -5,9 +5,7 @@
 
 import capnp
 import expression
-import msgspec
 
-from zinnialead_config import documents
 from zinnialead_core.components.keys import messages as key_messages
 from zinnialead_core.components.members import messages as member_messages
 from zinnialead_core.components.slots import messages as slot_messages
@@ -74,12 +72,7 @@
         return expression.Error(errors.UnknownKind())
     try:
         message = _read(kind, reader)
-    except (
-        capnp.KjException,
-        ValueError,
-        msgspec.DecodeError,
-        documents.DocumentError,
-    ) as error:
+    except (capnp.KjException, ValueError) as error:
         return expression.Error(errors.Malformed(str(error)))
     return expression.Ok(Envelope(sender, reader.sequence, sent_ms, message))
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -6,6 +6,7 @@
 frame is of no use to another entry.
 """
 
+from collections import abc
 import dataclasses
 import hashlib
 import hmac
@@ -14,6 +15,7 @@
 
 import expression
 
+from zinnialead_config.settings import models as settings
 from zinnialead_core import ids
 from zinnialead_daemon.components.peers.codec import envelope as envelopes
 from zinnialead_daemon.components.peers.codec import errors
@@ -24,7 +26,7 @@
 
 
 class KeyRow(typing.NamedTuple):
-    """Hold one shared key and the id that frames name it by."""
+    """Hold one key, made from its secret, and the id in the frames."""
 
     key_id: int
     secret: bytes
@@ -47,9 +49,9 @@
     windows: dict[ids.EntryId, WindowRow]
 
 
-def new_keyring(secrets: tuple[bytes, ...]) -> Keyring:
-    """Return a keyring that signs with the first secret, accepts all."""
-    return Keyring(tuple(map(_key_row, secrets)), {})
+def new_keyring(keys: abc.Iterable[settings.PeerKey]) -> Keyring:
+    """Return a keyring that signs with the first key and accepts all."""
+    return Keyring(tuple(map(_key_row, keys)), {})
 
 
 def encode(
@@ -87,9 +89,11 @@
     return found.bind(lambda x: _unseen(keyring, now_ms, x))
 
 
-def _key_row(secret: bytes) -> KeyRow:
-    digest = hashlib.blake2b(secret, digest_size=4, person=b'key-id')
-    return KeyRow(int.from_bytes(digest.digest(), 'little'), secret)
+def _key_row(key: settings.PeerKey) -> KeyRow:
+    secret = hashlib.blake2b(
+        key.secret.encode(), digest_size=const.KEY_BYTES, person=b'peers'
+    )
+    return KeyRow(key.key_id, secret.digest())
 
 
 def _signed(
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -131,7 +131,7 @@
   wanted @3 :UInt64;
 }
 
-# A state as msgpack, whose format has a version of its own.
+# A state as in the store: JSON, whose format has a version of its own.
 struct StateDocument {
   format @0 :UInt16;
   digest @1 :Data;
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/tickets.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/tickets.py
@@ -2,9 +2,8 @@
 
 import hashlib
 
-import msgspec
-
-from zinnialead_config import documents
+from zinnialead_config.tickets import const as state_const
+from zinnialead_config.tickets import states
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
 from zinnialead_daemon.components.peers.codec import schema
@@ -77,19 +76,24 @@
 
 
 def _document(state: models.State) -> schema.Fields:
-    content = msgspec.msgpack.encode(documents.document(state))
+    content = states.encode(state)
     return {
-        'format': documents.FORMAT,
+        'format': state_const.STATE_FORMAT,
         'digest': _digest(content),
         'content': content,
     }
 
 
 def _read_document(reader: schema.Reader) -> models.State:
+    if reader.format != state_const.STATE_FORMAT:
+        raise ValueError(f'state: format {reader.format} is unknown')
     content = bytes(reader.content)
     if bytes(reader.digest) != _digest(content):
-        raise documents.DocumentError('the digest of the state is wrong')
-    return documents.state(msgspec.msgpack.decode(content))
+        raise ValueError('state: the digest is wrong')
+    decoded = states.decode(content)
+    if decoded.is_error():
+        raise ValueError(f'state: {decoded.error}')
+    return decoded.ok
 
 
 def _digest(content: bytes) -> bytes:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/const.py
@@ -5,8 +5,7 @@
 LENGTH_BYTES = 4
 MAC_BYTES = 16
 FRAME_MAX_BYTES = 1_048_576
-KEY_MIN_BYTES = 16
-KEY_MAX_BYTES = 64
+KEY_BYTES = 32
 
 # Frames sent longer ago are dropped; covers clocks 2 s apart.
 FRAME_AGE_MAX_MS = 10_000.0
--- a/tests/daemon/components/peers/peer_strategies.py
+++ b/tests/daemon/components/peers/peer_strategies.py
@@ -7,7 +7,9 @@
 
 from hypothesis import strategies as st
 
+from core import samples
 from zinnialead_core.components import members
+from zinnialead_core.components import tickets
 
 PLAIN = {
     str: st.text(st.characters(codec='utf-8'), min_size=1, max_size=12),
@@ -20,6 +22,8 @@
 
 
 def values(hint):
+    if hint is tickets.State:
+        return st.builds(samples.state, *[st.integers(1, 99)] * 2)
     if hint in PLAIN:
         return PLAIN[hint]
     if isinstance(hint, typing.NewType):
--- a/tests/daemon/components/peers/test_codec.py
+++ b/tests/daemon/components/peers/test_codec.py
@@ -7,6 +7,7 @@
 import pytest
 
 from daemon.components.peers import peer_strategies
+from zinnialead_config.settings import models
 from zinnialead_core.components import members
 from zinnialead_core.components import slots
 from zinnialead_core import ids
@@ -17,21 +18,24 @@
 SENDER = ids.EntryRef(ids.EntryId('e1'), 5)
 KINDS = typing.get_args(messages.Message)
 NOW_MS = 50_000.0
-OLD, NEW, OTHER = b'old' * 8, b'new' * 8, b'foreign' * 4
+OLD, NEW, OTHER = (
+    models.PeerKey(key_id, name * 8)
+    for key_id, name in ((1, 'old'), (2, 'new'), (2, 'foreign'))
+)
 
 settings = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=40
 )
 
 
-def frame(message, sequence=1, sent_ms=NOW_MS, secret=OLD, recipient=ME):
-    keyring = codec.new_keyring((secret,))
+def frame(message, sequence=1, sent_ms=NOW_MS, key=OLD, recipient=ME):
+    keyring = codec.new_keyring((key,))
     envelope = codec.Envelope(SENDER, sequence, sent_ms, message)
     return codec.encode(keyring, recipient, envelope)[4:]
 
 
-def decode(found, *secrets, keyring=None):
-    keyring = keyring or codec.new_keyring(secrets or (OLD,))
+def decode(found, *keys, keyring=None):
+    keyring = keyring or codec.new_keyring(keys or (OLD,))
     return codec.decode(keyring, ME, NOW_MS, found)
 
 
@@ -97,10 +101,8 @@
 def test_keys_rotate_without_a_stop():
     probe = members.Probe(1, 1, ())
     assert decode(frame(probe), NEW, OLD).is_ok()
-    assert decode(frame(probe, secret=NEW), OLD, NEW).is_ok()
-    assert decode(frame(probe, secret=OTHER), NEW, OLD).error == (
-        codec.Foreign()
-    )
+    assert decode(frame(probe, key=NEW), OLD, NEW).is_ok()
+    assert decode(frame(probe, key=OTHER), NEW, OLD).error == (codec.Foreign())
 
 
 def test_a_frame_for_another_entry_is_foreign():
