--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/bench/arrivals.py
@@ -0,0 +1,117 @@
+"""Draw the work of a scenario: the same list for policy and baseline."""
+
+from collections import abc
+import itertools
+import typing
+
+import numpy as np
+from zinnialead_core import ids
+from zinnialead_lab.bench import const
+from zinnialead_lab.bench import deployments
+from zinnialead_lab.bench import models
+from zinnialead_lab import fleet
+
+
+class Stream(typing.NamedTuple):
+    """Describe Poisson arrivals of one kind of work."""
+
+    service: ids.ServiceId
+    rank: ids.RankId
+    domain: ids.DomainId
+    rate_per_s: float
+    from_ms: float
+    to_ms: float
+    deadline_ms: float
+
+
+def draw(
+    scenario: models.Scenario, deployment: models.Deployment, seed: int
+) -> list[fleet.Work]:
+    """Return all work of a scenario, in order of arrival."""
+    generator = np.random.default_rng(seed)
+    drawn = [
+        work
+        for stream in _streams(scenario, deployment)
+        for work in _poisson(stream, deployment, generator)
+    ]
+    drawn.sort(key=lambda work: work.arrived_ms)
+    return [
+        work._replace(work_id=fleet.WorkId(number))
+        for number, work in enumerate(drawn)
+    ]
+
+
+def _streams(
+    scenario: models.Scenario, deployment: models.Deployment
+) -> abc.Iterator[Stream]:
+    state = deployment.state
+    floods = [x for x in scenario.faults if isinstance(x, models.Flood)]
+    pools = [x for x in scenario.faults if isinstance(x, models.OnePool)]
+    for service, domain in itertools.product(state.services, state.domains):
+        capacity = deployments.capacity_per_s(state, service, domain)
+        if pools:
+            yield Stream(
+                service,
+                ids.RankId('normal'),
+                domain,
+                capacity * scenario.load,
+                0.0,
+                pools[0].duration_ms,
+                const.ERLANG_DEADLINE_MS,
+            )
+            continue
+        for rank, share in const.RANK_SHARES.items():
+            yield Stream(
+                service,
+                ids.RankId(rank),
+                domain,
+                capacity * scenario.load * share,
+                0.0,
+                scenario.times.end_ms,
+                const.DEADLINES_MS[rank],
+            )
+    # Floods are drawn last, so that the rest is the same without them.
+    for flood in floods:
+        yield from _flood(scenario, deployment, flood)
+
+
+def _flood(
+    scenario: models.Scenario,
+    deployment: models.Deployment,
+    flood: models.Flood,
+) -> abc.Iterator[Stream]:
+    state = deployment.state
+    for service, domain in itertools.product(state.services, state.domains):
+        capacity = deployments.capacity_per_s(state, service, domain)
+        yield Stream(
+            service,
+            flood.rank,
+            domain,
+            capacity * (flood.factor - scenario.load),
+            scenario.times.fault_ms,
+            scenario.times.repair_ms,
+            const.DEADLINES_MS[flood.rank],
+        )
+
+
+def _poisson(
+    stream: Stream,
+    deployment: models.Deployment,
+    generator: np.random.Generator,
+) -> abc.Iterator[fleet.Work]:
+    row = deployment.state.services[stream.service]
+    span_ms = stream.to_ms - stream.from_ms
+    count = generator.poisson(stream.rate_per_s * span_ms / const.MS_PER_S)
+    times_ms = generator.uniform(stream.from_ms, stream.to_ms, count)
+    demands_ms = generator.exponential(row.service_time_ms, count)
+    for at_ms, demand_ms in zip(times_ms, demands_ms, strict=True):
+        yield fleet.Work(
+            work_id=fleet.WorkId(0),
+            arrived_ms=float(at_ms),
+            service=stream.service,
+            rank=stream.rank,
+            domain=stream.domain,
+            demand_ms=float(demand_ms),
+            deadline_ms=float(at_ms) + stream.deadline_ms,
+            keyed=not row.idempotent,
+        )
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/bench/erlang.py
@@ -0,0 +1,15 @@
+"""Work out the waits of pooled slots by Erlang's formula."""
+
+
+def wait_factor(slots: int, load: float) -> float:
+    """Return the mean wait in units of the service time (M/M/c).
+
+    >>> round(wait_factor(6, 0.9), 3)
+    1.234
+    """
+    offered = slots * load
+    blocking = 1.0
+    for number in range(1, slots + 1):
+        blocking = offered * blocking / (number + offered * blocking)
+    waiting = blocking / (1.0 - load * (1.0 - blocking))
+    return waiting / (slots * (1.0 - load))
--- a/packages/lab/src/zinnialead_lab/fleet/__init__.py
+++ b/packages/lab/src/zinnialead_lab/fleet/__init__.py
@@ -12,6 +12,7 @@
 from zinnialead_lab.fleet.injections import Injection
 from zinnialead_lab.fleet.injections import Kill
 from zinnialead_lab.fleet.injections import Pause
+from zinnialead_lab.fleet.injections import Replace
 from zinnialead_lab.fleet.injections import Restart
 from zinnialead_lab.fleet.injections import Resume
 from zinnialead_lab.fleet.injections import SetNetwork
@@ -41,6 +42,7 @@
     'Life',
     'NetworkRow',
     'Pause',
+    'Replace',
     'Restart',
     'Resume',
     'SetNetwork',
--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -187,6 +187,8 @@
         adopted_ms={},
         highest={},
         filed_ms={},
+        kills=[],
+        sent_works=set(),
         counters=collections.Counter(),
         random=random.Random(seed),
         plain=plain,
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -37,6 +37,8 @@
     fleet.entries[entry] = models.EntryRow(
         ref, domain, region, policy, models.Life.RUNNING, 0.0, []
     )
+    if fleet.plain:
+        feed(fleet, entry, inp.StateRead(fleet.state))
 
 
 def address(entry: ids.EntryId) -> str:
@@ -178,9 +180,19 @@
 
 
 def stop(fleet: models.Fleet, entry: ids.EntryId) -> None:
-    """End the process of an entry that has nothing in flight."""
+    """End an entry's process after a planned stop."""
+    cut = end(fleet, entry, models.Life.STOPPED)
+    fleet.counters['stop.cut'] += cut
+
+
+def end(fleet: models.Fleet, entry: ids.EntryId, life: models.Life) -> int:
+    """End an entry's process; return how many calls that cuts."""
     row = fleet.entries[entry]
-    fleet.entries[entry] = row._replace(
-        life=models.Life.STOPPED, ended_ms=fleet.now_ms
-    )
+    fleet.entries[entry] = row._replace(life=life, ended_ms=fleet.now_ms)
     fleet.wakes_ms.pop(entry, None)
+    cut = [call for call in fleet.calls if call.ref == row.ref]
+    for call in cut:
+        known = fleet.calls.pop(call)
+        failed = events.CallFails(known.work_id, known.attempt, sent=True)
+        network.after(fleet, const.CALLER_LATENCY_MS, failed)
+    return len(cut)
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -102,8 +102,16 @@
     upstream: ids.UpstreamId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replace:
+    """Start a new run of an entry once its planned stop has ended."""
+
+    entry: ids.EntryId
+
+
 Injection = (
     Kill
+    | Replace
     | Restart
     | Pause
     | Resume
@@ -125,12 +133,20 @@
             _kill(fleet, entry)
         case Restart(entry):
             _restart(fleet, entry)
+        case Replace(entry):
+            _replace(fleet, injection)
         case Pause(entry):
             _live(fleet, entry, models.Life.PAUSED)
         case Resume(entry):
             _resume(fleet, entry)
         case Stop(entry):
             entries.feed(fleet, entry, inp.StopAsked())
+        case _:
+            _inject_around(fleet, injection)
+
+
+def _inject_around(fleet: models.Fleet, injection: Injection) -> None:
+    match injection:
         case Cut(parts):
             fleet.network = fleet.network._replace(cut=parts)
         case SetNetwork(row):
@@ -164,22 +180,31 @@
 
 
 def _kill(fleet: models.Fleet, entry: ids.EntryId) -> None:
-    row = _live(fleet, entry, models.Life.DEAD)
-    cut = [call for call in fleet.calls if call.ref == row.ref]
-    for call in cut:
-        known = fleet.calls.pop(call)
-        failed = events.CallFails(known.work_id, known.attempt, sent=True)
-        network.after(fleet, const.CALLER_LATENCY_MS, failed)
+    ref = fleet.entries[entry].ref
+    in_flight = sum(
+        row.work.keyed and row.dispatch.call.ref == ref
+        for row in fleet.dispatches.values()
+    )
+    fleet.kills.append(models.KillRow(ref, fleet.now_ms, in_flight))
+    entries.end(fleet, entry, models.Life.DEAD)
 
 
 def _restart(fleet: models.Fleet, entry: ids.EntryId) -> None:
     row = fleet.entries[entry]
-    if row.life is not models.Life.STOPPED:
+    if row.life in (models.Life.RUNNING, models.Life.PAUSED):
         _kill(fleet, entry)
     entries.start(fleet, entry, row.domain, row.ref.incarnation + 1)
     entries.feed(fleet, entry, *entries.listing(fleet))
 
 
+def _replace(fleet: models.Fleet, injection: Replace) -> None:
+    if fleet.entries[injection.entry].life is models.Life.STOPPED:
+        _restart(fleet, injection.entry)
+        return
+    again = events.Inject(injection)
+    network.after(fleet, const.REPLACE_POLL_MS, again)
+
+
 def _resume(fleet: models.Fleet, entry: ids.EntryId) -> None:
     row = fleet.entries[entry]
     if row.life is not models.Life.PAUSED:
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -172,6 +172,14 @@
     ended_ms: float | None
 
 
+class KillRow(typing.NamedTuple):
+    """Record the death of an entry, and its keyed work at upstreams."""
+
+    ref: ids.EntryRef
+    killed_ms: float
+    in_flight: int
+
+
 class Condition(enum.Enum):
     """Say what is wrong with an upstream."""
 
@@ -268,6 +276,8 @@
     adopted_ms: dict[tuple[ids.EntryRef, int], float]
     highest: dict[ids.EntryRef, int]
     filed_ms: dict[int, float]
+    kills: list[KillRow]
+    sent_works: set[WorkId]
     counters: collections.Counter[str]
     random: random.Random
     plain: bool = False
--- a/packages/lab/src/zinnialead_lab/fleet/plain.py
+++ b/packages/lab/src/zinnialead_lab/fleet/plain.py
@@ -36,8 +36,8 @@
                 yield from _try(table, now_ms, row)
             case inp.DispatchDone(request_id, attempt, outcome):
                 yield from _done(table, now_ms, request_id, attempt, outcome)
-            case inp.CallerGone(request_id):
-                table.rows.pop(request_id, None)
+            case inp.StopAsked():
+                yield out.Stopped()
 
 
 def next_due_ms(table: models.PlainTable) -> float | None:
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -23,6 +23,7 @@
     )
     fleet.dispatches[name] = row
     fleet.counters['upstream.sent'] += 1
+    fleet.sent_works.add(work.work_id)
     target = fleet.upstreams[output.upstream]
     away = not network.connected(fleet, entry.domain, target.known.domain)
     if away or target.condition is models.Condition.DEAD:
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/plots/__init__.py
@@ -0,0 +1,6 @@
+"""Draw what the measurements found."""
+
+from zinnialead_lab.plots.coordinator import bench
+from zinnialead_lab.plots.coordinator import slopes
+
+__all__ = ['bench', 'slopes']
