Claim keys at a home and a witness, and release, bar or end them

Cause: one local registrar let two copies of a key run at two entries, and its death turned every claim into a guess.

Change: an issued key names two registrars and its issue time. A holder asks home, then witness; a silent or replaced home leads to a bar at the witness, a silent witness to a release. Copies wait for the end of the one in progress. Ends are resent until confirmed; registrars drop records by their own clock only after they would refuse the key.

--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -1,5 +1,6 @@
 """Answer look-ups from the tables; a look-up writes to none."""
 
+from zinnialead_core.components import keys
 from zinnialead_core.components.lookups import const
 from zinnialead_core.components.lookups import models
 from zinnialead_core.components import members
@@ -34,5 +35,5 @@
         models.Choice(row.entry, row.domain, row.address) for row in nearest
     )
     ref = world.node.ref
-    prefix = f'z1.{ref.entry}.{ref.incarnation}.{int(now_ms)}'
+    prefix = keys.prefix(ref, None, now_ms)
     return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -12,14 +12,19 @@
     | keys.ClaimAsk
     | keys.ClaimEnd
     | keys.ClaimEndAck
+    | members.News
     | members.Probe
     | members.ProbeAnswer
     | members.ProbeFor
+    | members.ProbeRelayed
     | slots.SlotAnswer
     | slots.SlotAsk
+    | slots.SlotHeldReport
     | slots.SlotReturn
+    | slots.SlotWaiting
     | steering.LoadReport
     | tickets.StateAsk
     | tickets.StateData
+    | tickets.StateDelta
     | tickets.StateNumber
 )
