--- /dev/null
+++ b/tests/core/components/steering/test_caps.py
@@ -0,0 +1,128 @@
+"""Keep shifts under their caps, whoever counts them."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+import zinnialead_core as core
+from zinnialead_core.components import members
+from zinnialead_core.components.steering import caps
+from zinnialead_core.components.steering import const
+from zinnialead_core.components import tickets
+from zinnialead_core import ids
+from zinnialead_core import verdict
+from zinnialead_core import world as world_module
+
+DOMAINS = {'k-a': 'kigali', 'k-b': 'kigali', 'h-a': 'huye'}
+SERVICES = ('pricebook', 'intake', 'payouts')
+RANKS = {
+    'urgent': tickets.RankRow('urgent', 0, 100.0, 0.0, 1.0),
+    'night': tickets.RankRow('night', 2, 1.0, 0.1, 1.0),
+}
+
+
+def in_force(cap: tickets.Cap) -> tickets.State:
+    rows = {
+        f'{service}/{domain}': tickets.UpstreamRow(
+            f'{service}/{domain}', service, domain, 'x', 3, 9
+        )
+        for service in SERVICES
+        for domain in DOMAINS
+    }
+    return tickets.empty_state()._replace(
+        number=1,
+        upstreams=rows,
+        ranks=RANKS,
+        domains={x: tickets.DomainRow(x, y, 4) for x, y in DOMAINS.items()},
+        caps={'cap': cap},
+    )
+
+
+def owner(domain: str, cap: tickets.Cap, alive: int = 4) -> core.World:
+    ref = ids.EntryRef(f'{domain}-0', 1)
+    node = world_module.NodeRow(ref, domain, DOMAINS[domain], 'x')
+    world = core.new_world(node, seed=1)
+    world.states['in-force'] = in_force(cap)
+    for number in range(alive):
+        row = members.MemberRow(
+            entry=f'{domain}-{number}',
+            incarnation=1,
+            domain=domain,
+            address='x',
+            health=members.Health.ALIVE,
+            heard_ms=0.0,
+            state_number=1,
+        )
+        world.members[row.entry] = row
+    return world
+
+
+def ask(world, now_ms, service='intake', rank='urgent', home='huye'):
+    return caps.permit(world, now_ms, service, rank, home, 100)
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    st.integers(0, 40),
+    st.integers(0, 4),
+    st.lists(
+        st.tuples(
+            st.sampled_from(['k-a', 'k-b', 'k-b split']),
+            st.sampled_from(SERVICES),
+            st.floats(0.0, 60.0),
+        ),
+        max_size=200,
+    ),
+)
+def test_no_second_lets_in_more_than_the_cap(cap_per_s, group, asks):
+    cap = tickets.ShiftCap('huye', 'kigali', float(cap_per_s))
+    owners = {
+        'k-a': owner('k-a', cap),
+        'k-b': owner('k-b', cap, alive=group),
+        'k-b split': owner('k-b', cap, alive=4 - group),
+    }
+    now_ms = 0.0
+    let_in = []
+    for name, service, pause_ms in asks:
+        now_ms += pause_ms
+        if ask(owners[name], now_ms, service) is None:
+            let_in.append(now_ms)
+    for at_ms in let_in:
+        window = [x for x in let_in if at_ms <= x < at_ms + 1000.0]
+        assert len(window) <= cap_per_s
+
+
+def test_the_parts_of_a_cap_add_up_to_it():
+    cap = tickets.ShiftCap('huye', 'kigali', 40.0)
+    parts = [
+        caps.share(owner(domain, cap), service, 40.0)
+        for domain in ('k-a', 'k-b')
+        for service in SERVICES
+    ]
+    assert sum(parts) == 40.0
+
+
+def test_a_cap_comes_free_after_its_window():
+    world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 6.0))
+    assert ask(world, 0.0) is None
+    refusal = ask(world, const.SHIFT_WINDOW_MS - 1.0)
+    assert refusal.reason is verdict.Reason.CAP_REACHED
+    assert ask(world, const.SHIFT_WINDOW_MS) is None
+
+
+def test_less_urgent_work_leaves_room_under_a_cap():
+    world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
+    let_in = [ask(world, 0.0, rank='night') for _ in range(10)].count(None)
+    assert let_in == 8
+    assert ask(world, 0.0) is None
+
+
+def test_a_link_budget_counts_bodies_and_usual_answers():
+    world = owner('k-a', tickets.LinkBudget('huye', 'kigali', 120_000.0))
+    world.shifts.answer_bytes['intake'] = 9_900.0
+    assert [ask(world, 0.0) for _ in range(3)].count(None) == 2
+
+
+def test_work_of_this_region_is_no_shift():
+    world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 0.0))
+    assert ask(world, 0.0, home='kigali') is None
+    assert ask(world, 0.0, home='huye') is not None
