Stand in for the store, upstreams and callers

Change: one stand-in each: a store with versions, watches, outages and lost answers; an upstream with slots, cold starts, shedding, cancellation, lies and a ledger of runs; a caller that caches look-ups and moves on. Conclusion: the demo can be built on them.

--- /dev/null
+++ b/packages/standins/src/zinnialead_standins/upstream/models.py
@@ -0,0 +1,108 @@
+"""Define what an upstream stand-in holds."""
+
+import dataclasses
+import enum
+import random
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Serving:
+    """Serve work while a slot is free."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draining:
+    """Shed new work and finish what is in flight."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Take work, run it, and never answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cutting:
+    """Run work and cut its answer short."""
+
+
+Behaviour = Serving | Draining | Silent | Cutting
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Honest:
+    """Report the true load."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frozen:
+    """Report the same load whatever happens."""
+
+    in_flight: int
+
+
+Report = Honest | Frozen
+
+
+class Phase(enum.Enum):
+    """Say how far a request came."""
+
+    WAITING = 'waiting'
+    STARTED = 'started'
+    CANCELLED = 'cancelled'
+
+
+class Plan(typing.NamedTuple):
+    """Say how long work takes; the first ``cold_runs`` take longer."""
+
+    slots: int
+    service_time_ms: float
+    start_delay_ms: float = 0.0
+    cold_runs: int = 0
+    cold_factor: float = 3.0
+    answer_bytes: int = 64
+
+
+class RunRow(typing.NamedTuple):
+    """Record one run of a piece of work."""
+
+    work: str
+    key: str
+    upstream: str
+    started_ms: float
+
+
+class Ledger(typing.NamedTuple):
+    """Hold every run by its work, over all upstreams."""
+
+    runs: dict[str, list[RunRow]]
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """Hold one upstream's work in flight and how it behaves."""
+
+    name: str
+    plan: Plan
+    ledger: Ledger
+    random: random.Random
+    behaviour: Behaviour = Serving()
+    report: Report = Honest()
+    in_flight: int = 0
+    most_in_flight: int = 0
+    started: int = 0
+    shed: int = 0
+    last_start_ms: float = 0.0
+    requests: dict[bytes, Phase] = dataclasses.field(default_factory=dict)
+
+
+def new_ledger() -> Ledger:
+    """Return a ledger without runs."""
+    return Ledger({})
+
+
+def new_upstream(
+    name: str, plan: Plan, ledger: Ledger, seed: int = 1
+) -> Upstream:
+    """Return an idle upstream."""
+    return Upstream(name, plan, ledger, random.Random(f'{seed}/{name}'))
