--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -0,0 +1,119 @@
+"""Choose another domain for an ask that would wait too long here."""
+
+from collections import abc
+import math
+import typing
+
+from zinnialead_core.components.steering import const
+from zinnialead_core.components.steering import models
+from zinnialead_core import ids
+from zinnialead_core import world as world_module
+
+
+class Candidate(typing.NamedTuple):
+    """Name a domain that may take an ask, and what asking it costs."""
+
+    domain: ids.DomainId
+    cost_ms: float
+
+
+def choose(
+    world: world_module.World,
+    now_ms: float,
+    service: ids.ServiceId,
+    wait_ms: float,
+    left_ms: float,
+    tried: abc.Collection[ids.DomainId],
+) -> ids.DomainId | None:
+    """Return the domain to ask in place of waiting ``wait_ms`` here.
+
+    Domains of this region go first.  A report is trusted for the number
+    of asks that it leaves room for, and no longer than a few seconds;
+    the domain's own slot owner decides in the end.
+    """
+    if len(tried) >= const.DOMAINS_TRIED_MAX:
+        return None
+    for candidate in _candidates(world, service):
+        if candidate.domain in tried:
+            continue
+        if candidate.cost_ms >= min(wait_ms, left_ms):
+            continue
+        if _take_room(world, now_ms, service, candidate.domain):
+            world.counters['steering.redirected'] += 1
+            return candidate.domain
+    return None
+
+
+def refused(
+    world: world_module.World,
+    now_ms: float,
+    service: ids.ServiceId,
+    domain: ids.DomainId,
+) -> None:
+    """Leave a domain alone for a moment that refused an ask."""
+    room = world.shifts.rooms.get((service, domain))
+    paused_until_ms = now_ms + const.REFUSED_PAUSE_MS
+    left = room.left if room else 0.0
+    row = models.RoomRow(left, paused_until_ms)
+    world.shifts.rooms[service, domain] = row
+
+
+def take_in(
+    world: world_module.World, now_ms: float, row: models.LoadRow
+) -> None:
+    """Take in a load report, and the room that it leaves."""
+    if row.domain == world.node.domain:
+        return
+    world.loads[row.service, row.domain] = row._replace(seen_ms=now_ms)
+    free = max(0, row.slots - row.in_use - row.queued)
+    served = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
+    # Free slots are used over and over until the next report.
+    left = free * max(1.0, served)
+    known = world.shifts.rooms.get((row.service, row.domain))
+    paused_until_ms = known.paused_until_ms if known else -math.inf
+    room = models.RoomRow(left, paused_until_ms)
+    world.shifts.rooms[row.service, row.domain] = room
+
+
+def _take_room(
+    world: world_module.World,
+    now_ms: float,
+    service: ids.ServiceId,
+    domain: ids.DomainId,
+) -> bool:
+    room = world.shifts.rooms.get((service, domain))
+    if room is not None and now_ms < room.paused_until_ms:
+        return False
+    load = world.loads.get((service, domain))
+    fresh = load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
+    if not fresh or room is None:
+        trial = models.RoomRow(0.0, now_ms + const.TRIAL_PERIOD_MS)
+        world.shifts.rooms[service, domain] = trial
+        return True
+    if room.left < 1.0:
+        return False
+    world.shifts.rooms[service, domain] = room._replace(left=room.left - 1.0)
+    return True
+
+
+def _candidates(
+    world: world_module.World, service: ids.ServiceId
+) -> list[Candidate]:
+    state = world.states['in-force']
+    found = {
+        row.domain
+        for row in state.upstreams.values()
+        if row.service == service and row.domain in state.domains
+    }
+    found.discard(world.node.domain)
+    siblings = sorted(
+        domain
+        for domain in found
+        if state.domains[domain].region == world.node.region
+    )
+    others = sorted(found.difference(siblings))
+    world.random.shuffle(others)
+    return [
+        *(Candidate(x, const.SIBLING_COST_MS) for x in siblings),
+        *(Candidate(x, const.REGION_COST_MS) for x in others),
+    ]
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -19,7 +19,9 @@
     | members.ProbeRelayed
     | slots.SlotAnswer
     | slots.SlotAsk
+    | slots.SlotHeldReport
     | slots.SlotReturn
+    | slots.SlotWaiting
     | steering.LoadReport
     | tickets.StateAsk
     | tickets.StateData
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/steering.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/steering.py
@@ -17,6 +17,7 @@
             'inUse': row.in_use,
             'queued': row.queued,
             'seenMs': row.seen_ms,
+            'serviceTimeMs': row.service_time_ms,
         }
         for row in message.rows
     ]
@@ -32,6 +33,7 @@
                 slots=row.slots,
                 in_use=row.inUse,
                 queued=row.queued,
+                service_time_ms=common.finite(row.serviceTimeMs),
                 seen_ms=common.finite(row.seenMs),
             )
             for row in rows
