Give the daemon a binary, logs, metrics and a life cycle

Cause: there was no process to run, and no clean-up in order. Change: zinnialeadd with settings, flags, signals and exit codes; set-up hooks with unload in reverse order; eliot for changes of state, statsd for counters and timers; a stop lingers to refuse what is on its way. Conclusion: an entry can be run, watched and stopped.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -3,67 +3,203 @@
 from collections import abc
 import dataclasses
 import functools
+import typing
 
 import trio
 
+from zinnialead_config.settings import models as settings_models
 import zinnialead_core as core
+from zinnialead_core import ids
+from zinnialead_core import inputs as inp
 from zinnialead_daemon.components import engine as engines
 from zinnialead_daemon.components import front as fronts
+from zinnialead_daemon.components.front import diagnostics as front_part
+from zinnialead_daemon.components import logs
+from zinnialead_daemon.components import metrics
+from zinnialead_daemon.components import operators
 from zinnialead_daemon.components import upstreams
+from zinnialead_daemon.components.upstreams import diagnostics as pools_part
+from zinnialead_daemon import const
 from zinnialead_daemon import http
 
 Hook = abc.Callable[[], abc.Awaitable[None]]
 
 
+class Addresses(typing.NamedTuple):
+    """Say where an entry serves callers and operators."""
+
+    callers: str
+    operators: str
+
+
 @dataclasses.dataclass(slots=True)
 class Application:
     """Hold one entry's parts and the hooks of its life cycle."""
 
+    settings: settings_models.Settings
     engine: engines.Engine
     front: fronts.Front
     pools: upstreams.Pools
+    operators: operators.Operators
     on_stop: list[Hook]
     stopped: trio.Event
+    linger_s: float = const.STOP_LINGER_S
+
+
+SetUp = abc.Callable[[Application, trio.Nursery], abc.Awaitable[Hook | None]]
 
 
-def new_application(world: core.World) -> Application:
+def new_world(
+    settings: settings_models.Settings, incarnation: int
+) -> core.World:
+    """Return the tables of a new run of the entry that is set."""
+    node = core.NodeRow(
+        ids.EntryRef(ids.EntryId(settings.entry), incarnation),
+        ids.DomainId(settings.domain),
+        ids.RegionId(settings.region),
+        settings.callers_address or settings.callers_bind,
+    )
+    return core.new_world(node, seed=incarnation)
+
+
+def new_application(
+    settings: settings_models.Settings, world: core.World
+) -> Application:
     """Return an entry with its parts joined and nothing running."""
     engine = engines.new_engine(world)
-    front = fronts.new_front(engine)
+    front = fronts.new_front(engine, settings.bounds)
     pools = upstreams.new_pools(engine, front)
-    return Application(engine, front, pools, [], trio.Event())
+    token = settings.operators_token.encode()
+    view = operators.Operators(engine, token)
+    view.edges['front'] = functools.partial(front_part.dump, front)
+    view.edges['upstreams'] = functools.partial(pools_part.dump, pools)
+    return Application(settings, engine, front, pools, view, [], trio.Event())
 
 
 async def run(
     application: Application,
-    bind: str,
-    task_status: 'trio.TaskStatus[str]' = trio.TASK_STATUS_IGNORED,
+    task_status: 'trio.TaskStatus[Addresses]' = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until the core says that nothing is in flight any more."""
     async with trio.open_nursery() as nursery:
-        _join(application, nursery)
-        nursery.start_soon(engines.run_timers, application.engine)
-        bound = await nursery.start(
-            http.serve,
-            fronts.asgi_app(application.front),
-            bind,
-            application.stopped.wait,
-        )
-        task_status.started(bound)
-        await application.stopped.wait()
-        for hook in reversed(application.on_stop):
-            await hook()
+        try:
+            for set_up in SET_UPS:
+                hook = await set_up(application, nursery)
+                if hook is not None:
+                    application.on_stop.append(hook)
+            task_status.started(await _open_ports(application, nursery))
+            await application.stopped.wait()
+            with trio.move_on_after(const.STOP_ANSWERS_S):
+                await application.front.idle.wait()
+            # What is still on its way here is refused, not cut.
+            await trio.sleep(application.linger_s)
+        finally:
+            await _unload(application)
         nursery.cancel_scope.cancel()
 
 
-def _join(application: Application, nursery: trio.Nursery) -> None:
+def dump(application: Application) -> operators.FullDump:
+    """Return the state dump of the entry and its edges."""
+    return operators.full_dump(application.operators)
+
+
+async def _unload(application: Application) -> None:
+    for hook in reversed(application.on_stop):
+        with trio.move_on_after(const.UNLOAD_S, shield=True):
+            await hook()
+
+
+async def _set_up_engine(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    engine = application.engine
+    log = logs.new_logs(engine)
+    engine.handlers['log_change'] = functools.partial(logs.log_change, log)
+    engine.handlers['stopped'] = application.stopped.set
+    engine.handlers.setdefault('send_peer', lambda _: None)
+    engine.handlers.setdefault('call_store', lambda _: None)
+    nursery.start_soon(engines.run_timers, engine)
+    return None
+
+
+async def _set_up_upstreams(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    pools = application.pools
     handlers = application.engine.handlers
     handlers['dispatch'] = lambda output: nursery.start_soon(
-        upstreams.attempt, application.pools, output
+        upstreams.attempt, pools, output
     )
-    handlers['cancel'] = functools.partial(upstreams.cancel, application.pools)
+    handlers['cancel'] = functools.partial(upstreams.cancel, pools)
+    nursery.start_soon(upstreams.run_polls, pools)
+    return functools.partial(upstreams.close, pools)
+
+
+async def _set_up_front(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    handlers = application.engine.handlers
     handlers['answer'] = functools.partial(fronts.answer, application.front)
-    handlers['send_peer'] = lambda _: None
-    handlers['call_store'] = lambda _: None
-    handlers['log_change'] = lambda _: None
-    handlers['stopped'] = application.stopped.set
+    return None
+
+
+async def _set_up_metrics(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    server = application.settings.statsd
+    if server is None:
+        return None
+    made = metrics.new_metrics(application.engine, application.front, server)
+    nursery.start_soon(metrics.run, made)
+
+    return functools.partial(_flush, made)
+
+
+async def _flush(made: metrics.Metrics) -> None:
+    metrics.flush(made)
+
+
+async def _seed_members(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    node = application.engine.world.node
+    own = inp.PeerSeen(node.ref.entry, node.domain, node.address)
+    seeds = (
+        inp.PeerSeen(
+            ids.EntryId(row.entry), ids.DomainId(row.domain), row.address
+        )
+        for row in application.settings.seeds
+    )
+    engines.feed(application.engine, own, *seeds)
+    return None
+
+
+async def _open_ports(
+    application: Application, nursery: trio.Nursery
+) -> Addresses:
+    settings = application.settings
+    tls = settings.tls or settings_models.Tls('', '')
+    certificate = (tls.certificate_file or None, tls.key_file or None)
+    operators_port = await nursery.start(
+        http.serve,
+        operators.asgi_app(application.operators),
+        http.Binding(settings.operators_bind, *certificate),
+        trio.sleep_forever,
+    )
+    callers_port = await nursery.start(
+        http.serve,
+        fronts.asgi_app(application.front),
+        http.Binding(settings.callers_bind, *certificate),
+        trio.sleep_forever,
+    )
+    return Addresses(callers_port, operators_port)
+
+
+# In this order; what they return runs at the end in the reverse order.
+SET_UPS: tuple[SetUp, ...] = (
+    _set_up_engine,
+    _set_up_upstreams,
+    _set_up_front,
+    _set_up_metrics,
+    _seed_members,
+)
--- a/packages/daemon/src/zinnialead_daemon/components/front/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/const.py
@@ -27,3 +27,6 @@
 # The core decides every request by its deadline; this is for a fault.
 UNDECIDED_GRACE_MS = 5_000.0
 MS_PER_S = 1_000.0
+# The timers of the last requests, until the metrics take them.
+TIMINGS_MAX = 10_000
+RANK_NOT_GIVEN = 'default'
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -113,6 +113,7 @@
     if not front.exchanges:
         front.idle = trio.Event()
     front.exchanges[exchange.request_id] = exchange
+    started_ms = front.engine.now_ms()
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(bodies.read, front, exchange, receive)
@@ -122,6 +123,9 @@
             nursery.cancel_scope.cancel()
     finally:
         del front.exchanges[exchange.request_id]
+        elapsed_ms = front.engine.now_ms() - started_ms
+        rank = head.rank or const.RANK_NOT_GIVEN
+        front.timings.append(models.TimingRow(rank, elapsed_ms))
         if not front.exchanges:
             front.idle.set()
 
--- a/packages/daemon/src/zinnialead_daemon/components/front/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/models.py
@@ -1,5 +1,6 @@
 """Define what the front holds of each caller's request."""
 
+import collections
 import dataclasses
 import itertools
 import typing
@@ -10,6 +11,7 @@
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.front import const
 from zinnialead_daemon import http
 
 DEFAULT_BOUNDS = settings.Bounds()
@@ -67,6 +69,13 @@
     )
 
 
+class TimingRow(typing.NamedTuple):
+    """Say how long one request took, from its arrival to its answer."""
+
+    rank: str
+    elapsed_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Front:
     """Hold the exchanges in hand by request."""
@@ -76,6 +85,7 @@
     numbers: 'itertools.count[int]'
     idle: trio.Event
     bounds: settings.Bounds
+    timings: 'collections.deque[TimingRow]'
 
 
 def new_front(
@@ -85,4 +95,7 @@
     """Return a front without exchanges."""
     idle = trio.Event()
     idle.set()
-    return Front(engine, {}, itertools.count(1), idle, bounds)
+    timings: collections.deque[TimingRow] = collections.deque(
+        maxlen=const.TIMINGS_MAX
+    )
+    return Front(engine, {}, itertools.count(1), idle, bounds, timings)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
@@ -0,0 +1,46 @@
+"""Write one line for each change of state, within a bounded rate."""
+
+import typing
+
+import eliot
+
+from zinnialead_core import outputs as out
+from zinnialead_daemon.components.logs import const
+from zinnialead_daemon.components.logs import models
+from zinnialead_daemon.components.operators import documents
+
+
+def set_up(stream: typing.TextIO) -> None:
+    """Send every log line of this process to ``stream``."""
+    eliot.to_file(stream)
+
+
+def log_change(logs: models.Logs, output: out.LogChange) -> None:
+    """Write one change of state, or count it where lines come too fast."""
+    if not _allowed(logs):
+        logs.engine.world.counters['logs.dropped'] += 1
+        return
+    eliot.log_message(
+        message_type=const.CHANGE,
+        entry=logs.engine.world.node.ref.entry,
+        component=output.component,
+        subject=output.subject,
+        before=output.before,
+        after=output.after,
+    )
+
+
+def log_dump(dump: object) -> None:
+    """Write a state dump as one line."""
+    eliot.log_message(message_type=const.DUMP, dump=documents.plain(dump))
+
+
+def _allowed(logs: models.Logs) -> bool:
+    now_ms = logs.engine.now_ms()
+    gained = (now_ms - logs.filled_ms) / const.MS_PER_S * const.LINES_PER_S_MAX
+    logs.tokens = min(const.LINES_BURST_MAX, logs.tokens + gained)
+    logs.filled_ms = now_ms
+    if logs.tokens < 1.0:
+        return False
+    logs.tokens -= 1.0
+    return True
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
@@ -0,0 +1,36 @@
+"""Define what is known of the metrics sent."""
+
+import collections
+import dataclasses
+
+import statsd
+
+from zinnialead_config.settings import models as settings
+from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.front import models as front_models
+from zinnialead_daemon.components.metrics import const
+
+
+@dataclasses.dataclass(slots=True)
+class Metrics:
+    """Hold the client, and the counters as they were last sent."""
+
+    engine: engine_models.Engine
+    front: front_models.Front
+    client: statsd.StatsClient
+    period_ms: float
+    sent: 'collections.Counter[str]'
+
+
+def new_metrics(
+    engine: engine_models.Engine,
+    front: front_models.Front,
+    server: settings.Statsd,
+) -> Metrics:
+    """Return metrics of which nothing is sent yet."""
+    entry = engine.world.node.ref.entry
+    client = statsd.StatsClient(
+        server.host, server.port, prefix=f'{const.PREFIX}.{entry}'
+    )
+    sent: collections.Counter[str] = collections.Counter()
+    return Metrics(engine, front, client, server.period_ms, sent)
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -0,0 +1,142 @@
+"""Run ``zinnialeadd``, the process on every entry VM."""
+
+import importlib.metadata
+import os
+import pathlib
+import resource
+import signal
+import sys
+import time
+import typing
+
+import expression
+import trio
+import typer
+
+import zinnialead_config
+from zinnialead_core import inputs as inp
+from zinnialead_daemon import application as applications
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon.components import logs
+from zinnialead_daemon import const
+
+app = typer.Typer(
+    name='zinnialeadd',
+    help='Steer requests to upstreams, on one entry VM.',
+    no_args_is_help=True,
+)
+Flag = typing.Annotated[str | None, typer.Option(show_default=False)]
+SettingsFile = typing.Annotated[
+    pathlib.Path,
+    typer.Option('--settings', help='Settings in JSON with comments.'),
+]
+CheckFlag = typing.Annotated[
+    bool, typer.Option('--check', help='Check the settings and end.')
+]
+
+
+def _version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(importlib.metadata.version('zinnialead-daemon'))
+        raise typer.Exit
+
+
+@app.callback()
+def main(
+    version: typing.Annotated[
+        bool,
+        typer.Option(
+            '--version', callback=_version, help='Print the version.'
+        ),
+    ] = False,
+) -> None:
+    """Steer requests to upstreams, on one entry VM."""
+
+
+@app.command()
+def run(
+    settings: SettingsFile,
+    check: CheckFlag = False,
+    entry: Flag = None,
+    domain: Flag = None,
+    region: Flag = None,
+    callers_bind: Flag = None,
+    operators_bind: Flag = None,
+    peers_bind: Flag = None,
+    callers_address: Flag = None,
+    peers_address: Flag = None,
+) -> None:
+    """Serve until told to stop.
+
+    Flags go before ZINNIALEAD_* in the environment, and these before the
+    file. Example: zinnialeadd run --settings entry.json --entry guj-a-1
+    """
+    flags = {
+        'entry': entry,
+        'domain': domain,
+        'region': region,
+        'callers_bind': callers_bind,
+        'operators_bind': operators_bind,
+        'peers_bind': peers_bind,
+        'callers_address': callers_address,
+        'peers_address': peers_address,
+    }
+    match zinnialead_config.load_settings(settings, os.environ, flags):
+        case expression.Result(tag='ok', ok=loaded):
+            if not check:
+                raise typer.Exit(_serve(loaded))
+            typer.echo(f'{settings}: entry {loaded.entry!r} is well set')
+        case expression.Result(error=problems):
+            for problem in problems:
+                typer.echo(str(problem), err=True)
+            raise typer.Exit(const.EXIT_SETTINGS)
+
+
+def _serve(settings: zinnialead_config.Settings) -> int:
+    logs.set_up(sys.stdout)
+    _bound_files(settings.bounds.connections_max)
+    incarnation = int(time.time() * const.MS_PER_S)
+    world = applications.new_world(settings, incarnation)
+    application = applications.new_application(settings, world)
+    return trio.run(run_until_told, application)
+
+
+async def run_until_told(application: applications.Application) -> int:
+    """Run an entry, mind the signals, and return its exit code."""
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    with trio.open_signal_receiver(*signals) as received:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_mind, application, received, nursery)
+            await applications.run(application)
+            nursery.cancel_scope.cancel()
+    return 0 if application.stopped.is_set() else const.EXIT_CUT
+
+
+async def _mind(
+    application: applications.Application,
+    received: typing.AsyncIterator[int],
+    nursery: trio.Nursery,
+) -> None:
+    asked = False
+    async for number in received:
+        match number:
+            case signal.SIGUSR1:
+                logs.log_dump(applications.dump(application))
+            case _ if asked:
+                nursery.cancel_scope.cancel()
+            case _:
+                asked = True
+                engines.feed(application.engine, inp.StopAsked())
+
+
+def _bound_files(connections_max: int) -> None:
+    # The server waits with new connections while no file is free.
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = connections_max + const.FILES_SPARE
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/tests/daemon/entries.py
@@ -0,0 +1,40 @@
+"""Make the entries that the daemon's tests run."""
+
+import functools
+
+from core import samples
+from zinnialead_config.settings import models as settings
+from zinnialead_core import inputs as inp
+from zinnialead_daemon import application as applications
+from zinnialead_daemon.components import engine as engines
+
+TOKEN = 'a-token-for-operators'
+SETTINGS = settings.Settings(
+    entry=samples.REF.entry,
+    domain=samples.DOMAIN,
+    region='kigali',
+    callers_bind='127.0.0.1:0',
+    operators_bind='127.0.0.1:0',
+    peers_bind='127.0.0.1:0',
+    operators_token=TOKEN,
+    peer_keys=(settings.PeerKey(1, 'a-secret-of-the-peers'),),
+)
+
+
+async def start(nursery, address, body_max_bytes=65_536):
+    """Start an entry whose upstreams are all at ``address``."""
+    state = samples.state(number=2)
+    rows = {
+        name: row._replace(address=address)
+        for name, row in state.upstreams.items()
+    }
+    services = {
+        name: row._replace(body_max_bytes=body_max_bytes)
+        for name, row in state.services.items()
+    }
+    state = state._replace(upstreams=rows, services=services)
+    entry = applications.new_application(SETTINGS, samples.world())
+    engines.feed(entry.engine, inp.StateRead(state))
+    run = functools.partial(applications.run, entry)
+    addresses = await nursery.start(run)
+    return entry, addresses
--- a/tests/daemon/front/test_front.py
+++ b/tests/daemon/front/test_front.py
@@ -8,10 +8,8 @@
 import trio
 
 from core import samples
+from daemon import entries
 from zinnialead_core.components import keys
-from zinnialead_core import inputs as inp
-from zinnialead_daemon import application as applications
-from zinnialead_daemon.components import engine as engines
 from zinnialead_daemon import http
 
 LARGE = b'x' * 300_000
@@ -28,6 +26,9 @@
         message = await receive()
         body += message.get('body', b'')
         more = message.get('more_body', False)
+    if scope['path'] in ('/health', '/load'):
+        await http.respond(send, 200, [], b'{}')
+        return
     calls.append((scope['method'], scope['path'], len(body)))
     length = [(b'content-length', str(len(LARGE)).encode())]
     match scope['path']:
@@ -54,20 +55,8 @@
     address = await nursery.start(
         http.serve, app, '127.0.0.1:0', trio.sleep_forever
     )
-    state = samples.state(number=2)
-    rows = {
-        name: row._replace(address=address)
-        for name, row in state.upstreams.items()
-    }
-    services = {
-        name: row._replace(body_max_bytes=400_000)
-        for name, row in state.services.items()
-    }
-    state = state._replace(upstreams=rows, services=services)
-    entry = applications.new_application(samples.world())
-    engines.feed(entry.engine, inp.StateRead(state))
-    run = functools.partial(applications.run, entry, '127.0.0.1:0')
-    return entry, await nursery.start(run), calls
+    entry, addresses = await entries.start(nursery, address, 400_000)
+    return entry, addresses.callers, calls
 
 
 async def ask(address, path, headers=(), content=b'', method='POST'):
--- a/tests/daemon/test_application.py
+++ b/tests/daemon/test_application.py
@@ -1,15 +1,14 @@
 """Take a request through a whole entry on loopback."""
 
-import functools
 import time
 
 import httpcore
 import trio
 
 from core import samples
+from daemon import entries
 from zinnialead_core.components import keys
 from zinnialead_core import inputs as inp
-from zinnialead_daemon import application as applications
 from zinnialead_daemon.components import engine as engines
 from zinnialead_daemon import http
 
@@ -22,15 +21,8 @@
     address = await nursery.start(
         http.serve, upstream, '127.0.0.1:0', trio.sleep_forever
     )
-    state = samples.state(number=2)
-    rows = {
-        name: row._replace(address=address)
-        for name, row in state.upstreams.items()
-    }
-    app = applications.new_application(samples.world())
-    engines.feed(app.engine, inp.StateRead(state._replace(upstreams=rows)))
-    run = functools.partial(applications.run, app, '127.0.0.1:0')
-    entry = await nursery.start(run)
+    app, addresses = await entries.start(nursery, address)
+    entry = addresses.callers
     async with httpcore.AsyncConnectionPool() as pool:
         url = f'http://{entry}/v1/services/intake/book'
         issued = keys.prefix(samples.REF, None, time.time() * 1000.0)
@@ -41,3 +33,37 @@
             assert (b'zinnialead-verdict', b'ran') in answer.headers
     assert app.engine.world.counters['requests.dispatched'] == 1
     nursery.cancel_scope.cancel()
+
+
+async def test_a_stop_cuts_no_request_in_flight(nursery):
+    reached = trio.Event()
+    finish = trio.Event()
+
+    async def slow(scope, receive, send):
+        if scope['path'] != '/work':
+            await http.respond(send, 200, [], b'{}')
+            return
+        reached.set()
+        await finish.wait()
+        await http.respond(send, 200, [], b'whole')
+
+    address = await nursery.start(
+        http.serve, slow, '127.0.0.1:0', trio.sleep_forever
+    )
+    answers = []
+
+    async def ask(callers):
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f'http://{callers}/v1/services/pricebook/work'
+            answers.append(await pool.request('POST', url))
+
+    async with trio.open_nursery() as entry_nursery:
+        app, addresses = await entries.start(entry_nursery, address)
+        entry_nursery.start_soon(ask, addresses.callers)
+        await reached.wait()
+        app.linger_s = 0.0
+        engines.feed(app.engine, inp.StopAsked())
+        finish.set()
+    assert app.stopped.is_set()
+    assert [answer.content for answer in answers] == [b'whole']
+    nursery.cancel_scope.cancel()
