--- a/packages/core/src/zinnialead_core/components/members/__init__.py
+++ b/packages/core/src/zinnialead_core/components/members/__init__.py
@@ -1,5 +1,7 @@
 """Know which entries are alive."""
 
+from zinnialead_core.components.members.messages import MembersAsk
+from zinnialead_core.components.members.messages import MembersPage
 from zinnialead_core.components.members.messages import News
 from zinnialead_core.components.members.messages import Probe
 from zinnialead_core.components.members.messages import ProbeAnswer
@@ -13,6 +15,8 @@
 __all__ = [
     'Health',
     'MemberRow',
+    'MembersAsk',
+    'MembersPage',
     'News',
     'Probe',
     'ProbeAnswer',
--- a/packages/core/src/zinnialead_core/components/members/messages.py
+++ b/packages/core/src/zinnialead_core/components/members/messages.py
@@ -45,3 +45,21 @@
     """Tell a peer news that cannot wait for the next probe."""
 
     news: tuple[models.MemberRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersAsk:
+    """Ask for the members named after ``after``, of one domain or all."""
+
+    domain: str
+    after: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersPage:
+    """Answer a ``MembersAsk``; ``last`` says that nothing follows."""
+
+    domain: str
+    after: ids.EntryId
+    last: bool
+    news: tuple[models.MemberRow, ...]
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/members/views.py
@@ -0,0 +1,58 @@
+"""Read the members table."""
+
+from collections import abc
+import typing
+
+from zinnialead_core.components.members import models
+from zinnialead_core import ids
+
+if typing.TYPE_CHECKING:
+    from zinnialead_core import world as world_module
+
+
+def own(world: 'world_module.World') -> models.MemberRow:
+    """Return this entry's own row."""
+    return world.members[world.node.ref.entry]
+
+
+def others(
+    world: 'world_module.World',
+) -> abc.Iterator[models.MemberRow]:
+    """Yield the rows of the other entries that are not taken for dead."""
+    me = world.node.ref.entry
+    for row in world.members.values():
+        if row.health is not models.Health.DEAD and row.entry != me:
+            yield row
+
+
+def neighbours(
+    world: 'world_module.World',
+) -> abc.Iterator[models.MemberRow]:
+    """Yield the other rows of this entry's domain."""
+    for row in others(world):
+        if row.domain == world.node.domain:
+            yield row
+
+
+def foreigners(
+    world: 'world_module.World',
+) -> abc.Iterator[models.MemberRow]:
+    """Yield the other rows outside this entry's domain."""
+    for row in others(world):
+        if row.domain != world.node.domain:
+            yield row
+
+
+def pick(
+    world: 'world_module.World',
+    rows: abc.Iterable[models.MemberRow],
+    count: int,
+) -> abc.Sequence[ids.EntryId]:
+    """Return up to ``count`` of the rows' entries, at random."""
+    names = [row.entry for row in rows]
+    return world.random.sample(names, min(count, len(names)))
+
+
+def ref(row: models.MemberRow) -> ids.EntryRef:
+    """Return the run of an entry that a row is about."""
+    return ids.EntryRef(row.entry, row.incarnation)
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -12,6 +12,8 @@
     | keys.ClaimAsk
     | keys.ClaimEnd
     | keys.ClaimEndAck
+    | members.MembersAsk
+    | members.MembersPage
     | members.News
     | members.Probe
     | members.ProbeAnswer
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -69,6 +69,18 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionOver:
+    """Fire when a suspected entry is to be taken for dead."""
+
+    entry: ids.EntryId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsDue:
+    """Fire when urgent news of members is to be pushed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SpreadRound:
     """Fire when the state in force is compared with a peer's."""
@@ -101,6 +113,8 @@
     | SlotsDue
     | ProbeRound
     | ProbeTimeout
+    | SuspicionOver
+    | NewsDue
     | SpreadRound
     | StoreDue
     | LoadRound
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -91,6 +91,8 @@
             return Coded('claimAsk', keys.ask(message))
         case key_messages.ClaimEnd():
             return Coded('claimEnd', keys.claim_end(message))
+        case key_messages.ClaimEndAck():
+            return Coded('claimEndAck', keys.claim_end_ack(message))
         case slot_messages.SlotAnswer():
             return Coded('slotAnswer', slots.slot_answer(message))
         case slot_messages.SlotAsk():
@@ -104,7 +106,9 @@
 
 
 def _control_fields(
-    message: member_messages.News
+    message: member_messages.MembersAsk
+    | member_messages.MembersPage
+    | member_messages.News
     | member_messages.Probe
     | member_messages.ProbeAnswer
     | member_messages.ProbeFor
@@ -123,6 +127,10 @@
             return Coded('probeFor', members.probe_for(message))
         case member_messages.ProbeRelayed():
             return Coded('probeRelayed', members.probe_relayed(message))
+        case member_messages.MembersAsk():
+            return Coded('membersAsk', members.members_ask(message))
+        case member_messages.MembersPage():
+            return Coded('membersPage', members.members_page(message))
         case member_messages.News():
             return Coded('news', members.news(message))
         case state_messages.StateAsk():
@@ -147,6 +155,8 @@
             return keys.read_claim_ask(reader.claimAsk)
         case 'claimEnd':
             return keys.read_claim_end(reader.claimEnd)
+        case 'claimEndAck':
+            return keys.read_claim_end_ack(reader.claimEndAck)
         case 'slotAnswer':
             return slots.read_slot_answer(reader.slotAnswer)
         case 'slotAsk':
@@ -169,6 +179,10 @@
             return members.read_probe_for(reader.probeFor)
         case 'probeRelayed':
             return members.read_probe_relayed(reader.probeRelayed)
+        case 'membersAsk':
+            return members.read_members_ask(reader.membersAsk)
+        case 'membersPage':
+            return members.read_members_page(reader.membersPage)
         case 'news':
             return members.read_news(reader.news)
         case 'stateAsk':
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -6,15 +6,12 @@
 from zinnialead_daemon.components.peers.codec import common
 from zinnialead_daemon.components.peers.codec import schema
 
-EndState = models.Ended | models.Undecided | models.Barred | None
-
 
 def ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
     """Return the fields of a claim or of a bar."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
-        'lifetimeLeftMs': message.lifetime_left_ms,
     }
 
 
@@ -23,7 +20,6 @@
     return messages.ClaimAsk(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        common.finite(reader.lifetimeLeftMs),
     )
 
 
@@ -32,7 +28,6 @@
     return messages.BarKey(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        common.finite(reader.lifetimeLeftMs),
     )
 
 
@@ -42,6 +37,12 @@
     match message.answer:
         case models.Granted():
             return {**fields, 'granted': None}
+        case models.Waiting():
+            return {**fields, 'waiting': None}
+        case models.Freed():
+            return {**fields, 'freed': None}
+        case models.NotRegistrar():
+            return {**fields, 'notRegistrar': None}
         case models.Recorded(status, record):
             return {**fields, 'recorded': _answer(status, record)}
         case models.Denied(refusal):
@@ -53,7 +54,7 @@
     return messages.ClaimAnswer(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        _read_granted_or_denial(reader),
+        _read_outcome(reader),
     )
 
 
@@ -62,6 +63,7 @@
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
+        'sequence': message.sequence,
         'state': _state(message.state),
     }
 
@@ -71,11 +73,28 @@
     return messages.ClaimEnd(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
+        reader.sequence,
         _read_state(reader.state),
     )
 
 
-def _state(state: EndState) -> schema.Fields:
+def claim_end_ack(message: messages.ClaimEndAck) -> schema.Fields:
+    """Return the fields of a confirmed end."""
+    return {
+        'key': message.key,
+        'askId': common.ask_id(message.ask_id),
+        'sequence': message.sequence,
+    }
+
+
+def read_claim_end_ack(reader: schema.Reader) -> messages.ClaimEndAck:
+    """Return a confirmed end."""
+    return messages.ClaimEndAck(
+        ids.Key(reader.key), common.read_ask_id(reader.askId), reader.sequence
+    )
+
+
+def _state(state: models.KeyEnd) -> schema.Fields:
     match state:
         case models.Ended(status, record):
             return {'ended': _answer(status, record)}
@@ -87,7 +106,7 @@
             return {'notRun': None}
 
 
-def _read_state(reader: schema.Reader) -> EndState:
+def _read_state(reader: schema.Reader) -> models.KeyEnd:
     match str(reader.which()):
         case 'ended':
             found = _read_answer(reader.ended)
@@ -100,12 +119,16 @@
             return models.Undecided()
 
 
-def _read_granted_or_denial(
-    reader: schema.Reader,
-) -> models.Granted | models.Denial:
+def _read_outcome(reader: schema.Reader) -> models.Answer:
     match str(reader.which()):
         case 'granted':
             return models.Granted()
+        case 'waiting':
+            return models.Waiting()
+        case 'freed':
+            return models.Freed()
+        case 'notRegistrar':
+            return models.NotRegistrar()
         case 'recorded':
             return _read_answer(reader.recorded)
         case _:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
@@ -67,6 +67,36 @@
     return messages.News(_read_rows(rows))
 
 
+def members_ask(message: messages.MembersAsk) -> schema.Fields:
+    """Return the fields of an ask for a page of members."""
+    return {'domain': message.domain, 'after': message.after}
+
+
+def read_members_ask(reader: schema.Reader) -> messages.MembersAsk:
+    """Return an ask for a page of members."""
+    return messages.MembersAsk(reader.domain, ids.EntryId(reader.after))
+
+
+def members_page(message: messages.MembersPage) -> schema.Fields:
+    """Return the fields of a page of members."""
+    return {
+        'domain': message.domain,
+        'after': message.after,
+        'last': message.last,
+        'news': _rows(message.news),
+    }
+
+
+def read_members_page(reader: schema.Reader) -> messages.MembersPage:
+    """Return a page of members."""
+    return messages.MembersPage(
+        reader.domain,
+        ids.EntryId(reader.after),
+        reader.last,
+        _read_rows(reader.news),
+    )
+
+
 def _rows(rows: Rows) -> list[schema.Fields]:
     return [
         {
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -37,7 +37,6 @@
 struct ClaimAsk {
   key @0 :Text;
   askId @1 :AskId;
-  lifetimeLeftMs @2 :Float64;
 }
 
 struct ClaimAnswer {
@@ -47,6 +46,9 @@
     granted @2 :Void;
     recorded @3 :Answer;
     denied @4 :Refusal;
+    waiting @5 :Void;
+    freed @6 :Void;
+    notRegistrar @7 :Void;
   }
 }
 
@@ -54,6 +56,13 @@
   key @0 :Text;
   askId @1 :AskId;
   state @2 :KeyState;
+  sequence @3 :UInt32;
+}
+
+struct ClaimEndAck {
+  key @0 :Text;
+  askId @1 :AskId;
+  sequence @2 :UInt32;
 }
 
 struct Member {
@@ -89,6 +98,18 @@
   target @1 :EntryRef;
 }
 
+struct MembersAsk {
+  domain @0 :Text;
+  after @1 :Text;
+}
+
+struct MembersPage {
+  domain @0 :Text;
+  after @1 :Text;
+  last @2 :Bool;
+  news @3 :List(Member);
+}
+
 struct SlotAsk {
   askId @0 :AskId;
   service @1 :Text;
@@ -179,5 +200,8 @@
     stateData @18 :StateData;
     stateDelta @19 :StateDelta;
     stateNumber @20 :StateNumber;
+    membersAsk @21 :MembersAsk;
+    membersPage @22 :MembersPage;
+    claimEndAck @23 :ClaimEndAck;
   }
 }
