--- a/packages/core/src/zinnialead_core/components/requests/admission.py
+++ b/packages/core/src/zinnialead_core/components/requests/admission.py
@@ -1,5 +1,6 @@
 """Check a request at the door."""
 
+from zinnialead_core.components.requests import const
 from zinnialead_core.components.requests import models
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
@@ -16,6 +17,8 @@
     service = state.services.get(item.service)
     if world.requests.stopping:
         return _refusal(verdict.Reason.STOPPING, 'this entry is stopping')
+    if len(world.requests.rows) >= const.ROWS_MAX:
+        return _refusal(verdict.Reason.QUEUE_FULL, 'this entry is full')
     if state.number == 0:
         return _refusal(verdict.Reason.NOT_READY, 'no ticket is in force')
     if service is None:
@@ -31,10 +34,11 @@
     if item.deadline_ms <= now_ms:
         detail = 'the deadline has passed'
         return _refusal(verdict.Reason.DEADLINE_PASSED, detail)
-    return _row(now_ms, item, service, rank)
+    return _row(world, now_ms, item, service, rank)
 
 
 def _row(
+    world: world_module.World,
     now_ms: float,
     item: inp.RequestArrived,
     service: tickets.ServiceRow,
@@ -56,8 +60,18 @@
         upstream=None,
         caller_gone=False,
         worst=verdict.Verdict.NOT_RUN,
+        home_region=_home_region(world, item.caller_domain),
     )
 
 
+def _home_region(
+    world: world_module.World, caller_domain: ids.DomainId | None
+) -> ids.RegionId:
+    domains = world.states['in-force'].domains
+    if caller_domain is None or caller_domain not in domains:
+        return world.node.region
+    return domains[caller_domain].region
+
+
 def _refusal(reason: verdict.Reason, detail: str) -> verdict.Refusal:
     return verdict.Refusal(verdict.Verdict.NOT_RUN, reason, detail)
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -8,13 +8,24 @@
 
 
 class Phase(enum.Enum):
-    """Say what a request waits for."""
+    """Say what a request waits for.
+
+    One in ``ANSWER`` has begun to be answered, and is not tried again.
+
+    One that is ``ENDING`` has been answered, or its caller has left, but
+    its attempt still keeps the upstream busy.
+    """
 
     CLAIM = 'claim'
     SLOT = 'slot'
     UPSTREAM = 'upstream'
     ANSWER = 'answer'
     BACKOFF = 'backoff'
+    ENDING = 'ending'
+
+
+# The phases in which an attempt keeps an upstream busy.
+AT_UPSTREAM = (Phase.UPSTREAM, Phase.ANSWER, Phase.ENDING)
 
 
 class RequestRow(typing.NamedTuple):
@@ -34,6 +45,7 @@
     upstream: ids.UpstreamId | None
     caller_gone: bool
     worst: verdict.Verdict
+    home_region: ids.RegionId
 
 
 class RequestTable(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -1,5 +1,6 @@
 """Define the rows of the steering tables."""
 
+import collections
 import typing
 
 from zinnialead_core import ids
@@ -13,16 +14,48 @@
     slots: int
     in_use: int
     queued: int
+    service_time_ms: float
     seen_ms: float
 
 
+class RoomRow(typing.NamedTuple):
+    """Hold what a slot owner may still send to another domain.
+
+    ``left`` counts the asks that the last report leaves room for, and
+    none are sent before ``paused_until_ms``.
+    """
+
+    left: float
+    paused_until_ms: float
+
+
+class ShiftRow(typing.NamedTuple):
+    """Hold one shift that was let in."""
+
+    at_ms: float
+    size_bytes: float
+
+
+class LinkId(typing.NamedTuple):
+    """Name the way of a shift, from a region to a region."""
+
+    from_region: ids.RegionId
+    to_region: ids.RegionId
+
+
 LoadTable = dict[tuple[ids.ServiceId, ids.DomainId], LoadRow]
 
 
 class ShiftTable(typing.NamedTuple):
-    """Hold the times of the shifts sent in the last second by link."""
+    """Hold the shifts of the last second by service and way.
+
+    ``rooms`` are by service and domain; ``answer_bytes`` are the usual
+    sizes of the answers of services.
+    """
 
-    sent_ms: dict[tuple[ids.RegionId, ids.RegionId], list[float]]
+    sent: dict[tuple[ids.ServiceId, LinkId], collections.deque[ShiftRow]]
+    rooms: dict[tuple[ids.ServiceId, ids.DomainId], RoomRow]
+    answer_bytes: dict[ids.ServiceId, float]
 
 
 def new_loads() -> LoadTable:
@@ -32,4 +65,4 @@
 
 def new_shifts() -> ShiftTable:
     """Return a table without shifts."""
-    return ShiftTable({})
+    return ShiftTable({}, {}, {})
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -99,6 +99,10 @@
             return Coded('slotAsk', slots.slot_ask(message))
         case slot_messages.SlotReturn():
             return Coded('slotReturn', slots.slot_return(message))
+        case slot_messages.SlotWaiting():
+            return Coded('slotWaiting', slots.slot_waiting(message))
+        case slot_messages.SlotHeldReport():
+            return Coded('slotHeldReport', slots.slot_held(message))
         case load_messages.LoadReport():
             return Coded('loadReport', steering.load_report(message))
         case _:
@@ -163,6 +167,10 @@
             return slots.read_slot_ask(reader.slotAsk)
         case 'slotReturn':
             return slots.read_slot_return(reader.slotReturn)
+        case 'slotWaiting':
+            return slots.read_slot_waiting(reader.slotWaiting)
+        case 'slotHeldReport':
+            return slots.read_slot_held(reader.slotHeldReport)
         case 'loadReport':
             return steering.read_load_report(reader.loadReport)
         case _:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -37,16 +37,16 @@
     match message.answer:
         case models.Granted():
             return {**fields, 'granted': None}
+        case models.Recorded(status, record):
+            return {**fields, 'recorded': _answer(status, record)}
+        case models.Denied(refusal):
+            return {**fields, 'denied': common.refusal(refusal)}
         case models.Waiting():
             return {**fields, 'waiting': None}
         case models.Freed():
             return {**fields, 'freed': None}
         case models.NotRegistrar():
             return {**fields, 'notRegistrar': None}
-        case models.Recorded(status, record):
-            return {**fields, 'recorded': _answer(status, record)}
-        case models.Denied(refusal):
-            return {**fields, 'denied': common.refusal(refusal)}
 
 
 def read_claim_answer(reader: schema.Reader) -> messages.ClaimAnswer:
@@ -54,7 +54,7 @@
     return messages.ClaimAnswer(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        _read_outcome(reader),
+        _read_answer_kind(reader),
     )
 
 
@@ -63,8 +63,8 @@
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
-        'sequence': message.sequence,
         'state': _state(message.state),
+        'sequence': message.sequence,
     }
 
 
@@ -79,7 +79,7 @@
 
 
 def claim_end_ack(message: messages.ClaimEndAck) -> schema.Fields:
-    """Return the fields of a confirmed end."""
+    """Return the fields of the confirmation of an end."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -88,9 +88,11 @@
 
 
 def read_claim_end_ack(reader: schema.Reader) -> messages.ClaimEndAck:
-    """Return a confirmed end."""
+    """Return the confirmation of an end."""
     return messages.ClaimEndAck(
-        ids.Key(reader.key), common.read_ask_id(reader.askId), reader.sequence
+        ids.Key(reader.key),
+        common.read_ask_id(reader.askId),
+        reader.sequence,
     )
 
 
@@ -119,18 +121,20 @@
             return models.Undecided()
 
 
-def _read_outcome(reader: schema.Reader) -> models.Answer:
+def _read_answer_kind(
+    reader: schema.Reader,
+) -> models.Answer:
     match str(reader.which()):
         case 'granted':
             return models.Granted()
+        case 'recorded':
+            return _read_answer(reader.recorded)
         case 'waiting':
             return models.Waiting()
         case 'freed':
             return models.Freed()
         case 'notRegistrar':
             return models.NotRegistrar()
-        case 'recorded':
-            return _read_answer(reader.recorded)
         case _:
             return models.Denied(common.read_refusal(reader.denied))
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -116,19 +116,42 @@
   rank @2 :Text;
   deadlineInMs @3 :Float64;
   fromDomain @4 :Text;
+  avoid @5 :Text;  # null without an attempt before
+  forwarded @6 :Bool;
+  tried @7 :List(Text);
+  homeRegion @8 :Text;
+  bodyBytes @9 :UInt64;
 }
 
 struct SlotAnswer {
   askId @0 :AskId;
   upstream @1 :Text;    # null without a grant
   refusal @2 :Refusal;  # null with a grant
+  redirect @3 :Text;    # null where no other domain is worth an ask
+}
+
+struct SlotHeld {
+  askId @0 :AskId;
+  service @1 :Text;
+  rank @2 :Text;
+  upstream @3 :Text;
+  fromDomain @4 :Text;
+}
+
+enum SlotEnd {
+  served @0;
+  shed @1;
+  failed @2;
+  timedOut @3;
+  unused @4;
 }
 
 struct SlotReturn {
   askId @0 :AskId;
   upstream @1 :Text;  # null to leave the queue
   elapsedMs @2 :Float64;
-  failed @3 :Bool;
+  end @3 :SlotEnd;
+  answerBytes @4 :UInt64;
 }
 
 struct Load {
@@ -138,6 +161,7 @@
   inUse @3 :UInt32;
   queued @4 :UInt32;
   seenMs @5 :Float64;
+  serviceTimeMs @6 :Float64;
 }
 
 struct StateNumber {
@@ -200,8 +224,10 @@
     stateData @18 :StateData;
     stateDelta @19 :StateDelta;
     stateNumber @20 :StateNumber;
-    membersAsk @21 :MembersAsk;
-    membersPage @22 :MembersPage;
-    claimEndAck @23 :ClaimEndAck;
+    claimEndAck @21 :ClaimEndAck;
+    slotWaiting @22 :AskId;
+    slotHeldReport @23 :SlotHeld;
+    membersAsk @24 :MembersAsk;
+    membersPage @25 :MembersPage;
   }
 }
