--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -98,6 +98,18 @@
   target @1 :EntryRef;
 }
 
+struct MembersAsk {
+  domain @0 :Text;
+  after @1 :Text;
+}
+
+struct MembersPage {
+  domain @0 :Text;
+  after @1 :Text;
+  last @2 :Bool;
+  news @3 :List(Member);
+}
+
 struct SlotAsk {
   askId @0 :AskId;
   service @1 :Text;
@@ -215,5 +227,7 @@
     claimEndAck @21 :ClaimEndAck;
     slotWaiting @22 :AskId;
     slotHeldReport @23 :SlotHeld;
+    membersAsk @24 :MembersAsk;
+    membersPage @25 :MembersPage;
   }
 }
