--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/studies/__init__.py
@@ -0,0 +1,1 @@
+"""Compare ways of deciding, each on the same seeded arrivals."""
