--- a/packages/core/src/zinnialead_core/components/requests/admission.py
+++ b/packages/core/src/zinnialead_core/components/requests/admission.py
@@ -34,10 +34,11 @@
     if item.deadline_ms <= now_ms:
         detail = 'the deadline has passed'
         return _refusal(verdict.Reason.DEADLINE_PASSED, detail)
-    return _row(now_ms, item, service, rank)
+    return _row(world, now_ms, item, service, rank)
 
 
 def _row(
+    world: world_module.World,
     now_ms: float,
     item: inp.RequestArrived,
     service: tickets.ServiceRow,
@@ -59,8 +60,18 @@
         upstream=None,
         caller_gone=False,
         worst=verdict.Verdict.NOT_RUN,
+        home_region=_home_region(world, item.caller_domain),
     )
 
 
+def _home_region(
+    world: world_module.World, caller_domain: ids.DomainId | None
+) -> ids.RegionId:
+    domains = world.states['in-force'].domains
+    if caller_domain is None or caller_domain not in domains:
+        return world.node.region
+    return domains[caller_domain].region
+
+
 def _refusal(reason: verdict.Reason, detail: str) -> verdict.Refusal:
     return verdict.Refusal(verdict.Verdict.NOT_RUN, reason, detail)
--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -83,6 +83,7 @@
         outcome,
         item.elapsed_ms,
         timed_out=row.phase is models.Phase.ENDING,
+        answer_bytes=item.answer_bytes,
     )
 
 
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -15,14 +15,6 @@
 from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
-# Refusals after which another domain may still have a slot.
-ELSEWHERE = (
-    verdict.Reason.NO_HEADROOM,
-    verdict.Reason.NO_UPSTREAM,
-    verdict.Reason.QUEUE_FULL,
-    verdict.Reason.DEADLINE_TOO_SHORT,
-)
-
 
 def ask(
     world: world_module.World,
@@ -35,11 +27,7 @@
     if row is None or row.attempt != attempt:
         return
     ask_id = ids.AskId(world.node.ref, request_id, attempt)
-    match targets.next_target(world, now_ms, row, ()):
-        case targets.Target() as target:
-            yield from ask_at(world, now_ms, row, ask_id, target)
-        case verdict.Refusal() as refusal:
-            yield out.Notify(inp.SlotRefused(request_id, attempt, refusal))
+    yield from _ask_home(world, now_ms, row, ask_id, (), None)
 
 
 def answered(
@@ -56,7 +44,7 @@
     if row is None or row.upstream is not None or message.refusal is None:
         return
     if _speaks_for(world, sender, row):
-        yield from _refused(world, now_ms, row, message.refusal)
+        yield from _refused(world, now_ms, row, message)
 
 
 def waiting(
@@ -79,7 +67,11 @@
     if row is None:
         return
     message = messages.SlotReturn(
-        ask_id, row.upstream, item.elapsed_ms, _end_of(item)
+        ask_id,
+        row.upstream,
+        item.elapsed_ms,
+        _end_of(item),
+        item.answer_bytes,
     )
     owner = ownership.owner_of(world, now_ms, row.service, row.domain)
     # An owner that took over may have counted the slot already.
@@ -131,6 +123,9 @@
         request.deadline_ms - now_ms,
         world.node.domain,
         request.upstream,
+        tried=row.tried,
+        home_region=request.home_region,
+        body_bytes=request.body_bytes,
     )
     yield out.SendPeer(row.owner, message)
 
@@ -165,23 +160,74 @@
     world: world_module.World,
     now_ms: float,
     row: models.AskRow,
-    refusal: verdict.Refusal,
+    message: messages.SlotAnswer,
 ) -> abc.Iterator[out.Output]:
-    # The first domain asked is the caller's own: its refusal says most.
-    first = row.refusal or refusal
     ask_id = row.ask_id
     request = world.requests.rows.get(ask_id.request_id)
-    if request is not None and refusal.reason in ELSEWHERE:
-        tried = (*row.tried, row.domain)
-        found = targets.next_target(world, now_ms, request, tried)
-        match found:
-            case targets.Target():
-                yield from ask_at(
-                    world, now_ms, request, ask_id, found, tried, first
-                )
-                return
+    # The first domain asked is the caller's own: its refusal says most.
+    first = row.refusal or message.refusal
+    if request is not None and row.domain != world.node.domain:
+        yield from pass_over(world, now_ms, row, first)
+        return
+    if request is not None and message.redirect is not None:
+        yield from _ask_elsewhere(
+            world, now_ms, request, row, message.redirect
+        )
+        return
     close(world, ask_id)
-    yield out.Notify(inp.SlotRefused(ask_id.request_id, ask_id.attempt, first))
+    if first is not None:
+        yield out.Notify(
+            inp.SlotRefused(ask_id.request_id, ask_id.attempt, first)
+        )
+
+
+def pass_over(
+    world: world_module.World,
+    now_ms: float,
+    row: models.AskRow,
+    first: verdict.Refusal | None,
+) -> abc.Iterator[out.Output]:
+    """Ask at home again, after another domain gave no slot."""
+    request = world.requests.rows.get(row.ask_id.request_id)
+    if request is None:
+        close(world, row.ask_id)
+        return
+    tried = (*row.tried, row.domain)
+    yield from _ask_home(world, now_ms, request, row.ask_id, tried, first)
+
+
+def _ask_elsewhere(
+    world: world_module.World,
+    now_ms: float,
+    request: requests.RequestRow,
+    row: models.AskRow,
+    domain: ids.DomainId,
+) -> abc.Iterator[out.Output]:
+    entry = ownership.owner_of(world, now_ms, row.service, domain)
+    if entry is None:
+        tried = (*row.tried, domain)
+        yield from _ask_home(
+            world, now_ms, request, row.ask_id, tried, row.refusal
+        )
+        return
+    target = targets.Target(entry, domain)
+    yield from ask_at(
+        world, now_ms, request, row.ask_id, target, row.tried, row.refusal
+    )
+
+
+def _ask_home(
+    world: world_module.World,
+    now_ms: float,
+    request: requests.RequestRow,
+    ask_id: ids.AskId,
+    tried: tuple[ids.DomainId, ...],
+    first: verdict.Refusal | None,
+) -> abc.Iterator[out.Output]:
+    domain = world.node.domain
+    entry = ownership.owner_of(world, now_ms, request.service, domain)
+    target = targets.Target(entry or world.node.ref.entry, domain)
+    yield from ask_at(world, now_ms, request, ask_id, target, tried, first)
 
 
 def close(
--- a/packages/core/src/zinnialead_core/components/slots/messages.py
+++ b/packages/core/src/zinnialead_core/components/slots/messages.py
@@ -6,13 +6,17 @@
 from zinnialead_core import ids
 from zinnialead_core import verdict
 
+HERE = ids.RegionId('')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAsk:
     """Ask the owner of a service's slots in a domain for one slot.
 
     ``avoid`` names the upstream of the attempt before; ``forwarded`` says
-    that an entry that owns the slots no more sent the ask on.
+    that an entry that owns the slots no more sent the ask on; ``tried``
+    are the domains that refused it already.  ``home_region`` is where the
+    work comes from, for caps on shifts; empty for the owner's own region.
     """
 
     ask_id: ids.AskId
@@ -22,15 +26,22 @@
     from_domain: ids.DomainId
     avoid: ids.UpstreamId | None = None
     forwarded: bool = False
+    tried: tuple[ids.DomainId, ...] = ()
+    home_region: ids.RegionId = HERE
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAnswer:
-    """Grant a slot at ``upstream``, or say why there is none."""
+    """Grant a slot at ``upstream``, or say why there is none.
+
+    ``redirect`` names a domain that is worth an ask.
+    """
 
     ask_id: ids.AskId
     upstream: ids.UpstreamId | None
     refusal: verdict.Refusal | None = None
+    redirect: ids.DomainId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,3 +70,4 @@
     upstream: ids.UpstreamId | None
     elapsed_ms: float = 0.0
     end: models.SlotEnd = models.SlotEnd.UNUSED
+    answer_bytes: int = 0
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -49,6 +49,9 @@
     deadline_ms: float
     from_domain: ids.DomainId
     avoid: ids.UpstreamId | None
+    home_region: ids.RegionId
+    body_bytes: int
+    tried: tuple[ids.DomainId, ...]
 
 
 class GrantRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from zinnialead_core.components.slots import choice
 from zinnialead_core.components.slots import const
@@ -12,6 +13,9 @@
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
 from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.slots import refusals
+from zinnialead_core.components.steering import caps
+from zinnialead_core.components.steering import redirects
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
@@ -33,10 +37,10 @@
         on = dataclasses.replace(ask, forwarded=True)
         yield from ownership.pass_on(world, now_ms, ask.service, on)
         return
-    row = _row(now_ms, ask)
-    if not choice.is_served(world, ask.service):
-        yield from _refuse(world, row, _no_upstream(world, ask.service))
-    elif row.from_domain != world.node.domain:
+    row = _row(world, now_ms, ask)
+    for domain in ask.tried:
+        redirects.refused(world, now_ms, ask.service, domain)
+    if row.from_domain != world.node.domain:
         yield from _enter_foreign(world, now_ms, row)
     else:
         yield from _enter(world, now_ms, row)
@@ -54,6 +58,8 @@
     gone = grant_row or queued
     if gone is None:
         return
+    if back.answer_bytes > 0:
+        caps.learn_answer(world, gone.service, back.answer_bytes)
     if not ownership.is_owner(world, now_ms, gone.service):
         yield from ownership.pass_on(world, now_ms, gone.service, back)
     yield from grant(world, now_ms, gone.service)
@@ -98,7 +104,9 @@
         row = world.queues.queued[ask_id]
         if not served:
             _drop(world, row)
-            yield from _refuse(world, row, _no_upstream(world, service))
+            yield from _refuse(
+                world, row, refusals.no_upstream(world, service)
+            )
             continue
         upstream = choice.pick(world, now_ms, service, row.avoid)
         if upstream is None:
@@ -121,41 +129,82 @@
 def _enter(
     world: world_module.World, now_ms: float, row: models.QueuedRow
 ) -> abc.Iterator[out.Output]:
-    floors.arrived(world, now_ms, row.service, row.rank)
-    refusal = _at_the_door(world, now_ms, row)
-    if refusal is not None:
-        yield from _refuse(world, row, refusal)
+    if not row.tried:
+        floors.arrived(world, now_ms, row.service, row.rank)
+    wait_ms = _wait_ms(world, now_ms, row)
+    left_ms = row.deadline_ms - now_ms
+    elsewhere = redirects.choose(
+        world, now_ms, row.service, wait_ms, left_ms, row.tried
+    )
+    if elsewhere is not None:
+        refusal = refusals.no_headroom(world, row)
+        yield from _refuse(world, row, refusal, elsewhere)
         return
+    door_refusal = _at_the_door(world, now_ms, row, wait_ms)
+    if door_refusal is not None:
+        yield from _refuse(world, row, door_refusal)
+        return
+    yield from _join(world, now_ms, row)
+
+
+def _wait_ms(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> float:
+    if not choice.is_served(world, row.service):
+        return math.inf
+    idle = not lines.waiting(world, row.service)
+    if idle and choice.pick(world, now_ms, row.service, None) is not None:
+        return 0.0
+    return door.expected_wait_ms(world, now_ms, row.service, row.rank)
+
+
+def _at_the_door(
+    world: world_module.World,
+    now_ms: float,
+    row: models.QueuedRow,
+    wait_ms: float,
+) -> verdict.Refusal | None:
+    if not choice.is_served(world, row.service):
+        return refusals.no_upstream(world, row.service)
+    needed_ms = door.useful_ms(world, row.service)
+    if wait_ms > 0.0:
+        needed_ms = wait_ms + door.service_time_ms(world, row.service)
+    left_ms = row.deadline_ms - now_ms
+    if left_ms <= needed_ms:
+        return door.too_short(left_ms, needed_ms)
+    return _permit(world, now_ms, row)
+
+
+def _permit(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> verdict.Refusal | None:
+    return caps.permit(
+        world,
+        now_ms,
+        row.service,
+        row.rank,
+        row.home_region,
+        row.body_bytes,
+    )
+
+
+def _join(
+    world: world_module.World, now_ms: float, row: models.QueuedRow
+) -> abc.Iterator[out.Output]:
     service = world.states['in-force'].services.get(row.service)
     queue_max = service.queue_max if service else const.QUEUE_MAX
     victim = door.victim(world, row, queue_max)
     if victim is not None:
         loser = lines.leave(world, victim) or row
         timers.stop(world.timers, timers.QueueExpiry(victim))
-        yield from _refuse(world, loser, _queue_full(world, loser))
+        yield from _refuse(world, loser, refusals.queue_full(world, loser))
     if victim == row.ask_id:
         return
     lines.join(world, row)
+    expiry_ms = row.deadline_ms - door.useful_ms(world, row.service)
+    timer = timers.QueueExpiry(row.ask_id)
+    timers.start(world.timers, timer, max(now_ms, expiry_ms))
     yield from grant(world, now_ms, row.service)
-    if row.ask_id in world.queues.queued:
-        expiry_ms = row.deadline_ms - door.useful_ms(world, row.service)
-        timer = timers.QueueExpiry(row.ask_id)
-        timers.start(world.timers, timer, max(now_ms, expiry_ms))
-
-
-def _at_the_door(
-    world: world_module.World, now_ms: float, row: models.QueuedRow
-) -> verdict.Refusal | None:
-    needed_ms = door.useful_ms(world, row.service)
-    idle = not lines.waiting(world, row.service)
-    if not idle or choice.pick(world, now_ms, row.service, None) is None:
-        needed_ms = door.service_time_ms(
-            world, row.service
-        ) + door.expected_wait_ms(world, now_ms, row.service, row.rank)
-    left_ms = row.deadline_ms - now_ms
-    if left_ms <= needed_ms:
-        return door.too_short(left_ms, needed_ms)
-    return None
 
 
 def _enter_foreign(
@@ -166,12 +215,10 @@
     if not held and not lines.waiting(world, row.service):
         upstream = choice.pick(world, now_ms, row.service, row.avoid)
     if upstream is None:
-        refusal = verdict.Refusal(
-            verdict.Verdict.NOT_RUN,
-            verdict.Reason.NO_HEADROOM,
-            f'domain {world.node.domain!r} has no idle slot for service'
-            f' {row.service!r}',
-        )
+        yield from _refuse(world, row, refusals.no_headroom(world, row))
+        return
+    refusal = _permit(world, now_ms, row)
+    if refusal is not None:
         yield from _refuse(world, row, refusal)
         return
     yield from leases.start(world, now_ms, row, upstream)
@@ -193,13 +240,16 @@
     world: world_module.World,
     row: models.QueuedRow,
     refusal: verdict.Refusal,
+    redirect: ids.DomainId | None = None,
 ) -> abc.Iterator[out.Output]:
     world.counters[f'slots.refused.{refusal.reason.value}'] += 1
-    answer = messages.SlotAnswer(row.ask_id, None, refusal)
+    answer = messages.SlotAnswer(row.ask_id, None, refusal, redirect)
     yield out.SendPeer(row.ask_id.asker.entry, answer)
 
 
-def _row(now_ms: float, ask: messages.SlotAsk) -> models.QueuedRow:
+def _row(
+    world: world_module.World, now_ms: float, ask: messages.SlotAsk
+) -> models.QueuedRow:
     return models.QueuedRow(
         ask.ask_id,
         ask.service,
@@ -208,29 +258,9 @@
         now_ms + ask.deadline_in_ms,
         ask.from_domain,
         ask.avoid,
-    )
-
-
-def _no_upstream(
-    world: world_module.World, service: ids.ServiceId
-) -> verdict.Refusal:
-    return verdict.Refusal(
-        verdict.Verdict.NOT_RUN,
-        verdict.Reason.NO_UPSTREAM,
-        f'domain {world.node.domain!r} has no upstream of service'
-        f' {service!r} that takes work',
-    )
-
-
-def _queue_full(
-    world: world_module.World, row: models.QueuedRow
-) -> verdict.Refusal:
-    return verdict.Refusal(
-        verdict.Verdict.NOT_RUN,
-        verdict.Reason.QUEUE_FULL,
-        f'the queue of service {row.service!r} in domain'
-        f' {world.node.domain!r} is full',
-        retry_after_ms=const.QUEUE_FULL_RETRY_MS,
+        ask.home_region or world.node.region,
+        ask.body_bytes,
+        ask.tried,
     )
 
 
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -111,6 +111,9 @@
         row.from_domain,
         row.avoid,
         forwarded=True,
+        tried=row.tried,
+        home_region=row.home_region,
+        body_bytes=row.body_bytes,
     )
     yield from pass_on(world, now_ms, row.service, ask)
 
--- a/packages/core/src/zinnialead_core/components/slots/renewals.py
+++ b/packages/core/src/zinnialead_core/components/slots/renewals.py
@@ -7,11 +7,9 @@
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
 from zinnialead_core.components.slots import ownership
-from zinnialead_core.components.steering import targets
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
-from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
 
@@ -62,30 +60,12 @@
     world: world_module.World, now_ms: float, row: models.AskRow
 ) -> abc.Iterator[out.Output]:
     world.counters['slots.owner_silent'] += 1
-    request = world.requests.rows.get(row.ask_id.request_id)
-    if request is None:
-        asker.close(world, row.ask_id)
+    if row.domain == world.node.domain:
+        # Membership soon names another owner: keep asking.
+        yield from _ask_again(world, now_ms, row)
         return
-    tried = (*row.tried, row.domain)
-    match targets.next_target(world, now_ms, request, tried):
-        case targets.Target() as target:
-            gone = messages.SlotReturn(row.ask_id, None)
-            yield out.SendPeer(row.owner, gone)
-            first = row.refusal or _silent(row)
-            yield from asker.ask_at(
-                world, now_ms, request, row.ask_id, target, tried, first
-            )
-        case verdict.Refusal():
-            # Membership soon names another owner: keep asking.
-            yield from _ask_again(world, now_ms, row)
-
-
-def _silent(row: models.AskRow) -> verdict.Refusal:
-    return verdict.Refusal(
-        verdict.Verdict.NOT_RUN,
-        verdict.Reason.NO_UPSTREAM,
-        f'slot owner {row.owner!r} of domain {row.domain!r} is silent',
-    )
+    yield out.SendPeer(row.owner, messages.SlotReturn(row.ask_id, None))
+    yield from asker.pass_over(world, now_ms, row, row.refusal)
 
 
 def _move(
--- a/packages/core/src/zinnialead_core/components/steering/targets.py
+++ b/packages/core/src/zinnialead_core/components/steering/targets.py
@@ -1,13 +1,11 @@
-"""Choose the domain and the slot owner for an ask."""
+"""Name the slot owners of services in domains."""
 
 import typing
 
 import xxhash
 
 from zinnialead_core.components import members
-from zinnialead_core.components import requests
 from zinnialead_core import ids
-from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
 
@@ -18,30 +16,6 @@
     domain: ids.DomainId
 
 
-def next_target(
-    world: world_module.World,
-    now_ms: float,
-    row: requests.RequestRow,
-    tried: tuple[ids.DomainId, ...],
-) -> Target | verdict.Refusal:
-    """Return whom to ask for a slot after ``tried`` domains refused."""
-    domain = world.node.domain
-    if domain in tried:
-        return verdict.Refusal(
-            verdict.Verdict.NOT_RUN,
-            verdict.Reason.NO_HEADROOM,
-            f'domain {domain!r} has no slot for service {row.service!r}',
-        )
-    entry = slot_owner(world, row.service, domain)
-    if entry is None:
-        return verdict.Refusal(
-            verdict.Verdict.NOT_RUN,
-            verdict.Reason.NO_UPSTREAM,
-            f'no entry is known in domain {domain!r}',
-        )
-    return Target(entry, domain)
-
-
 def slot_owner(
     world: world_module.World,
     service: ids.ServiceId,
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -22,6 +22,7 @@
     key_created_ms: float | None = None
     body_bytes: int = 0
     replayable: bool = True
+    caller_domain: ids.DomainId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +48,7 @@
     attempt: int
     outcome: verdict.Outcome
     elapsed_ms: float = 0.0
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +169,7 @@
     outcome: verdict.Outcome | None = None
     elapsed_ms: float = 0.0
     timed_out: bool = False
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -5,9 +5,7 @@
 
 import capnp
 import expression
-import msgspec
 
-from zinnialead_config import documents
 from zinnialead_core.components.keys import messages as key_messages
 from zinnialead_core.components.members import messages as member_messages
 from zinnialead_core.components.slots import messages as slot_messages
@@ -74,12 +72,7 @@
         return expression.Error(errors.UnknownKind())
     try:
         message = _read(kind, reader)
-    except (
-        capnp.KjException,
-        ValueError,
-        msgspec.DecodeError,
-        documents.DocumentError,
-    ) as error:
+    except (capnp.KjException, ValueError) as error:
         return expression.Error(errors.Malformed(str(error)))
     return expression.Ok(Envelope(sender, reader.sequence, sent_ms, message))
 
@@ -104,12 +97,12 @@
             return Coded('slotAnswer', slots.slot_answer(message))
         case slot_messages.SlotAsk():
             return Coded('slotAsk', slots.slot_ask(message))
-        case slot_messages.SlotHeldReport():
-            return Coded('slotHeldReport', slots.slot_held_report(message))
         case slot_messages.SlotReturn():
             return Coded('slotReturn', slots.slot_return(message))
         case slot_messages.SlotWaiting():
             return Coded('slotWaiting', slots.slot_waiting(message))
+        case slot_messages.SlotHeldReport():
+            return Coded('slotHeldReport', slots.slot_held(message))
         case load_messages.LoadReport():
             return Coded('loadReport', steering.load_report(message))
         case _:
@@ -166,12 +159,12 @@
             return slots.read_slot_answer(reader.slotAnswer)
         case 'slotAsk':
             return slots.read_slot_ask(reader.slotAsk)
-        case 'slotHeldReport':
-            return slots.read_slot_held_report(reader.slotHeldReport)
         case 'slotReturn':
             return slots.read_slot_return(reader.slotReturn)
         case 'slotWaiting':
             return slots.read_slot_waiting(reader.slotWaiting)
+        case 'slotHeldReport':
+            return slots.read_slot_held(reader.slotHeldReport)
         case 'loadReport':
             return steering.read_load_report(reader.loadReport)
         case _:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -104,38 +104,42 @@
   rank @2 :Text;
   deadlineInMs @3 :Float64;
   fromDomain @4 :Text;
-  avoid @5 :Text;  # null for no upstream
+  avoid @5 :Text;  # null without an attempt before
   forwarded @6 :Bool;
+  tried @7 :List(Text);
+  homeRegion @8 :Text;
+  bodyBytes @9 :UInt64;
 }
 
 struct SlotAnswer {
   askId @0 :AskId;
   upstream @1 :Text;    # null without a grant
   refusal @2 :Refusal;  # null with a grant
+  redirect @3 :Text;    # null where no other domain is worth an ask
 }
 
-struct SlotReturn {
+struct SlotHeld {
   askId @0 :AskId;
-  upstream @1 :Text;  # null to leave the queue
-  elapsedMs @2 :Float64;
-  failed @3 :Bool;  # as end, for entries that do not know it
-  end @4 :SlotEnd;
+  service @1 :Text;
+  rank @2 :Text;
+  upstream @3 :Text;
+  fromDomain @4 :Text;
 }
 
 enum SlotEnd {
-  unused @0;
-  served @1;
-  shed @2;
-  failed @3;
-  timedOut @4;
+  served @0;
+  shed @1;
+  failed @2;
+  timedOut @3;
+  unused @4;
 }
 
-struct SlotHeldReport {
+struct SlotReturn {
   askId @0 :AskId;
-  service @1 :Text;
-  rank @2 :Text;
-  upstream @3 :Text;
-  fromDomain @4 :Text;
+  upstream @1 :Text;  # null to leave the queue
+  elapsedMs @2 :Float64;
+  end @3 :SlotEnd;
+  answerBytes @4 :UInt64;
 }
 
 struct Load {
@@ -145,6 +149,7 @@
   inUse @3 :UInt32;
   queued @4 :UInt32;
   seenMs @5 :Float64;
+  serviceTimeMs @6 :Float64;
 }
 
 struct StateNumber {
@@ -159,7 +164,7 @@
   wanted @3 :UInt64;
 }
 
-# A state as msgpack, whose format has a version of its own.
+# A state as in the store: JSON, whose format has a version of its own.
 struct StateDocument {
   format @0 :UInt16;
   digest @1 :Data;
@@ -208,7 +213,7 @@
     stateDelta @19 :StateDelta;
     stateNumber @20 :StateNumber;
     claimEndAck @21 :ClaimEndAck;
-    slotHeldReport @22 :SlotHeldReport;
-    slotWaiting @23 :AskId;
+    slotWaiting @22 :AskId;
+    slotHeldReport @23 :SlotHeld;
   }
 }
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
@@ -1,19 +1,19 @@
 """Encode the messages of the slots component."""
 
-from zinnialead_core.components import slots
 from zinnialead_core.components.slots import messages
+from zinnialead_core.components.slots import models
 from zinnialead_core import ids
 from zinnialead_daemon.components.peers.codec import common
 from zinnialead_daemon.components.peers.codec import schema
 
-_END_NAMES = {
-    slots.SlotEnd.UNUSED: 'unused',
-    slots.SlotEnd.SERVED: 'served',
-    slots.SlotEnd.SHED: 'shed',
-    slots.SlotEnd.FAILED: 'failed',
-    slots.SlotEnd.TIMED_OUT: 'timedOut',
+ENDS = {
+    'served': models.SlotEnd.SERVED,
+    'shed': models.SlotEnd.SHED,
+    'failed': models.SlotEnd.FAILED,
+    'timedOut': models.SlotEnd.TIMED_OUT,
+    'unused': models.SlotEnd.UNUSED,
 }
-_ENDS = {name: end for end, name in _END_NAMES.items()}
+END_NAMES = {end: name for name, end in ENDS.items()}
 
 
 def slot_ask(message: messages.SlotAsk) -> schema.Fields:
@@ -25,6 +25,9 @@
         'deadlineInMs': message.deadline_in_ms,
         'fromDomain': message.from_domain,
         'forwarded': message.forwarded,
+        'tried': list(message.tried),
+        'homeRegion': message.home_region,
+        'bodyBytes': message.body_bytes,
     }
     if message.avoid is not None:
         fields['avoid'] = message.avoid
@@ -39,35 +42,44 @@
         ids.RankId(reader.rank),
         common.finite(reader.deadlineInMs),
         ids.DomainId(reader.fromDomain),
-        ids.UpstreamId(reader.avoid) if reader._has('avoid') else None,
-        reader.forwarded,
+        avoid=(ids.UpstreamId(reader.avoid) if reader._has('avoid') else None),
+        forwarded=reader.forwarded,
+        tried=tuple(ids.DomainId(x) for x in reader.tried),
+        home_region=ids.RegionId(reader.homeRegion),
+        body_bytes=reader.bodyBytes,
     )
 
 
-def slot_held_report(message: messages.SlotHeldReport) -> schema.Fields:
-    """Return the fields of the report of a slot in use."""
-    return {
-        'askId': common.ask_id(message.ask_id),
-        'service': message.service,
-        'rank': message.rank,
-        'upstream': message.upstream,
-        'fromDomain': message.from_domain,
-    }
+def slot_answer(message: messages.SlotAnswer) -> schema.Fields:
+    """Return the fields of the answer to an ask."""
+    fields: schema.Fields = {'askId': common.ask_id(message.ask_id)}
+    if message.upstream is not None:
+        fields['upstream'] = message.upstream
+    if message.refusal is not None:
+        fields['refusal'] = common.refusal(message.refusal)
+    if message.redirect is not None:
+        fields['redirect'] = message.redirect
+    return fields
 
 
-def read_slot_held_report(reader: schema.Reader) -> messages.SlotHeldReport:
-    """Return the report of a slot in use."""
-    return messages.SlotHeldReport(
+def read_slot_answer(reader: schema.Reader) -> messages.SlotAnswer:
+    """Return the answer to an ask."""
+    refusal = None
+    if reader._has('refusal'):
+        refusal = common.read_refusal(reader.refusal)
+    redirect = None
+    if reader._has('redirect'):
+        redirect = ids.DomainId(reader.redirect)
+    return messages.SlotAnswer(
         common.read_ask_id(reader.askId),
-        ids.ServiceId(reader.service),
-        ids.RankId(reader.rank),
-        ids.UpstreamId(reader.upstream),
-        ids.DomainId(reader.fromDomain),
+        _read_upstream(reader),
+        refusal,
+        redirect,
     )
 
 
 def slot_waiting(message: messages.SlotWaiting) -> schema.Fields:
-    """Return the fields of the word that an ask still waits."""
+    """Return the fields that say that an ask still waits."""
     return common.ask_id(message.ask_id)
 
 
@@ -76,23 +88,25 @@
     return messages.SlotWaiting(common.read_ask_id(reader))
 
 
-def slot_answer(message: messages.SlotAnswer) -> schema.Fields:
-    """Return the fields of the answer to an ask."""
-    fields: schema.Fields = {'askId': common.ask_id(message.ask_id)}
-    if message.upstream is not None:
-        fields['upstream'] = message.upstream
-    if message.refusal is not None:
-        fields['refusal'] = common.refusal(message.refusal)
-    return fields
+def slot_held(message: messages.SlotHeldReport) -> schema.Fields:
+    """Return the fields of the report of a slot in use."""
+    return {
+        'askId': common.ask_id(message.ask_id),
+        'service': message.service,
+        'rank': message.rank,
+        'upstream': message.upstream,
+        'fromDomain': message.from_domain,
+    }
 
 
-def read_slot_answer(reader: schema.Reader) -> messages.SlotAnswer:
-    """Return the answer to an ask."""
-    refusal = None
-    if reader._has('refusal'):
-        refusal = common.read_refusal(reader.refusal)
-    return messages.SlotAnswer(
-        common.read_ask_id(reader.askId), _read_upstream(reader), refusal
+def read_slot_held(reader: schema.Reader) -> messages.SlotHeldReport:
+    """Return the report of a slot in use."""
+    return messages.SlotHeldReport(
+        common.read_ask_id(reader.askId),
+        ids.ServiceId(reader.service),
+        ids.RankId(reader.rank),
+        ids.UpstreamId(reader.upstream),
+        ids.DomainId(reader.fromDomain),
     )
 
 
@@ -101,8 +115,8 @@
     fields: schema.Fields = {
         'askId': common.ask_id(message.ask_id),
         'elapsedMs': message.elapsed_ms,
-        'failed': message.end is slots.SlotEnd.FAILED,
-        'end': _END_NAMES[message.end],
+        'end': END_NAMES[message.end],
+        'answerBytes': message.answer_bytes,
     }
     if message.upstream is not None:
         fields['upstream'] = message.upstream
@@ -115,7 +129,8 @@
         common.read_ask_id(reader.askId),
         _read_upstream(reader),
         common.finite(reader.elapsedMs),
-        _ENDS.get(str(reader.end), slots.SlotEnd.UNUSED),
+        ENDS[str(reader.end)],
+        reader.answerBytes,
     )
 
 
