--- a/tests/core/components/keys/bag.py
+++ b/tests/core/components/keys/bag.py
@@ -184,6 +184,13 @@
             _late(bag, copies[pick % len(copies)])
         case 'abandon' if copies := of_live(bag, 'claim', 'held'):
             end(bag, copies[pick % len(copies)], verdict.NotSent())
+        case _:
+            _disturb(bag, operation, pick)
+
+
+def _disturb(bag: Bag, operation: str, pick: int) -> None:
+    name = NAMES[pick % len(NAMES)]
+    match operation:
         case 'advance':
             _advance(bag, (1.0, 100.0, 260.0, 1_100.0)[pick % 4])
         case 'age':
