Answer look-ups by a bisect over blocks and a kept choice

Cause: a look-up sorted all members, knew no blocks of clients, drains or services, sent every client to the same entry and issued keys that only one entry registered.

Change: blocks are runs in arrays, built once a ticket; entries are ordered by drains, service and distance; clients start at different entries; a choice is kept until members or the state change, and checked against their health. The key's prefix names the first choice as home and an entry of a sibling domain as witness.

--- a/packages/core/src/zinnialead_core/components/keys/ends.py
+++ b/packages/core/src/zinnialead_core/components/keys/ends.py
@@ -33,13 +33,14 @@
 ) -> abc.Iterator[out.Output]:
     """End a claim and report it until the registrars confirm it."""
     timers.stop(world.timers, timeout(claim))
+    at_home = claim.step is Step.HOME
     claim = claim._replace(
         step=Step.END,
         end=end,
         sequence=claim.sequence + 1,
         tries=0,
         waiting=False,
-        unacked=_told(claim),
+        unacked=claim.registrars[:1] if at_home else claim.registrars,
     )
     yield from _resend(world, now_ms, claim)
 
@@ -112,12 +113,6 @@
     yield from _resend(world, now_ms, claim)
 
 
-def _told(claim: models.ClaimRow) -> tuple[ids.EntryRef, ...]:
-    if claim.step is Step.HOME:
-        return claim.registrars[:1]
-    return claim.registrars
-
-
 def _resend(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/lookups/choices.py
@@ -0,0 +1,121 @@
+"""Choose the entries that a caller may use, and keep the choice."""
+
+from collections import abc
+
+import xxhash
+
+from zinnialead_core.components.lookups import const
+from zinnialead_core.components.lookups import models
+from zinnialead_core.components.lookups import orders
+from zinnialead_core.components import members
+from zinnialead_core import ids
+from zinnialead_core import world as world_module
+
+
+def chosen(
+    world: world_module.World, now_ms: float, key: models.ChosenKey
+) -> models.ChosenRow:
+    """Return the choice for a service, domain and turn, kept or new.
+
+    Reads ``members`` and ``states``; writes ``lookups``.
+    """
+    kept = world.lookups.chosen.get(key)
+    if kept is not None and _holds(world, now_ms, kept):
+        return kept
+    made = _make(world, now_ms, key)
+    state = world.states['in-force']
+    if key.service in state.services and key.near in state.domains:
+        # Names that callers make up must not fill the table.
+        world.lookups.chosen[key] = made
+    return made
+
+
+def _holds(
+    world: world_module.World, now_ms: float, row: models.ChosenRow
+) -> bool:
+    if now_ms - row.made_ms > const.CHOSEN_MAX_AGE_MS:
+        return False
+    if world.requests.stopping:
+        return False
+    if row.witness is not None and not _alive(world, row.witness.entry):
+        return False
+    return all(_alive(world, choice.entry) for choice in row.choices)
+
+
+def _alive(world: world_module.World, entry: ids.EntryId) -> bool:
+    row = world.members.get(entry)
+    return row is not None and row.health is members.Health.ALIVE
+
+
+def _make(
+    world: world_module.World, now_ms: float, key: models.ChosenKey
+) -> models.ChosenRow:
+    # Entries that answer look-ups start at different places, too.
+    turn = key.turn + xxhash.xxh3_64_intdigest(world.node.ref.entry.encode())
+    order = orders.order(world, key.service, key.near)
+    rows = list(_choose(world, order, turn))
+    home, domain = world.node.ref, world.node.domain
+    first = _run_of(world, rows[0]) if rows else None
+    if first is not None:
+        home, domain = first, rows[0].domain
+    return models.ChosenRow(
+        tuple(models.Choice(x.entry, x.domain, x.address) for x in rows),
+        home,
+        _witness(world, home, domain, turn),
+        now_ms,
+    )
+
+
+def _choose(
+    world: world_module.World, order: models.OrderRow, turn: int
+) -> abc.Iterator[members.MemberRow]:
+    """Yield the choices; the last one outlives the first one's domain."""
+    room = const.CHOICES_MAX
+    for group in order.groups:
+        limit = max(1, room - 1)
+        for row in _usable(world, group, turn):
+            yield row
+            room -= 1
+            limit -= 1
+            if limit == 0:
+                break
+        if room == 0:
+            return
+
+
+def _usable(
+    world: world_module.World, group: tuple[ids.EntryId, ...], turn: int
+) -> abc.Iterator[members.MemberRow]:
+    """Yield the entries that take work, from one chosen by ``turn`` on."""
+    for place in range(len(group)):
+        row = world.members.get(group[(turn + place) % len(group)])
+        if row is None or row.health is not members.Health.ALIVE:
+            continue
+        if row.entry == world.node.ref.entry and world.requests.stopping:
+            continue
+        yield row
+
+
+def _witness(
+    world: world_module.World,
+    home: ids.EntryRef,
+    domain: ids.DomainId,
+    turn: int,
+) -> ids.EntryRef | None:
+    for group in orders.witnesses(world, domain).groups:
+        for row in _usable(world, group, turn):
+            ref = _run_of(world, row)
+            if ref is not None and ref.entry != home.entry:
+                return ref
+    return None
+
+
+def _run_of(
+    world: world_module.World, row: members.MemberRow
+) -> ids.EntryRef | None:
+    """Return the run of an entry that a key can name, if it was heard."""
+    if row.entry == world.node.ref.entry:
+        return world.node.ref
+    if row.incarnation == 0:
+        return None
+    return ids.EntryRef(row.entry, row.incarnation)
--- a/packages/core/src/zinnialead_core/components/lookups/const.py
+++ b/packages/core/src/zinnialead_core/components/lookups/const.py
@@ -2,3 +2,13 @@
 
 CHOICES_MAX = 4
 LIFETIME_MS = 10_000.0
+
+# Clients are told apart by this many places to start from in a domain.
+TURNS = 32
+# A kept choice may leave out an entry that is well again for this long.
+CHOSEN_MAX_AGE_MS = 5_000.0
+
+IPV4_BITS = 32
+# IPv6 blocks are told apart by the routed half of the address.
+IPV6_BITS = 64
+SITES_MAX = 65_535
--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -1,53 +1,81 @@
-"""Answer look-ups from the tables; a look-up writes to none."""
+"""Answer look-ups from the tables, a bisect and a few reads each."""
+
+from collections import abc
+
+import xxhash
 
 from zinnialead_core.components import keys
+from zinnialead_core.components.lookups import blocks
+from zinnialead_core.components.lookups import choices
 from zinnialead_core.components.lookups import const
 from zinnialead_core.components.lookups import models
-from zinnialead_core.components import members
 from zinnialead_core import ids
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
 from zinnialead_core import world as world_module
 
 
+def run(
+    world: world_module.World,
+    now_ms: float,
+    inputs: abc.Sequence[inp.Input],
+) -> abc.Iterator[out.Output]:
+    """Forget kept orders when what they were made from changes.
+
+    Reads ``states``; writes ``lookups``.
+    """
+    for item in inputs:
+        match item:
+            case inp.StateChanged():
+                _forget_orders(world)
+                _build_blocks(world)
+            case inp.MemberLost() | inp.MemberJoined():
+                _forget_orders(world)
+    yield from ()
+
+
 def look_up(
     world: world_module.World, now_ms: float, question: models.LookUp
 ) -> models.LookUpAnswer:
     """Return the entries to use, those of the caller's domain first.
 
-    Reads ``members`` and ``states``.
+    Reads ``members``, ``states`` and ``lookups``.
     """
-    domain = question.domain or world.node.domain
-    domains = world.states['in-force'].domains
-    home = domains.get(domain)
-    region = home.region if home else world.node.region
-
-    def distance(row: members.MemberRow) -> tuple[bool, bool, ids.EntryId]:
-        known = domains.get(row.domain)
-        far = known is None or known.region != region
-        return (row.domain != domain, far, row.entry)
-
-    alive = [
-        row
-        for row in world.members.values()
-        if row.health is members.Health.ALIVE
-    ]
-    nearest = sorted(alive, key=distance)[: const.CHOICES_MAX]
-    choices = tuple(
-        models.Choice(row.entry, row.domain, row.address) for row in nearest
+    near = question.domain or _domain_of(world, question.client)
+    client = question.client or str(now_ms)
+    turn = xxhash.xxh3_64_intdigest(client.encode()) % const.TURNS
+    row = choices.chosen(
+        world, now_ms, models.ChosenKey(question.service, near, turn)
     )
-    prefix = keys.prefix(world.node.ref, _witness(world, nearest), now_ms)
-    return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
-
-
-def _witness(
-    world: world_module.World, nearest: list[members.MemberRow]
-) -> ids.EntryRef | None:
-    # The witness outlives the home best in another failure domain.
-    others = [
-        row
-        for row in nearest
-        if row.entry != world.node.ref.entry and row.incarnation > 0
-    ]
-    others.sort(key=lambda row: row.domain == world.node.domain)
-    if not others:
-        return None
-    return ids.EntryRef(others[0].entry, others[0].incarnation)
+    prefix = keys.prefix(row.home, row.witness, now_ms)
+    return models.LookUpAnswer(row.choices, const.LIFETIME_MS, prefix)
+
+
+def look_up_many(
+    world: world_module.World,
+    now_ms: float,
+    questions: abc.Iterable[models.LookUp],
+) -> abc.Iterator[models.LookUpAnswer]:
+    """Yield the answers to the questions of one call, in their order."""
+    for question in questions:
+        yield look_up(world, now_ms, question)
+
+
+def _forget_orders(world: world_module.World) -> None:
+    world.lookups.orders.clear()
+    world.lookups.witnesses.clear()
+    world.lookups.chosen.clear()
+
+
+def _build_blocks(world: world_module.World) -> None:
+    table = world.lookups
+    rows = world.states['in-force'].blocks
+    if rows != table.sources[0]:
+        table.blocks[0] = blocks.build(rows.values())
+        table.sources[0] = rows
+
+
+def _domain_of(world: world_module.World, client: str | None) -> ids.DomainId:
+    if client is None:
+        return world.node.domain
+    return blocks.find(world.lookups.blocks[0], client) or world.node.domain
--- a/packages/core/src/zinnialead_core/tick.py
+++ b/packages/core/src/zinnialead_core/tick.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from zinnialead_core.components.keys import coordinator as keys
+from zinnialead_core.components.lookups import coordinator as lookups
 from zinnialead_core.components.members import coordinator as members
 from zinnialead_core.components.requests import coordinator as requests
 from zinnialead_core.components.slots import coordinator as slots
@@ -20,6 +21,7 @@
     store.run,
     tickets.run,
     members.run,
+    lookups.run,
     upstreams.run,
     steering.run,
     keys.run,
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -5,6 +5,7 @@
 import typing
 
 from zinnialead_core.components import keys
+from zinnialead_core.components import lookups
 from zinnialead_core.components import members
 from zinnialead_core.components import requests
 from zinnialead_core.components import slots
@@ -38,6 +39,7 @@
     queues: slots.QueueTable
     claims: keys.ClaimTable
     registrations: keys.RegistrationTable
+    lookups: lookups.LookUpTable
     loads: steering.LoadTable
     shifts: steering.ShiftTable
     store: store.StoreTable
@@ -59,6 +61,7 @@
         queues=slots.new_queues(),
         claims=keys.new_claims(),
         registrations=keys.new_registrations(),
+        lookups=lookups.new_table(),
         loads=steering.new_loads(),
         shifts=steering.new_shifts(),
         store=store.new_table(),
