Refuse at the door by the spread of service times, not their mean

Cause: in a flood of urgent work at three times the capacity all work left the queue one mean service time before its deadline, and a third of it, with exponential times, ended too late: the slots were busy with work that nobody waited for. Timed-out attempts were left out of the measured time, which made service look shorter still.

Change: the owner keeps the mean deviation beside the mean (as TCP does for its retransmission timer) and asks for the mean and four deviations; timeouts count, up to five service times.

--- a/packages/core/src/zinnialead_core/components/slots/const.py
+++ b/packages/core/src/zinnialead_core/components/slots/const.py
@@ -14,10 +14,11 @@
 # An owner is worked out anew from the members this often.
 OWNER_CACHE_MS = 50.0
 RECHECK_MS = 100.0
-SERVICE_TIME_WEIGHT = 0.1
+SERVICE_TIME_WEIGHT = 0.05
+SERVICE_TIME_DEVIATIONS = 4.0
 ARRIVALS_WINDOW_MS = 2_000.0
 # A timeout after this many service times is the upstream's failure.
-AMPLE_SERVICE_TIMES = 3.0
+AMPLE_SERVICE_TIMES = 5.0
 FLOOR_CREDIT_MAX = 2.0
 SHARE_MIN = 0.01
 QUEUE_MAX = 100
--- a/packages/core/src/zinnialead_core/components/slots/door.py
+++ b/packages/core/src/zinnialead_core/components/slots/door.py
@@ -23,6 +23,18 @@
     return declared.service_time_ms if declared else 0.0
 
 
+def safe_time_ms(world: world_module.World, service: ids.ServiceId) -> float:
+    """Return the time in which nearly all work at a slot ends.
+
+    Work that leaves the queue later than this before its deadline would
+    mostly end too late, and in a flood all work waits that long.
+    """
+    row = world.queues.service_loads.get(service)
+    deviation_ms = row.deviation_ms if row else 0.0
+    margin_ms = deviation_ms * const.SERVICE_TIME_DEVIATIONS
+    return service_time_ms(world, service) + margin_ms
+
+
 def useful_ms(world: world_module.World, service: ids.ServiceId) -> float:
     """Return the least time in which work at a free slot can end.
 
@@ -41,12 +53,14 @@
 ) -> None:
     """Take one attempt's time into the measured service time."""
     loads = world.queues.service_loads
-    row = loads.get(service) or models.ServiceLoadRow(service, None, None)
-    known_ms = row.service_time_ms
-    if known_ms is None:
-        known_ms = service_time_ms(world, service)
-    moved_ms = (elapsed_ms - known_ms) * const.SERVICE_TIME_WEIGHT
-    loads[service] = row._replace(service_time_ms=known_ms + moved_ms)
+    row = loads.get(service) or models.ServiceLoadRow(service)
+    mean_ms = service_time_ms(world, service)
+    error_ms = elapsed_ms - mean_ms
+    spread_ms = abs(error_ms) - row.deviation_ms
+    loads[service] = row._replace(
+        service_time_ms=mean_ms + error_ms * const.SERVICE_TIME_WEIGHT,
+        deviation_ms=row.deviation_ms + spread_ms * const.SERVICE_TIME_WEIGHT,
+    )
 
 
 def expected_wait_ms(
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -78,8 +78,7 @@
         return None
     _discount(world, row)
     elapsed_ms = back.elapsed_ms or now_ms - row.granted_ms
-    if back.end is models.SlotEnd.SERVED:
-        door.measured(world, row.service, elapsed_ms)
+    _measure(world, row.service, back.end, elapsed_ms)
     siblings = local.of(world, row.service).upstreams
     end = _judged(world, row, back.end, elapsed_ms)
     outliers.attempt_ended(world, now_ms, row.upstream, siblings, end)
@@ -100,6 +99,26 @@
             _expire_at(world, row, min(row.expires_ms, soon_ms))
 
 
+def _measure(
+    world: world_module.World,
+    service: ids.ServiceId,
+    end: models.SlotEnd,
+    elapsed_ms: float,
+) -> None:
+    match end:
+        case models.SlotEnd.SERVED:
+            door.measured(world, service, elapsed_ms)
+        case models.SlotEnd.TIMED_OUT:
+            # To leave these out would make service look ever shorter.
+            ample_ms = _ample_ms(world, service)
+            door.measured(world, service, min(elapsed_ms, ample_ms))
+
+
+def _ample_ms(world: world_module.World, service: ids.ServiceId) -> float:
+    service_time_ms = door.service_time_ms(world, service)
+    return service_time_ms * const.AMPLE_SERVICE_TIMES
+
+
 def _judged(
     world: world_module.World,
     row: models.GrantRow,
@@ -109,8 +128,7 @@
     """Hold a timeout against its upstream only where it had ample time."""
     if end is not models.SlotEnd.TIMED_OUT:
         return end
-    service_time_ms = door.service_time_ms(world, row.service)
-    if elapsed_ms < service_time_ms * const.AMPLE_SERVICE_TIMES:
+    if elapsed_ms < _ample_ms(world, row.service):
         return models.SlotEnd.UNUSED
     return models.SlotEnd.FAILED
 
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -69,13 +69,15 @@
 class ServiceLoadRow(typing.NamedTuple):
     """Hold what a slot owner has measured of one service.
 
-    ``owned_ms`` is since when this entry owns the service's slots, None
-    while another one does.
+    ``deviation_ms`` is how far service times lie from their mean, on
+    average.  ``owned_ms`` is since when this entry owns the service's
+    slots, None while another one does.
     """
 
     service: ids.ServiceId
-    service_time_ms: float | None
-    owned_ms: float | None
+    service_time_ms: float | None = None
+    deviation_ms: float = 0.0
+    owned_ms: float | None = None
 
 
 class RankLoadRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -79,7 +79,7 @@
     if row is not None:
         world.counters['slots.waited_in_vain'] += 1
         left_ms = row.deadline_ms - now_ms
-        needed_ms = door.useful_ms(world, row.service)
+        needed_ms = door.safe_time_ms(world, row.service)
         yield from _refuse(world, row, door.too_short(left_ms, needed_ms))
 
 
@@ -168,7 +168,7 @@
         return refusals.no_upstream(world, row.service)
     needed_ms = door.useful_ms(world, row.service)
     if wait_ms > 0.0:
-        needed_ms = wait_ms + door.service_time_ms(world, row.service)
+        needed_ms = wait_ms + door.safe_time_ms(world, row.service)
     left_ms = row.deadline_ms - now_ms
     if left_ms <= needed_ms:
         return door.too_short(left_ms, needed_ms)
@@ -201,10 +201,11 @@
     if victim == row.ask_id:
         return
     lines.join(world, row)
-    expiry_ms = row.deadline_ms - door.useful_ms(world, row.service)
-    timer = timers.QueueExpiry(row.ask_id)
-    timers.start(world.timers, timer, max(now_ms, expiry_ms))
     yield from grant(world, now_ms, row.service)
+    if row.ask_id in world.queues.queued:
+        expiry_ms = row.deadline_ms - door.safe_time_ms(world, row.service)
+        timer = timers.QueueExpiry(row.ask_id)
+        timers.start(world.timers, timer, max(now_ms, expiry_ms))
 
 
 def _enter_foreign(
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -49,7 +49,7 @@
     for gone in loads.keys() - services.keys():
         del loads[gone]
     for service in services:
-        row = loads.get(service) or models.ServiceLoadRow(service, None, None)
+        row = loads.get(service) or models.ServiceLoadRow(service)
         owned_ms = None
         if is_owner(world, now_ms, service):
             owned_ms = now_ms if row.owned_ms is None else row.owned_ms
--- a/packages/lab/src/zinnialead_lab/studies/arrivals.py
+++ b/packages/lab/src/zinnialead_lab/studies/arrivals.py
@@ -1,13 +1,22 @@
-"""Make the seeded arrivals that every way of the study sees."""
+"""Make the seeded arrivals that every way of a study sees."""
 
+import heapq
+import itertools
 import random
 import typing
 
+from zinnialead_core import ids
+
 ENTRIES = 3
 UPSTREAMS = 2
 SLOTS_EACH = 3
 SLOTS = UPSTREAMS * SLOTS_EACH
 SERVICE_MS = 100.0
+START_MS = 1_000.0
+URGENT = ids.RankId('urgent')
+NORMAL = ids.RankId('normal')
+NIGHT = ids.RankId('night')
+LONG_MS = 10_000_000.0
 
 
 class Arrival(typing.NamedTuple):
@@ -16,17 +25,44 @@
     at_ms: float
     entry: int
     service_ms: float
+    rank: ids.RankId = URGENT
+    deadline_in_ms: float = LONG_MS
+
+
+class Stream(typing.NamedTuple):
+    """Describe the Poisson arrivals of one rank over some time."""
+
+    rank: ids.RankId
+    load: float
+    deadline_in_ms: float
+    from_ms: float
+    until_ms: float
 
 
 def make(load: float, count: int, seed: int) -> list[Arrival]:
     """Return Poisson arrivals at random entries."""
+    stream = Stream(URGENT, load, LONG_MS, START_MS, float('inf'))
+    return list(itertools.islice(_arrivals(stream, seed), count))
+
+
+def mix(streams: typing.Iterable[Stream], seed: int) -> list[Arrival]:
+    """Return the arrivals of several streams in order of time."""
+    made = [_arrivals(row, seed + n) for n, row in enumerate(streams)]
+    return list(heapq.merge(*made))
+
+
+def _arrivals(stream: Stream, seed: int) -> typing.Iterator[Arrival]:
     source = random.Random(seed)
-    rate_per_ms = load * SLOTS / SERVICE_MS
-    now_ms = 1_000.0
-    made = []
-    for _ in range(count):
+    rate_per_ms = stream.load * SLOTS / SERVICE_MS
+    now_ms = stream.from_ms
+    while True:
         now_ms += source.expovariate(rate_per_ms)
-        service_ms = source.expovariate(1.0 / SERVICE_MS)
-        entry = source.randrange(ENTRIES)
-        made.append(Arrival(now_ms, entry, service_ms))
-    return made
+        if now_ms >= stream.until_ms:
+            return
+        yield Arrival(
+            now_ms,
+            source.randrange(ENTRIES),
+            source.expovariate(1.0 / SERVICE_MS),
+            stream.rank,
+            stream.deadline_in_ms,
+        )
--- a/packages/lab/src/zinnialead_lab/studies/pooled.py
+++ b/packages/lab/src/zinnialead_lab/studies/pooled.py
@@ -1,8 +1,10 @@
-"""Run the owner's queue of the core for one domain's entries."""
+"""Run the core's entries of one domain over a study's arrivals."""
 
 from collections import abc
+import dataclasses
 import heapq
 import math
+import random
 import typing
 
 import zinnialead_core as core
@@ -15,11 +17,24 @@
 from zinnialead_lab.studies import arrivals
 
 HOP_MS = 0.5
-DEADLINE_MS = 10_000_000.0
 DOMAIN = ids.DomainId('domain-a')
 REGION = ids.RegionId('region')
 SERVICE = ids.ServiceId('intake')
-RANK = ids.RankId('urgent')
+QUEUE_MAX = 300
+RANKS = (
+    tickets.RankRow(arrivals.URGENT, 0, 100.0, 0.0, 500.0),
+    tickets.RankRow(arrivals.NORMAL, 1, 10.0, 0.2, 2_000.0),
+    tickets.RankRow(arrivals.NIGHT, 2, 1.0, 0.05, 60_000.0),
+)
+
+
+class End(typing.NamedTuple):
+    """Hold what became of one arrival."""
+
+    arrival: arrivals.Arrival
+    sent_ms: float | None = None
+    answered_ms: float | None = None
+    refused: verdict.Reason | None = None
 
 
 class Event(typing.NamedTuple):
@@ -31,25 +46,6 @@
     item: inp.Input
 
 
-def waits(found: abc.Sequence[arrivals.Arrival]) -> list[float]:
-    """Return the waits until dispatch by the core's own systems."""
-    worlds = {f'entry-{n}': _world(n) for n in range(arrivals.ENTRIES)}
-    sent_ms: dict[int, float] = {}
-    heap = [_arrives(number, item) for number, item in enumerate(found)]
-    heapq.heapify(heap)
-    order = len(found)
-    while len(sent_ms) < len(found):
-        now_ms, entry, given = _next(worlds, heap)
-        for output in core.tick(worlds[entry], now_ms, given):
-            match output:
-                case out.Dispatch(request_id, 1):
-                    sent_ms[request_id] = now_ms
-            for event in _follow(worlds[entry], output, now_ms, found):
-                order += 1
-                heapq.heappush(heap, event._replace(order=order))
-    return [at_ms - found[n].at_ms for n, at_ms in sent_ms.items()]
-
-
 class Step(typing.NamedTuple):
     """Hold which entry ticks next, when, and over what."""
 
@@ -58,79 +54,152 @@
     given: list[inp.Input]
 
 
-def _next(worlds: dict[str, core.World], heap: list[Event]) -> Step:
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Hold the entries, the pending events and the ends of arrivals."""
+
+    worlds: dict[str, core.World]
+    heap: list[Event]
+    ends: list[End]
+    sends: int
+    shed_share: float
+    random: random.Random
+
+
+def run(
+    found: abc.Sequence[arrivals.Arrival],
+    queue_max: int = QUEUE_MAX,
+    shed_share: float = 0.0,
+) -> Run:
+    """Take arrivals through the core until each has its end.
+
+    Upstreams shed ``shed_share`` of what they are sent.
+    """
+    names = [f'entry-{number}' for number in range(arrivals.ENTRIES)]
+    made = Run(
+        worlds={name: _world(name, names, queue_max) for name in names},
+        heap=[_arrives(number, item) for number, item in enumerate(found)],
+        ends=[End(item) for item in found],
+        sends=0,
+        shed_share=shed_share,
+        random=random.Random(1),
+    )
+    heapq.heapify(made.heap)
+    order = left = len(found)
+    while left > 0:
+        step = _next(made)
+        world = made.worlds[step.entry]
+        for output in core.tick(world, step.now_ms, step.given):
+            left -= _note(made, step.now_ms, output)
+            for event in _follow(made, world, step.now_ms, output):
+                order += 1
+                heapq.heappush(made.heap, event._replace(order=order))
+    return made
+
+
+def waits_ms(ends: abc.Iterable[End]) -> list[float]:
+    """Return how long those that were sent waited for their slot."""
+    return [
+        end.sent_ms - end.arrival.at_ms
+        for end in ends
+        if end.sent_ms is not None
+    ]
+
+
+def _next(made: Run) -> Step:
     due = [
         (due_ms, entry)
-        for entry, world in worlds.items()
+        for entry, world in made.worlds.items()
         if (due_ms := core.next_due_ms(world)) is not None
     ]
     due_ms, entry = min(due, default=(math.inf, ''))
-    if heap and heap[0].due_ms <= due_ms:
-        event = heapq.heappop(heap)
+    if made.heap and made.heap[0].due_ms <= due_ms:
+        event = heapq.heappop(made.heap)
         return Step(event.due_ms, event.entry, [event.item])
     return Step(due_ms, entry, [])
 
 
-def _arrives(number: int, item: arrivals.Arrival) -> Event:
-    arrived = inp.RequestArrived(
-        ids.RequestId(number), SERVICE, RANK, item.at_ms + DEADLINE_MS
-    )
-    return Event(item.at_ms, number, f'entry-{item.entry}', arrived)
+def _note(made: Run, now_ms: float, output: out.Output) -> int:
+    """Record what an output says of an arrival; return ends reached."""
+    ends = made.ends
+    match output:
+        case out.Dispatch(number):
+            made.sends += 1
+            if ends[number].sent_ms is None:
+                ends[number] = ends[number]._replace(sent_ms=now_ms)
+        case out.Relay(number):
+            ends[number] = ends[number]._replace(answered_ms=now_ms)
+            return 1
+        case out.Refuse(number, refusal):
+            ends[number] = ends[number]._replace(refused=refusal.reason)
+            return 1
+    return 0
 
 
 def _follow(
-    world: core.World,
-    output: out.Output,
-    now_ms: float,
-    found: abc.Sequence[arrivals.Arrival],
+    made: Run, world: core.World, now_ms: float, output: out.Output
 ) -> abc.Iterator[Event]:
+    ref = world.node.ref
     match output:
         case out.SendPeer(entry, message):
-            given = inp.PeerMessage(world.node.ref, message)
+            given = inp.PeerMessage(ref, message)
             yield Event(now_ms + HOP_MS, 0, entry, given)
-        case out.Dispatch(request_id, attempt):
-            service_ms = found[request_id].service_ms
-            done = inp.DispatchDone(
-                request_id, attempt, verdict.Answered(200), service_ms
-            )
-            entry = world.node.ref.entry
-            yield Event(now_ms + service_ms, 0, entry, done)
-        case out.Refuse(request_id, refusal):
-            raise AssertionError(f'request {request_id}: {refusal}')
-
-
-def _world(number: int) -> core.World:
-    entry = f'entry-{number}'
-    ref = ids.EntryRef(ids.EntryId(entry), 1)
-    node = world_module.NodeRow(ref, DOMAIN, REGION, entry)
+        case out.Dispatch(number, attempt):
+            took_ms = made.ends[number].arrival.service_ms
+            outcome: verdict.Outcome = verdict.Answered(200)
+            if made.random.random() < made.shed_share:
+                took_ms = HOP_MS
+                outcome = verdict.Shed()
+            done = inp.DispatchDone(number, attempt, outcome, took_ms)
+            yield Event(now_ms + took_ms, 0, ref.entry, done)
+
+
+def _arrives(number: int, item: arrivals.Arrival) -> Event:
+    arrived = inp.RequestArrived(
+        ids.RequestId(number),
+        SERVICE,
+        item.rank,
+        item.at_ms + item.deadline_in_ms,
+    )
+    return Event(item.at_ms, number, f'entry-{item.entry}', arrived)
+
+
+def _world(name: str, names: abc.Sequence[str], queue_max: int) -> core.World:
+    ref = ids.EntryRef(ids.EntryId(name), 1)
+    node = world_module.NodeRow(ref, DOMAIN, REGION, name)
     world = core.new_world(node, seed=1)
-    seen = [
-        inp.PeerSeen(ids.EntryId(f'entry-{n}'), DOMAIN, f'entry-{n}')
-        for n in range(arrivals.ENTRIES)
-    ]
-    list(core.tick(world, 0.0, [*seen, inp.StateRead(_state())]))
+    seen = [inp.PeerSeen(ids.EntryId(x), DOMAIN, x) for x in names]
+    given: list[inp.Input] = [*seen, inp.StateRead(_state(queue_max))]
+    list(core.tick(world, 0.0, given))
     return world
 
 
-def _state() -> tickets.State:
+def _state(queue_max: int) -> tickets.State:
     service = tickets.ServiceRow(
-        SERVICE, True, RANK, DEADLINE_MS, arrivals.SERVICE_MS, 65_536, 100_000
+        SERVICE,
+        idempotent=True,
+        default_rank=arrivals.URGENT,
+        deadline_max_ms=arrivals.LONG_MS,
+        service_time_ms=arrivals.SERVICE_MS,
+        body_max_bytes=65_536,
+        queue_max=queue_max,
     )
-    upstreams = {
-        ids.UpstreamId(f'u{n}'): tickets.UpstreamRow(
-            ids.UpstreamId(f'u{n}'),
+    rows = [
+        tickets.UpstreamRow(
+            ids.UpstreamId(f'upstream-{number}'),
             SERVICE,
             DOMAIN,
-            '',
-            arrivals.SLOTS_EACH,
-            700,
+            address='',
+            slots=arrivals.SLOTS_EACH,
+            connections_max=700,
         )
-        for n in range(arrivals.UPSTREAMS)
-    }
+        for number in range(arrivals.UPSTREAMS)
+    ]
+    domain = tickets.DomainRow(DOMAIN, REGION, arrivals.ENTRIES)
     return tickets.empty_state()._replace(
         number=1,
         services={SERVICE: service},
-        upstreams=upstreams,
-        domains={DOMAIN: tickets.DomainRow(DOMAIN, REGION, arrivals.ENTRIES)},
-        ranks={RANK: tickets.RankRow(RANK, 0, 1.0, 0.0, 100.0)},
+        upstreams={row.upstream: row for row in rows},
+        domains={DOMAIN: domain},
+        ranks={row.rank: row for row in RANKS},
     )
--- a/packages/lab/src/zinnialead_lab/studies/slots.py
+++ b/packages/lab/src/zinnialead_lab/studies/slots.py
@@ -46,7 +46,7 @@
         one_queue=_mean(queue_waits(found, arrivals.SLOTS)),
         fixed_shares=_mean(fixed_shares(found)),
         two_choices=_mean(two_choices(found, seed)),
-        owner=_mean(pooled.waits(found)),
+        owner=_mean(pooled.waits_ms(pooled.run(found, queue_max=count).ends)),
     )
 
 
