--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -110,7 +110,9 @@
 
 
 def _control_fields(
-    message: member_messages.News
+    message: member_messages.MembersAsk
+    | member_messages.MembersPage
+    | member_messages.News
     | member_messages.Probe
     | member_messages.ProbeAnswer
     | member_messages.ProbeFor
@@ -129,6 +131,10 @@
             return Coded('probeFor', members.probe_for(message))
         case member_messages.ProbeRelayed():
             return Coded('probeRelayed', members.probe_relayed(message))
+        case member_messages.MembersAsk():
+            return Coded('membersAsk', members.members_ask(message))
+        case member_messages.MembersPage():
+            return Coded('membersPage', members.members_page(message))
         case member_messages.News():
             return Coded('news', members.news(message))
         case state_messages.StateAsk():
@@ -181,6 +187,10 @@
             return members.read_probe_for(reader.probeFor)
         case 'probeRelayed':
             return members.read_probe_relayed(reader.probeRelayed)
+        case 'membersAsk':
+            return members.read_members_ask(reader.membersAsk)
+        case 'membersPage':
+            return members.read_members_page(reader.membersPage)
         case 'news':
             return members.read_news(reader.news)
         case 'stateAsk':
