--- /dev/null
+++ b/tests/core/components/slots/asking.py
@@ -0,0 +1,117 @@
+"""Ask a slot owner as another entry does, and pass messages on."""
+
+from core import samples
+import zinnialead_core as core
+from zinnialead_core.components import slots
+from zinnialead_core import ids
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_core import world as world_module
+
+ASKER = ids.EntryRef('asker', 1)
+
+
+def ask_id(number: int, asker: ids.EntryRef = ASKER) -> ids.AskId:
+    return ids.AskId(asker, number, 1)
+
+
+def ask(
+    number: int,
+    rank: str = 'urgent',
+    left_ms: float = 5_000.0,
+    domain: str = samples.DOMAIN,
+    asker: ids.EntryRef = ASKER,
+    avoid: str | None = None,
+) -> slots.SlotAsk:
+    return slots.SlotAsk(
+        ask_id(number, asker), 'pricebook', rank, left_ms, domain, avoid
+    )
+
+
+def give_back(number, end=slots.SlotEnd.SERVED, elapsed_ms=20.0):
+    return slots.SlotReturn(ask_id(number), 'any', elapsed_ms, end)
+
+
+def tell(world, now_ms, *messages):
+    """Return what a slot owner answers to messages of the asker."""
+    given = [inp.PeerMessage(ASKER, message) for message in messages]
+    return [
+        output.message
+        for output in core.tick(world, now_ms, given)
+        if isinstance(output, out.SendPeer) and output.entry == 'asker'
+    ]
+
+
+def granted(answers):
+    return [
+        answer.ask_id.request_id
+        for answer in answers
+        if getattr(answer, 'upstream', None) is not None
+    ]
+
+
+def refused(answers):
+    return {
+        answer.ask_id.request_id: answer.refusal.reason.value
+        for answer in answers
+        if getattr(answer, 'refusal', None) is not None
+    }
+
+
+def world_with(now_ms=1.0, slots=3, upstreams=1, queue_max=100, **fields):
+    """Return an owner with a ticket in force that is not the first."""
+    world = samples.world(slots=slots)
+    state = samples.state(slots=slots, number=2)
+    known = state.upstreams['pricebook-1']
+    more = {
+        f'pricebook-{n}': known._replace(upstream=f'pricebook-{n}')
+        for n in range(1, upstreams + 1)
+    }
+    service = state.services['pricebook']._replace(queue_max=queue_max)
+    state = state._replace(
+        services={**state.services, 'pricebook': service},
+        upstreams={**state.upstreams, **more},
+        **fields,
+    )
+    world.upstreams.clear()
+    list(core.tick(world, now_ms, [inp.StateRead(state)]))
+    return world
+
+
+def change(world, now_ms, **fields):
+    """Put the next ticket in force, and return the owner's answers."""
+    state = world.states['in-force']
+    state = state._replace(number=state.number + 1, **fields)
+    outputs = list(core.tick(world, now_ms, [inp.StateRead(state)]))
+    return [x.message for x in outputs if isinstance(x, out.SendPeer)]
+
+
+def two_worlds():
+    """Return the worlds of two entries of one domain that share slots."""
+    worlds = {}
+    seen = [inp.PeerSeen(name, samples.DOMAIN, name) for name in ('e1', 'e2')]
+    state = samples.state()
+    for name in ('e1', 'e2'):
+        node = world_module.NodeRow(
+            ids.EntryRef(name, 1), samples.DOMAIN, 'kigali', name
+        )
+        worlds[name] = core.new_world(node, seed=1)
+        given = [*seen, inp.StateRead(state)]
+        list(core.tick(worlds[name], 0.0, given))
+    return worlds
+
+
+def pump(worlds, now_ms, entry, *inputs):
+    """Run a tick and those that its messages bring about; keep the rest."""
+    kept = []
+    todo = [(entry, list(inputs))]
+    while todo:
+        name, given = todo.pop(0)
+        for output in core.tick(worlds[name], now_ms, given):
+            match output:
+                case out.SendPeer(to, message):
+                    item = inp.PeerMessage(worlds[name].node.ref, message)
+                    todo += [(to, [item])] if to in worlds else []
+                case _:
+                    kept.append(output)
+    return kept
