Notice owners that leave, and hand slots in use over before asks

Cause: a stopping owner sent its waiting asks before its slots in use, and the next owner, which did not yet take itself for one, granted a fourth slot of three (found by tests/core/components/slots/test_handover.py). An entry that was seen to leave told the slots system nothing.

Change: slots in use are passed on first; whoever is asked as an owner takes itself for one and waits for reports; `MemberChanged` tells of suspected and leaving entries.

--- a/packages/core/src/zinnialead_core/components/members/beliefs.py
+++ b/packages/core/src/zinnialead_core/components/members/beliefs.py
@@ -221,6 +221,8 @@
         yield out.Notify(inp.MemberLost(views.ref(row)))
     if is_alive and (new_run or not was_alive):
         yield out.Notify(inp.MemberJoined(views.ref(row)))
+    elif is_alive and known and known.health is not row.health:
+        yield out.Notify(inp.MemberChanged(views.ref(row)))
     if known is None or row.health is models.Health.SUSPECT:
         return
     if known.health is not row.health or new_run:
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -93,7 +93,7 @@
                 _lost(world, now_ms, earlier)
                 renewed.add(ref.entry)
                 changed = True
-            case inp.StopAsked():
+            case inp.MemberChanged() | inp.StopAsked():
                 changed = True
     if changed:
         ownership.refresh(world, now_ms)
--- a/packages/core/src/zinnialead_core/components/slots/floors.py
+++ b/packages/core/src/zinnialead_core/components/slots/floors.py
@@ -2,7 +2,7 @@
 
 Each grant given while a rank waits earns that rank its floor's share of
 a grant. A rank that has earned a whole grant goes first, so over any
-run of grants during which it waits it gets its share, less one.
+run of grants during which it waits it gets its share, less two.
 """
 
 import math
@@ -54,6 +54,8 @@
     rank: ids.RankId,
 ) -> None:
     """Count an ask that arrived into its rank's rate of arrivals."""
+    if rank not in world.states['in-force'].ranks:
+        return
     row = _load(world, service, rank)
     world.queues.rank_loads[service, rank] = row._replace(
         arrivals=_decayed(row, now_ms) + 1.0, seen_ms=now_ms
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -30,6 +30,13 @@
     if ask.ask_id in world.queues.queued or ask.ask_id in world.queues.grants:
         yield from _repeat(world, ask.ask_id)
         return
+    if ask.service not in world.states['in-force'].services:
+        world.counters['slots.service_unknown'] += 1
+        row = _row(world, now_ms, ask)
+        yield from _refuse(
+            world, row, refusals.no_upstream(world, ask.service)
+        )
+        return
     if not ask.forwarded and not ownership.is_owner(
         world, now_ms, ask.service
     ):
@@ -37,6 +44,8 @@
         on = dataclasses.replace(ask, forwarded=True)
         yield from ownership.pass_on(world, now_ms, ask.service, on)
         return
+    if ask.forwarded:
+        ownership.take_over(world, now_ms, ask.service)
     row = _row(world, now_ms, ask)
     for domain in ask.tried:
         redirects.refused(world, now_ms, ask.service, domain)
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -10,6 +10,7 @@
 from zinnialead_core.components.steering import targets
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
+from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
 
@@ -24,6 +25,8 @@
     if known is not None and now_ms < known.fresh_until_ms:
         return known.owner
     owner = targets.slot_owner(world, service, domain)
+    if domain == world.node.domain:
+        _note_owner(world, now_ms, service, owner)
     world.queues.owners[service, domain] = models.OwnerRow(
         owner, now_ms + const.OWNER_CACHE_MS
     )
@@ -49,11 +52,17 @@
     for gone in loads.keys() - services.keys():
         del loads[gone]
     for service in services:
-        row = loads.get(service) or models.ServiceLoadRow(service)
-        owned_ms = None
-        if is_owner(world, now_ms, service):
-            owned_ms = now_ms if row.owned_ms is None else row.owned_ms
-        loads[service] = row._replace(owned_ms=owned_ms)
+        owner_of(world, now_ms, service, world.node.domain)
+
+
+def take_over(
+    world: world_module.World, now_ms: float, service: ids.ServiceId
+) -> None:
+    """Take this entry for an owner, since another one does."""
+    loads = world.queues.service_loads
+    row = loads.get(service) or models.ServiceLoadRow(service)
+    if row.owned_ms is None:
+        loads[service] = row._replace(owned_ms=now_ms)
 
 
 def held_until_ms(world: world_module.World, service: ids.ServiceId) -> float:
@@ -70,12 +79,8 @@
 def hand_over(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Pass on the asks and the slots in use that others own now."""
+    """Pass on the slots in use, then the asks, that others own now."""
     queues = world.queues
-    for ask in list(queues.queued.values()):
-        if not is_owner(world, now_ms, ask.service):
-            lines.leave(world, ask.ask_id)
-            yield from _pass_ask(world, now_ms, ask)
     for grant in queues.grants.values():
         if not is_owner(world, now_ms, grant.service):
             report = messages.SlotHeldReport(
@@ -86,6 +91,11 @@
                 grant.from_domain,
             )
             yield from pass_on(world, now_ms, grant.service, report)
+    for ask in list(queues.queued.values()):
+        if not is_owner(world, now_ms, ask.service):
+            lines.leave(world, ask.ask_id)
+            timers.stop(world.timers, timers.QueueExpiry(ask.ask_id))
+            yield from _pass_ask(world, now_ms, ask)
 
 
 def pass_on(
@@ -118,10 +128,24 @@
     yield from pass_on(world, now_ms, row.service, ask)
 
 
+def _note_owner(
+    world: world_module.World,
+    now_ms: float,
+    service: ids.ServiceId,
+    owner: ids.EntryId | None,
+) -> None:
+    if owner is None or owner == world.node.ref.entry:
+        take_over(world, now_ms, service)
+        return
+    row = world.queues.service_loads.get(service)
+    if row is not None:
+        world.queues.service_loads[service] = row._replace(owned_ms=None)
+
+
 def _is_alone(world: world_module.World) -> bool:
     return not any(
         row.domain == world.node.domain
         and row.entry != world.node.ref.entry
-        and row.health is members.Health.ALIVE
+        and row.health is not members.Health.DEAD
         for row in world.members.values()
     )
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -115,6 +115,13 @@
     ref: ids.EntryRef
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """Tell the systems that a live entry is suspected, leaving, or well."""
+
+    ref: ids.EntryRef
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimWanted:
     """Tell the keys system to claim a request's key."""
@@ -215,6 +222,7 @@
     | StateChanged
     | MemberLost
     | MemberJoined
+    | MemberChanged
     | ClaimWanted
     | ClaimHeld
     | ClaimDenied
--- /dev/null
+++ b/tests/core/components/slots/test_handover.py
@@ -0,0 +1,132 @@
+"""Pass slots and asks from one owner to the next."""
+
+from core.components.slots import asking
+from core import samples
+
+import zinnialead_core as core
+from zinnialead_core.components import members
+from zinnialead_core.components import slots
+from zinnialead_core.components.slots import const
+from zinnialead_core.components.steering import targets
+from zinnialead_core import ids
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_core import verdict
+
+LATER_MS = const.TAKEOVER_MS + 1.0
+
+
+def owner_and_other(worlds):
+    name = targets.slot_owner(worlds['e1'], 'pricebook', samples.DOMAIN)
+    [other] = set(worlds) - {name}
+    return name, other
+
+
+def request(number, now_ms):
+    return samples.request(number, deadline_ms=now_ms + 20_000.0)
+
+
+def lose(worlds, now_ms, seer, lost):
+    """Let an entry take another one for dead."""
+    world = worlds[seer]
+    row = world.members[lost]
+    world.members[lost] = row._replace(health=members.Health.DEAD)
+    ref = ids.EntryRef(lost, 1)
+    return asking.pump(worlds, now_ms, seer, inp.MemberLost(ref))
+
+
+def dispatches(outputs):
+    return [x for x in outputs if isinstance(x, out.Dispatch)]
+
+
+def test_a_new_owner_counts_the_slots_in_use_before_it_grants():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    held = [request(n, LATER_MS) for n in range(3)]
+    outputs = asking.pump(worlds, LATER_MS, other, *held)
+    assert len(dispatches(outputs)) == 3
+    waiting = request(9, LATER_MS)
+    assert not asking.pump(worlds, LATER_MS, other, waiting)
+    del worlds[owner]
+    assert not lose(worlds, 1_000.0, other, owner)
+    world = worlds[other]
+    assert world.queues.in_use['pricebook-1'] == 3
+    assert not asking.pump(worlds, 1_000.0 + LATER_MS, other)
+    done = inp.DispatchDone(0, 1, verdict.Answered(200))
+    outputs = asking.pump(worlds, 1_400.0, other, done)
+    assert [x.request_id for x in dispatches(outputs)] == [9]
+
+
+def test_a_stopping_owner_hands_its_queue_over():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    for number in range(4):
+        item = request(number, LATER_MS)
+        asking.pump(worlds, LATER_MS, other, item)
+    assert worlds[owner].queues.queued
+    asking.pump(worlds, 1_000.0, owner, inp.StopAsked())
+    assert not worlds[owner].queues.queued
+    assert len(worlds[other].queues.grants) == 3
+    assert len(worlds[other].queues.queued) == 1
+    assert not asking.pump(worlds, 2_000.0, other)
+
+
+def test_a_silent_owner_is_asked_again():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    silent = {other: worlds[other]}
+    assert not asking.pump(silent, LATER_MS, other, request(1, LATER_MS))
+    due_ms = LATER_MS + const.ASK_TIMEOUT_MS
+    outputs = asking.pump(worlds, due_ms, other)
+    assert [x.request_id for x in dispatches(outputs)] == [1]
+
+
+def test_two_grants_for_one_attempt_use_one_slot():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    alone = {other: worlds[other]}
+    asking.pump(alone, LATER_MS, other, request(1, LATER_MS))
+    world = worlds[other]
+    [ask_id] = world.asks
+    first = slots.SlotAnswer(ask_id, 'pricebook-1')
+    sender = ids.EntryRef(owner, 1)
+    stranger = ids.EntryRef('e3', 1)
+    given = [
+        inp.PeerMessage(sender, first),
+        inp.PeerMessage(sender, first),
+        inp.PeerMessage(stranger, first),
+    ]
+    outputs = list(core.tick(world, LATER_MS + 1.0, given))
+    assert len(dispatches(outputs)) == 1
+    back = slots.SlotReturn(ask_id, 'pricebook-1')
+    assert outputs.count(out.SendPeer('e3', back)) == 1
+    assert out.SendPeer(owner, back) not in outputs
+
+
+def test_a_grant_that_comes_after_the_end_is_given_back():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    alone = {other: worlds[other]}
+    asking.pump(alone, LATER_MS, other, request(1, LATER_MS))
+    [ask_id] = worlds[other].asks
+    asking.pump(alone, LATER_MS, other, inp.CallerGone(1))
+    late = slots.SlotAnswer(ask_id, 'pricebook-1')
+    given = inp.PeerMessage(ids.EntryRef(owner, 1), late)
+    assert list(core.tick(worlds[other], LATER_MS + 1.0, [given])) == [
+        out.SendPeer(owner, slots.SlotReturn(ask_id, 'pricebook-1'))
+    ]
+
+
+def test_an_ask_at_the_wrong_entry_is_sent_on_once():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    message = inp.PeerMessage(asking.ASKER, asking.ask(1))
+    outputs = list(core.tick(worlds[other], LATER_MS, [message]))
+    [sent] = [x for x in outputs if x.entry == owner]
+    assert sent.message.forwarded
+    again = inp.PeerMessage(ids.EntryRef(owner, 1), sent.message)
+    assert not list(core.tick(worlds[other], LATER_MS, [again]))
+    outputs = core.tick(worlds[other], LATER_MS + const.TAKEOVER_MS, [])
+    assert [x.message.upstream for x in outputs if x.entry == 'asker'] == [
+        'pricebook-1'
+    ]
