Tell peers' and callers' addresses of an entry apart

Cause: one address stood for both, so look-ups would name peers' ports. Conclusion: entries serve callers and peers on ports of their own.

--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -28,16 +28,24 @@
     alive = [
         row
         for row in world.members.values()
-        if row.health is members.Health.ALIVE
+        if row.health is members.Health.ALIVE and _reachable(world, row)
     ]
     nearest = sorted(alive, key=distance)[: const.CHOICES_MAX]
     choices = tuple(
-        models.Choice(row.entry, row.domain, row.address) for row in nearest
+        models.Choice(
+            row.entry, row.domain, row.callers_address or row.address
+        )
+        for row in nearest
     )
     prefix = keys.prefix(world.node.ref, _witness(world, nearest), now_ms)
     return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
 
 
+def _reachable(world: world_module.World, row: members.MemberRow) -> bool:
+    # An entry that is only listed has not said where it serves callers.
+    return bool(row.callers_address) or not world.node.callers_address
+
+
 def _witness(
     world: world_module.World, nearest: list[members.MemberRow]
 ) -> ids.EntryRef | None:
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -18,6 +18,8 @@
 class MemberRow(typing.NamedTuple):
     """Hold what is believed of one entry.
 
+    Peers reach it at ``address``, callers at ``callers_address``.
+
     Incarnation 0 stands for an entry that is listed and was never heard.
     ``version`` counts how often the entry contradicted a suspicion in
     this incarnation.
@@ -31,6 +33,7 @@
     heard_ms: float
     state_number: int
     version: int = 0
+    callers_address: str = ''
 
 
 class ProbeRow(typing.NamedTuple):
--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -57,6 +57,7 @@
         ids.EntryRef(ids.EntryId(settings.entry), incarnation),
         ids.DomainId(settings.domain),
         ids.RegionId(settings.region),
+        settings.peers_address or settings.peers_bind,
         settings.callers_address or settings.callers_bind,
     )
     return core.new_world(node, seed=incarnation)
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -44,6 +44,7 @@
             entry=row.entry,
             domain=row.domain,
             address=row.address,
+            callers_address=row.callers_address,
             health=row.health.value,
             incarnation=row.incarnation,
             state_number=number,
--- a/packages/daemon/src/zinnialead_daemon/components/operators/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/models.py
@@ -25,6 +25,7 @@
     entry: str
     domain: str
     address: str
+    callers_address: str
     health: str
     incarnation: int
     state_number: int
