Carry peers' messages over watched TCP links

Cause: the codec had no transport. Change: one link a peer and direction with a bounded outbox, confirmations, closing of silent links, jittered reconnects; an acceptor that counts and drops bad frames; members carry a callers' address of their own. Conclusion: entries on loopback exchange messages.

--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -31,7 +31,10 @@
     ]
     nearest = sorted(alive, key=distance)[: const.CHOICES_MAX]
     choices = tuple(
-        models.Choice(row.entry, row.domain, row.address) for row in nearest
+        models.Choice(
+            row.entry, row.domain, row.callers_address or row.address
+        )
+        for row in nearest
     )
     ref = world.node.ref
     prefix = f'z1.{ref.entry}.{ref.incarnation}.{int(now_ms)}'
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -57,6 +57,7 @@
         health=models.Health.ALIVE,
         heard_ms=now_ms,
         state_number=world.states['in-force'].number,
+        callers_address=node.callers_address,
     )
     probing.start_round(world, now_ms)
     yield out.Notify(inp.MemberJoined(node.ref))
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -20,7 +20,8 @@
 
     Incarnation 0 stands for an entry that is listed and was never heard.
     ``version`` counts how often the entry contradicted a suspicion in
-    this incarnation.
+    this incarnation.  ``address`` is for peers, ``callers_address`` for
+    callers where it differs.
     """
 
     entry: ids.EntryId
@@ -31,6 +32,7 @@
     heard_ms: float
     state_number: int
     version: int = 0
+    callers_address: str = ''
 
 
 class ProbeRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -17,12 +17,13 @@
 
 
 class NodeRow(typing.NamedTuple):
-    """Say which entry this is."""
+    """Say which entry this is; ``address`` is for peers."""
 
     ref: ids.EntryRef
     domain: ids.DomainId
     region: ids.RegionId
     address: str
+    callers_address: str = ''
 
 
 class World(typing.NamedTuple):
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/addresses.py
@@ -0,0 +1,29 @@
+"""Read addresses of the form ``IP:port``."""
+
+import typing
+
+
+class HostPort(typing.NamedTuple):
+    """Hold an IP number and a port."""
+
+    host: str
+    port: int
+
+
+def parse(address: str) -> HostPort:
+    """Return the parts of an address.
+
+    >>> parse('[::1]:7000')
+    HostPort(host='::1', port=7000)
+    """
+    host, _, port = address.rpartition(':')
+    return HostPort(host.strip('[]'), int(port))
+
+
+def show(host: str, port: int) -> str:
+    """Return the address of its parts.
+
+    >>> show('::1', 7000)
+    '[::1]:7000'
+    """
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
@@ -107,6 +107,7 @@
             'address': row.address,
             'health': row.health.value,
             'stateNumber': row.state_number,
+            'callersAddress': row.callers_address,
         }
         for row in rows
     ]
@@ -124,6 +125,7 @@
             heard_ms=0.0,
             state_number=row.stateNumber,
             version=row.version,
+            callers_address=row.callersAddress,
         )
         for row in rows
     )
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -73,6 +73,7 @@
   address @4 :Text;
   health @5 :Health;
   stateNumber @6 :UInt64;
+  callersAddress @7 :Text;
 }
 
 enum Health {
--- a/packages/daemon/src/zinnialead_daemon/components/peers/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/const.py
@@ -12,16 +12,22 @@
 REPLAY_WINDOW_FRAMES = 1024
 SENDERS_MAX = 4096
 
+MS_PER_S = 1_000.0
 CONNECT_TIMEOUT_S = 1.0
-SEND_TIMEOUT_S = 2.0
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
-# An idle link sends a keepalive, and one that was not heard from for
-# longer than the silence is closed by its acceptor.
-KEEPALIVE_S = 5.0
-SILENCE_MAX_S = 15.0
-OUTBOX_MAX_FRAMES = 1024
-OUTBOX_MAX_BYTES = 4_194_304
-LINKS_MAX = 2048
-ACCEPTED_MAX = 2048
+# An acceptor confirms what it read this often; a link that is not heard
+# from for longer than the silence, with data outstanding, is closed.
+CONFIRM_PERIOD_S = 0.25
+SILENCE_MAX_S = 1.5
+IDLE_LINK_S = 30.0
+IDLE_ACCEPTED_S = 90.0
+# What waits longer is dropped: times left in it would mislead.
+OUTBOX_AGE_MAX_MS = 1_000.0
+OUTBOX_MAX = 1_024
+BATCH_MAX = 64
+LINKS_MAX = 2_048
+ACCEPTED_MAX = 2_048
+BAD_FRAMES_MAX = 16
 READ_BYTES = 65_536
+UNLOAD_S = 0.5
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
@@ -0,0 +1,86 @@
+"""Carry messages between this entry and its peers."""
+
+import collections
+from collections import abc
+
+import trio
+
+from zinnialead_config.settings import models as settings
+from zinnialead_core import outputs as out
+from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.peers import accepting
+from zinnialead_daemon.components.peers import addresses
+from zinnialead_daemon.components.peers import codec
+from zinnialead_daemon.components.peers import const
+from zinnialead_daemon.components.peers import links
+from zinnialead_daemon.components.peers import models
+
+
+async def set_up(
+    engine: engine_models.Engine,
+    nursery: trio.Nursery,
+    bind: str,
+    keys: abc.Iterable[settings.PeerKey],
+) -> models.Peers:
+    """Listen for peers at ``bind`` and return the links, none yet open."""
+    peers = models.Peers(engine, codec.new_keyring(keys), nursery, {})
+    host, port = addresses.parse(bind)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    bound = listeners[0].socket.getsockname()
+    peers.address = addresses.show(bound[0], bound[1])
+    nursery.start_soon(
+        trio.serve_listeners, accepting.handler(peers), listeners
+    )
+    return peers
+
+
+def rotate_keys(
+    peers: models.Peers, keys: abc.Iterable[settings.PeerKey]
+) -> None:
+    """Sign with the first of ``keys`` from now on and accept them all."""
+    peers.keyring.keys = codec.new_keyring(keys).keys
+
+
+def send(peers: models.Peers, output: out.SendPeer) -> None:
+    """Put a message in its peer's outbox, without waiting.
+
+    A full outbox drops its oldest message.
+    """
+    counters = peers.engine.world.counters
+    if output.entry not in peers.engine.world.members:
+        counters['peers.unknown_recipient'] += 1
+        return
+    link = peers.links.get(output.entry) or _new_link(peers, output)
+    if link is None:
+        counters['peers.links_full'] += 1
+        return
+    if len(link.outbox) == const.OUTBOX_MAX:
+        counters['peers.dropped_full'] += 1
+    now_ms = peers.engine.now_ms()
+    link.outbox.append(models.OutboxRow(now_ms, output.message))
+    link.filled.set()
+
+
+async def unload(peers: models.Peers) -> None:
+    """Give the outboxes a moment to be sent."""
+    if not any(link.outbox for link in peers.links.values()):
+        return
+    peers.drained = trio.Event()
+    with trio.move_on_after(const.UNLOAD_S):
+        await peers.drained.wait()
+
+
+def _new_link(peers: models.Peers, output: out.SendPeer) -> models.Link | None:
+    if len(peers.links) >= const.LINKS_MAX:
+        return None
+    link = models.Link(
+        entry=output.entry,
+        # Above every number of an earlier link, since the clock never
+        # goes back and no link sends a frame each microsecond.
+        sequence=int(peers.engine.now_ms() * const.MS_PER_S),
+        outbox=collections.deque(maxlen=const.OUTBOX_MAX),
+        filled=trio.Event(),
+    )
+    peers.links[output.entry] = link
+    peers.nursery.start_soon(links.run, peers, link)
+    return link
--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -0,0 +1,51 @@
+"""Define the links between this entry and its peers."""
+
+import collections
+import dataclasses
+import typing
+
+import trio
+
+from zinnialead_core import ids
+from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.peers import codec
+
+
+class OutboxRow(typing.NamedTuple):
+    """Hold one message that waits for its link."""
+
+    queued_ms: float
+    message: object
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """Hold the connection to one peer, and what waits for it.
+
+    ``outstanding_s`` is when data was first written that the peer has not
+    confirmed, or None.
+    """
+
+    entry: ids.EntryId
+    sequence: int
+    outbox: collections.deque[OutboxRow]
+    filled: trio.Event
+    address: str = ''
+    connected: bool = False
+    outstanding_s: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Peers:
+    """Hold the links by peer, and how many connections are accepted.
+
+    ``drained`` is there while a stop waits for empty outboxes.
+    """
+
+    engine: engine_models.Engine
+    keyring: codec.Keyring
+    nursery: trio.Nursery
+    links: dict[ids.EntryId, Link]
+    address: str = ''
+    accepted: int = 0
+    drained: trio.Event | None = None
--- /dev/null
+++ b/tests/daemon/components/peers/peer_samples.py
@@ -0,0 +1,55 @@
+"""Run entries that have nothing but peers."""
+
+import functools
+
+import trio
+
+from core import samples
+from zinnialead_config.settings import models as settings
+import zinnialead_core as core
+from zinnialead_core import ids
+from zinnialead_core import inputs as inp
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon.components import peers
+
+SECRET = 'shared-secret-of-the-peers'
+START_MS = 1_000_000.0
+
+
+async def entry(nursery, name, secret=SECRET):
+    """Start an entry whose clock is trio's."""
+    ref = ids.EntryRef(name, 1)
+    node = core.NodeRow(ref, samples.DOMAIN, 'kigali', '127.0.0.1:0')
+    engine = engines.new_engine(core.new_world(node, seed=1), _now_ms)
+    for handler in ('call_store', 'log_change'):
+        engine.handlers[handler] = lambda _: None
+    keys = [settings.PeerKey(1, secret)]
+    made = await peers.set_up(engine, nursery, '127.0.0.1:0', keys)
+    engine.handlers['send_peer'] = functools.partial(peers.send, made)
+    engine.world = engine.world._replace(
+        node=node._replace(address=made.address)
+    )
+    nursery.start_soon(engines.run_timers, engine)
+    engines.feed(engine)
+    return made
+
+
+def introduce(one, other):
+    """Tell two entries of each other, as the platform's list does."""
+    for made, peer in ((one, other), (other, one)):
+        node = peer.engine.world.node
+        seen = inp.PeerSeen(node.ref.entry, node.domain, node.address)
+        engines.feed(made.engine, seen)
+
+
+async def until(holds):
+    """Wait for something that sockets and mock time bring about."""
+    for _ in range(1_000):
+        if holds():
+            return
+        await trio.sleep(0.1)
+    raise AssertionError('it never came about')
+
+
+def _now_ms():
+    return START_MS + trio.current_time() * 1_000.0
--- /dev/null
+++ b/tests/daemon/components/peers/test_transport.py
@@ -0,0 +1,94 @@
+"""Carry messages between entries on loopback."""
+
+import contextlib
+
+import pytest
+import trio
+import trio.testing
+
+from core import samples
+from daemon.components.peers import peer_samples
+from zinnialead_core.components import members
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon.components import peers
+from zinnialead_daemon.components.peers import addresses
+from zinnialead_daemon.components.peers import const
+from zinnialead_daemon.components.peers import diagnostics
+
+
+@pytest.fixture
+def mock_clock():
+    # Loopback has this long to deliver before the clock jumps.
+    return trio.testing.MockClock(autojump_threshold=0.005)
+
+
+async def test_entries_meet_and_a_state_spreads(nursery, mock_clock):
+    one = await peer_samples.entry(nursery, 'e1')
+    two = await peer_samples.entry(nursery, 'e2')
+    peer_samples.introduce(one, two)
+    engines.feed(one.engine, inp.StateRead(samples.state(number=7)))
+    await peer_samples.until(
+        lambda: two.engine.world.states['in-force'].number == 7
+    )
+    row = two.engine.world.members['e1']
+    assert row.health is members.Health.ALIVE
+    assert diagnostics.dump(two)['links']['e1']['connected']
+    nursery.cancel_scope.cancel()
+
+
+async def test_foreign_and_broken_bytes_are_counted(nursery, mock_clock):
+    one = await peer_samples.entry(nursery, 'e1')
+    host, port = addresses.parse(one.address)
+    counters = one.engine.world.counters
+    raw = await trio.open_tcp_stream(host, port)
+    await raw.send_all(b'\x04\x00\x00\x00junk' * 3)
+    await peer_samples.until(lambda: counters['peers.frames_malformed'] == 3)
+    await raw.send_all(b'\xff\xff\xff\xff')
+    with contextlib.suppress(trio.BrokenResourceError):
+        while await raw.receive_some(100):
+            pass
+    assert counters['peers.frames_oversized'] == 1
+    stranger = await peer_samples.entry(nursery, 'e2', 'another-secret-key')
+    peer_samples.introduce(stranger, one)
+    probe = members.Probe(1, 0, ())
+    peers.send(stranger, out.SendPeer('e1', probe))
+    await peer_samples.until(lambda: counters['peers.frames_foreign'] == 1)
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_silent_link_is_closed_and_opened_again(nursery, mock_clock):
+    accepted = []
+
+    async def swallow(stream):
+        accepted.append(stream)
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    nursery.start_soon(trio.serve_listeners, swallow, listeners)
+    one = await peer_samples.entry(nursery, 'e1')
+    port = listeners[0].socket.getsockname()[1]
+    seen = inp.PeerSeen('e2', samples.DOMAIN, f'127.0.0.1:{port}')
+    engines.feed(one.engine, seen)
+    counters = one.engine.world.counters
+    await peer_samples.until(lambda: counters['peers.links_silent'] > 0)
+    await peer_samples.until(lambda: len(accepted) > 1)
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_full_outbox_drops_the_oldest_and_send_never_waits(
+    nursery, mock_clock
+):
+    one = await peer_samples.entry(nursery, 'e1')
+    engines.feed(one.engine, inp.PeerSeen('e2', 'x', '127.0.0.1:1'))
+    for number in range(const.OUTBOX_MAX + 5):
+        peers.send(one, out.SendPeer('e2', members.ProbeFor(number, 'e3')))
+    link = one.links['e2']
+    assert len(link.outbox) == const.OUTBOX_MAX
+    assert link.outbox[-1].message.sequence == const.OUTBOX_MAX + 4
+    counters = one.engine.world.counters
+    assert counters['peers.dropped_full'] == 5
+    peers.send(one, out.SendPeer('e9', members.ProbeFor(1, 'e3')))
+    assert counters['peers.unknown_recipient'] == 1
+    nursery.cancel_scope.cancel()
