--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -1,5 +1,6 @@
 """Answer look-ups from the tables; a look-up writes to none."""
 
+from zinnialead_core.components import keys
 from zinnialead_core.components.lookups import const
 from zinnialead_core.components.lookups import models
 from zinnialead_core.components import members
@@ -36,6 +37,20 @@
         )
         for row in nearest
     )
-    ref = world.node.ref
-    prefix = f'z1.{ref.entry}.{ref.incarnation}.{int(now_ms)}'
+    prefix = keys.prefix(world.node.ref, _witness(world, nearest), now_ms)
     return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
+
+
+def _witness(
+    world: world_module.World, nearest: list[members.MemberRow]
+) -> ids.EntryRef | None:
+    # The witness outlives the home best in another failure domain.
+    others = [
+        row
+        for row in nearest
+        if row.entry != world.node.ref.entry and row.incarnation > 0
+    ]
+    others.sort(key=lambda row: row.domain == world.node.domain)
+    if not others:
+        return None
+    return ids.EntryRef(others[0].entry, others[0].incarnation)
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 
+from zinnialead_core.components.keys import claims
 from zinnialead_core.components.requests import const
 from zinnialead_core.components.requests import models
 from zinnialead_core import ids
@@ -119,6 +120,8 @@
 ) -> abc.Iterator[out.Output]:
     request_id = row.request_id
     if row.phase not in models.AT_UPSTREAM:
+        if row.keyed and row.phase is models.Phase.CLAIM:
+            refusal = claims.overdue(world, request_id)
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
