--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -22,7 +22,8 @@
 
     Incarnation 0 stands for an entry that is listed and was never heard.
     ``version`` counts how often the entry contradicted a suspicion in
-    this incarnation.
+    this incarnation.  ``address`` is for peers, ``callers_address`` for
+    callers where it differs.
     """
 
     entry: ids.EntryId
