--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/capacity/bad_day.py
@@ -0,0 +1,119 @@
+"""Measure the bad day: restarts, a healed partition, a slow store."""
+
+from collections import abc
+
+from zinnialead_core import ids
+from zinnialead_lab.capacity import const
+from zinnialead_lab.capacity import models
+from zinnialead_lab.capacity import nodes
+from zinnialead_lab.capacity import states
+from zinnialead_lab import fleet
+from zinnialead_lab.fleet import models as fleet_models
+
+
+def measure(
+    count: int, outage_ms: float, seed: int
+) -> abc.Iterator[models.Finding]:
+    """Yield what each event of the bad day costs a fleet of ``count``."""
+    yield from _restarts(count, seed, 'a domain restarts', _domain)
+    yield from _restarts(count, seed, 'one VM is replaced', _one)
+    yield from _heal(count, outage_ms, seed)
+    yield from _all_restart(count, seed)
+
+
+def _domain(made: fleet.Fleet) -> list[ids.EntryId]:
+    first = next(iter(made.state.domains))
+    return [
+        entry for entry, row in made.entries.items() if row.domain == first
+    ]
+
+
+def _one(made: fleet.Fleet) -> list[ids.EntryId]:
+    return [next(reversed(made.entries))]
+
+
+def _settled(count: int, seed: int) -> fleet.Fleet:
+    made = states.metered_fleet(count, const.SITES, seed)
+    fleet.run_until(made, const.SETTLE_MS)
+    made.meter = states.new_meter()
+    made.counters.clear()
+    return made
+
+
+def _restarts(
+    count: int,
+    seed: int,
+    event: str,
+    choose: abc.Callable[[fleet.Fleet], list[ids.EntryId]],
+) -> abc.Iterator[models.Finding]:
+    made = _settled(count, seed)
+    started_ms = made.now_ms
+    for entry in choose(made):
+        fleet.inject(made, fleet.Restart(entry))
+    fleet.run_until(made, started_ms + const.RECOVERY_MS)
+    yield from _found(made, event, started_ms, made.state.number)
+
+
+def _heal(
+    count: int, outage_ms: float, seed: int
+) -> abc.Iterator[models.Finding]:
+    made = _settled(count, seed)
+    region = list(made.state.domains.values())[-1].region
+    part = frozenset(
+        name
+        for name, row in made.state.domains.items()
+        if row.region == region
+    )
+    fleet.inject(made, fleet.Cut((part,)))
+    fleet.run_until(made, made.now_ms + const.SETTLE_MS)
+    filed = states.state(const.SITES, made.state.number + 1)
+    fleet.inject(made, fleet.File(filed))
+    fleet.run_until(made, made.now_ms + outage_ms)
+    made.meter = states.new_meter()
+    healed_ms = made.now_ms
+    fleet.inject(made, fleet.Cut(()))
+    fleet.run_until(made, healed_ms + const.RECOVERY_MS)
+    event = f'a region heals after {outage_ms / const.MS_PER_S:.0f} s'
+    yield from _found(made, event, healed_ms, filed.number)
+
+
+def _all_restart(count: int, seed: int) -> abc.Iterator[models.Finding]:
+    made = _settled(count, seed)
+    fleet.inject(made, fleet.SetStore(slow_ms=const.STORE_SLOW_MS))
+    started_ms = made.now_ms
+    for entry in list(made.entries):
+        fleet.inject(made, fleet.Restart(entry))
+    fleet.run_until(made, started_ms + const.RECOVERY_MS)
+    event = 'every entry restarts, the store slow'
+    yield from _found(made, event, started_ms, made.state.number)
+
+
+def _found(
+    made: fleet.Fleet, event: str, from_ms: float, number: int
+) -> abc.Iterator[models.Finding]:
+    meter = made.meter
+    assert meter is not None
+    ready_ms = nodes.spread_ms(_since(made, number, from_ms), number)
+    ready_s = ready_ms / const.MS_PER_S
+    yield models.Finding(event, 'state in force everywhere', 's', ready_s)
+    most = max(meter.received_bytes.values(), default=0)
+    name = 'most bytes received by a node in a second'
+    yield models.Finding(event, name, 'B/s', float(most))
+    yield models.Finding(event, 'mean bytes a node', 'B/s', _mean(made, meter))
+    calls = sum(
+        value
+        for kind, value in made.counters.items()
+        if kind.startswith('store.')
+    )
+    seconds = const.RECOVERY_MS / const.MS_PER_S
+    yield models.Finding(event, 'store calls', '1/s', calls / seconds)
+
+
+def _mean(made: fleet.Fleet, meter: fleet_models.Meter) -> float:
+    seconds = const.RECOVERY_MS / const.MS_PER_S
+    return sum(meter.bytes.values()) / (len(made.entries) * seconds)
+
+
+def _since(made: fleet.Fleet, number: int, from_ms: float) -> fleet.Fleet:
+    made.filed_ms[number] = from_ms
+    return made
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -64,7 +64,7 @@
         return
     if row.life is not models.Life.RUNNING:
         return
-    for output in list(_tick(fleet, row.policy, inputs)):
+    for output in _timed_tick(fleet, row, inputs):
         _carry_out(fleet, row, output)
     _note_state(fleet, row)
     _wake(fleet, row)
@@ -116,6 +116,32 @@
     outcome(fleet, events.OutcomeArrives(name, lost, row.work.work_id))
 
 
+def _timed_tick(
+    fleet: models.Fleet,
+    row: models.EntryRow,
+    inputs: abc.Sequence[inp.Input],
+) -> list[out.Output]:
+    if fleet.meter is None:
+        return list(_tick(fleet, row.policy, inputs))
+    kind = _kind(inputs)
+    started_s = fleet.meter.clock_s()
+    outputs = list(_tick(fleet, row.policy, inputs))
+    spent_s = fleet.meter.clock_s() - started_s
+    fleet.meter.tick_s[kind] += spent_s
+    fleet.meter.entry_s[row.ref.entry] += spent_s
+    return outputs
+
+
+def _kind(inputs: abc.Sequence[inp.Input]) -> str:
+    match inputs:
+        case [inp.PeerMessage(_, message), *_]:
+            return type(message).__name__
+        case [first, *_]:
+            return type(first).__name__
+        case _:
+            return 'timers'
+
+
 def _tick(
     fleet: models.Fleet,
     policy: models.Policy,
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -246,6 +246,24 @@
     lost_answer_share: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Meter:
+    """Measure the messages between entries and the time of ticks.
+
+    ``frame_bytes`` encodes a message for real; ``clock_s`` reads the
+    processor time. Bytes received are kept by entry and second.
+    """
+
+    frame_bytes: abc.Callable[[ids.EntryRef, ids.EntryId, object], int]
+    clock_s: abc.Callable[[], float]
+    messages: collections.Counter[str]
+    bytes: collections.Counter[str]
+    tick_s: dict[str, float]
+    received_bytes: collections.Counter[tuple[ids.EntryId, int]]
+    sent_bytes: collections.Counter[ids.EntryId]
+    entry_s: dict[ids.EntryId, float]
+
+
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """Hold every table of the fleet, its clock and its pending events."""
@@ -281,4 +299,4 @@
     counters: collections.Counter[str]
     random: random.Random
     plain: bool = False
-    size_of: abc.Callable[[object], int] | None = None
+    meter: Meter | None = None
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -43,9 +43,8 @@
 ) -> None:
     """Carry a message between entries, or lose, copy or delay it."""
     fleet.counters[f'peer.{type(output.message).__name__}'] += 1
-    if fleet.size_of is not None:
-        kind = f'peer_bytes.{type(output.message).__name__}'
-        fleet.counters[kind] += fleet.size_of(output.message)
+    if fleet.meter is not None:
+        _meter(fleet, fleet.meter, sender, output)
     target = fleet.entries.get(output.entry)
     if target is None or not connected(fleet, sender.domain, target.domain):
         return
@@ -62,3 +61,18 @@
         if share and fleet.random.random() < share:
             delay_ms += fleet.random.uniform(0, network.reorder_max_ms)
         after(fleet, delay_ms, events.Deliver(output.entry, item))
+
+
+def _meter(
+    fleet: models.Fleet,
+    meter: models.Meter,
+    sender: models.EntryRow,
+    output: out.SendPeer,
+) -> None:
+    kind = type(output.message).__name__
+    size = meter.frame_bytes(sender.ref, output.entry, output.message)
+    meter.messages[kind] += 1
+    meter.bytes[kind] += size
+    meter.sent_bytes[sender.ref.entry] += size
+    second = int(fleet.now_ms / 1_000)
+    meter.received_bytes[output.entry, second] += size
