--- a/packages/core/src/zinnialead_core/components/keys/ends.py
+++ b/packages/core/src/zinnialead_core/components/keys/ends.py
@@ -6,6 +6,7 @@
 from zinnialead_core.components.keys import messages
 from zinnialead_core.components.keys import models
 from zinnialead_core import ids
+from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
 from zinnialead_core import verdict
@@ -90,8 +91,7 @@
     left = tuple(x for x in claim.unacked if x.entry != sender.entry)
     world.claims[claim.request_id] = claim._replace(unacked=left)
     if not left:
-        _close(world, now_ms, claim)
-    yield from ()
+        yield from _close(world, now_ms, claim)
 
 
 def on_timeout(
@@ -106,7 +106,7 @@
         return
     if claim.tries >= const.ENDS_MAX:
         world.counters['keys.end_unconfirmed'] += 1
-        _close(world, now_ms, claim._replace(unacked=()))
+        yield from _close(world, now_ms, claim)
         return
     world.counters['keys.end_resent'] += 1
     yield from _resend(world, now_ms, claim)
@@ -135,7 +135,7 @@
 
 def _close(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
-) -> None:
+) -> abc.Iterator[out.Output]:
     match claim.end:
         case models.Undecided():
             # The row stays for a while, since the outcome may still come.
@@ -145,6 +145,7 @@
         case _:
             timers.stop(world.timers, timeout(claim))
             world.claims.pop(claim.request_id, None)
+    yield out.Notify(inp.ClaimClosed(claim.request_id))
 
 
 def _end_of(outcome: verdict.Outcome) -> models.KeyEnd:
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -25,7 +25,7 @@
 ) -> abc.Iterator[out.Output]:
     """Move requests on by what happened to them.
 
-    Reads ``states``; writes ``requests`` and ``timers``.
+    Reads ``states`` and ``claims``; writes ``requests`` and ``timers``.
     """
     for item in inputs:
         match item:
@@ -51,6 +51,8 @@
                 yield from endings.deadline(world, now_ms, request_id)
             case inp.TimerDue(timers.RetryDue(request_id)):
                 yield from _want_slot(world, request_id)
+            case inp.ClaimClosed():
+                yield from endings.stopped_if_idle(world)
             case inp.StopAsked():
                 world.requests.stopping.add(STOPPING)
                 yield from endings.stopped_if_idle(world)
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -155,6 +155,13 @@
     outcome: verdict.Outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimClosed:
+    """Tell that registrars have confirmed how a request's work ended."""
+
+    request_id: ids.RequestId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotWanted:
     """Tell the slots system that a request waits for a slot."""
@@ -227,6 +234,7 @@
     | ClaimHeld
     | ClaimDenied
     | ClaimEnded
+    | ClaimClosed
     | SlotWanted
     | SlotGone
     | SlotHeld
