--- a/packages/core/src/zinnialead_core/components/tickets/__init__.py
+++ b/packages/core/src/zinnialead_core/components/tickets/__init__.py
@@ -20,6 +20,8 @@
 from zinnialead_core.components.tickets.models import TicketNote
 from zinnialead_core.components.tickets.models import UpstreamDrain
 from zinnialead_core.components.tickets.models import UpstreamRow
+from zinnialead_core.components.tickets.spreading import new_spread
+from zinnialead_core.components.tickets.spreading import SpreadTable
 
 __all__ = [
     'BlockRow',
@@ -33,6 +35,7 @@
     'RegionLimit',
     'ServiceRow',
     'ShiftCap',
+    'SpreadTable',
     'State',
     'StateAsk',
     'StateData',
@@ -42,4 +45,5 @@
     'UpstreamDrain',
     'UpstreamRow',
     'empty_state',
+    'new_spread',
 ]
--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -2,12 +2,18 @@
 
 from collections import abc
 
+from zinnialead_core.components.members import messages as member_messages
+from zinnialead_core.components.members import views
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
+from zinnialead_core.components.tickets import parts
+from zinnialead_core.components.tickets import pulling
+from zinnialead_core.components.tickets import serving
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
+from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
 
@@ -21,43 +27,137 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Adopt newer states and answer peers that ask for them.
+    """Adopt newer states, ask peers for them and answer those who ask.
 
-    Reads ``states`` and ``members``; writes ``states``.
+    Reads ``members``; writes ``states``, ``spread`` and ``timers``.
     """
     for item in inputs:
         match item:
             case inp.StateRead(state):
                 yield from _adopt(world, state)
             case inp.PeerMessage(sender, message):
-                yield from _on_message(world, sender, message)
+                yield from _on_message(world, now_ms, sender, message)
+            case inp.TimerDue(timers.SpreadRound()):
+                yield from pulling.retry(world, now_ms)
 
 
 def _on_message(
-    world: world_module.World, sender: ids.EntryRef, message: object
+    world: world_module.World,
+    now_ms: float,
+    sender: ids.EntryRef,
+    message: object,
 ) -> abc.Iterator[out.Output]:
+    if sender == world.node.ref:
+        return
     match message:
-        case messages.StateData(state):
-            yield from _adopt(world, state)
-        case messages.StateNumber(number):
-            if number > in_force(world).number:
-                ask = messages.StateAsk(in_force(world).number)
-                yield out.SendPeer(sender.entry, ask)
-        case messages.StateAsk(number):
-            if number < in_force(world).number:
-                data = messages.StateData(in_force(world))
-                yield out.SendPeer(sender.entry, data)
+        case (
+            member_messages.Probe(state_number=number)
+            | member_messages.ProbeAnswer(state_number=number)
+        ):
+            yield from _compare(world, now_ms, sender, number)
+        case messages.StateNumber(number, digest):
+            _check_digest(world, number, digest)
+            yield from pulling.hear(world, now_ms, sender.entry, number)
+        case messages.StateAsk(number, digest):
+            _check_digest(world, number, digest)
+            yield from serving.answer(world, now_ms, sender, message)
+        case messages.StateData():
+            yield from _take_data(world, sender, message)
+        case messages.StateDelta():
+            yield from _take_delta(world, message)
+
+
+def _compare(
+    world: world_module.World,
+    now_ms: float,
+    sender: ids.EntryRef,
+    number: int,
+) -> abc.Iterator[out.Output]:
+    """Ask a peer that is ahead, and tell one that is behind."""
+    state = in_force(world)
+    if number < state.number:
+        yield out.SendPeer(sender.entry, _number(state))
+    yield from pulling.hear(world, now_ms, sender.entry, number)
+
+
+def _take_data(
+    world: world_module.World,
+    sender: ids.EntryRef,
+    message: messages.StateData,
+) -> abc.Iterator[out.Output]:
+    state = message.state
+    if state.number <= in_force(world).number:
+        world.counters['tickets.older_refused'] += 1
+        _check_digest(world, state.number, parts.digest(state))
+        return
+    for found in pulling.take_part(world, sender, message):
+        match found:
+            case models.State():
+                yield from _adopt(world, found)
+            case _:
+                yield found
+
+
+def _take_delta(
+    world: world_module.World, message: messages.StateDelta
+) -> abc.Iterator[out.Output]:
+    state = in_force(world)
+    base = (message.base_number, message.base_digest)
+    if base != (state.number, parts.digest(state)):
+        world.counters['tickets.delta_refused'] += 1
+        return
+    yield from _adopt(world, parts.applied(state, message))
 
 
 def _adopt(
     world: world_module.World, state: models.State
 ) -> abc.Iterator[out.Output]:
-    if state.number <= in_force(world).number:
+    """Put a state in force if its number is higher, and push the number."""
+    before = in_force(world)
+    _check_digest(world, state.number, parts.digest(state))
+    if state.number <= before.number:
         return
     world.states[const.IN_FORCE] = state
     world.counters['tickets.adopted'] += 1
+    _keep_delta(world, before, state)
+    _forget_transfer(world, state.number)
     yield out.Notify(inp.StateChanged(state.number))
-    number = messages.StateNumber(state.number)
-    for entry in world.members:
-        if entry != world.node.ref.entry:
-            yield out.SendPeer(entry, number)
+    yield out.LogChange(
+        'tickets', 'in force', str(before.number), str(state.number)
+    )
+    near = views.pick(world, views.neighbours(world), const.PUSH_NEAR)
+    far = views.pick(world, views.foreigners(world), const.PUSH_FAR)
+    for entry in (*near, *far):
+        yield out.SendPeer(entry, _number(state))
+
+
+def _keep_delta(
+    world: world_module.World, before: models.State, after: models.State
+) -> None:
+    change = parts.delta(before, after)
+    deltas = world.spread.deltas
+    if parts.size(change.changed) > const.PART_ROWS:
+        deltas.clear()
+        return
+    deltas.append(change)
+    del deltas[: -const.DELTAS_KEPT]
+
+
+def _forget_transfer(world: world_module.World, number: int) -> None:
+    spread = world.spread
+    spread.want[:] = [x for x in spread.want if x.number > number]
+    spread.transfer[:] = [x for x in spread.transfer if x.number > number]
+    if not spread.want:
+        timers.stop(world.timers, timers.SpreadRound())
+
+
+def _check_digest(world: world_module.World, number: int, digest: str) -> None:
+    """Count a state of the same number that another ticket made."""
+    state = in_force(world)
+    known = parts.digest(state)
+    if number == state.number and digest and known and digest != known:
+        world.counters['tickets.conflicts'] += 1
+
+
+def _number(state: models.State) -> messages.StateNumber:
+    return messages.StateNumber(state.number, parts.digest(state))
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -31,6 +31,7 @@
 
     node: NodeRow
     states: dict[str, tickets.State]
+    spread: tickets.SpreadTable
     members: dict[ids.EntryId, members.MemberRow]
     probes: members.ProbeTable
     upstreams: dict[ids.UpstreamId, upstreams.HealthRow]
@@ -52,6 +53,7 @@
     return World(
         node=node,
         states={'in-force': tickets.empty_state()},
+        spread=tickets.new_spread(),
         members={},
         probes=members.new_probes(),
         upstreams={},
--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -25,7 +25,8 @@
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
-        handlers={},
+        # Changes before the set-up have no log to go to.
+        handlers={'log_change': lambda _: None},
         earlier=trio.Event(),
     )
 
