--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -28,7 +28,7 @@
     alive = [
         row
         for row in world.members.values()
-        if row.health is members.Health.ALIVE
+        if row.health is members.Health.ALIVE and _reachable(world, row)
     ]
     nearest = sorted(alive, key=distance)[: const.CHOICES_MAX]
     choices = tuple(
@@ -41,6 +41,11 @@
     return models.LookUpAnswer(choices, const.LIFETIME_MS, prefix)
 
 
+def _reachable(world: world_module.World, row: members.MemberRow) -> bool:
+    # An entry that is only listed has not said where it serves callers.
+    return bool(row.callers_address) or not world.node.callers_address
+
+
 def _witness(
     world: world_module.World, nearest: list[members.MemberRow]
 ) -> ids.EntryRef | None:
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -18,6 +18,8 @@
 class MemberRow(typing.NamedTuple):
     """Hold what is believed of one entry.
 
+    Peers reach it at ``address``, callers at ``callers_address``.
+
     Incarnation 0 stands for an entry that is listed and was never heard.
     ``version`` counts how often the entry contradicted a suspicion in
     this incarnation.  ``address`` is for peers, ``callers_address`` for
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -108,7 +108,10 @@
     world: world_module.World,
 ) -> abc.Iterator[out.Output]:
     """Tell that a stopping entry has nothing in flight any more."""
-    if world.requests.stopping and not world.requests.rows:
+    if not world.requests.stopping or world.requests.rows:
+        return
+    # Registrars that never hear of an end could only say may-have-run.
+    if not any(claim.unacked for claim in world.claims.values()):
         yield out.Stopped()
 
 
