Keep the lab's modules to the shape

Cause: the shape tool named a long module and inner functions. Change: the meter's rows in a module of their own; variants by match. Conclusion: the lab keeps to the shape.

--- a/packages/lab/src/zinnialead_lab/bench/arrivals.py
+++ b/packages/lab/src/zinnialead_lab/bench/arrivals.py
@@ -45,21 +45,12 @@
     scenario: models.Scenario, deployment: models.Deployment
 ) -> abc.Iterator[Stream]:
     state = deployment.state
-    floods = [x for x in scenario.faults if isinstance(x, models.Flood)]
-    pools = [x for x in scenario.faults if isinstance(x, models.OnePool)]
+    match scenario.faults:
+        case (models.OnePool(duration_ms),):
+            yield from _pool(scenario, deployment, duration_ms)
+            return
     for service, domain in itertools.product(state.services, state.domains):
         capacity = deployments.capacity_per_s(state, service, domain)
-        if pools:
-            yield Stream(
-                service,
-                ids.RankId('normal'),
-                domain,
-                capacity * scenario.load,
-                0.0,
-                pools[0].duration_ms,
-                const.ERLANG_DEADLINE_MS,
-            )
-            continue
         for rank, share in const.RANK_SHARES.items():
             yield Stream(
                 service,
@@ -71,8 +62,29 @@
                 const.DEADLINES_MS[rank],
             )
     # Floods are drawn last, so that the rest is the same without them.
-    for flood in floods:
-        yield from _flood(scenario, deployment, flood)
+    for fault in scenario.faults:
+        match fault:
+            case models.Flood():
+                yield from _flood(scenario, deployment, fault)
+
+
+def _pool(
+    scenario: models.Scenario,
+    deployment: models.Deployment,
+    duration_ms: float,
+) -> abc.Iterator[Stream]:
+    state = deployment.state
+    for service, domain in itertools.product(state.services, state.domains):
+        capacity = deployments.capacity_per_s(state, service, domain)
+        yield Stream(
+            service,
+            ids.RankId('normal'),
+            domain,
+            capacity * scenario.load,
+            0.0,
+            duration_ms,
+            const.ERLANG_DEADLINE_MS,
+        )
 
 
 def _flood(
--- a/packages/lab/src/zinnialead_lab/bench/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/bench/coordinator.py
@@ -54,8 +54,9 @@
     fleet.add_injections(made, timed)
     last_ms = works[-1].arrived_ms if works else 0.0
     tail_ms = const.TAIL_MS
-    if isinstance(job.scenario.faults[0], models.OnePool):
-        tail_ms += const.ERLANG_DEADLINE_MS
+    match job.scenario.faults:
+        case (models.OnePool(),):
+            tail_ms += const.ERLANG_DEADLINE_MS
     fleet.run_until(made, last_ms + tail_ms)
     return models.Sample(job.scenario, job.deployment, made)
 
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -75,9 +75,7 @@
     )
     answered = collections.Counter(row.work.rank for row in served(sample))
     worth = sum(ranks[rank].worth * n for rank, n in answered.items())
-    calm = sample.scenario.faults[0] in (models.Calm(),)
-    pool = isinstance(sample.scenario.faults[0], models.OnePool)
-    bound = UNBOUND if calm or pool else models.AboveBaseline()
+    bound = _worth_bound(sample.scenario)
     yield models.Measure('worth served', 'worth', worth, bound)
     for rank in ranks:
         if not asked[rank]:
@@ -99,6 +97,14 @@
     yield models.Measure('mean wait', 'ms', mean_wait_ms(sample), UNBOUND)
 
 
+def _worth_bound(scenario: models.Scenario) -> models.Bound:
+    match scenario.faults:
+        case (models.Calm() | models.OnePool(),):
+            return UNBOUND
+        case _:
+            return models.AboveBaseline()
+
+
 def mean_wait_ms(sample: models.Sample) -> float:
     """Return the mean time between the arrival and the start of a run."""
     works = sample.fleet.works
--- a/packages/lab/src/zinnialead_lab/capacity/bad_day.py
+++ b/packages/lab/src/zinnialead_lab/capacity/bad_day.py
@@ -8,7 +8,7 @@
 from zinnialead_lab.capacity import nodes
 from zinnialead_lab.capacity import states
 from zinnialead_lab import fleet
-from zinnialead_lab.fleet import models as fleet_models
+from zinnialead_lab.fleet import meters
 
 
 def measure(
@@ -109,7 +109,7 @@
     yield models.Finding(event, 'store calls', '1/s', calls / seconds)
 
 
-def _mean(made: fleet.Fleet, meter: fleet_models.Meter) -> float:
+def _mean(made: fleet.Fleet, meter: meters.Meter) -> float:
     seconds = const.RECOVERY_MS / const.MS_PER_S
     return sum(meter.bytes.values()) / (len(made.entries) * seconds)
 
--- a/packages/lab/src/zinnialead_lab/capacity/blocks.py
+++ b/packages/lab/src/zinnialead_lab/capacity/blocks.py
@@ -23,6 +23,9 @@
 BLOCK_ADDRESSES = 1 << 11
 
 
+BlockRows = dict[str, tickets.BlockRow]
+
+
 class BlockTable(typing.NamedTuple):
     """Hold the starts of blocks in order, and the site of each."""
 
@@ -88,9 +91,7 @@
     yield models.Step('look-up', 'whole decision', 'us', count, us)
 
 
-def _rows(
-    count: int, domains: list[ids.DomainId]
-) -> dict[str, tickets.BlockRow]:
+def _rows(count: int, domains: list[ids.DomainId]) -> BlockRows:
     rows = {}
     for number in range(count):
         start = FIRST_BLOCK + number * BLOCK_ADDRESSES
--- a/packages/lab/src/zinnialead_lab/capacity/fit.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fit.py
@@ -11,11 +11,8 @@
     steps: abc.Iterable[models.Step], per: str, full_size: float
 ) -> abc.Iterator[models.Slope]:
     """Yield one fitted curve for each quantity of each role."""
-
-    def name(step: models.Step) -> str:
-        return f'{step.role}/{step.quantity}/{step.unit}'
-
-    for _, group in itertools.groupby(sorted(steps, key=name), key=name):
+    by_name = sorted(steps, key=_name)
+    for _, group in itertools.groupby(by_name, key=_name):
         yield _slope(sorted(group, key=lambda x: x.x), per, full_size)
 
 
@@ -46,6 +43,10 @@
     return f'{curve.linear:.3g} x + {curve.constant:.3g}'
 
 
+def _name(step: models.Step) -> str:
+    return f'{step.role}/{step.quantity}/{step.unit}'
+
+
 def _slope(
     steps: abc.Sequence[models.Step], per: str, full_size: float
 ) -> models.Slope:
--- a/packages/lab/src/zinnialead_lab/capacity/nodes.py
+++ b/packages/lab/src/zinnialead_lab/capacity/nodes.py
@@ -6,7 +6,7 @@
 from zinnialead_lab.capacity import models
 from zinnialead_lab.capacity import states
 from zinnialead_lab import fleet
-from zinnialead_lab.fleet import models as fleet_models
+from zinnialead_lab.fleet import meters
 
 # The role that each kind of message or input belongs to.
 ROLES = {
@@ -96,7 +96,7 @@
 
 
 def _steps(
-    meter: fleet_models.Meter, count: int, node_seconds: float
+    meter: meters.Meter, count: int, node_seconds: float
 ) -> abc.Iterator[models.Step]:
     roles = (*sorted(set(ROLES.values())), OTHER)
     for role in roles:
@@ -120,9 +120,7 @@
     yield models.Step('control', 'bytes sent', 'B/s', count, each, True)
 
 
-def _busiest(
-    meter: fleet_models.Meter, count: int
-) -> abc.Iterator[models.Step]:
+def _busiest(meter: meters.Meter, count: int) -> abc.Iterator[models.Step]:
     received = max(meter.received_bytes.values(), default=0)
     name = 'most bytes received in a second'
     yield models.Step('busiest node', name, 'B/s', count, float(received))
--- a/packages/lab/src/zinnialead_lab/capacity/sites.py
+++ b/packages/lab/src/zinnialead_lab/capacity/sites.py
@@ -15,6 +15,8 @@
 SENDER = ids.EntryRef(ids.EntryId('entry'), 1)
 REPEATS = 20
 
+LoadRows = tuple[steering.LoadRow, ...]
+
 
 def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Step]:
     """Yield sizes and codec times for each number of sites."""
@@ -45,7 +47,7 @@
     yield models.Step(role, f'{name}, decode', 'ms', count, decode_ms)
 
 
-def _loads(count: int) -> tuple[steering.LoadRow, ...]:
+def _loads(count: int) -> LoadRows:
     return tuple(
         steering.LoadRow(
             service=ids.ServiceId(f'service-{n % const.SERVICES}'),
--- a/packages/lab/src/zinnialead_lab/capacity/states.py
+++ b/packages/lab/src/zinnialead_lab/capacity/states.py
@@ -1,6 +1,7 @@
 """Make states of any number of sites, and fleets of any size."""
 
 import collections
+import functools
 import secrets
 import time
 
@@ -11,7 +12,7 @@
 from zinnialead_daemon.components.peers import codec
 from zinnialead_lab.capacity import const
 from zinnialead_lab import fleet
-from zinnialead_lab.fleet import models as fleet_models
+from zinnialead_lab.fleet import meters
 
 
 def state(sites: int, number: int = 1) -> tickets.State:
@@ -55,7 +56,7 @@
     return made
 
 
-def new_meter() -> fleet_models.Meter:
+def new_meter() -> meters.Meter:
     """Return a meter with nothing measured.
 
     Encoding and decoding count to the time of a kind of message.
@@ -64,22 +65,8 @@
     keyring = codec.new_keyring((settings.PeerKey(1, secret),))
     tick_s: dict[str, float] = collections.defaultdict(float)
     entry_s: dict[ids.EntryId, float] = collections.defaultdict(float)
-
-    def frame_bytes(
-        sender: ids.EntryRef, recipient: ids.EntryId, message: object
-    ) -> int:
-        assert isinstance(message, messages.Message)
-        envelope = codec.Envelope(sender, 1, 0.0, message)
-        started_s = time.process_time()
-        frame = codec.encode(keyring, recipient, envelope)
-        codec.decode_body(codec.encode_body(envelope))
-        spent_s = time.process_time() - started_s
-        tick_s[f'{type(message).__name__} codec'] += spent_s
-        entry_s[sender.entry] += spent_s
-        return len(frame)
-
-    return fleet_models.Meter(
-        frame_bytes,
+    return meters.Meter(
+        functools.partial(_frame_bytes, keyring, tick_s, entry_s),
         time.process_time,
         collections.Counter(),
         collections.Counter(),
@@ -90,6 +77,25 @@
     )
 
 
+def _frame_bytes(
+    keyring: codec.Keyring,
+    tick_s: dict[str, float],
+    entry_s: dict[ids.EntryId, float],
+    sender: ids.EntryRef,
+    recipient: ids.EntryId,
+    message: object,
+) -> int:
+    assert isinstance(message, messages.Message)
+    envelope = codec.Envelope(sender, 1, 0.0, message)
+    started_s = time.process_time()
+    frame = codec.encode(keyring, recipient, envelope)
+    codec.decode_body(codec.encode_body(envelope))
+    spent_s = time.process_time() - started_s
+    tick_s[f'{type(message).__name__} codec'] += spent_s
+    entry_s[sender.entry] += spent_s
+    return len(frame)
+
+
 def _upstream(
     number: int,
     services: list[tickets.ServiceRow],
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -1,7 +1,6 @@
 """Define the tables of a fleet: entries, callers, upstreams, the store."""
 
 import collections
-from collections import abc
 import dataclasses
 import enum
 import random
@@ -13,6 +12,7 @@
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import verdict
+from zinnialead_lab.fleet import meters
 
 WorkId = typing.NewType('WorkId', int)
 
@@ -246,24 +246,6 @@
     lost_answer_share: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class Meter:
-    """Measure the messages between entries and the time of ticks.
-
-    ``frame_bytes`` encodes a message for real; ``clock_s`` reads the
-    processor time. Bytes received are kept by entry and second.
-    """
-
-    frame_bytes: abc.Callable[[ids.EntryRef, ids.EntryId, object], int]
-    clock_s: abc.Callable[[], float]
-    messages: collections.Counter[str]
-    bytes: collections.Counter[str]
-    tick_s: dict[str, float]
-    received_bytes: collections.Counter[tuple[ids.EntryId, int]]
-    sent_bytes: collections.Counter[ids.EntryId]
-    entry_s: dict[ids.EntryId, float]
-
-
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """Hold every table of the fleet, its clock and its pending events."""
@@ -299,4 +281,4 @@
     counters: collections.Counter[str]
     random: random.Random
     plain: bool = False
-    meter: Meter | None = None
+    meter: meters.Meter | None = None
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -7,6 +7,7 @@
 from zinnialead_core import outputs as out
 from zinnialead_lab.fleet import const
 from zinnialead_lab.fleet import events
+from zinnialead_lab.fleet import meters
 from zinnialead_lab.fleet import models
 
 
@@ -65,7 +66,7 @@
 
 def _meter(
     fleet: models.Fleet,
-    meter: models.Meter,
+    meter: meters.Meter,
     sender: models.EntryRow,
     output: out.SendPeer,
 ) -> None:
