--- a/packages/core/src/zinnialead_core/components/lookups/choices.py
+++ b/packages/core/src/zinnialead_core/components/lookups/choices.py
@@ -59,7 +59,7 @@
     if first is not None:
         home, domain = first, rows[0].domain
     return models.ChosenRow(
-        tuple(models.Choice(x.entry, x.domain, x.address) for x in rows),
+        tuple(map(_choice, rows)),
         home,
         _witness(world, home, domain, turn),
         now_ms,
@@ -91,11 +91,23 @@
         row = world.members.get(group[(turn + place) % len(group)])
         if row is None or row.health is not members.Health.ALIVE:
             continue
+        if not _reachable(world, row):
+            continue
         if row.entry == world.node.ref.entry and world.requests.stopping:
             continue
         yield row
 
 
+def _choice(row: members.MemberRow) -> models.Choice:
+    address = row.callers_address or row.address
+    return models.Choice(row.entry, row.domain, address)
+
+
+def _reachable(world: world_module.World, row: members.MemberRow) -> bool:
+    # An entry that is only listed has not said where it serves callers.
+    return bool(row.callers_address) or not world.node.callers_address
+
+
 def _witness(
     world: world_module.World,
     home: ids.EntryRef,
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -18,12 +18,13 @@
 
 
 class NodeRow(typing.NamedTuple):
-    """Say which entry this is."""
+    """Say which entry this is, and where peers and callers reach it."""
 
     ref: ids.EntryRef
     domain: ids.DomainId
     region: ids.RegionId
     address: str
+    callers_address: str = ''
 
 
 class World(typing.NamedTuple):
@@ -31,6 +32,7 @@
 
     node: NodeRow
     states: dict[str, tickets.State]
+    spread: tickets.SpreadTable
     members: dict[ids.EntryId, members.MemberRow]
     probes: members.ProbeTable
     upstreams: dict[ids.UpstreamId, upstreams.HealthRow]
@@ -53,6 +55,7 @@
     return World(
         node=node,
         states={'in-force': tickets.empty_state()},
+        spread=tickets.new_spread(),
         members={},
         probes=members.new_probes(),
         upstreams={},
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -1,7 +1,6 @@
 """Define the tables of a fleet: entries, callers, upstreams, the store."""
 
 import collections
-from collections import abc
 import dataclasses
 import enum
 import random
@@ -13,6 +12,7 @@
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import verdict
+from zinnialead_lab.fleet import meters
 
 WorkId = typing.NewType('WorkId', int)
 
@@ -281,4 +281,4 @@
     counters: collections.Counter[str]
     random: random.Random
     plain: bool = False
-    size_of: abc.Callable[[object], int] | None = None
+    meter: meters.Meter | None = None
