Read the store through a few watchers a domain

Cause: nothing called the store. Change: two readers a domain by rendezvous hashing watch the state and list the VMs, within a budget, with full jitter after failures; an entry that hears no peer reads for itself; calls whose end is lost are made again.

--- a/packages/core/src/zinnialead_core/components/store/__init__.py
+++ b/packages/core/src/zinnialead_core/components/store/__init__.py
@@ -5,10 +5,14 @@
 from zinnialead_core.components.store.calls import Create
 from zinnialead_core.components.store.calls import Failed
 from zinnialead_core.components.store.calls import Found
+from zinnialead_core.components.store.calls import Listed
+from zinnialead_core.components.store.calls import ListVms
 from zinnialead_core.components.store.calls import Missing
 from zinnialead_core.components.store.calls import Read
+from zinnialead_core.components.store.calls import Refused
 from zinnialead_core.components.store.calls import Result
 from zinnialead_core.components.store.calls import TooOld
+from zinnialead_core.components.store.calls import Unchanged
 from zinnialead_core.components.store.calls import Update
 from zinnialead_core.components.store.calls import Watch
 from zinnialead_core.components.store.models import new_table
@@ -20,11 +24,15 @@
     'Create',
     'Failed',
     'Found',
+    'ListVms',
+    'Listed',
     'Missing',
     'Read',
+    'Refused',
     'Result',
     'StoreTable',
     'TooOld',
+    'Unchanged',
     'Update',
     'Watch',
     'new_table',
--- a/packages/core/src/zinnialead_core/components/store/calls.py
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -35,7 +35,14 @@
     version: int
 
 
-Call = Read | Watch | Create | Update
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListVms:
+    """Read the platform's list of VMs."""
+
+    name: str = 'vms'
+
+
+Call = Read | Watch | Create | Update | ListVms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +61,20 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """Report that a watch ended without a newer version."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listed:
+    """Report that the VMs were listed, each as a ``PeerSeen``."""
+
+    name: str = 'vms'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
     """Report that the object is at another version: nothing written."""
@@ -68,6 +89,14 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Report that the store shed the call: nothing was written."""
+
+    name: str
+    retry_after_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
     """Report a call without an answer; a write may have taken effect."""
@@ -76,4 +105,6 @@
     detail: str
 
 
-Result = Found | Missing | Conflict | TooOld | Failed
+Result = (
+    Found | Missing | Unchanged | Listed | Conflict | TooOld | Refused | Failed
+)
--- a/packages/core/src/zinnialead_core/components/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/store/coordinator.py
@@ -2,8 +2,10 @@
 
 from collections import abc
 
+from zinnialead_core.components.store import tasks
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
+from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
 
@@ -12,12 +14,15 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Take in the results of calls.
+    """Watch the state for the domain, and list the VMs.
 
-    Writes ``store``.
+    Reads ``members``; writes ``store`` and ``timers``.
     """
+    tasks.set_up(world, now_ms)
     for item in inputs:
         match item:
-            case inp.StoreDone(call_id):
-                world.store.open.pop(call_id, None)
-    yield from ()
+            case inp.StoreDone(call_id, result):
+                tasks.done(world, now_ms, call_id, result)
+                yield from tasks.step(world, now_ms)
+            case inp.TimerDue(timers.StoreDue()):
+                yield from tasks.step(world, now_ms)
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -0,0 +1,74 @@
+"""Make calls within this entry's share of the store's rates."""
+
+from collections import abc
+
+from zinnialead_core.components.members import views
+from zinnialead_core.components.store import calls
+from zinnialead_core.components.store import const
+from zinnialead_core.components.store import models
+from zinnialead_core import outputs as out
+from zinnialead_core import world as world_module
+
+
+def open_call(
+    world: world_module.World,
+    now_ms: float,
+    call: calls.Call,
+    timeout_ms: float = const.CALL_TIMEOUT_MS,
+) -> out.CallStore | None:
+    """Return the output that makes a call, or None without budget.
+
+    Its end comes as a ``StoreDone`` of the same ``call_id``.
+    """
+    if not _affordable(world, now_ms, _budget(call)):
+        world.counters['store.over_budget'] += 1
+        return None
+    world.store.sequence[0] += 1
+    call_id = world.store.sequence[0]
+    deadline_ms = now_ms + timeout_ms
+    world.store.open[call_id] = models.OpenRow(call, deadline_ms)
+    return out.CallStore(call_id, call, deadline_ms)
+
+
+def backoff_ms(world: world_module.World, failures: int) -> float:
+    """Return a wait with full jitter, longer after each failure."""
+    longest_ms = const.BACKOFF_MIN_MS * 2.0 ** min(failures, 16)
+    limit_ms = min(const.BACKOFF_MAX_MS, longest_ms)
+    return world.random.uniform(0.0, limit_ms)
+
+
+def lost_calls(world: world_module.World, now_ms: float) -> abc.Iterator[int]:
+    """Yield the open calls whose end should have come long ago."""
+    for call_id, row in list(world.store.open.items()):
+        if now_ms > row.deadline_ms + const.LOST_MARGIN_MS:
+            yield call_id
+
+
+def _budget(call: calls.Call) -> models.Budget:
+    match call:
+        case calls.Create() | calls.Update():
+            return models.Budget.WRITES
+        case calls.Read() | calls.Watch() | calls.ListVms():
+            return models.Budget.READS
+
+
+def _affordable(
+    world: world_module.World, now_ms: float, budget: models.Budget
+) -> bool:
+    full = models.BudgetRow(const.BURST_CALLS, now_ms)
+    left, at_ms = world.store.budgets.get(budget, full)
+    per_ms = _share_per_s(world, budget) / const.MS_PER_S
+    left = min(const.BURST_CALLS, left + per_ms * (now_ms - at_ms))
+    affordable = left >= 1.0
+    left -= 1.0 if affordable else 0.0
+    world.store.budgets[budget] = models.BudgetRow(left, now_ms)
+    return affordable
+
+
+def _share_per_s(world: world_module.World, budget: models.Budget) -> float:
+    entries = 1 + sum(1 for _ in views.others(world))
+    match budget:
+        case models.Budget.READS:
+            return const.FLEET_READS_PER_S / entries
+        case models.Budget.WRITES:
+            return const.FLEET_WRITES_PER_S / entries
--- a/packages/core/src/zinnialead_core/components/store/models.py
+++ b/packages/core/src/zinnialead_core/components/store/models.py
@@ -1,18 +1,62 @@
 """Define the rows of the store tables."""
 
+import enum
 import typing
 
 from zinnialead_core.components.store import calls
 
 
+class OpenRow(typing.NamedTuple):
+    """Hold one open call."""
+
+    call: calls.Call
+    deadline_ms: float
+
+
+class Budget(enum.Enum):
+    """Name the two rates that the store bounds."""
+
+    READS = 'reads'
+    WRITES = 'writes'
+
+
+class BudgetRow(typing.NamedTuple):
+    """Hold how many calls may be made now."""
+
+    calls: float
+    at_ms: float
+
+
+class Task(enum.Enum):
+    """Name what this entry itself wants of the store."""
+
+    STATE = 'state'
+    LIST = 'list'
+
+
+class TaskRow(typing.NamedTuple):
+    """Hold when a task may call the store next, and its open call."""
+
+    due_ms: float
+    call_id: int | None
+    failures: int
+
+
 class StoreTable(typing.NamedTuple):
-    """Hold the open calls, and how many calls failed in a row."""
+    """Hold the open calls, the budgets and this entry's tasks.
+
+    ``sequence`` holds the last call's number, ``failures`` how many calls
+    failed in a row, ``version`` the state object's version if known.
+    """
 
-    open: dict[int, calls.Call]
+    open: dict[int, OpenRow]
     sequence: list[int]
     failures: list[int]
+    budgets: dict[Budget, BudgetRow]
+    tasks: dict[Task, TaskRow]
+    version: list[int]
 
 
 def new_table() -> StoreTable:
     """Return a table without calls."""
-    return StoreTable({}, [0], [0])
+    return StoreTable({}, [0], [0], {}, {}, [])
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -0,0 +1,161 @@
+"""Choose who reads the store, and read it without bursts."""
+
+from collections import abc
+import typing
+
+import xxhash
+
+from zinnialead_core.components.members import models as member_models
+from zinnialead_core.components.members import views
+from zinnialead_core.components.store import calls
+from zinnialead_core.components.store import const
+from zinnialead_core.components.store import limits
+from zinnialead_core.components.store import models
+from zinnialead_core import ids
+from zinnialead_core import outputs as out
+from zinnialead_core import timers
+from zinnialead_core import world as world_module
+
+
+class Planned(typing.NamedTuple):
+    """Hold the call that a task makes next."""
+
+    call: calls.Call
+    timeout_ms: float
+
+
+def set_up(world: world_module.World, now_ms: float) -> None:
+    """Plan the first calls, spread so that a full restart is no burst."""
+    if world.store.tasks:
+        return
+    for task in models.Task:
+        due_ms = now_ms + world.random.uniform(0.0, const.START_JITTER_MS)
+        world.store.tasks[task] = models.TaskRow(due_ms, None, 0)
+    _start_timer(world, now_ms)
+
+
+def step(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
+    """Make the calls that are due, and start the timer of the next."""
+    for call_id in limits.lost_calls(world, now_ms):
+        lost = calls.Failed(world.store.open[call_id].call.name, 'no end')
+        done(world, now_ms, call_id, lost)
+    for task, row in world.store.tasks.items():
+        if row.call_id is not None or now_ms < row.due_ms:
+            continue
+        yield from _run(world, now_ms, task, row)
+    _start_timer(world, now_ms)
+
+
+def done(
+    world: world_module.World,
+    now_ms: float,
+    call_id: int,
+    result: calls.Result,
+) -> None:
+    """Take in the end of a call, and plan the next if it was a task's."""
+    world.store.open.pop(call_id, None)
+    _count(world, result)
+    for task, row in world.store.tasks.items():
+        if row.call_id == call_id:
+            world.store.tasks[task] = _next(world, now_ms, task, row, result)
+            _start_timer(world, now_ms)
+
+
+def is_reader(world: world_module.World) -> bool:
+    """Say whether this entry watches the store for its domain."""
+    me = world.node.ref.entry
+    alive = [
+        row.entry
+        for row in views.neighbours(world)
+        if row.health is member_models.Health.ALIVE
+    ]
+    above = sum(_weight(entry) > _weight(me) for entry in alive)
+    return above < const.READERS_PER_DOMAIN
+
+
+def _run(
+    world: world_module.World,
+    now_ms: float,
+    task: models.Task,
+    row: models.TaskRow,
+) -> abc.Iterator[out.Output]:
+    """Make a task's call, or look again later."""
+    call, timeout_ms = _call(world, task)
+    wanted = is_reader(world) or _alone(world)
+    made = (
+        limits.open_call(world, now_ms, call, timeout_ms) if wanted else None
+    )
+    if made is None:
+        later_ms = now_ms + const.ROLE_CHECK_MS * world.random.uniform(0.5, 1)
+        world.store.tasks[task] = row._replace(due_ms=later_ms)
+        return
+    world.store.tasks[task] = row._replace(call_id=made.call_id)
+    yield made
+
+
+def _call(world: world_module.World, task: models.Task) -> Planned:
+    match task:
+        case models.Task.LIST:
+            return Planned(calls.ListVms(), const.CALL_TIMEOUT_MS)
+        case models.Task.STATE:
+            version = next(iter(world.store.version), None)
+            if version is None:
+                read = calls.Read(const.STATE_OBJECT)
+                return Planned(read, const.CALL_TIMEOUT_MS)
+            watch = calls.Watch(const.STATE_OBJECT, version)
+            return Planned(watch, const.WATCH_TIMEOUT_MS)
+
+
+def _next(
+    world: world_module.World,
+    now_ms: float,
+    task: models.Task,
+    row: models.TaskRow,
+    result: calls.Result,
+) -> models.TaskRow:
+    """Return when to call again after a result."""
+    match result:
+        case calls.Failed() | calls.Conflict():
+            wait_ms = limits.backoff_ms(world, row.failures)
+            return models.TaskRow(now_ms + wait_ms, None, row.failures + 1)
+        case calls.Refused(_, retry_after_ms):
+            wait_ms = retry_after_ms + limits.backoff_ms(world, row.failures)
+            return models.TaskRow(now_ms + wait_ms, None, row.failures + 1)
+        case calls.Listed():
+            period_ms = const.LIST_PERIOD_MS * world.random.uniform(0.9, 1.1)
+            return models.TaskRow(now_ms + period_ms, None, 0)
+        case calls.Found(_, _, version):
+            world.store.version[:] = [version]
+        case calls.Missing():
+            world.store.version[:] = [0]
+        case calls.TooOld():
+            world.store.version.clear()
+            wait_ms = limits.backoff_ms(world, 0)
+            return models.TaskRow(now_ms + wait_ms, None, 0)
+    return models.TaskRow(now_ms, None, 0)
+
+
+def _count(world: world_module.World, result: calls.Result) -> None:
+    match result:
+        case calls.Failed() | calls.Refused():
+            world.store.failures[0] += 1
+            world.counters['store.failed'] += 1
+        case _:
+            world.store.failures[0] = 0
+
+
+def _alone(world: world_module.World) -> bool:
+    """Say whether no peer was ever heard, so that none can tell."""
+    return not any(row.incarnation for row in views.others(world))
+
+
+def _start_timer(world: world_module.World, now_ms: float) -> None:
+    due_ms = [
+        now_ms + const.CALL_TIMEOUT_MS if row.call_id else row.due_ms
+        for row in world.store.tasks.values()
+    ]
+    timers.start(world.timers, timers.StoreDue(), min(due_ms))
+
+
+def _weight(entry: ids.EntryId) -> int:
+    return xxhash.xxh3_64_intdigest(f'reader/{entry}'.encode())
--- a/packages/core/src/zinnialead_core/components/tickets/parts.py
+++ b/packages/core/src/zinnialead_core/components/tickets/parts.py
@@ -91,7 +91,10 @@
             yield Cell(table, key)
 
 
-def _row(state: models.State, cell: Cell) -> object:
+Row = typing.Any
+
+
+def _row(state: models.State, cell: Cell) -> Row:
     return getattr(state, cell.table).get(cell.key)
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -25,12 +25,20 @@
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
-        # Changes before the set-up have no log to go to.
-        handlers={'log_change': lambda _: None},
+        handlers=_before_set_up(),
         earlier=trio.Event(),
     )
 
 
+def _before_set_up() -> models.Handlers:
+    """Return handlers for what may be asked before the parts are there."""
+    return models.Handlers(
+        send_peer=lambda _: None,
+        call_store=lambda _: None,
+        log_change=lambda _: None,
+    )
+
+
 def feed(engine: models.Engine, *inputs: inp.Input) -> None:
     """Run one tick over ``inputs`` and carry out what it asks for."""
     outputs = list(core.tick(engine.world, engine.now_ms(), inputs))
--- a/packages/lab/src/zinnialead_lab/fleet/store.py
+++ b/packages/lab/src/zinnialead_lab/fleet/store.py
@@ -51,6 +51,9 @@
             result = _write(fleet, name, value, version)
         case store.Read(name) | store.Watch(name):
             result = _result(fleet, name)
+        case store.ListVms():
+            # The list round brings the list itself.
+            result = store.Listed()
     lost = fleet.store.lost_answer_share
     if lost and fleet.random.random() < lost:
         return
