Call the store over HTTP

Cause: the core's store calls were dropped. Change: an httpcore client that makes each call once, bounds answers, takes its addresses in turn and feeds states and the list of VMs.

--- /dev/null
+++ b/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
@@ -0,0 +1,152 @@
+"""Make the core's calls to the store, each of them once."""
+
+import httpcore
+import msgspec
+import trio
+
+import zinnialead_config as config
+from zinnialead_core.components import store
+from zinnialead_core import inputs as inp
+from zinnialead_core import outputs as out
+from zinnialead_daemon.components import engine as engines
+from zinnialead_daemon.components.engine import models as engine_models
+from zinnialead_daemon.components.store import const
+from zinnialead_daemon.components.store import documents
+from zinnialead_daemon.components.store import models
+
+STATE_OBJECT = 'state'
+
+
+def set_up(
+    engine: engine_models.Engine,
+    nursery: trio.Nursery,
+    addresses: tuple[str, ...],
+) -> models.Client:
+    """Return a client without connections."""
+    pool = httpcore.AsyncConnectionPool(
+        max_connections=const.CONNECTIONS_MAX, retries=0
+    )
+    return models.Client(engine, nursery, addresses, pool)
+
+
+async def unload(client: models.Client) -> None:
+    """Close the connections."""
+    await client.pool.aclose()
+
+
+def call(client: models.Client, output: out.CallStore) -> None:
+    """Start a call, whose end is fed to the core; never wait for it."""
+    client.nursery.start_soon(_call, client, output)
+
+
+async def _call(client: models.Client, output: out.CallStore) -> None:
+    name = output.call.name
+    if not client.addresses:
+        _feed(client, output, store.Failed(name, 'no address is set'))
+        return
+    if client.open_calls >= const.OPEN_CALLS_MAX:
+        client.engine.world.counters['store.too_many_open'] += 1
+        _feed(client, output, store.Refused(name, const.MS_PER_S))
+        return
+    client.open_calls += 1
+    try:
+        answer = await _ask(client, output)
+    finally:
+        client.open_calls -= 1
+    match answer:
+        case models.Answer():
+            _take_in(client, output, answer)
+        case store.Failed():
+            # The next call tries the next address.
+            client.turn += 1
+            _feed(client, output, answer)
+
+
+async def _ask(
+    client: models.Client, output: out.CallStore
+) -> models.Answer | store.Failed:
+    name = output.call.name
+    left_ms = output.deadline_ms - client.engine.now_ms()
+    left_s = max(0.0, left_ms / const.MS_PER_S)
+    asked = documents.question(output.call, left_s)
+    address = client.addresses[client.turn % len(client.addresses)]
+    try:
+        with trio.fail_after(left_s):
+            return await _exchange(client, address, asked)
+    except trio.TooSlowError:
+        return store.Failed(name, f'{address}: no answer in {left_s:.1f} s')
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        ValueError,
+    ) as error:
+        return store.Failed(name, f'{address}: {error!r}')
+
+
+async def _exchange(
+    client: models.Client, address: str, asked: models.Question
+) -> models.Answer:
+    headers = [(b'content-type', b'application/json')] if asked.body else []
+    async with client.pool.stream(
+        asked.method,
+        f'http://{address}{asked.path}',
+        headers=headers,
+        content=asked.body,
+    ) as response:
+        body = bytearray()
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > const.ANSWER_MAX_BYTES:
+                raise ValueError('the answer is too large')
+        after = dict(response.headers).get(b'retry-after', b'0')
+    return models.Answer(response.status, bytes(body), _seconds(after))
+
+
+def _seconds(value: bytes) -> float:
+    """Return the seconds of a ``Retry-After``, 0 if it is a date.
+
+    >>> _seconds(b'7')
+    7.0
+    """
+    if not value.isdigit():
+        return 0.0
+    return min(float(value), const.RETRY_AFTER_MAX_S)
+
+
+def _take_in(
+    client: models.Client, output: out.CallStore, answer: models.Answer
+) -> None:
+    """Feed an answer, with what it carries."""
+    try:
+        result = documents.result(output.call, answer)
+        seen = _carried(client, result, answer)
+    except (msgspec.MsgspecError, ValueError) as error:
+        client.engine.world.counters['store.malformed'] += 1
+        result = store.Failed(output.call.name, f'malformed: {error}')
+        seen = []
+    _feed(client, output, result, *seen)
+
+
+def _carried(
+    client: models.Client, result: store.Result, answer: models.Answer
+) -> list[inp.Input]:
+    match result:
+        case store.Listed():
+            return list(documents.listed(answer.body))
+        case store.Found(name, value) if name == STATE_OBJECT:
+            decoded = config.decode_state(value)
+            if decoded.is_ok():
+                return [inp.StateRead(decoded.ok)]
+            client.engine.world.counters['store.state_damaged'] += 1
+    return []
+
+
+def _feed(
+    client: models.Client,
+    output: out.CallStore,
+    result: store.Result,
+    *seen: inp.Input,
+) -> None:
+    done = inp.StoreDone(output.call_id, result)
+    engines.feed(client.engine, *seen, done)
