--- a/packages/cli/src/zinnialead_cli/clients/store.py
+++ b/packages/cli/src/zinnialead_cli/clients/store.py
@@ -19,7 +19,7 @@
     """Hold one object of the store."""
 
     metadata: Metadata
-    spec: msgspec.Raw
+    spec: object
 
 
 def call(address: str, wanted: store.Call) -> store.Result:
@@ -69,4 +69,4 @@
         version = int(item['metadata']['resourceVersion'])
     except (msgspec.MsgspecError, ValueError) as error:
         return store.Failed(name, f'the answer is not an object: {error}')
-    return store.Found(name, bytes(item['spec']), version)
+    return store.Found(name, msgspec.json.encode(item['spec']), version)
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/__main__.py
@@ -0,0 +1,82 @@
+"""Run the demonstration, the benches, the fuzzing or the slopes."""
+
+import enum
+import importlib
+import types
+import typing
+
+import typer
+
+app = typer.Typer(
+    help='Show, measure and fuzz zinnialead on one machine.',
+    no_args_is_help=True,
+)
+Seed = typing.Annotated[int, typer.Option(help='Seed of every choice.')]
+
+
+class Deployment(enum.StrEnum):
+    """Name the deployments whose declarations are in examples/."""
+
+    SABARMATI = 'sabarmati'
+    UMUSOZI = 'umusozi'
+
+
+@app.command()
+def demo(
+    deployment: Deployment = Deployment.SABARMATI, seed: Seed = 1
+) -> None:
+    """Run six failure domains on loopback in this process.
+
+    Example: python -m zinnialead_lab demo --deployment umusozi
+    """
+    raise typer.Exit(_part('demo').main(deployment.value, seed))
+
+
+@app.command()
+def bench(
+    seed: Seed = 1,
+    short: typing.Annotated[
+        bool, typer.Option(help='Run the short form, as CI does.')
+    ] = False,
+) -> None:
+    """Compare the policy with the plain way on the same arrivals.
+
+    Example: python -m zinnialead_lab bench --seed 7
+    """
+    raise typer.Exit(_part('bench').main(seed=seed, short=short))
+
+
+@app.command()
+def fuzz(
+    seed: Seed = 1,
+    steps: typing.Annotated[int, typer.Option(help='Steps of each run.')] = 60,
+) -> None:
+    """Fuzz several cores against the oracle of the promises.
+
+    Example: python -m zinnialead_lab fuzz --seed 7 --steps 200
+    """
+    raise typer.Exit(_part('fuzz').main(seed=seed, steps=steps))
+
+
+@app.command()
+def capacity() -> None:
+    """Measure the slopes behind docs/CAPACITY.md.
+
+    Example: python -m zinnialead_lab capacity
+    """
+    raise typer.Exit(_part('capacity').main())
+
+
+def _part(name: str) -> types.ModuleType:
+    module = f'zinnialead_lab.{name}'
+    try:
+        return importlib.import_module(module)
+    except ModuleNotFoundError as error:
+        if error.name != module:
+            raise
+        typer.echo(f'{module} is not part of this release', err=True)
+        raise typer.Exit(2) from error
+
+
+if __name__ == '__main__':
+    app()
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -16,6 +16,7 @@
     httpcore.TimeoutException,
 )
 BARRED = 'key-barred'
+REGISTRAR_DOWN = 'key-registrar-down'
 # Refusals that asking again does not change.
 FINAL = frozenset({'bad-request', 'unknown-service', 'unknown-rank'})
 SENT_EVENT = 'http11.send_request_headers.started'
@@ -75,6 +76,9 @@
             case models.NotRun(reason) as last if reason not in FINAL:
                 if not broke or reason == BARRED:
                     key, broke = work.key, False
+                if reason in {BARRED, REGISTRAR_DOWN}:
+                    # A new look-up names registrars that are alive.
+                    caller.cached.pop(work.service, None)
                 await _pause(caller)
             case answer:
                 return answer
