--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -17,6 +17,8 @@
 from zinnialead_daemon.components import logs
 from zinnialead_daemon.components import metrics
 from zinnialead_daemon.components import operators
+from zinnialead_daemon.components import peers
+from zinnialead_daemon.components.peers import diagnostics as peers_part
 from zinnialead_daemon.components import upstreams
 from zinnialead_daemon.components.upstreams import diagnostics as pools_part
 from zinnialead_daemon import const
@@ -117,12 +119,25 @@
     log = logs.new_logs(engine)
     engine.handlers['log_change'] = functools.partial(logs.log_change, log)
     engine.handlers['stopped'] = application.stopped.set
-    engine.handlers.setdefault('send_peer', lambda _: None)
     engine.handlers.setdefault('call_store', lambda _: None)
     nursery.start_soon(engines.run_timers, engine)
     return None
 
 
+async def _set_up_peers(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    settings = application.settings
+    engine = application.engine
+    made = await peers.set_up(
+        engine, nursery, settings.peers_bind, settings.peer_keys
+    )
+    engine.handlers['send_peer'] = functools.partial(peers.send, made)
+    edges = application.operators.edges
+    edges['peers'] = functools.partial(peers_part.dump, made)
+    return functools.partial(peers.unload, made)
+
+
 async def _set_up_upstreams(
     application: Application, nursery: trio.Nursery
 ) -> Hook | None:
@@ -198,6 +213,7 @@
 
 # In this order; what they return runs at the end in the reverse order.
 SET_UPS: tuple[SetUp, ...] = (
+    _set_up_peers,
     _set_up_engine,
     _set_up_upstreams,
     _set_up_front,
