--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -115,6 +115,13 @@
     ref: ids.EntryRef
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """Tell the systems that a live entry is suspected, leaving, or well."""
+
+    ref: ids.EntryRef
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimWanted:
     """Tell the keys system to claim a request's key."""
@@ -148,6 +155,13 @@
     outcome: verdict.Outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimClosed:
+    """Tell that registrars have confirmed how a request's work ended."""
+
+    request_id: ids.RequestId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotWanted:
     """Tell the slots system that a request waits for a slot."""
@@ -215,10 +229,12 @@
     | StateChanged
     | MemberLost
     | MemberJoined
+    | MemberChanged
     | ClaimWanted
     | ClaimHeld
     | ClaimDenied
     | ClaimEnded
+    | ClaimClosed
     | SlotWanted
     | SlotGone
     | SlotHeld
