Give callers choices that outlive a region, each with keys of its own

Cause: the four choices of a look-up stood in one region, and its one key prefix named the first choice; callers of a dead region ran through dead choices, and keys of a dead home ended undecided. Change: two choices of the nearest domain, one of its sibling, one of another region; a key prefix for each; answers whose keys have no witness last one second. Conclusion: what is left of the answers may-have-run are claims that wait for a slot at the entry that dies.

--- a/packages/core/src/zinnialead_core/components/lookups/choices.py
+++ b/packages/core/src/zinnialead_core/components/lookups/choices.py
@@ -1,6 +1,7 @@
 """Choose the entries that a caller may use, and keep the choice."""
 
 from collections import abc
+import itertools
 
 import xxhash
 
@@ -37,9 +38,13 @@
         return False
     if world.requests.stopping:
         return False
+    return all(_stands(world, entry) for entry in row.entries)
+
+
+def _stands(world: world_module.World, row: models.ChosenEntry) -> bool:
     if row.witness is not None and not _alive(world, row.witness.entry):
         return False
-    return all(_alive(world, choice.entry) for choice in row.choices)
+    return _alive(world, row.entry)
 
 
 def _alive(world: world_module.World, entry: ids.EntryId) -> bool:
@@ -53,33 +58,39 @@
     # Entries that answer look-ups start at different places, too.
     turn = key.turn + xxhash.xxh3_64_intdigest(world.node.ref.entry.encode())
     order = orders.order(world, key.service, key.near)
-    rows = list(_choose(world, order, turn))
-    home, domain = world.node.ref, world.node.domain
-    first = _run_of(world, rows[0]) if rows else None
-    if first is not None:
-        home, domain = first, rows[0].domain
-    return models.ChosenRow(
-        tuple(map(_choice, rows)),
-        home,
-        _witness(world, home, domain, turn),
-        now_ms,
-    )
+    rows = _choose(world, order, turn)
+    entries = tuple(_entry(world, row, turn) for row in rows)
+    return models.ChosenRow(entries, now_ms)
 
 
 def _choose(
     world: world_module.World, order: models.OrderRow, turn: int
 ) -> abc.Iterator[members.MemberRow]:
-    """Yield the choices; the last one outlives the first one's domain."""
-    room = const.CHOICES_MAX
-    for group in order.groups:
-        limit = max(1, room - 1)
-        for row in _usable(world, group, turn):
-            yield row
-            room -= 1
-            limit -= 1
-            if limit == 0:
-                break
-        if room == 0:
+    """Yield the choices: near ones, then some that outlive the near ones."""
+    groups = [list(_usable(world, group, turn)) for group in order.groups]
+    groups = [group for group in groups if group]
+    spread = [
+        *(row for group in groups[:1] for row in group[: const.NEAR]),
+        *(group[0] for group in groups[1:2]),
+        *_elsewhere(world, groups),
+    ]
+    rest = [row for group in groups for row in group]
+    listed = dict.fromkeys([*spread, *rest])
+    yield from itertools.islice(listed, const.CHOICES_MAX)
+
+
+def _elsewhere(
+    world: world_module.World, groups: list[list[members.MemberRow]]
+) -> abc.Iterator[members.MemberRow]:
+    """Yield one entry that stands in another region than the nearest."""
+    domains = world.states['in-force'].domains
+    regions = [
+        domains[group[0].domain].region if group[0].domain in domains else None
+        for group in groups
+    ]
+    for group, region in zip(groups, regions, strict=True):
+        if region != regions[0]:
+            yield group[0]
             return
 
 
@@ -98,9 +109,20 @@
         yield row
 
 
-def _choice(row: members.MemberRow) -> models.Choice:
-    address = row.callers_address or row.address
-    return models.Choice(row.entry, row.domain, address)
+def _entry(
+    world: world_module.World, row: members.MemberRow, turn: int
+) -> models.ChosenEntry:
+    home, domain = world.node.ref, world.node.domain
+    known = _run_of(world, row)
+    if known is not None:
+        home, domain = known, row.domain
+    return models.ChosenEntry(
+        row.entry,
+        row.domain,
+        row.callers_address or row.address,
+        home,
+        _witness(world, home, domain, turn),
+    )
 
 
 def _reachable(world: world_module.World, row: members.MemberRow) -> bool:
--- a/packages/core/src/zinnialead_core/components/lookups/const.py
+++ b/packages/core/src/zinnialead_core/components/lookups/const.py
@@ -1,7 +1,12 @@
 """Hold the constants of the look-ups component."""
 
 CHOICES_MAX = 4
+# Of these, the places of the nearest domain; one is its sibling's, and
+# one another region's.
+NEAR = 2
 LIFETIME_MS = 10_000.0
+# For answers whose keys have no witness.
+LIFETIME_ALONE_MS = 1_000.0
 
 # Clients are told apart by this many places to start from in a domain.
 TURNS = 32
--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -47,8 +47,8 @@
     row = choices.chosen(
         world, now_ms, models.ChosenKey(question.service, near, turn)
     )
-    prefix = keys.prefix(row.home, row.witness, now_ms)
-    return models.LookUpAnswer(row.choices, const.LIFETIME_MS, prefix)
+    listed = tuple(_choice(entry, now_ms) for entry in row.entries)
+    return models.LookUpAnswer(listed, _lifetime_ms(row))
 
 
 def look_up_many(
@@ -61,6 +61,18 @@
         yield look_up(world, now_ms, question)
 
 
+def _lifetime_ms(row: models.ChosenRow) -> float:
+    # An entry that has just started knows no witnesses yet.
+    if any(entry.witness is None for entry in row.entries):
+        return const.LIFETIME_ALONE_MS
+    return const.LIFETIME_MS
+
+
+def _choice(row: models.ChosenEntry, now_ms: float) -> models.Choice:
+    prefix = keys.prefix(row.home, row.witness, now_ms)
+    return models.Choice(row.entry, row.domain, row.address, prefix)
+
+
 def _forget_orders(world: world_module.World) -> None:
     world.lookups.orders.clear()
     world.lookups.witnesses.clear()
--- a/packages/core/src/zinnialead_core/components/lookups/models.py
+++ b/packages/core/src/zinnialead_core/components/lookups/models.py
@@ -17,19 +17,23 @@
 
 
 class Choice(typing.NamedTuple):
-    """Name one entry that may be used."""
+    """Name one entry that may be used, and a prefix for keys used there.
+
+    Work that was sent under a key keeps that key wherever it is sent
+    again; work that never left its caller takes another choice's prefix.
+    """
 
     entry: ids.EntryId
     domain: ids.DomainId
     address: str
+    key_prefix: str
 
 
 class LookUpAnswer(typing.NamedTuple):
-    """List the entries to use, best first, and a prefix for keys."""
+    """List the entries to use, best first."""
 
     choices: tuple[Choice, ...]
     lifetime_ms: float
-    key_prefix: str
 
 
 class BlockTable(typing.NamedTuple):
@@ -59,12 +63,20 @@
     turn: int
 
 
-class ChosenRow(typing.NamedTuple):
-    """Hold a choice of entries, and the registrars of keys with it."""
+class ChosenEntry(typing.NamedTuple):
+    """Hold an entry that was chosen, and the registrars of its keys."""
 
-    choices: tuple[Choice, ...]
+    entry: ids.EntryId
+    domain: ids.DomainId
+    address: str
     home: ids.EntryRef
     witness: ids.EntryRef | None
+
+
+class ChosenRow(typing.NamedTuple):
+    """Hold a choice of entries, best first."""
+
+    entries: tuple[ChosenEntry, ...]
     made_ms: float
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -35,6 +35,7 @@
     entry: str
     domain: str
     address: str
+    key_prefix: str
 
 
 class AnswerDocument(typing.TypedDict):
@@ -42,7 +43,6 @@
 
     choices: list[ChoiceDocument]
     lifetime_ms: float
-    key_prefix: str
 
 
 Question = expression.Result[lookup_models.LookUp, str]
@@ -101,11 +101,11 @@
                 entry=choice.entry,
                 domain=choice.domain,
                 address=choice.address,
+                key_prefix=choice.key_prefix,
             )
             for choice in found.choices
         ],
         lifetime_ms=found.lifetime_ms,
-        key_prefix=found.key_prefix,
     )
 
 
--- a/packages/lab/src/zinnialead_lab/demo/work.py
+++ b/packages/lab/src/zinnialead_lab/demo/work.py
@@ -70,7 +70,8 @@
     domain = next(iter(demo.callers))
     caller = demo.callers[domain]
     service = _scarce(demo, domain)
-    key = await callers.fresh_key(caller, service.service)
+    addresses = await callers.choices(caller, service.service)
+    key = await callers.fresh_key(caller, service.service, addresses[0])
     made = _work(service, 'urgent')._replace(key=key)
     answers: list[callers.Answer] = []
     async with trio.open_nursery() as nursery:
--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -125,8 +125,6 @@
         said = verdict.Verdict.MAY_HAVE_RUN
     fleet.look_ups.pop(_name(row.work), None)
     _move_on(fleet, event.work_id, said, event.reason)
-    if event.work_id in fleet.callers and not row.may_have_run:
-        _new_key(fleet, event.work_id)
 
 
 def _name(work: models.Work) -> models.CallerName:
@@ -146,7 +144,7 @@
         and network.connected(fleet, work.domain, row.domain)
     ]
     near = [row for row in usable if row.domain == work.domain]
-    answer = lookups.LookUpAnswer((), 0.0, 'none')
+    answer = lookups.LookUpAnswer((), 0.0)
     if not usable:
         return models.LookedUp(answer, 0.0)
     chosen = fleet.random.choice(near or usable)
@@ -166,9 +164,10 @@
 def _random_choices(fleet: models.Fleet) -> lookups.LookUpAnswer:
     rows = fleet.random.sample(sorted(fleet.entries.items()), k=4)
     choices = tuple(
-        lookups.Choice(entry, row.domain, entry) for entry, row in rows
+        lookups.Choice(entry, row.domain, entry, 'plain')
+        for entry, row in rows
     )
-    return lookups.LookUpAnswer(choices, 0.0, 'plain')
+    return lookups.LookUpAnswer(choices, 0.0)
 
 
 def _latency_ms(
@@ -180,9 +179,12 @@
 
 def _new_key(fleet: models.Fleet, work_id: models.WorkId) -> None:
     row = fleet.callers[work_id]
-    if not row.work.keyed:
+    choices = row.answer.choices
+    if not row.work.keyed or not choices:
         return
-    prefix = 'free' if row.work.free_key else row.answer.key_prefix
+    prefix = choices[row.attempt % len(choices)].key_prefix
+    if row.work.free_key:
+        prefix = 'free'
     key = ids.Key(f'{prefix}.{work_id}-{row.attempt}')
     fleet.callers[work_id] = row._replace(key=key)
 
@@ -218,6 +220,8 @@
         _give_up(fleet, row, said, reason)
         return
     fleet.callers[work_id] = row._replace(attempt=row.attempt + 1)
+    if not row.may_have_run:
+        _new_key(fleet, work_id)
     _call(fleet, work_id)
 
 
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -44,12 +44,16 @@
     return alive or caller.seeds
 
 
-async def fresh_key(caller: models.Caller, service: str) -> str | None:
-    """Return a new key from the look-up's prefix."""
+async def fresh_key(
+    caller: models.Caller, service: str, address: str
+) -> str | None:
+    """Return a new key with the prefix of the choice at an address."""
     row = await _look_up(caller, service)
-    if row is None:
+    known = [] if row is None else row.document['choices']
+    prefixes = {x['address']: x['key_prefix'] for x in known}
+    prefix = prefixes.get(address)
+    if prefix is None:
         return None
-    prefix = row.document['key_prefix']
     nonce = f'{caller.random.getrandbits(48):x}-{next(caller.numbers)}'
     return f'{prefix}.{nonce}'
 
@@ -64,15 +68,16 @@
         left_ms = work.deadline_ms - (_now_ms() - started_ms)
         if left_ms <= 0.0:
             break
-        if work.keyed and key is None:
-            key = await fresh_key(caller, work.service)
         addresses = await choices(caller, work.service)
         address = addresses[number % len(addresses)]
+        if work.keyed and key is None:
+            key = await fresh_key(caller, work.service, address)
         match await _try(caller, work, address, key, left_ms, started_ms):
             case models.Broken(_, sent):
                 caller.dead.add(address)
                 # Only the same key, asked again, can tell what ran.
                 broke = broke or (sent and work.keyed)
+                key = key if broke else work.key
             case models.NotRun(reason) as last if reason not in FINAL:
                 if not broke or reason == BARRED:
                     key, broke = work.key, False
--- a/packages/standins/src/zinnialead_standins/caller/models.py
+++ b/packages/standins/src/zinnialead_standins/caller/models.py
@@ -71,6 +71,7 @@
     entry: str
     domain: str
     address: str
+    key_prefix: str
 
 
 class LookUpDocument(typing.TypedDict):
@@ -78,7 +79,6 @@
 
     choices: list[ChoiceDocument]
     lifetime_ms: float
-    key_prefix: str
 
 
 class Timeouts(typing.TypedDict):
--- a/tests/core/components/lookups/test_choices.py
+++ b/tests/core/components/lookups/test_choices.py
@@ -48,9 +48,9 @@
     return [choice.domain for choice in answer.choices]
 
 
-def test_the_own_domain_goes_first_and_a_sibling_last():
+def test_a_sibling_and_another_region_outlive_the_own_domain():
     answer = coordinator.look_up(world(), 5.0, QUESTION)
-    assert domains_of(answer) == ['kigali-a'] * 3 + ['kigali-b']
+    assert domains_of(answer) == [*['kigali-a'] * 2, 'kigali-b', 'huye-a']
 
 
 def test_clients_start_at_different_entries():
@@ -67,10 +67,10 @@
 def test_drained_and_unserved_domains_go_last():
     drains = {'d': tickets.DomainDrain('kigali-a')}
     answer = coordinator.look_up(world(drains=drains), 5.0, QUESTION)
-    assert domains_of(answer) == ['kigali-b'] * 3 + ['huye-a']
+    assert domains_of(answer) == ['kigali-b', 'kigali-b', 'huye-a', 'kigali-b']
     drains = {x: tickets.UpstreamDrain(x) for x in ('kigali-a', 'kigali-b')}
     answer = coordinator.look_up(world(drains=drains), 5.0, QUESTION)
-    assert domains_of(answer) == ['huye-a'] * 3 + ['kigali-a']
+    assert domains_of(answer) == ['huye-a', 'huye-a', 'kigali-a', 'huye-a']
 
 
 def test_a_dead_or_leaving_entry_is_no_choice():
@@ -85,19 +85,36 @@
         assert domains_of(answer) == [
             'kigali-a',
             'kigali-b',
+            'huye-a',
             'kigali-b',
-            ('huye-a'),
         ]
         assert answer.choices[0].entry == samples.REF.entry
 
 
-def test_a_key_names_the_first_choice_and_a_sibling():
+def test_each_choice_has_keys_that_name_it_and_a_sibling():
     answer = coordinator.look_up(world(), 12.0, QUESTION)
-    key = issued.parse(f'{answer.key_prefix}.n')
-    home, witness = key.registrars
-    assert home.entry == answer.choices[0].entry
-    assert witness.entry.startswith('kigali-b')
-    assert (witness.incarnation, key.issued_ms) == (7, 12.0)
+    for choice in answer.choices:
+        key = issued.parse(f'{choice.key_prefix}.n')
+        home, witness = key.registrars
+        assert home.entry == choice.entry
+        assert key.issued_ms == 12.0
+        region = choice.domain.partition('-')[0]
+        assert witness.entry.startswith(region)
+        assert witness.entry != home.entry
+    assert witness.incarnation == 7
+
+
+def test_an_answer_whose_keys_have_no_witness_is_soon_asked_again():
+    made = world()
+    assert coordinator.look_up(made, 5.0, QUESTION).lifetime_ms == 10_000.0
+    for entry in list(made.members):
+        if entry != samples.REF.entry:
+            del made.members[entry]
+    answer = coordinator.look_up(made, 6_000.0, QUESTION)
+    assert issued.parse(f'{answer.choices[0].key_prefix}.n').registrars == (
+        samples.REF,
+    )
+    assert answer.lifetime_ms == 1_000.0
 
 
 def test_many_questions_are_answered_in_their_order():
