--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -5,6 +5,7 @@
 import typing
 
 from zinnialead_core.components import keys
+from zinnialead_core.components import lookups
 from zinnialead_core.components import members
 from zinnialead_core.components import requests
 from zinnialead_core.components import slots
@@ -31,6 +32,7 @@
 
     node: NodeRow
     states: dict[str, tickets.State]
+    spread: tickets.SpreadTable
     members: dict[ids.EntryId, members.MemberRow]
     probes: members.ProbeTable
     upstreams: dict[ids.UpstreamId, upstreams.HealthRow]
@@ -39,6 +41,7 @@
     queues: slots.QueueTable
     claims: keys.ClaimTable
     registrations: keys.RegistrationTable
+    lookups: lookups.LookUpTable
     loads: steering.LoadTable
     shifts: steering.ShiftTable
     store: store.StoreTable
@@ -52,6 +55,7 @@
     return World(
         node=node,
         states={'in-force': tickets.empty_state()},
+        spread=tickets.new_spread(),
         members={},
         probes=members.new_probes(),
         upstreams={},
@@ -60,6 +64,7 @@
         queues=slots.new_queues(),
         claims=keys.new_claims(),
         registrations=keys.new_registrations(),
+        lookups=lookups.new_table(),
         loads=steering.new_loads(),
         shifts=steering.new_shifts(),
         store=store.new_table(),
