--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/fuzz/__init__.py
@@ -0,0 +1,6 @@
+"""Fuzz a fleet of cores against an oracle of the promises."""
+
+from zinnialead_lab.fuzz.coordinator import main
+from zinnialead_lab.fuzz.coordinator import run
+
+__all__ = ['main', 'run']
--- /dev/null
+++ b/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
@@ -0,0 +1,34 @@
+"""Run the fuzzing from a seed."""
+
+import hypothesis
+from hypothesis import stateful
+
+from zinnialead_lab.fuzz import const
+from zinnialead_lab.fuzz import machine
+
+
+def run(seed: int, steps: int, examples: int = const.EXAMPLES) -> None:
+    """Raise the shortest sequence found that breaks a promise."""
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    seeded = hypothesis.seed(seed)(machine.PromiseMachine)
+    stateful.run_state_machine_as_test(seeded, settings=settings)
+
+
+def main(seed: int = 1, steps: int = 60) -> int:
+    """Run the fuzzing as a command and return the exit code."""
+    try:
+        run(seed, steps)
+    except AssertionError as broken:
+        print(f'seed {seed}: {broken}')
+        return 1
+    print(
+        f'seed {seed}: {const.EXAMPLES} runs of up to {steps} steps,'
+        ' no promise broken'
+    )
+    return 0
