--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -47,12 +47,14 @@
 def encode_body(envelope: Envelope) -> bytes:
     """Return the body of a frame."""
     coded = _fields(envelope.message)
-    built = schema.Envelope.new_message(
-        sender=common.entry_ref(envelope.sender),
-        sequence=envelope.sequence,
-        sentMs=envelope.sent_ms,
-        **{coded.kind: coded.fields},
-    )
+    built = schema.Envelope.new_message()
+    fields = {
+        'sender': common.entry_ref(envelope.sender),
+        'sequence': envelope.sequence,
+        'sentMs': envelope.sent_ms,
+        coded.kind: coded.fields,
+    }
+    schema.fill(built, fields)
     return typing.cast('bytes', built.to_bytes_packed())
 
 
