Pick a peer without a look at every member

Cause: the choice of one random peer and of the store's readers walked through all members several times a second. Change: a random peer is drawn by name; the role is looked at every two seconds.

--- a/packages/core/src/zinnialead_core/components/members/probing.py
+++ b/packages/core/src/zinnialead_core/components/members/probing.py
@@ -23,8 +23,7 @@
     start_round(world, now_ms)
     for entry in _targets(world):
         yield from probe(world, now_ms, entry)
-    peers = views.pick(world, views.others(world), 1)
-    yield from gossip.sync(world, peers[0] if peers else None)
+    yield from gossip.sync(world, views.pick_any(world))
     if probes.rounds[0] % const.ROUNDS_PER_FORGETTING == 0:
         beliefs.forget(world, now_ms)
 
--- a/packages/core/src/zinnialead_core/components/members/views.py
+++ b/packages/core/src/zinnialead_core/components/members/views.py
@@ -3,6 +3,7 @@
 from collections import abc
 import typing
 
+from zinnialead_core.components.members import const
 from zinnialead_core.components.members import models
 from zinnialead_core import ids
 
@@ -53,6 +54,17 @@
     return world.random.sample(names, min(count, len(names)))
 
 
+def pick_any(world: 'world_module.World') -> ids.EntryId | None:
+    """Return another entry at random, without a look at every row."""
+    names = list(world.members)
+    for _ in range(const.PICK_TRIES):
+        row = world.members[world.random.choice(names)]
+        dead = row.health is models.Health.DEAD
+        if not dead and row.entry != world.node.ref.entry:
+            return row.entry
+    return None
+
+
 def ref(row: models.MemberRow) -> ids.EntryRef:
     """Return the run of an entry that a row is about."""
     return ids.EntryRef(row.entry, row.incarnation)
--- a/packages/core/src/zinnialead_core/components/store/const.py
+++ b/packages/core/src/zinnialead_core/components/store/const.py
@@ -11,7 +11,7 @@
 
 # Entries that start together call the store at times spread over this.
 START_JITTER_MS = 2_000.0
-ROLE_CHECK_MS = 1_000.0
+ROLE_CHECK_MS = 2_000.0
 LIST_PERIOD_MS = 10_000.0
 
 # The whole fleet's share of what the store takes, half of its rates.
