--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -45,6 +45,7 @@
     operators: operators.Operators
     on_stop: list[Hook]
     stopped: trio.Event
+    addresses: Addresses | None = None
     linger_s: float = const.STOP_LINGER_S
 
 
@@ -90,7 +91,9 @@
                 hook = await set_up(application, nursery)
                 if hook is not None:
                     application.on_stop.append(hook)
-            task_status.started(await _open_ports(application, nursery))
+            addresses = await _open_ports(application, nursery)
+            application.addresses = addresses
+            task_status.started(addresses)
             await application.stopped.wait()
             with trio.move_on_after(const.STOP_ANSWERS_S):
                 await application.front.idle.wait()
@@ -190,22 +193,39 @@
     return None
 
 
+def _binding(
+    application: Application, address: str, part: str
+) -> http.Binding:
+    settings = application.settings
+    tls = settings.tls
+    return http.Binding(
+        address,
+        tls.certificate_file if tls else None,
+        tls.key_file if tls else None,
+        settings.bounds.connections_max,
+        functools.partial(_count, application, f'{part}.connections_full'),
+        functools.partial(_count, application, f'{part}.connections_failed'),
+    )
+
+
+def _count(application: Application, name: str) -> None:
+    application.engine.world.counters[name] += 1
+
+
 async def _open_ports(
     application: Application, nursery: trio.Nursery
 ) -> Addresses:
     settings = application.settings
-    tls = settings.tls or settings_models.Tls('', '')
-    certificate = (tls.certificate_file or None, tls.key_file or None)
     operators_port = await nursery.start(
         http.serve,
         operators.asgi_app(application.operators),
-        http.Binding(settings.operators_bind, *certificate),
+        _binding(application, settings.operators_bind, 'operators'),
         trio.sleep_forever,
     )
     callers_port = await nursery.start(
         http.serve,
         fronts.asgi_app(application.front),
-        http.Binding(settings.callers_bind, *certificate),
+        _binding(application, settings.callers_bind, 'front'),
         trio.sleep_forever,
     )
     return Addresses(callers_port, operators_port)
--- a/packages/daemon/src/zinnialead_daemon/http/asgi.py
+++ b/packages/daemon/src/zinnialead_daemon/http/asgi.py
@@ -49,12 +49,3 @@
         message = await receive()
         if message['type'] == 'http.disconnect':
             return
-
-
-async def lifespan(receive: Receive, send: Send) -> None:
-    """Tell the server that start-up and shutdown need nothing."""
-    while True:
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
-        if message['type'] == 'lifespan.shutdown':
-            return
--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -1,45 +1,98 @@
-"""Run hypercorn on trio for one ASGI application."""
+"""Serve one ASGI application by hypercorn's protocols on trio."""
 
 from collections import abc
+import dataclasses
 import functools
 import typing
 
+import hypercorn.app_wrappers
 import hypercorn.config
-import hypercorn.trio
+import hypercorn.trio.tcp_server
+import hypercorn.trio.worker_context
 import trio
 
 from zinnialead_daemon.http import asgi
 from zinnialead_daemon.http import const
 
+Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
+Until = abc.Callable[[], abc.Awaitable[None]]
+
+
+def ignore() -> None:
+    """Do nothing about a connection that was turned away or failed."""
+
 
 class Binding(typing.NamedTuple):
-    """Say where to serve, and with which certificate if any."""
+    """Say where to serve, with which certificate, and how many peers."""
 
     address: str
     certificate_file: str | None = None
     key_file: str | None = None
+    connections_max: int = const.CONNECTIONS_MAX
+    turned_away: abc.Callable[[], None] = ignore
+    failed: abc.Callable[[], None] = ignore
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """Hold what every connection needs, and how many there are."""
+
+    app: hypercorn.app_wrappers.ASGIWrapper
+    config: hypercorn.config.Config
+    context: hypercorn.trio.worker_context.WorkerContext
+    binding: Binding
+    connections: int = 0
 
 
 async def serve(
     app: asgi.AsgiApp,
     binding: Binding | str,
-    until: abc.Callable[[], abc.Awaitable[None]],
+    until: Until,
     task_status: 'trio.TaskStatus[str]' = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve HTTP requests at ``binding`` until ``until`` returns.
 
-    Reports the bound address as ``host:port`` when started.
+    Reports the bound address as ``host:port`` when started. The library's
+    own accept loop has no bound on connections; this one turns away what
+    is above it.
     """
     bound = Binding(binding) if isinstance(binding, str) else binding
-    run = functools.partial(
-        hypercorn.trio.serve,
-        typing.cast('typing.Any', functools.partial(_dispatch, app)),
-        _config(bound),
-        shutdown_trigger=until,
-    )
+    server = _new_server(app, bound)
+    sockets = await _open(bound.address)
+    address = _address(sockets[0])
     async with trio.open_nursery() as nursery:
-        binds = await nursery.start(run)
-        task_status.started(binds[0].partition('://')[2])
+        nursery.start_soon(
+            trio.serve_listeners,
+            functools.partial(_connection, server),
+            list(_secured(server.config, sockets)),
+        )
+        task_status.started(address)
+        await until()
+        await server.context.terminated.set()
+        nursery.cancel_scope.deadline = trio.current_time() + const.GRACEFUL_S
+
+
+async def _connection(
+    server: Server, stream: 'trio.SSLStream[trio.SocketStream]'
+) -> None:
+    if server.connections >= server.binding.connections_max:
+        server.binding.turned_away()
+        await trio.aclose_forcefully(stream)
+        return
+    server.connections += 1
+    try:
+        await hypercorn.trio.tcp_server.TCPServer(
+            server.app,
+            server.config,
+            server.context,
+            typing.cast('typing.Any', {}),
+            stream,
+        ).run()
+    except Exception:
+        # One connection's fault must not end the others.
+        server.binding.failed()
+    finally:
+        server.connections -= 1
 
 
 async def _dispatch(
@@ -49,8 +102,6 @@
     send: asgi.Send,
 ) -> None:
     match scope['type']:
-        case 'lifespan':
-            await asgi.lifespan(receive, send)
         case 'http':
             await app(scope, receive, send)
         case 'websocket':
@@ -58,9 +109,40 @@
             await send({'type': 'websocket.close'})
 
 
+def _new_server(app: asgi.AsgiApp, binding: Binding) -> Server:
+    framework = functools.partial(_dispatch, app)
+    wrapped = hypercorn.app_wrappers.ASGIWrapper(
+        typing.cast('typing.Any', framework)
+    )
+    context = hypercorn.trio.worker_context.WorkerContext(None)
+    return Server(wrapped, _config(binding), context, binding)
+
+
+async def _open(address: str) -> list[trio.SocketListener]:
+    host, _, port = address.rpartition(':')
+    return await trio.open_tcp_listeners(
+        int(port), host=host.strip('[]'), backlog=const.BACKLOG
+    )
+
+
+def _secured(
+    config: hypercorn.config.Config, sockets: list[trio.SocketListener]
+) -> abc.Iterator[Listener]:
+    context = config.create_ssl_context()
+    for item in sockets:
+        if context is None:
+            yield item
+        else:
+            yield trio.SSLListener(item, context, https_compatible=True)
+
+
+def _address(listener: trio.SocketListener) -> str:
+    host, port, *_ = listener.socket.getsockname()
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
 def _config(binding: Binding) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
-    config.bind = [binding.address]
     config.certfile = binding.certificate_file
     config.keyfile = binding.key_file
     # Only HTTP/1.1 shows a cut answer by its framing alone.
@@ -69,8 +151,6 @@
     config.keep_alive_timeout = const.KEEP_ALIVE_S
     config.keep_alive_max_requests = const.REQUESTS_PER_CONNECTION_MAX
     config.max_app_queue_size = const.QUEUED_CHUNKS_MAX
-    config.graceful_timeout = const.GRACEFUL_S
-    config.backlog = const.BACKLOG
     config.include_server_header = False
     config.loglevel = 'ERROR'
     return config
--- a/tests/daemon/entries.py
+++ b/tests/daemon/entries.py
@@ -23,6 +23,15 @@
 
 async def start(nursery, address, body_max_bytes=65_536):
     """Start an entry whose upstreams are all at ``address``."""
+    entry = applications.new_application(SETTINGS, samples.world())
+    point_at(entry, address, body_max_bytes)
+    run = functools.partial(applications.run, entry)
+    addresses = await nursery.start(run)
+    return entry, addresses
+
+
+def point_at(entry, address, body_max_bytes=65_536):
+    """Put in force that all upstreams are at ``address``."""
     state = samples.state(number=2)
     rows = {
         name: row._replace(address=address)
@@ -33,8 +42,4 @@
         for name, row in state.services.items()
     }
     state = state._replace(upstreams=rows, services=services)
-    entry = applications.new_application(SETTINGS, samples.world())
     engines.feed(entry.engine, inp.StateRead(state))
-    run = functools.partial(applications.run, entry)
-    addresses = await nursery.start(run)
-    return entry, addresses
--- /dev/null
+++ b/tests/daemon/http/test_server.py
@@ -0,0 +1,89 @@
+"""Serve over sockets what callers send, sense or nonsense."""
+
+import collections
+import functools
+import pathlib
+import random
+import ssl
+
+import httpcore
+import trio
+
+from zinnialead_daemon import http
+
+HERE = pathlib.Path(__file__).parent
+CERTIFICATE = str(HERE / 'test-only-certificate.pem')
+KEY = str(HERE / 'test-only-key.pem')
+GET = b'GET /x HTTP/1.1\r\nhost: a\r\n\r\n'
+
+
+async def hello(scope, receive, send):
+    await http.respond(send, 200, [], b'hello')
+
+
+async def start(nursery, **parts):
+    binding = http.Binding('127.0.0.1:0', **parts)
+    run = functools.partial(http.serve, hello, binding, trio.sleep_forever)
+    return await nursery.start(run)
+
+
+async def exchange(address, data):
+    host, _, port = address.rpartition(':')
+    async with await trio.open_tcp_stream(host, int(port)) as stream:
+        await stream.send_all(data)
+        await stream.send_eof()
+        return b''.join([part async for part in stream])
+
+
+async def test_connections_above_the_bound_are_turned_away(nursery):
+    seen = collections.Counter()
+    address = await start(
+        nursery,
+        connections_max=1,
+        turned_away=functools.partial(seen.update, ['away']),
+    )
+    host, _, port = address.rpartition(':')
+    async with await trio.open_tcp_stream(host, int(port)) as held:
+        await held.send_all(GET)
+        assert await held.receive_some()
+        assert await exchange_or_reset(address) == b''
+        assert seen['away'] == 1
+    nursery.cancel_scope.cancel()
+
+
+async def exchange_or_reset(address):
+    try:
+        return await exchange(address, GET)
+    except trio.BrokenResourceError:
+        return b''
+
+
+async def test_tls_is_served_from_the_settings_files(nursery):
+    address = await start(nursery, certificate_file=CERTIFICATE, key_file=KEY)
+    trusting = ssl.create_default_context(cafile=CERTIFICATE)
+    async with httpcore.AsyncConnectionPool(ssl_context=trusting) as pool:
+        answer = await pool.request('GET', f'https://{address}/')
+    assert answer.content == b'hello'
+    nursery.cancel_scope.cancel()
+
+
+async def test_nonsense_does_not_end_the_server(nursery):
+    address = await start(nursery)
+    seeded = random.Random(1)
+    heads = [
+        GET[:-4],
+        GET.replace(b'1.1', b'9.9'),
+        b'GET /x HTTP/1.1\r\ncontent-length: -1\r\n\r\n',
+        b'GET /x HTTP/1.1\r\nx: ' + b'y' * 70_000 + b'\r\n\r\n',
+        b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nshort',
+        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' + seeded.randbytes(64),
+        GET[:-2] + b'connection: upgrade\r\nupgrade: websocket\r\n\r\n',
+        *(seeded.randbytes(200) for _ in range(20)),
+    ]
+    for head in heads:
+        try:
+            await exchange(address, head)
+        except trio.BrokenResourceError:
+            continue
+    assert b'hello' in await exchange(address, GET)
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/daemon/test_signals.py
@@ -0,0 +1,93 @@
+"""Signal a whole entry in this process."""
+
+import os
+import signal
+
+import eliot.testing
+import httpcore
+import pytest
+import trio
+import trio.testing
+
+from core import samples
+from daemon import entries
+from zinnialead_daemon import application as applications
+from zinnialead_daemon import const
+from zinnialead_daemon import http
+from zinnialead_daemon import main
+
+
+async def run(application, ended):
+    ended.append(await main.run_until_told(application))
+
+
+def new_entry():
+    made = applications.new_application(entries.SETTINGS, samples.world())
+    made.linger_s = 0.0
+    return made
+
+
+@pytest.fixture
+def application():
+    return new_entry()
+
+
+async def started(nursery, application, ended):
+    nursery.start_soon(run, application, ended)
+    await trio.testing.wait_all_tasks_blocked()
+
+
+async def test_the_first_term_stops_without_a_cut(application):
+    ended = []
+    async with trio.open_nursery() as nursery:
+        await started(nursery, application, ended)
+        os.kill(os.getpid(), signal.SIGTERM)
+    assert ended == [0]
+
+
+async def test_the_second_term_ends_at_once(application, nursery):
+    reached = trio.Event()
+
+    async def silent(scope, receive, send):
+        if scope['path'] == '/work':
+            reached.set()
+            await trio.sleep_forever()
+        await http.respond(send, 200, [], b'{}')
+
+    address = await nursery.start(
+        http.serve, silent, '127.0.0.1:0', trio.sleep_forever
+    )
+    entries.point_at(application, address)
+    ended = []
+    async with trio.open_nursery() as callers:
+        await started(callers, application, ended)
+        callers.start_soon(ask, application)
+        await reached.wait()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await trio.testing.wait_all_tasks_blocked()
+        assert application.engine.world.requests.stopping
+        os.kill(os.getpid(), signal.SIGTERM)
+    assert ended == [const.EXIT_CUT]
+    nursery.cancel_scope.cancel()
+
+
+async def ask(application):
+    url = f'http://{application.addresses.callers}/v1/services/pricebook/work'
+    async with httpcore.AsyncConnectionPool() as pool:
+        with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+            await pool.request('POST', url)
+
+
+async def test_usr1_logs_the_dump_without_the_token(application):
+    lines = []
+    eliot.add_destinations(lines.append)
+    ended = []
+    async with trio.open_nursery() as nursery:
+        await started(nursery, application, ended)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        await trio.testing.wait_all_tasks_blocked()
+        os.kill(os.getpid(), signal.SIGTERM)
+    eliot.remove_destination(lines.append)
+    [line] = [x for x in lines if x['message_type'] == 'zinnialead:dump']
+    assert line['dump']['core']['entry'] == 'entry-1'
+    assert entries.TOKEN not in str(line)
