Read the store from the daemon itself

Cause: the store's edge stands, and the demo's entries still got the state handed in. Change: the application sets the store's client up and unloads it; the demo's own reader is gone.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -19,6 +19,8 @@
 from zinnialead_daemon.components import operators
 from zinnialead_daemon.components import peers
 from zinnialead_daemon.components.peers import diagnostics as peers_part
+from zinnialead_daemon.components import store
+from zinnialead_daemon.components.store import diagnostics as store_part
 from zinnialead_daemon.components import upstreams
 from zinnialead_daemon.components.upstreams import diagnostics as pools_part
 from zinnialead_daemon import const
@@ -122,7 +124,6 @@
     log = logs.new_logs(engine)
     engine.handlers['log_change'] = functools.partial(logs.log_change, log)
     engine.handlers['stopped'] = application.stopped.set
-    engine.handlers.setdefault('call_store', lambda _: None)
     nursery.start_soon(engines.run_timers, engine)
     return None
 
@@ -141,6 +142,17 @@
     return functools.partial(peers.unload, made)
 
 
+async def _set_up_store(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    engine = application.engine
+    made = store.set_up(engine, nursery, application.settings.store_addresses)
+    engine.handlers['call_store'] = functools.partial(store.call, made)
+    edges = application.operators.edges
+    edges['store'] = functools.partial(store_part.dump, made)
+    return functools.partial(store.unload, made)
+
+
 async def _set_up_upstreams(
     application: Application, nursery: trio.Nursery
 ) -> Hook | None:
@@ -234,6 +246,7 @@
 # In this order; what they return runs at the end in the reverse order.
 SET_UPS: tuple[SetUp, ...] = (
     _set_up_peers,
+    _set_up_store,
     _set_up_engine,
     _set_up_upstreams,
     _set_up_front,
--- a/packages/lab/src/zinnialead_lab/demo/const.py
+++ b/packages/lab/src/zinnialead_lab/demo/const.py
@@ -24,7 +24,4 @@
 POLLS_MAX = 500
 IN_FORCE_BOUND_MS = 7_000.0
 DRAIN_BOUND_MS = 3_000.0
-# Entries of each domain that watch the store.
-READERS_PER_DOMAIN = 2
-WATCH_TIMEOUT_S = 30
 EXIT_BROKEN = 1
--- a/packages/lab/src/zinnialead_lab/demo/deployment.py
+++ b/packages/lab/src/zinnialead_lab/demo/deployment.py
@@ -19,7 +19,6 @@
 from zinnialead_lab.demo import const
 from zinnialead_lab.demo import declarations
 from zinnialead_lab.demo import models
-from zinnialead_lab.demo import wire
 from zinnialead_standins import caller as callers
 from zinnialead_standins import store as stores
 from zinnialead_standins import upstream as upstreams
@@ -127,7 +126,6 @@
     incarnation = int(time.time() * const.MS_PER_S)
     world = applications.new_world(settings, incarnation)
     application = applications.new_application(settings, world)
-    wire.join(demo, application)
     scope = trio.CancelScope()
     addresses = await demo.nursery.start(_run_entry, application, scope)
     demo.entries[settings.entry] = models.Entry(
