List VMs through the store, and start entries from a few seeds

Cause: the core now asks the store for the list of VMs itself. Conclusion: the harness feeds the core what the daemon feeds it.

--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 
+from zinnialead_core.components import store as calls
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -51,7 +52,6 @@
     for entry in fleet.entries:
         entries.feed(fleet, entry, *seen, inp.StateRead(state))
     network.after(fleet, 0.0, events.ReportRound())
-    network.after(fleet, const.LIST_PERIOD_MS, events.ListRound())
     return fleet
 
 
@@ -104,11 +104,6 @@
         case events.ReportRound():
             upstreams.report(fleet)
             network.after(fleet, const.REPORT_PERIOD_MS, event)
-        case events.ListRound():
-            seen = tuple(entries.listing(fleet))
-            for entry in fleet.entries:
-                entries.feed(fleet, entry, *seen)
-            network.after(fleet, const.LIST_PERIOD_MS, event)
         case events.Inject(injection):
             injections.inject(fleet, injection)
         case _:
@@ -154,9 +149,18 @@
         return
     fleet.store_done.add(name)
     done = inp.StoreDone(event.call_id, event.result)
-    state = store.read_state(fleet, event.result)
-    items: list[inp.Input] = [done] if state is None else [done, state]
-    entries.feed_run(fleet, event.ref, *items)
+    told = _told(fleet, event.result)
+    entries.feed_run(fleet, event.ref, done, *told)
+
+
+def _told(
+    fleet: models.Fleet, result: calls.Result
+) -> abc.Iterator[inp.Input]:
+    match result:
+        case calls.Listed():
+            yield from entries.listing(fleet)
+        case calls.Found(const.STATE_OBJECT, value):
+            yield inp.StateRead(fleet.states[value])
 
 
 def _empty(state: tickets.State, seed: int, plain: bool) -> models.Fleet:
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -1,5 +1,6 @@
 """Run the entries' ticks and carry out what they ask for."""
 
+import collections
 from collections import abc
 
 import zinnialead_core as core
@@ -56,6 +57,17 @@
         yield inp.PeerSeen(row.ref.entry, row.domain, address(row.ref.entry))
 
 
+def seeds(
+    fleet: models.Fleet, entry: ids.EntryId
+) -> abc.Iterator[inp.PeerSeen]:
+    """Yield what an entry's settings name: itself and a few peers."""
+    named: collections.Counter[ids.DomainId] = collections.Counter()
+    for name, row in fleet.entries.items():
+        named[row.domain] += 1
+        if name == entry or named[row.domain] <= const.SEEDS_PER_DOMAIN:
+            yield inp.PeerSeen(name, row.domain, address(name))
+
+
 def feed(fleet: models.Fleet, entry: ids.EntryId, *inputs: inp.Input) -> None:
     """Run one tick of an entry; a paused one holds its inputs back."""
     row = fleet.entries[entry]
--- a/packages/lab/src/zinnialead_lab/fleet/events.py
+++ b/packages/lab/src/zinnialead_lab/fleet/events.py
@@ -140,11 +140,6 @@
     """Let the upstreams report to the entries of their domain."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListRound:
-    """Let the platform list its VMs to every entry."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Inject:
     """Bring about a fault or an operator's act."""
@@ -169,6 +164,5 @@
     | StoreCallArrives
     | StoreCallEnds
     | ReportRound
-    | ListRound
     | Inject
 )
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -194,7 +194,7 @@
     if row.life in (models.Life.RUNNING, models.Life.PAUSED):
         _kill(fleet, entry)
     entries.start(fleet, entry, row.domain, row.ref.incarnation + 1)
-    entries.feed(fleet, entry, *entries.listing(fleet))
+    entries.feed(fleet, entry, *entries.seeds(fleet, entry))
 
 
 def _replace(fleet: models.Fleet, injection: Replace) -> None:
--- a/packages/lab/src/zinnialead_lab/fleet/store.py
+++ b/packages/lab/src/zinnialead_lab/fleet/store.py
@@ -3,7 +3,6 @@
 from zinnialead_core.components import store
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
-from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_lab.fleet import const
 from zinnialead_lab.fleet import events
@@ -41,7 +40,7 @@
             row = models.WatchRow(ref, output.call_id, name, version)
             fleet.watches[ref, output.call_id] = row
             left_ms = output.deadline_ms - fleet.now_ms
-            quiet = _result(fleet, name)
+            quiet = store.Unchanged(name)
             end = events.StoreCallEnds(ref, output.call_id, quiet)
             network.after(fleet, left_ms - const.WATCH_MARGIN_MS, end)
             return
@@ -52,7 +51,6 @@
         case store.Read(name) | store.Watch(name):
             result = _result(fleet, name)
         case store.ListVms():
-            # The list round brings the list itself.
             result = store.Listed()
     lost = fleet.store.lost_answer_share
     if lost and fleet.random.random() < lost:
@@ -72,17 +70,6 @@
     return True
 
 
-def read_state(
-    fleet: models.Fleet, result: store.Result
-) -> inp.StateRead | None:
-    """Return the state that a result carries, if it carries one."""
-    match result:
-        case store.Found(const.STATE_OBJECT, value):
-            return inp.StateRead(fleet.states[value])
-        case _:
-            return None
-
-
 def _result(fleet: models.Fleet, name: str) -> store.Result:
     found = fleet.objects.get(name)
     if found is None:
