Give the caller's test the look-up's answer of now

Change: the test's entry answers as a look-up does now. Conclusion: the stand-in and the front agree on the answer.

--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -25,11 +25,15 @@
         if scope['path'] == '/v1/look-up':
             document = {
                 'choices': [
-                    {'entry': 'e', 'domain': 'd', 'address': address}
+                    {
+                        'entry': 'e',
+                        'domain': 'd',
+                        'address': address,
+                        'key_prefix': 'z1.e',
+                    }
                     for address in self.choices
                 ],
                 'lifetime_ms': 60_000.0,
-                'key_prefix': 'z1.e',
             }
             await http.respond(send, 200, [], msgspec.json.encode(document))
             return
