Let homeless work wait elsewhere, and count shifts until their grant

Cause: in a region drain, work without upstreams at home found slots only where others were idle, and equal parts of a cap starved the service with the most work. Change: such work may wait in another domain's queue; caps are dealt by what each owner can serve; a shift counts from its permit until a window after its grant; a new owner lets in none for 3.6 s.

--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -126,10 +126,17 @@
         tried=row.tried,
         home_region=request.home_region,
         body_bytes=request.body_bytes,
+        homeless=_is_homeless(world, row),
     )
     yield out.SendPeer(row.owner, message)
 
 
+def _is_homeless(world: world_module.World, row: models.AskRow) -> bool:
+    if row.domain == world.node.domain or row.refusal is None:
+        return False
+    return row.refusal.reason is verdict.Reason.NO_UPSTREAM
+
+
 def _granted(
     world: world_module.World,
     now_ms: float,
@@ -170,6 +177,7 @@
         yield from pass_over(world, now_ms, row, first)
         return
     if request is not None and message.redirect is not None:
+        row = row._replace(refusal=first)
         yield from _ask_elsewhere(
             world, now_ms, request, row, message.redirect
         )
--- a/packages/core/src/zinnialead_core/components/slots/lines.py
+++ b/packages/core/src/zinnialead_core/components/slots/lines.py
@@ -4,6 +4,7 @@
 import math
 
 from zinnialead_core.components.slots import models
+from zinnialead_core.components.steering import caps
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
 
@@ -28,6 +29,7 @@
         del ranks[row.rank]
     if not ranks:
         del world.queues.lines[row.service]
+    caps.leave(world, row.service, row.home_region, ask_id)
     return row
 
 
--- a/packages/core/src/zinnialead_core/components/slots/messages.py
+++ b/packages/core/src/zinnialead_core/components/slots/messages.py
@@ -17,6 +17,8 @@
     that an entry that owns the slots no more sent the ask on; ``tried``
     are the domains that refused it already.  ``home_region`` is where the
     work comes from, for caps on shifts; empty for the owner's own region.
+    ``homeless`` says that the asker's domain has no upstream for it, so
+    that the ask may wait here as if it were the domain's own.
     """
 
     ask_id: ids.AskId
@@ -29,6 +31,7 @@
     tried: tuple[ids.DomainId, ...] = ()
     home_region: ids.RegionId = HERE
     body_bytes: int = 0
+    homeless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -52,6 +52,7 @@
     home_region: ids.RegionId
     body_bytes: int
     tried: tuple[ids.DomainId, ...]
+    homeless: bool
 
 
 class GrantRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -49,7 +49,7 @@
     row = _row(world, now_ms, ask)
     for domain in ask.tried:
         redirects.refused(world, now_ms, ask.service, domain)
-    if row.from_domain != world.node.domain:
+    if row.from_domain != world.node.domain and not row.homeless:
         yield from _enter_foreign(world, now_ms, row)
     else:
         yield from _enter(world, now_ms, row)
@@ -131,6 +131,7 @@
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
     floors.granted(world, row.service, row.rank)
+    caps.start(world, now_ms, row.service, row.home_region, row.ask_id)
     _drop(world, row)
     yield from leases.start(world, now_ms, row, upstream)
 
@@ -142,11 +143,15 @@
         floors.arrived(world, now_ms, row.service, row.rank)
     wait_ms = _wait_ms(world, now_ms, row)
     left_ms = row.deadline_ms - now_ms
-    elsewhere = redirects.choose(
-        world, now_ms, row.service, wait_ms, left_ms, row.tried
-    )
+    elsewhere = None
+    if row.from_domain == world.node.domain:
+        elsewhere = redirects.choose(
+            world, now_ms, row.service, wait_ms, left_ms, row.tried
+        )
     if elsewhere is not None:
         refusal = refusals.no_headroom(world, row)
+        if math.isinf(wait_ms):
+            refusal = refusals.no_upstream(world, row.service)
         yield from _refuse(world, row, refusal, elsewhere)
         return
     door_refusal = _at_the_door(world, now_ms, row, wait_ms)
@@ -187,14 +192,10 @@
 def _permit(
     world: world_module.World, now_ms: float, row: models.QueuedRow
 ) -> verdict.Refusal | None:
-    return caps.permit(
-        world,
-        now_ms,
-        row.service,
-        row.rank,
-        row.home_region,
-        row.body_bytes,
+    shift = caps.Shift(
+        row.ask_id, row.service, row.rank, row.home_region, row.body_bytes
     )
+    return caps.permit(world, now_ms, shift)
 
 
 def _join(
@@ -208,6 +209,7 @@
         timers.stop(world.timers, timers.QueueExpiry(victim))
         yield from _refuse(world, loser, refusals.queue_full(world, loser))
     if victim == row.ask_id:
+        caps.leave(world, row.service, row.home_region, row.ask_id)
         return
     lines.join(world, row)
     yield from grant(world, now_ms, row.service)
@@ -233,6 +235,7 @@
     if refusal is not None:
         yield from _refuse(world, row, refusal)
         return
+    caps.start(world, now_ms, row.service, row.home_region, row.ask_id)
     yield from leases.start(world, now_ms, row, upstream)
 
 
@@ -273,6 +276,7 @@
         ask.home_region or world.node.region,
         ask.body_bytes,
         ask.tried,
+        ask.homeless,
     )
 
 
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -124,6 +124,7 @@
         tried=row.tried,
         home_region=row.home_region,
         body_bytes=row.body_bytes,
+        homeless=row.homeless,
     )
     yield from pass_on(world, now_ms, row.service, ask)
 
--- a/packages/core/src/zinnialead_core/components/steering/const.py
+++ b/packages/core/src/zinnialead_core/components/steering/const.py
@@ -11,11 +11,16 @@
 SIBLING_COST_MS = 4.0
 REGION_COST_MS = 150.0
 DOMAINS_TRIED_MAX = 2
+# For work whose own domain has no upstream.
+DOMAINS_TRIED_HOMELESS_MAX = 4
 
 MS_PER_S = 1_000.0
 # Grants are counted here and dispatched a network delay later; the longer
 # window keeps any second at the upstreams under the cap.
 SHIFT_WINDOW_MS = 1_100.0
+# A new owner waits this long before it lets in shifts: the window, and
+# the time in which the owner before learns that it is cut off.
+SHIFT_HOLD_MS = 3_600.0
 # What the ranks after the first one may use of a cap.
 OTHER_RANKS_SHARE = 0.8
 ANSWER_BYTES_FIRST = 16_384.0
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -46,14 +46,19 @@
 LoadTable = dict[tuple[ids.ServiceId, ids.DomainId], LoadRow]
 
 
+Way = tuple[ids.ServiceId, LinkId]
+
+
 class ShiftTable(typing.NamedTuple):
     """Hold the shifts of the last second by service and way.
 
-    ``rooms`` are by service and domain; ``answer_bytes`` are the usual
-    sizes of the answers of services.
+    ``waiting`` are those let in that wait for a slot, with their sizes in
+    bytes; ``rooms`` are by service and domain; ``answer_bytes`` are the
+    usual sizes of the answers of services.
     """
 
-    sent: dict[tuple[ids.ServiceId, LinkId], collections.deque[ShiftRow]]
+    sent: dict[Way, collections.deque[ShiftRow]]
+    waiting: dict[Way, dict[ids.AskId, float]]
     rooms: dict[tuple[ids.ServiceId, ids.DomainId], RoomRow]
     answer_bytes: dict[ids.ServiceId, float]
 
@@ -65,4 +70,4 @@
 
 def new_shifts() -> ShiftTable:
     """Return a table without shifts."""
-    return ShiftTable({}, {}, {})
+    return ShiftTable({}, {}, {}, {})
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -31,17 +31,27 @@
     of asks that it leaves room for, and no longer than a few seconds;
     the domain's own slot owner decides in the end.
     """
-    if len(tried) >= const.DOMAINS_TRIED_MAX:
+    homeless = math.isinf(wait_ms)
+    tried_max = const.DOMAINS_TRIED_MAX
+    if homeless:
+        tried_max = const.DOMAINS_TRIED_HOMELESS_MAX
+    if len(tried) >= tried_max:
         return None
-    for candidate in _candidates(world, service):
-        if candidate.domain in tried:
-            continue
-        if candidate.cost_ms >= min(wait_ms, left_ms):
-            continue
-        if _take_room(world, now_ms, service, candidate.domain):
+    worth = [
+        candidate.domain
+        for candidate in _candidates(world, service)
+        if candidate.domain not in tried
+        and candidate.cost_ms < min(wait_ms, left_ms)
+    ]
+    for domain in worth:
+        if _take_room(world, now_ms, service, domain):
             world.counters['steering.redirected'] += 1
-            return candidate.domain
-    return None
+            return domain
+    if not homeless or not worth:
+        return None
+    # Work without an upstream here may wait in another domain's queue.
+    world.counters['steering.homeless'] += 1
+    return min(worth, key=lambda domain: _busy(world, service, domain))
 
 
 def refused(
@@ -96,6 +106,15 @@
     return True
 
 
+def _busy(
+    world: world_module.World, service: ids.ServiceId, domain: ids.DomainId
+) -> float:
+    load = world.loads.get((service, domain))
+    if load is None or load.slots == 0:
+        return math.inf
+    return (load.in_use + load.queued) / load.slots
+
+
 def _candidates(
     world: world_module.World, service: ids.ServiceId
 ) -> list[Candidate]:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -122,6 +122,7 @@
   tried @7 :List(Text);
   homeRegion @8 :Text;
   bodyBytes @9 :UInt64;
+  homeless @10 :Bool;
 }
 
 struct SlotAnswer {
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
@@ -28,6 +28,7 @@
         'tried': list(message.tried),
         'homeRegion': message.home_region,
         'bodyBytes': message.body_bytes,
+        'homeless': message.homeless,
     }
     if message.avoid is not None:
         fields['avoid'] = message.avoid
@@ -47,6 +48,7 @@
         tried=tuple(ids.DomainId(x) for x in reader.tried),
         home_region=ids.RegionId(reader.homeRegion),
         body_bytes=reader.bodyBytes,
+        homeless=reader.homeless,
     )
 
 
--- a/tests/core/components/steering/test_caps.py
+++ b/tests/core/components/steering/test_caps.py
@@ -1,10 +1,14 @@
 """Keep shifts under their caps, whoever counts them."""
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies as st
 
+from core import samples
 import zinnialead_core as core
 from zinnialead_core.components import members
+from zinnialead_core.components.slots import models as slot_models
 from zinnialead_core.components.steering import caps
 from zinnialead_core.components.steering import const
 from zinnialead_core.components import tickets
@@ -13,6 +17,7 @@
 from zinnialead_core import world as world_module
 
 DOMAINS = {'k-a': 'kigali', 'k-b': 'kigali', 'h-a': 'huye'}
+NUMBERS = itertools.count()
 SERVICES = ('pricebook', 'intake', 'payouts')
 RANKS = {
     'urgent': tickets.RankRow('urgent', 0, 100.0, 0.0, 1.0),
@@ -21,6 +26,7 @@
 
 
 def in_force(cap: tickets.Cap) -> tickets.State:
+    services = {x: samples.service(x, True) for x in SERVICES}
     rows = {
         f'{service}/{domain}': tickets.UpstreamRow(
             f'{service}/{domain}', service, domain, 'x', 3, 9
@@ -30,6 +36,7 @@
     }
     return tickets.empty_state()._replace(
         number=1,
+        services=services,
         upstreams=rows,
         ranks=RANKS,
         domains={x: tickets.DomainRow(x, y, 4) for x, y in DOMAINS.items()},
@@ -56,8 +63,17 @@
     return world
 
 
+def shift(number, service='intake', rank='urgent', home='huye'):
+    ask_id = ids.AskId(ids.EntryRef('e', 1), number, 1)
+    return caps.Shift(ask_id, service, rank, home, 100)
+
+
 def ask(world, now_ms, service='intake', rank='urgent', home='huye'):
-    return caps.permit(world, now_ms, service, rank, home, 100)
+    asked = shift(next(NUMBERS), service, rank, home)
+    refusal = caps.permit(world, now_ms, asked)
+    if refusal is None:
+        caps.start(world, now_ms, service, home, asked.ask_id)
+    return refusal
 
 
 @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
@@ -126,3 +142,37 @@
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 0.0))
     assert ask(world, 0.0, home='kigali') is None
     assert ask(world, 0.0, home='huye') is not None
+
+
+def test_a_shift_counts_from_its_permit_until_its_window_ends():
+    world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 6.0))
+    first, second = shift(1), shift(2)
+    assert caps.permit(world, 0.0, first) is None
+    late_ms = 10 * const.SHIFT_WINDOW_MS
+    assert caps.permit(world, late_ms, second) is not None
+    caps.start(world, late_ms, 'intake', 'huye', first.ask_id)
+    assert caps.permit(world, late_ms + 1.0, second) is not None
+    assert caps.permit(world, 2 * late_ms, second) is None
+    caps.leave(world, 'intake', 'huye', second.ask_id)
+    assert caps.permit(world, 2 * late_ms, shift(3)) is None
+
+
+def test_a_new_owner_lets_in_nothing_for_a_while():
+    world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
+    load = slot_models.ServiceLoadRow(
+        'intake', None, owned_ms=100.0
+    )
+    world.queues.service_loads['intake'] = load
+    assert ask(world, 101.0).reason is verdict.Reason.CAP_REACHED
+    assert ask(world, 100.0 + const.SHIFT_HOLD_MS) is None
+
+
+def test_parts_follow_what_each_service_can_serve():
+    cap = tickets.ShiftCap('huye', 'kigali', 100.0)
+    world = owner('k-a', cap)
+    state = world.states['in-force']
+    row = state.upstreams['intake/k-a']
+    state.upstreams['intake/k-a'] = row._replace(slots=12)
+    assert caps.share(world, 'intake', 100.0) > 2 * caps.share(
+        world, 'payouts', 100.0
+    )
