Let keyed work of a caller that left run on; study failing upstreams

Cause: a caller that left while its keyed work ran had the work cancelled, which made its end unknown for good, though the caller may come back with the key. What leaving upstreams out is worth was not measured.

Change: such work keeps its slot until its end or its deadline, and its end is recorded; other work is cancelled as before.

--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -2,7 +2,9 @@
 
 A request whose attempt is still at its upstream keeps its row and its
 slot until the attempt ends, since the upstream is busy until then, and
-since only the attempt's end says what became of keyed work.
+since only the attempt's end says what became of keyed work.  Keyed work
+whose caller left runs on to its deadline: to cancel it would make its
+end unknown, while the caller may come back with the key.
 """
 
 from collections import abc
@@ -132,9 +134,10 @@
         phase=models.Phase.ENDING, worst=verdict.Verdict.MAY_HAVE_RUN
     )
     world.requests.rows[request_id] = ending
-    drop_ms = now_ms + const.ENDING_MAX_MS
+    drop_ms = max(now_ms, row.deadline_ms) + const.ENDING_MAX_MS
     timers.start(world.timers, timers.RequestDeadline(request_id), drop_ms)
-    yield out.CancelDispatch(request_id, row.attempt)
+    if not (row.keyed and row.caller_gone):
+        yield out.CancelDispatch(request_id, row.attempt)
     yield _told(world, ending, refusal)
 
 
--- a/packages/lab/src/zinnialead_lab/studies/floods.py
+++ b/packages/lab/src/zinnialead_lab/studies/floods.py
@@ -54,7 +54,7 @@
 def sends_for_each(seed: int) -> float:
     """Return the sends for each request sent at all, in a brown-out."""
     found = arrivals.mix(_streams(None), seed)
-    made = pooled.run(found, shed_share=SHED_SHARE)
+    made = pooled.run(found, condition=pooled.Shedding(SHED_SHARE))
     accepted = sum(end.sent_ms is not None for end in made.ends)
     return made.sends / accepted
 
--- a/packages/lab/src/zinnialead_lab/studies/pooled.py
+++ b/packages/lab/src/zinnialead_lab/studies/pooled.py
@@ -28,6 +28,35 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Well:
+    """Let every upstream serve what it is sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shedding:
+    """Let the upstreams shed a share of what they are sent."""
+
+    share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusing:
+    """Let one upstream refuse every connection."""
+
+    upstream: ids.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Let one upstream take requests and never answer."""
+
+    upstream: ids.UpstreamId
+
+
+Condition = Well | Shedding | Refusing | Silent
+
+
 class End(typing.NamedTuple):
     """Hold what became of one arrival."""
 
@@ -37,6 +66,9 @@
     refused: verdict.Reason | None = None
 
 
+WELL = Well()
+
+
 class Event(typing.NamedTuple):
     """Hold an input that is due at an entry; ``order`` breaks ties."""
 
@@ -62,26 +94,23 @@
     heap: list[Event]
     ends: list[End]
     sends: int
-    shed_share: float
+    condition: Condition
     random: random.Random
 
 
 def run(
     found: abc.Sequence[arrivals.Arrival],
     queue_max: int = QUEUE_MAX,
-    shed_share: float = 0.0,
+    condition: Condition = WELL,
 ) -> Run:
-    """Take arrivals through the core until each has its end.
-
-    Upstreams shed ``shed_share`` of what they are sent.
-    """
+    """Take arrivals through the core until each has its end."""
     names = [f'entry-{number}' for number in range(arrivals.ENTRIES)]
     made = Run(
         worlds={name: _world(name, names, queue_max) for name in names},
         heap=[_arrives(number, item) for number, item in enumerate(found)],
         ends=[End(item) for item in found],
         sends=0,
-        shed_share=shed_share,
+        condition=condition,
         random=random.Random(1),
     )
     heapq.heapify(made.heap)
@@ -144,14 +173,25 @@
         case out.SendPeer(entry, message):
             given = inp.PeerMessage(ref, message)
             yield Event(now_ms + HOP_MS, 0, entry, given)
-        case out.Dispatch(number, attempt):
-            took_ms = made.ends[number].arrival.service_ms
-            outcome: verdict.Outcome = verdict.Answered(200)
-            if made.random.random() < made.shed_share:
-                took_ms = HOP_MS
-                outcome = verdict.Shed()
-            done = inp.DispatchDone(number, attempt, outcome, took_ms)
-            yield Event(now_ms + took_ms, 0, ref.entry, done)
+        case out.Dispatch():
+            done = _served(made, now_ms, output)
+            yield Event(now_ms + done.elapsed_ms, 0, ref.entry, done)
+
+
+def _served(made: Run, now_ms: float, sent: out.Dispatch) -> inp.DispatchDone:
+    took_ms = made.ends[sent.request_id].arrival.service_ms
+    outcome: verdict.Outcome = verdict.Answered(200)
+    match made.condition:
+        case Shedding(share) if made.random.random() < share:
+            took_ms = HOP_MS
+            outcome = verdict.Shed()
+        case Refusing(upstream) if upstream == sent.upstream:
+            took_ms = HOP_MS
+            outcome = verdict.NotSent('connection refused')
+        case Silent(upstream) if upstream == sent.upstream:
+            took_ms = sent.deadline_ms - now_ms
+            outcome = verdict.Lost('silent')
+    return inp.DispatchDone(sent.request_id, sent.attempt, outcome, took_ms)
 
 
 def _arrives(number: int, item: arrivals.Arrival) -> Event:
