Hand a slot over once, log upstreams left out, part granting from asks

Cause: each change of members made an owner of the past report its slots to the next one again, also those that had been returned there already, which were then counted for another 4 s.

Change: a grant remembers whom it was passed to; a line is logged when an upstream is left out and when it is back; granting.py holds the grants.

Measured: the new test fails before and passes after; all tests of core.

--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from zinnialead_core.components.slots import asker
+from zinnialead_core.components.slots import granting
 from zinnialead_core.components.slots import leases
 from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
@@ -39,9 +40,9 @@
                 yield from _on_timer(world, now_ms, timer)
             case inp.StateChanged():
                 ownership.refresh(world, now_ms)
-                yield from owner.grant_all(world, now_ms)
+                yield from granting.grant_all(world, now_ms)
             case inp.UpstreamReport():
-                yield from owner.grant_all(world, now_ms)
+                yield from granting.grant_all(world, now_ms)
 
 
 def _on_message(
@@ -72,7 +73,7 @@
         case timers.AskTimeout(ask_id):
             yield from renewals.on_timer(world, now_ms, ask_id)
         case timers.SlotsDue(service):
-            yield from owner.grant(world, now_ms, service)
+            yield from granting.grant(world, now_ms, service)
 
 
 def _members_changed(
@@ -99,7 +100,7 @@
         ownership.refresh(world, now_ms)
         yield from ownership.hand_over(world, now_ms)
         yield from renewals.owners_changed(world, now_ms, renewed)
-        yield from owner.grant_all(world, now_ms)
+        yield from granting.grant_all(world, now_ms)
 
 
 def _lost(world: world_module.World, now_ms: float, ref: ids.EntryRef) -> None:
--- /dev/null
+++ b/packages/core/src/zinnialead_core/components/slots/granting.py
@@ -0,0 +1,83 @@
+"""Grant free slots to waiting asks, and answer asks."""
+
+from collections import abc
+
+from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import const
+from zinnialead_core.components.slots import floors
+from zinnialead_core.components.slots import leases
+from zinnialead_core.components.slots import lines
+from zinnialead_core.components.slots import messages
+from zinnialead_core.components.slots import models
+from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.slots import refusals
+from zinnialead_core import ids
+from zinnialead_core import outputs as out
+from zinnialead_core import timers
+from zinnialead_core import verdict
+from zinnialead_core import world as world_module
+
+
+def grant_all(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Grant free slots of every service that has asks waiting."""
+    for service in list(world.queues.lines):
+        yield from grant(world, now_ms, service)
+
+
+def grant(
+    world: world_module.World, now_ms: float, service: ids.ServiceId
+) -> abc.Iterator[out.Output]:
+    """Grant free slots of a service to its asks, as their turns come."""
+    held_until_ms = ownership.held_until_ms(world, service)
+    if now_ms < held_until_ms:
+        _look_again(world, service, held_until_ms)
+        return
+    served = choice.is_served(world, service)
+    while (ask_id := floors.next_ask(world, service)) is not None:
+        row = world.queues.queued[ask_id]
+        if not served:
+            _drop(world, row)
+            yield from refuse(world, row, refusals.no_upstream(world, service))
+            continue
+        upstream = choice.pick(world, now_ms, service, row.avoid)
+        if upstream is None:
+            _look_again(world, service, now_ms + const.RECHECK_MS)
+            return
+        yield from _grant_one(world, now_ms, row, upstream)
+
+
+def _grant_one(
+    world: world_module.World,
+    now_ms: float,
+    row: models.QueuedRow,
+    upstream: ids.UpstreamId,
+) -> abc.Iterator[out.Output]:
+    floors.granted(world, row.service, row.rank)
+    _drop(world, row)
+    yield from leases.start(world, now_ms, row, upstream)
+
+
+def refuse(
+    world: world_module.World,
+    row: models.QueuedRow,
+    refusal: verdict.Refusal,
+    redirect: ids.DomainId | None = None,
+) -> abc.Iterator[out.Output]:
+    """Refuse an ask, and name a domain that may serve it."""
+    world.counters[f'slots.refused.{refusal.reason.value}'] += 1
+    answer = messages.SlotAnswer(row.ask_id, None, refusal, redirect)
+    yield out.SendPeer(row.ask_id.asker.entry, answer)
+
+
+def _drop(world: world_module.World, row: models.QueuedRow) -> None:
+    lines.leave(world, row.ask_id)
+    timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
+
+
+def _look_again(
+    world: world_module.World, service: ids.ServiceId, due_ms: float
+) -> None:
+    if lines.waiting(world, service):
+        timers.start(world.timers, timers.SlotsDue(service), due_ms)
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -55,7 +55,10 @@
 
 
 class GrantRow(typing.NamedTuple):
-    """Hold a slot that is in use."""
+    """Hold a slot that is in use.
+
+    ``passed_to`` is the owner that this one handed the slot over to.
+    """
 
     ask_id: ids.AskId
     service: ids.ServiceId
@@ -64,6 +67,7 @@
     granted_ms: float
     expires_ms: float
     from_domain: ids.DomainId
+    passed_to: ids.EntryId | None = None
 
 
 class ServiceLoadRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -8,6 +8,7 @@
 from zinnialead_core.components.slots import const
 from zinnialead_core.components.slots import door
 from zinnialead_core.components.slots import floors
+from zinnialead_core.components.slots import granting
 from zinnialead_core.components.slots import leases
 from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
@@ -33,7 +34,7 @@
     if ask.service not in world.states['in-force'].services:
         world.counters['slots.service_unknown'] += 1
         row = _row(world, now_ms, ask)
-        yield from _refuse(
+        yield from granting.refuse(
             world, row, refusals.no_upstream(world, ask.service)
         )
         return
@@ -59,7 +60,12 @@
     world: world_module.World, now_ms: float, back: messages.SlotReturn
 ) -> abc.Iterator[out.Output]:
     """Free a slot and learn from its use, or drop an ask that waits."""
+    held = world.queues.grants.get(back.ask_id)
+    before = _is_left_out(world, held)
     grant_row = leases.end(world, now_ms, back)
+    after = _is_left_out(world, held)
+    if held is not None and before != after:
+        yield _log_standing(held.upstream, before, after)
     queued = lines.leave(world, back.ask_id)
     if grant_row is None and queued is None:
         return
@@ -71,7 +77,7 @@
         caps.learn_answer(world, gone.service, back.answer_bytes)
     if not ownership.is_owner(world, now_ms, gone.service):
         yield from ownership.pass_on(world, now_ms, gone.service, back)
-    yield from grant(world, now_ms, gone.service)
+    yield from granting.grant(world, now_ms, gone.service)
 
 
 def expire(
@@ -82,57 +88,16 @@
     if held is not None:
         world.counters['slots.lease_lapsed'] += 1
         leases.end(world, now_ms, messages.SlotReturn(ask_id, None))
-        yield from grant(world, now_ms, held.service)
+        yield from granting.grant(world, now_ms, held.service)
         return
     row = lines.leave(world, ask_id)
     if row is not None:
         world.counters['slots.waited_in_vain'] += 1
         left_ms = row.deadline_ms - now_ms
         needed_ms = door.service_time_ms(world, row.service)
-        yield from _refuse(world, row, door.too_short(left_ms, needed_ms))
-
-
-def grant_all(
-    world: world_module.World, now_ms: float
-) -> abc.Iterator[out.Output]:
-    """Grant free slots of every service that has asks waiting."""
-    for service in list(world.queues.lines):
-        yield from grant(world, now_ms, service)
-
-
-def grant(
-    world: world_module.World, now_ms: float, service: ids.ServiceId
-) -> abc.Iterator[out.Output]:
-    """Grant free slots of a service to its asks, as their turns come."""
-    held_until_ms = ownership.held_until_ms(world, service)
-    if now_ms < held_until_ms:
-        _look_again(world, service, held_until_ms)
-        return
-    served = choice.is_served(world, service)
-    while (ask_id := floors.next_ask(world, service)) is not None:
-        row = world.queues.queued[ask_id]
-        if not served:
-            _drop(world, row)
-            yield from _refuse(
-                world, row, refusals.no_upstream(world, service)
-            )
-            continue
-        upstream = choice.pick(world, now_ms, service, row.avoid)
-        if upstream is None:
-            _look_again(world, service, now_ms + const.RECHECK_MS)
-            return
-        yield from _grant_one(world, now_ms, row, upstream)
-
-
-def _grant_one(
-    world: world_module.World,
-    now_ms: float,
-    row: models.QueuedRow,
-    upstream: ids.UpstreamId,
-) -> abc.Iterator[out.Output]:
-    floors.granted(world, row.service, row.rank)
-    _drop(world, row)
-    yield from leases.start(world, now_ms, row, upstream)
+        yield from granting.refuse(
+            world, row, door.too_short(left_ms, needed_ms)
+        )
 
 
 def _enter(
@@ -147,11 +112,11 @@
     )
     if elsewhere is not None:
         refusal = refusals.no_headroom(world, row)
-        yield from _refuse(world, row, refusal, elsewhere)
+        yield from granting.refuse(world, row, refusal, elsewhere)
         return
     door_refusal = _at_the_door(world, now_ms, row, wait_ms)
     if door_refusal is not None:
-        yield from _refuse(world, row, door_refusal)
+        yield from granting.refuse(world, row, door_refusal)
         return
     yield from _join(world, now_ms, row)
 
@@ -206,11 +171,13 @@
     if victim is not None:
         loser = lines.leave(world, victim) or row
         timers.stop(world.timers, timers.QueueExpiry(victim))
-        yield from _refuse(world, loser, refusals.queue_full(world, loser))
+        yield from granting.refuse(
+            world, loser, refusals.queue_full(world, loser)
+        )
     if victim == row.ask_id:
         return
     lines.join(world, row)
-    yield from grant(world, now_ms, row.service)
+    yield from granting.grant(world, now_ms, row.service)
     if row.ask_id in world.queues.queued:
         left_ms = row.deadline_ms - now_ms
         reserve_ms = door.reserve_ms(world, row.service, left_ms)
@@ -227,11 +194,13 @@
     if not held and not lines.waiting(world, row.service):
         upstream = choice.pick(world, now_ms, row.service, row.avoid)
     if upstream is None:
-        yield from _refuse(world, row, refusals.no_headroom(world, row))
+        yield from granting.refuse(
+            world, row, refusals.no_headroom(world, row)
+        )
         return
     refusal = _permit(world, now_ms, row)
     if refusal is not None:
-        yield from _refuse(world, row, refusal)
+        yield from granting.refuse(world, row, refusal)
         return
     yield from leases.start(world, now_ms, row, upstream)
 
@@ -248,15 +217,20 @@
     yield out.SendPeer(ask_id.asker.entry, answer)
 
 
-def _refuse(
-    world: world_module.World,
-    row: models.QueuedRow,
-    refusal: verdict.Refusal,
-    redirect: ids.DomainId | None = None,
-) -> abc.Iterator[out.Output]:
-    world.counters[f'slots.refused.{refusal.reason.value}'] += 1
-    answer = messages.SlotAnswer(row.ask_id, None, refusal, redirect)
-    yield out.SendPeer(row.ask_id.asker.entry, answer)
+def _is_left_out(
+    world: world_module.World, held: models.GrantRow | None
+) -> bool:
+    row = world.upstreams.get(held.upstream) if held else None
+    return row is not None and row.on_trial
+
+
+def _log_standing(
+    upstream: ids.UpstreamId, before: bool, after: bool
+) -> out.LogChange:
+    names = {True: 'left out', False: 'in service'}
+    return out.LogChange(
+        'upstreams', str(upstream), names[before], names[after]
+    )
 
 
 def _row(
@@ -274,15 +248,3 @@
         ask.body_bytes,
         ask.tried,
     )
-
-
-def _drop(world: world_module.World, row: models.QueuedRow) -> None:
-    lines.leave(world, row.ask_id)
-    timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
-
-
-def _look_again(
-    world: world_module.World, service: ids.ServiceId, due_ms: float
-) -> None:
-    if lines.waiting(world, service):
-        timers.start(world.timers, timers.SlotsDue(service), due_ms)
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -81,16 +81,20 @@
 ) -> abc.Iterator[out.Output]:
     """Pass on the slots in use, then the asks, that others own now."""
     queues = world.queues
-    for grant in queues.grants.values():
-        if not is_owner(world, now_ms, grant.service):
-            report = messages.SlotHeldReport(
-                grant.ask_id,
-                grant.service,
-                grant.rank,
-                grant.upstream,
-                grant.from_domain,
-            )
-            yield from pass_on(world, now_ms, grant.service, report)
+    for grant in list(queues.grants.values()):
+        owner = owner_of(world, now_ms, grant.service, world.node.domain)
+        if owner in (None, world.node.ref.entry, grant.passed_to):
+            continue
+        passed = grant._replace(passed_to=owner)
+        queues.grants[grant.ask_id] = passed
+        report = messages.SlotHeldReport(
+            grant.ask_id,
+            grant.service,
+            grant.rank,
+            grant.upstream,
+            grant.from_domain,
+        )
+        yield from pass_on(world, now_ms, grant.service, report)
     for ask in list(queues.queued.values()):
         if not is_owner(world, now_ms, ask.service):
             lines.leave(world, ask.ask_id)
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -130,3 +130,20 @@
     assert [x.message.upstream for x in outputs if x.entry == 'asker'] == [
         'pricebook-1'
     ]
+
+
+def test_slots_in_use_are_handed_over_once():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    item = request(1, LATER_MS)
+    asking.pump(worlds, LATER_MS, other, item)
+    stop = inp.StopAsked()
+    sent = [*core.tick(worlds[owner], 1_000.0, [stop])]
+    sent += core.tick(worlds[owner], 1_000.0, [stop])
+    reports = [
+        x
+        for x in sent
+        if isinstance(x, out.SendPeer)
+        and isinstance(x.message, slots.SlotHeldReport)
+    ]
+    assert len(reports) == 1
