Renew a late grant of another domain at the owner that gave it

Cause: an asker that had turned back to its own domain took a late grant of the domain asked before, but renewed it at home: the lease lapsed where the slot was, and the slot was granted a second time.

Change: the ask takes the domain of the upstream that was granted. A returned time below zero is taken for none.

Measured: the new test fails before (renewed at the home owner) and passes after; all tests of the core's components pass.

--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -148,8 +148,11 @@
         return
     if row.owner != sender.entry:
         yield out.SendPeer(row.owner, messages.SlotReturn(ask_id, None))
+    known = world.states['in-force'].upstreams.get(upstream)
+    # A grant of another domain, asked before, may come while home is asked.
+    domain = known.domain if known else row.domain
     world.asks[ask_id] = row._replace(
-        owner=sender.entry, upstream=upstream, misses=0
+        owner=sender.entry, domain=domain, upstream=upstream, misses=0
     )
     due_ms = now_ms + const.HELD_PERIOD_MS
     timers.start(world.timers, timers.AskTimeout(ask_id), due_ms)
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -78,7 +78,7 @@
     if row is None:
         return None
     _discount(world, row)
-    elapsed_ms = back.elapsed_ms or now_ms - row.granted_ms
+    elapsed_ms = max(0.0, back.elapsed_ms) or now_ms - row.granted_ms
     usual_ms = door.service_time_ms(world, row.service)
     if usual_ms > 0.0:
         floors.used(world, row.service, row.rank, elapsed_ms / usual_ms)
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -103,6 +103,39 @@
     assert out.SendPeer(owner, back) not in outputs
 
 
+def test_a_late_grant_of_another_domain_is_renewed_there():
+    worlds = asking.two_worlds()
+    owner, other = owner_and_other(worlds)
+    world = worlds[other]
+    state = world.states['in-force']
+    far = state.upstreams['pricebook-1']._replace(
+        upstream='far', domain='huye-a'
+    )
+    upstreams = {**state.upstreams, 'far': far}
+    domains = {
+        **state.domains,
+        'huye-a': state.domains[samples.DOMAIN]._replace(
+            domain='huye-a', region='huye'
+        ),
+    }
+    asking.change(world, 1.0, upstreams=upstreams, domains=domains)
+    seen = inp.PeerSeen('far-entry', 'huye-a', 'far-entry')
+    alone = {other: world}
+    asking.pump(alone, 2.0, other, seen, request(1, LATER_MS))
+    [ask_id] = world.asks
+    grant = slots.SlotAnswer(ask_id, 'far')
+    given = inp.PeerMessage(ids.EntryRef('far-entry', 1), grant)
+    list(core.tick(world, 3.0, [given]))
+    outputs = list(core.tick(world, 3.0 + const.HELD_PERIOD_MS, []))
+    renewed = [
+        x.entry
+        for x in outputs
+        if isinstance(x, out.SendPeer)
+        and isinstance(x.message, slots.SlotHeldReport)
+    ]
+    assert renewed == ['far-entry']
+
+
 def test_a_grant_that_comes_after_the_end_is_given_back():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
