Say may-have-run where a key is refused unseen

Cause: an entry that was stopping, had no ticket or handled a request after its deadline told not-run for a key that it had not looked at. A caller that asked again for work that had run was told that it had not.

Change: a keyed request that is refused at the door is answered may-have-run. The fuzzing gained callers that ask again with their key, and compares each not-run with the runs of the key's work.

Conclusion: only an entry that holds the key's grants may say not-run.

--- a/packages/core/src/zinnialead_core/components/requests/admission.py
+++ b/packages/core/src/zinnialead_core/components/requests/admission.py
@@ -12,7 +12,30 @@
 def admit(
     world: world_module.World, now_ms: float, item: inp.RequestArrived
 ) -> models.RequestRow | verdict.Refusal:
-    """Return the row of a request, or why it is refused as not run."""
+    """Return the row of a request, or why it is refused.
+
+    An entry that refuses before it asks for the key does not know what
+    became of other copies of the request.
+    """
+    decision = _decide(world, now_ms, item)
+    match decision:
+        case verdict.Refusal() if _may_have_copies(world, item):
+            return decision._replace(verdict=verdict.Verdict.MAY_HAVE_RUN)
+        case _:
+            return decision
+
+
+def _may_have_copies(
+    world: world_module.World, item: inp.RequestArrived
+) -> bool:
+    service = world.states['in-force'].services.get(item.service)
+    idempotent = service is not None and service.idempotent
+    return item.key is not None and not idempotent
+
+
+def _decide(
+    world: world_module.World, now_ms: float, item: inp.RequestArrived
+) -> models.RequestRow | verdict.Refusal:
     state = world.states['in-force']
     service = state.services.get(item.service)
     if world.requests.stopping:
--- a/packages/lab/src/zinnialead_lab/fuzz/acts.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/acts.py
@@ -57,13 +57,35 @@
     if not callers:
         return
     caller = callers[pick % len(callers)]
+    # The caller knows of the copy, so it stays with the key.
+    caller = caller._replace(may_have_run=True)
+    run.fleet.callers[caller.work.work_id] = caller
     run.copied.add(caller.work.work_id)
+    run.asked.append(caller)
     arrival = events.CallArrives(
         caller.work.work_id, caller.attempt, entry(run, pick // 7)
     )
     network.after(run.fleet, float(pick % 5), arrival)
 
 
+def ask_again(run: models.Run, pick: int, deadline_ms: float) -> None:
+    """Let a caller whose work is over ask for it again, with its key."""
+    if not run.asked:
+        return
+    caller = run.asked[-1 - pick % min(4, len(run.asked))]
+    work = caller.work._replace(deadline_ms=run.fleet.now_ms + deadline_ms)
+    if work.work_id in run.fleet.callers:
+        return
+    run.fleet.callers[work.work_id] = caller._replace(
+        work=work, may_have_run=True
+    )
+    arrival = events.CallArrives(
+        work.work_id, caller.attempt, entry(run, pick // 7)
+    )
+    network.after(run.fleet, 1.0, arrival)
+    network.at(run.fleet, work.deadline_ms, events.CallerLeaves(work.work_id))
+
+
 def advance(run: models.Run, elapsed_ms: float) -> None:
     """Let time pass."""
     fleets.run_until(run.fleet, run.fleet.now_ms + elapsed_ms)
--- a/packages/lab/src/zinnialead_lab/fuzz/const.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/const.py
@@ -16,6 +16,8 @@
 DRAIN_GRACE_MS = 3_000.0
 # The platform's reports of a leaving upstream come this late.
 REPORT_LAG_MS = 1_500.0
+# The longest that an answer is on its way to its caller.
+ANSWER_MAX_MS = 100.0
 
 # After all faults end, the fleet must be whole again within this.
 HEALED_MS = 15_000.0
--- a/packages/lab/src/zinnialead_lab/fuzz/machine.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/machine.py
@@ -62,6 +62,14 @@
         """Send a key to two entries at once."""
         acts.copy(self.run, pick)
 
+    @stateful.rule(
+        pick=PICK,
+        deadline_ms=st.floats(const.DEADLINE_MIN_MS, const.DEADLINE_MAX_MS),
+    )
+    def ask_again(self, pick: int, deadline_ms: float) -> None:
+        """Ask for work that is over once more."""
+        acts.ask_again(self.run, pick, deadline_ms)
+
     @stateful.rule(elapsed_ms=st.floats(1.0, const.ADVANCE_MAX_MS))
     def advance(self, elapsed_ms: float) -> None:
         """Let time pass."""
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import math
 
 from zinnialead_core import ids
 from zinnialead_core import verdict
@@ -48,15 +49,18 @@
 
 
 def _answers(run: models.Run) -> abc.Iterator[str]:
-    ran = {row.work_id for row in run.fleet.runs}
+    ran = {x.work_id: x.started_ms for x in reversed(run.fleet.runs)}
     for end in run.fleet.ends:
         work_id = end.work.work_id
         if not end.whole:
             yield f'work {work_id} got an answer that is not its own'
-        not_run = end.verdict is verdict.Verdict.NOT_RUN
-        if not end.work.keyed or work_id in run.copied:
+        if end.verdict is not verdict.Verdict.NOT_RUN or not end.work.keyed:
             continue
-        if not_run and work_id in ran:
+        # Another copy may run after one was refused, unless by a bar.
+        until_ms = end.ended_ms - const.ANSWER_MAX_MS
+        if work_id not in run.copied or end.reason == 'key-barred':
+            until_ms = math.inf
+        if ran.get(work_id, math.inf) < until_ms:
             yield f'work {work_id} ran, and was told {end.reason}: not run'
 
 
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -63,3 +63,17 @@
     done = inp.DispatchDone(1, 1, verdict.Answered(200))
     outputs = list(core.tick(world, 9.0, [done]))
     assert outputs == [out.Relay(1, 1), out.Stopped()]
+
+
+def test_a_key_that_was_not_looked_at_may_have_run():
+    world = samples.world()
+    key = samples.issued_key('k')
+    for late in (
+        samples.request(1, service='intake', key=key, deadline_ms=1.0),
+        samples.request(2, service='other', key=key),
+    ):
+        [refusal] = core.tick(world, 2.0, [late])
+        assert refusal.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
+    late = samples.request(3, deadline_ms=1.0)
+    [refusal] = core.tick(world, 2.0, [late])
+    assert refusal.refusal.verdict is verdict.Verdict.NOT_RUN
