--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -19,6 +19,8 @@
 from zinnialead_daemon.components import operators
 from zinnialead_daemon.components import peers
 from zinnialead_daemon.components.peers import diagnostics as peers_part
+from zinnialead_daemon.components import store
+from zinnialead_daemon.components.store import diagnostics as store_part
 from zinnialead_daemon.components import upstreams
 from zinnialead_daemon.components.upstreams import diagnostics as pools_part
 from zinnialead_daemon import const
@@ -45,6 +47,7 @@
     operators: operators.Operators
     on_stop: list[Hook]
     stopped: trio.Event
+    addresses: Addresses | None = None
     linger_s: float = const.STOP_LINGER_S
 
 
@@ -90,7 +93,9 @@
                 hook = await set_up(application, nursery)
                 if hook is not None:
                     application.on_stop.append(hook)
-            task_status.started(await _open_ports(application, nursery))
+            addresses = await _open_ports(application, nursery)
+            application.addresses = addresses
+            task_status.started(addresses)
             await application.stopped.wait()
             with trio.move_on_after(const.STOP_ANSWERS_S):
                 await application.front.idle.wait()
@@ -119,7 +124,6 @@
     log = logs.new_logs(engine)
     engine.handlers['log_change'] = functools.partial(logs.log_change, log)
     engine.handlers['stopped'] = application.stopped.set
-    engine.handlers.setdefault('call_store', lambda _: None)
     nursery.start_soon(engines.run_timers, engine)
     return None
 
@@ -138,6 +142,17 @@
     return functools.partial(peers.unload, made)
 
 
+async def _set_up_store(
+    application: Application, nursery: trio.Nursery
+) -> Hook | None:
+    engine = application.engine
+    made = store.set_up(engine, nursery, application.settings.store_addresses)
+    engine.handlers['call_store'] = functools.partial(store.call, made)
+    edges = application.operators.edges
+    edges['store'] = functools.partial(store_part.dump, made)
+    return functools.partial(store.unload, made)
+
+
 async def _set_up_upstreams(
     application: Application, nursery: trio.Nursery
 ) -> Hook | None:
@@ -190,22 +205,39 @@
     return None
 
 
+def _binding(
+    application: Application, address: str, part: str
+) -> http.Binding:
+    settings = application.settings
+    tls = settings.tls
+    return http.Binding(
+        address,
+        tls.certificate_file if tls else None,
+        tls.key_file if tls else None,
+        settings.bounds.connections_max,
+        functools.partial(_count, application, f'{part}.connections_full'),
+        functools.partial(_count, application, f'{part}.connections_failed'),
+    )
+
+
+def _count(application: Application, name: str) -> None:
+    application.engine.world.counters[name] += 1
+
+
 async def _open_ports(
     application: Application, nursery: trio.Nursery
 ) -> Addresses:
     settings = application.settings
-    tls = settings.tls or settings_models.Tls('', '')
-    certificate = (tls.certificate_file or None, tls.key_file or None)
     operators_port = await nursery.start(
         http.serve,
         operators.asgi_app(application.operators),
-        http.Binding(settings.operators_bind, *certificate),
+        _binding(application, settings.operators_bind, 'operators'),
         trio.sleep_forever,
     )
     callers_port = await nursery.start(
         http.serve,
         fronts.asgi_app(application.front),
-        http.Binding(settings.callers_bind, *certificate),
+        _binding(application, settings.callers_bind, 'front'),
         trio.sleep_forever,
     )
     return Addresses(callers_port, operators_port)
@@ -214,6 +246,7 @@
 # In this order; what they return runs at the end in the reverse order.
 SET_UPS: tuple[SetUp, ...] = (
     _set_up_peers,
+    _set_up_store,
     _set_up_engine,
     _set_up_upstreams,
     _set_up_front,
