--- a/packages/lab/src/zinnialead_lab/fuzz/deployment.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/deployment.py
@@ -10,6 +10,8 @@
 SERVICES = tuple(map(ids.ServiceId, ('payouts', 'pricebook')))
 RANKS = tuple(map(ids.RankId, ('urgent', 'normal', 'night')))
 PAYOUTS = SERVICES[0]
+Drains = dict[str, tickets.Drain]
+Caps = dict[str, tickets.Cap]
 
 
 def state() -> tickets.State:
@@ -30,7 +32,7 @@
     )
 
 
-def drains(picked: frozenset[int]) -> dict[str, tickets.Drain]:
+def drains(picked: frozenset[int]) -> Drains:
     """Return some of the drains that a ticket may hold."""
     payouts = [f'{PAYOUTS}-{domain}-1' for domain in DOMAINS]
     known: list[tickets.Drain] = [
@@ -91,7 +93,7 @@
     return tickets.RankRow(rank, place, 10.0**-place, floor, 1_000.0)
 
 
-def _caps() -> dict[str, tickets.Cap]:
+def _caps() -> Caps:
     kigali, huye = ids.RegionId('kigali'), ids.RegionId('huye')
     return {
         'shift': tickets.ShiftCap(kigali, huye, const.SHIFTS_PER_S),
