--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -56,10 +56,10 @@
         ):
             yield from _compare(world, now_ms, sender, number)
         case messages.StateNumber(number, digest):
-            _check_digest(world, number, digest)
+            yield from _check_digest(world, number, digest)
             yield from pulling.hear(world, now_ms, sender.entry, number)
         case messages.StateAsk(number, digest):
-            _check_digest(world, number, digest)
+            yield from _check_digest(world, number, digest)
             yield from serving.answer(world, now_ms, sender, message)
         case messages.StateData():
             yield from _take_data(world, sender, message)
@@ -88,7 +88,7 @@
     state = message.state
     if state.number <= in_force(world).number:
         world.counters['tickets.older_refused'] += 1
-        _check_digest(world, state.number, parts.digest(state))
+        yield from _check_digest(world, state.number, parts.digest(state))
         return
     for found in pulling.take_part(world, sender, message):
         match found:
@@ -114,7 +114,7 @@
 ) -> abc.Iterator[out.Output]:
     """Put a state in force if its number is higher, and push the number."""
     before = in_force(world)
-    _check_digest(world, state.number, parts.digest(state))
+    yield from _check_digest(world, state.number, parts.digest(state))
     if state.number <= before.number:
         return
     world.states[const.IN_FORCE] = state
@@ -151,12 +151,22 @@
         timers.stop(world.timers, timers.SpreadRound())
 
 
-def _check_digest(world: world_module.World, number: int, digest: str) -> None:
-    """Count a state of the same number that another ticket made."""
+def _check_digest(
+    world: world_module.World, number: int, digest: str
+) -> abc.Iterator[out.Output]:
+    """Count a state of the same number that another ticket made.
+
+    Only the first is logged, since peers repeat it.
+    """
     state = in_force(world)
     known = parts.digest(state)
-    if number == state.number and digest and known and digest != known:
-        world.counters['tickets.conflicts'] += 1
+    if number != state.number or not digest or not known or digest == known:
+        return
+    world.counters['tickets.conflicts'] += 1
+    if world.counters['tickets.conflicts'] == 1:
+        yield out.LogChange(
+            'tickets', f'conflict over {number}', known, digest
+        )
 
 
 def _number(state: models.State) -> messages.StateNumber:
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -136,6 +136,9 @@
     assert neighbours == [LEAVING] * 3
     member_bag.run_until(bag, bag.now_ms + 20_000.0)
     assert member_bag.views(bag, 'a0') == {LEAVING}
+    kill(bag, 'a0')
+    member_bag.run_until(bag, bag.now_ms + 10_000.0)
+    assert member_bag.views(bag, 'a0') == {DEAD}
 
 
 def test_a_listed_leave_is_contradicted_by_one_who_stays():
--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -116,7 +116,8 @@
     list(core.tick(world, 0.0, [inp.StateRead(numbered(5))]))
     hear(world, tickets.StateData(numbered(4)))
     assert world.counters['tickets.older_refused'] == 1
-    hear(world, tickets.StateData(numbered(5, digest='other')))
+    told = hear(world, tickets.StateData(numbered(5, digest='other')))
+    assert out.LogChange('tickets', 'conflict over 5', 'd5', 'other') in told
     list(core.tick(world, 0.0, [inp.StateRead(numbered(5, digest='x'))]))
     assert world.counters['tickets.conflicts'] == 2
     assert parts.digest(world.states[const.IN_FORCE]) == 'd5'
