--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -181,3 +181,16 @@
         if isinstance(output.message, messages.Probe)
     ][:1]
     assert len(probe.message.news) <= const.NEWS_MAX
+
+
+def test_a_domain_that_was_cut_off_rejoins_without_a_burst():
+    bag = settled({'a': 6, 'b': 6, 'c': 6})
+    bag.cut = {entry for entry in bag.worlds if entry.startswith('a')}
+    member_bag.run_until(bag, bag.now_ms + 120_000.0)
+    bag.cut = set()
+    while not member_bag.all_alive(bag):
+        bag.sent.clear()
+        member_bag.run_until(bag, bag.now_ms + 1_000.0)
+        # Ten pushes to four peers, the probes and their answers.
+        assert sum(bag.sent.values()) <= 18 * (10 * 4 + 10)
+    assert bag.now_ms < 200_000.0
--- a/tests/core/components/store/test_policy.py
+++ b/tests/core/components/store/test_policy.py
@@ -3,6 +3,7 @@
 import collections
 
 from core.components.members import member_bag
+from core import samples
 import zinnialead_core as core
 from zinnialead_core.components import store
 from zinnialead_core.components.store import const
@@ -143,3 +144,27 @@
     written = sum(row.call == write for row in world.store.open.values())
     assert written <= const.BURST_CALLS + 10 * share
     assert world.counters['store.over_budget'] > 0
+
+
+def test_all_restart_together_while_the_store_is_slow():
+    bag = member_bag.new_bag({'a': 20, 'b': 20})
+    state = samples.state(number=9)
+    waiting, calls = [], 0
+    while bag.now_ms < 10_000.0:
+        member_bag.run_until(bag, bag.now_ms + 100.0)
+        waiting, bag.calls, calls = (
+            waiting + bag.calls,
+            [],
+            calls + len(bag.calls),
+        )
+        due = [x for x in waiting if bag.now_ms - x[0] >= 2_000.0]
+        waiting = [x for x in waiting if x not in due]
+        for _, entry, output in due:
+            result = works(output.call)
+            if result is not None:
+                done = inp.StoreDone(output.call_id, result)
+                read = [inp.StateRead(state)] if 'state' in str(result) else []
+                member_bag.feed(bag, entry, *read, done)
+    numbers = {w.states['in-force'].number for w in bag.worlds.values()}
+    assert numbers == {9}
+    assert calls <= 2 * 40
