Bound what strangers cost the peers' port

Cause: a connection without a signed frame could hold a megabyte for 90 s, 2,048 times; a value that the schema can't hold ended the process. Change: strangers are few, short-lived and small; such a message is dropped and counted; the keepalive message, never sent, is gone. Conclusion: strangers cost 8 MiB at most.

--- a/packages/daemon/src/zinnialead_daemon/components/peers/accepting.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/accepting.py
@@ -18,73 +18,82 @@
 
 async def serve(peers: models.Peers, stream: trio.SocketStream) -> None:
     """Take in one peer's frames until its connection ends."""
-    counters = peers.engine.world.counters
-    if peers.accepted >= const.ACCEPTED_MAX:
-        counters['peers.accept_refused'] += 1
-        await stream.aclose()
+    full = peers.accepted >= const.ACCEPTED_MAX
+    if full or peers.strangers >= const.STRANGERS_MAX:
+        peers.engine.world.counters['peers.accept_refused'] += 1
+        await trio.aclose_forcefully(stream)
         return
+    accepted = models.Accepted(stream, trio.Event(), bytearray())
     peers.accepted += 1
-    received = [trio.Event()]
+    peers.strangers += 1
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_confirm, stream, received)
-            await _read(peers, stream, received)
+            nursery.start_soon(_confirm, accepted)
+            await _read(peers, accepted)
             nursery.cancel_scope.cancel()
     finally:
         peers.accepted -= 1
+        peers.strangers -= accepted.stranger
         await trio.aclose_forcefully(stream)
 
 
-async def _read(
-    peers: models.Peers,
-    stream: trio.SocketStream,
-    received: list[trio.Event],
-) -> None:
-    buffer = bytearray()
-    bad = 0
-    while bad <= const.BAD_FRAMES_MAX:
-        chunk = await _chunk(stream)
+async def _read(peers: models.Peers, accepted: models.Accepted) -> None:
+    give_up_s = trio.current_time() + const.STRANGER_S
+    while accepted.bad_frames <= const.BAD_FRAMES_MAX:
+        if not accepted.stranger:
+            give_up_s = trio.current_time() + const.IDLE_ACCEPTED_S
+        chunk = await _chunk(accepted.stream, give_up_s)
         if not chunk:
             return
-        received[0].set()
-        buffer += chunk
-        if _oversized(buffer):
+        accepted.received.set()
+        accepted.buffer += chunk
+        if _oversized(accepted):
             peers.engine.world.counters['peers.frames_oversized'] += 1
             return
-        found = [_open(peers, frame) for frame in _cut(buffer)]
-        bad += found.count(None)
-        items = [x for x in map(_item, filter(None, found)) if x]
-        if items:
-            engines.feed(peers.engine, *items)
+        _take_in(peers, accepted)
+
 
+def _take_in(peers: models.Peers, accepted: models.Accepted) -> None:
+    """Feed the whole frames of a buffer to the core in one tick."""
+    found = [_open(peers, frame) for frame in _cut(accepted.buffer)]
+    good = [envelope for envelope in found if envelope is not None]
+    accepted.bad_frames += len(found) - len(good)
+    if good and accepted.stranger:
+        accepted.stranger = False
+        peers.strangers -= 1
+    if good:
+        items = (inp.PeerMessage(x.sender, x.message) for x in good)
+        engines.feed(peers.engine, *items)
 
-async def _chunk(stream: trio.SocketStream) -> bytes:
+
+async def _chunk(stream: trio.SocketStream, give_up_s: float) -> bytes:
     try:
-        with trio.move_on_after(const.IDLE_ACCEPTED_S):
+        with trio.move_on_at(give_up_s):
             return bytes(await stream.receive_some(const.READ_BYTES))
     except trio.BrokenResourceError:
         pass
     return b''
 
 
-async def _confirm(
-    stream: trio.SocketStream, received: list[trio.Event]
-) -> None:
+async def _confirm(accepted: models.Accepted) -> None:
     """Confirm what was read, at most once in a period."""
     while True:
-        await received[0].wait()
-        received[0] = trio.Event()
+        await accepted.received.wait()
+        accepted.received = trio.Event()
         try:
-            await stream.send_all(CONFIRMATION)
+            await accepted.stream.send_all(CONFIRMATION)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         await trio.sleep(const.CONFIRM_PERIOD_S)
 
 
-def _oversized(buffer: bytearray) -> bool:
-    if len(buffer) < const.LENGTH_BYTES:
+def _oversized(accepted: models.Accepted) -> bool:
+    """Say whether the first frame of a buffer is above the bound."""
+    if len(accepted.buffer) < const.LENGTH_BYTES:
         return False
-    prefix = bytes(buffer[: const.LENGTH_BYTES])
+    prefix = bytes(accepted.buffer[: const.LENGTH_BYTES])
+    if accepted.stranger:
+        return frames.length(prefix) > const.STRANGER_MAX_BYTES
     return frames.length(prefix) > const.FRAME_MAX_BYTES
 
 
@@ -124,14 +133,6 @@
             return 'peers.frames_replayed'
 
 
-def _item(envelope: codec.Envelope) -> inp.PeerMessage | None:
-    match envelope.message:
-        case codec.Keepalive():
-            return None
-        case message:
-            return inp.PeerMessage(envelope.sender, message)
-
-
 def handler(
     peers: models.Peers,
 ) -> abc.Callable[[trio.SocketStream], abc.Awaitable[None]]:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
@@ -3,7 +3,6 @@
 from zinnialead_daemon.components.peers.codec.envelope import decode_body
 from zinnialead_daemon.components.peers.codec.envelope import encode_body
 from zinnialead_daemon.components.peers.codec.envelope import Envelope
-from zinnialead_daemon.components.peers.codec.envelope import Keepalive
 from zinnialead_daemon.components.peers.codec.errors import Foreign
 from zinnialead_daemon.components.peers.codec.errors import FrameError
 from zinnialead_daemon.components.peers.codec.errors import Malformed
@@ -19,7 +18,6 @@
     'Envelope',
     'Foreign',
     'FrameError',
-    'Keepalive',
     'Keyring',
     'Malformed',
     'Replayed',
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -1,6 +1,5 @@
 """Encode one message with its sender as the body of a frame."""
 
-import dataclasses
 import typing
 
 import capnp
@@ -23,18 +22,13 @@
 from zinnialead_daemon.components.peers.codec import tickets
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Keepalive:
-    """Show that a link works; it never reaches the core."""
-
-
 class Envelope(typing.NamedTuple):
     """Hold a message, who sent it and when."""
 
     sender: ids.EntryRef
     sequence: int
     sent_ms: float
-    message: messages.Message | Keepalive
+    message: messages.Message
 
 
 class Coded(typing.NamedTuple):
@@ -80,11 +74,9 @@
 
 
 def _fields(
-    message: messages.Message | Keepalive,
+    message: messages.Message,
 ) -> Coded:
     match message:
-        case Keepalive():
-            return Coded('keepalive', None)
         case key_messages.BarKey():
             return Coded('barKey', keys.ask(message))
         case key_messages.ClaimAnswer():
@@ -149,10 +141,8 @@
             return Coded('stateNumber', tickets.state_number(message))
 
 
-def _read(kind: str, reader: schema.Reader) -> messages.Message | Keepalive:
+def _read(kind: str, reader: schema.Reader) -> messages.Message:
     match kind:
-        case 'keepalive':
-            return Keepalive()
         case 'barKey':
             return keys.read_bar_key(reader.barKey)
         case 'claimAnswer':
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -207,7 +207,7 @@
   sequence @1 :UInt64;
   sentMs @2 :Float64;
   union {
-    keepalive @3 :Void;
+    empty @3 :Void;  # what zeroes decode to; never sent
     barKey @4 :ClaimAsk;
     claimAnswer @5 :ClaimAnswer;
     claimAsk @6 :ClaimAsk;
--- a/packages/daemon/src/zinnialead_daemon/components/peers/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/const.py
@@ -4,7 +4,7 @@
 FRAME_VERSION = 1
 LENGTH_BYTES = 4
 MAC_BYTES = 16
-FRAME_MAX_BYTES = 1_048_576
+FRAME_MAX_BYTES = 262_144
 KEY_BYTES = 32
 
 # Frames sent longer ago are dropped; covers clocks 2 s apart.
@@ -28,6 +28,10 @@
 BATCH_MAX = 64
 LINKS_MAX = 2_048
 ACCEPTED_MAX = 2_048
+# Bounds on connections that have not sent a signed frame yet.
+STRANGERS_MAX = 256
+STRANGER_S = 5.0
+STRANGER_MAX_BYTES = 32_768
 BAD_FRAMES_MAX = 16
 READ_BYTES = 65_536
 UNLOAD_S = 0.5
--- a/packages/daemon/src/zinnialead_daemon/components/peers/links.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/links.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+import capnp
 import trio
 
 from zinnialead_core import messages
@@ -140,21 +141,31 @@
     """Take a batch out of the outbox and yield its frames."""
     _drop_old(peers, link)
     for _ in range(min(len(link.outbox), const.BATCH_MAX)):
-        row = link.outbox.popleft()
-        link.sequence += 1
-        envelope = codec.Envelope(
-            peers.engine.world.node.ref,
-            link.sequence,
-            peers.engine.now_ms(),
-            typing.cast('messages.Message', row.message),
-        )
-        frame = codec.encode(peers.keyring, link.entry, envelope)
+        frame = _frame(peers, link, link.outbox.popleft())
         if len(frame) <= const.FRAME_MAX_BYTES:
             yield frame
             continue
         peers.engine.world.counters['peers.too_large'] += 1
 
 
+def _frame(
+    peers: models.Peers, link: models.Link, row: models.OutboxRow
+) -> bytes:
+    """Return one message's frame, empty if the schema can't hold it."""
+    link.sequence += 1
+    envelope = codec.Envelope(
+        peers.engine.world.node.ref,
+        link.sequence,
+        peers.engine.now_ms(),
+        typing.cast('messages.Message', row.message),
+    )
+    try:
+        return codec.encode(peers.keyring, link.entry, envelope)
+    except (capnp.KjException, OverflowError, TypeError, ValueError):
+        peers.engine.world.counters['peers.unencodable'] += 1
+        return b''
+
+
 def _note_drained(peers: models.Peers) -> None:
     if peers.drained is None:
         return
--- a/packages/daemon/src/zinnialead_daemon/components/peers/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -35,10 +35,22 @@
     outstanding_s: float | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class Accepted:
+    """Hold one accepted connection; ``received`` wakes its confirmations."""
+
+    stream: trio.SocketStream
+    received: trio.Event
+    buffer: bytearray
+    stranger: bool = True
+    bad_frames: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Peers:
     """Hold the links by peer, and how many connections are accepted.
 
+    ``strangers`` are those of them without a signed frame so far;
     ``drained`` is there while a stop waits for empty outboxes.
     """
 
@@ -48,4 +60,5 @@
     links: dict[ids.EntryId, Link]
     address: str = ''
     accepted: int = 0
+    strangers: int = 0
     drained: trio.Event | None = None
--- a/tests/daemon/components/peers/test_transport.py
+++ b/tests/daemon/components/peers/test_transport.py
@@ -92,3 +92,33 @@
     peers.send(one, out.SendPeer('e9', members.ProbeFor(1, 'e3')))
     assert counters['peers.unknown_recipient'] == 1
     nursery.cancel_scope.cancel()
+
+
+async def test_a_message_that_no_field_holds_is_dropped_and_counted(
+    nursery, mock_clock
+):
+    one = await peer_samples.entry(nursery, 'e1')
+    two = await peer_samples.entry(nursery, 'e2')
+    peer_samples.introduce(one, two)
+    peers.send(one, out.SendPeer('e2', members.ProbeFor(-1, 'e3')))
+    counters = one.engine.world.counters
+    await peer_samples.until(lambda: counters['peers.unencodable'] == 1)
+    await peer_samples.until(lambda: one.links['e2'].connected)
+    nursery.cancel_scope.cancel()
+
+
+async def test_strangers_are_few_and_leave_soon(nursery, mock_clock):
+    one = await peer_samples.entry(nursery, 'e1')
+    host, port = addresses.parse(one.address)
+    streams = [
+        await trio.open_tcp_stream(host, port)
+        for _ in range(const.STRANGERS_MAX + 3)
+    ]
+    counters = one.engine.world.counters
+    await peer_samples.until(lambda: counters['peers.accept_refused'] == 3)
+    assert one.strangers == const.STRANGERS_MAX
+    await peer_samples.until(lambda: one.strangers == 0)
+    assert one.accepted == 0
+    for stream in streams:
+        await stream.aclose()
+    nursery.cancel_scope.cancel()
