Probe new entries in an order of one's own

Cause: entries that were given the same list probed its entries in the same order, all of them the same one in the same second. Change: a new entry is put in the order at random.

--- a/packages/core/src/zinnialead_core/components/members/beliefs.py
+++ b/packages/core/src/zinnialead_core/components/members/beliefs.py
@@ -179,11 +179,13 @@
 
 
 def _enlist(world: world_module.World, row: models.MemberRow) -> None:
-    """Put a new entry in the order of probes, one never heard first."""
+    """Put a new entry in the order of probes, at random.
+
+    Entries that are given the same list must not probe in the same order.
+    """
     near = row.domain == world.node.domain
     order = world.probes.order if near else world.probes.foreign_order
-    place = world.random.randint(0, len(order))
-    order.insert(place if row.incarnation else len(order), row.entry)
+    order.insert(world.random.randint(0, len(order)), row.entry)
 
 
 def _watch_suspicion(
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -194,3 +194,13 @@
         # Ten pushes to four peers, the probes and their answers.
         assert sum(bag.sent.values()) <= 18 * (10 * 4 + 10)
     assert bag.now_ms < 200_000.0
+
+
+def test_entries_given_one_list_do_not_probe_one_entry_together():
+    bag = member_bag.new_bag({'a': 4, 'b': 40})
+    orders = {
+        tuple(world.probes.foreign_order[-3:])
+        for entry, world in bag.worlds.items()
+        if entry[0] == 'a'
+    }
+    assert len(orders) == 4
