Seed each entry's generator by its name too

Cause: entries started in the same millisecond drew the same numbers, so their jitter was none. Change: the seed adds a checksum of the entry's name. Measured: the daemon's tests pass. Conclusion: jitter differs between entries.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import typing
+import zlib
 
 import trio
 
@@ -65,7 +66,9 @@
         settings.peers_address or settings.peers_bind,
         settings.callers_address or settings.callers_bind,
     )
-    return core.new_world(node, seed=incarnation)
+    # Entries that start in the same millisecond must not draw alike.
+    own = zlib.crc32(settings.entry.encode())
+    return core.new_world(node, seed=incarnation + own)
 
 
 def new_application(
