--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -136,6 +136,9 @@
     assert neighbours == [LEAVING] * 3
     member_bag.run_until(bag, bag.now_ms + 20_000.0)
     assert member_bag.views(bag, 'a0') == {LEAVING}
+    kill(bag, 'a0')
+    member_bag.run_until(bag, bag.now_ms + 10_000.0)
+    assert member_bag.views(bag, 'a0') == {DEAD}
 
 
 def test_a_listed_leave_is_contradicted_by_one_who_stays():
@@ -178,3 +181,26 @@
         if isinstance(output.message, messages.Probe)
     ][:1]
     assert len(probe.message.news) <= const.NEWS_MAX
+
+
+def test_a_domain_that_was_cut_off_rejoins_without_a_burst():
+    bag = settled({'a': 6, 'b': 6, 'c': 6})
+    bag.cut = {entry for entry in bag.worlds if entry.startswith('a')}
+    member_bag.run_until(bag, bag.now_ms + 120_000.0)
+    bag.cut = set()
+    while not member_bag.all_alive(bag):
+        bag.sent.clear()
+        member_bag.run_until(bag, bag.now_ms + 1_000.0)
+        # Ten pushes to four peers, the probes and their answers.
+        assert sum(bag.sent.values()) <= 18 * (10 * 4 + 10)
+    assert bag.now_ms < 200_000.0
+
+
+def test_entries_given_one_list_do_not_probe_one_entry_together():
+    bag = member_bag.new_bag({'a': 4, 'b': 40})
+    orders = {
+        tuple(world.probes.foreign_order[-3:])
+        for entry, world in bag.worlds.items()
+        if entry[0] == 'a'
+    }
+    assert len(orders) == 4
