--- a/packages/lab/src/zinnialead_lab/capacity/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/capacity/coordinator.py
@@ -8,6 +8,7 @@
 from zinnialead_lab.capacity import fit
 from zinnialead_lab.capacity import models
 from zinnialead_lab.capacity import nodes
+from zinnialead_lab.capacity import requests
 from zinnialead_lab.capacity import sites
 
 BUDGETS = {
@@ -35,11 +36,12 @@
 
 
 def findings(seed: int, short: bool) -> abc.Iterator[models.Finding]:
-    """Yield what the events of the bad day cost."""
+    """Yield what a request and the events of the bad day cost."""
     if short:
         count, outage_ms = const.BAD_DAY_SHORT_NODES, const.SHORT_OUTAGE_MS
     else:
         count, outage_ms = const.BAD_DAY_NODES, const.OUTAGE_MS
+    yield from requests.measure(seed)
     yield from bad_day.measure(count, outage_ms, seed)
 
 
--- a/packages/lab/src/zinnialead_lab/capacity/nodes.py
+++ b/packages/lab/src/zinnialead_lab/capacity/nodes.py
@@ -37,6 +37,7 @@
     'SlotReturn': 'admission and dispatch',
 }
 
+REQUEST_INPUTS = frozenset({'RequestArrived', 'DispatchDone'})
 # Timers start the rounds of probes and of load reports alike.
 OTHER = 'rounds by timer'
 
--- a/packages/lab/src/zinnialead_lab/capacity/states.py
+++ b/packages/lab/src/zinnialead_lab/capacity/states.py
@@ -89,7 +89,7 @@
     envelope = codec.Envelope(sender, 1, 0.0, message)
     started_s = time.process_time()
     frame = codec.encode(keyring, recipient, envelope)
-    codec.decode_body(codec.encode_body(envelope))
+    codec.decode_body(frame[const.FRAME_HEAD_BYTES :])
     spent_s = time.process_time() - started_s
     tick_s[f'{type(message).__name__} codec'] += spent_s
     entry_s[sender.entry] += spent_s
