Bind keys that callers chose to issued ones in the store

Cause: a free key names no registrar; it was refused.

Conflicts are read again, lost answers read back; with the store down an unbound key is refused as may-have-run. The calls carry rows; the daemon and the fleet encode them.

--- a/packages/core/src/zinnialead_core/components/keys/__init__.py
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -8,6 +8,7 @@
 from zinnialead_core.components.keys.messages import ClaimEndAck
 from zinnialead_core.components.keys.models import Answer
 from zinnialead_core.components.keys.models import Barred
+from zinnialead_core.components.keys.models import BindingTable
 from zinnialead_core.components.keys.models import Claimed
 from zinnialead_core.components.keys.models import ClaimRow
 from zinnialead_core.components.keys.models import ClaimTable
@@ -19,6 +20,7 @@
 from zinnialead_core.components.keys.models import Granted
 from zinnialead_core.components.keys.models import KeyEnd
 from zinnialead_core.components.keys.models import KeyState
+from zinnialead_core.components.keys.models import new_bindings
 from zinnialead_core.components.keys.models import new_claims
 from zinnialead_core.components.keys.models import new_registrations
 from zinnialead_core.components.keys.models import NotRegistrar
@@ -32,6 +34,7 @@
     'Answer',
     'BarKey',
     'Barred',
+    'BindingTable',
     'ClaimAnswer',
     'ClaimAsk',
     'ClaimEnd',
@@ -53,6 +56,7 @@
     'RegistrationTable',
     'Undecided',
     'Waiting',
+    'new_bindings',
     'new_claims',
     'new_registrations',
     'prefix',
--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from zinnialead_core.components.keys import binding
 from zinnialead_core.components.keys import claims
 from zinnialead_core.components.keys import ends
 from zinnialead_core.components.keys import issued
@@ -13,15 +14,8 @@
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
-from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
-NOT_BOUND = models.denied(
-    verdict.Verdict.MAY_HAVE_RUN,
-    verdict.Reason.KEY_UNDECIDED,
-    'the key is not bound to registrars',
-)
-
 
 def run(
     world: world_module.World,
@@ -30,8 +24,8 @@
 ) -> abc.Iterator[out.Output]:
     """Make claims for requests here and answer claims of others.
 
-    Reads ``members``; writes ``claims``, ``registrations`` and
-    ``timers``.
+    Reads ``members``; writes ``claims``, ``registrations``,
+    ``bindings``, ``store`` and ``timers``.
     """
     for item in inputs:
         match item:
@@ -50,6 +44,8 @@
             case inp.MemberJoined(ref):
                 older = ref._replace(incarnation=ref.incarnation - 1)
                 yield from _on_lost(world, now_ms, older)
+            case inp.StoreDone(call_id, result):
+                yield from binding.on_done(world, now_ms, call_id, result)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
 
@@ -63,7 +59,7 @@
     if issued.is_issued(item.key):
         yield from claims.begin(world, now_ms, claim)
         return
-    yield out.Notify(inp.ClaimDenied(item.request_id, NOT_BOUND))
+    yield from binding.want(world, now_ms, claim)
 
 
 def _on_message(
@@ -98,5 +94,7 @@
             yield from ends.on_timeout(world, now_ms, request_id)
         case timers.ClaimTimeout(request_id, step):
             yield from claims.on_timeout(world, now_ms, request_id, step)
+        case timers.BindDue(shard):
+            yield from binding.on_due(world, now_ms, shard)
         case timers.KeysExpiry():
             records.expire(world, now_ms)
--- a/packages/core/src/zinnialead_core/components/keys/models.py
+++ b/packages/core/src/zinnialead_core/components/keys/models.py
@@ -108,6 +108,25 @@
 ClaimTable = dict[ids.RequestId, ClaimRow]
 
 
+class ShardRow(typing.NamedTuple):
+    """Hold what is known of one shard of the bindings of free keys.
+
+    A binding never changes before it expires, so an old copy of ``rows``
+    can lack bindings but not be wrong. ``known`` says whether ``version``
+    was read; ``waiting`` names the requests that wait for a binding.
+    """
+
+    rows: dict[ids.Key, ids.Key]
+    known: bool
+    version: int | None
+    call_id: int | None
+    call_ends_ms: float
+    waiting: tuple[ids.RequestId, ...]
+
+
+BindingTable = dict[int, ShardRow]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
     """Grant a claim."""
@@ -152,6 +171,11 @@
     return {}
 
 
+def new_bindings() -> BindingTable:
+    """Return a table that knows no shard."""
+    return {}
+
+
 def new_registrations() -> RegistrationTable:
     """Return a table without registrations."""
     return RegistrationTable({}, {}, collections.deque(), [0], {}, {})
--- a/packages/core/src/zinnialead_core/components/lookups/choices.py
+++ b/packages/core/src/zinnialead_core/components/lookups/choices.py
@@ -121,7 +121,7 @@
         row.domain,
         row.callers_address or row.address,
         home,
-        _witness(world, home, domain, turn),
+        witness(world, home, domain, turn),
     )
 
 
@@ -130,12 +130,13 @@
     return bool(row.callers_address) or not world.node.callers_address
 
 
-def _witness(
+def witness(
     world: world_module.World,
     home: ids.EntryRef,
     domain: ids.DomainId,
     turn: int,
 ) -> ids.EntryRef | None:
+    """Return the run of an entry that may be the witness beside a home."""
     for group in orders.witnesses(world, domain).groups:
         for row in _usable(world, group, turn):
             ref = _run_of(world, row)
--- a/packages/core/src/zinnialead_core/components/store/calls.py
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -1,6 +1,9 @@
 """Define the calls to the platform's store and their results."""
 
 import dataclasses
+import typing
+
+from zinnialead_core import ids
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +45,30 @@
     name: str = 'vms'
 
 
-Call = Read | Watch | Create | Update | ListVms
+class BindingRow(typing.NamedTuple):
+    """Bind a key that a caller chose to an issued one."""
+
+    key: ids.Key
+    issued: ids.Key
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadBindings:
+    """Read one shard of the bindings of keys."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteBindings:
+    """Write a shard that must be at ``version``, or absent for None."""
+
+    name: str
+    rows: tuple[BindingRow, ...]
+    version: int | None
+
+
+Call = Read | Watch | Create | Update | ListVms | ReadBindings | WriteBindings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +80,15 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundBindings:
+    """Report a shard of the bindings as read or written."""
+
+    name: str
+    rows: tuple[BindingRow, ...]
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Missing:
     """Report that the object does not exist."""
@@ -106,5 +141,13 @@
 
 
 Result = (
-    Found | Missing | Unchanged | Listed | Conflict | TooOld | Refused | Failed
+    Found
+    | FoundBindings
+    | Missing
+    | Unchanged
+    | Listed
+    | Conflict
+    | TooOld
+    | Refused
+    | Failed
 )
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -46,9 +46,14 @@
 
 def _budget(call: calls.Call) -> models.Budget:
     match call:
-        case calls.Create() | calls.Update():
+        case calls.Create() | calls.Update() | calls.WriteBindings():
             return models.Budget.WRITES
-        case calls.Read() | calls.Watch() | calls.ListVms():
+        case (
+            calls.Read()
+            | calls.Watch()
+            | calls.ListVms()
+            | calls.ReadBindings()
+        ):
             return models.Budget.READS
 
 
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -35,6 +35,13 @@
     """Fire when records of keys may be dropped."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BindDue:
+    """Fire when a shard of the keys' bindings may be asked for."""
+
+    shard: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskTimeout:
     """Fire when a slot owner has not answered."""
@@ -108,6 +115,7 @@
     | RetryDue
     | ClaimTimeout
     | KeysExpiry
+    | BindDue
     | AskTimeout
     | QueueExpiry
     | SlotsDue
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -40,6 +40,7 @@
     asks: slots.AskTable
     queues: slots.QueueTable
     claims: keys.ClaimTable
+    bindings: keys.BindingTable
     registrations: keys.RegistrationTable
     lookups: lookups.LookUpTable
     loads: steering.LoadTable
@@ -63,6 +64,7 @@
         asks=slots.new_asks(),
         queues=slots.new_queues(),
         claims=keys.new_claims(),
+        bindings=keys.new_bindings(),
         registrations=keys.new_registrations(),
         lookups=lookups.new_table(),
         loads=steering.new_loads(),
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -19,21 +19,18 @@
     """
     path = const.OBJECTS_PATH + call.name
     match call:
-        case store.Read():
+        case store.Read() | store.ReadBindings():
             return models.Question('GET', path)
         case store.Watch(_, version):
             wait_s = max(0, int(left_s - const.WATCH_MARGIN_S))
             query = f'resourceVersion={version}&timeoutSeconds={wait_s}'
             return models.Question('GET', f'{path}?watch=true&{query}')
         case store.Create(_, value):
-            body = {'spec': msgspec.Raw(value)}
-            return models.Question('POST', path, msgspec.json.encode(body))
+            return _written(path, value, None)
         case store.Update(_, value, version):
-            update = {
-                'metadata': {'resourceVersion': str(version)},
-                'spec': msgspec.Raw(value),
-            }
-            return models.Question('PUT', path, msgspec.json.encode(update))
+            return _written(path, value, version)
+        case store.WriteBindings(_, rows, known):
+            return _written(path, msgspec.json.encode(rows), known)
         case store.ListVms():
             return models.Question('GET', const.VMS_PATH)
 
@@ -44,9 +41,15 @@
         case ((429 | 503), _):
             wait_ms = answer.retry_after_s * const.MS_PER_S
             return store.Refused(call.name, wait_ms)
-        case 404, (store.Read() | store.Watch() | store.Update()):
+        case 404, (
+            store.Read()
+            | store.Watch()
+            | store.Update()
+            | store.ReadBindings()
+            | store.WriteBindings()
+        ):
             return store.Missing(call.name)
-        case 409, (store.Create() | store.Update()):
+        case 409, (store.Create() | store.Update() | store.WriteBindings()):
             return store.Conflict(call.name)
         case 410, store.Watch():
             return store.TooOld(call.name)
@@ -57,6 +60,11 @@
         case 200, store.Watch():
             event = msgspec.json.decode(answer.body, type=models.EventDocument)
             return _found(call.name, event.object)
+        case ((200 | 201), (store.ReadBindings() | store.WriteBindings())):
+            document = msgspec.json.decode(
+                answer.body, type=models.ObjectDocument
+            )
+            return _found_bindings(call.name, document)
         case ((200 | 201), _):
             document = msgspec.json.decode(
                 answer.body, type=models.ObjectDocument
@@ -81,3 +89,24 @@
 def _found(name: str, document: models.ObjectDocument) -> store.Result:
     version = int(document.metadata['resourceVersion'])
     return store.Found(name, bytes(document.spec), version)
+
+
+def _found_bindings(
+    name: str, document: models.ObjectDocument
+) -> store.Result:
+    version = int(document.metadata['resourceVersion'])
+    rows = msgspec.json.decode(
+        bytes(document.spec), type=tuple[store.BindingRow, ...]
+    )
+    return store.FoundBindings(name, rows, version)
+
+
+def _written(path: str, value: bytes, version: int | None) -> models.Question:
+    spec = msgspec.Raw(value)
+    if version is None:
+        body = msgspec.json.encode({'spec': spec})
+        return models.Question('POST', path, body)
+    body = msgspec.json.encode(
+        {'metadata': {'resourceVersion': str(version)}, 'spec': spec}
+    )
+    return models.Question('PUT', path, body)
--- a/packages/lab/src/zinnialead_lab/fleet/store.py
+++ b/packages/lab/src/zinnialead_lab/fleet/store.py
@@ -1,5 +1,7 @@
 """Play the platform's store: versions, conditions, watches, outages."""
 
+import msgspec
+
 from zinnialead_core.components import store
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
@@ -52,6 +54,11 @@
             result = _result(fleet, name)
         case store.ListVms():
             result = store.Listed()
+        case store.ReadBindings(name):
+            result = _bindings(_result(fleet, name))
+        case store.WriteBindings(name, rows, version):
+            value = msgspec.json.encode(rows)
+            result = _bindings(_write(fleet, name, value, version))
     lost = fleet.store.lost_answer_share
     if lost and fleet.random.random() < lost:
         return
@@ -77,6 +84,17 @@
     return store.Found(name, found.value, found.version)
 
 
+def _bindings(result: store.Result) -> store.Result:
+    match result:
+        case store.Found(name, value, version):
+            rows = msgspec.json.decode(
+                value, type=tuple[store.BindingRow, ...]
+            )
+            return store.FoundBindings(name, rows, version)
+        case _:
+            return result
+
+
 def _write(
     fleet: models.Fleet, name: str, value: bytes, version: int | None
 ) -> store.Result:
--- a/packages/lab/src/zinnialead_lab/fuzz/acts.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/acts.py
@@ -46,6 +46,7 @@
         demand_ms=demand_ms,
         deadline_ms=fleet.now_ms + deadline_ms,
         keyed=service == deployment.PAYOUTS,
+        free_key=pick // 24 % 3 == 0,
     )
     fleets.add_work(fleet, [row])
     return work_id
