--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -126,10 +126,17 @@
         tried=row.tried,
         home_region=request.home_region,
         body_bytes=request.body_bytes,
+        homeless=_is_homeless(world, row),
     )
     yield out.SendPeer(row.owner, message)
 
 
+def _is_homeless(world: world_module.World, row: models.AskRow) -> bool:
+    if row.domain == world.node.domain or row.refusal is None:
+        return False
+    return row.refusal.reason is verdict.Reason.NO_UPSTREAM
+
+
 def _granted(
     world: world_module.World,
     now_ms: float,
@@ -148,8 +155,11 @@
         return
     if row.owner != sender.entry:
         yield out.SendPeer(row.owner, messages.SlotReturn(ask_id, None))
+    known = world.states['in-force'].upstreams.get(upstream)
+    # A grant of another domain, asked before, may come while home is asked.
+    domain = known.domain if known else row.domain
     world.asks[ask_id] = row._replace(
-        owner=sender.entry, upstream=upstream, misses=0
+        owner=sender.entry, domain=domain, upstream=upstream, misses=0
     )
     due_ms = now_ms + const.HELD_PERIOD_MS
     timers.start(world.timers, timers.AskTimeout(ask_id), due_ms)
@@ -170,6 +180,7 @@
         yield from pass_over(world, now_ms, row, first)
         return
     if request is not None and message.redirect is not None:
+        row = row._replace(refusal=first)
         yield from _ask_elsewhere(
             world, now_ms, request, row, message.redirect
         )
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -122,6 +122,7 @@
   tried @7 :List(Text);
   homeRegion @8 :Text;
   bodyBytes @9 :UInt64;
+  homeless @10 :Bool;
 }
 
 struct SlotAnswer {
@@ -207,7 +208,7 @@
   sequence @1 :UInt64;
   sentMs @2 :Float64;
   union {
-    keepalive @3 :Void;
+    empty @3 :Void;  # what zeroes decode to; never sent
     barKey @4 :ClaimAsk;
     claimAnswer @5 :ClaimAnswer;
     claimAsk @6 :ClaimAsk;
