Hear out started work that must run at most once

Cause: keyed work whose caller left or whose deadline passed was cut off, so its key could only be answered may-have-run. Measured: a booking abandoned in flight and asked for again: may-have-run before, its recorded answer after (tests/daemon/front). Conclusion: fewer answers are may-have-run, and none is less true.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -161,7 +161,9 @@
     handlers['dispatch'] = lambda output: nursery.start_soon(
         upstreams.attempt, pools, output
     )
-    handlers['cancel'] = functools.partial(upstreams.cancel, pools)
+    handlers['cancel'] = lambda output: nursery.start_soon(
+        upstreams.cancel, pools, output
+    )
     nursery.start_soon(upstreams.run_polls, pools)
     return functools.partial(upstreams.close, pools)
 
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
@@ -24,6 +24,7 @@
     attempt: models.Attempt,
     exchange: front_models.Exchange,
     left_ms: float,
+    patience_ms: float,
 ) -> httpcore.Request:
     """Return the request that one attempt sends."""
     dispatch = attempt.dispatch
@@ -37,7 +38,7 @@
         url(dispatch.address, exchange.head.target),
         headers=[*headers, *_framing(exchange)],
         content=_content(exchange),
-        extensions=extensions(left_ms),
+        extensions=extensions(patience_ms),
     )
     built.headers.insert(0, (b'Host', dispatch.address.encode()))
     built.extensions['trace'] = functools.partial(_trace, attempt)
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -14,6 +14,7 @@
 from zinnialead_daemon.components.upstreams import models
 from zinnialead_daemon.components.upstreams import results
 
+OK = 200
 FAILURES = (
     calls.BodyCutError,
     httpcore.NetworkError,
@@ -36,7 +37,7 @@
     ref = pools.engine.world.node.ref
     parts = (*ref, dispatch.request_id, dispatch.attempt)
     name = '.'.join(map(str, parts)).encode()
-    left_s = (dispatch.deadline_ms - started_ms) / const.MS_PER_S
+    left_s = _patience_ms(pools, dispatch) / const.MS_PER_S
     scope = trio.CancelScope(deadline=trio.current_time() + left_s)
     made = models.Attempt(dispatch, name, scope)
     attempt_id = models.AttemptId(dispatch.request_id, dispatch.attempt)
@@ -50,16 +51,26 @@
         dispatch.attempt,
         outcome,
         pools.engine.now_ms() - started_ms,
+        made.answer_bytes,
     )
     engines.feed(pools.engine, done)
 
 
-def cancel(pools: models.Pools, output: out.CancelDispatch) -> None:
-    """Cancel an attempt; its task reports what became of it."""
+async def cancel(pools: models.Pools, output: out.CancelDispatch) -> None:
+    """Cancel an attempt; its task reports what became of it.
+
+    Work that must run at most once is cut off only where the upstream
+    promises not to start it; else it is heard out.
+    """
     attempt_id = models.AttemptId(output.request_id, output.attempt)
     made = pools.attempts.get(attempt_id)
-    if made is not None:
-        made.scope.cancel()
+    if made is None:
+        return
+    if made.sent and not made.dispatch.idempotent:
+        made.never_started = await _never_starts(pools, made)
+        if not made.never_started:
+            return
+    made.scope.cancel()
 
 
 async def close(pools: models.Pools) -> None:
@@ -90,9 +101,18 @@
             if made.sent:
                 return verdict.Lost(detail)
             return verdict.NotSent(detail)
+    return await _cancelled(pools, made)
+
+
+async def _cancelled(
+    pools: models.Pools, made: models.Attempt
+) -> verdict.Outcome:
     if not made.sent:
         return verdict.NotSent('cancelled before it was sent')
-    return await _cancel_at_upstream(pools, made)
+    if made.never_started or await _never_starts(pools, made):
+        return verdict.NeverStarted()
+    address = made.dispatch.address
+    return verdict.Lost(f'{address}: cancelled while in flight')
 
 
 async def _exchange(
@@ -101,7 +121,9 @@
     exchange: front_models.Exchange,
     left_ms: float,
 ) -> verdict.Outcome:
-    request = calls.request(made, exchange, left_ms)
+    request = calls.request(
+        made, exchange, left_ms, _patience_ms(pools, made.dispatch)
+    )
     response = await _pool(pools, made.dispatch).handle_async_request(request)
     try:
         return await results.outcome(pools, made, exchange, response)
@@ -109,11 +131,9 @@
         await response.aclose()
 
 
-async def _cancel_at_upstream(
-    pools: models.Pools, made: models.Attempt
-) -> verdict.Outcome:
+async def _never_starts(pools: models.Pools, made: models.Attempt) -> bool:
+    """Tell the upstream to cancel; return whether it promised to."""
     address = made.dispatch.address
-    lost = verdict.Lost(f'{address}: cancelled while in flight')
     with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
         try:
             answer = await pools.polls.request(
@@ -123,10 +143,14 @@
                 extensions=calls.extensions(const.CANCEL_TIMEOUT_MS),
             )
         except FAILURES:
-            return lost
-        if answer.status == 200 and answer.content == const.NEVER_STARTED:
-            return verdict.NeverStarted()
-    return lost
+            return False
+        return answer.status == OK and answer.content == const.NEVER_STARTED
+    return False
+
+
+def _patience_ms(pools: models.Pools, dispatch: out.Dispatch) -> float:
+    left_ms = dispatch.deadline_ms - pools.engine.now_ms()
+    return left_ms + (0.0 if dispatch.idempotent else const.HEAR_OUT_MS)
 
 
 def _pool(
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
@@ -21,12 +21,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """Hold one attempt in flight; ``sent`` once a byte may have left."""
+    """Hold one attempt in flight.
+
+    ``sent`` is set once a byte may have left, and ``never_started`` once
+    the upstream has promised that the work will not run.
+    """
 
     dispatch: out.Dispatch
     name: bytes
     scope: trio.CancelScope
     sent: bool = False
+    never_started: bool = False
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
@@ -32,6 +32,7 @@
     body = b''
     async for part in parts:
         body += part
+        attempt.answer_bytes += len(part)
         if len(body) > const.ANSWER_BUFFER_BYTES:
             found = front_models.UpstreamAnswer(
                 response.status, response.headers, body
@@ -54,6 +55,11 @@
     parts: abc.AsyncIterable[bytes],
 ) -> verdict.Outcome:
     number = attempt.dispatch.attempt
+    if exchange.decision is not None or exchange.gone:
+        # Nobody waits for the answer; that it is whole still counts.
+        async for part in parts:
+            attempt.answer_bytes += len(part)
+        return verdict.Answered(found.status)
     send, rest = trio.open_memory_channel[front_models.Chunk](const.CHUNKS_MAX)
     exchange.answers[number] = found._replace(rest=rest)
     started = inp.AnswerStarted(attempt.dispatch.request_id, number)
@@ -61,6 +67,7 @@
     with send:
         try:
             async for part in parts:
+                attempt.answer_bytes += len(part)
                 await send.send(front_models.Chunk(part, last=False))
             await send.send(front_models.Chunk(b'', last=True))
         except trio.BrokenResourceError:
--- a/tests/daemon/front/test_front.py
+++ b/tests/daemon/front/test_front.py
@@ -2,6 +2,7 @@
 
 import functools
 import time
+import typing
 
 import httpcore
 import pytest
@@ -16,10 +17,18 @@
 NOW_MS = time.time() * 1000.0
 ISSUED = keys.prefix(samples.REF, None, NOW_MS) + '.nonce'
 KEY = (b'idempotency-key', ISSUED.encode())
-UNUSED = trio.Event()
 
 
-async def upstream(calls, reached, scope, receive, send):
+class Events(typing.NamedTuple):
+    reached: trio.Event
+    cancelled: trio.Event
+
+
+def new_events():
+    return Events(trio.Event(), trio.Event())
+
+
+async def upstream(calls, events, scope, receive, send):
     body = b''
     more = True
     while more:
@@ -39,8 +48,15 @@
             part = {'type': 'http.response.body', 'body': LARGE[:-1]}
             await send({**part, 'more_body': True})
         case '/silent':
-            reached.set()
+            events.reached.set()
             await trio.sleep_forever()
+        case '/slow':
+            events.reached.set()
+            await events.cancelled.wait()
+            await http.respond(send, 201, [], b'booked')
+        case '/zinnialead/cancel':
+            events.cancelled.set()
+            await http.respond(send, 200, [], b'started')
         case '/shed':
             shed = [(b'zinnialead-shed', b'1')]
             await http.respond(send, 503, shed, b'')
@@ -49,9 +65,9 @@
             await http.respond(send, 201, text, b'booked')
 
 
-async def serve(nursery, reached=UNUSED):
+async def serve(nursery, events=None):
     calls = []
-    app = functools.partial(upstream, calls, reached)
+    app = functools.partial(upstream, calls, events or new_events())
     address = await nursery.start(
         http.serve, app, '127.0.0.1:0', trio.sleep_forever
     )
@@ -116,6 +132,22 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_the_end_of_abandoned_work_is_learned_and_replayed(nursery):
+    events = new_events()
+    entry, address, calls = await serve(nursery, events)
+    async with trio.open_nursery() as callers:
+        callers.start_soon(ask, address, 'intake/slow', [KEY])
+        await events.reached.wait()
+        callers.cancel_scope.cancel()
+    while True:
+        answer = await ask(address, 'intake/slow', [KEY])
+        if answer.status != 409:
+            break
+    assert (answer.status, answer.content) == (201, b'booked')
+    assert [path for _, path, _ in calls].count('/slow') == 1
+    nursery.cancel_scope.cancel()
+
+
 async def test_shed_work_did_not_run(nursery):
     entry, address, calls = await serve(nursery)
     answer = await ask(address, 'intake/shed', [KEY])
@@ -125,11 +157,11 @@
 
 
 async def test_a_caller_that_leaves_cancels_its_attempt(nursery):
-    reached = trio.Event()
-    entry, address, calls = await serve(nursery, reached)
+    events = new_events()
+    entry, address, calls = await serve(nursery, events)
     async with trio.open_nursery() as callers:
         callers.start_soon(ask, address, 'pricebook/silent')
-        await reached.wait()
+        await events.reached.wait()
         callers.cancel_scope.cancel()
     await entry.front.idle.wait()
     assert entry.engine.world.counters['front.caller_gone'] == 1
