--- a/packages/lab/src/zinnialead_lab/bench/deployments.py
+++ b/packages/lab/src/zinnialead_lab/bench/deployments.py
@@ -144,13 +144,15 @@
 def _caps(
     state: tickets.State, regions: tuple[str, ...]
 ) -> abc.Iterator[tuple[str, tickets.Cap]]:
+    whole = sum(capacity_per_s(state, name) for name in state.services)
+    cap_per_s = whole * const.SHIFT_CAP_SHARE / len(regions)
     for one in regions:
         for other in regions:
             if one != other:
                 cap = tickets.ShiftCap(
                     ids.RegionId(one),
                     ids.RegionId(other),
-                    const.SHIFT_CAP_PER_S,
+                    cap_per_s,
                 )
                 yield f'shift {one} {other}', cap
         for service in state.services:
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -36,7 +36,14 @@
         node = world_module.NodeRow(ref, domain, region, address(entry))
         policy = models.Core(core.new_world(node, seed))
     fleet.entries[entry] = models.EntryRow(
-        ref, domain, region, policy, models.Life.RUNNING, 0.0, []
+        ref,
+        domain,
+        region,
+        policy,
+        models.Life.RUNNING,
+        fleet.now_ms,
+        0.0,
+        [],
     )
     if fleet.plain:
         feed(fleet, entry, inp.StateRead(fleet.state))
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -69,6 +69,7 @@
     region: ids.RegionId
     policy: Policy
     life: Life
+    started_ms: float
     ended_ms: float
     held: list[inp.Input]
 
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -108,6 +108,9 @@
     """Kill an upstream: what it had is lost."""
     target = fleet.upstreams[upstream]
     lost = [*target.running, *target.waiting]
+    for number in target.running.values():
+        ended = fleet.runs[number]._replace(ended_ms=fleet.now_ms)
+        fleet.runs[number] = ended
     target.running.clear()
     target.waiting.clear()
     for name in lost:
