Let an owner without a state keep silent

Cause: an entry that has just started owns slots before it knows what is in force, and refused asks as no-upstream for good. Change: it does not answer; the asker asks again after 250 ms, and a peer has told the new owner the state by then.

--- a/packages/core/src/zinnialead_core/components/slots/owner.py
+++ b/packages/core/src/zinnialead_core/components/slots/owner.py
@@ -31,6 +31,10 @@
     if ask.ask_id in world.queues.queued or ask.ask_id in world.queues.grants:
         yield from _repeat(world, ask.ask_id)
         return
+    if world.states['in-force'].number == 0:
+        # The asker asks again; by then a peer has told what is in force.
+        world.counters['slots.not_ready'] += 1
+        return
     if ask.service not in world.states['in-force'].services:
         world.counters['slots.service_unknown'] += 1
         row = _row(world, now_ms, ask)
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -8,6 +8,7 @@
 from zinnialead_core.components import slots
 from zinnialead_core.components.slots import const
 from zinnialead_core.components.steering import targets
+from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -180,3 +181,12 @@
         and isinstance(x.message, slots.SlotHeldReport)
     ]
     assert len(reports) == 1
+
+
+def test_an_owner_without_a_state_lets_the_asker_ask_again():
+    worlds = asking.two_worlds()
+    owner, _ = owner_and_other(worlds)
+    worlds[owner].states['in-force'] = tickets.empty_state()
+    message = inp.PeerMessage(asking.ASKER, asking.ask(1))
+    assert not asking.tick(worlds[owner], LATER_MS, message)
+    assert worlds[owner].counters['slots.not_ready'] == 1
