Let the fleet's callers take a new key after a bar

Cause: a barred key is a true not-run, but the fake caller gave its work up, unlike the stand-in. Change: it takes the next choice's key and tries again. Conclusion: bars cost a caller a second try.

--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -11,11 +11,12 @@
 from zinnialead_lab.fleet import models
 from zinnialead_lab.fleet import network
 
-# The entry itself can't take work now; the next choice may.
+# The entry, or the key, can't take work; the next choice may.
 ELSEWHERE = frozenset(
     {
         verdict.Reason.STOPPING,
         verdict.Reason.NOT_READY,
+        verdict.Reason.KEY_BARRED,
         verdict.Reason.KEY_REGISTRAR_DOWN,
     }
 )
@@ -100,6 +101,10 @@
     row = fleet.callers.get(event.work_id)
     if row is None or row.attempt != event.attempt:
         return
+    if event.reason == verdict.Reason.KEY_BARRED:
+        # Nothing ran under the key, whatever call was lost before.
+        row = row._replace(may_have_run=False)
+        fleet.callers[event.work_id] = row
     if event.reason in ELSEWHERE:
         _elsewhere(fleet, row, event)
         return
