--- a/packages/cli/src/zinnialead_cli/fleet/merging.py
+++ b/packages/cli/src/zinnialead_cli/fleet/merging.py
@@ -7,6 +7,7 @@
 from zinnialead_cli.fleet import documents
 
 Fleet = documents.FleetDocument
+Refusals = dict[str, int]
 
 
 def merge(seen: abc.Sequence[Fleet]) -> Fleet:
@@ -85,7 +86,7 @@
     return sorted(merged.values(), key=operator.itemgetter('name'))
 
 
-def _refusals(seen: abc.Sequence[Fleet]) -> dict[str, int]:
+def _refusals(seen: abc.Sequence[Fleet]) -> Refusals:
     total: collections.Counter[str] = collections.Counter()
     for item in seen:
         total.update(item['refusals'])
--- a/packages/cli/src/zinnialead_cli/fleet/tables.py
+++ b/packages/cli/src/zinnialead_cli/fleet/tables.py
@@ -12,66 +12,74 @@
 
 def lay_out(fleet: Fleet) -> abc.Iterator[rich.table.Table]:
     """Yield the tables that show a fleet."""
-    yield _table(
-        f'Entries (ticket {fleet["state_number"]} in force)',
-        ('domain', 'entry', 'health', 'ticket', 'heard ms ago'),
+    yield _entries(fleet)
+    yield _upstreams(fleet)
+    yield _queues(fleet)
+    yield _drains(fleet)
+    yield _shifts(fleet)
+    yield _table('Refusals', ('reason', 'count'), fleet['refusals'].items())
+
+
+def _entries(fleet: Fleet) -> rich.table.Table:
+    rows = (
         (
-            (
-                row['domain'],
-                row['entry'],
-                row['health'],
-                row['state_number'],
-                round(row['heard_ago_ms']),
-            )
-            for row in fleet['members']
-        ),
+            row['domain'],
+            row['entry'],
+            row['health'],
+            row['state_number'],
+            round(row['heard_ago_ms']),
+        )
+        for row in fleet['members']
     )
-    yield _table(
-        'Upstreams',
-        ('service', 'domain', 'upstream', 'slots', 'in use', 'state'),
+    title = f'Entries (ticket {fleet["state_number"]} in force)'
+    headings = ('domain', 'entry', 'health', 'ticket', 'heard ms ago')
+    return _table(title, headings, rows)
+
+
+def _upstreams(fleet: Fleet) -> rich.table.Table:
+    rows = (
         (
-            (
-                row['service'],
-                row['domain'],
-                row['upstream'],
-                row['slots'],
-                '-' if row['in_use'] is None else row['in_use'],
-                _state(row),
-            )
-            for row in fleet['upstreams']
-        ),
+            row['service'],
+            row['domain'],
+            row['upstream'],
+            row['slots'],
+            '-' if row['in_use'] is None else row['in_use'],
+            _state(row),
+        )
+        for row in fleet['upstreams']
     )
-    yield _table(
-        'Queues',
-        ('service', 'rank', 'waiting'),
-        (
-            (row['service'], row['rank'], row['queued'])
-            for row in fleet['queues']
-        ),
+    headings = ('service', 'domain', 'upstream', 'slots', 'in use', 'state')
+    return _table('Upstreams', headings, rows)
+
+
+def _queues(fleet: Fleet) -> rich.table.Table:
+    rows = (
+        (row['service'], row['rank'], row['queued']) for row in fleet['queues']
     )
-    yield _table(
-        'Drains',
-        ('drain', 'kind', 'target', 'in flight'),
-        (
-            (row['name'], row['kind'], row['target'], row['in_flight'])
-            for row in fleet['drains']
-        ),
+    return _table('Queues', ('service', 'rank', 'waiting'), rows)
+
+
+def _drains(fleet: Fleet) -> rich.table.Table:
+    rows = (
+        (row['name'], row['kind'], row['target'], row['in_flight'])
+        for row in fleet['drains']
     )
-    yield _table(
-        'Shifts',
-        ('cap', 'from', 'to', 'shifted/s', 'cap/s'),
+    return _table('Drains', ('drain', 'kind', 'target', 'in flight'), rows)
+
+
+def _shifts(fleet: Fleet) -> rich.table.Table:
+    rows = (
         (
-            (
-                row['name'],
-                row['from_region'],
-                row['to_region'],
-                round(row['shifted_per_s'], 1),
-                row['cap_per_s'],
-            )
-            for row in fleet['shifts']
-        ),
+            row['name'],
+            row['from_region'],
+            row['to_region'],
+            round(row['shifted_per_s'], 1),
+            row['cap_per_s'],
+        )
+        for row in fleet['shifts']
     )
-    yield _table('Refusals', ('reason', 'count'), fleet['refusals'].items())
+    headings = ('cap', 'from', 'to', 'shifted/s', 'cap/s')
+    return _table('Shifts', headings, rows)
 
 
 def _state(row: documents.UpstreamDocument) -> str:
--- a/packages/config/src/zinnialead_config/settings/coordinator.py
+++ b/packages/config/src/zinnialead_config/settings/coordinator.py
@@ -13,6 +13,8 @@
 from zinnialead_config.settings import const
 from zinnialead_config.settings import models
 
+Overrides = dict[str, str]
+
 # What the environment and flags may set in place of the file.
 OVERRIDABLE = (
     'entry',
@@ -67,7 +69,7 @@
 def _overrides(
     environment: abc.Mapping[str, str],
     flags: abc.Mapping[str, str | None],
-) -> dict[str, str]:
+) -> Overrides:
     found = {}
     for name in OVERRIDABLE:
         variable = const.ENVIRONMENT_PREFIX + name.upper()
--- a/packages/config/src/zinnialead_config/tickets/documents.py
+++ b/packages/config/src/zinnialead_config/tickets/documents.py
@@ -156,7 +156,7 @@
 
 
 @STRICT
-class TicketDocument(Sections):
+class TicketDocument(Sections, typing_extensions.TypedDict):
     """Hold one ticket."""
 
     number: Count
@@ -175,7 +175,7 @@
 
 
 @STRICT
-class StateDocument(Sections):
+class StateDocument(Sections, typing_extensions.TypedDict):
     """Hold the whole state in force."""
 
     format: int
--- a/packages/config/src/zinnialead_config/tickets/folding.py
+++ b/packages/config/src/zinnialead_config/tickets/folding.py
@@ -14,6 +14,7 @@
 
 K = typing.TypeVar('K', bound=str)
 V = typing.TypeVar('V')
+Table = dict[K, V]
 
 
 def fold(
@@ -64,9 +65,9 @@
     known: abc.Mapping[K, V],
     touched: abc.Mapping[str, typing.Any],
     row_of: abc.Callable[[str, typing.Any], V],
-) -> dict[K, V]:
+) -> Table[K, V]:
     """Return a table with what a ticket touches replaced or removed."""
-    result: dict[K, V] = dict(known)
+    result: Table[K, V] = dict(known)
     for name, item in touched.items():
         key = typing.cast('K', name)
         if item is None:
--- a/packages/config/src/zinnialead_config/tickets/rows.py
+++ b/packages/config/src/zinnialead_config/tickets/rows.py
@@ -6,6 +6,8 @@
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
 
+UpstreamTable = dict[ids.UpstreamId, tickets.UpstreamRow]
+
 
 def service(name: str, item: documents.ServiceDocument) -> tickets.ServiceRow:
     """Return the row of a service."""
@@ -46,7 +48,7 @@
 def upstreams(
     known: abc.Mapping[ids.UpstreamId, tickets.UpstreamRow],
     places: abc.Mapping[str, documents.PlaceDocument | None],
-) -> dict[ids.UpstreamId, tickets.UpstreamRow]:
+) -> UpstreamTable:
     """Return the upstreams with those of the touched places replaced."""
     result = {
         name: row
--- a/packages/config/src/zinnialead_config/tickets/states.py
+++ b/packages/config/src/zinnialead_config/tickets/states.py
@@ -16,6 +16,7 @@
 from zinnialead_core.components import tickets
 
 FILE = 'state'
+Documents = dict[str, typing.Any]
 
 
 @functools.cache
@@ -75,7 +76,7 @@
 
 def _documents(
     table: typing.Mapping[typing.Any, typing.NamedTuple], key: str
-) -> dict[str, typing.Any]:
+) -> Documents:
     return {
         str(name): {
             field: value
--- a/packages/core/src/zinnialead_core/components/members/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/members/diagnostics.py
@@ -14,7 +14,10 @@
     state_number: int
 
 
-def dump(world: world_module.World) -> dict[str, MemberDump]:
+MembersDump = dict[str, MemberDump]
+
+
+def dump(world: world_module.World) -> MembersDump:
     """Return the members' part of the state dump."""
     return {
         str(row.entry): MemberDump(
--- a/packages/core/src/zinnialead_core/components/steering/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/steering/diagnostics.py
@@ -14,7 +14,10 @@
     seen_ms: float
 
 
-def dump(world: world_module.World) -> dict[str, LoadDump]:
+SteeringDump = dict[str, LoadDump]
+
+
+def dump(world: world_module.World) -> SteeringDump:
     """Return the steering's part of the state dump."""
     return {
         f'{row.service}/{row.domain}': LoadDump(
--- a/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
@@ -19,7 +19,10 @@
     told_excess: int
 
 
-def dump(world: world_module.World) -> dict[str, UpstreamDump]:
+UpstreamsDump = dict[str, UpstreamDump]
+
+
+def dump(world: world_module.World) -> UpstreamsDump:
     """Return the upstreams' part of the state dump."""
     return {
         str(row.upstream): UpstreamDump(
--- a/packages/core/src/zinnialead_core/dump.py
+++ b/packages/core/src/zinnialead_core/dump.py
@@ -23,13 +23,13 @@
     region: str
     keys: keys.KeysDump
     lookups: lookups.LookUpsDump
-    members: dict[str, members.MemberDump]
+    members: members.MembersDump
     requests: requests.RequestsDump
     slots: slots.SlotsDump
-    steering: dict[str, steering.LoadDump]
+    steering: steering.SteeringDump
     store: store.StoreDump
     tickets: tickets.TicketsDump
-    upstreams: dict[str, upstreams.UpstreamDump]
+    upstreams: upstreams.UpstreamsDump
     counters: dict[str, int]
 
 
