Say in one place which upstreams drains cover

Cause: four places matched drains against upstreams, and redirects went over every upstream for each ask and offered drained domains. Change: tickets.covers and tickets.is_drained serve all but the fuzzing's oracle, which stays independent; a service's other domains are kept until the next ticket, and a short wait is settled first. Conclusion: less work for each ask, and one rule for drains.

--- a/packages/config/src/zinnialead_config/filing/planning.py
+++ b/packages/config/src/zinnialead_config/filing/planning.py
@@ -61,27 +61,10 @@
     return sum(
         row.slots
         for row in state.upstreams.values()
-        if row.service == service and not drained(state, row)
+        if row.service == service and not tickets.is_drained(state, row)
     )
 
 
-def drained(state: tickets.State, row: tickets.UpstreamRow) -> bool:
-    """Return whether a drain takes an upstream out of service."""
-    region = state.domains[row.domain].region
-    for drain in state.drains.values():
-        match drain:
-            case tickets.UpstreamDrain(upstream):
-                if upstream == row.upstream:
-                    return True
-            case tickets.DomainDrain(domain):
-                if domain == row.domain:
-                    return True
-            case tickets.RegionDrain(drained_region):
-                if drained_region == region:
-                    return True
-    return False
-
-
 def _shown(item: object) -> str | None:
     return None if item is None else str(item)
 
--- a/packages/core/src/zinnialead_core/components/slots/local.py
+++ b/packages/core/src/zinnialead_core/components/slots/local.py
@@ -22,11 +22,6 @@
     return queues.locals[service]
 
 
-def is_drained(state: tickets.State, row: tickets.UpstreamRow) -> bool:
-    """Return whether a ticket takes an upstream out of service."""
-    return any(_covers(state, drain, row) for drain in state.drains.values())
-
-
 def in_flight_share(
     world: world_module.World, service: ids.ServiceId
 ) -> int | None:
@@ -69,23 +64,10 @@
     state: tickets.State, service: ids.ServiceId
 ) -> abc.Iterator[tickets.UpstreamRow]:
     for row in state.upstreams.values():
-        if row.service == service and not is_drained(state, row):
+        if row.service == service and not tickets.is_drained(state, row):
             yield row
 
 
-def _covers(
-    state: tickets.State, drain: tickets.Drain, row: tickets.UpstreamRow
-) -> bool:
-    match drain:
-        case tickets.UpstreamDrain(upstream):
-            return upstream == row.upstream
-        case tickets.DomainDrain(domain):
-            return domain == row.domain
-        case tickets.RegionDrain(region):
-            at = state.domains.get(row.domain)
-            return at is not None and at.region == region
-
-
 def _limit(
     world: world_module.World, state: tickets.State, service: ids.ServiceId
 ) -> tickets.RegionLimit | None:
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -36,6 +36,14 @@
     size_bytes: float
 
 
+class NeighbourRow(typing.NamedTuple):
+    """Hold the other domains that serve a service under one ticket."""
+
+    number: int
+    siblings: tuple[ids.DomainId, ...]
+    others: tuple[ids.DomainId, ...]
+
+
 class LinkId(typing.NamedTuple):
     """Name the way of a shift, from a region to a region."""
 
@@ -53,12 +61,14 @@
     """Hold the shifts of the last second by service and way.
 
     ``waiting`` are those let in that wait for a slot, with their sizes in
-    bytes; ``rooms`` are by service and domain; ``answer_bytes`` are the
-    usual sizes of the answers of services.
+    bytes; ``rooms`` are by service and domain; ``neighbours`` are kept
+    until the next ticket; ``answer_bytes`` are the usual sizes of the
+    answers of services.
     """
 
     sent: dict[Way, collections.deque[ShiftRow]]
     waiting: dict[Way, dict[ids.AskId, float]]
+    neighbours: dict[ids.ServiceId, NeighbourRow]
     rooms: dict[tuple[ids.ServiceId, ids.DomainId], RoomRow]
     answer_bytes: dict[ids.ServiceId, float]
 
@@ -70,4 +80,4 @@
 
 def new_shifts() -> ShiftTable:
     """Return a table without shifts."""
-    return ShiftTable({}, {}, {}, {})
+    return ShiftTable({}, {}, {}, {}, {})
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -6,6 +6,7 @@
 
 from zinnialead_core.components.steering import const
 from zinnialead_core.components.steering import models
+from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
 
@@ -31,6 +32,8 @@
     of asks that it leaves room for, and no longer than a few seconds;
     the domain's own slot owner decides in the end.
     """
+    if wait_ms <= const.SIBLING_COST_MS:
+        return None
     homeless = math.isinf(wait_ms)
     tried_max = const.DOMAINS_TRIED_MAX
     if homeless:
@@ -117,22 +120,36 @@
 
 def _candidates(
     world: world_module.World, service: ids.ServiceId
-) -> list[Candidate]:
+) -> abc.Iterator[Candidate]:
+    row = _neighbours(world, service)
+    for domain in row.siblings:
+        yield Candidate(domain, const.SIBLING_COST_MS)
+    others = list(row.others)
+    world.random.shuffle(others)
+    for domain in others:
+        yield Candidate(domain, const.REGION_COST_MS)
+
+
+def _neighbours(
+    world: world_module.World, service: ids.ServiceId
+) -> models.NeighbourRow:
     state = world.states['in-force']
+    known = world.shifts.neighbours.get(service)
+    if known is not None and known.number == state.number:
+        return known
     found = {
-        row.domain
+        row.domain: state.domains[row.domain].region
         for row in state.upstreams.values()
-        if row.service == service and row.domain in state.domains
+        if row.service == service
+        and row.domain in state.domains
+        and row.domain != world.node.domain
+        and not tickets.is_drained(state, row)
     }
-    found.discard(world.node.domain)
-    siblings = sorted(
-        domain
-        for domain in found
-        if state.domains[domain].region == world.node.region
+    here = world.node.region
+    made = models.NeighbourRow(
+        state.number,
+        tuple(sorted(x for x, region in found.items() if region == here)),
+        tuple(sorted(x for x, region in found.items() if region != here)),
     )
-    others = sorted(found.difference(siblings))
-    world.random.shuffle(others)
-    return [
-        *(Candidate(x, const.SIBLING_COST_MS) for x in siblings),
-        *(Candidate(x, const.REGION_COST_MS) for x in others),
-    ]
+    world.shifts.neighbours[service] = made
+    return made
--- a/packages/core/src/zinnialead_core/components/tickets/__init__.py
+++ b/packages/core/src/zinnialead_core/components/tickets/__init__.py
@@ -1,5 +1,7 @@
 """Keep the state that tickets put in force, which never goes back."""
 
+from zinnialead_core.components.tickets.drains import covers
+from zinnialead_core.components.tickets.drains import is_drained
 from zinnialead_core.components.tickets.messages import StateAsk
 from zinnialead_core.components.tickets.messages import StateData
 from zinnialead_core.components.tickets.messages import StateDelta
@@ -44,6 +46,8 @@
     'TicketNote',
     'UpstreamDrain',
     'UpstreamRow',
+    'covers',
     'empty_state',
+    'is_drained',
     'new_spread',
 ]
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -91,7 +91,7 @@
     since_ms = now_ms if world.upstreams else None
     for upstream, known in state.upstreams.items():
         row = world.upstreams.get(upstream)
-        drained = local.is_drained(state, known)
+        drained = tickets.is_drained(state, known)
         if row is None:
             row = models.HealthRow(upstream, since_ms=since_ms)
         elif row.drained and not drained:
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -64,9 +64,7 @@
             in_use=world.queues.in_use.get(row.upstream),
             healthy=seen.healthy if seen else None,
             leaving=seen.leaving if seen else False,
-            draining=any(
-                covers(state, drain, row) for drain in state.drains.values()
-            ),
+            draining=tickets.is_drained(state, row),
         )
 
 
@@ -81,7 +79,7 @@
         in_flight = sum(
             world.queues.in_use.get(row.upstream, 0)
             for row in state.upstreams.values()
-            if covers(state, drain, row)
+            if tickets.covers(state, drain, row)
         )
         match drain:
             case tickets.UpstreamDrain(upstream):
@@ -111,17 +109,3 @@
                         caps.shifted_per_s(world, now_ms, link)
                     ),
                 )
-
-
-def covers(
-    state: tickets.State, drain: tickets.Drain, row: tickets.UpstreamRow
-) -> bool:
-    """Return whether a drain takes an upstream out of service."""
-    match drain:
-        case tickets.UpstreamDrain(upstream):
-            return row.upstream == upstream
-        case tickets.DomainDrain(domain):
-            return row.domain == domain
-        case tickets.RegionDrain(region):
-            place = state.domains.get(row.domain)
-            return place is not None and place.region == region
