Ask again with the same key where work may have run

Cause: the demo's callers gave up on a may-have-run that a stopping entry gives at its door; a planned stop then looked like a cut.

--- a/packages/lab/src/zinnialead_lab/demo/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/demo/coordinator.py
@@ -8,6 +8,8 @@
 
 import zinnialead_config
 from zinnialead_config import filing
+from zinnialead_core import inputs as inp
+from zinnialead_daemon.components import engine as engines
 from zinnialead_lab.demo import checks
 from zinnialead_lab.demo import const
 from zinnialead_lab.demo import declarations
@@ -95,6 +97,30 @@
     )
 
 
+async def _stop(demo: models.Demo) -> None:
+    name = list(demo.entries)[-1]
+    demo.console.print(f'graceful stop of entry {name} while work goes on')
+    application = demo.entries[name].application
+    async with trio.open_nursery() as nursery:
+        aim = work.everywhere(demo)
+        nursery.start_soon(work.calm, demo, 'stop', aim)
+        await trio.sleep(const.CALM_S / 3)
+        engines.feed(application.engine, inp.StopAsked())
+    cut = [
+        row
+        for row in demo.done
+        if row.part in {'drain', 'stop'}
+        and isinstance(row.answer, callers.MayHaveRun)
+    ]
+    demo.checks.append(
+        models.Check(
+            'nothing cut by the drain and the stop',
+            application.stopped.is_set() and not cut,
+            f'{len(cut)} cut, entry stopped: {application.stopped.is_set()}',
+        )
+    )
+
+
 async def _kill(demo: models.Demo) -> None:
     name = next(iter(demo.entries))
     demo.console.print(f'kill of entry {name} while work goes on')
@@ -139,4 +165,4 @@
                 yield name
 
 
-PARTS = (_file_first, _calm, _book_twice, _flood, _drain, _kill)
+PARTS = (_file_first, _calm, _book_twice, _flood, _drain, _stop, _kill)
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -19,6 +19,9 @@
 REGISTRAR_DOWN = 'key-registrar-down'
 # Refusals that asking again does not change.
 FINAL = frozenset({'bad-request', 'unknown-service', 'unknown-rank'})
+# No later answer under this key says more.
+SETTLED = 'key-undecided'
+STOPPING = 'stopping'
 SENT_EVENT = 'http11.send_request_headers.started'
 DECODER = msgspec.json.Decoder(models.LookUpDocument)
 
@@ -79,16 +82,23 @@
                 broke = broke or (sent and work.keyed)
                 key = key if broke else work.key
             case models.NotRun(reason) as last if reason not in FINAL:
+                if reason == STOPPING:
+                    caller.dead.add(address)
                 if not broke or reason == BARRED:
                     key, broke = work.key, False
                 if reason in {BARRED, REGISTRAR_DOWN}:
                     # A new look-up names registrars that are alive.
                     caller.cached.pop(work.service, None)
                 await _pause(caller)
+            case models.MayHaveRun(reason) if work.keyed and reason != SETTLED:
+                broke = True
+                if reason == STOPPING:
+                    caller.dead.add(address)
+                await _pause(caller)
             case answer:
                 return answer
     if broke:
-        return models.MayHaveRun('connection broke', _now_ms() - started_ms)
+        return models.MayHaveRun('no-end-heard', _now_ms() - started_ms)
     return last
 
 
