--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -80,14 +80,18 @@
         await trio.aclose_forcefully(stream)
         return
     server.connections += 1
+    connection = hypercorn.trio.tcp_server.TCPServer(
+        server.app,
+        server.config,
+        server.context,
+        typing.cast('typing.Any', {}),
+        stream,
+    )
+    connection._read_data = functools.partial(  # type: ignore[method-assign]
+        _read_to_end, connection, connection._read_data
+    )
     try:
-        await hypercorn.trio.tcp_server.TCPServer(
-            server.app,
-            server.config,
-            server.context,
-            typing.cast('typing.Any', {}),
-            stream,
-        ).run()
+        await connection.run()
     except Exception:
         # One connection's fault must not end the others.
         server.binding.failed()
@@ -95,6 +99,16 @@
         server.connections -= 1
 
 
+async def _read_to_end(
+    connection: hypercorn.trio.tcp_server.TCPServer,
+    read: abc.Callable[[], abc.Awaitable[None]],
+) -> None:
+    await read()
+    # The library would hold a connection that its peer has closed until
+    # the idle timeout.
+    await connection.idle_task.stop()
+
+
 async def _dispatch(
     app: asgi.AsgiApp,
     scope: asgi.Scope,
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -51,6 +51,14 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_connection_that_its_peer_closed_makes_room(nursery):
+    address = await start(nursery, connections_max=1)
+    for _ in range(3):
+        answers = [await exchange_or_reset(address) for _ in range(200)]
+        assert any(b'hello' in answer for answer in answers)
+    nursery.cancel_scope.cancel()
+
+
 async def exchange_or_reset(address):
     try:
         return await exchange(address, GET)
