--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -80,14 +80,15 @@
         await trio.aclose_forcefully(stream)
         return
     server.connections += 1
+    connection = hypercorn.trio.tcp_server.TCPServer(
+        server.app,
+        server.config,
+        server.context,
+        typing.cast('typing.Any', {}),
+        stream,
+    )
     try:
-        await hypercorn.trio.tcp_server.TCPServer(
-            server.app,
-            server.config,
-            server.context,
-            typing.cast('typing.Any', {}),
-            stream,
-        ).run()
+        await connection.run()
     except Exception:
         # One connection's fault must not end the others.
         server.binding.failed()
