Pace newcomers' transfers, not those of tickets

Cause: a server could send one newcomer 41 KB in a second, and bounding it for all would have kept a large ticket from 11 entries for over a minute.

--- a/packages/core/src/zinnialead_core/components/tickets/const.py
+++ b/packages/core/src/zinnialead_core/components/tickets/const.py
@@ -9,9 +9,10 @@
 
 PART_ROWS = 64
 PARTS_MAX = 1_024
-PARTS_ASKED_MAX = 4
+PARTS_ASKED_MAX = 8
 DELTAS_KEPT = 8
-# A row takes about 130 bytes, so that this is below 17 KB a second.
-SERVED_ROWS_PER_S = 100.0
-SERVED_ROWS_BURST = 320.0
+# A row takes about 130 bytes: 60 a second are below 8 KB, and the burst
+# gives ten peers a state of 400 rows in the first second of a ticket.
+SERVED_ROWS_PER_S = 60.0
+SERVED_ROWS_BURST = 4_096.0
 MS_PER_S = 1_000.0
--- a/packages/core/src/zinnialead_core/components/tickets/pulling.py
+++ b/packages/core/src/zinnialead_core/components/tickets/pulling.py
@@ -46,9 +46,7 @@
         yield out.SendPeer(holder, question)
         return
     [transfer] = world.spread.transfer
-    for place, number in enumerate(_missing(transfer)):
-        holder = holders[place % len(holders)]
-        yield _ask_part(state, transfer, holder, number)
+    yield from _ask_parts(state, transfer, holders)
 
 
 def retry(
@@ -84,12 +82,36 @@
         world.spread.transfer.clear()
         yield parts.joined(transfer.received)
         return
-    missing = list(_missing(transfer))
+    if not fresh:
+        return
     if len(transfer.received) == 1:
-        for number in missing:
-            yield _ask_part(state, transfer, sender.entry, number)
-    elif fresh:
-        yield _ask_part(state, transfer, sender.entry, missing[-1])
+        holders = _holders(world, transfer.number)
+        others = [x for x in holders if x != sender.entry]
+        yield from _ask_parts(state, transfer, others or [sender.entry])
+    elif not _is_newcomer(state):
+        *_, last = _missing(transfer)
+        yield _ask_part(state, transfer, sender.entry, last)
+
+
+def _is_newcomer(state: models.State) -> bool:
+    """Say whether this entry has nothing yet and asks at a slow pace.
+
+    It asks each holder for one part in a round, below 17 KB a second.
+    """
+    return state.number == 0
+
+
+def _ask_parts(
+    state: models.State,
+    transfer: spreading.TransferRow,
+    holders: abc.Sequence[ids.EntryId],
+) -> abc.Iterator[out.Output]:
+    """Ask for the next parts, of each holder in turn."""
+    for place, number in enumerate(_missing(transfer)):
+        if place >= len(holders) and _is_newcomer(state):
+            return
+        holder = holders[place % len(holders)]
+        yield _ask_part(state, transfer, holder, number)
 
 
 def _transfer(
--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -152,3 +152,37 @@
     rows = const.SERVED_ROWS_BURST + const.SERVED_ROWS_PER_S
     assert sum(served) <= rows
     assert world.counters['tickets.serve_refused'] > 0
+
+
+def asked_parts(outputs):
+    return [
+        output.message.part
+        for output in outputs
+        if isinstance(output, out.SendPeer)
+        and isinstance(output.message, tickets.StateAsk)
+    ]
+
+
+def test_a_newcomer_asks_one_holder_for_one_part_in_a_round():
+    world = samples.world()
+    world.states[const.IN_FORCE] = tickets.empty_state()
+    state = large(5)
+    assert asked_parts(hear(world, tickets.StateNumber(5, 'd5'))) == [0]
+    data = [
+        tickets.StateData(parts.part(state, number), number, 7)
+        for number in range(7)
+    ]
+    assert asked_parts(hear(world, data[0])) == [1]
+    assert asked_parts(hear(world, data[1])) == []
+    due_ms = 1.0 + const.ASK_TIMEOUT_MS
+    assert asked_parts(core.tick(world, due_ms, [])) == [2]
+
+
+def test_an_entry_that_is_behind_asks_for_parts_without_a_pause():
+    world = samples.world()
+    state = large(5)
+    data = [
+        tickets.StateData(parts.part(state, number), number, 7)
+        for number in range(7)
+    ]
+    assert asked_parts(hear(world, data[0])) == [1, 2, 3, 4, 5, 6]
