Test a ticket that changes 400 rows

Cause: only small tickets were timed. Change: a test. Measured: 400 rows reach 40 entries within 2 s on the mock clock. Conclusion: the bound holds for large tickets.

--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -186,3 +186,12 @@
         for number in range(7)
     ]
     assert asked_parts(hear(world, data[0])) == [1, 2, 3, 4, 5, 6]
+
+
+def test_a_ticket_that_changes_much_is_in_force_in_time():
+    bag = settled({'a': 20, 'b': 20})
+    member_bag.feed(bag, 'a0', inp.StateRead(numbered(1)))
+    member_bag.run_until(bag, bag.now_ms + 2_000.0)
+    member_bag.feed(bag, 'a0', inp.StateRead(large(2)))
+    member_bag.run_until(bag, bag.now_ms + 2_000.0)
+    assert set(in_force(bag)) == {2}
