Name the state object once

Cause: its name stood in the core and in the daemon. Change: the daemon uses the core's. Measured: the store's tests pass. Conclusion: one name.

--- a/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
@@ -6,6 +6,7 @@
 
 import zinnialead_config as config
 from zinnialead_core.components import store
+from zinnialead_core.components.store import const as store_const
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_daemon.components import engine as engines
@@ -14,8 +15,6 @@
 from zinnialead_daemon.components.store import documents
 from zinnialead_daemon.components.store import models
 
-STATE_OBJECT = 'state'
-
 
 def set_up(
     engine: engine_models.Engine,
@@ -134,7 +133,7 @@
     match result:
         case store.Listed():
             return list(documents.listed(answer.body))
-        case store.Found(name, value) if name == STATE_OBJECT:
+        case store.Found(name, value) if name == store_const.STATE_OBJECT:
             decoded = config.decode_state(value)
             if decoded.is_ok():
                 return [inp.StateRead(decoded.ok)]
