Tell a stop last, after the registrars know how work ended

Stopped left the tick before the refusals of requests that came with it (a paused entry wakes with all at once), and before the ends of the last claims were even sent. Ruled out: calls cut by the fake of the process alone, since the daemon would lose the ends as well.

Change: the tick yields Stopped last; it waits for every claim to be confirmed.

Conclusion: a planned stop leaves no caller and no registrar behind.

--- a/packages/core/src/zinnialead_core/components/keys/__init__.py
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -18,6 +18,7 @@
 from zinnialead_core.components.keys.models import Free
 from zinnialead_core.components.keys.models import Freed
 from zinnialead_core.components.keys.models import Granted
+from zinnialead_core.components.keys.models import is_open
 from zinnialead_core.components.keys.models import KeyEnd
 from zinnialead_core.components.keys.models import KeyState
 from zinnialead_core.components.keys.models import new_bindings
@@ -56,6 +57,7 @@
     'RegistrationTable',
     'Undecided',
     'Waiting',
+    'is_open',
     'new_bindings',
     'new_claims',
     'new_registrations',
--- a/packages/core/src/zinnialead_core/components/keys/models.py
+++ b/packages/core/src/zinnialead_core/components/keys/models.py
@@ -105,6 +105,11 @@
     unacked: tuple[ids.EntryRef, ...] = ()
 
 
+def is_open(claim: ClaimRow) -> bool:
+    """Say whether a registrar still has to confirm the claim's end."""
+    return claim.step is not Step.END or bool(claim.unacked)
+
+
 ClaimTable = dict[ids.RequestId, ClaimRow]
 
 
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -9,6 +9,7 @@
 
 from collections import abc
 
+from zinnialead_core.components import keys
 from zinnialead_core.components.keys import claims
 from zinnialead_core.components.requests import const
 from zinnialead_core.components.requests import models
@@ -113,7 +114,7 @@
     if not world.requests.stopping or world.requests.rows:
         return
     # Registrars that never hear of an end could only say may-have-run.
-    if not any(claim.unacked for claim in world.claims.values()):
+    if not any(map(keys.is_open, world.claims.values())):
         yield out.Stopped()
 
 
--- a/packages/core/src/zinnialead_core/tick.py
+++ b/packages/core/src/zinnialead_core/tick.py
@@ -38,10 +38,11 @@
     """Yield what the outside must do about ``inputs`` and due timers.
 
     The systems run again over what they tell each other, until nothing
-    is left to tell.
+    is left to tell. That the entry has stopped is the last thing told.
     """
     due = timers.pop_due(world.timers, now_ms)
     batch = [*inputs, *map(inp.TimerDue, due)]
+    stopped: list[out.Stopped] = []
     while batch:
         told: list[inp.Input] = []
         for output in _one_pass(world, now_ms, batch):
@@ -52,9 +53,12 @@
                     entry == world.node.ref.entry
                 ):
                     told.append(inp.PeerMessage(world.node.ref, message))
+                case out.Stopped():
+                    stopped = [output]
                 case _:
                     yield output
         batch = told
+    yield from stopped
 
 
 def next_due_ms(world: world_module.World) -> float | None:
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -2,6 +2,8 @@
 
 from core import samples
 import zinnialead_core as core
+from zinnialead_core.components import keys
+from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
@@ -77,3 +79,29 @@
     late = samples.request(3, deadline_ms=1.0)
     [refusal] = core.tick(world, 2.0, [late])
     assert refusal.refusal.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_a_stop_is_told_after_what_came_with_it():
+    world = samples.world()
+    inputs = [inp.StopAsked(), samples.request(1)]
+    [refusal, stopped] = core.tick(world, 0.0, inputs)
+    assert isinstance(refusal, out.Refuse)
+    assert stopped == out.Stopped()
+
+
+def test_a_stop_waits_until_registrars_know_how_work_ended():
+    world = samples.world()
+    other = ids.EntryRef('entry-2', 1)
+    key = f'{keys.prefix(samples.REF, other, 0.0)}.n'
+    list(core.tick(world, 0.0, [samples.request(1, 'intake', key=key)]))
+    claim = world.claims[1]
+    ask_id = ids.AskId(samples.REF, 1, 0)
+    granted = keys.ClaimAnswer(claim.key, ask_id, keys.Granted())
+    list(core.tick(world, 1.0, [inp.PeerMessage(other, granted)]))
+    list(core.tick(world, 2.0, [inp.StopAsked()]))
+    done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [done]))
+    assert out.Stopped() not in outputs
+    ack = keys.ClaimEndAck(claim.key, ask_id, 1)
+    outputs = list(core.tick(world, 10.0, [inp.PeerMessage(other, ack)]))
+    assert outputs == [out.Stopped()]
