Cancel keyed work again when its caller leaves; the edge hears it out

Cause: the core did not cancel keyed work of a caller that left, so as not to lose its end; meanwhile the edge learned to ask the upstream for a promise not to start, and to hear out what has started.

Change: the core cancels in every case, as before; the edge decides.

Conclusion: one place decides what a cancellation may do.

--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -2,9 +2,9 @@
 
 A request whose attempt is still at its upstream keeps its row and its
 slot until the attempt ends, since the upstream is busy until then, and
-since only the attempt's end says what became of keyed work.  Keyed work
-whose caller left runs on to its deadline: to cancel it would make its
-end unknown, while the caller may come back with the key.
+since only the attempt's end says what became of keyed work: the edge
+cancels such work where the upstream promises not to start it, and hears
+it out where it has started.
 """
 
 from collections import abc
@@ -136,8 +136,7 @@
     world.requests.rows[request_id] = ending
     drop_ms = max(now_ms, row.deadline_ms) + const.ENDING_MAX_MS
     timers.start(world.timers, timers.RequestDeadline(request_id), drop_ms)
-    if not (row.keyed and row.caller_gone):
-        yield out.CancelDispatch(request_id, row.attempt)
+    yield out.CancelDispatch(request_id, row.attempt)
     yield _told(world, ending, refusal)
 
 
--- a/tests/core/components/requests/test_endings.py
+++ b/tests/core/components/requests/test_endings.py
@@ -76,11 +76,11 @@
     assert tick(world, 130.0, booking(2)) == [out.Replay(2, 201, b'booked')]
 
 
-def test_keyed_work_of_a_caller_that_left_runs_on_and_is_replayed():
+def test_keyed_work_heard_out_after_its_caller_left_is_replayed():
     world = samples.world()
     tick(world, 0.0, booking(1))
     outputs = tick(world, 1.0, inp.CallerGone(1))
-    assert not [x for x in outputs if isinstance(x, out.CancelDispatch)]
+    assert outputs[0] == out.CancelDispatch(1, 1)
     tick(world, 2.0, done(1, verdict.Answered(201, b'booked')))
     assert tick(world, 3.0, booking(2)) == [out.Replay(2, 201, b'booked')]
 
