Keep a caller's key after an answer that its work may have run

Cause: the fake caller took a new key when a registrar was down, also where the answer was 'may have run': a second run would have been its own. Change: from then on it asks under the same key only.

--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -106,6 +106,10 @@
         row = row._replace(may_have_run=False)
         fleet.callers[event.work_id] = row
     if event.reason in ELSEWHERE:
+        if event.verdict is verdict.Verdict.MAY_HAVE_RUN:
+            # Only the same key may be asked for from here on.
+            row = row._replace(may_have_run=True)
+            fleet.callers[event.work_id] = row
         _elsewhere(fleet, row, event)
         return
     if event.verdict is verdict.Verdict.NOT_RUN:
--- a/tests/lab/fleet/test_fleet.py
+++ b/tests/lab/fleet/test_fleet.py
@@ -4,6 +4,8 @@
 import pytest
 from zinnialead_core import verdict
 from zinnialead_lab import fleet
+from zinnialead_lab.fleet import callers
+from zinnialead_lab.fleet import events
 from zinnialead_lab.fleet import oracle
 
 NOTHING_BROKEN = oracle.Broken(0, 0, 0, 0)
@@ -47,6 +49,21 @@
     assert oracle.check(made) == NOTHING_BROKEN
 
 
+def test_a_caller_keeps_its_key_after_a_may_have_run():
+    made = samples.busy(seed=1)
+    fleet.run_until(made, 101.0)
+    work_id = next(x for x in made.callers if made.works[x].keyed)
+    row = made.callers[work_id]
+    said = verdict.Verdict.MAY_HAVE_RUN
+    reason = verdict.Reason.KEY_REGISTRAR_DOWN.value
+    callers.ended(
+        made, events.CallEnds(work_id, row.attempt, said, reason, True)
+    )
+    later = made.callers[work_id]
+    assert later.attempt == row.attempt + 1
+    assert (later.key, later.may_have_run) == (row.key, True)
+
+
 def test_a_ticket_is_not_accepted_while_the_store_is_down():
     made = samples.busy(seed=1)
     fleet.inject(made, fleet.SetStore(down=True))
