Measure the memory of an entry's tables by members

Cause: CAPACITY.md wants memory for membership as well. Change: capacity.worlds, a slope over the number of members.

--- a/packages/lab/src/zinnialead_lab/capacity/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/capacity/coordinator.py
@@ -10,6 +10,7 @@
 from zinnialead_lab.capacity import nodes
 from zinnialead_lab.capacity import requests
 from zinnialead_lab.capacity import sites
+from zinnialead_lab.capacity import worlds
 
 BUDGETS = {
     ('control', 'processor'): const.PROCESSOR_MS_PER_S,
@@ -19,6 +20,7 @@
     ('busiest node', 'most bytes received in a second'): const.BYTES_PER_S,
     ('look-up', 'table in use'): const.MEMORY_MB,
     ('look-up', 'rows of the state'): const.MEMORY_MB,
+    ('membership', 'tables in memory'): const.MEMORY_MB,
     ('store client', 'calls'): const.STORE_READS_PER_S,
     ('spread of tickets', 'in force everywhere'): const.TICKET_S,
 }
@@ -31,6 +33,7 @@
     yield from fit.slopes(measured, 'block', const.BLOCKS)
     node_steps = const.SHORT_NODE_STEPS if short else const.NODE_STEPS
     yield from fit.slopes(nodes.measure(node_steps, seed), 'node', const.NODES)
+    yield from fit.slopes(worlds.measure(node_steps), 'node', const.NODES)
     site_steps = const.SHORT_SITE_STEPS if short else const.SITE_STEPS
     yield from fit.slopes(sites.measure(site_steps), 'site', const.SITES)
 
