Ask the witness of a key once its work has a slot

Cause: a claim stood at both registrars while its work waited for a slot, so the death of its entry left waiting work undecided. Change: the home is asked before the slot, the witness after; a registrar that never saw a key bars it and says truly that nothing ran.

--- a/packages/core/src/zinnialead_core/components/keys/claims.py
+++ b/packages/core/src/zinnialead_core/components/keys/claims.py
@@ -100,7 +100,7 @@
     detail = 'the deadline passed before the key was claimed'
     if claim is None:
         return verdict.Refusal(known, reason, detail)
-    if claim.step in (Step.WITNESS, Step.HELD):
+    if claim.step in (Step.AT_HOME, Step.WITNESS, Step.HELD):
         known = verdict.Verdict.NOT_RUN
         reason = verdict.Reason.DEADLINE_PASSED
     elif claim.waiting:
@@ -154,13 +154,42 @@
     if late or now_ms >= claim.deadline_ms or claim.step is Step.BAR:
         # The timer of the deadline ends a claim that was granted late.
         return
-    if claim.step is Step.HOME and len(claim.registrars) > 1:
+    timers.stop(world.timers, ends.timeout(claim))
+    if claim.step is Step.HOME:
+        world.claims[claim.request_id] = claim._replace(step=Step.AT_HOME)
+        yield out.Notify(inp.ClaimHeld(claim.request_id))
+        return
+    yield from _hold(world, claim)
+
+
+def confirm(
+    world: world_module.World, now_ms: float, request_id: ids.RequestId
+) -> abc.Iterator[out.Output]:
+    """Claim a key at its witness, now that its work has a slot.
+
+    Until then the witness knows nothing of the key, so that it can say
+    truly that work which waits at an entry that dies did not run.
+    """
+    claim = world.claims.get(request_id)
+    if claim is None:
+        return
+    if claim.step is Step.HELD:
+        yield out.Notify(inp.ClaimConfirmed(request_id))
+        return
+    if claim.step is not Step.AT_HOME:
+        return
+    if len(claim.registrars) > 1:
         yield from _enter(world, now_ms, claim, Step.WITNESS)
         return
-    timers.stop(world.timers, ends.timeout(claim))
+    yield from _hold(world, claim)
+
+
+def _hold(
+    world: world_module.World, claim: models.ClaimRow
+) -> abc.Iterator[out.Output]:
     world.claims[claim.request_id] = claim._replace(step=Step.HELD)
     world.counters['keys.held'] += 1
-    yield out.Notify(inp.ClaimHeld(claim.request_id))
+    yield out.Notify(inp.ClaimConfirmed(claim.request_id))
 
 
 def _denied(
--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -31,6 +31,8 @@
         match item:
             case inp.ClaimWanted():
                 yield from _want(world, now_ms, item)
+            case inp.ConfirmWanted(request_id):
+                yield from claims.confirm(world, now_ms, request_id)
             case inp.ClaimEnded(request_id, outcome):
                 yield from ends.on_ended(world, now_ms, request_id, outcome)
             case inp.DispatchDone(request_id, _, outcome):
--- a/packages/core/src/zinnialead_core/components/keys/ends.py
+++ b/packages/core/src/zinnialead_core/components/keys/ends.py
@@ -33,7 +33,7 @@
 ) -> abc.Iterator[out.Output]:
     """End a claim and report it until the registrars confirm it."""
     timers.stop(world.timers, timeout(claim))
-    at_home = claim.step is Step.HOME
+    at_home = claim.step in (Step.HOME, Step.AT_HOME)
     claim = claim._replace(
         step=Step.END,
         end=end,
--- a/packages/core/src/zinnialead_core/components/keys/models.py
+++ b/packages/core/src/zinnialead_core/components/keys/models.py
@@ -75,13 +75,14 @@
 
 
 class Step(enum.IntEnum):
-    """Say what a claim waits for."""
+    """Say what a claim waits for: a registrar, a slot or the work's end."""
 
     BIND = 0
     HOME = 1
     WITNESS = 2
     BAR = 3
     HELD = 4
+    AT_HOME = 6
     END = 5
 
 
--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -12,6 +12,8 @@
 from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
+NOWHERE = ids.UpstreamId('')
+
 
 def dispatch(
     world: world_module.World,
@@ -20,29 +22,42 @@
     attempt: int,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    """Send a request to the upstream that its slot is at."""
+    """Send a request, once its key is confirmed, to its slot's upstream."""
     row = world.requests.rows.get(request_id)
-    known = world.states['in-force'].upstreams.get(upstream)
     if row is None or row.attempt != attempt:
         yield out.Notify(inp.SlotGone(request_id, attempt))
         return
     if row.phase is not models.Phase.SLOT:
         return
+    row = row._replace(phase=models.Phase.CONFIRM, upstream=upstream)
+    world.requests.rows[request_id] = row
+    if row.keyed:
+        yield out.Notify(inp.ConfirmWanted(request_id))
+        return
+    yield from confirmed(world, now_ms, request_id)
+
+
+def confirmed(
+    world: world_module.World, now_ms: float, request_id: ids.RequestId
+) -> abc.Iterator[out.Output]:
+    """Send a request that has its slot and, where it needs one, its key."""
+    row = world.requests.rows.get(request_id)
+    if row is None or row.phase is not models.Phase.CONFIRM:
+        return
+    known = world.states['in-force'].upstreams.get(row.upstream or NOWHERE)
     if known is None or now_ms >= row.deadline_ms:
-        yield out.Notify(inp.SlotGone(request_id, attempt))
-        yield from endings.refuse(world, row, _no_more(row, upstream))
+        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield from endings.refuse(world, row, _no_more(row, row.upstream))
         return
-    world.requests.rows[request_id] = row._replace(
-        phase=models.Phase.UPSTREAM, upstream=upstream
-    )
+    world.requests.rows[request_id] = row._replace(phase=models.Phase.UPSTREAM)
     world.counters['requests.dispatched'] += 1
-    if attempt == 1:
+    if row.attempt == 1:
         world.counters['requests.accepted'] += 1
         retries.earn(world, row.service)
     yield out.Dispatch(
         request_id,
-        attempt,
-        upstream,
+        row.attempt,
+        known.upstream,
         known.address,
         row.deadline_ms,
         row.idempotent,
@@ -126,7 +141,7 @@
 
 
 def _no_more(
-    row: models.RequestRow, upstream: ids.UpstreamId
+    row: models.RequestRow, upstream: ids.UpstreamId | None
 ) -> verdict.Refusal:
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -28,13 +28,10 @@
     Reads ``states`` and ``claims``; writes ``requests`` and ``timers``.
     """
     for item in inputs:
+        yield from _on_claim(world, now_ms, item)
         match item:
             case inp.RequestArrived():
                 yield from _arrive(world, now_ms, item)
-            case inp.ClaimHeld(request_id):
-                yield from _want_slot(world, request_id)
-            case inp.ClaimDenied(request_id, denial):
-                yield from _deny(world, request_id, denial)
             case inp.SlotHeld(request_id, attempt, upstream):
                 yield from attempts.dispatch(
                     world, now_ms, request_id, attempt, upstream
@@ -51,13 +48,25 @@
                 yield from endings.deadline(world, now_ms, request_id)
             case inp.TimerDue(timers.RetryDue(request_id)):
                 yield from _want_slot(world, request_id)
-            case inp.ClaimClosed():
-                yield from endings.stopped_if_idle(world)
             case inp.StopAsked():
                 world.requests.stopping.add(STOPPING)
                 yield from endings.stopped_if_idle(world)
 
 
+def _on_claim(
+    world: world_module.World, now_ms: float, item: inp.Input
+) -> abc.Iterator[out.Output]:
+    match item:
+        case inp.ClaimHeld(request_id):
+            yield from _want_slot(world, request_id)
+        case inp.ClaimConfirmed(request_id):
+            yield from attempts.confirmed(world, now_ms, request_id)
+        case inp.ClaimDenied(request_id, denial):
+            yield from _deny(world, request_id, denial)
+        case inp.ClaimClosed():
+            yield from endings.stopped_if_idle(world)
+
+
 def _arrive(
     world: world_module.World, now_ms: float, item: inp.RequestArrived
 ) -> abc.Iterator[out.Output]:
@@ -117,8 +126,12 @@
     world: world_module.World, request_id: ids.RequestId, denial: keys.Denial
 ) -> abc.Iterator[out.Output]:
     row = world.requests.rows.get(request_id)
-    if row is None or row.phase is not models.Phase.CLAIM:
+    if row is None:
+        return
+    if row.phase not in (models.Phase.CLAIM, models.Phase.CONFIRM):
         return
+    if row.phase is models.Phase.CONFIRM:
+        yield out.Notify(inp.SlotGone(request_id, row.attempt))
     match denial:
         case keys.Recorded(status, record):
             world.counters['requests.replayed'] += 1
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -10,14 +10,15 @@
 class Phase(enum.Enum):
     """Say what a request waits for.
 
+    One in ``CONFIRM`` has a slot, and waits for the witness of its key.
     One in ``ANSWER`` has begun to be answered, and is not tried again.
-
     One that is ``ENDING`` has been answered, or its caller has left, but
     its attempt still keeps the upstream busy.
     """
 
     CLAIM = 'claim'
     SLOT = 'slot'
+    CONFIRM = 'confirm'
     UPSTREAM = 'upstream'
     ANSWER = 'answer'
     BACKOFF = 'backoff'
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -134,7 +134,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """Tell the requests system that its request's key may be used."""
+    """Tell the requests system that its request may ask for a slot."""
+
+    request_id: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmWanted:
+    """Tell the keys system that a request with a claim has its slot."""
+
+    request_id: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimConfirmed:
+    """Tell the requests system that its request may be sent."""
 
     request_id: ids.RequestId
 
@@ -232,6 +246,8 @@
     | MemberChanged
     | ClaimWanted
     | ClaimHeld
+    | ConfirmWanted
+    | ClaimConfirmed
     | ClaimDenied
     | ClaimEnded
     | ClaimClosed
--- a/tests/core/components/keys/bag.py
+++ b/tests/core/components/keys/bag.py
@@ -86,6 +86,8 @@
         case out.SendPeer(entry, message):
             bag.packets.append(Packet(ref, entry, message))
         case out.Notify(inp.ClaimHeld(request_id)):
+            set_state(bag, request_id, 'listed')
+        case out.Notify(inp.ClaimConfirmed(request_id)):
             set_state(bag, request_id, 'held')
         case out.Notify(inp.ClaimDenied(request_id, denial)):
             set_state(bag, request_id, 'denied')
@@ -126,6 +128,12 @@
     return request_id
 
 
+def confirm(bag: Bag, request_id: int) -> None:
+    """Tell the keys system that a request's slot has come."""
+    name = bag.copies[request_id].holder.entry
+    feed(bag, name, inp.ConfirmWanted(request_id))
+
+
 def dispatch(bag: Bag, copy: Copy) -> None:
     """Do what the requests system does with a key that it holds."""
     name = copy.holder.entry
@@ -149,7 +157,7 @@
     ref = bag.worlds[name].node.ref
     bag.worlds[name] = new_world(name, ref.incarnation + 1)
     for copy in list(bag.copies.values()):
-        if copy.holder == ref and copy.state in ('claim', 'held'):
+        if copy.holder == ref and copy.state in ('claim', 'listed', 'held'):
             set_state(bag, copy.request_id, 'gone')
         if copy.holder == ref and copy.state == 'running':
             set_state(bag, copy.request_id, 'lost')
@@ -175,19 +183,26 @@
             arrive(bag, name, issued, (300.0, 3_000.0)[pick // 4 % 2])
         case 'deliver' | 'duplicate' | 'drop' if bag.packets:
             _move(bag, operation, pick)
-        case 'dispatch' if copies := of_live(bag, 'held'):
-            dispatch(bag, copies[pick % len(copies)])
+        case 'dispatch' if copies := of_live(bag, 'listed', 'held'):
+            _go_on(bag, copies[pick % len(copies)])
         case 'end' if copies := of_live(bag, 'running'):
             copy = copies[pick % len(copies)]
             end(bag, copy, ENDS[pick // 4 % len(ENDS)])
         case 'late' if copies := of_live(bag, 'lost'):
             _late(bag, copies[pick % len(copies)])
-        case 'abandon' if copies := of_live(bag, 'claim', 'held'):
+        case 'abandon' if copies := of_live(bag, 'claim', 'listed', 'held'):
             end(bag, copies[pick % len(copies)], verdict.NotSent())
         case _:
             _disturb(bag, operation, pick)
 
 
+def _go_on(bag: Bag, copy: Copy) -> None:
+    if copy.state == 'listed':
+        confirm(bag, copy.request_id)
+    else:
+        dispatch(bag, copy)
+
+
 def _disturb(bag: Bag, operation: str, pick: int) -> None:
     name = NAMES[pick % len(NAMES)]
     match operation:
