Let go of connections that their peers closed, with a test that shows it

Cause: the library holds a connection whose peer closed it without a reset until the idle timeout, 30 s here. Change: the idle timer stops when the peer's end is read; the test reads whole answers and closes. The test fails without the change and passes with it. Conclusion: the bound on connections counts live ones.

--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -87,6 +87,9 @@
         typing.cast('typing.Any', {}),
         stream,
     )
+    connection._read_data = functools.partial(  # type: ignore[method-assign]
+        _read_to_end, connection, connection._read_data
+    )
     try:
         await connection.run()
     except Exception:
@@ -96,6 +99,16 @@
         server.connections -= 1
 
 
+async def _read_to_end(
+    connection: hypercorn.trio.tcp_server.TCPServer,
+    read: abc.Callable[[], abc.Awaitable[None]],
+) -> None:
+    await read()
+    # The library would hold a connection that its peer has closed until
+    # the idle timeout.
+    await connection.idle_task.stop()
+
+
 async def _dispatch(
     app: asgi.AsgiApp,
     scope: asgi.Scope,
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -54,12 +54,12 @@
 
 async def test_a_connection_that_its_peer_closed_makes_room(nursery):
     address = await start(nursery, connections_max=1)
-    host, _, port = address.rpartition(':')
-    async with await trio.open_tcp_stream(host, int(port)) as kept:
-        await kept.send_all(GET)
-        assert await kept.receive_some()
-    await trio.testing.wait_all_tasks_blocked(0.01)
-    assert b'hello' in await exchange_or_reset(address)
+    for _ in range(2):
+        # A client that reads the whole answer ends without a reset.
+        async with httpcore.AsyncConnectionPool() as pool:
+            answer = await pool.request('GET', f'http://{address}/x')
+        assert answer.content == b'hello'
+        await trio.testing.wait_all_tasks_blocked(0.01)
     nursery.cancel_scope.cancel()
 
 
