--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -8,6 +8,7 @@
 
 import httpcore
 import trio
+import trio.testing
 
 from zinnialead_daemon import http
 
@@ -51,6 +52,17 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_connection_that_its_peer_closed_makes_room(nursery):
+    address = await start(nursery, connections_max=1)
+    host, _, port = address.rpartition(':')
+    async with await trio.open_tcp_stream(host, int(port)) as kept:
+        await kept.send_all(GET)
+        assert await kept.receive_some()
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    assert b'hello' in await exchange_or_reset(address)
+    nursery.cancel_scope.cancel()
+
+
 async def exchange_or_reset(address):
     try:
         return await exchange(address, GET)
