Let shares of a region's limit grow only after the work of before

Cause: a drain makes the other domains' shares of a RegionLimit grow at once, while the drained domain still has work in flight; random trials of the fuzzing saw 4 run under a limit of 3. Change: a share shrinks with its ticket and grows when the service's longest deadline has passed. Measured: the new test sees a share of 4 in place of 2 before, 2 after and 4 once the time is over. Conclusion: the limit holds through drains on entries that were there.

--- a/packages/core/src/zinnialead_core/components/slots/choice.py
+++ b/packages/core/src/zinnialead_core/components/slots/choice.py
@@ -17,7 +17,8 @@
     ``avoid`` is taken only where no other has a slot.
     """
     here = local.of(world, service)
-    if _at_limit(world, service, here.in_flight_max):
+    limit = local.in_flight_max(world, now_ms, service)
+    if _at_limit(world, service, limit):
         return None
     best: tuple[bool, int, ids.UpstreamId] | None = None
     for row in here.upstreams:
@@ -39,9 +40,8 @@
         believed.slots(world.upstreams.get(row.upstream), row.slots, now_ms)
         for row in here.upstreams
     )
-    if here.in_flight_max is None:
-        return total
-    return min(total, here.in_flight_max)
+    limit = local.in_flight_max(world, now_ms, service)
+    return total if limit is None else min(total, limit)
 
 
 def all_slots(world: world_module.World, service: ids.ServiceId) -> int:
--- a/packages/core/src/zinnialead_core/components/slots/local.py
+++ b/packages/core/src/zinnialead_core/components/slots/local.py
@@ -1,6 +1,7 @@
 """Work out what the state in force gives each service in this domain."""
 
 from collections import abc
+import math
 
 from zinnialead_core.components.slots import models
 from zinnialead_core.components import tickets
@@ -14,14 +15,72 @@
     """Return a service's upstreams here and its share of a limit."""
     state = world.states['in-force']
     queues = world.queues
-    if queues.numbers[0] != state.number:
-        queues.locals.clear()
-        queues.numbers[0] = state.number
+    _renew(world)
     if service not in queues.locals:
         queues.locals[service] = _work_out(world, state, service)
     return queues.locals[service]
 
 
+def changed(world: world_module.World, now_ms: float) -> None:
+    """Keep the shares of before a ticket until work under them ends.
+
+    A share that grows at once would add to work that other domains still
+    have in flight under theirs.
+    """
+    services = world.states['in-force'].services
+    _renew(world)
+    for service, row in world.queues.former.items():
+        known = services.get(service)
+        if math.isinf(row.until_ms) and known is not None:
+            until_ms = now_ms + known.deadline_max_ms
+            world.queues.former[service] = row._replace(until_ms=until_ms)
+
+
+def in_flight_max(
+    world: world_module.World, now_ms: float, service: ids.ServiceId
+) -> int | None:
+    """Return how much of a service this domain may have in flight."""
+    stated = of(world, service).in_flight_max
+    if stated is None:
+        return None
+    return _least(stated, _former(world, now_ms, service))
+
+
+def _renew(world: world_module.World) -> None:
+    queues = world.queues
+    number = world.states['in-force'].number
+    if queues.numbers[0] == number:
+        return
+    _keep_former(world)
+    queues.locals.clear()
+    queues.numbers[0] = number
+
+
+def _keep_former(world: world_module.World) -> None:
+    # ``changed`` sets the end, since only it knows the time.
+    for service, row in world.queues.locals.items():
+        former = world.queues.former.get(service)
+        known = former.in_flight_max if former else None
+        most = _least(row.in_flight_max, known)
+        if most is not None:
+            kept = models.FormerRow(most, math.inf)
+            world.queues.former[service] = kept
+
+
+def _former(
+    world: world_module.World, now_ms: float, service: ids.ServiceId
+) -> int | None:
+    row = world.queues.former.get(service)
+    if row is None or now_ms >= row.until_ms:
+        return None
+    return row.in_flight_max
+
+
+def _least(one: int | None, other: int | None) -> int | None:
+    known = [x for x in (one, other) if x is not None]
+    return min(known, default=None)
+
+
 def in_flight_share(
     world: world_module.World, service: ids.ServiceId
 ) -> int | None:
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -104,6 +104,13 @@
     in_flight_max: int | None
 
 
+class FormerRow(typing.NamedTuple):
+    """Hold a share of a region's limit that held before a ticket."""
+
+    in_flight_max: int
+    until_ms: float
+
+
 class OwnerRow(typing.NamedTuple):
     """Hold who owned a service's slots when that was last worked out."""
 
@@ -132,6 +139,7 @@
     service_loads: dict[ids.ServiceId, ServiceLoadRow]
     rank_loads: dict[tuple[ids.ServiceId, ids.RankId], RankLoadRow]
     locals: dict[ids.ServiceId, LocalRow]
+    former: dict[ids.ServiceId, FormerRow]
     numbers: list[int]
 
 
@@ -142,4 +150,4 @@
 
 def new_queues() -> QueueTable:
     """Return a table without queued asks and grants."""
-    return QueueTable({}, {}, {}, {}, {}, {}, {}, {}, {}, [-1])
+    return QueueTable({}, {}, {}, {}, {}, {}, {}, {}, {}, {}, [-1])
--- /dev/null
+++ b/tests/core/components/slots/test_limits.py
@@ -0,0 +1,55 @@
+"""Keep the share of a region's limit until work under it has ended."""
+
+from core import samples
+import zinnialead_core as core
+from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import local
+from zinnialead_core.components import tickets
+from zinnialead_core import inputs as inp
+
+SIBLING = 'kigali-b'
+
+
+def limited(number, **changed):
+    state = samples.state(slots=3, number=number)
+    here = state.upstreams['pricebook-1']
+    there = here._replace(
+        upstream='pricebook-2', domain=SIBLING, address='127.0.0.1:2'
+    )
+    return state._replace(
+        domains={
+            **state.domains,
+            SIBLING: tickets.DomainRow(SIBLING, 'kigali', 4),
+        },
+        upstreams={**state.upstreams, 'pricebook-2': there},
+        caps={'l': tickets.RegionLimit('kigali', 'pricebook', 4)},
+        **changed,
+    )
+
+
+def limits(world, now_ms):
+    return (
+        local.in_flight_max(world, now_ms, 'pricebook'),
+        choice.usable_slots(world, now_ms, 'pricebook'),
+    )
+
+
+def test_a_share_grows_only_when_the_work_of_before_has_ended():
+    world = samples.world()
+    list(core.tick(world, 1.0, [inp.StateRead(limited(2))]))
+    assert limits(world, 2.0) == (2, 2)
+    drains = {'d': tickets.DomainDrain(SIBLING)}
+    drained = limited(3, drains=drains)
+    list(core.tick(world, 10.0, [inp.StateRead(drained)]))
+    assert limits(world, 11.0) == (2, 2)
+    longest_ms = drained.services['pricebook'].deadline_max_ms
+    assert limits(world, 10.0 + longest_ms) == (4, 3)
+
+
+def test_a_share_shrinks_at_once():
+    world = samples.world()
+    drains = {'d': tickets.DomainDrain(SIBLING)}
+    list(core.tick(world, 1.0, [inp.StateRead(limited(2, drains=drains))]))
+    assert limits(world, 2.0) == (4, 3)
+    list(core.tick(world, 10.0, [inp.StateRead(limited(3))]))
+    assert limits(world, 10.0) == (2, 2)
