--- a/packages/core/src/zinnialead_core/components/slots/const.py
+++ b/packages/core/src/zinnialead_core/components/slots/const.py
@@ -21,6 +21,9 @@
 # A timeout after this many service times is the upstream's failure.
 AMPLE_SERVICE_TIMES = 5.0
 FLOOR_CREDIT_DUE = 0.5
+# Floors are shares of all the time of slots, which are idle for a round
+# trip between two uses.
+FLOOR_MARGIN = 1.05
 FLOOR_CREDIT_MAX = 4.0
 SHARE_MIN = 0.01
 QUEUE_MAX = 100
--- a/packages/core/src/zinnialead_core/components/slots/floors.py
+++ b/packages/core/src/zinnialead_core/components/slots/floors.py
@@ -45,7 +45,7 @@
     in_order = rank == _most_urgent(world, waiting)
     for other in waiting:
         row = _load(world, service, other)
-        earned = row.credit + lines.floor_share(world, other)
+        earned = row.credit + _owed_share(world, other)
         if other == rank and in_order:
             # A rank that goes in its order neither owes nor is owed.
             earned = 0.0
@@ -65,7 +65,7 @@
     extra = grants - 1.0
     for other in lines.waiting(world, service):
         row = _load(world, service, other)
-        share = lines.floor_share(world, other)
+        share = _owed_share(world, other)
         if share > 0.0:
             earned = row.credit + share * extra
             loads[service, other] = row._replace(credit=_bounded(earned))
@@ -101,6 +101,10 @@
     return _decayed(row, now_ms) / const.ARRIVALS_WINDOW_MS
 
 
+def _owed_share(world: world_module.World, rank: ids.RankId) -> float:
+    return lines.floor_share(world, rank) * const.FLOOR_MARGIN
+
+
 def _most_urgent(
     world: world_module.World, waiting: abc.Iterable[ids.RankId]
 ) -> ids.RankId:
