--- a/packages/cli/src/zinnialead_cli/fleet/commands.py
+++ b/packages/cli/src/zinnialead_cli/fleet/commands.py
@@ -60,13 +60,16 @@
 
     Example: zinnialead dump --entry 10.0.0.1:8081
     """
-    for address in entry:
-        found = clients.get(
-            clients.Entry(address, token), '/v1/dump', Document
-        )
-        if found.is_error():
-            output.fail(found.error.reason, const.ExitCode.UNREACHABLE)
-        output.print_json(found.ok)
+    _print_answers(entry, token, '/v1/dump')
+
+
+def in_force(entry: Entries, token: Token) -> None:
+    """Print what is in force on entries, in the form of a ticket.
+
+    It needs no store.
+    Example: zinnialead in-force --entry 10.0.0.1:8081
+    """
+    _print_answers(entry, token, '/v1/state')
 
 
 def stop(entry: Entries, token: Token) -> None:
@@ -83,6 +86,15 @@
         output.print_json(found.ok)
 
 
+def _print_answers(addresses: list[str], token: str, path: str) -> None:
+    for address in addresses:
+        entry = clients.Entry(address, token)
+        found = clients.get(entry, path, Document)
+        if found.is_error():
+            output.fail(found.error.reason, const.ExitCode.UNREACHABLE)
+        output.print_json(found.ok)
+
+
 def _seen(addresses: list[str], token: str) -> list[documents.FleetDocument]:
     seen = []
     for address in addresses:
--- a/packages/cli/src/zinnialead_cli/main.py
+++ b/packages/cli/src/zinnialead_cli/main.py
@@ -19,6 +19,7 @@
 app.command('state')(tickets.state)
 app.command('diff')(tickets.diff)
 app.command('fleet')(fleet.fleet)
+app.command('in-force')(fleet.in_force)
 app.command('dump')(fleet.dump)
 app.command('stop')(fleet.stop)
 
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -1,6 +1,11 @@
 """Join what several entries say of the fleet."""
 
+import expression
+import typer.testing
+
+from zinnialead_cli import clients
 from zinnialead_cli import fleet
+from zinnialead_cli import main
 
 
 def seen(entry: str, in_use: int | None, heard_ago_ms: float):
@@ -54,3 +59,18 @@
     assert merged['refusals'] == {'queue-full': 4}
     titles = [table.title for table in fleet.lay_out(merged)]
     assert titles[0] == 'Entries (ticket 3 in force)'
+
+
+def test_what_is_in_force_is_read_without_the_store(monkeypatch):
+    asked = []
+
+    def get(entry, path, kind):
+        asked.append((entry.address, entry.token, path))
+        return expression.Ok({'number': 7})
+
+    monkeypatch.setattr(clients, 'get', get)
+    result = typer.testing.CliRunner().invoke(
+        main.app, ['in-force', '--entry', 'a:1', '--token', 't']
+    )
+    assert '"number": 7' in result.output
+    assert asked == [('a:1', 't', '/v1/state')]
