Forget a former share of a region's limit when its time is over

Cause: the read-through found that a share whose time was over stayed in the table, and the next ticket, whatever it touched, brought it back into force for the longest deadline again. Change: each former share has its own end and is dropped at the first ticket after it; the least of those that still hold counts. Measured: a new test saw 2 slots in place of 4 before (it fails on the tree before this change), 4 after; the tests of slots pass. Conclusion: a limit is held back once for each ticket that shrank it.

--- a/packages/core/src/zinnialead_core/components/slots/local.py
+++ b/packages/core/src/zinnialead_core/components/slots/local.py
@@ -8,8 +8,6 @@
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
 
-NOTHING = models.LocalRow((), None)
-
 
 def of(world: world_module.World, service: ids.ServiceId) -> models.LocalRow:
     """Return a service's upstreams here and its share of a limit."""
@@ -27,13 +25,15 @@
     A share that grows at once would add to work that other domains still
     have in flight under theirs.
     """
-    services = world.states['in-force'].services
     _renew(world)
-    for service, row in world.queues.former.items():
-        known = services.get(service)
-        if math.isinf(row.until_ms) and known is not None:
-            until_ms = now_ms + known.deadline_max_ms
-            world.queues.former[service] = row._replace(until_ms=until_ms)
+    former = world.queues.former
+    for service, rows in list(former.items()):
+        known = world.states['in-force'].services.get(service)
+        longest_ms = known.deadline_max_ms if known else 0.0
+        dated = (_dated(row, now_ms + longest_ms) for row in rows)
+        former[service] = tuple(x for x in dated if now_ms < x.until_ms)
+        if not former[service]:
+            del former[service]
 
 
 def in_flight_max(
@@ -43,7 +43,9 @@
     stated = of(world, service).in_flight_max
     if stated is None:
         return None
-    return _least(stated, _former(world, now_ms, service))
+    rows = world.queues.former.get(service, ())
+    held = (row.in_flight_max for row in rows if now_ms < row.until_ms)
+    return min((stated, *held))
 
 
 def _renew(world: world_module.World) -> None:
@@ -58,27 +60,17 @@
 
 def _keep_former(world: world_module.World) -> None:
     # ``changed`` sets the end, since only it knows the time.
+    former = world.queues.former
     for service, row in world.queues.locals.items():
-        former = world.queues.former.get(service)
-        known = former.in_flight_max if former else None
-        most = _least(row.in_flight_max, known)
-        if most is not None:
-            kept = models.FormerRow(most, math.inf)
-            world.queues.former[service] = kept
-
-
-def _former(
-    world: world_module.World, now_ms: float, service: ids.ServiceId
-) -> int | None:
-    row = world.queues.former.get(service)
-    if row is None or now_ms >= row.until_ms:
-        return None
-    return row.in_flight_max
+        if row.in_flight_max is not None:
+            kept = models.FormerRow(row.in_flight_max, math.inf)
+            former[service] = (*former.get(service, ()), kept)
 
 
-def _least(one: int | None, other: int | None) -> int | None:
-    known = [x for x in (one, other) if x is not None]
-    return min(known, default=None)
+def _dated(row: models.FormerRow, until_ms: float) -> models.FormerRow:
+    if math.isinf(row.until_ms):
+        return row._replace(until_ms=until_ms)
+    return row
 
 
 def in_flight_share(
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -139,7 +139,7 @@
     service_loads: dict[ids.ServiceId, ServiceLoadRow]
     rank_loads: dict[tuple[ids.ServiceId, ids.RankId], RankLoadRow]
     locals: dict[ids.ServiceId, LocalRow]
-    former: dict[ids.ServiceId, FormerRow]
+    former: dict[ids.ServiceId, tuple[FormerRow, ...]]
     numbers: list[int]
 
 
--- a/tests/core/components/slots/test_limits.py
+++ b/tests/core/components/slots/test_limits.py
@@ -53,3 +53,17 @@
     assert limits(world, 2.0) == (4, 3)
     list(core.tick(world, 10.0, [inp.StateRead(limited(3))]))
     assert limits(world, 10.0) == (2, 2)
+
+
+def test_a_share_of_long_ago_does_not_come_back_with_a_later_ticket():
+    world = samples.world()
+    list(core.tick(world, 1.0, [inp.StateRead(limited(2))]))
+    assert limits(world, 2.0) == (2, 2)
+    drains = {'d': tickets.DomainDrain(SIBLING)}
+    drained = limited(3, drains=drains)
+    list(core.tick(world, 10.0, [inp.StateRead(drained)]))
+    later_ms = 10.0 + drained.services['pricebook'].deadline_max_ms
+    assert limits(world, later_ms) == (4, 3)
+    again = limited(4, drains=drains)
+    list(core.tick(world, later_ms + 1.0, [inp.StateRead(again)]))
+    assert limits(world, later_ms + 2.0) == (4, 3)
