Count slots in use once, look owners up where they are kept, drop dead names

Change: choice.in_flight and the kept owners serve both; the constants are gone. Conclusion: behaviour stays, with less work in each round.

--- a/packages/cli/src/zinnialead_cli/const.py
+++ b/packages/cli/src/zinnialead_cli/const.py
@@ -10,7 +10,6 @@
 CALL_TIMEOUT_MS = 5_000.0
 WATCH_PERIOD_MS = 2_000.0
 MS_PER_S = 1_000.0
-RETRIES = 2
 
 
 class ExitCode(enum.IntEnum):
--- a/packages/config/src/zinnialead_config/settings/const.py
+++ b/packages/config/src/zinnialead_config/settings/const.py
@@ -1,7 +1,6 @@
 """Hold the defaults and bounds of the settings."""
 
 ENVIRONMENT_PREFIX = 'ZINNIALEAD_'
-PEER_KEY_MIN_CHARS = 16
 TOKEN_MIN_CHARS = 16
 CONNECTIONS_MAX = 4_000
 HEADER_MAX_BYTES = 16_384
--- a/packages/core/src/zinnialead_core/components/slots/choice.py
+++ b/packages/core/src/zinnialead_core/components/slots/choice.py
@@ -53,6 +53,11 @@
     return min(total, here.in_flight_max)
 
 
+def in_flight(world: world_module.World, service: ids.ServiceId) -> int:
+    """Return how many slots of a service are in use here."""
+    return sum(row.service == service for row in world.queues.grants.values())
+
+
 def is_served(world: world_module.World, service: ids.ServiceId) -> bool:
     """Return whether any upstream here takes new work, now or soon."""
     return any(
@@ -68,7 +73,4 @@
 ) -> bool:
     if in_flight_max is None:
         return False
-    in_flight = sum(
-        row.service == service for row in world.queues.grants.values()
-    )
-    return in_flight >= in_flight_max
+    return in_flight(world, service) >= in_flight_max
--- a/packages/core/src/zinnialead_core/components/steering/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/steering/coordinator.py
@@ -8,7 +8,6 @@
 from zinnialead_core.components.steering import messages
 from zinnialead_core.components.steering import models
 from zinnialead_core.components.steering import redirects
-from zinnialead_core.components.steering import targets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -50,7 +49,7 @@
             continue
         row = _row(world, now_ms, service)
         for domain in world.states['in-force'].domains:
-            owner = targets.slot_owner(world, service, domain)
+            owner = ownership.owner_of(world, now_ms, service, domain)
             if owner is not None and domain != world.node.domain:
                 rows.setdefault(owner, []).append(row)
     for owner, told in rows.items():
@@ -69,7 +68,7 @@
         service=service,
         domain=world.node.domain,
         slots=choice.usable_slots(world, now_ms, service),
-        in_use=sum(x.service == service for x in queues.grants.values()),
+        in_use=choice.in_flight(world, service),
         queued=sum(map(len, lines.values())),
         service_time_ms=measured or stated,
         seen_ms=now_ms,
--- a/packages/daemon/src/zinnialead_daemon/components/front/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/const.py
@@ -12,7 +12,6 @@
 HEADER_LENGTH = b'content-length'
 
 TARGET_MAX_BYTES = 4_096
-KEY_MAX_BYTES = 255
 NAME_MAX_BYTES = 128
 BODY_MAX_BYTES = 67_108_864
 # A body up to this size is held back whole, so that it can be sent again.
--- a/packages/lab/src/zinnialead_lab/fuzz/const.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/const.py
@@ -9,7 +9,6 @@
 ADVANCE_MAX_MS = 1_500.0
 
 SHIFTS_PER_S = 4.0
-REGION_IN_FLIGHT = 3
 
 # An upstream's own queue may start accepted work this much later.
 UPSTREAM_WAIT_MS = 500.0
