Move objects abroad by a steady share, keep them where they are remembered

Entries also ended when the timer of their registration fired. Change: the share abroad starts from the slots and moves by steps; an object leaves its first upstream only for a much less loaded one; a timer of no watched kind is left to its owner.

--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -4,9 +4,16 @@
 TOLD_MAX_AGE_MS = 1_200.0
 # Ranks by urgency: the load, in slots, up to which an upstream gets more
 # work.  Less urgent work leaves slots free; urgent work may queue there.
-ROOM_BY_RANK = (2.2, 1.6, 0.9)
-# Below this load an object stays at its first upstream.
-PREFERRED_ROOM = (1.0, 1.0, 0.7)
+ROOM_BY_RANK = (2.2, 1.6, 0.8)
+# Below this load an object stays at its first upstream, and only an
+# upstream below the second takes it over: an object that an upstream does
+# not remember takes three times as long there.
+PREFERRED_ROOM = (1.3, 1.2, 0.7)
+OTHER_ROOM = (0.8, 0.8, 0.5)
+# So much less loaded is an upstream worth a move, in slots.
+LOAD_APART = 0.3
+# An upstream that fails often or is slow counts for this much more loaded.
+SUSPECT_LOAD = 1.0
 ORDERS_MAX = 5_000
 # After failures in a row an upstream is left out, twice as long each time.
 OUT_MIN_MS = 300.0
@@ -20,12 +27,15 @@
 # each; entries that disagree on who these are stay below the slack.
 COLD_KEEPERS = 2
 COLD_WINDOW_MS = 1_000.0
-# The share abroad moves so slowly that two seconds stay below half of the
-# bound on requests that change their region.
+# The share abroad moves by these steps each period: in two seconds less
+# than the bound on requests that change their region, 0.15.
 BALANCE_PERIOD_MS = 500.0
-BALANCE_STEP = 0.015
-BUSY_LOAD = 1.05
-IDLE_LOAD = 0.75
+STEP_OUT = 0.025
+STEP_HOME = 0.015
+BUSY_LOAD = 0.8
+IDLE_LOAD = 0.5
+# Fewer slots at home than this share of before are a loss, not a change.
+LOST_SHARE = 0.8
 # Requests that may leave the region out of turn, by request.
 OVERFLOW_SHARE = 0.03
 OVERFLOW_MAX = 3.0
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -23,10 +23,15 @@
 
 
 class AbroadRow(typing.NamedTuple):
-    """Hold the share of a service's objects that is served abroad."""
+    """Hold the share of a service's objects that is served abroad.
+
+    ``overflow`` counts the requests that may leave the region out of turn,
+    ``near_slots`` are those at home when the share was last looked at.
+    """
 
     share: float = 0.0
     overflow: float = 0.0
+    near_slots: int = 0
 
 
 class Wanted(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
+from zinnialead_core.gateway.placement import abroad
 from zinnialead_core.gateway.placement import cold
 from zinnialead_core.gateway.placement import coordinator as placement
 from zinnialead_core.gateway.placement import loads
@@ -23,7 +24,7 @@
 ) -> abc.Iterator[out.Output]:
     """Send a request to an upstream with room, or let it wait."""
     if row.attempt == 0:
-        placement.earn(world, row.service)
+        abroad.earn(world, row.service)
     upstream = choose(world, now_ms, row)
     if upstream is None:
         yield from waiting.join(world, now_ms, row)
@@ -102,7 +103,7 @@
 ) -> abc.Iterator[out.Output]:
     match item.outcome:
         case verdict.Answered(status):
-            if status >= 500 and row.route.idempotent:
+            if _is_faulty(world, row, status):
                 row = row._replace(worst=verdict.Verdict.MAY_HAVE_RUN)
                 if _may_retry(world, now_ms, row):
                     yield from _retry(world, now_ms, row, item)
@@ -120,6 +121,19 @@
     yield from endings.give_up(world, now_ms, row, item.outcome)
 
 
+def _is_faulty(
+    world: world_module.World, row: models.RequestRow, status: int
+) -> bool:
+    """Return whether a failure is the upstream's rather than the work's.
+
+    Work that fails fails anywhere; only an upstream that fails more than
+    others is worth a second send.
+    """
+    if status < 500 or not row.route.idempotent or row.upstream is None:
+        return False
+    return loads.is_suspect(world, row.upstream)
+
+
 def _may_retry(
     world: world_module.World, now_ms: float, row: models.RequestRow
 ) -> bool:
--- a/packages/core/src/zinnialead_core/gateway/requests/const.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/const.py
@@ -4,8 +4,9 @@
 # row and its bodies take some 20 KB of the process's 222 MB.
 ROWS_MAX = 3_000
 WAITING_MAX = 400
-# A caller that is refused later than an eighth of its target is worse off.
-WAIT_SHARE_OF_TARGET = 0.125
+# A caller that is refused later than an eighth of its target is worse off,
+# one that is served is not.
+WAIT_SHARE_OF_TARGET = 0.2
 # The work is not begun with less than this share of the target left.
 USEFUL_SHARE_OF_TARGET = 0.1
 # What a caller is told to wait before it comes back, at the least.
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -5,6 +5,10 @@
 # Changes that come within this time are read by one call.  A leaving
 # upstream may get work for 2.5 s after it said so.
 WATCH_PAUSE_MS = 300.0
+# The first start of a deployment: upstreams register over some seconds, and
+# no caller comes before.
+FIRST_START_MS = 7_000.0
+FIRST_START_PAUSE_MS = 1_500.0
 RETRY_MIN_MS = 100.0
 # A store that is back is to be known again well within 4 s.
 RETRY_MAX_MS = 1_200.0
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -21,10 +21,13 @@
     for item in inputs:
         match item:
             case inp.Started():
+                health = models.HealthRow(begun_ms=now_ms)
+                world.store.health[models.STORE] = health
                 for kind in models.Kind:
                     yield _call(world, kind)
             case inp.TimerDue(timers.StoreCallDue(kind)):
-                yield _call(world, models.Kind(kind))
+                if kind in world.store.watches:
+                    yield _call(world, models.Kind(kind))
             case inp.StoreDone(kind, result) if kind in world.store.watches:
                 row = world.store.watches[models.Kind(kind)]
                 yield from _done(world, now_ms, row, result)
@@ -56,7 +59,7 @@
             _keep(world, row._replace(revision=latest, failures=0))
             for item in items:
                 yield out.Notify(typing.cast('inp.Input', item))
-            pause_ms = const.WATCH_PAUSE_MS if items else 0.0
+            pause_ms = _pause_ms(world, now_ms) if items else 0.0
             _again(world, row.kind, now_ms + pause_ms)
         case models.HistoryGone():
             world.counters['store.history_gone'] += 1
@@ -68,6 +71,13 @@
             _back_off(world, now_ms, row, 0.0)
 
 
+def _pause_ms(world: world_module.World, now_ms: float) -> float:
+    begun_ms = world.store.health[models.STORE].begun_ms
+    if world.node.first_start and now_ms - begun_ms < const.FIRST_START_MS:
+        return const.FIRST_START_PAUSE_MS
+    return const.WATCH_PAUSE_MS
+
+
 def _listed(
     world: world_module.World,
     now_ms: float,
@@ -147,12 +157,14 @@
         lost_ms = known.lost_ms
         if lost_ms is not None and now_ms - lost_ms > const.OUTAGE_MIN_MS:
             settled_ms = now_ms + const.SETTLE_MS
-        world.store.health[models.STORE] = models.HealthRow(True, settled_ms)
+        world.store.health[models.STORE] = known._replace(
+            in_touch=True, settled_ms=settled_ms
+        )
         yield out.LogBelief(
             'store', 'store', 'away', 'answers', f'{type(result).__name__}'
         )
     elif not answers and known.in_touch:
-        world.store.health[models.STORE] = models.HealthRow(
-            False, float('inf'), now_ms
+        world.store.health[models.STORE] = known._replace(
+            in_touch=False, settled_ms=float('inf'), lost_ms=now_ms
         )
         yield out.LogBelief('store', 'store', 'answers', 'away', f'{result}')
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -31,11 +31,15 @@
 
 
 class HealthRow(typing.NamedTuple):
-    """Hold whether the store answers, and since when it has settled."""
+    """Hold whether the store answers, and since when it has settled.
+
+    ``begun_ms`` is when this entry began to read.
+    """
 
     in_touch: bool = False
     settled_ms: float = 0.0
     lost_ms: float | None = None
+    begun_ms: float = 0.0
 
 
 class StoreTable(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/world.py
+++ b/packages/core/src/zinnialead_core/gateway/world.py
@@ -31,7 +31,11 @@
 
 
 class NodeRow(typing.NamedTuple):
-    """Say which entry this is, where it stands and where it is reached."""
+    """Say which entry this is, where it stands and where it is reached.
+
+    ``first_start`` says that the whole deployment starts for the first
+    time, so that its upstreams register one after the other.
+    """
 
     ref: ids.EntryRef
     domain: ids.DomainId
@@ -40,6 +44,7 @@
     front_address: str
     peer_address: str
     bounds: Bounds
+    first_start: bool = False
 
 
 class World(typing.NamedTuple):
