--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,11 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-PACKAGES := core config daemon cli standins lab
+PACKAGES := core config daemon gateway cli standins lab
 empty :=
 space := $(empty) $(empty)
 SOURCES := $(foreach name,$(PACKAGES),$(CURDIR)/packages/$(name)/src)
-export PYTHONPATH := $(subst $(space),:,$(SOURCES))
+export PYTHONPATH := $(subst $(space),:,$(SOURCES) $(CURDIR)/platform)
 DEPLOYMENT ?= sabarmati
 SEED ?= 1
 STEPS ?= 60
@@ -40,14 +40,15 @@
 	$(BIN)/python -m zinnialead_lab capacity
 
 format: setup
-	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff format --check packages platform tests
 
 lint: setup
-	$(BIN)/ruff check packages tests
-	$(BIN)/flake8 packages tests
+	$(BIN)/ruff check packages platform tests
+	$(BIN)/flake8 packages platform tests
 
 types: setup
-	$(BIN)/mypy $(foreach name,$(PACKAGES),packages/$(name)/src)
+	$(BIN)/mypy $(foreach name,$(PACKAGES),packages/$(name)/src) \
+		platform/zinnialead_platform
 
 contract: setup
 	$(BIN)/lint-imports
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -41,6 +41,7 @@
                 | inp.DrainsListed()
             ):
                 world.placement.orders.clear()
+    yield from ()
 
 
 def choose(
