Learn from other entries what the store does not tell

Change: heartbeats carry the latest revision known of each kind; who is behind reads the store again, or asks the other entry while the store is away or where that did not help; a watch that broke is followed by a list; an entry that starts without the store asks the seeds. Ruled out: another answer of the list (traced: no call was answered).

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -193,7 +193,7 @@
     if known is not None and beat.incarnation < known.beat.incarnation:
         return
     table.heard[beat.entry] = models.HeardRow(beat, now_ms)
-    if known is None or known.beat != beat:
+    if known is None or _differs(known.beat, beat):
         after = 'leaving' if beat.leaving else 'live'
         before = 'unheard' if known is None else 'known'
         yield out.LogBelief(
@@ -201,6 +201,10 @@
         )
 
 
+def _differs(known: models.Beat, beat: models.Beat) -> bool:
+    return known._replace(latest=()) != beat._replace(latest=())
+
+
 def _round(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
@@ -228,7 +232,13 @@
 def _own_beat(world: world_module.World) -> models.Beat:
     ref = world.node.ref
     leaving = bool(world.entries.leaving)
-    return models.Beat(ref.entry, ref.incarnation, leaving, is_ready(world))
+    return models.Beat(
+        ref.entry,
+        ref.incarnation,
+        leaving,
+        is_ready(world),
+        tuple(row.latest for row in world.store.watches.values()),
+    )
 
 
 def _next_round(
--- a/packages/core/src/zinnialead_core/gateway/entries/models.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/models.py
@@ -18,12 +18,17 @@
 
 
 class Beat(typing.NamedTuple):
-    """Tell other entries that this one runs, and whether it is leaving."""
+    """Tell other entries that this one runs, and whether it is leaving.
+
+    ``latest`` are the revisions of the last change that it knows of each
+    kind of objects, in the kinds' order.
+    """
 
     entry: ids.EntryId
     incarnation: int
     leaving: bool
     ready: bool
+    latest: tuple[int, ...] = ()
 
 
 class HeardRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/inputs.py
+++ b/packages/core/src/zinnialead_core/gateway/inputs.py
@@ -94,9 +94,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """Report every upstream that is registered."""
+    """Report every upstream that is registered, as of a revision."""
 
     rows: tuple[upstreams.UpstreamRow, ...]
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +155,17 @@
 
     kind: str
     result: store.Result
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindHeard:
+    """Report what another entry knows of a kind of objects."""
+
+    kind: store.Kind
+    latest: int
+    items: tuple[object, ...]
+    source: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,6 +203,7 @@
     | EntriesListed
     | BeatHeard
     | StoreDone
+    | KindHeard
     | Started
     | StopAsked
     | TimerDue
--- a/packages/core/src/zinnialead_core/gateway/outputs.py
+++ b/packages/core/src/zinnialead_core/gateway/outputs.py
@@ -75,10 +75,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallStore:
-    """Make one call to the platform's store."""
+    """Make one call to the platform's store; ``number`` names it."""
 
     kind: str
     call: store.Call
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPeer:
+    """Ask another entry what it knows of some kinds of objects."""
+
+    address: str
+    kinds: tuple[store.Kind, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +120,7 @@
     | DropUpstream
     | SendBeat
     | CallStore
+    | AskPeer
     | LogBelief
     | LogDecision
 )
--- a/packages/core/src/zinnialead_core/gateway/placement/abroad.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/abroad.py
@@ -12,9 +12,7 @@
 from zinnialead_core import ids
 
 
-def of(
-    world: world_module.World, service: ids.ServiceId
-) -> models.AbroadRow:
+def of(world: world_module.World, service: ids.ServiceId) -> models.AbroadRow:
     """Return a service's share abroad, worked out from slots at first."""
     row = world.placement.abroad.get(service)
     if row is None:
@@ -32,9 +30,7 @@
     world.placement.abroad[service] = row._replace(overflow=earned)
 
 
-def may_overflow(
-    world: world_module.World, service: ids.ServiceId
-) -> bool:
+def may_overflow(world: world_module.World, service: ids.ServiceId) -> bool:
     """Return whether one request may leave the region now, and count it."""
     row = of(world, service)
     if row.overflow < 1.0:
--- a/packages/core/src/zinnialead_core/gateway/placement/cold.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold.py
@@ -37,9 +37,7 @@
     return times
 
 
-def _own_rate(
-    world: world_module.World, upstream: ids.UpstreamId
-) -> int:
+def _own_rate(world: world_module.World, upstream: ids.UpstreamId) -> int:
     known = routes.in_force(world)
     row = world.upstreams.rows[upstream]
     service = known.services.get(row.service) if known else None
@@ -59,8 +57,6 @@
     if world.node.regions.get(row.domain) != world.node.region:
         return False
     live = entries.live_in_region(world, now_ms)
-    ordered = sorted(
-        live, key=lambda name: hashing.weight(upstream, name)
-    )
+    ordered = sorted(live, key=lambda name: hashing.weight(upstream, name))
     keepers = ordered[: const.COLD_KEEPERS]
     return str(world.node.ref.entry) in keepers
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -11,9 +11,7 @@
 NOTHING = models.LoadRow()
 
 
-def of(
-    world: world_module.World, upstream: ids.UpstreamId
-) -> models.LoadRow:
+def of(world: world_module.World, upstream: ids.UpstreamId) -> models.LoadRow:
     """Return what is believed of an upstream's load."""
     return world.loads.get(upstream, NOTHING)
 
@@ -78,9 +76,7 @@
     return of(world, upstream).out_until_ms > now_ms
 
 
-def is_suspect(
-    world: world_module.World, upstream: ids.UpstreamId
-) -> bool:
+def is_suspect(world: world_module.World, upstream: ids.UpstreamId) -> bool:
     """Return whether an upstream fails often or is slow."""
     load = of(world, upstream)
     return load.failing > const.FAILING_MAX or load.pace > const.PACE_MAX
@@ -138,9 +134,7 @@
     now_ms: float, load: models.LoadRow, in_a_row: int
 ) -> models.LoadRow:
     failures = load.failures + 1
-    load = load._replace(
-        failures=failures, failing=_mean(load.failing, 1.0)
-    )
+    load = load._replace(failures=failures, failing=_mean(load.failing, 1.0))
     if failures < in_a_row:
         return load
     doublings = min(8, failures - in_a_row)
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -34,11 +34,7 @@
                 yield from endings.deadline(world, now_ms, request_id)
             case inp.TimerDue(timers.WaitDue(request_id)):
                 yield from waiting.over(world, now_ms, request_id)
-            case (
-                inp.UpstreamsListed()
-                | inp.UpstreamSeen()
-                | inp.DrainGone()
-            ):
+            case inp.UpstreamsListed() | inp.UpstreamSeen() | inp.DrainGone():
                 yield from waiting.wake_all(world, now_ms)
 
 
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -17,3 +17,12 @@
 # A registration lapses after three heartbeats; a shorter silence of the
 # store lets none lapse.
 OUTAGE_MIN_MS = 1_500.0
+# A change that others know and this entry does not is asked for after this
+# time: a watch brings it within its pause.
+BEHIND_MS = 450.0
+# Then the store is read again, and after this time another entry is asked.
+BEHIND_ASK_MS = 900.0
+# A store that does not answer this soon after a start is not waited for.
+START_ASK_MS = 600.0
+# One answer of another entry is waited for before the next one is asked.
+ASK_PAUSE_MS = 400.0
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -7,6 +7,7 @@
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models
+from zinnialead_core.gateway.store import sharing
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import timers as timer_table
@@ -23,25 +24,40 @@
             case inp.Started():
                 health = models.HealthRow(begun_ms=now_ms)
                 world.store.health[models.STORE] = health
+                timer = timers.StartAskDue()
+                due_ms = now_ms + const.START_ASK_MS
+                timer_table.start(world.timers, timer, due_ms)
                 for kind in models.Kind:
                     yield _call(world, kind)
             case inp.TimerDue(timers.StoreCallDue(kind)):
                 if kind in world.store.watches:
                     yield _call(world, models.Kind(kind))
-            case inp.StoreDone(kind, result) if kind in world.store.watches:
+            case inp.StoreDone(kind, result, number) if (
+                kind in world.store.watches
+            ):
                 row = world.store.watches[models.Kind(kind)]
-                yield from _done(world, now_ms, row, result)
+                if row.number == number:
+                    yield from _done(world, now_ms, row, result)
             case inp.StoreDone(kind, result):
                 yield from _note(world, now_ms, result)
+            case inp.KindHeard():
+                yield from sharing.heard(world, item)
+            case inp.BeatHeard(beat):
+                yield from sharing.compare(world, now_ms, beat)
+            case inp.TimerDue(timers.StartAskDue()):
+                yield from sharing.ask_seeds(world, now_ms)
 
 
 def _call(world: world_module.World, kind: models.Kind) -> out.CallStore:
     row = world.store.watches[kind]
+    row = row._replace(number=row.number + 1)
+    world.store.watches[kind] = row
     world.counters[f'store.calls.{kind.value}'] += 1
     if row.revision is None:
-        return out.CallStore(kind, models.ListKind(kind, row.after))
+        listing = models.ListKind(kind, row.after)
+        return out.CallStore(kind, listing, row.number)
     watch = models.WatchKind(kind, row.revision, const.WATCH_WAIT_MS)
-    return out.CallStore(kind, watch)
+    return out.CallStore(kind, watch, row.number)
 
 
 def _done(
@@ -52,23 +68,34 @@
 ) -> abc.Iterator[out.Output]:
     yield from _note(world, now_ms, result)
     match result:
-        case models.Listed(items, next_after, revision):
-            yield from _listed(world, now_ms, row, items, next_after, revision)
-        case models.Changed(items, revision):
-            latest = max(revision, row.revision or 0)
-            _keep(world, row._replace(revision=latest, failures=0))
+        case models.Listed():
+            yield from _listed(world, now_ms, row, result)
+        case models.Changed(items, revision, latest):
+            row = row._replace(
+                revision=max(revision, row.revision or 0),
+                latest=max(latest, row.latest),
+                failures=0,
+            )
+            _keep(world, row)
             for item in items:
                 yield out.Notify(typing.cast('inp.Input', item))
             pause_ms = _pause_ms(world, now_ms) if items else 0.0
             _again(world, row.kind, now_ms + pause_ms)
         case models.HistoryGone():
             world.counters['store.history_gone'] += 1
-            _keep(world, models.WatchRow(row.kind))
+            _keep(world, _anew(row))
             _again(world, row.kind, now_ms + world.random.uniform(0.0, 100.0))
         case models.Refused(retry_after_ms):
             _back_off(world, now_ms, row, retry_after_ms)
         case _:
-            _back_off(world, now_ms, row, 0.0)
+            # A watch that is opened again may stay deaf to what changed
+            # meanwhile; a list is not.
+            _back_off(world, now_ms, _anew(row), 0.0)
+
+
+def _anew(row: models.WatchRow) -> models.WatchRow:
+    """Return the row of a kind that is to be read whole again."""
+    return row._replace(revision=None, after=None, gathered=())
 
 
 def _pause_ms(world: world_module.World, now_ms: float) -> float:
@@ -82,44 +109,21 @@
     world: world_module.World,
     now_ms: float,
     row: models.WatchRow,
-    items: tuple[object, ...],
-    next_after: str | None,
-    revision: int,
+    page: models.Listed,
 ) -> abc.Iterator[out.Output]:
-    gathered = (*row.gathered, *items)
-    if next_after is not None:
-        # Changes between two pages are seen by a watch from the first one.
-        first = row.revision
-        _keep(
-            world,
-            row._replace(
-                after=next_after, gathered=gathered, revision=first, failures=0
-            ),
-        )
+    latest = max(row.latest, page.latest)
+    row = row._replace(
+        gathered=(*row.gathered, *page.items), latest=latest, failures=0
+    )
+    if page.next_after is not None:
+        _keep(world, row._replace(after=page.next_after))
         _again(world, row.kind, now_ms)
         return
-    yield out.Notify(_whole(row.kind, gathered))
-    _keep(world, models.WatchRow(row.kind, revision))
+    yield out.Notify(sharing.whole(row.kind, row.gathered, page.revision))
+    _keep(world, _anew(row)._replace(revision=page.revision))
     _again(world, row.kind, now_ms)
 
 
-def _whole(kind: models.Kind, items: tuple[object, ...]) -> inp.Input:
-    """Return the input that replaces all that was known of a kind."""
-    match kind:
-        case models.Kind.UPSTREAMS:
-            seen = (x.row for x in items if isinstance(x, inp.UpstreamSeen))
-            return inp.UpstreamsListed(tuple(seen))
-        case models.Kind.DRAINS:
-            drains = (x.domain for x in items if isinstance(x, inp.DrainSeen))
-            return inp.DrainsListed(tuple(drains))
-        case models.Kind.ENTRIES:
-            rows = (x.row for x in items if isinstance(x, inp.EntrySeen))
-            return inp.EntriesListed(tuple(rows))
-        case models.Kind.CONFIGURATION:
-            read = (x for x in items if isinstance(x, inp.ConfigurationRead))
-            return inp.ConfigurationsListed(tuple(read))
-
-
 def _keep(world: world_module.World, row: models.WatchRow) -> None:
     world.store.watches[row.kind] = row
 
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -20,7 +20,8 @@
     """Hold how far a kind of objects is known.
 
     ``revision`` is None until a whole list was read, and ``gathered``
-    holds the pages read so far.
+    holds the pages read so far.  ``latest`` is the revision of the last
+    change that is known, and ``number`` that of the call that counts.
     """
 
     kind: Kind
@@ -28,6 +29,8 @@
     after: str | None = None
     gathered: tuple[object, ...] = ()
     failures: int = 0
+    latest: int = 0
+    number: int = 0
 
 
 class HealthRow(typing.NamedTuple):
@@ -42,11 +45,20 @@
     begun_ms: float = 0.0
 
 
+class BehindRow(typing.NamedTuple):
+    """Hold since when another entry knows a later revision of a kind."""
+
+    since_ms: float
+    latest: int
+
+
 class StoreTable(typing.NamedTuple):
-    """Hold the watches, and the one health row."""
+    """Hold the watches, the one health row, and what others know later."""
 
     watches: dict[Kind, WatchRow]
     health: dict[str, HealthRow]
+    behind: dict[Kind, BehindRow]
+    asked_ms: dict[Kind, float]
 
 
 STORE = 'store'
@@ -55,7 +67,7 @@
 def new_table() -> StoreTable:
     """Return a table that has read nothing."""
     watches = {kind: WatchRow(kind) for kind in Kind}
-    return StoreTable(watches, {STORE: HealthRow()})
+    return StoreTable(watches, {STORE: HealthRow()}, {}, {})
 
 
 def settled_ms(table: StoreTable) -> float:
@@ -104,19 +116,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
-    """Give a page of objects as inputs for the core."""
+    """Give a page of objects as inputs for the core.
+
+    ``latest`` is the highest revision of an object of the page.
+    """
 
     items: tuple[object, ...]
     next_after: str | None
     revision: int
+    latest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changed:
-    """Give changes as inputs for the core, and the revision after them."""
+    """Give changes as inputs for the core, and the revision after them.
+
+    ``latest`` is the revision of the last of the changes.
+    """
 
     items: tuple[object, ...]
     revision: int
+    latest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/gateway/timers.py
+++ b/packages/core/src/zinnialead_core/gateway/timers.py
@@ -43,6 +43,17 @@
     kind: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartAskDue:
+    """Fire when an entry that starts may ask others in the store's place."""
+
+
 Timer = (
-    RequestDue | WaitDue | LapseDue | BalanceRound | BeatRound | StoreCallDue
+    RequestDue
+    | WaitDue
+    | LapseDue
+    | BalanceRound
+    | BeatRound
+    | StoreCallDue
+    | StartAskDue
 )
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -26,8 +26,8 @@
                 yield from _seen(world, now_ms, row)
             case inp.UpstreamGone(upstream):
                 yield from _gone(world, now_ms, upstream)
-            case inp.UpstreamsListed(rows):
-                yield from _listed(world, now_ms, rows)
+            case inp.UpstreamsListed(rows, revision):
+                yield from _listed(world, now_ms, rows, revision)
             case inp.DrainsListed(domains):
                 yield from _drains(world, now_ms, domains)
             case inp.DrainSeen(domain):
@@ -111,12 +111,14 @@
     world: world_module.World,
     now_ms: float,
     rows: abc.Sequence[models.UpstreamRow],
+    revision: int,
 ) -> abc.Iterator[out.Output]:
     for row in rows:
         yield from _seen(world, now_ms, row)
     named = {row.upstream for row in rows}
-    for upstream in [x for x in world.upstreams.rows if x not in named]:
-        yield from _gone(world, now_ms, upstream)
+    for row in list(world.upstreams.rows.values()):
+        if row.upstream not in named and row.revision <= revision:
+            yield from _gone(world, now_ms, row.upstream)
 
 
 def _hold(
--- a/packages/core/src/zinnialead_core/gateway/world.py
+++ b/packages/core/src/zinnialead_core/gateway/world.py
@@ -9,6 +9,7 @@
 from zinnialead_core.gateway.requests import models as requests
 from zinnialead_core.gateway.routes import models as routes
 from zinnialead_core.gateway.store import models as store
+from zinnialead_core.gateway import timers as gateway_timers
 from zinnialead_core.gateway.upstreams import models as upstreams
 from zinnialead_core import ids
 from zinnialead_core import timers
@@ -34,7 +35,8 @@
     """Say which entry this is, where it stands and where it is reached.
 
     ``first_start`` says that the whole deployment starts for the first
-    time, so that its upstreams register one after the other.
+    time, so that its upstreams register one after the other.  ``seeds``
+    are entries to ask while the store can't be reached.
     """
 
     ref: ids.EntryRef
@@ -45,6 +47,7 @@
     peer_address: str
     bounds: Bounds
     first_start: bool = False
+    seeds: tuple[str, ...] = ()
 
 
 class World(typing.NamedTuple):
@@ -58,7 +61,7 @@
     requests: requests.RequestTable
     entries: entries.EntryTable
     store: store.StoreTable
-    timers: timers.TimerTable
+    timers: timers.TimerTable[gateway_timers.Timer]
     counters: collections.Counter[str]
     random: random.Random
 
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -134,20 +134,23 @@
 STALE_MAX = 1_000
 
 
-class TimerTable(typing.NamedTuple):
+T = typing.TypeVar('T')
+
+
+class TimerTable(typing.NamedTuple, typing.Generic[T]):
     """Hold due times by timer, and a heap with stale entries left in."""
 
-    due_ms: dict[Timer, float]
-    heap: list[tuple[float, int, Timer]]
+    due_ms: dict[T, float]
+    heap: list[tuple[float, int, T]]
     sequence: list[int]
 
 
-def new_table() -> TimerTable:
+def new_table() -> TimerTable[typing.Any]:
     """Return a table without timers."""
     return TimerTable({}, [], [0])
 
 
-def start(table: TimerTable, timer: Timer, due_ms: float) -> None:
+def start(table: TimerTable[T], timer: T, due_ms: float) -> None:
     """Set a timer, in place of an earlier setting of the same one."""
     table.due_ms[timer] = due_ms
     table.sequence[0] += 1
@@ -156,19 +159,19 @@
         _drop_stale(table)
 
 
-def _drop_stale(table: TimerTable) -> None:
+def _drop_stale(table: TimerTable[T]) -> None:
     table.heap[:] = [
         entry for entry in table.heap if table.due_ms.get(entry[2]) == entry[0]
     ]
     heapq.heapify(table.heap)
 
 
-def stop(table: TimerTable, timer: Timer) -> None:
+def stop(table: TimerTable[T], timer: T) -> None:
     """Forget a timer."""
     table.due_ms.pop(timer, None)
 
 
-def next_due_ms(table: TimerTable) -> float | None:
+def next_due_ms(table: TimerTable[T]) -> float | None:
     """Return when the earliest timer is due, or None without timers."""
     while table.heap:
         due_ms, _, timer = table.heap[0]
@@ -178,7 +181,7 @@
     return None
 
 
-def pop_due(table: TimerTable, now_ms: float) -> abc.Iterator[Timer]:
+def pop_due(table: TimerTable[T], now_ms: float) -> abc.Iterator[T]:
     """Yield the timers due by ``now_ms`` in order, and forget them."""
     while (due_ms := next_due_ms(table)) is not None and due_ms <= now_ms:
         _, _, timer = heapq.heappop(table.heap)
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -46,7 +46,7 @@
     loads: steering.LoadTable
     shifts: steering.ShiftTable
     store: store.StoreTable
-    timers: timers.TimerTable
+    timers: timers.TimerTable[timers.Timer]
     counters: collections.Counter[str]
     random: random.Random
 
--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -94,7 +94,9 @@
         fronts.Front(engine, dialect, parts),
         [],
         [],
-        await peers.set_up(engine, nursery, settings.peers_bind),
+        await peers.set_up(
+            engine, nursery, settings.peers_bind, settings.asked_binds
+        ),
         stores.Store(
             engine,
             dialect,
@@ -107,7 +109,6 @@
     engine.carry_out = functools.partial(carry_out, application)
     await _open_ports(application, nursery)
     nursery.start_soon(engines.run_timers, engine)
-    nursery.start_soon(peers.hear, application.peers)
     nursery.start_soon(logs.run, log)
     logs.life(log, 'started', incarnation=settings.node.ref.incarnation)
     engines.feed(engine, inp.Started())
@@ -139,6 +140,8 @@
             logs.belief(application.logs, output)
         case out.SendBeat():
             peers.send(application.peers, output)
+        case out.AskPeer():
+            peers.ask(application.peers, output)
         case out.CallStore():
             stores.call(application.store, output)
         case out.DropUpstream():
@@ -154,9 +157,7 @@
         metrics.observe(application.metrics, row.route.name, elapsed_ms)
 
 
-async def _open_ports(
-    application: Application, nursery: trio.Nursery
-) -> None:
+async def _open_ports(application: Application, nursery: trio.Nursery) -> None:
     settings = application.settings
     front = application.front
     directory = directories.Directory(application.engine, application.dialect)
--- a/packages/gateway/src/zinnialead_gateway/diagnostics.py
+++ b/packages/gateway/src/zinnialead_gateway/diagnostics.py
@@ -52,5 +52,3 @@
         'upstream': row.upstream,
         'attempt': row.attempt,
     }
-
-
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -75,7 +75,9 @@
     read_request: abc.Callable[[str, Headers], RequestHead]
     write_request: abc.Callable[[RequestHead, ids.UpstreamId, int], Headers]
     read_answer: abc.Callable[[int, Headers], AnswerHead]
-    write_refusal: abc.Callable[[RequestHead | None, verdict.Refusal], RefusalHead]
+    write_refusal: abc.Callable[
+        [RequestHead | None, verdict.Refusal], RefusalHead
+    ]
     write_store: abc.Callable[[store.Call], StoreRequest]
     read_store: abc.Callable[[store.Call, int, Headers, bytes], store.Result]
     read_question: abc.Callable[[str], Question | None]
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -134,5 +134,3 @@
         return False
     bucket.tokens -= 1.0
     return True
-
-
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -1,15 +1,32 @@
-"""Send heartbeats as datagrams, and hear those of others."""
+"""Exchange heartbeats, and what entries know of the store's objects."""
 
+from collections import abc
 import dataclasses
+import functools
+import struct
 
 import trio
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
+from zinnialead_core.gateway.store import sharing
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import sockets
 from zinnialead_gateway.peers import codec
 
+# A state of 10,000 upstreams and some hundred routes fits.
+FRAME_BYTES_MAX = 4_194_304
+# The next heartbeat asks another entry.
+EXCHANGE_TIMEOUT_S = 0.8
+LENGTH = struct.Struct('!I')
+BROKEN = (
+    OSError,
+    ValueError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
+
 
 @dataclasses.dataclass(slots=True)
 class Peers:
@@ -21,12 +38,21 @@
 
 
 async def set_up(
-    engine: engines.Engine, nursery: trio.Nursery, bind: str
+    engine: engines.Engine,
+    nursery: trio.Nursery,
+    bind: str,
+    asked_at: abc.Sequence[str],
 ) -> Peers:
-    """Return peers whose socket is bound."""
+    """Return peers that hear beats at ``bind`` and are asked at others."""
     sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
     await sock.bind(sockets.parse_address(bind))
-    return Peers(engine, nursery, sock)
+    peers = Peers(engine, nursery, sock)
+    nursery.start_soon(_hear, peers)
+    for address in asked_at:
+        listener = await sockets.listen(address)
+        answer = functools.partial(_answer, peers)
+        nursery.start_soon(trio.serve_listeners, answer, [listener])
+    return peers
 
 
 def unload(peers: Peers) -> None:
@@ -39,8 +65,13 @@
     peers.nursery.start_soon(_send, peers, output)
 
 
+def ask(peers: Peers, output: out.AskPeer) -> None:
+    """Ask another entry what it knows; never wait for it."""
+    peers.nursery.start_soon(_ask, peers, output)
+
+
 async def _send(peers: Peers, output: out.SendBeat) -> None:
-    data = codec.encode(output.beat)
+    data = codec.encode_beat(output.beat)
     for address in output.addresses:
         try:
             await peers.socket.sendto(data, sockets.parse_address(address))
@@ -48,12 +79,14 @@
             peers.engine.world.counters['peers.unsent'] += 1
 
 
-async def hear(peers: Peers) -> None:
+async def _hear(peers: Peers) -> None:
     """Feed heartbeats to the core for good."""
     while True:
         try:
             data, _ = await peers.socket.recvfrom(codec.BEAT_BYTES_MAX + 1)
-            beat = codec.decode(data)
+            beat = codec.decode_beat(data)
+        except trio.ClosedResourceError:
+            return
         except ValueError:
             peers.engine.world.counters['peers.malformed'] += 1
             continue
@@ -62,3 +95,51 @@
             peers.engine.world.counters['peers.receive_failed'] += 1
             continue
         engines.feed(peers.engine, inp.BeatHeard(beat))
+
+
+async def _ask(peers: Peers, output: out.AskPeer) -> None:
+    try:
+        with trio.fail_after(EXCHANGE_TIMEOUT_S):
+            stream = await sockets.connect(output.address, watched=False)
+            async with stream:
+                await _write(stream, codec.encode_ask(output.kinds))
+                heard = codec.decode_answer(await _read(stream))
+    except BROKEN:
+        peers.engine.world.counters['peers.asks_failed'] += 1
+        return
+    engines.feed(peers.engine, *heard)
+
+
+async def _answer(peers: Peers, stream: trio.SocketStream) -> None:
+    world = peers.engine.world
+    try:
+        with trio.fail_after(EXCHANGE_TIMEOUT_S):
+            kinds = codec.decode_ask(await _read(stream))
+            known = [sharing.known_of(world, kind) for kind in kinds]
+            told = [item for item in known if item is not None]
+            source = str(world.node.ref.entry)
+            await _write(stream, codec.encode_answer(source, told))
+            world.counters['peers.asks_answered'] += 1
+    except BROKEN:
+        world.counters['peers.answers_failed'] += 1
+
+
+async def _write(stream: trio.SocketStream, data: bytes) -> None:
+    await stream.send_all(LENGTH.pack(len(data)) + data)
+
+
+async def _read(stream: trio.SocketStream) -> bytes:
+    (size,) = LENGTH.unpack(await _exactly(stream, LENGTH.size))
+    if size > FRAME_BYTES_MAX:
+        raise ValueError(f'a frame of {size} bytes')
+    return await _exactly(stream, size)
+
+
+async def _exactly(stream: trio.SocketStream, size: int) -> bytes:
+    data = bytearray()
+    while len(data) < size:
+        part = await stream.receive_some(size - len(data))
+        if not part:
+            raise ValueError('the peer closed the connection early')
+        data += part
+    return bytes(data)
--- a/packages/gateway/src/zinnialead_gateway/store/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/store/coordinator.py
@@ -45,12 +45,11 @@
 
 async def _call(store: Store, output: out.CallStore) -> None:
     result = await _result(store, output.call)
-    engines.feed(store.engine, inp.StoreDone(output.kind, result))
+    done = inp.StoreDone(output.kind, result, output.number)
+    engines.feed(store.engine, done)
 
 
-async def _result(
-    store: Store, call: core_models.Call
-) -> core_models.Result:
+async def _result(store: Store, call: core_models.Call) -> core_models.Result:
     asked = store.dialect.write_store(call)
     wait_ms = call.wait_ms if isinstance(call, core_models.WatchKind) else 0
     timeout_ms = CALL_TIMEOUT_MS + wait_ms
@@ -72,9 +71,7 @@
         return core_models.Failed(f'{type(call).__name__}: {error!r}')
 
 
-async def _exchange(
-    store: Store, request: client.Request
-) -> client.Response:
+async def _exchange(store: Store, request: client.Request) -> client.Response:
     connection = await client.take(store.pool, store.address, IDLE_MAX_MS)
     try:
         await client.send(connection, request)
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -133,9 +133,7 @@
     request = client.Request(
         exchange.method,
         exchange.target,
-        parts.dialect.write_request(
-            exchange.head, dispatch.upstream, left_ms
-        ),
+        parts.dialect.write_request(exchange.head, dispatch.upstream, left_ms),
         exchange.body,
     )
     try:
@@ -181,5 +179,3 @@
     """Close what is idle."""
     for address in list(parts.pool.idle):
         client.drop(parts.pool, address)
-
-
--- a/tests/core/gateway/samples.py
+++ b/tests/core/gateway/samples.py
@@ -87,7 +87,7 @@
         world,
         0.0,
         inp.ConfigurationRead(config, 'test'),
-        inp.UpstreamsListed(tuple(known)),
+        inp.UpstreamsListed(tuple(known), 1),
     )
     return world
 
@@ -111,3 +111,8 @@
     return inp.AttemptDone(
         dispatch.request_id, dispatch.attempt, outcome, 100.0, **fields
     )
+
+
+def stored(world, kind, result):
+    """Return the end of the call that counts for a kind."""
+    return inp.StoreDone(kind, result, world.store.watches[kind].number)
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -67,8 +67,9 @@
 
 def test_the_registration_of_the_long_dead_is_removed_under_its_revision():
     world = fleet()
-    touch = inp.StoreDone(store.Kind.DRAINS, store.Changed((), 1))
-    samples.feed(world, 2.0, inp.Started(), touch)
+    samples.feed(world, 2.0, inp.Started())
+    touch = samples.stored(world, store.Kind.DRAINS, store.Changed((), 1))
+    samples.feed(world, 3.0, touch)
     removed = []
     for second in range(1, 40):
         alive = map(beat, OTHERS[:2])
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -71,15 +71,15 @@
     for name in names:
         world = gateway.new_world(samples.node(name), seed=1)
         config = samples.configuration(1)
-        heard = [
-            inp.BeatHeard(gateway_beat(other)) for other in names
-        ]
+        heard = [inp.BeatHeard(gateway_beat(other)) for other in names]
         samples.feed(
             world,
             0.0,
             inp.ConfigurationRead(config, 'test'),
             inp.EntriesListed(tuple(map(samples.entry_row, names))),
-            inp.UpstreamsListed((samples.upstream('u-1', cold_ms=3_000.0),)),
+            inp.UpstreamsListed(
+                (samples.upstream('u-1', cold_ms=3_000.0),), 1
+            ),
             *heard,
         )
         while cold.may_send(world, 10.0, 'u-1'):
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -4,6 +4,7 @@
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
+from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway.store import models as store
 
 UPSTREAMS = store.Kind.UPSTREAMS
@@ -30,11 +31,14 @@
 
 def test_every_kind_is_read_and_then_watched():
     world, outputs = started()
-    listed = {x.call.kind for x in samples.only(outputs, out.CallStore)
-              if isinstance(x.call, store.ListKind)}
+    listed = {
+        x.call.kind
+        for x in samples.only(outputs, out.CallStore)
+        if isinstance(x.call, store.ListKind)
+    }
     assert listed == set(store.Kind)
     page = store.Listed((inp.UpstreamSeen(samples.upstream('u-1')),), None, 40)
-    samples.feed(world, 1.0, inp.StoreDone(UPSTREAMS, page))
+    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, page))
     call, _ = until_called(world, 1.0)
     assert call == store.WatchKind(UPSTREAMS, 40, call.wait_ms)
     assert 'u-1' in world.upstreams.rows
@@ -43,21 +47,21 @@
 def test_a_list_in_pages_replaces_what_was_known_only_when_whole():
     world, _ = started()
     first = store.Listed((inp.UpstreamSeen(samples.upstream('a')),), 'a', 7)
-    samples.feed(world, 1.0, inp.StoreDone(UPSTREAMS, first))
+    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, first))
     assert not world.upstreams.rows
     call, now_ms = until_called(world, 1.0)
     assert call == store.ListKind(UPSTREAMS, 'a')
     second = store.Listed((inp.UpstreamSeen(samples.upstream('b')),), None, 9)
-    samples.feed(world, now_ms, inp.StoreDone(UPSTREAMS, second))
+    samples.feed(world, now_ms, samples.stored(world, UPSTREAMS, second))
     assert set(world.upstreams.rows) == {'a', 'b'}
 
 
 def test_lost_history_is_followed_by_a_list():
     world, _ = started()
     page = store.Listed((), None, 40)
-    samples.feed(world, 1.0, inp.StoreDone(UPSTREAMS, page))
+    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, page))
     _, now_ms = until_called(world, 1.0)
-    gone = inp.StoreDone(UPSTREAMS, store.HistoryGone())
+    gone = samples.stored(world, UPSTREAMS, store.HistoryGone())
     samples.feed(world, now_ms, gone)
     call, _ = until_called(world, now_ms)
     assert call == store.ListKind(UPSTREAMS, None)
@@ -68,7 +72,7 @@
     now_ms = 1.0
     pauses = []
     for _ in range(6):
-        failed = inp.StoreDone(UPSTREAMS, store.Failed('down'))
+        failed = samples.stored(world, UPSTREAMS, store.Failed('down'))
         samples.feed(world, now_ms, failed)
         _, later_ms = until_called(world, now_ms)
         pauses.append(later_ms - now_ms)
@@ -84,3 +88,73 @@
     samples.feed(world, 1.0, conflict)
     call, _ = until_called(world, 1.0, 'registration')
     assert isinstance(call, store.RegisterEntry)
+
+
+def beat(latest, entry='entry-2'):
+    places = [latest if kind is UPSTREAMS else 0 for kind in store.Kind]
+    return inp.BeatHeard(entries.Beat(entry, 1, False, True, tuple(places)))
+
+
+def watching(revision=40):
+    world, _ = started()
+    rows = (samples.entry_row('entry-2'),)
+    page = store.Listed((), None, revision, revision)
+    done = samples.stored(world, UPSTREAMS, page)
+    samples.feed(world, 1.0, inp.EntriesListed(rows), done)
+    until_called(world, 1.0)
+    return world
+
+
+def test_a_watch_that_fell_silent_is_replaced_by_a_new_read():
+    """A watch that was opened as history went stayed deaf for good."""
+    world = watching()
+    samples.feed(world, 1_000.0, beat(55))
+    samples.feed(world, 1_500.0, beat(55))
+    call, _ = until_called(world, 1_500.0)
+    assert call == store.ListKind(UPSTREAMS, None)
+
+
+def test_the_end_of_a_call_that_was_replaced_changes_nothing():
+    world = watching()
+    old = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    samples.feed(world, 1_000.0, beat(55))
+    samples.feed(world, 1_500.0, beat(55))
+    until_called(world, 1_500.0)
+    number = world.store.watches[UPSTREAMS].number
+    samples.feed(world, 1_600.0, old)
+    assert world.store.watches[UPSTREAMS].number == number
+
+
+def test_an_entry_out_of_touch_asks_one_that_knows_more():
+    world = watching()
+    failed = samples.stored(world, UPSTREAMS, store.Failed('cut off'))
+    samples.feed(world, 900.0, failed)
+    outputs = samples.feed(world, 1_000.0, beat(55))
+    (asked,) = samples.only(outputs, out.AskPeer)
+    assert asked == out.AskPeer('entry-2:2', (UPSTREAMS,))
+    items = (inp.UpstreamSeen(samples.upstream('u-9', revision=55)),)
+    told = inp.KindHeard(UPSTREAMS, 55, items, 'entry-2')
+    samples.feed(world, 1_010.0, told)
+    assert 'u-9' in world.upstreams.rows
+    assert not samples.only(
+        samples.feed(world, 2_000.0, beat(55)), out.AskPeer
+    )
+
+
+def test_what_another_entry_knew_earlier_is_not_taken_back():
+    world = watching()
+    row = samples.upstream('u-1', revision=60)
+    samples.feed(world, 900.0, inp.UpstreamSeen(row))
+    told = inp.KindHeard(UPSTREAMS, 39, (), 'entry-2')
+    samples.feed(world, 1_010.0, told)
+    assert 'u-1' in world.upstreams.rows
+
+
+def test_a_start_without_the_store_asks_the_seeds():
+    node = samples.node()._replace(seeds=('10.0.0.9:1',))
+    world = gateway.new_world(node, seed=1)
+    samples.feed(world, 0.0, inp.Started())
+    outputs = samples.feed(world, 700.0)
+    (asked,) = samples.only(outputs, out.AskPeer)
+    assert asked.address == '10.0.0.9:1'
+    assert set(asked.kinds) == set(store.Kind)
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -43,12 +43,15 @@
 
 
 def outage(world, begin_ms, end_ms):
-    kind = store.Kind.UPSTREAMS
-    answered = inp.StoreDone(kind, store.Changed((), 1))
-    failed = inp.StoreDone(kind, store.Failed('down'))
-    samples.feed(world, begin_ms - 1.0, answered)
-    samples.feed(world, begin_ms, failed)
-    samples.feed(world, end_ms, answered)
+    steps = (
+        (begin_ms - 1.0, store.Changed((), 1)),
+        (begin_ms, store.Failed('down')),
+        (end_ms, store.Changed((), 1)),
+    )
+    for now_ms, result in steps:
+        kind = store.Kind.DRAINS
+        done = samples.stored(world, kind, result)
+        samples.feed(world, now_ms, done)
 
 
 def test_what_lapsed_in_an_outage_is_held_until_it_may_be_back():
