Test the gateway's HTTP over loopback and the adapter's decoding

Cause: an answer without a length ended with its connection, and that connection was kept as idle until the next request found it closed. Change: a connection whose peer has ended is closed at once.

--- a/packages/gateway/src/zinnialead_gateway/http/client.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client.py
@@ -82,7 +82,8 @@
     if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
         close(connection)
         return
-    if parser.trailing_data[0]:
+    left, ended = parser.trailing_data
+    if left or ended:
         close(connection)
         return
     parser.start_next_cycle()
@@ -137,7 +138,7 @@
 
 def begin_again(connection: Connection, request: Request) -> None:
     """Expect one more answer to a request whose answer was a stray one."""
-    left, _ = connection.parser.trailing_data
+    left, ended = connection.parser.trailing_data
     parser = h11.Connection(h11.CLIENT)
     headers = [x for x in request.headers if x[0].lower() == b'host']
     parser.send(
@@ -146,7 +147,10 @@
         )
     )
     parser.send(h11.EndOfMessage())
-    parser.receive_data(left) if left else None
+    if left:
+        parser.receive_data(left)
+    if ended:
+        parser.receive_data(b'')
     connection.parser = parser
 
 
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,118 @@
+"""Serve callers that are slow, large, early or gone, over loopback."""
+
+import functools
+
+import trio
+
+from zinnialead_gateway.http import server
+from zinnialead_gateway.http import sockets
+
+LIMITS = server.Limits(2_000, 5_000, 0.2, 0.5)
+GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+async def echo(caller, asked):
+    return server.Answer(200, [], asked.target + b':' + asked.body)
+
+
+def refuse(status, reason):
+    return server.Answer(status, [], reason.encode())
+
+
+async def served(nursery, handle=echo):
+    listener = await sockets.listen('127.0.0.1:0')
+    counted = []
+    made = server.Server(handle, lambda: LIMITS, 10, counted.append, refuse)
+    nursery.start_soon(server.serve, made, listener)
+    port = listener.socket.getsockname()[1]
+    return made, functools.partial(trio.open_tcp_stream, '127.0.0.1', port)
+
+
+async def read_all(stream):
+    data = b''
+    with trio.move_on_after(2.0):
+        while part := await stream.receive_some(65_536):
+            data += part
+    return data
+
+
+async def ask(connect, *parts, pause_s=0.0):
+    stream = await connect()
+    for part in parts:
+        await stream.send_all(part)
+        await trio.sleep(pause_s)
+    data = await read_all(stream)
+    await stream.aclose()
+    return data
+
+
+async def test_requests_are_answered_in_turn(nursery):
+    _, connect = await served(nursery)
+    close = b'GET /y HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+    data = await ask(connect, GET + close)
+    assert data.count(b'HTTP/1.1 200') == 2
+    assert data.index(b'/x:') < data.index(b'/y:')
+
+
+async def test_a_body_comes_in_chunks(nursery):
+    _, connect = await served(nursery)
+    head = b'POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+    head += b'Transfer-Encoding: chunked\r\n\r\n'
+    data = await ask(connect, head, b'3\r\nabc\r\n', b'0\r\n\r\n')
+    assert data.endswith(b'/x:abc')
+
+
+async def test_a_head_that_never_ends_is_refused(nursery):
+    _, connect = await served(nursery)
+    data = await ask(connect, b'GET /x HTTP/1.1\r\nHost:')
+    assert b' 408 ' in data.split(b'\r\n')[0]
+
+
+async def test_a_head_that_is_too_large_is_refused(nursery):
+    _, connect = await served(nursery)
+    data = await ask(connect, GET[:-2] + b'X: ' + b'a' * 3_000)
+    assert b' 431 ' in data.split(b'\r\n')[0]
+
+
+async def test_a_body_that_is_too_large_is_refused(nursery):
+    made, connect = await served(nursery)
+    head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 6000\r\n\r\n'
+    assert b' 413 ' in (await ask(connect, head)).split(b'\r\n')[0]
+    assert made.body_bytes == 0
+
+
+async def test_an_idle_connection_is_closed_in_time(nursery):
+    _, connect = await served(nursery)
+    with trio.fail_after(1.5):
+        assert await ask(connect) == b''
+
+
+async def test_a_closing_server_answers_and_says_so(nursery):
+    made, connect = await served(nursery)
+    made.closing = True
+    data = await ask(connect, GET)
+    assert b'connection: close' in data.lower()
+    assert data.endswith(b'/x:')
+
+
+async def test_a_caller_that_leaves_is_noticed_while_it_is_answered(nursery):
+    left = trio.Event()
+
+    async def slow(caller, _asked):
+        caller.left = left.set
+        await trio.sleep(5.0)
+
+    _, connect = await served(nursery, slow)
+    stream = await connect()
+    await stream.send_all(GET)
+    await trio.sleep(0.05)
+    await stream.aclose()
+    with trio.fail_after(1.0):
+        await left.wait()
+
+
+async def test_smuggled_lengths_are_refused(nursery):
+    _, connect = await served(nursery)
+    head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n'
+    head += b'Content-Length: 9\r\n\r\nabc'
+    assert b' 400 ' in (await ask(connect, head)).split(b'\r\n')[0]
--- /dev/null
+++ b/tests/platform/test_heads.py
@@ -0,0 +1,96 @@
+"""Translate heads of requests and answers."""
+
+import pytest
+
+from zinnialead_core.gateway import inputs as inp
+from zinnialead_core import verdict
+from zinnialead_platform import heads
+
+REQUEST = [
+    (b'Host', b'Jepu9.example'),
+    (b'Zinnialead-Request-Id', b'9c41'),
+    (b'Cookie', b'a=b; Zinnialead-Affinity-Key=17'),
+    (b'Zinnialead-Deadline-Ms', b'1200'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'1'),
+    (b'X-Kept', b'2'),
+]
+
+
+def test_a_request_is_read():
+    head = heads.read_request('/lepu270/2f?x=1', REQUEST)
+    assert (head.name, head.host, head.path) == (
+        '9c41',
+        'jepu9.example',
+        '/lepu270/2f',
+    )
+    assert (head.object_key, head.deadline_in_ms) == ('17', 1200.0)
+
+
+def test_headers_of_one_connection_are_not_forwarded():
+    head = heads.read_request('/', REQUEST)
+    sent = dict(heads.write_request(head, 'i-7', 900))
+    assert b'X-Kept' in sent
+    assert b'X-Hop' not in sent
+    assert b'Connection' not in sent
+    assert sent[b'zinnialead-deadline-ms'] == b'900'
+    assert sent[b'zinnialead-expect-instance'] == b'i-7'
+    assert sent[b'Zinnialead-Request-Id'] == b'9c41'
+
+
+def test_a_deadline_that_is_no_number_is_none():
+    head = heads.read_request(
+        '/', [(b'Host', b'a'), (b'Zinnialead-Deadline-Ms', b'soon')]
+    )
+    assert head.deadline_in_ms is None
+
+
+def test_a_request_without_a_host_is_refused():
+    with pytest.raises(ValueError, match='host'):
+        heads.read_request('/', [])
+
+
+def test_an_answer_is_read():
+    head = heads.read_answer(
+        200,
+        [
+            (b'Zinnialead-Response-Seal', b'3e1b'),
+            (b'Zinnialead-Request-Id', b'9c41'),
+            (b'Zinnialead-Server-Load', b'3,0,8'),
+        ],
+    )
+    assert head.sealed
+    assert head.load == inp.ReportedLoad(3, 0, 8)
+    assert not head.not_run
+
+
+def test_a_seal_outweighs_the_status_of_another_instance():
+    assert heads.read_answer(421, []).misdirected
+    sealed = heads.read_answer(421, [(b'Zinnialead-Response-Seal', b'1')])
+    assert not sealed.misdirected
+
+
+@pytest.mark.parametrize(
+    ('known', 'reason', 'status'),
+    [
+        (verdict.Verdict.NOT_RUN, verdict.Reason.NO_HEADROOM, 503),
+        (verdict.Verdict.NOT_RUN, verdict.Reason.DEADLINE_PASSED, 503),
+        (verdict.Verdict.NOT_RUN, verdict.Reason.UNKNOWN_SERVICE, 404),
+        (verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.DEADLINE_PASSED, 504),
+        (verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.UPSTREAM_LOST, 502),
+    ],
+)
+def test_only_a_true_not_run_gets_a_status_that_promises_it(
+    known, reason, status
+):
+    refusal = verdict.Refusal(known, reason, 'why', 300.0)
+    head = heads.write_refusal(None, refusal)
+    assert head.status == status
+    told = dict(head.headers).get(b'Retry-After')
+    assert told == (b'0.30' if status == 503 else None)
+
+
+def test_a_look_up_is_read():
+    asked = heads.read_question('/resolve?name=a&region=guj&zone=guj-a')
+    assert asked == ('guj-a', 'guj')
+    assert heads.read_question('/other') is None
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,186 @@
+"""Read the platform's objects, also those that other writers spoil."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from zinnialead_core.gateway import inputs as inp
+from zinnialead_core.gateway.store import models as store
+from zinnialead_platform import objects
+
+SPEC = {
+    'service': 'huvo11a',
+    'addr': '10.128.0.9:8080',
+    'zone': 'guj-sanand',
+    'version': 'v1',
+    'slots': 5,
+    'state': 'ready',
+    'cold_left': '1500ms',
+    'sequence': 4,
+    'born': 1_700_000_000_000,
+}
+CONFIG = {
+    'version': 7,
+    'routes': {
+        'r-1': {
+            'host': 'Hulo84.example',
+            'path_prefix': '/xapu221/',
+            'kind': 'non_idempotent',
+            'timeout': '1200ms',
+            'target_latency': '600ms',
+            'priority': 1,
+            'service': 'wuno96b',
+            'max_attempts': 2,
+            'session_affinity': True,
+            'home_regions': ['guj'],
+        },
+        'r-2': {
+            'host': 'jepu9.example',
+            'path_prefix': '/lepu270/',
+            'kind': 'idempotent',
+            'timeout': '3s',
+            'target_latency': '500ms',
+            'priority': 0,
+            'weighted_backends': [
+                {'service': 'a', 'weight': 90},
+                {'service': 'b', 'weight': 10},
+            ],
+            'max_attempts': 2,
+            'session_affinity': False,
+            'home_regions': [],
+        },
+    },
+    'services': {
+        'wuno96b': {
+            'health_path': '/health',
+            'max_conns': 813,
+            'warmup': '3s',
+            'cold_per_s': 4.3,
+        }
+    },
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 67108864,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15000ms',
+    },
+}
+LIST = store.ListKind(store.Kind.UPSTREAMS, None)
+WATCH = store.WatchKind(store.Kind.UPSTREAMS, 5, 1_000)
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda x: st.lists(x, max_size=3)
+    | st.dictionaries(st.text(max_size=8), x, max_size=3),
+    max_leaves=8,
+)
+
+
+def listing(*items, **fields):
+    page = {'items': list(items), 'has_more': False, 'current_rev': 9}
+    return msgspec.json.encode({**page, **fields})
+
+
+def entry(name, spec, rev=3):
+    return {'metadata': {'name': name, 'rev': rev}, 'spec': spec}
+
+
+def read(call, body, status=200, headers=()):
+    return objects.read_store(call, status, list(headers), body)
+
+
+def test_an_upstream_is_read_whole():
+    row = objects.upstream('i-1', 3, SPEC)
+    assert (row.service, row.domain, row.slots) == ('huvo11a', 'guj-sanand', 5)
+    assert (row.cold_ms, row.leaving, row.revision) == (1_500.0, False, 3)
+
+
+def test_a_configuration_is_read_whole():
+    found = objects.configuration(CONFIG)
+    assert found.version == 7
+    first, second = found.routes['r-1'], found.routes['r-2']
+    assert (first.idempotent, second.idempotent) == (False, True)
+    assert first.host == 'hulo84.example'
+    assert first.home_regions == {'guj'}
+    assert [x.weight for x in second.parts] == [90.0, 10.0]
+    assert found.limits.idle_timeout_ms == 15_000.0
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'asleep'},
+        {'slots': '5'},
+        {'slots': True},
+        {'addr': 'nowhere'},
+        {'zone': 7},
+        {'cold_left': 3},
+        {'service': None},
+    ],
+)
+def test_a_spoilt_entry_is_passed_over_and_the_others_hold(change):
+    body = listing(entry('bad', {**SPEC, **change}), entry('i-1', SPEC))
+    result = read(LIST, body)
+    assert [x.row.upstream for x in result.items] == ['i-1']
+
+
+@pytest.mark.parametrize('field', ['service', 'addr', 'zone', 'slots'])
+def test_an_entry_that_lacks_a_field_is_passed_over(field):
+    spec = {key: value for key, value in SPEC.items() if key != field}
+    assert read(LIST, listing(entry('bad', spec))).items == ()
+
+
+@hypothesis.given(JUNK)
+def test_no_spec_ends_the_reading_of_a_list(spec):
+    result = read(LIST, listing(entry('junk', spec), entry('i-1', SPEC)))
+    assert result.items[-1].row.upstream == 'i-1'
+
+
+@hypothesis.given(JUNK)
+def test_no_configuration_ends_the_reading(spec):
+    call = store.ListKind(store.Kind.CONFIGURATION, None)
+    assert read(call, listing(entry('main', spec))).items == ()
+
+
+def test_a_list_may_come_as_a_table():
+    columns = ['metadata', 'spec']
+    table = {
+        'columns': columns,
+        'rows': [[{'name': 'i-1', 'rev': 3}, SPEC]],
+    }
+    body = listing(items=table)
+    assert [x.row.upstream for x in read(LIST, body).items] == ['i-1']
+
+
+def test_a_page_says_where_to_go_on():
+    body = listing(entry('i-1', SPEC), entry('i-2', SPEC), has_more=True)
+    assert read(LIST, body).next_after == 'i-2'
+
+
+def test_changes_are_read_in_order():
+    events = [
+        {'deleted': False, 'object': entry('i-1', SPEC, 11)},
+        {'deleted': True, 'object': entry('i-2', SPEC, 4)},
+    ]
+    body = msgspec.json.encode({'events': events, 'current_rev': 12})
+    result = read(WATCH, body)
+    assert result.items[1] == inp.UpstreamGone('i-2')
+    assert (result.revision, result.latest) == (12, 12)
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (410, store.HistoryGone()),
+        (409, store.Conflict()),
+        (429, store.Refused(250.0)),
+        (503, store.Refused(250.0)),
+    ],
+)
+def test_statuses_have_their_results(status, expected):
+    headers = [(b'Retry-After', b'0.25')]
+    assert read(WATCH, b'', status, headers) == expected
+
+
+def test_any_other_status_is_a_failure():
+    assert isinstance(read(WATCH, b'x', 500), store.Failed)
