Let an object use few upstreams only

Change: an object uses at most half of a region's upstreams and at most two; urgent work goes beyond only where an upstream is nearly idle; the least urgent work leaves a third of the slots free.

--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -4,12 +4,21 @@
 TOLD_MAX_AGE_MS = 1_200.0
 # Ranks by urgency: the load, in slots, up to which an upstream gets more
 # work.  Less urgent work leaves slots free; urgent work may queue there.
-ROOM_BY_RANK = (2.2, 1.6, 0.8)
+ROOM_BY_RANK = (2.2, 1.6, 0.65)
 # Below this load an object stays at its first upstream, and only an
 # upstream below the second takes it over: an object that an upstream does
 # not remember takes three times as long there.
-PREFERRED_ROOM = (1.3, 1.2, 0.7)
+PREFERRED_ROOM = (1.3, 1.2, 0.65)
 OTHER_ROOM = (0.8, 0.8, 0.5)
+# An object uses at most this share of a region's upstreams, and so many:
+# on more of them it would push others out of their memory, and work that
+# nobody remembers keeps a full service full.
+SPREAD_SHARE = 0.5
+SPREAD_MAX = 2
+# Only a nearly idle upstream beyond those is worth its longer work, and
+# only to work that is urgent.
+IDLE_ROOM = 0.4
+IDLE_RANK_MAX = 1
 # So much less loaded is an upstream worth a move, in slots.
 LOAD_APART = 0.3
 # An upstream that fails often or is slow counts for this much more loaded.
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -78,15 +78,23 @@
     worked on longer elsewhere.
     """
     rank = min(wanted.rank, len(const.ROOM_BY_RANK) - 1)
+    spread = max(
+        1, min(const.SPREAD_MAX, int(len(order) * const.SPREAD_SHARE))
+    )
     best: ids.UpstreamId | None = None
     least = const.ROOM_BY_RANK[rank]
     limit = const.PREFERRED_ROOM[rank]
     for upstream in order:
         if upstream in wanted.tried or loads.is_out(world, now_ms, upstream):
             continue
+        if spread == 0 and (best or rank > const.IDLE_RANK_MAX):
+            break
+        if spread == 0:
+            least = min(least, const.IDLE_ROOM)
         load = loads.believed(world, now_ms, upstream)
         if loads.is_suspect(world, upstream):
             load += const.SUSPECT_LOAD
+        spread = max(0, spread - 1)
         if load >= least or not cold.may_send(world, now_ms, upstream):
             continue
         if load < limit:
