Give test entries ports that the system does not give out

Cause: a test failed once with an address in use: the metrics port is the one after the peers' and was not among the free ones, and ports from the ephemeral range can be taken again before the entry binds them. Change: ports in a row below that range, all of them checked.

--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import functools
+import random
+import socket
 
 import pytest
 import trio
@@ -95,18 +97,23 @@
 
 
 def free_ports(count):
-    import socket
+    """Return ports in a row, below those that the system gives out.
 
-    with contextlib.ExitStack() as stack:
-        made = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in made:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in made]
+    Ports that it gives out may be taken again before an entry binds them.
+    """
+    while True:
+        first = random.randrange(10_000, 32_000)
+        ports = list(range(first, first + count))
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in ports:
+                sock = stack.enter_context(socket.socket())
+                sock.bind(('127.0.0.1', port))
+            return ports
 
 
 async def entry(nursery, store_address, name='edge-1', seeds=''):
     """Start an entry; return its settings."""
-    front, ready, control, directory, port = free_ports(5)
+    front, ready, control, directory, port, _ = free_ports(6)
     text = SETTINGS.format(
         name=name,
         port=port,
