--- a/packages/core/src/zinnialead_core/gateway/outputs.py
+++ b/packages/core/src/zinnialead_core/gateway/outputs.py
@@ -108,12 +108,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogDecision:
-    """Log a decision that touches one request, with what decided it."""
+    """Log a decision that touches one request, with what decided it.
+
+    ``is_routine`` marks what every request sees; such lines have a budget
+    of their own, so that they can't crowd out the others.
+    """
 
     request_id: ids.RequestId
     name: str
     decision: str
     inputs: dict[str, str | float | int | None]
+    is_routine: bool = False
 
 
 Output = (
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -14,6 +14,7 @@
 from zinnialead_core.gateway.requests import endings
 from zinnialead_core.gateway.requests import models
 from zinnialead_core.gateway.requests import waiting
+from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
 from zinnialead_core import verdict
@@ -68,6 +69,7 @@
     )
     world.requests.rows[row.request_id] = row
     world.counters['requests.sent'] += 1
+    yield _log_sent(world, now_ms, row, upstream)
     idle_ms = const.IDLE_ANY_MS if row.route.idempotent else const.IDLE_ONCE_MS
     yield out.Dispatch(
         row.request_id,
@@ -79,6 +81,30 @@
     )
 
 
+def _log_sent(
+    world: world_module.World,
+    now_ms: float,
+    row: models.RequestRow,
+    upstream: ids.UpstreamId,
+) -> out.LogDecision:
+    load = loads.of(world, upstream)
+    known = routes.in_force(world)
+    inputs: dict[str, str | float | int | None] = {
+        'upstream': upstream,
+        'attempt': row.attempt,
+        'route': row.route.name,
+        'object': row.object_key,
+        'version': known.version if known else 0,
+        'revision': world.upstreams.rows[upstream].revision,
+        'load': round(loads.believed(world, now_ms, upstream), 2),
+        'load_age_ms': round(now_ms - load.told_ms),
+        'abroad': round(abroad.of(world, row.service).share, 3),
+    }
+    return out.LogDecision(
+        row.request_id, row.name, 'sent', inputs, is_routine=True
+    )
+
+
 def done(
     world: world_module.World, now_ms: float, item: inp.AttemptDone
 ) -> abc.Iterator[out.Output]:
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -15,6 +15,8 @@
 # Lines a second and at once: about 1% of a core of the smallest machine.
 LINES_PER_S_MAX = 40.0
 LINES_BURST_MAX = 200.0
+# Of what every request sees, a sample is enough under load.
+ROUTINE_PER_S_MAX = 20.0
 # Changes of belief and life-cycle lines have a budget of their own.
 BELIEFS_PER_S_MAX = 20.0
 KEPT_LINES_MAX = 2_000
@@ -41,6 +43,7 @@
     lines: 'collections.deque[bytes]'
     decisions: Bucket
     beliefs: Bucket
+    routine: Bucket
     rest: bytes = b''
 
 
@@ -52,6 +55,7 @@
         collections.deque(),
         Bucket(LINES_PER_S_MAX, LINES_BURST_MAX, LINES_BURST_MAX),
         Bucket(BELIEFS_PER_S_MAX, LINES_BURST_MAX, LINES_BURST_MAX),
+        Bucket(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
     )
     os.set_blocking(STDOUT, False)
     eliot.add_destinations(lambda message: _keep(logs, message))
@@ -60,7 +64,8 @@
 
 def decision(logs: Logs, output: out.LogDecision) -> None:
     """Log a decision that touches a request."""
-    if not _allowed(logs, logs.decisions):
+    bucket = logs.routine if output.is_routine else logs.decisions
+    if not _allowed(logs, bucket):
         return
     eliot.log_message(
         message_type='decision',
