Choose the users of a cold upstream among entries that may be running

None had heard another yet, so each took itself for the only live one and sent the full rate: 44 requests in a second where 35 are allowed (FAILBACK). Test: eight entries that have heard nobody sent 16 where 11.4 are allowed. Ruled out: other regions (they learned the upstreams as cold and sent nothing).

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -68,14 +68,31 @@
     return routes.in_force(world) is not None and bool(world.upstreams.rows)
 
 
-def live_in_region(world: world_module.World, now_ms: float) -> list[str]:
-    """Return the live entries of this entry's region, by name."""
+def is_silent(
+    world: world_module.World, now_ms: float, row: models.EntryRow
+) -> bool:
+    """Return whether an entry is leaving, or was not heard for long.
+
+    One that has just been seen for the first time is not silent yet.
+    """
+    heard = world.entries.heard.get(row.entry)
+    if heard is not None and heard.beat.leaving:
+        return True
+    since_ms = world.entries.seen_ms.get(row.entry, now_ms)
+    last_ms = max(since_ms, heard.heard_ms) if heard else since_ms
+    return now_ms - last_ms > const.SILENCE_MAX_MS
+
+
+def present_in_region(world: world_module.World, now_ms: float) -> list[str]:
+    """Return this region's entries that may be running, by name.
+
+    Entries that start at once agree on these before they hear each other.
+    """
     node = world.node
-    rows = world.entries.rows.values()
     names = {
         str(row.entry)
-        for row in rows
-        if row.region == node.region and is_live(world, now_ms, row)
+        for row in world.entries.rows.values()
+        if row.region == node.region and not is_silent(world, now_ms, row)
     }
     names.add(str(node.ref.entry))
     return sorted(names)
@@ -255,11 +272,11 @@
 
     The first live entry by name does it, under the object's revision.
     """
-    live = live_in_region(world, now_ms)
-    if live[0] != world.node.ref.entry or not store.in_touch(world.store):
+    present = present_in_region(world, now_ms)
+    if present[0] != world.node.ref.entry or not store.in_touch(world.store):
         return
     for row in list(world.entries.rows.values()):
-        if row.region != world.node.region or str(row.entry) in live:
+        if row.region != world.node.region or str(row.entry) in present:
             continue
         heard = world.entries.heard.get(row.entry)
         since_ms = world.entries.seen_ms.get(row.entry, now_ms)
--- a/packages/core/src/zinnialead_core/gateway/placement/cold.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold.py
@@ -56,7 +56,7 @@
     row = world.upstreams.rows[upstream]
     if world.node.regions.get(row.domain) != world.node.region:
         return False
-    live = entries.live_in_region(world, now_ms)
-    ordered = sorted(live, key=lambda name: hashing.weight(upstream, name))
+    present = entries.present_in_region(world, now_ms)
+    ordered = sorted(present, key=lambda name: hashing.weight(upstream, name))
     keepers = ordered[: const.COLD_KEEPERS]
     return str(world.node.ref.entry) in keepers
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -1,5 +1,7 @@
 """Place objects, near and abroad, warm and cold."""
 
+import pytest
+
 from core.gateway import samples
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
@@ -66,13 +68,15 @@
     assert 0.0 < after - before < samples.BOUNDS.shift_share_max
 
 
-def test_a_cold_upstream_gets_its_rate_from_few_entries():
+@pytest.mark.parametrize('is_heard', [True, False])
+def test_a_cold_upstream_gets_its_rate_from_few_entries(is_heard):
+    """Entries that had just started took each other for dead."""
     total = 0
     names = [f'entry-{n}' for n in range(8)]
     for name in names:
         world = gateway.new_world(samples.node(name), seed=1)
         config = samples.configuration(1)
-        heard = [inp.BeatHeard(gateway_beat(other)) for other in names]
+        heard = [inp.BeatHeard(gateway_beat(x)) for x in names if is_heard]
         samples.feed(
             world,
             0.0,
