Run the program itself in tests; mend its state dump

Cause: SIGUSR1 ended the process: the dump has a field that the log line already has. Lines of the last quarter second were lost with it. Change: the dump is one field; the last lines are written however the process ends. Tests: the program is started, stopped with work in hand, dumps its state, and names a missing setting.

--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -63,9 +63,11 @@
             )
             nursery.start_soon(_mind, application, received)
             nursery.start_soon(_mind_settings, application)
-            await application.stop.wait()
-            await _drain(application)
-            unload(application)
+            try:
+                await application.stop.wait()
+                await _drain(application)
+            finally:
+                unload(application)
             nursery.cancel_scope.cancel()
 
 
@@ -243,7 +245,7 @@
                 _reload(application, 'SIGHUP')
             case signal.SIGUSR1:
                 dump = diagnostics.dump(application.engine.world)
-                logs.life(application.logs, 'dump', **dump)
+                logs.life(application.logs, 'dump', dump=dump)
             case _:
                 logs.life(application.logs, 'stopping', signal=number)
                 for made in application.servers:
--- /dev/null
+++ b/tests/adapter/deployments.py
@@ -0,0 +1,181 @@
+"""Start entries against the fakes, over loopback."""
+
+import contextlib
+import functools
+import random
+import socket
+
+import trio
+
+from adapter import fakes
+from zinnialead_gateway import application
+from zinnialead_gateway.http import client
+from zinnialead_platform import adapter
+from zinnialead_platform import boot
+
+SETTINGS = """
+[self]
+node_id = "{name}"
+ip = "127.0.0.1"
+zone = "guj-a"
+region = "guj"
+bootstrap = false
+[self.limits]
+memory_mb = 222
+max_fds = 1000
+[network]
+internal_port_range = [{port}, {last}]
+seeds = [{seeds}]
+[network.listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+directory = "127.0.0.1:{directory}"
+[network.zones]
+guj-a = "guj"
+tn-a = "tn"
+[platform]
+discovery = "platform"
+[platform.platform]
+addr = "{store}"
+[terms.bounds]
+retry_budget_ratio = 0.2
+budget_extra_tries = 133
+budget_window = "10s"
+max_shift_fraction = 0.15
+grace = "1s"
+ttl_max = "5s"
+"""
+
+
+def route(kind='idempotent', **fields):
+    return {
+        'host': 'desk.example',
+        'path_prefix': '/desk/',
+        'kind': kind,
+        'timeout': '2s',
+        'target_latency': '500ms',
+        'priority': 0,
+        'service': 'desk',
+        'max_attempts': 2,
+        'session_affinity': True,
+        'home_regions': [],
+        **fields,
+    }
+
+
+def configuration(version=1, **fields):
+    return {
+        'version': version,
+        'routes': {'r-1': route(**fields)},
+        'services': {
+            'desk': {'max_conns': 100, 'warmup': '3s', 'cold_per_s': 50.0}
+        },
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100000,
+            'header_timeout': '3s',
+            'idle_timeout': '15s',
+        },
+    }
+
+
+def registration(address, **fields):
+    return {
+        'service': 'desk',
+        'addr': address,
+        'zone': 'guj-a',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'cold_left': '0ms',
+        'sequence': 1,
+        'born': 5,
+        **fields,
+    }
+
+
+def free_ports(count):
+    """Return ports in a row, below those that the system gives out.
+
+    Ports that it gives out may be taken again before an entry binds them.
+    """
+    while True:
+        first = random.randrange(10_000, 32_000)
+        ports = list(range(first, first + count))
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in ports:
+                sock = stack.enter_context(socket.socket())
+                sock.bind(('127.0.0.1', port))
+            return ports
+
+
+def settings_text(store_address, name='edge-1', seeds=''):
+    """Return a settings file with ports that are free."""
+    front, ready, control, directory, port, _ = free_ports(6)
+    return SETTINGS.format(
+        name=name,
+        port=port,
+        last=port + 15,
+        seeds=seeds,
+        front=front,
+        ready=ready,
+        control=control,
+        directory=directory,
+        store=store_address,
+    )
+
+
+async def entry(nursery, store_address, name='edge-1', seeds=''):
+    """Start an entry; return its settings."""
+    text = settings_text(store_address, name, seeds)
+    read = functools.partial(boot.parse, text, 7)
+    settings = read()
+    await application.set_up(nursery, settings, read, adapter.DIALECT)
+    return settings
+
+
+async def ask(address, method=b'GET', target=b'/desk/1', name=b'r-1'):
+    headers = [
+        (b'Host', b'desk.example'),
+        (b'Zinnialead-Request-Id', name),
+        (b'Zinnialead-Deadline-Ms', b'1500'),
+    ]
+    pool = client.Pool(watched=False)
+    connection = await client.take(pool, address, 1_000.0)
+    try:
+        request = client.Request(method, target, headers, b'')
+        await client.send(connection, request)
+        return await client.receive(connection)
+    finally:
+        client.close(connection)
+
+
+async def until_ready(settings, status=200):
+    with trio.fail_after(5.0):
+        found = 0
+        while found != status:
+            await trio.sleep(0.02)
+            found = (await ask(settings.ready_bind, target=b'/ready')).status
+
+
+async def until_served(settings, target):
+    with trio.fail_after(8.0):
+        status = 0
+        while status != 200:
+            await trio.sleep(0.05)
+            status = (await ask(settings.front_bind, target=target)).status
+
+
+async def deployment(nursery, count=2, **fields):
+    """Start a store, upstreams and an entry that is ready."""
+    store = fakes.FakeStore()
+    made = [fakes.FakeUpstream(f'i-{n}') for n in range(count)]
+    fakes.put(store, 'config', 'main', configuration(**fields))
+    for upstream in made:
+        address = await fakes.serve_upstream(nursery, upstream)
+        fakes.put(store, 'servers', upstream.instance, registration(address))
+    address = await fakes.serve_store(nursery, store)
+    settings = await entry(nursery, address)
+    await until_ready(settings)
+    return store, made, settings, address
--- /dev/null
+++ b/tests/adapter/test_process.py
@@ -0,0 +1,104 @@
+"""Run the program itself, and stop it as the platform does."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import trio
+
+from adapter import deployments
+from adapter import fakes
+from zinnialead_platform import boot
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = str(ROOT / 'platform' / 'entry.py')
+
+
+def start(settings_file):
+    environment = {**os.environ, 'ZINNIALEAD_BOOT': str(settings_file)}
+    environment['PYTHONPATH'] = os.pathsep.join(sys.path)
+    return subprocess.Popen(
+        [sys.executable, PROGRAM],
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+async def running(nursery, tmp_path):
+    """Start the program against the fakes; return it when it is ready."""
+    store = fakes.FakeStore()
+    upstream = fakes.FakeUpstream('i-1')
+    address = await fakes.serve_upstream(nursery, upstream)
+    fakes.put(store, 'config', 'main', deployments.configuration())
+    fakes.put(store, 'servers', 'i-1', deployments.registration(address))
+    text = deployments.settings_text(await fakes.serve_store(nursery, store))
+    path = tmp_path / 'boot.toml'
+    path.write_text(text)
+    process = start(path)
+    settings = boot.parse(text, 1)
+    with trio.fail_after(20.0):
+        await trio.to_thread.run_sync(_until_listening, settings)
+        await deployments.until_ready(settings)
+    return process, settings, upstream
+
+
+def _until_listening(settings):
+    import socket
+    import time
+
+    host, port = settings.ready_bind.split(':')
+    for _ in range(900):
+        with socket.socket() as sock:
+            if sock.connect_ex((host, int(port))) == 0:
+                return
+        time.sleep(0.02)
+
+
+async def ended(process):
+    with trio.fail_after(10.0):
+        return await trio.to_thread.run_sync(process.communicate)
+
+
+async def test_a_stop_answers_what_was_read(nursery, tmp_path):
+    process, settings, upstream = await running(nursery, tmp_path)
+    upstream.work_s = 0.5
+    answers = []
+
+    async def ask():
+        answers.append(await deployments.ask(settings.front_bind))
+
+    nursery.start_soon(ask)
+    await trio.sleep(0.2)
+    process.send_signal(signal.SIGTERM)
+    await trio.sleep(0.1)
+    ready = await deployments.ask(settings.ready_bind, target=b'/ready')
+    assert ready.status == 503
+    out, _ = await ended(process)
+    assert process.returncode == 0
+    (answer,) = answers
+    assert (answer.status, answer.body) == (200, b'done')
+    assert (b'Connection', b'close') in answer.headers
+    for event in (b'"started"', b'"stopping"', b'"stopped"'):
+        assert event in out
+
+
+async def test_a_state_dump_is_written_on_request(nursery, tmp_path):
+    process, _, _ = await running(nursery, tmp_path)
+    process.send_signal(signal.SIGUSR1)
+    await trio.sleep(0.5)
+    process.send_signal(signal.SIGTERM)
+    out, _ = await ended(process)
+    assert b'"dump"' in out
+    assert b'"i-1"' in out
+
+
+def test_settings_that_lack_a_field_end_the_program(tmp_path):
+    path = tmp_path / 'boot.toml'
+    path.write_text('[self]\n')
+    process = start(path)
+    _, told = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert b'network' in told
