--- a/packages/core/src/zinnialead_core/gateway/requests/admission.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/admission.py
@@ -5,7 +5,6 @@
 from zinnialead_core.gateway.requests import models
 from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import ids
 from zinnialead_core import verdict
 
 
@@ -59,8 +58,3 @@
     # Without an object any order of upstreams serves; one of few, so that
     # orders are kept.
     return f'any-{world.random.randrange(64)}'
-
-
-def service_of(row: models.RequestRow) -> ids.ServiceId:
-    """Return the service that a request goes to."""
-    return row.service
--- a/packages/core/src/zinnialead_core/gateway/requests/const.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/const.py
@@ -18,8 +18,6 @@
 SECOND_MS = 1_000.0
 # Connections that can't be opened send nothing; so many are tried.
 CONNECTS_MAX = 4
-# Upstreams answer at the deadline that they get; so long that takes.
-DEADLINE_SLACK_MS = 60.0
 # Work that runs once goes only on connections used this lately: one that
 # its upstream closes as the request is sent leaves its end unknown.
 IDLE_ONCE_MS = 2_500.0
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -49,14 +49,6 @@
             yield row
 
 
-def is_usable(world: world_module.World, upstream: ids.UpstreamId) -> bool:
-    """Return whether an upstream may get new work."""
-    row = world.upstreams.rows.get(upstream)
-    if row is None or row.leaving:
-        return False
-    return row.domain not in world.upstreams.drained
-
-
 def is_cold(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> bool:
@@ -155,6 +147,7 @@
         return
     _index(table)
     yield out.Notify(inp.UpstreamDropped(upstream))
+    yield out.DropUpstream(row.address)
     yield out.LogBelief('upstreams', upstream, 'known', 'unknown', reason)
 
 
--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -20,6 +20,7 @@
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.front import coordinator as fronts
 from zinnialead_gateway.http import client
+from zinnialead_gateway.http import models as http_models
 from zinnialead_gateway.http import server
 from zinnialead_gateway.http import sockets
 from zinnialead_gateway.logs import coordinator as logs
@@ -46,7 +47,7 @@
     logs: logs.Logs
     metrics: metrics.Metrics
     front: fronts.Front
-    servers: list[server.Server]
+    servers: list[http_models.Server]
     listeners: list[trio.SocketListener]
     peers: peers.Peers
     store: stores.Store
@@ -169,7 +170,7 @@
     front = application.front
     directory = directories.Directory(application.engine, application.dialect)
     # Directory and readiness are the last to be turned away.
-    served: tuple[tuple[str, server.Handle], ...] = (
+    served: tuple[tuple[str, http_models.Handle], ...] = (
         (settings.front_bind, functools.partial(fronts.handle, front)),
         (
             settings.directory_bind,
@@ -192,11 +193,13 @@
         nursery.start_soon(server.serve, made, listener)
 
 
-def _server(application: Application, handle: server.Handle) -> server.Server:
+def _server(
+    application: Application, handle: http_models.Handle
+) -> http_models.Server:
     counters = application.engine.world.counters
 
     memory = application.settings.memory_bytes_max
-    return server.Server(
+    return http_models.Server(
         handle,
         functools.partial(fronts.limits, application.front),
         application.settings.connections_max,
--- a/packages/gateway/src/zinnialead_gateway/const.py
+++ b/packages/gateway/src/zinnialead_gateway/const.py
@@ -8,4 +8,3 @@
 SETTINGS_PERIOD_S = 5.0
 # Descriptors that the platform keeps for files, and ours to upstreams.
 DESCRIPTORS_KEPT = 400
-EXIT_SETTINGS = 2
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -39,7 +39,6 @@
     misdirected: bool
     sealed: bool
     load: inp.ReportedLoad | None
-    cold_ms: float
     headers: Headers
 
 
--- a/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
@@ -5,10 +5,10 @@
 from zinnialead_core.gateway.entries import coordinator as entries
 from zinnialead_gateway import dialect as dialects
 from zinnialead_gateway import engine as engines
-from zinnialead_gateway.http import server
+from zinnialead_gateway.http import models as http_models
 
 OK = 200
-JSON: server.Headers = [(b'Content-Type', b'application/json')]
+JSON: http_models.Headers = [(b'Content-Type', b'application/json')]
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,14 +20,14 @@
 
 
 async def handle(
-    directory: Directory, _caller: server.Caller, asked: server.Asked
-) -> server.Answer:
+    directory: Directory, _caller: http_models.Caller, asked: http_models.Asked
+) -> http_models.Answer:
     """Return which entries a caller should use."""
     target = asked.target.decode('latin-1')
     question = directory.dialect.read_question(target)
     world = directory.engine.world
     if question is None:
-        return server.Answer(404, [], b'no such look-up\n')
+        return http_models.Answer(404, [], b'no such look-up\n')
     world.counters['directory.look_ups'] += 1
     found = entries.addresses(
         world, engines.now_ms(), question.domain, question.region
@@ -35,13 +35,15 @@
     body = directory.dialect.write_addresses(
         found, world.node.bounds.directory_ttl_ms
     )
-    return server.Answer(OK, JSON, body)
+    return http_models.Answer(OK, JSON, body)
 
 
 async def handle_ready(
-    directory: Directory, _caller: server.Caller, _asked: server.Asked
-) -> server.Answer:
+    directory: Directory,
+    _caller: http_models.Caller,
+    _asked: http_models.Asked,
+) -> http_models.Answer:
     """Return whether this entry may be given callers."""
     if entries.is_ready(directory.engine.world):
-        return server.Answer(OK, [], b'ready\n')
-    return server.Answer(503, [], b'not ready\n')
+        return http_models.Answer(OK, [], b'ready\n')
+    return http_models.Answer(503, [], b'not ready\n')
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -13,7 +13,7 @@
 from zinnialead_gateway import const
 from zinnialead_gateway import dialect as dialects
 from zinnialead_gateway import engine as engines
-from zinnialead_gateway.http import server
+from zinnialead_gateway.http import models as http_models
 from zinnialead_gateway.upstreams import coordinator as upstreams
 
 
@@ -24,7 +24,7 @@
     head: dialects.RequestHead
     done: trio.Event
     began_ms: float
-    answer: server.Answer | None = None
+    answer: http_models.Answer | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,8 +41,8 @@
 
 
 async def handle(
-    front: Front, caller: server.Caller, asked: server.Asked
-) -> server.Answer | None:
+    front: Front, caller: http_models.Caller, asked: http_models.Asked
+) -> http_models.Answer | None:
     """Return the answer to a caller's request."""
     target = asked.target.decode('latin-1')
     try:
@@ -74,7 +74,7 @@
     got = front.parts.answers.get((output.request_id, output.attempt))
     if waiting is None or got is None:
         return
-    waiting.answer = server.Answer(
+    waiting.answer = http_models.Answer(
         got.response.status, got.head.headers, got.response.body
     )
     waiting.done.set()
@@ -87,7 +87,7 @@
         return
     head = front.dialect.write_refusal(waiting.head, output.refusal)
     body = f'{output.refusal.reason.value}: {output.refusal.detail}\n'
-    waiting.answer = server.Answer(
+    waiting.answer = http_models.Answer(
         head.status,
         [*head.headers, (b'Content-Type', b'text/plain; charset=utf-8')],
         body.encode(),
@@ -95,21 +95,21 @@
     waiting.done.set()
 
 
-def refusal(front: Front, status: int, reason: str) -> server.Answer:
+def refusal(front: Front, status: int, reason: str) -> http_models.Answer:
     """Return the refusal of what is no request; nothing was sent of it."""
     if status == 503:
         told = admission.not_run(verdict.Reason.QUEUE_FULL, reason)
         headers = front.dialect.write_refusal(None, told).headers
-        return server.Answer(status, headers, f'{reason}\n'.encode())
-    return server.Answer(status, [], f'{reason}\n'.encode())
+        return http_models.Answer(status, headers, f'{reason}\n'.encode())
+    return http_models.Answer(status, [], f'{reason}\n'.encode())
 
 
-def limits(front: Front) -> server.Limits:
+def limits(front: Front) -> http_models.Limits:
     """Return what the configuration in force lets callers send."""
     known = front.engine.world.routes.in_force.get('in-force')
     if known is None:
-        return server.Limits(16_384, 1_048_576, 3.0, 15.0)
-    return server.Limits(
+        return http_models.Limits(16_384, 1_048_576, 3.0, 15.0)
+    return http_models.Limits(
         known.limits.header_bytes_max,
         known.limits.body_bytes_max,
         known.limits.header_timeout_ms / const.MS_PER_S,
@@ -120,7 +120,7 @@
 def _arrival(
     request_id: ids.RequestId,
     head: dialects.RequestHead,
-    asked: server.Asked,
+    asked: http_models.Asked,
 ) -> inp.RequestArrived:
     return inp.RequestArrived(
         request_id,
--- a/packages/gateway/src/zinnialead_gateway/http/server.py
+++ b/packages/gateway/src/zinnialead_gateway/http/server.py
@@ -1,90 +1,14 @@
 """Serve callers' connections, a request at a time on each."""
 
-from collections import abc
-import dataclasses
-import typing
-
 import h11
 import trio
 
 from zinnialead_gateway.http import const
+from zinnialead_gateway.http import models
+from zinnialead_gateway.http import reading
 
-Headers = list[tuple[bytes, bytes]]
-
-
-class Limits(typing.NamedTuple):
-    """Bound what a caller may send, and how slowly."""
-
-    header_bytes_max: int
-    body_bytes_max: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
-class Asked(typing.NamedTuple):
-    """Hold a caller's whole request."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-
-
-class Answer(typing.NamedTuple):
-    """Hold a whole answer; None in its place cuts the connection."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@dataclasses.dataclass(slots=True)
-class Caller:
-    """Hold one connection of a caller.
-
-    ``left`` is called once if the caller leaves while it is answered.
-    """
-
-    stream: trio.SocketStream
-    parser: h11.Connection
-    news: trio.Event
-    closed: bool = False
-    ahead_bytes: int = 0
-    resume: trio.Event | None = None
-    left: abc.Callable[[], None] | None = None
-
-
-Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
-Handle = abc.Callable[[Caller, Asked], abc.Awaitable[Answer | None]]
-
-
-@dataclasses.dataclass(slots=True)
-class Server:
-    """Hold what one port serves, and how many connections it has."""
-
-    handle: Handle
-    limits: abc.Callable[[], Limits]
-    connections_max: int
-    count: abc.Callable[[str], None]
-    refuse: abc.Callable[[int, str], Answer]
-    failed: abc.Callable[[BaseException], None]
-    closing: bool = False
-    connections: int = 0
-    busy: int = 0
-    emptied: trio.Event = dataclasses.field(default_factory=trio.Event)
-    body_bytes: int = 0
-    body_bytes_max: int = 67_108_864
-
-
-class BadRequestError(Exception):
-    """Carry the status and reason of a refusal of what a caller sent."""
 
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-async def serve(server: Server, listener: trio.SocketListener) -> None:
+async def serve(server: models.Server, listener: trio.SocketListener) -> None:
     """Accept connections for good."""
     async with trio.open_nursery() as nursery:
         while True:
@@ -103,13 +27,15 @@
             nursery.start_soon(_connection, server, stream)
 
 
-async def _connection(server: Server, stream: trio.SocketStream) -> None:
+async def _connection(
+    server: models.Server, stream: trio.SocketStream
+) -> None:
     server.connections += 1
     limits = server.limits()
     parser = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes_max
     )
-    caller = Caller(stream, parser, trio.Event())
+    caller = models.Caller(stream, parser, trio.Event())
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_read, caller)
@@ -125,7 +51,7 @@
         stream.socket.close()
 
 
-async def _read(caller: Caller) -> None:
+async def _read(caller: models.Caller) -> None:
     """Bring what the caller sends to the parser until it leaves."""
     while not caller.closed:
         try:
@@ -147,11 +73,11 @@
             await caller.resume.wait()
 
 
-async def _exchanges(server: Server, caller: Caller) -> None:
+async def _exchanges(server: models.Server, caller: models.Caller) -> None:
     while not caller.closed or caller.parser.trailing_data[0]:
         try:
-            asked = await _request(server, caller)
-        except BadRequestError as error:
+            asked = await reading.request(server, caller)
+        except models.BadRequestError as error:
             answer = server.refuse(error.status, str(error))
             await _write(caller, answer, close=True)
             await _linger(caller)
@@ -167,8 +93,10 @@
         caller.parser.start_next_cycle()
 
 
-async def _answer(server: Server, caller: Caller, asked: Asked) -> bool | None:
-    """Answer a request; return whether to close, None if it is cut."""
+async def _answer(
+    server: models.Server, caller: models.Caller, asked: models.Asked
+) -> bool | None:
+    """models.Answer a request; return whether to close, None if it is cut."""
     server.busy += 1
     try:
         answered = await server.handle(caller, asked)
@@ -187,119 +115,20 @@
             server.emptied.set()
 
 
-async def idle(server: Server) -> None:
+async def idle(server: models.Server) -> None:
     """Wait until no caller waits for an answer."""
     while server.busy:
         server.emptied = trio.Event()
         await server.emptied.wait()
 
 
-async def _request(server: Server, caller: Caller) -> Asked | None:
-    """Return the next whole request, None if the caller left before."""
-    limits = server.limits()
-    if not caller.parser.trailing_data[0]:
-        with trio.move_on_after(limits.idle_timeout_s):
-            await _more(caller)
-    if not caller.parser.trailing_data[0]:
-        return None
-    head = None
-    with trio.move_on_after(limits.header_timeout_s):
-        head = await _event(caller)
-    match head:
-        case h11.Request():
-            return await _whole(server, caller, limits, head)
-        case None:
-            raise BadRequestError(408, 'the head came too slowly')
-        case _:
-            return None
-
-
-async def _whole(
-    server: Server, caller: Caller, limits: Limits, head: h11.Request
-) -> Asked | None:
-    """Return a request with its body, None if the caller left before."""
-    _check_length(head, limits)
-    await _continue(caller)
-    parts: list[bytes] = []
-    size = 0
-    whole = False
-    try:
-        while not whole:
-            event = None
-            with trio.move_on_after(limits.idle_timeout_s):
-                event = await _event(caller)
-            match event:
-                case None:
-                    raise BadRequestError(408, 'the body came too slowly')
-                case h11.Data(data=data):
-                    parts.append(bytes(data))
-                    size += len(data)
-                    server.body_bytes += len(data)
-                    _check_size(server, limits, size)
-                case h11.EndOfMessage():
-                    whole = True
-                case _:
-                    return None
-    finally:
-        if not whole:
-            server.body_bytes -= size
-    raw = list(head.headers.raw_items())
-    return Asked(head.method, head.target, raw, b''.join(parts))
-
-
-async def _event(caller: Caller) -> Event:
-    """Return the parser's next event; raises BadRequestError."""
-    while True:
-        try:
-            event = caller.parser.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(
-                error.error_status_hint, str(error)
-            ) from error
-        if event is not h11.NEED_DATA:
-            return event
-        if caller.closed:
-            return h11.ConnectionClosed()
-        await _more(caller)
-
-
-async def _more(caller: Caller) -> None:
-    """Wait until the caller sends more or leaves."""
-    caller.ahead_bytes = 0
-    if caller.resume is not None:
-        caller.resume.set()
-    caller.news = trio.Event()
-    if not caller.closed:
-        await caller.news.wait()
-
-
-async def _continue(caller: Caller) -> None:
-    if caller.parser.they_are_waiting_for_100_continue:
-        event = h11.InformationalResponse(status_code=100, headers=[])
-        await caller.stream.send_all(caller.parser.send(event))
-
-
-def _check_length(head: h11.Request, limits: Limits) -> None:
-    for name, value in head.headers:
-        if name == b'content-length' and int(value) > limits.body_bytes_max:
-            raise BadRequestError(413, 'the body is too large')
-
-
-def _check_size(server: Server, limits: Limits, size: int) -> None:
-    if size > limits.body_bytes_max:
-        raise BadRequestError(413, 'the body is too large')
-    if server.body_bytes > server.body_bytes_max:
-        server.count('bodies_full')
-        raise BadRequestError(503, 'no memory is free for the body')
-
-
-def _wants_close(caller: Caller) -> bool:
+def _wants_close(caller: models.Caller) -> bool:
     return caller.parser.their_state is not h11.DONE
 
 
 async def _write(
-    caller: Caller,
-    answer: Answer,
+    caller: models.Caller,
+    answer: models.Answer,
     *,
     close: bool,
     without_body: bool = False,
@@ -323,7 +152,7 @@
         await caller.stream.send_all(b''.join(x for x in parts if x))
 
 
-async def _linger(caller: Caller) -> None:
+async def _linger(caller: models.Caller) -> None:
     """Let the caller read the answer before the connection is closed.
 
     Closing with bytes unread would reset it.
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -6,7 +6,7 @@
 import typing
 
 from zinnialead_gateway import engine as engines
-from zinnialead_gateway.http import server
+from zinnialead_gateway.http import models as http_models
 
 # Upper bounds of the buckets, in ms: targets of the services seen lie
 # between 200 ms and 6 s.
@@ -32,8 +32,8 @@
 
 
 async def handle(
-    metrics: Metrics, _caller: server.Caller, _asked: server.Asked
-) -> server.Answer:
+    metrics: Metrics, _caller: http_models.Caller, _asked: http_models.Asked
+) -> http_models.Answer:
     """Return the metrics page."""
     # Imported on demand: few processes are ever asked for the page.
     import prometheus_client
@@ -44,7 +44,7 @@
     registry.register(typing.cast('typing.Any', _Collector(metrics)))
     body = exposition.generate_latest(registry)
     kind = prometheus_client.CONTENT_TYPE_LATEST.encode()
-    return server.Answer(200, [(b'Content-Type', kind)], body)
+    return http_models.Answer(200, [(b'Content-Type', kind)], body)
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -8,10 +8,11 @@
 import msgspec
 import trio
 
+from zinnialead_gateway.http import models as http_models
 from zinnialead_gateway.http import server
 from zinnialead_gateway.http import sockets
 
-LIMITS = server.Limits(65_536, 1_000_000, 5.0, 30.0)
+LIMITS = http_models.Limits(65_536, 1_000_000, 5.0, 30.0)
 WATCH_POLL_S = 0.01
 
 
@@ -51,12 +52,12 @@
 async def serve(nursery, handle):
     """Serve a handler; return its address."""
     listener = await sockets.listen('127.0.0.1:0')
-    made = server.Server(
+    made = http_models.Server(
         handle,
         lambda: LIMITS,
         100,
         lambda _: None,
-        lambda status, reason: server.Answer(status, [], reason.encode()),
+        lambda status, reason: http_models.Answer(status, [], reason.encode()),
         print,
     )
     nursery.start_soon(server.serve, made, listener)
@@ -68,7 +69,7 @@
 
 
 def _reply(status, body):
-    return server.Answer(status, [], msgspec.json.encode(body))
+    return http_models.Answer(status, [], msgspec.json.encode(body))
 
 
 async def _store(store, _caller, asked):
@@ -156,9 +157,9 @@
     name = headers[b'zinnialead-request-id']
     echo = [(b'Zinnialead-Request-Id', name)]
     if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
-        return server.Answer(421, echo, b'')
+        return http_models.Answer(421, echo, b'')
     if upstream.how == 'sheds':
-        return server.Answer(
+        return http_models.Answer(
             503, [*echo, (b'Zinnialead-Not-Executed', b'1')], b''
         )
     upstream.ran.append(name.decode())
@@ -167,8 +168,8 @@
         case 'cuts':
             return None
         case 'unsealed':
-            return server.Answer(200, echo, b'whose?')
+            return http_models.Answer(200, echo, b'whose?')
     load = f'1,0,{upstream.slots}'.encode()
     sealed = [(b'Zinnialead-Response-Seal', b'seal')]
     told = [(b'Zinnialead-Server-Load', load)]
-    return server.Answer(200, echo + sealed + told, b'done')
+    return http_models.Answer(200, echo + sealed + told, b'done')
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -4,25 +4,26 @@
 
 import trio
 
+from zinnialead_gateway.http import models as http_models
 from zinnialead_gateway.http import server
 from zinnialead_gateway.http import sockets
 
-LIMITS = server.Limits(2_000, 5_000, 0.2, 0.5)
+LIMITS = http_models.Limits(2_000, 5_000, 0.2, 0.5)
 GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
 async def echo(caller, asked):
-    return server.Answer(200, [], asked.target + b':' + asked.body)
+    return http_models.Answer(200, [], asked.target + b':' + asked.body)
 
 
 def refuse(status, reason):
-    return server.Answer(status, [], reason.encode())
+    return http_models.Answer(status, [], reason.encode())
 
 
 async def served(nursery, handle=echo):
     listener = await sockets.listen('127.0.0.1:0')
     counted = []
-    made = server.Server(
+    made = http_models.Server(
         handle, lambda: LIMITS, 10, counted.append, refuse, counted.append
     )
     nursery.start_soon(server.serve, made, listener)
@@ -124,7 +125,7 @@
     async def fail(_caller, asked):
         if asked.target == b'/x':
             raise RuntimeError('broken')
-        return server.Answer(200, [], b'well')
+        return http_models.Answer(200, [], b'well')
 
     _, connect = await served(nursery, fail)
     assert await ask(connect, GET) == b''
