--- a/packages/core/src/zinnialead_core/gateway/requests/endings.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/endings.py
@@ -6,6 +6,7 @@
 from zinnialead_core.gateway.requests import admission
 from zinnialead_core.gateway.requests import models
 from zinnialead_core.gateway.requests import waiting
+from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
@@ -119,7 +120,7 @@
     decision: str,
     detail: str,
 ) -> out.LogDecision:
-    known = world.routes.in_force.get('in-force')
+    known = routes.in_force(world)
     return out.LogDecision(
         row.request_id,
         row.name,
--- a/packages/gateway/src/zinnialead_gateway/diagnostics.py
+++ b/packages/gateway/src/zinnialead_gateway/diagnostics.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core import gateway
 from zinnialead_core.gateway.requests import models as requests
+from zinnialead_core.gateway.routes import coordinator as routes
 
 
 class RequestDump(typing.TypedDict):
@@ -34,7 +35,7 @@
 
 def dump(world: gateway.World) -> Dump:
     """Return the state dump of a process."""
-    known = world.routes.in_force.get('in-force')
+    known = routes.in_force(world)
     return Dump(
         entry=world.node.ref.entry,
         incarnation=world.node.ref.incarnation,
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -8,6 +8,7 @@
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.requests import admission
+from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core import ids
 from zinnialead_core import verdict
 from zinnialead_gateway import const
@@ -106,14 +107,12 @@
 
 def limits(front: Front) -> http_models.Limits:
     """Return what the configuration in force lets callers send."""
-    known = front.engine.world.routes.in_force.get('in-force')
-    if known is None:
-        return http_models.Limits(16_384, 1_048_576, 3.0, 15.0)
+    known = routes.limits(front.engine.world)
     return http_models.Limits(
-        known.limits.header_bytes_max,
-        known.limits.body_bytes_max,
-        known.limits.header_timeout_ms / const.MS_PER_S,
-        known.limits.idle_timeout_ms / const.MS_PER_S,
+        known.header_bytes_max,
+        known.body_bytes_max,
+        known.header_timeout_ms / const.MS_PER_S,
+        known.idle_timeout_ms / const.MS_PER_S,
     )
 
 
