Start and serve where a deployment sets fewer bounds

Cause: an entry ended where a bound was missing, and took no configuration in which a route set no time or a service no bound of connections; which of them a deployment sets depends on its contracts. Ruled out: a fault on the two sites, which set all of them.

--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -186,3 +186,14 @@
 
 def test_any_other_status_is_a_failure():
     assert isinstance(read(WATCH, b'x', 500), store.Failed)
+
+
+def test_a_route_without_times_and_a_service_without_bounds_are_read():
+    route = {
+        key: value
+        for key, value in CONFIG['routes']['r-1'].items()
+        if key not in ('timeout', 'target_latency', 'priority')
+    }
+    spec = {**CONFIG, 'routes': {'r-1': route}, 'services': {'wuno96b': {}}}
+    (found,) = objects.configuration(spec).routes.values()
+    assert found.target_ms == found.timeout_ms == 10_000.0
