--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -25,6 +25,7 @@
 from zinnialead_gateway.http import sockets
 from zinnialead_gateway.logs import coordinator as logs
 from zinnialead_gateway.metrics import coordinator as metrics
+from zinnialead_gateway.operators import coordinator as operators
 from zinnialead_gateway.peers import coordinator as peers
 from zinnialead_gateway import settings as settings_module
 from zinnialead_gateway.store import coordinator as stores
@@ -169,6 +170,7 @@
     settings = application.settings
     front = application.front
     directory = directories.Directory(application.engine, application.dialect)
+    view = operators.Operators(application.engine, application.metrics)
     # Directory and readiness are the last to be turned away.
     served: tuple[tuple[str, http_models.Handle], ...] = (
         (settings.front_bind, functools.partial(fronts.handle, front)),
@@ -182,7 +184,7 @@
         ),
         (
             settings.metrics_bind,
-            functools.partial(metrics.handle, application.metrics),
+            functools.partial(operators.handle, view),
         ),
     )
     for address, handle in served:
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -31,9 +31,7 @@
     metrics.sums_ms[name] = metrics.sums_ms.get(name, 0.0) + elapsed_ms
 
 
-async def handle(
-    metrics: Metrics, _caller: http_models.Caller, _asked: http_models.Asked
-) -> http_models.Answer:
+def page(metrics: Metrics) -> http_models.Answer:
     """Return the metrics page."""
     # Imported on demand: few processes are ever asked for the page.
     import prometheus_client
--- /dev/null
+++ b/packages/gateway/src/zinnialead_gateway/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Answer operators: metrics, state dump, what is in force."""
--- /dev/null
+++ b/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
@@ -0,0 +1,63 @@
+"""Answer what the operators' command line and the metrics' reader ask.
+
+The port is an internal one, which callers can't reach.
+"""
+
+import dataclasses
+
+import msgspec
+
+from zinnialead_core.gateway.routes import coordinator as routes
+from zinnialead_gateway import diagnostics
+from zinnialead_gateway import engine as engines
+from zinnialead_gateway.http import models as http_models
+from zinnialead_gateway.metrics import coordinator as metrics
+
+JSON: http_models.Headers = [(b'Content-Type', b'application/json')]
+
+
+@dataclasses.dataclass(slots=True)
+class Operators:
+    """Hold what operators may read."""
+
+    engine: engines.Engine
+    metrics: metrics.Metrics
+
+
+async def handle(
+    operators: Operators,
+    _caller: http_models.Caller,
+    asked: http_models.Asked,
+) -> http_models.Answer:
+    """Return the page that is asked for."""
+    world = operators.engine.world
+    match asked.target.partition(b'?')[0]:
+        case b'/metrics':
+            return metrics.page(operators.metrics)
+        case b'/v1/dump':
+            return _json(diagnostics.dump(world))
+        case b'/v1/state':
+            known = routes.in_force(world)
+            drained = sorted(world.upstreams.drained)
+            return _json({'configuration': known, 'drained': drained})
+        case _:
+            return http_models.Answer(404, [], b'no such page\n')
+
+
+def _json(document: object) -> http_models.Answer:
+    # Rows stay readable: without this they become lists.
+    body = msgspec.json.encode(_plain(document))
+    return http_models.Answer(200, JSON, body)
+
+
+def _plain(value: object) -> object:
+    """Return rows as tables by field, for people to read."""
+    match value:
+        case tuple() if hasattr(value, '_asdict'):
+            return {k: _plain(v) for k, v in value._asdict().items()}
+        case dict():
+            return {str(k): _plain(v) for k, v in value.items()}
+        case list() | tuple() | frozenset() | set():
+            return [_plain(item) for item in value]
+        case _:
+            return value
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -1,10 +1,15 @@
 """Serve requests through a whole entry over loopback."""
 
+import functools
+
+import msgspec
 import pytest
 import trio
+import typer.testing
 
 from adapter import deployments
 from adapter import fakes
+from zinnialead_cli import main
 
 
 async def test_a_request_is_served(nursery):
@@ -151,3 +156,21 @@
     made[0].work_s = 5.0
     with trio.fail_after(1.0):
         assert (await deployments.ask(settings.front_bind)).status == 504
+
+
+async def test_operators_read_what_is_in_force(nursery):
+    store, _, settings, _ = await deployments.deployment(nursery)
+    fakes.put(store, 'evacuations', 'tn-a', {})
+    await trio.sleep(0.5)
+    address = settings.metrics_bind
+    run = functools.partial(
+        typer.testing.CliRunner().invoke, main.app, catch_exceptions=False
+    )
+    asked = ['--entry', address, '--token', 'none']
+    found = await trio.to_thread.run_sync(run, ['in-force', *asked])
+    document = msgspec.json.decode(found.stdout)
+    assert document['configuration']['version'] == 1
+    assert document['drained'] == ['tn-a']
+    found = await trio.to_thread.run_sync(run, ['dump', *asked])
+    document = msgspec.json.decode(found.stdout)
+    assert {x['upstream'] for x in document['upstreams']} == {'i-0', 'i-1'}
