Drop an object's order in the pass in which an upstream goes

Change: placement drops orders on the removal itself, before requests run. Test: both in one tick; it failed before. Ruled out: removals by a list, which already dropped them.

--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -36,6 +36,8 @@
                 world.placement.orders.clear()
             case (
                 inp.UpstreamSeen()
+                | inp.UpstreamGone()
+                | inp.TimerDue(timers.LapseDue())
                 | inp.UpstreamsListed()
                 | inp.DrainSeen()
                 | inp.DrainGone()
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -162,3 +162,12 @@
         samples.feed(world, now_ms + 901.0, cut)
         now_ms += 2_000.0
     assert chosen[3] != chosen[0]
+
+
+def test_an_upstream_may_go_in_the_tick_in_which_a_wait_is_over():
+    """An order that still held it ended the entry (KeyError)."""
+    world = samples.served(upstreams_=[samples.upstream('u-1', slots=1)])
+    for number in range(10):
+        samples.feed(world, 1.0, samples.arrival(number))
+    outputs = samples.feed(world, 2_000.0, inp.UpstreamGone('u-1'))
+    assert samples.only(outputs, out.Refuse)
