Let orders follow the upstreams' own count of changes

The mend for an upstream that goes in the tick of a wait named in placement every input that may remove one; a path added later would have been missed again. Behaviour stays.

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -78,9 +78,16 @@
     heard = world.entries.heard.get(row.entry)
     if heard is not None and heard.beat.leaving:
         return True
-    since_ms = world.entries.seen_ms.get(row.entry, now_ms)
-    last_ms = max(since_ms, heard.heard_ms) if heard else since_ms
-    return now_ms - last_ms > const.SILENCE_MAX_MS
+    return _silence_ms(world, now_ms, row.entry) > const.SILENCE_MAX_MS
+
+
+def _silence_ms(
+    world: world_module.World, now_ms: float, entry: ids.EntryId
+) -> float:
+    """Return the time since an entry was heard or first seen."""
+    heard = world.entries.heard.get(entry)
+    since_ms = world.entries.seen_ms.get(entry, now_ms)
+    return now_ms - max(since_ms, heard.heard_ms if heard else 0.0)
 
 
 def present_in_region(world: world_module.World, now_ms: float) -> list[str]:
@@ -278,9 +285,6 @@
     for row in list(world.entries.rows.values()):
         if row.region != world.node.region or str(row.entry) in present:
             continue
-        heard = world.entries.heard.get(row.entry)
-        since_ms = world.entries.seen_ms.get(row.entry, now_ms)
-        last_ms = max(since_ms, heard.heard_ms if heard else 0.0)
-        if now_ms - last_ms > const.REMOVE_AFTER_MS:
+        if _silence_ms(world, now_ms, row.entry) > const.REMOVE_AFTER_MS:
             world.entries.seen_ms[row.entry] = now_ms
             yield out.CallStore('removal', store.RemoveEntry(row))
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -28,6 +28,8 @@
 LOST_IN_A_ROW = 2
 # A moving mean over about the last ten attempts.
 MEAN_WEIGHT = 0.1
+# The usual service time of a route moves over about fifty answers.
+USUAL_WEIGHT = 0.02
 # Failures count sooner: two in a row are beyond ``FAILING_MAX``.
 FAILURE_WEIGHT = 0.2
 FAILING_MAX = 0.35
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -21,7 +21,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Forget orders that changed; balance between regions; writes loads."""
+    """Balance between regions, and forget upstreams that are gone."""
     for item in inputs:
         match item:
             case inp.Started():
@@ -33,17 +33,6 @@
             case inp.UpstreamDropped(upstream):
                 world.loads.pop(upstream, None)
                 world.placement.cold_sent.pop(upstream, None)
-                world.placement.orders.clear()
-            case (
-                inp.UpstreamSeen()
-                | inp.UpstreamGone()
-                | inp.TimerDue(timers.LapseDue())
-                | inp.UpstreamsListed()
-                | inp.DrainSeen()
-                | inp.DrainGone()
-                | inp.DrainsListed()
-            ):
-                world.placement.orders.clear()
     yield from ()
 
 
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -117,7 +117,7 @@
 ) -> models.LoadRow:
     usual = world.placement.usual_ms
     known_ms = usual.get(route, elapsed_ms)
-    usual[route] = known_ms + 0.02 * (elapsed_ms - known_ms)
+    usual[route] = known_ms + const.USUAL_WEIGHT * (elapsed_ms - known_ms)
     over = elapsed_ms / max(1.0, usual[route])
     return load._replace(pace=_mean(load.pace, over))
 
@@ -136,7 +136,7 @@
 
 
 def _shed(now_ms: float, load: models.LoadRow) -> models.LoadRow:
-    """Count a refusal for failing only where the upstream has room."""
+    """Count a refusal as a failure, and keep its load as fresh."""
     return load._replace(failing=_more_failing(load), told_ms=now_ms)
 
 
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -58,11 +58,14 @@
 class PlacementTable(typing.NamedTuple):
     """Hold orders by object, shares abroad and what cold upstreams got.
 
-    ``cold_sent`` are the times at which cold upstreams were sent to in the
-    last second, ``usual_ms`` is the usual service time of a route.
+    ``orders_as_of`` is the count of changes of the upstreams that the
+    orders are worked out from.  ``cold_sent`` are the times at which cold
+    upstreams were sent to in the last second, ``usual_ms`` is the usual
+    service time of a route.
     """
 
     orders: dict[tuple[ids.ServiceId, str, frozenset[ids.RegionId]], Order]
+    orders_as_of: list[int]
     abroad: dict[ids.ServiceId, AbroadRow]
     usual_ms: dict[str, float]
     cold_sent: dict[ids.UpstreamId, list[float]]
@@ -70,4 +73,4 @@
 
 def new_table() -> PlacementTable:
     """Return a table that has placed nothing."""
-    return PlacementTable({}, {}, {}, {})
+    return PlacementTable({}, [0], {}, {}, {})
--- a/packages/core/src/zinnialead_core/gateway/placement/orders.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/orders.py
@@ -20,13 +20,16 @@
 
     Rendezvous hashing: an upstream that goes moves only its own objects.
     """
+    table = world.placement
+    is_old = table.orders_as_of != world.upstreams.changes
+    if is_old or len(table.orders) >= const.ORDERS_MAX:
+        table.orders.clear()
+        table.orders_as_of[:] = world.upstreams.changes
     key = (wanted.service, wanted.object_key, wanted.home_regions)
-    known = world.placement.orders.get(key)
+    known = table.orders.get(key)
     if known is None:
-        if len(world.placement.orders) >= const.ORDERS_MAX:
-            world.placement.orders.clear()
         known = _work_out(world, wanted)
-        world.placement.orders[key] = known
+        table.orders[key] = known
     return known
 
 
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -83,19 +83,14 @@
             _again(world, row.kind, now_ms + pause_ms)
         case models.HistoryGone():
             world.counters['store.history_gone'] += 1
-            _keep(world, _anew(row))
+            _keep(world, models.anew(row))
             _again(world, row.kind, now_ms + world.random.uniform(0.0, 100.0))
         case models.Refused(retry_after_ms):
             _back_off(world, now_ms, row, retry_after_ms)
         case _:
             # A watch that is opened again may stay deaf to what changed
             # meanwhile; a list is not.
-            _back_off(world, now_ms, _anew(row), 0.0)
-
-
-def _anew(row: models.WatchRow) -> models.WatchRow:
-    """Return the row of a kind that is to be read whole again."""
-    return row._replace(revision=None, after=None, gathered=())
+            _back_off(world, now_ms, models.anew(row), 0.0)
 
 
 def _pause_ms(world: world_module.World, now_ms: float) -> float:
@@ -120,7 +115,7 @@
         _again(world, row.kind, now_ms)
         return
     yield out.Notify(sharing.whole(row.kind, row.gathered, page.revision))
-    _keep(world, _anew(row)._replace(revision=page.revision))
+    _keep(world, models.anew(row)._replace(revision=page.revision))
     _again(world, row.kind, now_ms)
 
 
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -33,6 +33,11 @@
     number: int = 0
 
 
+def anew(row: WatchRow) -> WatchRow:
+    """Return the row of a kind that is to be read whole again."""
+    return row._replace(revision=None, after=None, gathered=())
+
+
 class HealthRow(typing.NamedTuple):
     """Hold whether the store answers, and since when it has settled.
 
--- a/packages/core/src/zinnialead_core/gateway/store/sharing.py
+++ b/packages/core/src/zinnialead_core/gateway/store/sharing.py
@@ -32,7 +32,9 @@
         behind = behind._replace(latest=max(latest, behind.latest))
         world.store.behind[kind] = behind
         behind_ms = now_ms - behind.since_ms
-        if behind_ms >= const.BEHIND_ASK_MS or not _is_reading(world):
+        if behind_ms >= const.BEHIND_ASK_MS or not models.in_touch(
+            world.store
+        ):
             asked.append(kind)
         elif behind_ms >= const.BEHIND_MS and row.revision is not None:
             world.counters['store.watches_replaced'] += 1
@@ -129,16 +131,10 @@
             return (inp.ConfigurationRead(known, source),) if known else ()
 
 
-def _is_reading(world: world_module.World) -> bool:
-    return models.in_touch(world.store)
-
-
 def _read_again(
     world: world_module.World, now_ms: float, row: models.WatchRow
 ) -> None:
-    world.store.watches[row.kind] = row._replace(
-        revision=None, after=None, gathered=()
-    )
+    world.store.watches[row.kind] = models.anew(row)
     timer = timers.StoreCallDue(row.kind)
     timer_table.start(world.timers, timer, now_ms)
 
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -80,6 +80,7 @@
     timer_table.stop(world.timers, timers.LapseDue(row.upstream))
     set_cold(world, now_ms, row.upstream, row.cold_ms)
     table.rows[row.upstream] = row
+    table.changes[0] += 1
     if known is None or known.service != row.service:
         _index(table)
     if known is not None and known.born_ms != row.born_ms:
@@ -145,6 +146,7 @@
     row = table.rows.pop(upstream, None)
     if row is None:
         return
+    table.changes[0] += 1
     _index(table)
     yield out.Notify(inp.UpstreamDropped(upstream))
     yield out.DropUpstream(row.address)
@@ -177,6 +179,7 @@
     if domain in world.upstreams.drained:
         return
     world.upstreams.drained.add(domain)
+    world.upstreams.changes[0] += 1
     yield out.LogBelief('upstreams', domain, 'in service', 'drained', 'store')
 
 
@@ -186,6 +189,7 @@
     if domain not in world.upstreams.drained:
         return
     world.upstreams.drained.discard(domain)
+    world.upstreams.changes[0] += 1
     for row in world.upstreams.rows.values():
         if row.domain == domain:
             cold_ms = warm_up_ms(world, row.service)
--- a/packages/core/src/zinnialead_core/gateway/upstreams/models.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/models.py
@@ -28,6 +28,8 @@
 
     ``missing`` are upstreams that the store does not name any more after
     an outage, with the time until which they may still register again.
+    ``changes`` counts what may change which upstreams are usable, so that
+    what is worked out from them can tell that it is old.
     """
 
     rows: dict[ids.UpstreamId, UpstreamRow]
@@ -35,8 +37,9 @@
     drained: set[ids.DomainId]
     cold_until_ms: dict[ids.UpstreamId, float]
     missing: dict[ids.UpstreamId, float]
+    changes: list[int]
 
 
 def new_table() -> UpstreamTable:
     """Return a table without upstreams."""
-    return UpstreamTable({}, {}, set(), {}, {})
+    return UpstreamTable({}, {}, set(), {}, {}, [0])
--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -199,7 +199,6 @@
     application: Application, handle: http_models.Handle
 ) -> http_models.Server:
     counters = application.engine.world.counters
-
     memory = application.settings.memory_bytes_max
     return http_models.Server(
         handle,
