--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -231,7 +231,7 @@
     await trio.sleep(serve_s)
     for listener in application.listeners:
         listener.socket.close()
-    end_ms = began_ms + grace_ms - const.STOP_END_MARGIN_MS
+    end_ms = began_ms + grace_ms * const.STOP_END_SHARE
     left_s = max(0.0, end_ms - engines.now_ms()) / const.MS_PER_S
     with trio.move_on_after(left_s):
         for made in application.servers:
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -85,6 +85,25 @@
         assert event in out
 
 
+async def test_a_short_grace_leaves_time_to_end_the_last_requests(
+    nursery, tmp_path
+):
+    """Soak, seed 2: a request late in a grace of 2 s was cut at work."""
+    process, settings, upstream = await running(nursery, tmp_path)
+    upstream.work_s = 0.15
+    answers = []
+
+    async def ask():
+        answers.append(await deployments.ask(settings.front_bind))
+
+    process.send_signal(signal.SIGTERM)
+    await trio.sleep(0.7)
+    nursery.start_soon(ask)
+    await ended(process)
+    (answer,) = answers
+    assert (answer.status, answer.body) == (200, b'done')
+
+
 async def test_a_state_dump_is_written_on_request(nursery, tmp_path):
     process, _, _ = await running(nursery, tmp_path)
     process.send_signal(signal.SIGUSR1)
@@ -102,3 +121,21 @@
     _, told = process.communicate(timeout=20)
     assert process.returncode == 2
     assert b'network' in told
+
+
+LOADED = """
+import runpy, signal, sys
+runpy.run_path({program!r}, run_name='loaded')
+assert 'trio' not in sys.modules
+for number in (signal.SIGHUP, signal.SIGUSR1):
+    print(signal.getsignal(number) is signal.SIG_IGN)
+"""
+
+
+def test_a_reload_during_the_start_does_not_end_the_program():
+    """Soak, seed 1: a program that had just been started ended by SIGHUP."""
+    code = LOADED.format(program=PROGRAM)
+    done = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, check=True
+    )
+    assert done.stdout.split() == [b'True', b'True']
