Soak the real programs under faults from outside them

Five entries run as processes against a store and upstreams of the soak; a plan drawn from a seed kills, stops, pauses and reloads them, sets their clocks off, delays, resets, silences or cuts links one way by a proxy over loopback, lets the store be down, busy, silent, deaf, lossy or compacted, drains, replaces and evacuates upstreams and changes the configuration, in series and overlapping. Callers keep their connections open. What callers and upstreams saw is held against the promises: at most once, true refusals, whole answers, no lost request around planned work or trouble of the store, routes, drains, evacuations, configurations and look-ups in time, recovery.

Ruled out: a proxy for heartbeats (pauses and kills silence them already).

--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,11 @@
 DEPLOYMENT ?= sabarmati
 SEED ?= 1
 STEPS ?= 60
+SECONDS ?= 45
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test bench fuzz capacity check format lint types contract
+.PHONY: setup demo test bench fuzz capacity soak check format lint types \
+	contract
 
 setup: $(STAMP)
 
@@ -36,6 +38,10 @@
 fuzz: setup
 	$(BIN)/python -m zinnialead_lab fuzz --seed $(SEED) --steps $(STEPS)
 
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tests $(BIN)/python -m soak \
+		--seed $(SEED) --seconds $(SECONDS)
+
 capacity: setup
 	$(BIN)/python -m zinnialead_lab capacity
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,27 @@
+"""Run the soak from the command line."""
+
+import functools
+import pathlib
+
+import trio
+import typer
+
+from soak import run
+
+
+def main(
+    seed: int = 1,
+    seconds: float = 40.0,
+    folder: pathlib.Path | None = None,
+) -> None:
+    """Play one run; end with 1 if a promise was not kept."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+    tables = trio.run(functools.partial(run.play, seed, seconds, folder))
+    print(f'seed {seed}, {seconds:.0f} s')
+    for line in run.summary(tables):
+        print(line)
+    raise typer.Exit(1 if tables.violations else 0)
+
+
+typer.run(main)
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,73 @@
+"""Draw the faults of a run from a seed."""
+
+from soak import const
+from soak import models
+
+
+def faults(random, seconds):
+    """Yield when each fault of a run strikes, in ms, and the fault."""
+    last_ms = seconds * const.MS_PER_S
+    last_ms -= const.RECOVERY_MS + const.LAST_CHECK_MS
+    at_ms = const.FIRST_FAULT_MS
+    while at_ms < last_ms:
+        fault = _fault(random)
+        # No fault may last into the time that is left to recover.
+        if at_ms + duration_ms(fault) <= last_ms:
+            yield at_ms, fault
+        if random.random() < 0.75:
+            at_ms += random.expovariate(1.0) * const.FAULT_GAP_MS
+
+
+def duration_ms(fault):
+    """Return how long a fault lasts, with what it needs to end."""
+    match fault:
+        case models.Kill(_, down_ms, _):
+            return down_ms
+        case models.Stop(_, down_ms):
+            return const.GRACE_MS + const.EXIT_SLACK_MS + down_ms
+        case models.Replace(_, missing_ms):
+            return missing_ms
+        case models.Reload() | models.Configure() | models.Drain():
+            return const.CONFIG_APPLY_MS
+        case _:
+            return fault.for_ms
+
+
+def _fault(random):
+    entry = random.choice(const.ENTRIES)
+    some = tuple(random.sample(const.ENTRIES, random.choice((1, 2, 5))))
+    for_ms = random.uniform(300.0, 5_000.0)
+    down_ms = random.uniform(50.0, 2_000.0)
+    place = random.randrange(sum(const.SERVICES.values()))
+    condition = random.choice(
+        (
+            models.Delayed(random.uniform(50.0, 1_500.0)),
+            models.Silent(),
+            models.OneWay(),
+            models.Reset(),
+        )
+    )
+    trouble = random.choice(
+        ('down', 'busy', 'silent', 'lost', 'deaf', 'compacted')
+    )
+    clock_ms = random.choice((0, 0, -60_000, 60_000))
+    domain = random.choice(tuple(const.DOMAINS))
+    return random.choice(
+        (
+            models.Kill((entry,), down_ms, clock_ms),
+            models.Kill(some, down_ms, clock_ms),
+            models.Stop(entry, down_ms),
+            models.Stop(entry, down_ms),
+            models.Pause(entry, for_ms),
+            models.Reload(entry),
+            models.StoreFault(trouble, for_ms),
+            models.StoreLink(some, condition, for_ms),
+            models.FrontLink(entry, condition, for_ms),
+            models.UpstreamLink(place, condition, for_ms),
+            models.Replace(place, down_ms),
+            models.Drain(place),
+            models.Evacuate(domain, for_ms),
+            models.Configure(is_new=random.random() < 0.5),
+            models.Configure(is_new=random.random() < 0.5),
+        )
+    )
--- /dev/null
+++ b/tests/soak/upstreams.py
@@ -0,0 +1,68 @@
+"""Serve as the upstreams of a run, and count what they run."""
+
+import dataclasses
+import functools
+
+import trio
+
+from adapter import fakes
+from soak import const
+from soak import models
+from soak import proxy as proxies
+from zinnialead_gateway.http import models as http_models
+
+SEAL = b'Zinnialead-Response-Seal'
+
+
+@dataclasses.dataclass
+class Upstream:
+    """Hold one upstream behind its address."""
+
+    instance: str
+    service: str
+    domain: str
+    slots: int = 4
+    running: int = 0
+
+
+@dataclasses.dataclass
+class Place:
+    """Hold an address, and the upstream that has it."""
+
+    proxy: proxies.Proxy
+    upstream: Upstream
+
+
+async def serve(nursery, soak, upstream):
+    """Serve an upstream; return the address behind its proxy."""
+    handle = functools.partial(_handle, soak, upstream)
+    return await fakes.serve(nursery, handle)
+
+
+async def _handle(soak, upstream, _caller, asked):
+    headers = {key.lower(): value for key, value in asked.headers}
+    name = headers[b'zinnialead-request-id']
+    echo = [(b'Zinnialead-Request-Id', name)]
+    if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
+        return http_models.Answer(421, echo, b'')
+    if upstream.running >= upstream.slots:
+        refusal = [*echo, (b'Zinnialead-Not-Executed', b'1')]
+        return http_models.Answer(503, refusal, b'')
+    soak.tables.runs.append(
+        models.RunRow(
+            name.decode(),
+            upstream.instance,
+            upstream.service,
+            upstream.domain,
+            soak.now_ms(),
+        )
+    )
+    upstream.running += 1
+    try:
+        work_ms = const.WORK_MS * soak.random.uniform(0.3, 3.0)
+        await trio.sleep(work_ms / const.MS_PER_S)
+    finally:
+        upstream.running -= 1
+    load = f'{upstream.running},0,{upstream.slots}'.encode()
+    told = [(SEAL, b'seal'), (b'Zinnialead-Server-Load', load)]
+    return http_models.Answer(200, echo + told, b'done ' + name)
