Let callers use the strong entries, and few entries speak to other regions

Change: entries register their speed, and heartbeats carry the rate of their requests. Look-ups name the strongest entries of a domain for which twice the usual traffic takes half of their time, those of one speed together. The strong ones read the store and use cold upstreams; extra repeats are shared out by speed. Other regions hear four entries of a region, and an entry without callers beats each second round only.

Ruled out: strong entries named more often in an answer (callers may drop doubles); loads in heartbeats (bytes between domains). On the first sites all entries are alike, and look-ups name the same ones as before.

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -3,12 +3,11 @@
 from collections import abc
 
 from zinnialead_core.gateway.entries import const
+from zinnialead_core.gateway.entries import members
 from zinnialead_core.gateway.entries import models
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
-from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway.store import models as store
-from zinnialead_core.gateway.store import readers
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
@@ -46,131 +45,8 @@
                 yield from _beat(world, now_ms, foreign=True)
 
 
-def is_live(
-    world: world_module.World, now_ms: float, row: models.EntryRow
-) -> bool:
-    """Return whether an entry was heard lately and takes callers."""
-    if row.entry == world.node.ref.entry:
-        return not world.entries.leaving and is_ready(world)
-    heard = world.entries.heard.get(row.entry)
-    if heard is None or heard.beat.leaving or not heard.beat.ready:
-        return False
-    silence_ms = const.SILENCE_MAX_MS
-    if row.region != world.node.region:
-        silence_ms = const.FOREIGN_SILENCE_MAX_MS
-    return now_ms - heard.heard_ms <= silence_ms
-
-
-def is_ready(world: world_module.World) -> bool:
-    """Return whether this entry may be given callers."""
-    if world.entries.leaving:
-        return False
-    return routes.in_force(world) is not None and bool(world.upstreams.rows)
-
-
-def is_silent(
-    world: world_module.World, now_ms: float, row: models.EntryRow
-) -> bool:
-    """Return whether an entry is leaving, or was not heard for long.
-
-    One that has just been seen for the first time is not silent yet.
-    """
-    heard = world.entries.heard.get(row.entry)
-    if heard is not None and heard.beat.leaving:
-        return True
-    return _silence_ms(world, now_ms, row.entry) > const.SILENCE_MAX_MS
-
-
-def _silence_ms(
-    world: world_module.World, now_ms: float, entry: ids.EntryId
-) -> float:
-    """Return the time since an entry was heard or first seen."""
-    heard = world.entries.heard.get(entry)
-    since_ms = world.entries.seen_ms.get(entry, now_ms)
-    return now_ms - max(since_ms, heard.heard_ms if heard else 0.0)
-
-
-def present_in_region(world: world_module.World, now_ms: float) -> list[str]:
-    """Return this region's entries that may be running, by name.
-
-    Entries that start at once agree on these before they hear each other.
-    """
-    node = world.node
-    names = {
-        str(row.entry)
-        for row in world.entries.rows.values()
-        if row.region == node.region and not is_silent(world, now_ms, row)
-    }
-    names.add(str(node.ref.entry))
-    return sorted(names)
-
-
-def addresses(
-    world: world_module.World,
-    now_ms: float,
-    domain: ids.DomainId | None,
-    region: ids.RegionId | None,
-) -> list[str]:
-    """Return which entries a caller should use, those nearest to it.
-
-    Its own domain's where enough of them live, else its region's, else
-    any that live, else this entry.
-    """
-    live = [
-        row
-        for row in world.entries.rows.values()
-        if is_live(world, now_ms, row)
-    ]
-    near = [row for row in live if row.domain == domain]
-    if len(near) < const.DOMAIN_ENTRIES_MIN:
-        near = [row for row in live if row.region == region]
-    chosen = near or live
-    world.random.shuffle(chosen)
-    named = [row.front_address for row in chosen[: const.ADDRESSES_MAX]]
-    return named or [world.node.front_address]
-
-
-def neighbours(world: world_module.World, now_ms: float) -> tuple[str, ...]:
-    """Return where the region's other entries that may run are reached."""
-    return tuple(
-        row.peer_address
-        for row in world.entries.rows.values()
-        if row.region == world.node.region
-        and row.entry != world.node.ref.entry
-        and not is_silent(world, now_ms, row)
-    )
-
-
-def own_beat(world: world_module.World, now_ms: float) -> models.Beat:
-    """Return this entry's heartbeat as of now."""
-    ref = world.node.ref
-    leaving = bool(world.entries.leaving)
-    return models.Beat(
-        ref.entry,
-        ref.incarnation,
-        leaving,
-        is_ready(world),
-        tuple(row.latest for row in world.store.watches.values()),
-        readers.is_fit(world, now_ms),
-    )
-
-
-def _own_row(world: world_module.World) -> models.EntryRow:
-    node = world.node
-    known = world.entries.rows.get(node.ref.entry)
-    return models.EntryRow(
-        node.ref.entry,
-        node.ref.incarnation,
-        node.domain,
-        node.region,
-        node.front_address,
-        node.peer_address,
-        known.revision if known else 0,
-    )
-
-
 def _register(world: world_module.World) -> out.CallStore:
-    row = _own_row(world)
+    row = members.own_row(world)
     world.entries.rows[row.entry] = row
     return out.CallStore(REGISTRATION, store.RegisterEntry(row))
 
@@ -184,7 +60,7 @@
         case store.Conflict(found) if found is not None:
             # A list that was read earlier did not name this entry's object.
             entry = world.node.ref.entry
-            own = _own_row(world)._replace(revision=found.revision)
+            own = members.own_row(world)._replace(revision=found.revision)
             world.entries.rows[entry] = own
             if not _is_of_run(found, own):
                 yield _register(world)
@@ -207,7 +83,7 @@
     known = table.rows.get(row.entry)
     if row.entry == world.node.ref.entry:
         if known is None or row.revision > known.revision:
-            own = _own_row(world)._replace(revision=row.revision)
+            own = members.own_row(world)._replace(revision=row.revision)
             is_own = row.incarnation == own.incarnation
             table.rows[row.entry] = row if is_own else own
         return
@@ -222,7 +98,7 @@
     table.seen_ms[row.entry] = now_ms
     # Who has just started learns at once that this entry lives, and where.
     to = (row.peer_address,)
-    yield out.SendBeat(to, own_beat(world, now_ms))
+    yield out.SendBeat(to, members.own_beat(world, now_ms))
     yield out.TellPeers(to, _announcement(world))
     yield out.LogBelief(
         'entries', row.entry, 'unknown', 'registered', row.front_address
@@ -242,7 +118,7 @@
 
 
 def _announcement(world: world_module.World) -> inp.ChangesTold:
-    own = (inp.EntrySeen(_own_row(world)),)
+    own = (inp.EntrySeen(members.own_row(world)),)
     source = str(world.node.ref.entry)
     return inp.ChangesTold(store.Kind.ENTRIES, 0, 0, own, source)
 
@@ -258,7 +134,7 @@
         if not world.entries.leaving:
             yield _register(world)
         return
-    if not is_silent(world, now_ms, row):
+    if not members.is_silent(world, now_ms, row):
         # It is heard, and registers again once it learns this.
         world.entries.rows[entry] = row._replace(revision=0)
         return
@@ -273,7 +149,7 @@
     now_ms: float,
     rows: abc.Sequence[models.EntryRow],
 ) -> abc.Iterator[out.Output]:
-    own = _own_row(world)
+    own = members.own_row(world)
     named = {row.entry: row for row in rows}
     for row in rows:
         yield from _seen(world, now_ms, row)
@@ -311,7 +187,9 @@
 
 
 def _differs(known: models.Beat, beat: models.Beat) -> bool:
-    return known._replace(latest=()) != beat._replace(latest=())
+    """Return whether a heartbeat tells more than how things go on."""
+    usual = known._replace(latest=beat.latest, per_s=beat.per_s)
+    return usual != beat
 
 
 def _round(
@@ -319,13 +197,29 @@
 ) -> abc.Iterator[out.Output]:
     rounds = world.entries.rounds
     rounds[0] += 1
-    yield from _beat(
-        world, now_ms, foreign=rounds[0] % const.FOREIGN_ROUNDS == 0
-    )
+    _count_traffic(world, now_ms)
+    speaks = members.is_speaker(world, now_ms)
+    is_even = rounds[0] % const.SPARSE_ROUNDS == 0
+    if is_even or speaks or members.has_callers(world):
+        yield from _beat(world, now_ms, foreign=is_even and speaks)
     yield from _remove_dead(world, now_ms)
     _next_round(world, now_ms, const.BEAT_PERIOD_MS)
 
 
+def _count_traffic(world: world_module.World, now_ms: float) -> None:
+    """Work out the requests a second since the round before."""
+    traffic = world.entries.traffic
+    arrived = world.counters['requests.arrived']
+    span_ms = now_ms - traffic.at_ms[0]
+    if span_ms > 0.0:
+        since = arrived - traffic.arrived[0]
+        per_s = since * const.MS_PER_S / span_ms
+        # A caller's burst is taken for real at once, its end later.
+        traffic.per_s[0] = max(per_s, traffic.per_s[0] * const.TRAFFIC_FADE)
+    traffic.arrived[0] = arrived
+    traffic.at_ms[0] = now_ms
+
+
 def _beat(
     world: world_module.World, now_ms: float, *, foreign: bool
 ) -> abc.Iterator[out.Output]:
@@ -337,7 +231,7 @@
         and (foreign or row.region == node.region)
     )
     if to:
-        yield out.SendBeat(to, own_beat(world, now_ms))
+        yield out.SendBeat(to, members.own_beat(world, now_ms))
 
 
 def _next_round(
@@ -354,12 +248,15 @@
 
     The first live entry by name does it, under the object's revision.
     """
-    present = present_in_region(world, now_ms)
+    present = members.present_in_region(world, now_ms)
     if present[0] != world.node.ref.entry or not store.in_touch(world.store):
         return
     for row in list(world.entries.rows.values()):
         if row.region != world.node.region or str(row.entry) in present:
             continue
-        if _silence_ms(world, now_ms, row.entry) > const.REMOVE_AFTER_MS:
+        if (
+            members.silence_ms(world, now_ms, row.entry)
+            > const.REMOVE_AFTER_MS
+        ):
             world.entries.seen_ms[row.entry] = now_ms
             yield out.CallStore('removal', store.RemoveEntry(row))
--- a/packages/core/src/zinnialead_core/gateway/entries/models.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/models.py
@@ -6,7 +6,10 @@
 
 
 class EntryRow(typing.NamedTuple):
-    """Describe an entry as it registered in the store."""
+    """Describe an entry as it registered in the store.
+
+    ``speed`` is its processor time in s a second.
+    """
 
     entry: ids.EntryId
     incarnation: int
@@ -15,6 +18,7 @@
     front_address: str
     peer_address: str
     revision: int = 0
+    speed: float = 1.0
 
 
 class Beat(typing.NamedTuple):
@@ -22,7 +26,7 @@
 
     ``latest`` are the revisions of the last change that it knows of each
     kind of objects, in the kinds' order, and ``may_read`` says whether the
-    store answers it.
+    store answers it, and ``per_s`` is the rate of its callers' requests.
     """
 
     entry: ids.EntryId
@@ -31,6 +35,7 @@
     ready: bool
     latest: tuple[int, ...] = ()
     may_read: bool = False
+    per_s: float = 0.0
 
 
 class HeardRow(typing.NamedTuple):
@@ -40,6 +45,14 @@
     heard_ms: float
 
 
+class TrafficRow(typing.NamedTuple):
+    """Hold the requests that have arrived, and their rate, at a time."""
+
+    arrived: list[int]
+    at_ms: list[float]
+    per_s: list[float]
+
+
 class EntryTable(typing.NamedTuple):
     """Hold the registered entries and what was heard of them.
 
@@ -52,8 +65,9 @@
     seen_ms: dict[ids.EntryId, float]
     rounds: list[int]
     leaving: set[ids.EntryId]
+    traffic: TrafficRow
 
 
 def new_table() -> EntryTable:
     """Return a table without entries."""
-    return EntryTable({}, {}, {}, [0], set())
+    return EntryTable({}, {}, {}, [0], set(), TrafficRow([0], [0.0], [0.0]))
--- a/packages/core/src/zinnialead_core/gateway/placement/cold.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold.py
@@ -1,6 +1,6 @@
 """Keep what cold upstreams get below their rate, over all entries."""
 
-from zinnialead_core.gateway.entries import coordinator as entries
+from zinnialead_core.gateway.entries import members as entries
 from zinnialead_core.gateway import hashing
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.routes import coordinator as routes
@@ -57,6 +57,13 @@
     if world.node.regions.get(row.domain) != world.node.region:
         return False
     present = entries.present_in_region(world, now_ms)
-    ordered = sorted(present, key=lambda name: hashing.weight(upstream, name))
+    # The strong ones get the callers.
+    ordered = sorted(
+        present,
+        key=lambda name: (
+            -entries.speed(world, ids.EntryId(name)),
+            hashing.weight(upstream, name),
+        ),
+    )
     keepers = ordered[: const.COLD_KEEPERS]
     return str(world.node.ref.entry) in keepers
--- a/packages/core/src/zinnialead_core/gateway/requests/budget.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/budget.py
@@ -1,7 +1,7 @@
 """Keep repeats within this entry's part of the retry budget.
 
-Every entry holds its repeats to a share of its own requests, and to an
-equal part of the extra repeats; so the sums hold over all entries.
+Every entry holds its repeats to a share of its own requests, and to a part
+of the extra repeats by its speed; so the sums hold over all entries.
 """
 
 from zinnialead_core.gateway.requests import const
@@ -26,13 +26,20 @@
     rows = world.requests.budgets[service]
     requests = sum(row.requests for row in rows)
     repeats = sum(row.repeats for row in rows)
-    entries = max(1, len(world.entries.rows))
-    allowed = (
-        bounds.retry_share * requests + bounds.retry_extra / entries
-    ) * const.BUDGET_PART
+    extra = bounds.retry_extra * _own_part(world)
+    allowed = (bounds.retry_share * requests + extra) * const.BUDGET_PART
     return repeats + 1 <= allowed
 
 
+def _own_part(world: world_module.World) -> float:
+    """Return this entry's part of what all share, by its speed."""
+    own = world.node.ref.entry
+    others = sum(
+        row.speed for row in world.entries.rows.values() if row.entry != own
+    )
+    return world.node.speed / (world.node.speed + others)
+
+
 def repeated(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> None:
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -16,10 +16,10 @@
     Only those count that were heard lately and that the store answers, so
     that an entry which hears none of them reads itself.
     """
-    own = _weight(world.node.ref.entry)
+    own = place(world.node.speed, world.node.ref.entry)
     is_last = not is_fit(world, now_ms)
     return sum(
-        is_last or _weight(row.entry) < own
+        is_last or place(row.speed, row.entry) < own
         for row in world.entries.rows.values()
         if row.region == world.node.region
         and _may_read(world, now_ms, row.entry)
@@ -36,7 +36,7 @@
         if row.region == world.node.region
         and _may_read(world, now_ms, row.entry)
     )
-    return min(rows, key=lambda row: _weight(row.entry), default=None)
+    return min(rows, key=lambda row: place(row.speed, row.entry), default=None)
 
 
 def is_fit(world: world_module.World, now_ms: float) -> bool:
@@ -52,8 +52,9 @@
     return rank(world, now_ms) < const.READERS
 
 
-def _weight(entry: ids.EntryId) -> int:
-    return hashing.weight(ROLE, entry)
+def place(speed: float, entry: ids.EntryId) -> tuple[float, int]:
+    """Return what entries are ordered by, the strong ones first."""
+    return (-speed, hashing.weight(ROLE, entry))
 
 
 def _may_read(
--- a/packages/core/src/zinnialead_core/gateway/store/sharing.py
+++ b/packages/core/src/zinnialead_core/gateway/store/sharing.py
@@ -3,7 +3,7 @@
 from collections import abc
 import typing
 
-from zinnialead_core.gateway.entries import coordinator as entry_rows
+from zinnialead_core.gateway.entries import members
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
@@ -138,11 +138,11 @@
     items: tuple[object, ...],
 ) -> abc.Iterator[out.Output]:
     """Tell the other entries of the region what the store told."""
-    to = entry_rows.neighbours(world, now_ms)
+    to = members.neighbours(world, now_ms)
     if not to:
         return
     if row.kind is models.Kind.CONFIGURATION:
-        yield out.SendBeat(to, entry_rows.own_beat(world, now_ms))
+        yield out.SendBeat(to, members.own_beat(world, now_ms))
         return
     source = str(world.node.ref.entry)
     wait_ms = health.settle_ms(world, now_ms)
--- a/packages/core/src/zinnialead_core/gateway/world.py
+++ b/packages/core/src/zinnialead_core/gateway/world.py
@@ -36,7 +36,8 @@
 
     ``first_start`` says that the whole deployment starts for the first
     time, so that its upstreams register one after the other.  ``seeds``
-    are entries to ask while the store can't be reached.
+    are entries to ask while the store can't be reached, and ``speed`` is
+    this entry's processor time in s a second.
     """
 
     ref: ids.EntryRef
@@ -48,6 +49,7 @@
     bounds: Bounds
     first_start: bool = False
     seeds: tuple[str, ...] = ()
+    speed: float = 1.0
 
 
 class World(typing.NamedTuple):
--- a/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from zinnialead_core.gateway.entries import coordinator as entries
+from zinnialead_core.gateway.entries import look_ups
+from zinnialead_core.gateway.entries import members
 from zinnialead_gateway import dialect as dialects
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import models as http_models
@@ -29,7 +30,7 @@
     if question is None:
         return http_models.Answer(404, [], b'no such look-up\n')
     world.counters['directory.look_ups'] += 1
-    found = entries.addresses(
+    found = look_ups.addresses(
         world, engines.now_ms(), question.domain, question.region
     )
     body = directory.dialect.write_addresses(
@@ -44,6 +45,6 @@
     _asked: http_models.Asked,
 ) -> http_models.Answer:
     """Return whether this entry may be given callers."""
-    if entries.is_ready(directory.engine.world):
+    if members.is_ready(directory.engine.world):
         return http_models.Answer(OK, [], b'ready\n')
     return http_models.Answer(503, [], b'not ready\n')
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -59,6 +59,7 @@
     place.ready = beat.ready
     place.latest = list(beat.latest)
     place.mayRead = beat.may_read
+    place.perS = beat.per_s
     return _checked(message.to_bytes_packed())
 
 
@@ -175,6 +176,7 @@
         place.ready,
         tuple(place.latest),
         place.mayRead,
+        place.perS,
     )
 
 
--- a/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
+++ b/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
@@ -7,6 +7,7 @@
   ready @3 :Bool;
   latest @4 :List(UInt64);
   mayRead @5 :Bool;
+  perS @6 :Float32;
 }
 
 struct Told {
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -1,7 +1,12 @@
 """Name live entries to callers."""
 
+import collections
+
 from core.gateway import samples
-from zinnialead_core.gateway.entries import coordinator as entries
+from zinnialead_core import gateway
+from zinnialead_core.gateway.entries import const
+from zinnialead_core.gateway.entries import look_ups
+from zinnialead_core.gateway.entries import members
 from zinnialead_core.gateway.entries import models
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
@@ -10,8 +15,10 @@
 OTHERS = ('entry-2', 'entry-3', 'entry-4')
 
 
-def beat(entry, incarnation=1, leaving=False):
-    return inp.BeatHeard(models.Beat(entry, incarnation, leaving, True))
+def beat(entry, incarnation=1, leaving=False, per_s=0.0):
+    return inp.BeatHeard(
+        models.Beat(entry, incarnation, leaving, True, per_s=per_s)
+    )
 
 
 def fleet():
@@ -23,7 +30,7 @@
 
 
 def named(world, now_ms):
-    return set(entries.addresses(world, now_ms, 'guj-a', 'guj'))
+    return set(look_ups.addresses(world, now_ms, 'guj-a', 'guj'))
 
 
 def test_live_entries_are_named():
@@ -55,7 +62,7 @@
     (sent,) = samples.only(outputs, out.SendBeat)
     assert sent.beat.leaving
     assert 'entry-1:1' not in named(world, 31.0)
-    assert not entries.is_ready(world)
+    assert not members.is_ready(world)
 
 
 def test_an_older_run_says_nothing_of_the_newer_one():
@@ -147,3 +154,71 @@
     outputs = samples.feed(world, 4.0, inp.EntryGone('entry-1'))
     ((call),) = [x.call for x in samples.only(outputs, out.CallStore)]
     assert call.row.revision == 0
+
+
+def unequal(per_s, strong=('entry-2', 'entry-3')):
+    """Return a world with two strong entries, and what each one gets."""
+    world = samples.served()._replace(node=samples.node()._replace(speed=0.3))
+    rows = [
+        samples.entry_row(name)._replace(speed=2.0 if name in strong else 0.3)
+        for name in ('entry-1', *OTHERS)
+    ]
+    samples.feed(world, 0.0, inp.EntriesListed(tuple(rows)))
+    samples.feed(world, 1.0, *(beat(name, per_s=per_s) for name in OTHERS))
+    return world
+
+
+def test_callers_use_the_strong_entries():
+    """With all 134 named, each knew next to nothing of upstreams' loads."""
+    assert named(unequal(20.0), 10.0) == {'entry-2:1', 'entry-3:1'}
+
+
+def test_callers_use_all_entries_where_the_strong_ones_are_not_enough():
+    assert len(named(unequal(900.0), 10.0)) == 4
+
+
+def test_callers_use_all_entries_where_one_alone_is_strong():
+    assert len(named(unequal(20.0, strong=('entry-2',)), 10.0)) == 4
+
+
+def test_entries_of_one_speed_are_named_together():
+    assert len(named(unequal(20.0, strong=()), 10.0)) == 4
+
+
+def test_a_rate_that_changes_is_no_news():
+    world = fleet()
+    outputs = samples.feed(world, 20.0, beat('entry-2', per_s=40.0))
+    assert not samples.only(outputs, out.LogBelief)
+
+
+def sent_to(name, count, rounds=4, per_s=0.0):
+    """Return how often an entry beats to each region in some rounds."""
+    names = [f'entry-{number}' for number in range(1, count + 1)]
+    world = gateway.new_world(samples.node(name), seed=1)
+    abroad = samples.entry_row('other', 'tn-a')
+    rows = (*map(samples.entry_row, names), abroad)
+    samples.feed(world, 0.0, inp.EntriesListed(rows), inp.Started())
+    world.entries.traffic.per_s[0] = per_s
+    found = collections.Counter()
+    for number in range(rounds):
+        now_ms = 1_200.0 * (number + 1)
+        others = [beat(x) for x in names if x != name]
+        world.counters['requests.arrived'] += int(per_s * 1.2)
+        outputs = samples.feed(world, now_ms, *others)
+        for sent in samples.only(outputs, out.SendBeat):
+            found['abroad'] += abroad.peer_address in sent.addresses
+            found['home'] += len(sent.addresses) > 1
+    return found
+
+
+def test_some_entries_of_a_region_speak_to_the_others():
+    """With 134 entries, beats were most of the bytes between regions."""
+    found = [sent_to(f'entry-{n}', 12) for n in range(1, 13)]
+    assert sum(x['abroad'] > 0 for x in found) == const.SPEAKERS
+
+
+def test_an_entry_without_callers_beats_less_often():
+    found = [sent_to(f'entry-{n}', 12)['home'] for n in range(1, 13)]
+    assert sorted(found) == [2] * (12 - const.SPEAKERS) + [4] * const.SPEAKERS
+    used = [sent_to(f'entry-{n}', 12, per_s=9.0) for n in range(1, 13)]
+    assert {x['home'] for x in used} == {4}
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -230,3 +230,12 @@
     (ask,) = asked
     assert ask.address == f'{first}:2'
     assert UPSTREAMS in ask.kinds
+
+
+def test_the_strong_entries_of_a_region_read():
+    world = fleet(ranked()[0])
+    for name in NAMES[:3]:
+        strong = samples.entry_row(name, revision=50)._replace(speed=2.0)
+        if name != world.node.ref.entry:
+            samples.feed(world, 10_001.0, inp.EntrySeen(strong))
+    assert not readers.is_reader(world, 10_002.0)
