Let the stand-in store speak the platform's shape, and drop the earlier ones

Change: objects by kind and name, revisions, pages, conditional writes that answer a conflict with what stands there, watches by kind. One module reads and writes them for the daemon and the command line; the fake store of the adapter's tests and of the soak is the stand-in, which learned to be busy, silent and deaf. Tests of the stand-in hold what they held, in the new shape, and pages, removals, watches of a kind, deafness and writes that change nothing as well.

Ruled out: the gateway's client in the daemon (its calls and results are of the gateway's world; one engine over both worlds comes first).

--- a/packages/cli/src/zinnialead_cli/clients/store.py
+++ b/packages/cli/src/zinnialead_cli/clients/store.py
@@ -1,40 +1,27 @@
 """Carry out calls to the platform's store."""
 
-import typing
-
 import msgspec
 
 from zinnialead_cli.clients import http
-from zinnialead_cli import const
+from zinnialead_config import objects
 from zinnialead_core.components import store
 
 
-class Metadata(typing.TypedDict):
-    """Hold an object's version."""
-
-    resourceVersion: str  # noqa: N815 (the platform's spelling)
-
-
-class StoreObject(typing.TypedDict):
-    """Hold one object of the store."""
-
-    metadata: Metadata
-    spec: object
-
-
 def call(address: str, wanted: store.Call) -> store.Result:
     """Make one call; a write without an answer may have taken effect."""
-    url = f'http://{address}{const.OBJECTS_PATH}/{wanted.name}'
+    root = f'http://{address}'
+    name = wanted.name
     match wanted:
         case store.Read():
-            found = http.call('GET', url)
+            found = http.call('GET', root + objects.path(name))
         case store.Create(_, value):
-            found = http.call('POST', url, content=_body(value, None))
+            body = objects.body(name, value, None)
+            found = http.call(
+                'POST', root + objects.kind_path(name), content=body
+            )
         case store.Update(_, value, version):
-            found = http.call('PUT', url, content=_body(value, version))
-        case store.Watch(_, version):
-            watch = f'{url}?watch=true&resourceVersion={version}'
-            found = http.call('GET', watch)
+            body = objects.body(name, value, version)
+            found = http.call('PUT', root + objects.path(name), content=body)
         case _:
             return store.Failed(wanted.name, f'{wanted} is not for operators')
     if found.is_error():
@@ -42,13 +29,6 @@
     return _result(wanted.name, found.ok)
 
 
-def _body(value: bytes, version: int | None) -> bytes:
-    body: dict[str, object] = {'spec': msgspec.Raw(value)}
-    if version is not None:
-        body['metadata'] = {'resourceVersion': str(version)}
-    return msgspec.json.encode(body)
-
-
 def _result(name: str, answer: http.Answer) -> store.Result:
     match answer.status:
         case 200 | 201:
@@ -65,8 +45,7 @@
 
 def _found(name: str, body: bytes) -> store.Result:
     try:
-        item = msgspec.json.decode(body, type=StoreObject)
-        version = int(item['metadata']['resourceVersion'])
-    except (msgspec.MsgspecError, ValueError) as error:
+        document = objects.read(body)
+    except msgspec.MsgspecError as error:
         return store.Failed(name, f'the answer is not an object: {error}')
-    return store.Found(name, msgspec.json.encode(item['spec']), version)
+    return store.Found(name, bytes(document.spec), document.metadata['rev'])
--- a/packages/daemon/src/zinnialead_daemon/components/store/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/const.py
@@ -1,8 +1,6 @@
 """Hold the constants of the store's client."""
 
 MS_PER_S = 1_000.0
-OBJECTS_PATH = '/apis/zinnialead/v1/objects/'
-VMS_PATH = '/apis/zinnialead/v1/vms'
 # A watch ends at the store this long before the call's deadline.
 WATCH_MARGIN_S = 1.0
 ANSWER_MAX_BYTES = 2_097_152
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from zinnialead_config import objects
 from zinnialead_core.components import store
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -15,24 +16,23 @@
     """Return the request that makes a call.
 
     >>> question(store.Read('state'), 5.0).path
-    '/apis/zinnialead/v1/objects/state'
+    '/objects/state/state'
     """
-    path = const.OBJECTS_PATH + call.name
     match call:
-        case store.Read() | store.ReadBindings():
+        case store.Read(name) | store.ReadBindings(name):
+            return models.Question('GET', objects.path(name))
+        case store.Watch(name, version):
+            wait_ms = max(0.0, left_s - const.WATCH_MARGIN_S) * const.MS_PER_S
+            path = objects.watch_path(name, version, int(wait_ms))
             return models.Question('GET', path)
-        case store.Watch(_, version):
-            wait_s = max(0, int(left_s - const.WATCH_MARGIN_S))
-            query = f'resourceVersion={version}&timeoutSeconds={wait_s}'
-            return models.Question('GET', f'{path}?watch=true&{query}')
-        case store.Create(_, value):
-            return _written(path, value, None)
-        case store.Update(_, value, version):
-            return _written(path, value, version)
-        case store.WriteBindings(_, rows, known):
-            return _written(path, msgspec.json.encode(rows), known)
-        case store.ListVms():
-            return models.Question('GET', const.VMS_PATH)
+        case store.Create(name, value):
+            return _written(name, value, None)
+        case store.Update(name, value, version):
+            return _written(name, value, version)
+        case store.WriteBindings(name, rows, known):
+            return _written(name, msgspec.json.encode(rows), known)
+        case store.ListVms(name):
+            return models.Question('GET', objects.kind_path(name))
 
 
 def result(call: store.Call, answer: models.Answer) -> store.Result:
@@ -53,60 +53,50 @@
             return store.Conflict(call.name)
         case 410, store.Watch():
             return store.TooOld(call.name)
-        case 204, store.Watch():
-            return store.Unchanged(call.name)
         case ((200 | 201), store.ListVms()):
             return store.Listed()
         case 200, store.Watch():
-            event = msgspec.json.decode(answer.body, type=models.EventDocument)
+            event = objects.read_events(answer.body, call.name)
+            if event is None:
+                return store.Unchanged(call.name)
+            if event.deleted:
+                return store.Missing(call.name)
             return _found(call.name, event.object)
         case ((200 | 201), (store.ReadBindings() | store.WriteBindings())):
-            document = msgspec.json.decode(
-                answer.body, type=models.ObjectDocument
-            )
-            return _found_bindings(call.name, document)
+            return _found_bindings(call.name, objects.read(answer.body))
         case ((200 | 201), _):
-            document = msgspec.json.decode(
-                answer.body, type=models.ObjectDocument
-            )
-            return _found(call.name, document)
+            return _found(call.name, objects.read(answer.body))
         case status, _:
             return store.Failed(call.name, f'status {status}')
 
 
 def listed(body: bytes) -> abc.Iterator[inp.PeerSeen]:
     """Yield the VMs of the platform's list."""
-    document = msgspec.json.decode(body, type=models.VmsDocument)
-    for item in document['items'][: const.VMS_MAX]:
+    for item in objects.read_page(body)['items'][: const.VMS_MAX]:
+        vm = msgspec.json.decode(bytes(item.spec), type=models.VmDocument)
         yield inp.PeerSeen(
-            ids.EntryId(item['entry']),
-            ids.DomainId(item['domain']),
-            item['address'],
-            item.get('leaving', False),
+            ids.EntryId(item.metadata['name']),
+            ids.DomainId(vm['domain']),
+            vm['address'],
+            vm.get('leaving', False),
         )
 
 
-def _found(name: str, document: models.ObjectDocument) -> store.Result:
-    version = int(document.metadata['resourceVersion'])
-    return store.Found(name, bytes(document.spec), version)
+def _found(name: str, document: objects.ObjectDocument) -> store.Result:
+    return store.Found(name, bytes(document.spec), document.metadata['rev'])
 
 
 def _found_bindings(
-    name: str, document: models.ObjectDocument
+    name: str, document: objects.ObjectDocument
 ) -> store.Result:
-    version = int(document.metadata['resourceVersion'])
     rows = msgspec.json.decode(
         bytes(document.spec), type=tuple[store.BindingRow, ...]
     )
-    return store.FoundBindings(name, rows, version)
+    return store.FoundBindings(name, rows, document.metadata['rev'])
 
 
-def _written(path: str, value: bytes, version: int | None) -> models.Question:
-    spec = msgspec.Raw(value)
+def _written(name: str, value: bytes, version: int | None) -> models.Question:
+    body = objects.body(name, value, version)
     if version is None:
-        body = msgspec.json.encode({'spec': spec})
-        return models.Question('POST', path, body)
-    body = msgspec.json.encode(
-        {'metadata': {'resourceVersion': str(version)}, 'spec': spec}
-    )
-    return models.Question('PUT', path, body)
+        return models.Question('POST', objects.kind_path(name), body)
+    return models.Question('PUT', objects.path(name), body)
--- a/packages/daemon/src/zinnialead_daemon/components/store/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/models.py
@@ -1,54 +1,22 @@
-"""Define the store's client and the documents that it reads."""
+"""Define the store's client, its questions and answers."""
 
 import dataclasses
 import typing
 
 import httpcore
-import msgspec
 import trio
 
 from zinnialead_daemon.components.engine import models as engine_models
 
 
-class MetadataDocument(typing.TypedDict):
-    """Hold an object's version."""
-
-    resourceVersion: str  # noqa: N815 (the API's spelling)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ObjectDocument:
-    """Hold an object as the store answers it.
-
-    msgspec keeps a value as it was sent in data classes only.
-    """
-
-    metadata: MetadataDocument
-    spec: msgspec.Raw
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EventDocument:
-    """Hold the event that ends a watch."""
-
-    object: ObjectDocument
-
-
 class VmDocument(typing.TypedDict):
-    """Hold one VM of the list."""
+    """Hold what the platform says of one VM."""
 
-    entry: str
     domain: str
     address: str
     leaving: typing.NotRequired[bool]
 
 
-class VmsDocument(typing.TypedDict):
-    """Hold the list of VMs."""
-
-    items: list[VmDocument]
-
-
 class Question(typing.NamedTuple):
     """Hold one HTTP request."""
 
--- a/packages/lab/src/zinnialead_lab/demo/deployment.py
+++ b/packages/lab/src/zinnialead_lab/demo/deployment.py
@@ -11,6 +11,7 @@
 import trio
 
 import zinnialead_config
+from zinnialead_config import objects
 from zinnialead_config.settings import models as settings_models
 from zinnialead_config.tickets import folding
 from zinnialead_core.components import tickets
@@ -92,15 +93,9 @@
         settings_models.Seed(item.entry, item.domain, item.peers_bind)
         for item in settings
     )
-    demo.store.vms.extend(
-        stores.VmDocument(
-            entry=item.entry,
-            domain=item.domain,
-            address=item.peers_bind,
-            leaving=False,
-        )
-        for item in settings
-    )
+    for item in settings:
+        vm = {'domain': item.domain, 'address': item.peers_bind}
+        stores.put(demo.store, objects.VMS_KIND, item.entry, vm)
     for item in settings:
         await _start_entry(demo, item._replace(seeds=seeds))
 
--- a/packages/standins/src/zinnialead_standins/store/const.py
+++ b/packages/standins/src/zinnialead_standins/store/const.py
@@ -1,7 +1,8 @@
 """Hold the constants of the store stand-in."""
 
-OBJECTS_PREFIX = '/apis/zinnialead/v1/objects/'
-VMS_PATH = '/apis/zinnialead/v1/vms'
+OBJECTS_PREFIX = '/objects/'
 VALUE_MAX_BYTES = 1_048_576
-WATCH_DEFAULT_S = 30.0
+PAGE_ITEMS_MAX = 500
+WATCH_MAX_MS = 30_000
+FIRST_REVISION = 1
 MS_PER_S = 1_000.0
--- a/packages/standins/src/zinnialead_standins/store/models.py
+++ b/packages/standins/src/zinnialead_standins/store/models.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from zinnialead_standins.store import const
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Up:
@@ -17,6 +19,16 @@
     """Answer no call but with 503."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Busy:
+    """Answer no call but with 429."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Answer no call."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slow:
     """Answer each call late."""
@@ -29,48 +41,56 @@
     """Take each write into effect and lose its answer."""
 
 
-Condition = Up | Down | Slow | LosesAnswers
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deaf:
+    """Let no watch see a change."""
+
+
+Condition = Up | Down | Busy | Silent | Slow | LosesAnswers | Deaf
 
 
-class ObjectRow(typing.NamedTuple):
-    """Hold one object, its value as it was written."""
+class MetadataDocument(typing.TypedDict):
+    """Hold an object's name and the revision of its last change."""
 
     name: str
-    version: int
-    spec: object
+    rev: int
+    created: int
+    finalizers: list[str]
+    is_deleting: bool
 
 
-class VmDocument(typing.TypedDict):
-    """Show one VM of the list."""
+class ObjectDocument(typing.TypedDict):
+    """Hold an object as it is read."""
 
-    entry: str
-    domain: str
-    address: str
-    leaving: bool
+    metadata: MetadataDocument
+    spec: object
+    status: object
 
 
-class MetadataDocument(typing.TypedDict, total=False):
-    """Hold an object's name and version."""
+class EventRow(typing.NamedTuple):
+    """Hold one change of an object."""
 
-    name: str
-    resourceVersion: str
+    revision: int
+    kind: str
+    item: ObjectDocument
+    is_gone: bool
 
 
-class ObjectDocument(typing.TypedDict):
-    """Hold an object as it is read and written."""
+class Reply(typing.NamedTuple):
+    """Hold one answer."""
 
-    metadata: typing.NotRequired[MetadataDocument]
-    spec: object
+    status: int
+    body: bytes = b''
 
 
 @dataclasses.dataclass(slots=True)
 class Store:
-    """Hold the objects, the VMs and the condition of the store."""
+    """Hold the objects by kind, their changes, and the store's condition."""
 
-    objects: dict[str, ObjectRow]
-    vms: list[VmDocument]
-    version: int
-    oldest_version: int
+    objects: collections.defaultdict[str, dict[str, ObjectDocument]]
+    events: list[EventRow]
+    revision: int
+    oldest_revision: int
     changed: trio.Event
     calls: collections.Counter[str]
     condition: Condition = Up()
@@ -78,4 +98,11 @@
 
 def new_store() -> Store:
     """Return a store without objects."""
-    return Store({}, [], 0, 0, trio.Event(), collections.Counter())
+    return Store(
+        collections.defaultdict(dict),
+        [],
+        const.FIRST_REVISION,
+        0,
+        trio.Event(),
+        collections.Counter(),
+    )
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -12,6 +12,7 @@
 from zinnialead_gateway.http import client
 from zinnialead_platform import adapter
 from zinnialead_platform import boot
+from zinnialead_standins import store as stores
 
 SETTINGS = """
 [self]
@@ -169,12 +170,12 @@
 
 async def deployment(nursery, count=2, **fields):
     """Start a store, upstreams and an entry that is ready."""
-    store = fakes.FakeStore()
+    store = stores.new_store()
     made = [fakes.FakeUpstream(f'i-{n}') for n in range(count)]
-    fakes.put(store, 'config', 'main', configuration(**fields))
+    stores.put(store, 'config', 'main', configuration(**fields))
     for upstream in made:
         address = await fakes.serve_upstream(nursery, upstream)
-        fakes.put(store, 'servers', upstream.instance, registration(address))
+        stores.put(store, 'servers', upstream.instance, registration(address))
     address = await fakes.serve_store(nursery, store)
     settings = await entry(nursery, address)
     await until_ready(settings)
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -10,6 +10,7 @@
 from adapter import deployments
 from adapter import fakes
 from zinnialead_cli import main
+from zinnialead_standins import store as stores
 
 
 async def test_a_request_is_served(nursery):
@@ -80,7 +81,7 @@
 async def test_a_draining_upstream_gets_nothing_after_its_change(nursery):
     store, made, settings, _ = await deployments.deployment(nursery)
     spec = store.objects['servers']['i-0']['spec']
-    fakes.put(store, 'servers', 'i-0', {**spec, 'state': 'draining'})
+    stores.put(store, 'servers', 'i-0', {**spec, 'state': 'draining'})
     await trio.sleep(0.6)
     made[0].ran.clear()
     for number in range(8):
@@ -89,14 +90,16 @@
     assert not made[0].ran
 
 
-@pytest.mark.parametrize('trouble', ['down', 'busy', 'silent'])
+@pytest.mark.parametrize(
+    'trouble', [stores.Down(), stores.Busy(), stores.Silent()]
+)
 async def test_the_store_may_be_away(nursery, trouble):
     store, _, settings, _ = await deployments.deployment(nursery)
-    store.trouble = trouble
+    stores.set_condition(store, trouble)
     await trio.sleep(0.3)
     assert (await deployments.ask(settings.front_bind)).status == 200
-    store.trouble = ''
-    fakes.put(
+    stores.set_condition(store, stores.Up())
+    stores.put(
         store,
         'config',
         'main',
@@ -106,12 +109,13 @@
 
 
 async def test_a_registration_whose_answer_was_lost_is_made_once(nursery):
-    store = fakes.FakeStore(trouble='lost')
-    fakes.put(store, 'config', 'main', deployments.configuration())
+    store = stores.new_store()
+    store.condition = stores.LosesAnswers()
+    stores.put(store, 'config', 'main', deployments.configuration())
     address = await fakes.serve_store(nursery, store)
     await deployments.entry(nursery, address)
     await trio.sleep(0.5)
-    store.trouble = ''
+    stores.set_condition(store, stores.Up())
     await trio.sleep(1.5)
     (kind,) = [x for x in store.objects if x.endswith('entries')]
     assert list(store.objects[kind]) == ['edge-1']
@@ -121,7 +125,7 @@
 
 async def test_an_entry_starts_without_the_store_from_a_seed(nursery):
     store, _, settings, address = await deployments.deployment(nursery)
-    store.trouble = 'silent'
+    stores.set_condition(store, stores.Silent())
     seed = settings.asked_binds[1]
     other = await deployments.entry(nursery, address, 'edge-2', f'"{seed}"')
     await deployments.until_ready(other)
@@ -160,7 +164,7 @@
 
 async def test_operators_read_what_is_in_force(nursery):
     store, _, settings, _ = await deployments.deployment(nursery)
-    fakes.put(store, 'evacuations', 'tn-a', {})
+    stores.put(store, 'evacuations', 'tn-a', {})
     await trio.sleep(0.5)
     address = settings.metrics_bind
     run = functools.partial(
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -11,6 +11,7 @@
 from adapter import deployments
 from adapter import fakes
 from zinnialead_platform import boot
+from zinnialead_standins import store as stores
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = str(ROOT / 'platform' / 'entry.py')
@@ -29,11 +30,11 @@
 
 async def running(nursery, tmp_path):
     """Start the program against the fakes; return it when it is ready."""
-    store = fakes.FakeStore()
+    store = stores.new_store()
     upstream = fakes.FakeUpstream('i-1')
     address = await fakes.serve_upstream(nursery, upstream)
-    fakes.put(store, 'config', 'main', deployments.configuration())
-    fakes.put(store, 'servers', 'i-1', deployments.registration(address))
+    stores.put(store, 'config', 'main', deployments.configuration())
+    stores.put(store, 'servers', 'i-1', deployments.registration(address))
     text = deployments.settings_text(await fakes.serve_store(nursery, store))
     path = tmp_path / 'boot.toml'
     path.write_text(text)
--- a/tests/daemon/components/store/test_bindings.py
+++ b/tests/daemon/components/store/test_bindings.py
@@ -10,8 +10,8 @@
 ROWS = (store.BindingRow('k', 'z1.a.1.b.2.3.k'),)
 
 
-def answer(spec, version='4', status=200):
-    body = {'metadata': {'resourceVersion': version}, 'spec': spec}
+def answer(spec, version=4, status=200):
+    body = {'metadata': {'rev': version}, 'spec': spec}
     return models.Answer(status, msgspec.json.encode(body), 0.0)
 
 
--- a/tests/daemon/components/store/test_client.py
+++ b/tests/daemon/components/store/test_client.py
@@ -88,10 +88,8 @@
 
 async def test_the_list_names_entries(nursery):
     made = stores.new_store()
-    vm = stores.VmDocument(
-        entry='e7', domain='kigali-b', address='127.0.0.1:7', leaving=False
-    )
-    made.vms.append(vm)
+    vm = {'domain': 'kigali-b', 'address': '127.0.0.1:7'}
+    stores.put(made, 'vms', 'e7', vm)
     client = new_client(nursery, await serve(nursery, stores.asgi_app(made)))
     found, _ = await result(client, store.ListVms())
     assert found == store.Listed()
@@ -108,7 +106,7 @@
     made.condition = stores.LosesAnswers()
     found, _ = await result(client, store.Create('x', b'1'), 300.0)
     assert isinstance(found, store.Failed)
-    assert made.objects['x'].spec == 1
+    assert made.objects['x']['x']['spec'] == 1
     nursery.cancel_scope.cancel()
 
 
@@ -126,7 +124,7 @@
 @pytest.mark.parametrize(
     'body',
     [b'', b'{', b'[]', b'{"metadata":{},"spec":1}', b'x' * 3_000_000]
-    + [b'{"metadata":{"resourceVersion":"x"},"spec":1}'],
+    + [b'{"metadata":{"rev":"x"},"spec":1}'],
     ids=range(6),
 )
 async def test_odd_answers_are_failures(nursery, body):
--- a/tests/daemon/components/store/test_documents.py
+++ b/tests/daemon/components/store/test_documents.py
@@ -15,7 +15,7 @@
     store.Update('x', b'1', 3),
     store.ListVms(),
 )
-SOUND = b'{"metadata":{"resourceVersion":"4"},"spec":{"n":[1]}}'
+SOUND = b'{"metadata":{"name":"x","rev":4},"spec":{"n":[1]}}'
 settings = hypothesis.settings(derandomize=True, deadline=None)
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,6 +17,7 @@
 from soak import models
 from soak import proxy as proxies
 from soak import upstreams
+from zinnialead_standins import store as stores
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / 'platform' / 'entry.py'
@@ -26,6 +27,13 @@
 INTERPRETER_MS = 400.0
 # Routes of the first version, and whether work on them runs once.
 FIRST = {'/look/': 'desk', '/book/': 'ledger', '/move/': 'desk'}
+CONDITIONS = {
+    'down': stores.Down(),
+    'busy': stores.Busy(),
+    'silent': stores.Silent(),
+    'lost': stores.LosesAnswers(),
+    'deaf': stores.Deaf(),
+}
 ONCE = frozenset(('/book/',))
 
 
@@ -52,7 +60,7 @@
     folder: pathlib.Path
     random: random.Random
     tables: models.Tables
-    store: fakes.FakeStore
+    store: stores.Store
     members: dict
     places: list
     began_s: float
@@ -67,7 +75,7 @@
 
 async def set_up(nursery, folder, seed):
     """Start the store, upstreams and entries of a run."""
-    store = fakes.FakeStore()
+    store = stores.new_store()
     soak = Soak(
         folder,
         random.Random(seed),
@@ -110,7 +118,7 @@
         zone=upstream.domain,
         state=state,
     )
-    fakes.put(soak.store, 'servers', upstream.instance, spec)
+    stores.put(soak.store, 'servers', upstream.instance, spec)
 
 
 async def _add_member(nursery, soak, name, store_address, ports, number):
@@ -186,7 +194,7 @@
     spec['services'] = dict.fromkeys(
         const.SERVICES, {'max_conns': 100, 'warmup': '1s', 'cold_per_s': 9.0}
     )
-    fakes.put(soak.store, 'config', 'main', spec)
+    stores.put(soak.store, 'config', 'main', spec)
     row = models.VersionRow(version, soak.now_ms(), services)
     soak.tables.versions.append(row)
 
@@ -254,11 +262,11 @@
     """Let a fault strike the store, links or upstreams."""
     match fault:
         case models.StoreFault('compacted', _):
-            soak.store.oldest = soak.store.revision
+            stores.forget_before(soak.store, soak.store.revision)
         case models.StoreFault(trouble, for_ms):
-            soak.store.trouble = trouble
+            stores.set_condition(soak.store, CONDITIONS[trouble])
             await _sleep(for_ms)
-            soak.store.trouble = ''
+            stores.set_condition(soak.store, stores.Up())
         case models.StoreLink(entries, condition, for_ms):
             links = [soak.members[entry].store for entry in entries]
             await _harm(links, condition, for_ms)
@@ -361,7 +369,7 @@
     place.proxy.target = target
     await _sleep(missing_ms)
     if old.instance in soak.store.objects['servers']:
-        fakes.remove(soak.store, 'servers', old.instance)
+        stores.remove(soak.store, 'servers', old.instance)
     proxies.harm(place.proxy, models.Clear())
     if place.upstream is upstream:
         _register(soak, place)
@@ -381,10 +389,10 @@
 async def _evacuate(soak, domain, for_ms):
     if domain in soak.store.objects['evacuations']:
         return
-    fakes.put(soak.store, 'evacuations', domain, {})
+    stores.put(soak.store, 'evacuations', domain, {})
     acked_ms = soak.now_ms()
     await _sleep(for_ms)
-    fakes.remove(soak.store, 'evacuations', domain)
+    stores.remove(soak.store, 'evacuations', domain)
     row = models.LeftRow(None, domain, acked_ms, soak.now_ms())
     soak.tables.left.append(row)
 
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -1,4 +1,4 @@
-"""Write to the store stand-in the way the store's client does."""
+"""Write to the store stand-in the way the store's clients do."""
 
 import functools
 
@@ -9,8 +9,10 @@
 
 from zinnialead_daemon import http
 from zinnialead_standins import store as stores
+from zinnialead_standins.store import const
 
-STATE = '/apis/zinnialead/v1/objects/state'
+STATE = '/objects/state/state'
+KIND = '/objects/state'
 
 
 async def served(nursery):
@@ -20,10 +22,11 @@
     return store, await nursery.start(run)
 
 
-async def call(address, method, path, spec=None, version=None):
-    document = {'spec': spec}
-    if version:
-        document['metadata'] = {'resourceVersion': version}
+async def call(address, method, path, spec=None, revision=None):
+    metadata = {'name': 'state'}
+    if revision:
+        metadata['rev'] = revision
+    document = {'metadata': metadata, 'spec': spec}
     async with httpcore.AsyncConnectionPool() as pool:
         answer = await pool.request(
             method,
@@ -38,40 +41,95 @@
     store, address = await served(nursery)
     assert (await call(address, 'GET', STATE))[0] == 404
     assert (await call(address, 'PUT', STATE, {'n': 1}))[0] == 404
-    status, made = await call(address, 'POST', STATE, {'n': 1})
+    status, made = await call(address, 'POST', KIND, {'n': 1})
     assert (status, made['spec']) == (201, {'n': 1})
-    assert (await call(address, 'POST', STATE, {'n': 2}))[0] == 409
-    assert (await call(address, 'PUT', STATE, {'n': 2}, '9'))[0] == 409
-    assert (await call(address, 'PUT', STATE, {'n': 2}, '1'))[0] == 200
+    first = made['metadata']['rev']
+    status, found = await call(address, 'POST', KIND, {'n': 2})
+    assert (status, found['metadata']['rev']) == (409, first)
+    assert (await call(address, 'PUT', STATE, {'n': 2}, 99))[0] == 409
+    assert (await call(address, 'PUT', STATE, {'n': 2}, first))[0] == 200
     assert (await call(address, 'GET', STATE))[1]['spec'] == {'n': 2}
+    assert (await call(address, 'DELETE', f'{STATE}?rev={first}'))[0] == 409
+    assert (await call(address, 'DELETE', STATE))[0] == 200
+    assert (await call(address, 'GET', STATE))[0] == 404
     nursery.cancel_scope.cancel()
 
 
-async def test_a_watch_waits_for_a_newer_version(nursery):
+async def test_a_write_that_changes_nothing_is_no_change(nursery):
+    store, address = await served(nursery)
+    await call(address, 'POST', KIND, {'n': 1})
+    revision = store.revision
+    assert (await call(address, 'PUT', STATE, {'n': 1}))[0] == 200
+    assert store.revision == revision
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_watch_waits_for_a_newer_revision(nursery):
     store, address = await served(nursery)
     seen = []
 
-    async def watch(version):
-        query = f'?watch=true&resourceVersion={version}&timeoutSeconds=5'
-        seen.append(await call(address, 'GET', STATE + query))
+    async def watch(revision, wait_ms=5_000):
+        query = f'?watch={revision}&wait_ms={wait_ms}'
+        seen.append(await call(address, 'GET', KIND + query))
 
     async with trio.open_nursery() as watches:
-        watches.start_soon(watch, 0)
-        await call(address, 'POST', STATE, {'n': 1})
-    assert seen[0][1]['object']['metadata']['resourceVersion'] == '1'
-    stores.forget_before(store, 3)
+        watches.start_soon(watch, store.revision)
+        await trio.sleep(0.1)
+        stores.put(store, 'other', 'x', 1)
+        await call(address, 'POST', KIND, {'n': 1})
+    (event,) = seen[0][1]['events']
+    assert event['object']['metadata']['rev'] == store.revision
+    assert not event['deleted']
+    await watch(store.revision, 50)
+    assert seen[1][1] == {'events': [], 'current_rev': store.revision}
+    stores.remove(store, 'state', 'state')
+    await watch(store.revision - 1)
+    assert seen[2][1]['events'][0]['deleted']
+    stores.forget_before(store, 9)
     await watch(1)
-    assert seen[1][0] == 410
+    assert seen[3][0] == 410
+    nursery.cancel_scope.cancel()
+
+
+async def test_a_kind_is_listed_in_pages(nursery):
+    store, address = await served(nursery)
+    names = [f'e{n:04}' for n in range(const.PAGE_ITEMS_MAX + 3)]
+    for name in names:
+        stores.put(store, 'vms', name, {})
+    _, first = await call(address, 'GET', '/objects/vms')
+    assert first['has_more']
+    after = first['items'][-1]['metadata']['name']
+    _, rest = await call(address, 'GET', f'/objects/vms?after={after}')
+    assert not rest['has_more']
+    found = [*first['items'], *rest['items']]
+    assert [x['metadata']['name'] for x in found] == names
     nursery.cancel_scope.cancel()
 
 
 async def test_the_store_fails_in_the_ways_it_is_told(nursery):
     store, address = await served(nursery)
-    store.condition = stores.Down()
-    assert (await call(address, 'POST', STATE, {'n': 1}))[0] == 503
-    assert not store.objects
-    store.condition = stores.LosesAnswers()
+    stores.set_condition(store, stores.Down())
+    assert (await call(address, 'POST', KIND, {'n': 1}))[0] == 503
+    stores.set_condition(store, stores.Busy())
+    assert (await call(address, 'POST', KIND, {'n': 1}))[0] == 429
+    assert not store.objects['state']
+    stores.set_condition(store, stores.Silent())
+    with trio.move_on_after(0.2) as scope:
+        await call(address, 'GET', STATE)
+    assert scope.cancelled_caught
+    stores.set_condition(store, stores.LosesAnswers())
     with pytest.raises(httpcore.RemoteProtocolError):
-        await call(address, 'POST', STATE, {'n': 1})
+        await call(address, 'POST', KIND, {'n': 1})
     assert (await call(address, 'GET', STATE))[1]['spec'] == {'n': 1}
     nursery.cancel_scope.cancel()
+
+
+async def test_a_deaf_watch_hears_of_changes_later(nursery):
+    store, address = await served(nursery)
+    stores.set_condition(store, stores.Deaf())
+    stores.put(store, 'state', 'state', {'n': 1})
+    watch = f'{KIND}?watch=1&wait_ms=100'
+    assert (await call(address, 'GET', watch))[1]['events'] == []
+    stores.set_condition(store, stores.Up())
+    assert len((await call(address, 'GET', watch))[1]['events']) == 1
+    nursery.cancel_scope.cancel()
