Draw a soak's faults from its seed alone, and keep services alive

The plan was drawn from the same numbers as callers' choices, so that a seed did not bring the same faults again.

Change: a replaced upstream's service gets another one at an address of its own; the plan is drawn ahead, from the seed alone. No check was changed.

Ruled out: excusing refusals after a replacement (they would hide real ones).

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -359,7 +359,10 @@
 
 
 async def _replace(nursery, soak, place, missing_ms):
-    """Let an upstream die; its address goes to another service."""
+    """Let an upstream die; its address goes to another service.
+
+    Its own service gets another one elsewhere, or it would run dry.
+    """
     old = place.upstream
     others = [x for x in const.SERVICES if x != old.service]
     upstream = _new_upstream(soak, soak.random.choice(others), old.domain)
@@ -371,6 +374,7 @@
     if old.instance in soak.store.objects['servers']:
         stores.remove(soak.store, 'servers', old.instance)
     proxies.harm(place.proxy, models.Clear())
+    await _add_place(nursery, soak, old.service, old.domain)
     if place.upstream is upstream:
         _register(soak, place)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import random
 import tempfile
 
 import trio
@@ -39,7 +40,9 @@
             nursery.start_soon(_look_up, soak)
             for number in range(const.CALLERS):
                 nursery.start_soon(callers.run, soak, number)
-            for at_ms, fault in plan.faults(soak.random, seconds):
+            # What callers draw must not change the faults of a seed.
+            drawn = list(plan.faults(random.Random(seed), seconds))
+            for at_ms, fault in drawn:
                 left_ms = at_ms - soak.now_ms()
                 await trio.sleep(max(0.0, left_ms) / const.MS_PER_S)
                 nursery.start_soon(fleet.strike, nursery, soak, fault)
