Split the adapter's objects, and type what entries are ordered by

Cause: the read-through.

Change: the configuration has a module of its own, and so have the checks of fields; `Place` and `Change` are rows.

Ruled out: rows for plain lists of addresses (a type would say no more).

--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -1,5 +1,7 @@
 """Say which entries of a region read the store for the others."""
 
+import typing
+
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import hashing
 from zinnialead_core.gateway.store import const
@@ -52,9 +54,16 @@
     return rank(world, now_ms) < const.READERS
 
 
-def place(speed: float, entry: ids.EntryId) -> tuple[float, int]:
-    """Return what entries are ordered by, the strong ones first."""
-    return (-speed, hashing.weight(ROLE, entry))
+class Place(typing.NamedTuple):
+    """Order entries: the strong ones first, then by their weight."""
+
+    slowness: float
+    weight: int
+
+
+def place(speed: float, entry: ids.EntryId) -> Place:
+    """Return what an entry is ordered by among those of its region."""
+    return Place(-speed, hashing.weight(ROLE, entry))
 
 
 def _may_read(
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -194,15 +194,21 @@
     )
 
 
-def _change(item: object) -> tuple[bool, object]:
-    """Return a change as whether something is gone, and its row or name."""
+class Change(typing.NamedTuple):
+    """Hold the row that changed, or the name of what is gone."""
+
+    is_gone: bool
+    value: object
+
+
+def _change(item: object) -> Change:
     match item:
         case (
             inp.UpstreamGone(name) | inp.EntryGone(name) | inp.DrainGone(name)
         ):
-            return True, name
+            return Change(is_gone=True, value=name)
         case _:
-            return False, _row(item)
+            return Change(is_gone=False, value=_row(item))
 
 
 def _whole(kind: store.Kind, row: object) -> object:
--- a/packages/standins/src/zinnialead_standins/store/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/store/coordinator.py
@@ -47,17 +47,9 @@
     if known is not None and known['spec'] == spec:
         return known['metadata']['rev']
     store.revision += 1
-    metadata: models.MetadataDocument = {
-        'name': name,
-        'rev': store.revision,
-        'created': 1,
-        'finalizers': [],
-        'is_deleting': False,
-    }
     item: models.ObjectDocument = {
-        'metadata': metadata,
+        'metadata': {'name': name, 'rev': store.revision},
         'spec': spec,
-        'status': None,
     }
     store.objects[kind][name] = item
     row = models.EventRow(store.revision, kind, item, is_gone=False)
--- a/packages/standins/src/zinnialead_standins/store/models.py
+++ b/packages/standins/src/zinnialead_standins/store/models.py
@@ -54,9 +54,6 @@
 
     name: str
     rev: int
-    created: int
-    finalizers: list[str]
-    is_deleting: bool
 
 
 class ObjectDocument(typing.TypedDict):
@@ -64,7 +61,6 @@
 
     metadata: MetadataDocument
     spec: object
-    status: object
 
 
 class EventRow(typing.NamedTuple):
--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -8,6 +8,7 @@
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.store import models as store
+from zinnialead_platform import configurations
 from zinnialead_platform import objects
 
 SPEC = {
@@ -99,7 +100,7 @@
 
 
 def test_a_configuration_is_read_whole():
-    found = objects.configuration(CONFIG)
+    found = configurations.configuration(CONFIG)
     assert found.version == 7
     first, second = found.routes['r-1'], found.routes['r-2']
     assert (first.idempotent, second.idempotent) == (False, True)
@@ -215,5 +216,5 @@
         if key not in ('timeout', 'target_latency', 'priority')
     }
     spec = {**CONFIG, 'routes': {'r-1': route}, 'services': {'wuno96b': {}}}
-    (found,) = objects.configuration(spec).routes.values()
+    (found,) = configurations.configuration(spec).routes.values()
     assert found.target_ms == found.timeout_ms == 10_000.0
