Count a request on a connection that no entry took as unsent

Its entry had been told to stop 2.9 s before and had no port open; the soak's proxy had taken the connection, and reset it 216 ms later, as it found nobody behind it. Without the proxy the connection would have been refused.

The check is as it was.

Ruled out: a longer slack for losses (it would hide real ones).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -61,6 +61,10 @@
         detail = await _exchange(connection, answer, prefix, once, name)
     if scope.cancelled_caught:
         detail = 'no answer in time'
+    # Behind a proxy such a connection seems to be open for a moment.
+    own = connection.stream.socket.getsockname()
+    if detail and own in soak.members[entry].front.refused:
+        detail = 'unsent'
     if detail or answer.headers.get(b'connection') == b'close':
         connection.stream.socket.close()
     else:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,9 @@
     # The soak's own fault: each upstream of a service had been replaced by
     # one of another service, so that calm requests were refused in truth.
     33,
+    # The soak's own fault: a proxy took a connection while its entry was
+    # down, so that a request which nobody had read counted as lost.
+    142,
 )
 
 
