Keep each token bucket by one function

Cause: the gateway's logs had brought a fourth token bucket beside those of the daemon's logs, of calls to the store and of rows served to peers.

Change: `zinnialead_core.buckets` fills and takes; all four call it and keep their row and bounds. Behaviour is as it was, but for sums in another order.

Ruled out: the retry budgets (they earn by request, not by time).

--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from zinnialead_core import buckets
 from zinnialead_core.components.members import views
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
@@ -60,14 +61,12 @@
 def _affordable(
     world: world_module.World, now_ms: float, budget: models.Budget
 ) -> bool:
-    full = models.BudgetRow(const.BURST_CALLS, now_ms)
-    left, at_ms = world.store.budgets.get(budget, full)
-    per_ms = _share_per_s(world, budget) / const.MS_PER_S
-    left = min(const.BURST_CALLS, left + per_ms * (now_ms - at_ms))
-    affordable = left >= 1.0
-    left -= 1.0 if affordable else 0.0
-    world.store.budgets[budget] = models.BudgetRow(left, now_ms)
-    return affordable
+    full = buckets.BucketRow(const.BURST_CALLS, now_ms)
+    row = world.store.budgets.get(budget, full)
+    per_s = _share_per_s(world, budget)
+    taken = buckets.take(row, now_ms, per_s, const.BURST_CALLS)
+    world.store.budgets[budget] = taken.row
+    return taken.is_allowed
 
 
 def _share_per_s(world: world_module.World, budget: models.Budget) -> float:
--- a/packages/core/src/zinnialead_core/components/store/models.py
+++ b/packages/core/src/zinnialead_core/components/store/models.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from zinnialead_core import buckets
 from zinnialead_core.components.store import calls
 
 
@@ -20,13 +21,6 @@
     WRITES = 'writes'
 
 
-class BudgetRow(typing.NamedTuple):
-    """Hold how many calls may be made now."""
-
-    calls: float
-    at_ms: float
-
-
 class Task(enum.Enum):
     """Name what this entry itself wants of the store."""
 
@@ -52,7 +46,7 @@
     open: dict[int, OpenRow]
     sequence: list[int]
     failures: list[int]
-    budgets: dict[Budget, BudgetRow]
+    budgets: dict[Budget, buckets.BucketRow]
     tasks: dict[Task, TaskRow]
     version: list[int]
 
--- a/packages/core/src/zinnialead_core/components/tickets/const.py
+++ b/packages/core/src/zinnialead_core/components/tickets/const.py
@@ -15,4 +15,3 @@
 # gives ten peers a state of 400 rows in the first second of a ticket.
 SERVED_ROWS_PER_S = 60.0
 SERVED_ROWS_BURST = 4_096.0
-MS_PER_S = 1_000.0
--- a/packages/core/src/zinnialead_core/components/tickets/serving.py
+++ b/packages/core/src/zinnialead_core/components/tickets/serving.py
@@ -2,10 +2,10 @@
 
 from collections import abc
 
+from zinnialead_core import buckets
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import parts
-from zinnialead_core.components.tickets import spreading
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import world as world_module
@@ -58,11 +58,10 @@
 
 def _affordable(world: world_module.World, now_ms: float, rows: int) -> bool:
     """Take rows out of the budget if they are there."""
-    full = spreading.BudgetRow(const.SERVED_ROWS_BURST, now_ms)
-    left, at_ms = next(iter(world.spread.budget), full)
-    earned = const.SERVED_ROWS_PER_S * (now_ms - at_ms) / const.MS_PER_S
-    left = min(const.SERVED_ROWS_BURST, left + earned)
-    affordable = left >= rows
-    left -= rows if affordable else 0
-    world.spread.budget[:] = [spreading.BudgetRow(left, now_ms)]
-    return affordable
+    full = buckets.BucketRow(const.SERVED_ROWS_BURST, now_ms)
+    row = next(iter(world.spread.budget), full)
+    taken = buckets.take(
+        row, now_ms, const.SERVED_ROWS_PER_S, const.SERVED_ROWS_BURST, rows
+    )
+    world.spread.budget[:] = [taken.row]
+    return taken.is_allowed
--- a/packages/core/src/zinnialead_core/components/tickets/spreading.py
+++ b/packages/core/src/zinnialead_core/components/tickets/spreading.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from zinnialead_core import buckets
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
 from zinnialead_core import ids
@@ -23,13 +24,6 @@
     received: dict[int, models.State]
 
 
-class BudgetRow(typing.NamedTuple):
-    """Hold how many rows may be served now."""
-
-    rows: float
-    at_ms: float
-
-
 class SpreadTable(typing.NamedTuple):
     """Hold what is wanted and received, and deltas for those behind.
 
@@ -38,7 +32,7 @@
 
     want: list[WantRow]
     transfer: list[TransferRow]
-    budget: list[BudgetRow]
+    budget: list[buckets.BucketRow]
     deltas: list[messages.StateDelta]
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/logs/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/const.py
@@ -2,6 +2,5 @@
 
 LINES_PER_S_MAX = 20.0
 LINES_BURST_MAX = 200.0
-MS_PER_S = 1_000.0
 CHANGE = 'zinnialead:change'
 DUMP = 'zinnialead:dump'
--- a/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from zinnialead_core import buckets
 from zinnialead_core import outputs as out
 from zinnialead_daemon.components.logs import const
 from zinnialead_daemon.components.logs import models
@@ -36,11 +37,11 @@
 
 
 def _allowed(logs: models.Logs) -> bool:
-    now_ms = logs.engine.now_ms()
-    gained = (now_ms - logs.filled_ms) / const.MS_PER_S * const.LINES_PER_S_MAX
-    logs.tokens = min(const.LINES_BURST_MAX, logs.tokens + gained)
-    logs.filled_ms = now_ms
-    if logs.tokens < 1.0:
-        return False
-    logs.tokens -= 1.0
-    return True
+    taken = buckets.take(
+        logs.bucket,
+        logs.engine.now_ms(),
+        const.LINES_PER_S_MAX,
+        const.LINES_BURST_MAX,
+    )
+    logs.bucket = taken.row
+    return taken.is_allowed
--- a/packages/daemon/src/zinnialead_daemon/components/logs/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from zinnialead_core import buckets
 from zinnialead_daemon.components.engine import models as engine_models
 from zinnialead_daemon.components.logs import const
 
@@ -11,10 +12,10 @@
     """Hold how many lines may be written now."""
 
     engine: engine_models.Engine
-    tokens: float
-    filled_ms: float
+    bucket: buckets.BucketRow
 
 
 def new_logs(engine: engine_models.Engine) -> Logs:
     """Return logs with a full burst left."""
-    return Logs(engine, const.LINES_BURST_MAX, engine.now_ms())
+    full = buckets.BucketRow(const.LINES_BURST_MAX, engine.now_ms())
+    return Logs(engine, full)
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -3,14 +3,15 @@
 import collections
 import dataclasses
 import os
-import time
 import typing
 
 import eliot
 import msgspec
 import trio
 
+from zinnialead_core import buckets
 from zinnialead_core.gateway import outputs as out
+from zinnialead_gateway import engine as engines
 
 # Lines a second and at once: about 1% of a core of the smallest machine.
 LINES_PER_S_MAX = 40.0
@@ -25,25 +26,24 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Bucket:
-    """Hold a token bucket."""
+class Budget:
+    """Hold the lines that one sort of them may write, and how many now."""
 
     per_s: float
     most: float
-    tokens: float
-    filled_s: float = 0.0
+    bucket: buckets.BucketRow
 
 
 @dataclasses.dataclass(slots=True)
 class Logs:
-    """Hold lines that wait to be written, and the buckets."""
+    """Hold lines that wait to be written, and their budgets."""
 
     entry: str
     counters: 'collections.Counter[str]'
     lines: 'collections.deque[bytes]'
-    decisions: Bucket
-    beliefs: Bucket
-    routine: Bucket
+    decisions: Budget
+    beliefs: Budget
+    routine: Budget
     rest: bytes = b''
 
 
@@ -53,9 +53,9 @@
         entry,
         counters,
         collections.deque(),
-        Bucket(LINES_PER_S_MAX, LINES_BURST_MAX, LINES_BURST_MAX),
-        Bucket(BELIEFS_PER_S_MAX, LINES_BURST_MAX, LINES_BURST_MAX),
-        Bucket(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
+        _full(LINES_PER_S_MAX, LINES_BURST_MAX),
+        _full(BELIEFS_PER_S_MAX, LINES_BURST_MAX),
+        _full(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
     )
     os.set_blocking(STDOUT, False)
     eliot.add_destinations(lambda message: _keep(logs, message))
@@ -64,8 +64,8 @@
 
 def decision(logs: Logs, output: out.LogDecision) -> None:
     """Log a decision that touches a request."""
-    bucket = logs.routine if output.is_routine else logs.decisions
-    if not _allowed(logs, bucket):
+    budget = logs.routine if output.is_routine else logs.decisions
+    if not _allowed(logs, budget):
         return
     eliot.log_message(
         message_type='decision',
@@ -129,13 +129,15 @@
     logs.lines.append(line + b'\n')
 
 
-def _allowed(logs: Logs, bucket: Bucket) -> bool:
-    now_s = time.monotonic()
-    gained = (now_s - bucket.filled_s) * bucket.per_s
-    bucket.tokens = min(bucket.most, bucket.tokens + gained)
-    bucket.filled_s = now_s
-    if bucket.tokens < 1.0:
+def _full(per_s: float, most: float) -> Budget:
+    return Budget(per_s, most, buckets.BucketRow(most, engines.now_ms()))
+
+
+def _allowed(logs: Logs, budget: Budget) -> bool:
+    taken = buckets.take(
+        budget.bucket, engines.now_ms(), budget.per_s, budget.most
+    )
+    budget.bucket = taken.row
+    if not taken.is_allowed:
         logs.counters['logs.dropped'] += 1
-        return False
-    bucket.tokens -= 1.0
-    return True
+    return taken.is_allowed
