Order a region's entries in one place, and remember their weights

Cause: the region's other entries were walked in five loops, two of which counted who comes first (readers of the store, speakers); each walk hashed every name anew, eight times a second while idle. A removal that only a list shows was looked for by filtering the list a second time. The traffic row was a tuple of lists of one.

Change: `entries.order` walks, orders and counts; weights are remembered. `lacks` looks at the list that is told anyway. The traffic row is a plain row. One test sets that row in its new form; its checks are as they were.

Ruled out: weights remembered for every hash (objects of callers would fill the memory).

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -208,16 +208,15 @@
 
 def _count_traffic(world: world_module.World, now_ms: float) -> None:
     """Work out the requests a second since the round before."""
-    traffic = world.entries.traffic
+    known = world.entries.traffic[0]
     arrived = world.counters['requests.arrived']
-    span_ms = now_ms - traffic.at_ms[0]
+    per_s = known.per_s
+    span_ms = now_ms - known.at_ms
     if span_ms > 0.0:
-        since = arrived - traffic.arrived[0]
-        per_s = since * const.MS_PER_S / span_ms
+        since_per_s = (arrived - known.arrived) * const.MS_PER_S / span_ms
         # A caller's burst is taken for real at once, its end later.
-        traffic.per_s[0] = max(per_s, traffic.per_s[0] * const.TRAFFIC_FADE)
-    traffic.arrived[0] = arrived
-    traffic.at_ms[0] = now_ms
+        per_s = max(since_per_s, known.per_s * const.TRAFFIC_FADE)
+    world.entries.traffic[0] = models.TrafficRow(arrived, now_ms, per_s)
 
 
 def _beat(
--- a/packages/core/src/zinnialead_core/gateway/entries/look_ups.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/look_ups.py
@@ -54,6 +54,6 @@
 
 def _per_s(world: world_module.World, row: models.EntryRow) -> float:
     if row.entry == world.node.ref.entry:
-        return world.entries.traffic.per_s[0]
+        return world.entries.traffic[0].per_s
     heard = world.entries.heard.get(row.entry)
     return heard.beat.per_s if heard else 0.0
--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -1,7 +1,10 @@
 """Say which entries run, take callers, and how this one describes itself."""
 
+from collections import abc
+
 from zinnialead_core.gateway.entries import const
 from zinnialead_core.gateway.entries import models
+from zinnialead_core.gateway.entries import order
 from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway.store import readers
 from zinnialead_core.gateway import world as world_module
@@ -57,33 +60,19 @@
 
     Entries that start at once agree on these before they hear each other.
     """
-    node = world.node
-    names = {
-        str(row.entry)
-        for row in world.entries.rows.values()
-        if row.region == node.region and not is_silent(world, now_ms, row)
-    }
-    names.add(str(node.ref.entry))
-    return sorted(names)
+    names = [str(row.entry) for row in _present_others(world, now_ms)]
+    return sorted([*names, str(world.node.ref.entry)])
 
 
 def is_speaker(world: world_module.World, now_ms: float) -> bool:
     """Return whether this entry is one of those that other regions hear."""
-    node = world.node
-    own = readers.place(node.speed, node.ref.entry)
-    before = sum(
-        readers.place(row.speed, row.entry) < own
-        for row in world.entries.rows.values()
-        if row.region == node.region
-        and row.entry != node.ref.entry
-        and not is_silent(world, now_ms, row)
-    )
-    return before < const.SPEAKERS
+    present = _present_others(world, now_ms)
+    return order.count_before(world, present) < const.SPEAKERS
 
 
 def has_callers(world: world_module.World) -> bool:
     """Return whether callers use this entry."""
-    return world.entries.traffic.per_s[0] >= const.CALLERS_MIN_PER_S
+    return world.entries.traffic[0].per_s >= const.CALLERS_MIN_PER_S
 
 
 def speed(world: world_module.World, entry: ids.EntryId) -> float:
@@ -96,13 +85,17 @@
 
 def neighbours(world: world_module.World, now_ms: float) -> tuple[str, ...]:
     """Return where the region's other entries that may run are reached."""
-    return tuple(
-        row.peer_address
-        for row in world.entries.rows.values()
-        if row.region == world.node.region
-        and row.entry != world.node.ref.entry
-        and not is_silent(world, now_ms, row)
-    )
+    present = _present_others(world, now_ms)
+    return tuple(row.peer_address for row in present)
+
+
+def _present_others(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[models.EntryRow]:
+    """Yield the other entries of the region that may be running."""
+    for row in order.others(world):
+        if not is_silent(world, now_ms, row):
+            yield row
 
 
 def own_row(world: world_module.World) -> models.EntryRow:
@@ -132,5 +125,5 @@
         is_ready(world),
         tuple(row.latest for row in world.store.watches.values()),
         readers.is_fit(world, now_ms),
-        world.entries.traffic.per_s[0],
+        world.entries.traffic[0].per_s,
     )
--- a/packages/core/src/zinnialead_core/gateway/entries/models.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/models.py
@@ -48,16 +48,17 @@
 class TrafficRow(typing.NamedTuple):
     """Hold the requests that have arrived, and their rate, at a time."""
 
-    arrived: list[int]
-    at_ms: list[float]
-    per_s: list[float]
+    arrived: int = 0
+    at_ms: float = 0.0
+    per_s: float = 0.0
 
 
 class EntryTable(typing.NamedTuple):
     """Hold the registered entries and what was heard of them.
 
     ``seen_ms`` is when a registration was first seen, ``rounds`` counts
-    the heartbeats sent, and ``leaving`` holds this entry once it stops.
+    the heartbeats sent, ``leaving`` holds this entry once it stops, and
+    ``traffic`` holds one row.
     """
 
     rows: dict[ids.EntryId, EntryRow]
@@ -65,9 +66,9 @@
     seen_ms: dict[ids.EntryId, float]
     rounds: list[int]
     leaving: set[ids.EntryId]
-    traffic: TrafficRow
+    traffic: list[TrafficRow]
 
 
 def new_table() -> EntryTable:
     """Return a table without entries."""
-    return EntryTable({}, {}, {}, [0], set(), TrafficRow([0], [0.0], [0.0]))
+    return EntryTable({}, {}, {}, [0], set(), [TrafficRow()])
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -172,10 +172,11 @@
         _keep(world, row._replace(after=page.next_after))
         _again(world, row.kind, now_ms)
         return
-    if row.seen is not None and sharing.lacks(world, row):
+    listed = sharing.whole(row.kind, row.gathered, page.revision)
+    if row.seen is not None and sharing.lacks(world, listed):
         # A removal bears no revision that others could miss.
         latest = max(latest, page.revision)
-    yield out.Notify(sharing.whole(row.kind, row.gathered, page.revision))
+    yield out.Notify(listed)
     row = models.anew(row)._replace(
         latest=latest,
         revision=page.revision,
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -1,15 +1,12 @@
 """Say which entries of a region read the store for the others."""
 
-import typing
+from collections import abc
 
 from zinnialead_core.gateway.entries import models as entries
-from zinnialead_core.gateway import hashing
+from zinnialead_core.gateway.entries import order
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import ids
-
-ROLE = 'reader'
 
 
 def rank(world: world_module.World, now_ms: float) -> int:
@@ -18,27 +15,21 @@
     Only those count that were heard lately and that the store answers, so
     that an entry which hears none of them reads itself.
     """
-    own = place(world.node.speed, world.node.ref.entry)
-    is_last = not is_fit(world, now_ms)
-    return sum(
-        is_last or place(row.speed, row.entry) < own
-        for row in world.entries.rows.values()
-        if row.region == world.node.region
-        and _may_read(world, now_ms, row.entry)
-    )
+    rows = _reading(world, now_ms)
+    if not is_fit(world, now_ms):
+        return sum(1 for _ in rows)
+    return order.count_before(world, rows)
 
 
 def nearest(
     world: world_module.World, now_ms: float
 ) -> entries.EntryRow | None:
     """Return the first reader of the region but this entry, if any lives."""
-    rows = (
-        row
-        for row in world.entries.rows.values()
-        if row.region == world.node.region
-        and _may_read(world, now_ms, row.entry)
+    return min(
+        _reading(world, now_ms),
+        key=lambda row: order.place(row.speed, row.entry),
+        default=None,
     )
-    return min(rows, key=lambda row: place(row.speed, row.entry), default=None)
 
 
 def is_fit(world: world_module.World, now_ms: float) -> bool:
@@ -54,24 +45,13 @@
     return rank(world, now_ms) < const.READERS
 
 
-class Place(typing.NamedTuple):
-    """Order entries: the strong ones first, then by their weight."""
-
-    slowness: float
-    weight: int
-
-
-def place(speed: float, entry: ids.EntryId) -> Place:
-    """Return what an entry is ordered by among those of its region."""
-    return Place(-speed, hashing.weight(ROLE, entry))
-
-
-def _may_read(
-    world: world_module.World, now_ms: float, entry: ids.EntryId
-) -> bool:
-    heard = world.entries.heard.get(entry)
-    if heard is None or entry == world.node.ref.entry:
-        return False
-    if heard.beat.leaving or not heard.beat.may_read:
-        return False
-    return now_ms - heard.heard_ms <= const.READER_SILENCE_MS
+def _reading(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[entries.EntryRow]:
+    """Yield the other entries of the region that may read."""
+    for row in order.others(world):
+        heard = world.entries.heard.get(row.entry)
+        if heard is None or heard.beat.leaving or not heard.beat.may_read:
+            continue
+        if now_ms - heard.heard_ms <= const.READER_SILENCE_MS:
+            yield row
--- a/packages/core/src/zinnialead_core/gateway/store/sharing.py
+++ b/packages/core/src/zinnialead_core/gateway/store/sharing.py
@@ -150,17 +150,14 @@
     yield out.TellPeers(to, told_)
 
 
-def lacks(world: world_module.World, row: models.WatchRow) -> bool:
-    """Return whether a list that was gathered lacks what is known."""
-    match row.kind:
-        case models.Kind.UPSTREAMS:
-            seen = (x for x in row.gathered if isinstance(x, inp.UpstreamSeen))
-            named = {x.row.upstream for x in seen}
+def lacks(world: world_module.World, listed: inp.Input) -> bool:
+    """Return whether a whole list lacks what is known."""
+    match listed:
+        case inp.UpstreamsListed(rows):
+            named = {row.upstream for row in rows}
             return bool(world.upstreams.rows.keys() - named)
-        case models.Kind.DRAINS:
-            drained = (x for x in row.gathered if isinstance(x, inp.DrainSeen))
-            named_ = {x.domain for x in drained}
-            return bool(world.upstreams.drained - named_)
+        case inp.DrainsListed(domains):
+            return bool(world.upstreams.drained.difference(domains))
         case _:
             return False
 
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -198,7 +198,7 @@
     abroad = samples.entry_row('other', 'tn-a')
     rows = (*map(samples.entry_row, names), abroad)
     samples.feed(world, 0.0, inp.EntriesListed(rows), inp.Started())
-    world.entries.traffic.per_s[0] = per_s
+    world.entries.traffic[0] = models.TrafficRow(per_s=per_s)
     found = collections.Counter()
     for number in range(rounds):
         now_ms = 1_200.0 * (number + 1)
