Read the platform's list of VMs to its last page

Cause: with the store's new shape a list comes in pages of 500; the daemon's client took the first one for the whole, where the earlier shape gave all VMs at once: 500 of the 930 of the size to design for. Found while reading the change again.

Change: a listing says where the next page begins, and the task that lists reads it at once, within the same budget. Both tests failed first.

Figures: 930 VMs listed by two calls.

Ruled out: pages followed inside the client (its calls are bounded and counted one by one).

--- a/packages/config/src/zinnialead_config/objects.py
+++ b/packages/config/src/zinnialead_config/objects.py
@@ -78,6 +78,16 @@
     return f'{OBJECTS_PATH}/{kind_of(name)}'
 
 
+def page_path(name: str, after: str) -> str:
+    """Return where objects of a name's kind are listed, after a name.
+
+    >>> page_path('vms', ''), page_path('vms', 'e7')
+    ('/objects/vms', '/objects/vms?after=e7')
+    """
+    query = f'?after={after}' if after else ''
+    return kind_path(name) + query
+
+
 def watch_path(name: str, revision: int, wait_ms: int) -> str:
     """Return where changes after a revision are waited for."""
     return f'{kind_path(name)}?watch={revision}&wait_ms={wait_ms}'
--- a/packages/core/src/zinnialead_core/components/store/calls.py
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -40,9 +40,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListVms:
-    """Read the platform's list of VMs."""
+    """Read a page of the platform's list of VMs, after a name."""
 
     name: str = 'vms'
+    after: str = ''
 
 
 class BindingRow(typing.NamedTuple):
@@ -105,9 +106,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
-    """Report that the VMs were listed, each as a ``PeerSeen``."""
+    """Report that VMs were listed, each as a ``PeerSeen``.
+
+    The next page begins after ``next_after``; the last one has none.
+    """
 
     name: str = 'vms'
+    next_after: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/components/store/models.py
+++ b/packages/core/src/zinnialead_core/components/store/models.py
@@ -29,11 +29,15 @@
 
 
 class TaskRow(typing.NamedTuple):
-    """Hold when a task may call the store next, and its open call."""
+    """Hold when a task may call the store next, and its open call.
+
+    ``after`` is where a list goes on that is read in pages.
+    """
 
     due_ms: float
     call_id: int | None
     failures: int
+    after: str = ''
 
 
 class StoreTable(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -80,7 +80,7 @@
     row: models.TaskRow,
 ) -> abc.Iterator[out.Output]:
     """Make a task's call, or look again later."""
-    call, timeout_ms = _call(world, task)
+    call, timeout_ms = _call(world, task, row)
     wanted = is_reader(world) or _alone(world)
     made = (
         limits.open_call(world, now_ms, call, timeout_ms) if wanted else None
@@ -93,10 +93,13 @@
     yield made
 
 
-def _call(world: world_module.World, task: models.Task) -> Planned:
+def _call(
+    world: world_module.World, task: models.Task, row: models.TaskRow
+) -> Planned:
     match task:
         case models.Task.LIST:
-            return Planned(calls.ListVms(), const.CALL_TIMEOUT_MS)
+            listing = calls.ListVms(after=row.after)
+            return Planned(listing, const.CALL_TIMEOUT_MS)
         case models.Task.STATE:
             version = next(iter(world.store.version), None)
             if version is None:
@@ -121,6 +124,8 @@
         case calls.Refused(_, retry_after_ms):
             wait_ms = retry_after_ms + limits.backoff_ms(world, row.failures)
             return models.TaskRow(now_ms + wait_ms, None, row.failures + 1)
+        case calls.Listed(_, next_after) if next_after:
+            return models.TaskRow(now_ms, None, 0, next_after)
         case calls.Listed():
             period_ms = const.LIST_PERIOD_MS * world.random.uniform(0.9, 1.1)
             return models.TaskRow(now_ms + period_ms, None, 0)
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -31,8 +31,8 @@
             return _written(name, value, version)
         case store.WriteBindings(name, rows, known):
             return _written(name, msgspec.json.encode(rows), known)
-        case store.ListVms(name):
-            return models.Question('GET', objects.kind_path(name))
+        case store.ListVms(name, after):
+            return models.Question('GET', objects.page_path(name, after))
 
 
 def result(call: store.Call, answer: models.Answer) -> store.Result:
@@ -54,7 +54,7 @@
         case 410, store.Watch():
             return store.TooOld(call.name)
         case ((200 | 201), store.ListVms()):
-            return store.Listed()
+            return _listed(objects.read_page(answer.body))
         case 200, store.Watch():
             event = objects.read_events(answer.body, call.name)
             if event is None:
@@ -82,6 +82,13 @@
         )
 
 
+def _listed(page: objects.PageDocument) -> store.Listed:
+    items = page['items']
+    if not items or not page.get('has_more'):
+        return store.Listed()
+    return store.Listed(next_after=items[-1].metadata['name'])
+
+
 def _found(name: str, document: objects.ObjectDocument) -> store.Result:
     return store.Found(name, bytes(document.spec), document.metadata['rev'])
 
--- a/tests/core/components/store/test_policy.py
+++ b/tests/core/components/store/test_policy.py
@@ -168,3 +168,18 @@
     numbers = {w.states['in-force'].number for w in bag.worlds.values()}
     assert numbers == {9}
     assert calls <= 2 * 40
+
+
+def test_a_list_in_pages_is_read_to_its_end_at_once():
+    asked = collections.Counter()
+
+    def in_pages(call):
+        if not isinstance(call, store.ListVms):
+            return works(call)
+        asked[call.after] += 1
+        after = {'': 'e500', 'e500': 'e900', 'e900': ''}[call.after]
+        return store.Listed(next_after=after)
+
+    bag = member_bag.new_bag(DOMAINS)
+    run(bag, 5_000.0, in_pages)
+    assert asked['e900'] == asked['e500'] == asked[''] > 0
--- a/tests/daemon/components/store/test_client.py
+++ b/tests/daemon/components/store/test_client.py
@@ -97,6 +97,22 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_a_long_list_is_read_in_pages(nursery):
+    """The first page alone once stood for all of a large fleet."""
+    made = stores.new_store()
+    names = {f'e{n:03}' for n in range(930)}
+    for name in names:
+        vm = {'domain': 'kigali-b', 'address': f'127.0.0.1:{name[1:]}'}
+        stores.put(made, 'vms', name, vm)
+    client = new_client(nursery, await serve(nursery, stores.asgi_app(made)))
+    found, _ = await result(client, store.ListVms())
+    assert found.next_after
+    found, _ = await result(client, store.ListVms(after=found.next_after))
+    assert found == store.Listed()
+    assert client.engine.world.members.keys() >= names
+    nursery.cancel_scope.cancel()
+
+
 async def test_an_outage_and_a_lost_answer_are_told_apart(nursery):
     made = stores.new_store()
     client = new_client(nursery, await serve(nursery, stores.asgi_app(made)))
