--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -18,8 +18,8 @@
 [self]
 node_id = "{name}"
 ip = "127.0.0.1"
-zone = "guj-a"
-region = "guj"
+zone = "{domain}"
+region = "{region}"
 bootstrap = false
 [self.limits]
 memory_mb = 222
@@ -33,8 +33,7 @@
 control = "127.0.0.1:{control}"
 directory = "127.0.0.1:{directory}"
 [network.zones]
-guj-a = "guj"
-tn-a = "tn"
+{domains}
 [platform]
 discovery = "platform"
 [platform.platform]
@@ -44,7 +43,7 @@
 budget_extra_tries = 133
 budget_window = "10s"
 max_shift_fraction = 0.15
-grace = "1s"
+grace = "{grace_ms:.0f}ms"
 ttl_max = "5s"
 """
 
@@ -111,11 +110,25 @@
             return ports
 
 
-def settings_text(store_address, name='edge-1', seeds=''):
-    """Return a settings file with ports that are free."""
-    front, ready, control, directory, port, _ = free_ports(6)
+DOMAINS = {'guj-a': 'guj', 'tn-a': 'tn'}
+
+
+def settings_text(
+    store_address,
+    name='edge-1',
+    seeds='',
+    ports=None,
+    domain='guj-a',
+    domains=DOMAINS,
+    grace_ms=1_000.0,
+):
+    """Return a settings file, with ports that are free if none are given."""
+    front, ready, control, directory, port, _ = ports or free_ports(6)
     return SETTINGS.format(
         name=name,
+        domain=domain,
+        region=domains[domain],
+        domains='\n'.join(f'{x} = "{y}"' for x, y in domains.items()),
         port=port,
         last=port + 15,
         seeds=seeds,
@@ -124,6 +137,7 @@
         control=control,
         directory=directory,
         store=store_address,
+        grace_ms=grace_ms,
     )
 
 
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -17,12 +17,13 @@
 PROGRAM = str(ROOT / 'platform' / 'entry.py')
 
 
+ENVIRONMENT = {**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)}
+
+
 def start(settings_file):
-    environment = {**os.environ, 'ZINNIALEAD_BOOT': str(settings_file)}
-    environment['PYTHONPATH'] = os.pathsep.join(sys.path)
     return subprocess.Popen(
         [sys.executable, PROGRAM],
-        env=environment,
+        env={**ENVIRONMENT, 'ZINNIALEAD_BOOT': str(settings_file)},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
     )
@@ -124,6 +125,17 @@
     assert b'network' in told
 
 
+def printed_by(code):
+    """Return the words that code which loads the program prints."""
+    done = subprocess.run(
+        [sys.executable, '-c', code.format(program=PROGRAM)],
+        env=ENVIRONMENT,
+        capture_output=True,
+        check=True,
+    )
+    return done.stdout.split()
+
+
 LOADED = """
 import runpy, signal, sys
 runpy.run_path({program!r}, run_name='loaded')
@@ -135,11 +147,7 @@
 
 def test_a_reload_during_the_start_does_not_end_the_program():
     """Soak, seed 1: a program that had just been started ended by SIGHUP."""
-    code = LOADED.format(program=PROGRAM)
-    done = subprocess.run(
-        [sys.executable, '-c', code], capture_output=True, check=True
-    )
-    assert done.stdout.split() == [b'True', b'True']
+    assert printed_by(LOADED) == [b'True', b'True']
 
 
 UNUSED = """
@@ -153,11 +161,4 @@
 
 def test_an_entry_loads_nothing_of_the_world_that_tickets_drive():
     """Its start took a third of its processor time for that."""
-    code = UNUSED.format(program=PROGRAM)
-    done = subprocess.run(
-        [sys.executable, '-c', code],
-        env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
-        capture_output=True,
-        check=True,
-    )
-    assert done.stdout.split() == []
+    assert printed_by(UNUSED) == []
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,8 +20,7 @@
     for request in tables.requests:
         yield from _once(request, runs[request.name])
         yield from _answer(tables, request, runs[request.name])
-    for name, of_name in runs.items():
-        yield from _routes(tables, name, of_name)
+        yield from _routes(tables, request, runs[request.name])
     yield from _left(tables)
     yield from _in_force(tables, runs)
     yield from _named(tables)
@@ -65,11 +64,7 @@
         yield models.ViolationRow('LATE', f'{request} ran as {runs}')
 
 
-def _routes(tables, name, runs):
-    known = {request.name: request for request in tables.requests}
-    request = known.get(name)
-    if request is None:
-        return
+def _routes(tables, request, runs):
     allowed = {
         version.services.get(request.prefix) for version in tables.versions
     }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,9 @@
 PROGRAM = ROOT / 'platform' / 'entry.py'
 CLOCK = pathlib.Path(__file__).with_name('clock')
 TICK_MS = 20.0
+# An entry's ports, and the place of the one that other entries ask.
+PORTS = 6
+CONTROL_PORT = 2
 # The interpreter's own start takes some 30 ms of an idle core.
 INTERPRETER_MS = 400.0
 # Routes of the first version, and whether work on them runs once.
@@ -91,7 +94,7 @@
         for number in range(count):
             await _add_place(nursery, soak, service, domains[number % 3])
     address = await fakes.serve_store(nursery, store)
-    ports = deployments.free_ports(6 * len(const.ENTRIES))
+    ports = deployments.free_ports(PORTS * len(const.ENTRIES))
     for number, name in enumerate(const.ENTRIES):
         await _add_member(nursery, soak, name, address, ports, number)
     return soak
@@ -122,27 +125,20 @@
 
 
 async def _add_member(nursery, soak, name, store_address, ports, number):
-    own = ports[6 * number : 6 * number + 6]
-    front, ready, control, directory, port, _ = own
-    domain = list(const.DOMAINS)[number % len(const.DOMAINS)]
+    own = ports[PORTS * number : PORTS * (number + 1)]
+    front, _, _, directory, _, _ = own
     store = await proxies.start(nursery, store_address)
     proxy = await proxies.start(nursery, f'127.0.0.1:{front}')
-    controls = [ports[6 * n + 2] for n in range(len(const.ENTRIES))]
-    text = deployments.SETTINGS.format(
-        name=name,
-        port=port,
-        last=port + 1,
-        seeds=', '.join(f'"127.0.0.1:{x}"' for x in controls),
-        front=front,
-        ready=ready,
-        control=control,
-        directory=directory,
-        store=store.address,
+    controls = ports[CONTROL_PORT::PORTS]
+    text = deployments.settings_text(
+        store.address,
+        name,
+        ', '.join(f'"127.0.0.1:{x}"' for x in controls),
+        own,
+        list(const.DOMAINS)[number % len(const.DOMAINS)],
+        const.DOMAINS,
+        const.GRACE_MS,
     )
-    own_place = f'zone = "{domain}"\nregion = "{const.DOMAINS[domain]}"'
-    text = text.replace('zone = "guj-a"\nregion = "guj"', own_place)
-    text = text.replace('guj-a = "guj"', 'guj-a = "guj"\nguj-b = "guj"')
-    text = text.replace('grace = "1s"', f'grace = "{const.GRACE_MS:.0f}ms"')
     path = soak.folder / f'{name}.toml'
     path.write_text(text)
     member = Member(
