Name the modules and tables of slots after what they hold

`steering.targets` holds how the owner of a service's slots is found by rendezvous hashing and is now `slot_owners`; `slots.local` holds what the state in force gives a service in this domain and is now `local_config`, whose `of()` is `get()`. `QueueTable.lines`, the waiting asks by service and rank, is `rank_queues`, and `peaks` is `in_use_peaks`.

No field of `QueueTable` is written out under its name.

--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -7,7 +7,7 @@
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
 from zinnialead_core.components.slots import ownership
-from zinnialead_core.components.steering import targets
+from zinnialead_core.components.steering import slot_owners
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -84,7 +84,7 @@
     now_ms: float,
     request: requests.RequestRow,
     ask_id: ids.AskId,
-    target: targets.Target,
+    target: slot_owners.Target,
     tried: tuple[ids.DomainId, ...] = (),
     first: verdict.Refusal | None = None,
 ) -> abc.Iterator[out.Output]:
@@ -221,7 +221,7 @@
             world, now_ms, request, row.ask_id, tried, row.refusal
         )
         return
-    target = targets.Target(entry, domain)
+    target = slot_owners.Target(entry, domain)
     yield from ask_at(
         world, now_ms, request, row.ask_id, target, row.tried, row.refusal
     )
@@ -237,7 +237,7 @@
 ) -> abc.Iterator[out.Output]:
     domain = world.node.domain
     entry = ownership.owner_of(world, now_ms, request.service, domain)
-    target = targets.Target(entry or world.node.ref.entry, domain)
+    target = slot_owners.Target(entry or world.node.ref.entry, domain)
     yield from ask_at(world, now_ms, request, ask_id, target, tried, first)
 
 
--- a/packages/core/src/zinnialead_core/components/slots/choice.py
+++ b/packages/core/src/zinnialead_core/components/slots/choice.py
@@ -1,6 +1,6 @@
 """Choose the upstream of a grant and count the slots that can be used."""
 
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.upstreams import believed
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
@@ -16,8 +16,8 @@
 
     ``avoid`` is taken only where no other has a slot.
     """
-    here = local.of(world, service)
-    limit = local.in_flight_max(world, now_ms, service)
+    here = local_config.get(world, service)
+    limit = local_config.in_flight_max(world, now_ms, service)
     if _at_limit(world, service, limit):
         return None
     best: tuple[bool, int, ids.UpstreamId] | None = None
@@ -35,18 +35,18 @@
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> int:
     """Return how many slots of a service may be in use at once now."""
-    here = local.of(world, service)
+    here = local_config.get(world, service)
     total = sum(
         believed.slots(world.upstreams.get(row.upstream), row.slots, now_ms)
         for row in here.upstreams
     )
-    limit = local.in_flight_max(world, now_ms, service)
+    limit = local_config.in_flight_max(world, now_ms, service)
     return total if limit is None else min(total, limit)
 
 
 def all_slots(world: world_module.World, service: ids.ServiceId) -> int:
     """Return how many slots the state in force gives a service here."""
-    here = local.of(world, service)
+    here = local_config.get(world, service)
     total = sum(row.slots for row in here.upstreams)
     if here.in_flight_max is None:
         return total
@@ -62,7 +62,7 @@
     """Return whether any upstream here takes new work, now or soon."""
     return any(
         not believed.is_leaving(world.upstreams.get(row.upstream))
-        for row in local.of(world, service).upstreams
+        for row in local_config.get(world, service).upstreams
     )
 
 
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -6,7 +6,7 @@
 from zinnialead_core.components.slots import granting
 from zinnialead_core.components.slots import leases
 from zinnialead_core.components.slots import lines
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import owner
 from zinnialead_core.components.slots import ownership
@@ -40,7 +40,7 @@
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
             case inp.StateChanged():
-                local.changed(world, now_ms)
+                local_config.changed(world, now_ms)
                 ownership.refresh(world, now_ms)
                 yield from granting.grant_all(world, now_ms)
             case inp.UpstreamReport():
--- a/packages/core/src/zinnialead_core/components/slots/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/slots/diagnostics.py
@@ -41,7 +41,9 @@
                 service_time_ms=door.service_time_ms(world, row.service),
                 queued_by_rank={
                     str(rank): len(line)
-                    for rank, line in queues.lines.get(row.service, {}).items()
+                    for rank, line in queues.rank_queues.get(
+                        row.service, {}
+                    ).items()
                 },
             )
             for row in queues.service_loads.values()
--- a/packages/core/src/zinnialead_core/components/slots/granting.py
+++ b/packages/core/src/zinnialead_core/components/slots/granting.py
@@ -23,7 +23,7 @@
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
     """Grant free slots of every service that has asks waiting."""
-    for service in list(world.queues.lines):
+    for service in list(world.queues.rank_queues):
         yield from grant(world, now_ms, service)
 
 
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -9,7 +9,7 @@
 from zinnialead_core.components.slots import const
 from zinnialead_core.components.slots import door
 from zinnialead_core.components.slots import floors
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
 from zinnialead_core.components.upstreams import outliers
@@ -83,7 +83,7 @@
     if usual_ms > 0.0:
         floors.used(world, row.service, row.rank, elapsed_ms / usual_ms)
     _measure(world, row.service, back.end, elapsed_ms)
-    siblings = local.of(world, row.service).upstreams
+    siblings = local_config.get(world, row.service).upstreams
     end = _judged(world, row, back.end, elapsed_ms)
     outliers.attempt_ended(world, now_ms, row.upstream, siblings, end)
     return row
@@ -147,7 +147,9 @@
     queues.grants[row.ask_id] = row
     used = queues.in_use.get(row.upstream, 0) + 1
     queues.in_use[row.upstream] = used
-    queues.peaks[row.upstream] = max(used, queues.peaks.get(row.upstream, 0))
+    queues.in_use_peaks[row.upstream] = max(
+        used, queues.in_use_peaks.get(row.upstream, 0)
+    )
     timer = timers.QueueExpiry(row.ask_id)
     timers.start(world.timers, timer, row.expires_ms)
 
--- a/packages/core/src/zinnialead_core/components/slots/lines.py
+++ b/packages/core/src/zinnialead_core/components/slots/lines.py
@@ -12,7 +12,7 @@
 def join(world: world_module.World, row: models.QueuedRow) -> None:
     """Put an ask at the end of its rank's line."""
     world.queues.queued[row.ask_id] = row
-    ranks = world.queues.lines.setdefault(row.service, {})
+    ranks = world.queues.rank_queues.setdefault(row.service, {})
     ranks.setdefault(row.rank, {})[row.ask_id] = None
 
 
@@ -23,12 +23,12 @@
     row = world.queues.queued.pop(ask_id, None)
     if row is None:
         return None
-    ranks = world.queues.lines[row.service]
+    ranks = world.queues.rank_queues[row.service]
     del ranks[row.rank][ask_id]
     if not ranks[row.rank]:
         del ranks[row.rank]
     if not ranks:
-        del world.queues.lines[row.service]
+        del world.queues.rank_queues[row.service]
     caps.leave(world, row.service, row.home_region, ask_id)
     return row
 
@@ -37,7 +37,7 @@
     world: world_module.World, service: ids.ServiceId
 ) -> abc.Mapping[ids.RankId, models.Line]:
     """Return the lines of a service that are not empty, by rank."""
-    return world.queues.lines.get(service, {})
+    return world.queues.rank_queues.get(service, {})
 
 
 def length(world: world_module.World, service: ids.ServiceId) -> int:
--- a/packages/core/src/zinnialead_core/components/slots/local.py
+++ b/packages/core/src/zinnialead_core/components/slots/local_config.py
@@ -9,7 +9,7 @@
 from zinnialead_core import world as world_module
 
 
-def of(world: world_module.World, service: ids.ServiceId) -> models.LocalRow:
+def get(world: world_module.World, service: ids.ServiceId) -> models.LocalRow:
     """Return a service's upstreams here and its share of a limit."""
     state = world.states['in-force']
     queues = world.queues
@@ -40,7 +40,7 @@
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> int | None:
     """Return how much of a service this domain may have in flight."""
-    stated = of(world, service).in_flight_max
+    stated = get(world, service).in_flight_max
     if stated is None:
         return None
     rows = world.queues.former.get(service, ())
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -126,15 +126,15 @@
     """Hold what a slot owner knows: asks that wait and slots in use.
 
     ``locals`` is worked out from the state whose number is the one item
-    of ``numbers``; ``peaks`` are the most slots in use of each upstream
+    of ``numbers``; ``in_use_peaks`` are the most slots in use of each upstream
     since its last report.
     """
 
     queued: dict[ids.AskId, QueuedRow]
-    lines: dict[ids.ServiceId, dict[ids.RankId, Line]]
+    rank_queues: dict[ids.ServiceId, dict[ids.RankId, Line]]
     grants: dict[ids.AskId, GrantRow]
     in_use: dict[ids.UpstreamId, int]
-    peaks: dict[ids.UpstreamId, int]
+    in_use_peaks: dict[ids.UpstreamId, int]
     owners: dict[tuple[ids.ServiceId, ids.DomainId], OwnerRow]
     service_loads: dict[ids.ServiceId, ServiceLoadRow]
     rank_loads: dict[tuple[ids.ServiceId, ids.RankId], RankLoadRow]
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -7,7 +7,7 @@
 from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
-from zinnialead_core.components.steering import targets
+from zinnialead_core.components.steering import slot_owners
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
@@ -24,7 +24,7 @@
     known = world.queues.owners.get((service, domain))
     if known is not None and now_ms < known.fresh_until_ms:
         return known.owner
-    owner = targets.slot_owner(world, service, domain)
+    owner = slot_owners.slot_owner(world, service, domain)
     if domain == world.node.domain:
         _note_owner(world, now_ms, service, owner)
     world.queues.owners[service, domain] = models.OwnerRow(
--- a/packages/core/src/zinnialead_core/components/steering/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/steering/coordinator.py
@@ -60,7 +60,7 @@
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> models.LoadRow:
     queues = world.queues
-    lines = queues.lines.get(service, {})
+    lines = queues.rank_queues.get(service, {})
     load = queues.service_loads.get(service)
     stated = world.states['in-force'].services[service].service_time_ms
     measured = load.service_time_ms if load else None
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components import tickets
 from zinnialead_core.components.upstreams import const
 from zinnialead_core.components.upstreams import models
@@ -49,7 +49,7 @@
     )
     world.upstreams[item.upstream] = row
     if not (item.healthy or row.on_trial or _is_proved(row, now_ms)):
-        siblings = local.of(world, known.service).upstreams
+        siblings = local_config.get(world, known.service).upstreams
         outliers.leave_out(world, now_ms, row, siblings)
     if before is not None and before.leaving != item.leaving:
         yield out.LogChange(
@@ -67,8 +67,8 @@
 ) -> models.HealthRow:
     """Take in a told load; it lags, so it is held against past peaks."""
     queues = world.queues
-    peak = queues.peaks.get(item.upstream, 0)
-    queues.peaks[item.upstream] = queues.in_use.get(item.upstream, 0)
+    peak = queues.in_use_peaks.get(item.upstream, 0)
+    queues.in_use_peaks[item.upstream] = queues.in_use.get(item.upstream, 0)
     told = item.in_flight or 0
     same = told == row.told_in_flight and told > 0
     return row._replace(
@@ -108,7 +108,7 @@
     ]
     for upstream in gone:
         del world.upstreams[upstream]
-        world.queues.peaks.pop(upstream, None)
+        world.queues.in_use_peaks.pop(upstream, None)
         if not world.queues.in_use.get(upstream):
             world.queues.in_use.pop(upstream, None)
 
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -69,7 +69,7 @@
 
 
 def _queues(world: core.World) -> abc.Iterator[models.QueueView]:
-    for (service, rank), line in sorted(world.queues.lines.items()):
+    for (service, rank), line in sorted(world.queues.rank_queues.items()):
         yield models.QueueView(service=service, rank=rank, queued=len(line))
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from zinnialead_core.components.steering import targets
+from zinnialead_core.components.steering import slot_owners
 from zinnialead_core.components import tickets
 from zinnialead_core import inputs as inp
 from zinnialead_daemon.components.engine import coordinator as engines
@@ -42,7 +42,8 @@
     own = {
         service
         for service in {row.service for row in near}
-        if targets.slot_owner(world, service, node.domain) == node.ref.entry
+        if slot_owners.slot_owner(world, service, node.domain)
+        == node.ref.entry
     }
     return (row for row in near if row.service in own)
 
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -7,7 +7,7 @@
 from zinnialead_core.components import members
 from zinnialead_core.components import slots
 from zinnialead_core.components.slots import const
-from zinnialead_core.components.steering import targets
+from zinnialead_core.components.steering import slot_owners
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -18,7 +18,7 @@
 
 
 def owner_and_other(worlds):
-    name = targets.slot_owner(worlds['e1'], 'pricebook', samples.DOMAIN)
+    name = slot_owners.slot_owner(worlds['e1'], 'pricebook', samples.DOMAIN)
     [other] = set(worlds) - {name}
     return name, other
 
--- a/tests/core/components/slots/test_limits.py
+++ b/tests/core/components/slots/test_limits.py
@@ -3,7 +3,7 @@
 from core import samples
 import zinnialead_core as core
 from zinnialead_core.components.slots import choice
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components import tickets
 from zinnialead_core import inputs as inp
 
@@ -29,7 +29,7 @@
 
 def limits(world, now_ms):
     return (
-        local.in_flight_max(world, now_ms, 'pricebook'),
+        local_config.in_flight_max(world, now_ms, 'pricebook'),
         choice.usable_slots(world, now_ms, 'pricebook'),
     )
 
