Name the queries on the members table after what they return

What read oddly: a module 'views' with own(), others(), neighbours(), foreigners(), pick() and ref(), and claims.overdue() for the refusal that a request gets when its deadline passes during a claim.

Now: 'queries' with own_row(), live_peers(), domain_peers(), other_domain_peers(), sample_entries(), random_peer() and entry_ref(), and claims.deadline_refusal(). None of these names leaves the process.

Run: make check passes; tests/core/components and tests/core/*.py pass; the comparison of syntax trees shows no change of structure.

--- a/packages/core/src/zinnialead_core/components/keys/claims.py
+++ b/packages/core/src/zinnialead_core/components/keys/claims.py
@@ -90,7 +90,7 @@
             yield from _failed(world, now_ms, claim)
 
 
-def overdue(
+def deadline_refusal(
     world: world_module.World, request_id: ids.RequestId
 ) -> verdict.Refusal:
     """Return what is known of a request whose time ends in its claim."""
--- a/packages/core/src/zinnialead_core/components/members/beliefs.py
+++ b/packages/core/src/zinnialead_core/components/members/beliefs.py
@@ -6,7 +6,7 @@
 from zinnialead_core.components.members import const
 from zinnialead_core.components.members import gossip
 from zinnialead_core.components.members import models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -156,7 +156,7 @@
     world: world_module.World, now_ms: float, told: models.MemberRow
 ) -> None:
     """Answer a suspicion of this entry with a newer version of its row."""
-    row = views.own(world)
+    row = queries.own_row(world)
     if told.incarnation > row.incarnation:
         world.counters['members.newer_run_of_me'] += 1
         return
@@ -218,13 +218,13 @@
     is_alive = row.health is not dead
     new_run = known is None or known.incarnation != row.incarnation
     if known and was_alive and new_run and known.incarnation:
-        yield out.Notify(inp.MemberLost(views.ref(known)))
+        yield out.Notify(inp.MemberLost(queries.entry_ref(known)))
     if was_alive and not is_alive:
-        yield out.Notify(inp.MemberLost(views.ref(row)))
+        yield out.Notify(inp.MemberLost(queries.entry_ref(row)))
     if is_alive and (new_run or not was_alive):
-        yield out.Notify(inp.MemberJoined(views.ref(row)))
+        yield out.Notify(inp.MemberJoined(queries.entry_ref(row)))
     elif is_alive and known and known.health is not row.health:
-        yield out.Notify(inp.MemberChanged(views.ref(row)))
+        yield out.Notify(inp.MemberChanged(queries.entry_ref(row)))
     if known is None or row.health is models.Health.SUSPECT:
         return
     if known.health is not row.health or new_run:
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -8,7 +8,7 @@
 from zinnialead_core.components.members import messages
 from zinnialead_core.components.members import models
 from zinnialead_core.components.members import probing
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -39,7 +39,7 @@
             case inp.StopAsked():
                 yield from _leave(world)
             case inp.StateChanged(number):
-                row = views.own(world)._replace(state_number=number)
+                row = queries.own_row(world)._replace(state_number=number)
                 world.members[row.entry] = row
 
 
@@ -135,8 +135,8 @@
 
 def _leave(world: world_module.World) -> abc.Iterator[out.Output]:
     """Tell the domain at once that this entry takes nothing new."""
-    row = views.own(world)._replace(health=models.Health.LEAVING)
+    row = queries.own_row(world)._replace(health=models.Health.LEAVING)
     world.members[row.entry] = row
     world.probes.news[row.entry] = 0
-    entries = [x.entry for x in views.neighbours(world)]
+    entries = [x.entry for x in queries.domain_peers(world)]
     yield from gossip.tell(world, entries, (row,))
--- a/packages/core/src/zinnialead_core/components/members/gossip.py
+++ b/packages/core/src/zinnialead_core/components/members/gossip.py
@@ -7,7 +7,7 @@
 from zinnialead_core.components.members import const
 from zinnialead_core.components.members import messages
 from zinnialead_core.components.members import models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
@@ -36,9 +36,13 @@
     yield from tell(
         world,
         [
-            *views.pick(world, views.neighbours(world), const.URGENT_FANOUT),
-            *views.pick(
-                world, views.foreigners(world), const.URGENT_FOREIGN_FANOUT
+            *queries.sample_entries(
+                world, queries.domain_peers(world), const.URGENT_FANOUT
+            ),
+            *queries.sample_entries(
+                world,
+                queries.other_domain_peers(world),
+                const.URGENT_FOREIGN_FANOUT,
             ),
         ],
         tuple(world.members[x] for x in entries if x in world.members),
@@ -64,7 +68,7 @@
     The sender's own row is always there, and the recipient's where the
     recipient has to contradict it.
     """
-    rows = [views.own(world)]
+    rows = [queries.own_row(world)]
     theirs = world.members.get(recipient)
     if theirs is not None and theirs.health is not models.Health.ALIVE:
         rows.append(theirs)
--- a/packages/core/src/zinnialead_core/components/members/probing.py
+++ b/packages/core/src/zinnialead_core/components/members/probing.py
@@ -7,7 +7,7 @@
 from zinnialead_core.components.members import gossip
 from zinnialead_core.components.members import messages
 from zinnialead_core.components.members import models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
@@ -23,7 +23,7 @@
     start_round(world, now_ms)
     for entry in _targets(world):
         yield from probe(world, now_ms, entry)
-    yield from gossip.sync(world, views.pick_any(world))
+    yield from gossip.sync(world, queries.random_peer(world))
     if probes.rounds[0] % const.ROUNDS_PER_FORGETTING == 0:
         beliefs.forget(world, now_ms)
 
@@ -115,7 +115,7 @@
     world.counters['members.paused'] += 1
     for sequence, row in list(world.probes.open.items()):
         _close(world, row.target, sequence)
-    for member in list(views.others(world)):
+    for member in list(queries.live_peers(world)):
         world.members[member.entry] = member._replace(heard_ms=now_ms)
     start_round(world, now_ms)
 
@@ -123,16 +123,18 @@
 def _targets(world: world_module.World) -> abc.Iterator[ids.EntryId]:
     probes = world.probes
     rounds = probes.rounds[0]
-    yield from _next(world, probes.order, views.neighbours)
+    yield from _next(world, probes.order, queries.domain_peers)
     if rounds % const.ROUNDS_PER_FOREIGN_PROBE == 0:
-        yield from _next(world, probes.foreign_order, views.foreigners)
+        yield from _next(
+            world, probes.foreign_order, queries.other_domain_peers
+        )
     if rounds % const.ROUNDS_PER_DEAD_PROBE == 0:
         dead = (
             row
             for row in world.members.values()
             if row.health is models.Health.DEAD
         )
-        yield from views.pick(world, dead, 1)
+        yield from queries.sample_entries(world, dead, 1)
 
 
 def _next(
@@ -162,11 +164,11 @@
         return []
     alive = [
         x
-        for x in views.others(world)
+        for x in queries.live_peers(world)
         if x.health is models.Health.ALIVE and x.entry != target
     ]
     near = [x for x in alive if x.domain == row.domain]
-    return views.pick(world, near or alive, const.INDIRECT_HELPERS)
+    return queries.sample_entries(world, near or alive, const.INDIRECT_HELPERS)
 
 
 def _close(
--- a/packages/core/src/zinnialead_core/components/members/views.py
+++ b/packages/core/src/zinnialead_core/components/members/queries.py
@@ -11,12 +11,12 @@
     from zinnialead_core import world as world_module
 
 
-def own(world: 'world_module.World') -> models.MemberRow:
+def own_row(world: 'world_module.World') -> models.MemberRow:
     """Return this entry's own row."""
     return world.members[world.node.ref.entry]
 
 
-def others(
+def live_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
     """Yield the rows of the other entries that are not taken for dead."""
@@ -26,25 +26,25 @@
             yield row
 
 
-def neighbours(
+def domain_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
     """Yield the other rows of this entry's domain."""
-    for row in others(world):
+    for row in live_peers(world):
         if row.domain == world.node.domain:
             yield row
 
 
-def foreigners(
+def other_domain_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
     """Yield the other rows outside this entry's domain."""
-    for row in others(world):
+    for row in live_peers(world):
         if row.domain != world.node.domain:
             yield row
 
 
-def pick(
+def sample_entries(
     world: 'world_module.World',
     rows: abc.Iterable[models.MemberRow],
     count: int,
@@ -54,7 +54,7 @@
     return world.random.sample(names, min(count, len(names)))
 
 
-def pick_any(world: 'world_module.World') -> ids.EntryId | None:
+def random_peer(world: 'world_module.World') -> ids.EntryId | None:
     """Return another entry at random, without a look at every row."""
     names = list(world.members)
     for _ in range(const.PICK_TRIES):
@@ -65,6 +65,6 @@
     return None
 
 
-def ref(row: models.MemberRow) -> ids.EntryRef:
+def entry_ref(row: models.MemberRow) -> ids.EntryRef:
     """Return the run of an entry that a row is about."""
     return ids.EntryRef(row.entry, row.incarnation)
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -127,7 +127,7 @@
     request_id = row.request_id
     if row.phase not in models.AT_UPSTREAM:
         if row.keyed and row.phase is models.Phase.CLAIM:
-            refusal = claims.overdue(world, request_id)
+            refusal = claims.deadline_refusal(world, request_id)
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from zinnialead_core import buckets
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
 from zinnialead_core.components.store import models
@@ -70,7 +70,7 @@
 
 
 def _share_per_s(world: world_module.World, budget: models.Budget) -> float:
-    entries = 1 + sum(1 for _ in views.others(world))
+    entries = 1 + sum(1 for _ in queries.live_peers(world))
     match budget:
         case models.Budget.READS:
             return const.FLEET_READS_PER_S / entries
--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from zinnialead_core.components.members import models as member_models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
 from zinnialead_core.components.store import limits
@@ -66,7 +66,7 @@
     me = world.node.ref.entry
     alive = [
         row.entry
-        for row in views.neighbours(world)
+        for row in queries.domain_peers(world)
         if row.health is member_models.Health.ALIVE
     ]
     above = sum(_weight(entry) > _weight(me) for entry in alive)
@@ -151,7 +151,7 @@
 
 def _alone(world: world_module.World) -> bool:
     """Say whether no peer was ever heard, so that none can tell."""
-    return not any(row.incarnation for row in views.others(world))
+    return not any(row.incarnation for row in queries.live_peers(world))
 
 
 def _start_timer(world: world_module.World, now_ms: float) -> None:
--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from zinnialead_core.components.members import messages as member_messages
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
@@ -125,8 +125,12 @@
     yield out.LogChange(
         'tickets', 'in force', str(before.number), str(state.number)
     )
-    near = views.pick(world, views.neighbours(world), const.PUSH_NEAR)
-    far = views.pick(world, views.foreigners(world), const.PUSH_FAR)
+    near = queries.sample_entries(
+        world, queries.domain_peers(world), const.PUSH_NEAR
+    )
+    far = queries.sample_entries(
+        world, queries.other_domain_peers(world), const.PUSH_FAR
+    )
     for entry in (*near, *far):
         yield out.SendPeer(entry, _number(state))
 
--- a/packages/core/src/zinnialead_core/components/tickets/pulling.py
+++ b/packages/core/src/zinnialead_core/components/tickets/pulling.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
@@ -155,5 +155,5 @@
 def _holders(
     world: world_module.World, number: int
 ) -> abc.Sequence[ids.EntryId]:
-    rows = (x for x in views.others(world) if x.state_number >= number)
-    return views.pick(world, rows, const.PARTS_ASKED_MAX)
+    rows = (x for x in queries.live_peers(world) if x.state_number >= number)
+    return queries.sample_entries(world, rows, const.PARTS_ASKED_MAX)
