Name the simulated network of the members tests

What read oddly: a module member_bag with a class Bag, whose fields dead, cut, told, sent and calls did not say what they hold.

Now: member_network with Network: stopped, isolated, health_changes, sent_counts and store_calls. Assertions, bounds and seeds are as they were; the tests of the store and of the state's spread follow.

--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from core.components.members import member_bag
+from core.components.members import member_network
 import zinnialead_core as core
 from zinnialead_core.components import members
 from zinnialead_core.components.members import beliefs
@@ -18,34 +18,34 @@
 
 
 def settled(domains=None, seed=1):
-    bag = member_bag.new_bag(domains or DOMAINS, seed)
-    member_bag.run_until(bag, 10_000.0)
-    return bag
+    network = member_network.new_network(domains or DOMAINS, seed)
+    member_network.run_until(network, 10_000.0)
+    return network
 
 
-def kill(bag, entry):
-    bag.dead.add(entry)
-    return bag.now_ms
+def kill(network, entry):
+    network.stopped.add(entry)
+    return network.now_ms
 
 
 def test_a_dead_neighbour_is_found_in_its_domain_within_two_seconds():
     for seed in range(5):
-        bag = settled(seed=seed)
-        died_ms = kill(bag, 'a0')
-        member_bag.run_until(bag, died_ms + 2_500.0)
+        network = settled(seed=seed)
+        died_ms = kill(network, 'a0')
+        member_network.run_until(network, died_ms + 2_500.0)
         found = [
             at_ms - died_ms
-            for at_ms, viewer, entry, after in bag.told
+            for at_ms, viewer, entry, after in network.health_changes
             if (viewer[0], entry, after) == ('a', 'a0', 'dead 1')
         ]
         assert len(found) == 3
         assert min(found) <= 2_000.0
-        member_bag.run_until(bag, died_ms + 10_000.0)
-        assert member_bag.views(bag, 'a0') == {DEAD}
+        member_network.run_until(network, died_ms + 10_000.0)
+        assert member_network.health_seen_by_others(network, 'a0') == {DEAD}
 
 
 def test_the_lost_and_the_joined_are_told_to_the_systems():
-    world = member_bag.new_world('a0', 'a')
+    world = member_network.new_world('a0', 'a')
     joined, told = [], inp.PeerSeen('a1', 'a', 'a1:1')
     alive = members.MemberRow('a1', 1, 'a', 'a1:1', ALIVE, 0.0, 0)
     again = alive._replace(incarnation=2)
@@ -73,15 +73,17 @@
 
 
 def test_a_partition_splits_the_view_and_the_heal_joins_it():
-    bag = settled()
-    bag.cut = {entry for entry in bag.worlds if entry.startswith('a')}
-    member_bag.run_until(bag, bag.now_ms + 60_000.0)
-    assert member_bag.health(bag, 'a0', 'b0') is DEAD
-    assert member_bag.health(bag, 'b0', 'a0') is DEAD
-    assert member_bag.health(bag, 'a0', 'a1') is ALIVE
-    bag.cut = set()
-    member_bag.run_until(bag, bag.now_ms + 60_000.0)
-    assert member_bag.all_alive(bag)
+    network = settled()
+    network.isolated = {
+        entry for entry in network.worlds if entry.startswith('a')
+    }
+    member_network.run_until(network, network.now_ms + 60_000.0)
+    assert member_network.health(network, 'a0', 'b0') is DEAD
+    assert member_network.health(network, 'b0', 'a0') is DEAD
+    assert member_network.health(network, 'a0', 'a1') is ALIVE
+    network.isolated = set()
+    member_network.run_until(network, network.now_ms + 60_000.0)
+    assert member_network.all_alive(network)
 
 
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=6)
@@ -89,118 +91,124 @@
     st.integers(0, 99), st.floats(0.0, 0.15), st.floats(0.0, 100.0)
 )
 def test_lost_and_late_messages_kill_nobody_for_good(seed, drop, delay_ms):
-    bag = settled({'a': 3, 'b': 3}, seed)
-    bag.drop_share, bag.delay_max_ms = drop, delay_ms
-    member_bag.run_until(bag, bag.now_ms + 20_000.0)
-    bag.drop_share, bag.delay_max_ms = 0.0, 0.0
-    member_bag.run_until(bag, bag.now_ms + 60_000.0)
-    assert member_bag.all_alive(bag)
+    network = settled({'a': 3, 'b': 3}, seed)
+    network.drop_share, network.delay_max_ms = drop, delay_ms
+    member_network.run_until(network, network.now_ms + 20_000.0)
+    network.drop_share, network.delay_max_ms = 0.0, 0.0
+    member_network.run_until(network, network.now_ms + 60_000.0)
+    assert member_network.all_alive(network)
 
 
 def test_a_paused_entry_takes_nobody_for_dead():
-    bag = settled()
-    bag.dead.add('a0')
-    member_bag.run_until(bag, bag.now_ms + 30_000.0)
-    assert member_bag.views(bag, 'a0') == {DEAD}
-    bag.dead.clear()
-    bag.told.clear()
-    member_bag.feed(bag, 'a0')
-    assert bag.worlds['a0'].counters['members.paused'] == 1
-    member_bag.run_until(bag, bag.now_ms + 30_000.0)
-    assert not [x for x in bag.told if x[1] == 'a0' and 'dead' in x[3]]
-    assert member_bag.all_alive(bag)
+    network = settled()
+    network.stopped.add('a0')
+    member_network.run_until(network, network.now_ms + 30_000.0)
+    assert member_network.health_seen_by_others(network, 'a0') == {DEAD}
+    network.stopped.clear()
+    network.health_changes.clear()
+    member_network.feed(network, 'a0')
+    assert network.worlds['a0'].counters['members.paused'] == 1
+    member_network.run_until(network, network.now_ms + 30_000.0)
+    assert not [
+        x for x in network.health_changes if x[1] == 'a0' and 'dead' in x[3]
+    ]
+    assert member_network.all_alive(network)
 
 
 def test_a_restart_is_a_new_run():
-    bag = settled()
-    bag.worlds['a0'] = member_bag.new_world('a0', 'a', incarnation=2)
-    member_bag.feed(bag, 'a0', inp.PeerSeen('a1', 'a', 'a1:1'))
-    member_bag.run_until(bag, bag.now_ms + 10_000.0)
-    rows = [world.members['a0'] for world in bag.worlds.values()]
+    network = settled()
+    network.worlds['a0'] = member_network.new_world('a0', 'a', incarnation=2)
+    member_network.feed(network, 'a0', inp.PeerSeen('a1', 'a', 'a1:1'))
+    member_network.run_until(network, network.now_ms + 10_000.0)
+    rows = [world.members['a0'] for world in network.worlds.values()]
     assert {(row.incarnation, row.health) for row in rows} == {(2, ALIVE)}
 
 
 def test_a_newcomer_learns_all_members_from_one_seed():
-    bag = settled({'a': 4, 'b': 70})
-    bag.worlds['a9'] = member_bag.new_world('a9', 'a')
-    member_bag.feed(bag, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
-    member_bag.run_until(bag, bag.now_ms + 10_000.0)
-    assert len(bag.worlds['a9'].members) == 75
+    network = settled({'a': 4, 'b': 70})
+    network.worlds['a9'] = member_network.new_world('a9', 'a')
+    member_network.feed(network, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
+    member_network.run_until(network, network.now_ms + 10_000.0)
+    assert len(network.worlds['a9'].members) == 75
 
 
 def test_a_leaving_entry_is_known_at_once_and_stays_leaving():
-    bag = settled()
-    member_bag.feed(bag, 'a0', inp.StopAsked())
-    member_bag.run_until(bag, bag.now_ms + 10.0)
-    neighbours = [member_bag.health(bag, f'a{n}', 'a0') for n in (1, 2, 3)]
+    network = settled()
+    member_network.feed(network, 'a0', inp.StopAsked())
+    member_network.run_until(network, network.now_ms + 10.0)
+    neighbours = [
+        member_network.health(network, f'a{n}', 'a0') for n in (1, 2, 3)
+    ]
     assert neighbours == [LEAVING] * 3
-    member_bag.run_until(bag, bag.now_ms + 20_000.0)
-    assert member_bag.views(bag, 'a0') == {LEAVING}
-    kill(bag, 'a0')
-    member_bag.run_until(bag, bag.now_ms + 10_000.0)
-    assert member_bag.views(bag, 'a0') == {DEAD}
+    member_network.run_until(network, network.now_ms + 20_000.0)
+    assert member_network.health_seen_by_others(network, 'a0') == {LEAVING}
+    kill(network, 'a0')
+    member_network.run_until(network, network.now_ms + 10_000.0)
+    assert member_network.health_seen_by_others(network, 'a0') == {DEAD}
 
 
 def test_a_listed_leave_is_contradicted_by_one_who_stays():
-    bag = settled()
+    network = settled()
     seen = inp.PeerSeen('a0', 'a', 'a0:1', leaving=True)
-    member_bag.feed(bag, 'b0', seen)
-    assert member_bag.health(bag, 'b0', 'a0') is LEAVING
-    member_bag.run_until(bag, bag.now_ms + 20_000.0)
-    member_bag.feed(bag, 'b0', seen)
-    assert member_bag.health(bag, 'b0', 'a0') is ALIVE
+    member_network.feed(network, 'b0', seen)
+    assert member_network.health(network, 'b0', 'a0') is LEAVING
+    member_network.run_until(network, network.now_ms + 20_000.0)
+    member_network.feed(network, 'b0', seen)
+    assert member_network.health(network, 'b0', 'a0') is ALIVE
 
 
 def test_a_lagging_list_brings_nobody_back_and_kills_nobody():
-    bag = settled()
-    kill(bag, 'a0')
-    member_bag.run_until(bag, bag.now_ms + 20_000.0)
+    network = settled()
+    kill(network, 'a0')
+    member_network.run_until(network, network.now_ms + 20_000.0)
     seen = inp.PeerSeen('a0', 'a', 'a0:1')
-    member_bag.feed(bag, 'b0', seen)
-    assert member_bag.health(bag, 'b0', 'a0') is DEAD
-    later_ms = bag.now_ms + const.DEAD_KEPT_MS
-    for world in bag.worlds.values():
+    member_network.feed(network, 'b0', seen)
+    assert member_network.health(network, 'b0', 'a0') is DEAD
+    later_ms = network.now_ms + const.DEAD_KEPT_MS
+    for world in network.worlds.values():
         beliefs.forget(world, later_ms)
-    member_bag.run_until(bag, bag.now_ms + 120_000.0)
-    assert member_bag.views(bag, 'a0') == {None}
-    assert member_bag.views(bag, 'a1') == {ALIVE}
+    member_network.run_until(network, network.now_ms + 120_000.0)
+    assert member_network.health_seen_by_others(network, 'a0') == {None}
+    assert member_network.health_seen_by_others(network, 'a1') == {ALIVE}
 
 
 def test_messages_and_news_do_not_grow_with_the_fleet():
     sent = []
     for size in (6, 24):
-        bag = settled({'a': size, 'b': size})
-        member_bag.run_until(bag, 20_000.0)
-        bag.sent.clear()
-        member_bag.run_until(bag, 30_000.0)
-        sent.append(sum(bag.sent.values()) / (2 * size))
+        network = settled({'a': size, 'b': size})
+        member_network.run_until(network, 20_000.0)
+        network.sent_counts.clear()
+        member_network.run_until(network, 30_000.0)
+        sent.append(sum(network.sent_counts.values()) / (2 * size))
     assert sent[1] <= sent[0] * 1.1
     [probe] = [
         output
-        for output in core.tick(bag.worlds['a0'], 31_000.0, [])
+        for output in core.tick(network.worlds['a0'], 31_000.0, [])
         if isinstance(output.message, messages.Probe)
     ][:1]
     assert len(probe.message.news) <= const.NEWS_MAX
 
 
 def test_a_domain_that_was_cut_off_rejoins_without_a_burst():
-    bag = settled({'a': 6, 'b': 6, 'c': 6})
-    bag.cut = {entry for entry in bag.worlds if entry.startswith('a')}
-    member_bag.run_until(bag, bag.now_ms + 120_000.0)
-    bag.cut = set()
-    while not member_bag.all_alive(bag):
-        bag.sent.clear()
-        member_bag.run_until(bag, bag.now_ms + 1_000.0)
+    network = settled({'a': 6, 'b': 6, 'c': 6})
+    network.isolated = {
+        entry for entry in network.worlds if entry.startswith('a')
+    }
+    member_network.run_until(network, network.now_ms + 120_000.0)
+    network.isolated = set()
+    while not member_network.all_alive(network):
+        network.sent_counts.clear()
+        member_network.run_until(network, network.now_ms + 1_000.0)
         # Ten pushes to four peers, the probes and their answers.
-        assert sum(bag.sent.values()) <= 18 * (10 * 4 + 10)
-    assert bag.now_ms < 200_000.0
+        assert sum(network.sent_counts.values()) <= 18 * (10 * 4 + 10)
+    assert network.now_ms < 200_000.0
 
 
 def test_entries_given_one_list_do_not_probe_one_entry_together():
-    bag = member_bag.new_bag({'a': 4, 'b': 40})
+    network = member_network.new_network({'a': 4, 'b': 40})
     orders = {
         tuple(world.probes.foreign_order[-3:])
-        for entry, world in bag.worlds.items()
+        for entry, world in network.worlds.items()
         if entry[0] == 'a'
     }
     assert len(orders) == 4
--- a/tests/core/components/store/test_policy.py
+++ b/tests/core/components/store/test_policy.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from core.components.members import member_bag
+from core.components.members import member_network
 from core import samples
 import zinnialead_core as core
 from zinnialead_core.components import store
@@ -18,20 +18,20 @@
 def answer_all(bag, answer):
     """Answer the calls made so far, and return them by kind and entry."""
     found = collections.Counter()
-    calls, bag.calls = bag.calls, []
+    calls, bag.store_calls = bag.store_calls, []
     for _, entry, output in calls:
         found[type(output.call).__name__, entry] += 1
         result = answer(output.call)
-        if result is not None and entry not in bag.dead:
+        if result is not None and entry not in bag.stopped:
             done = inp.StoreDone(output.call_id, result)
-            member_bag.feed(bag, entry, done)
+            member_network.feed(bag, entry, done)
     return found
 
 
 def run(bag, end_ms, answer, step_ms=100.0):
     found = collections.Counter()
     while bag.now_ms < end_ms:
-        member_bag.run_until(bag, bag.now_ms + step_ms)
+        member_network.run_until(bag, bag.now_ms + step_ms)
         found += answer_all(bag, answer)
     return found
 
@@ -51,7 +51,7 @@
 
 
 def test_a_couple_of_readers_a_domain_watch_the_state():
-    bag = member_bag.new_bag(DOMAINS)
+    bag = member_network.new_network(DOMAINS)
     run(bag, 10_000.0, works)
     found = run(bag, 60_000.0, works)
     watchers = {entry for kind, entry in found if kind == 'Watch'}
@@ -62,19 +62,19 @@
 
 
 def test_another_entry_reads_in_place_of_a_dead_one():
-    bag = member_bag.new_bag(DOMAINS)
+    bag = member_network.new_network(DOMAINS)
     run(bag, 10_000.0, works)
     readers = {e for e, w in bag.worlds.items() if tasks.is_reader(w)}
-    bag.dead.add(min(readers))
+    bag.stopped.add(min(readers))
     run(bag, 20_000.0, works)
-    alive = set(bag.worlds) - bag.dead
+    alive = set(bag.worlds) - bag.stopped
     now = {e for e in alive if tasks.is_reader(bag.worlds[e])}
     assert len(now) == 4
-    assert readers - bag.dead < now
+    assert readers - bag.stopped < now
 
 
 def test_a_long_outage_is_met_with_few_calls_and_soon_seen_over():
-    bag = member_bag.new_bag(DOMAINS)
+    bag = member_network.new_network(DOMAINS)
     run(bag, 60_000.0, fails)
     during = run(bag, 120_000.0, fails)
     assert sum(during.values()) <= 60 * 2 * 4
@@ -83,7 +83,7 @@
 
 
 def test_a_start_of_all_at_once_is_spread_out():
-    bag = member_bag.new_bag({'a': 50, 'b': 50})
+    bag = member_network.new_network({'a': 50, 'b': 50})
     seen = []
     while bag.now_ms < 3_000.0:
         found = run(bag, bag.now_ms + 100.0, lambda _: None)
@@ -112,7 +112,7 @@
 
 
 def alone():
-    world = member_bag.new_world('a0', 'a')
+    world = member_network.new_world('a0', 'a')
     list(core.tick(world, 0.0, [inp.PeerSeen('a0', 'a', 'a0:1')]))
     return world
 
@@ -134,7 +134,7 @@
 
 
 def test_the_budget_is_a_share_of_the_fleet():
-    bag = member_bag.new_bag({'a': 30})
+    bag = member_network.new_network({'a': 30})
     world = bag.worlds['a0']
     write = store.Update('keys-1', b'', 1)
     for second in range(10):
@@ -147,15 +147,15 @@
 
 
 def test_all_restart_together_while_the_store_is_slow():
-    bag = member_bag.new_bag({'a': 20, 'b': 20})
+    bag = member_network.new_network({'a': 20, 'b': 20})
     state = samples.state(number=9)
     waiting, calls = [], 0
     while bag.now_ms < 10_000.0:
-        member_bag.run_until(bag, bag.now_ms + 100.0)
-        waiting, bag.calls, calls = (
-            waiting + bag.calls,
+        member_network.run_until(bag, bag.now_ms + 100.0)
+        waiting, bag.store_calls, calls = (
+            waiting + bag.store_calls,
             [],
-            calls + len(bag.calls),
+            calls + len(bag.store_calls),
         )
         due = [x for x in waiting if bag.now_ms - x[0] >= 2_000.0]
         waiting = [x for x in waiting if x not in due]
@@ -164,7 +164,7 @@
             if result is not None:
                 done = inp.StoreDone(output.call_id, result)
                 read = [inp.StateRead(state)] if 'state' in str(result) else []
-                member_bag.feed(bag, entry, *read, done)
+                member_network.feed(bag, entry, *read, done)
     numbers = {w.states['in-force'].number for w in bag.worlds.values()}
     assert numbers == {9}
     assert calls <= 2 * 40
@@ -180,6 +180,6 @@
         after = {'': 'e500', 'e500': 'e900', 'e900': ''}[call.after]
         return store.Listed(next_after=after)
 
-    bag = member_bag.new_bag(DOMAINS)
+    bag = member_network.new_network(DOMAINS)
     run(bag, 5_000.0, in_pages)
     assert asked['e900'] == asked['e500'] == asked[''] > 0
--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from core.components.members import member_bag
+from core.components.members import member_network
 from core import samples
 import zinnialead_core as core
 from zinnialead_core.components import tickets
@@ -38,8 +38,8 @@
 
 
 def settled(domains, seed=1):
-    bag = member_bag.new_bag(domains, seed)
-    member_bag.run_until(bag, 5_000.0)
+    bag = member_network.new_network(domains, seed)
+    member_network.run_until(bag, 5_000.0)
     return bag
 
 
@@ -68,44 +68,44 @@
     bag = settled({'a': 12, 'b': 12, 'c': 12})
     for number in (1, 2, 3):
         read = inp.StateRead(numbered(number, [f'up-{number}']))
-        member_bag.feed(bag, 'a0', read)
-        member_bag.run_until(bag, bag.now_ms + 2_000.0)
+        member_network.feed(bag, 'a0', read)
+        member_network.run_until(bag, bag.now_ms + 2_000.0)
         assert set(in_force(bag)) == {number}
-    assert bag.sent['StateDelta'] >= 2 * 35
+    assert bag.sent_counts['StateDelta'] >= 2 * 35
 
 
 def test_lost_messages_only_delay_a_ticket():
     bag = settled({'a': 6, 'b': 6})
     bag.drop_share = 0.3
-    member_bag.feed(bag, 'a0', inp.StateRead(large(1)))
-    member_bag.run_until(bag, bag.now_ms + 30_000.0)
+    member_network.feed(bag, 'a0', inp.StateRead(large(1)))
+    member_network.run_until(bag, bag.now_ms + 30_000.0)
     assert set(in_force(bag)) == {1}
 
 
 def test_a_newcomer_gets_a_large_state_from_peers_in_ten_seconds():
     bag = settled({'a': 6, 'b': 6})
     state = large(5)
-    member_bag.feed(bag, 'a0', inp.StateRead(state))
-    member_bag.run_until(bag, 30_000.0)
+    member_network.feed(bag, 'a0', inp.StateRead(state))
+    member_network.run_until(bag, 30_000.0)
     assert set(in_force(bag)) == {5}
-    bag.worlds['a9'] = member_bag.new_world('a9', 'a')
-    member_bag.feed(bag, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
-    member_bag.run_until(bag, bag.now_ms + 10_000.0)
+    bag.worlds['a9'] = member_network.new_world('a9', 'a')
+    member_network.feed(bag, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
+    member_network.run_until(bag, bag.now_ms + 10_000.0)
     assert bag.worlds['a9'].states[const.IN_FORCE] == state
 
 
 def test_no_entry_goes_back_over_partition_and_heal():
     bag = settled({'a': 4, 'b': 4})
-    member_bag.feed(bag, 'a0', inp.StateRead(numbered(1)))
-    member_bag.run_until(bag, 10_000.0)
-    bag.cut = {entry for entry in bag.worlds if entry[0] == 'a'}
-    member_bag.feed(bag, 'a0', inp.StateRead(numbered(2)))
-    member_bag.run_until(bag, 30_000.0)
+    member_network.feed(bag, 'a0', inp.StateRead(numbered(1)))
+    member_network.run_until(bag, 10_000.0)
+    bag.isolated = {entry for entry in bag.worlds if entry[0] == 'a'}
+    member_network.feed(bag, 'a0', inp.StateRead(numbered(2)))
+    member_network.run_until(bag, 30_000.0)
     assert sorted(in_force(bag)) == [1] * 4 + [2] * 4
-    bag.cut = set()
+    bag.isolated = set()
     highest = in_force(bag)
     while bag.now_ms < 60_000.0:
-        member_bag.run_until(bag, bag.now_ms + 100.0)
+        member_network.run_until(bag, bag.now_ms + 100.0)
         assert all(x >= y for x, y in zip(in_force(bag), highest, strict=True))
         highest = in_force(bag)
     assert set(highest) == {2}
@@ -190,8 +190,8 @@
 
 def test_a_ticket_that_changes_much_is_in_force_in_time():
     bag = settled({'a': 20, 'b': 20})
-    member_bag.feed(bag, 'a0', inp.StateRead(numbered(1)))
-    member_bag.run_until(bag, bag.now_ms + 2_000.0)
-    member_bag.feed(bag, 'a0', inp.StateRead(large(2)))
-    member_bag.run_until(bag, bag.now_ms + 2_000.0)
+    member_network.feed(bag, 'a0', inp.StateRead(numbered(1)))
+    member_network.run_until(bag, bag.now_ms + 2_000.0)
+    member_network.feed(bag, 'a0', inp.StateRead(large(2)))
+    member_network.run_until(bag, bag.now_ms + 2_000.0)
     assert set(in_force(bag)) == {2}
