Name the slots and the ejection of upstreams in the field's terms

`believed.slots` did not say what it returns. The module is now `capacity` and the function `usable_slots`. `attempt_ended` and `leave_out` are `record_attempt` and `eject`, the usual terms of outlier detection. Counters and dump keys stay.

--- a/packages/core/src/zinnialead_core/components/slots/choice.py
+++ b/packages/core/src/zinnialead_core/components/slots/choice.py
@@ -1,7 +1,7 @@
 """Choose the upstream of a grant and count the slots that can be used."""
 
 from zinnialead_core.components.slots import local
-from zinnialead_core.components.upstreams import believed
+from zinnialead_core.components.upstreams import capacity
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
 
@@ -23,7 +23,7 @@
     best: tuple[bool, int, ids.UpstreamId] | None = None
     for row in here.upstreams:
         health = world.upstreams.get(row.upstream)
-        slots = believed.slots(health, row.slots, now_ms)
+        slots = capacity.usable_slots(health, row.slots, now_ms)
         free = slots - world.queues.in_use.get(row.upstream, 0)
         offer = (row.upstream != avoid, free, row.upstream)
         if free > 0 and (best is None or offer > best):
@@ -37,7 +37,9 @@
     """Return how many slots of a service may be in use at once now."""
     here = local.of(world, service)
     total = sum(
-        believed.slots(world.upstreams.get(row.upstream), row.slots, now_ms)
+        capacity.usable_slots(
+            world.upstreams.get(row.upstream), row.slots, now_ms
+        )
         for row in here.upstreams
     )
     limit = local.in_flight_max(world, now_ms, service)
@@ -61,7 +63,7 @@
 def is_served(world: world_module.World, service: ids.ServiceId) -> bool:
     """Return whether any upstream here takes new work, now or soon."""
     return any(
-        not believed.is_leaving(world.upstreams.get(row.upstream))
+        not capacity.is_leaving(world.upstreams.get(row.upstream))
         for row in local.of(world, service).upstreams
     )
 
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -85,7 +85,7 @@
     _measure(world, row.service, back.end, elapsed_ms)
     siblings = local.of(world, row.service).upstreams
     end = _judged(world, row, back.end, elapsed_ms)
-    outliers.attempt_ended(world, now_ms, row.upstream, siblings, end)
+    outliers.record_attempt(world, now_ms, row.upstream, siblings, end)
     return row
 
 
--- a/packages/core/src/zinnialead_core/components/upstreams/believed.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/capacity.py
@@ -4,14 +4,14 @@
 from zinnialead_core.components.upstreams import models
 
 
-def slots(
+def usable_slots(
     health: models.HealthRow | None, declared: int, now_ms: float
 ) -> int:
     """Return how many slots of an upstream may be in use now.
 
-    >>> slots(None, 5, 0.0)
+    >>> usable_slots(None, 5, 0.0)
     5
-    >>> slots(models.HealthRow('a', leaving=True), 5, 0.0)
+    >>> usable_slots(models.HealthRow('a', leaving=True), 5, 0.0)
     0
     """
     if health is None:
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -50,7 +50,7 @@
     world.upstreams[item.upstream] = row
     if not (item.healthy or row.on_trial or _is_proved(row, now_ms)):
         siblings = local.of(world, known.service).upstreams
-        outliers.leave_out(world, now_ms, row, siblings)
+        outliers.eject(world, now_ms, row, siblings)
     if before is not None and before.leaving != item.leaving:
         yield out.LogChange(
             'upstreams',
--- a/packages/core/src/zinnialead_core/components/upstreams/outliers.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/outliers.py
@@ -16,7 +16,7 @@
 from zinnialead_core import world as world_module
 
 
-def attempt_ended(
+def record_attempt(
     world: world_module.World,
     now_ms: float,
     upstream: ids.UpstreamId,
@@ -36,12 +36,12 @@
             failed = row._replace(failures=row.failures + 1)
             world.upstreams[upstream] = failed
             if failed.on_trial or failed.failures >= const.FAILURES_MAX:
-                leave_out(world, now_ms, failed, siblings)
+                eject(world, now_ms, failed, siblings)
         case slots.SlotEnd.UNUSED | slots.SlotEnd.TIMED_OUT:
             pass
 
 
-def leave_out(
+def eject(
     world: world_module.World,
     now_ms: float,
     row: models.HealthRow,
--- a/tests/core/components/upstreams/test_upstreams.py
+++ b/tests/core/components/upstreams/test_upstreams.py
@@ -8,7 +8,7 @@
 import zinnialead_core as core
 from zinnialead_core.components import slots
 from zinnialead_core.components import tickets
-from zinnialead_core.components.upstreams import believed
+from zinnialead_core.components.upstreams import capacity
 from zinnialead_core.components.upstreams import const
 from zinnialead_core.components.upstreams import models
 from zinnialead_core import inputs as inp
@@ -19,7 +19,7 @@
 def usable(world, now_ms, upstream=FIRST):
     slots_declared = world.states['in-force'].upstreams[upstream].slots
     health = world.upstreams.get(upstream)
-    return believed.slots(health, slots_declared, now_ms)
+    return capacity.usable_slots(health, slots_declared, now_ms)
 
 
 def report(world, now_ms, upstream=FIRST, **fields):
@@ -184,7 +184,7 @@
     st.floats(1e5, 2e5),
 )
 def test_no_belief_exceeds_the_declared_slots(health, declared, now_ms):
-    found = believed.slots(health, declared, now_ms)
+    found = capacity.usable_slots(health, declared, now_ms)
     assert 0 <= found <= declared
     if declared and not health.leaving:
         assert found >= 1
