Name the table of open store calls `open_calls`

`store.open` read as a verb. The field does not leave the process; the dump already had `open_calls`.

make check passed; pytest tests/core tests/daemon passed.

--- a/packages/core/src/zinnialead_core/components/store/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/store/diagnostics.py
@@ -15,5 +15,6 @@
 def dump(world: world_module.World) -> StoreDump:
     """Return the store's part of the state dump."""
     return StoreDump(
-        open_calls=len(world.store.open), failures=world.store.failures[0]
+        open_calls=len(world.store.open_calls),
+        failures=world.store.failures[0],
     )
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -27,7 +27,7 @@
     world.store.sequence[0] += 1
     call_id = world.store.sequence[0]
     deadline_ms = now_ms + timeout_ms
-    world.store.open[call_id] = models.OpenRow(call, deadline_ms)
+    world.store.open_calls[call_id] = models.OpenRow(call, deadline_ms)
     return out.CallStore(call_id, call, deadline_ms)
 
 
@@ -40,7 +40,7 @@
 
 def lost_calls(world: world_module.World, now_ms: float) -> abc.Iterator[int]:
     """Yield the open calls whose end should have come long ago."""
-    for call_id, row in list(world.store.open.items()):
+    for call_id, row in list(world.store.open_calls.items()):
         if now_ms > row.deadline_ms + const.LOST_MARGIN_MS:
             yield call_id
 
--- a/packages/core/src/zinnialead_core/components/store/models.py
+++ b/packages/core/src/zinnialead_core/components/store/models.py
@@ -47,7 +47,7 @@
     failed in a row, ``version`` the state object's version if known.
     """
 
-    open: dict[int, OpenRow]
+    open_calls: dict[int, OpenRow]
     sequence: list[int]
     failures: list[int]
     budgets: dict[Budget, buckets.BucketRow]
--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -37,7 +37,9 @@
 def step(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
     """Make the calls that are due, and start the timer of the next."""
     for call_id in limits.lost_calls(world, now_ms):
-        lost = calls.Failed(world.store.open[call_id].call.name, 'no end')
+        lost = calls.Failed(
+            world.store.open_calls[call_id].call.name, 'no end'
+        )
         done(world, now_ms, call_id, lost)
     for task, row in world.store.tasks.items():
         if row.call_id is not None or now_ms < row.due_ms:
@@ -53,7 +55,7 @@
     result: calls.Result,
 ) -> None:
     """Take in the end of a call, and plan the next if it was a task's."""
-    world.store.open.pop(call_id, None)
+    world.store.open_calls.pop(call_id, None)
     _count(world, result)
     for task, row in world.store.tasks.items():
         if row.call_id == call_id:
--- a/tests/core/components/store/test_policy.py
+++ b/tests/core/components/store/test_policy.py
@@ -141,7 +141,7 @@
         for _ in range(100):
             limits.open_call(world, second * 1_000.0, write)
     share = const.FLEET_WRITES_PER_S / 30
-    written = sum(row.call == write for row in world.store.open.values())
+    written = sum(row.call == write for row in world.store.open_calls.values())
     assert written <= const.BURST_CALLS + 10 * share
     assert world.counters['store.over_budget'] > 0
 
--- a/tests/daemon/components/store/test_client.py
+++ b/tests/daemon/components/store/test_client.py
@@ -33,8 +33,8 @@
 async def result(client, call, left_ms=5_000.0):
     """Make one call and return what the core is told of it."""
     world = client.engine.world
-    call_id = 1_000 + len(world.store.open)
-    world.store.open[call_id] = None
+    call_id = 1_000 + len(world.store.open_calls)
+    world.store.open_calls[call_id] = None
     told = []
     feed = clients.coordinator._feed
 
