Name inputs and timers after what happened

`CallerGone`, `StopAsked` and `SlotGone` are `CallerDisconnected`, `StopRequested` and `SlotReleased`; `ClaimWanted`, `SlotWanted` and `ConfirmWanted` are `ClaimRequested`, `SlotRequested` and `ConfirmationRequested`. The timers `SuspicionOver` and `NewsDue` are `SuspicionTimeout` and `GossipDue`. None of these names leaves the process.

--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -29,9 +29,9 @@
     """
     for item in inputs:
         match item:
-            case inp.ClaimWanted():
+            case inp.ClaimRequested():
                 yield from _want(world, now_ms, item)
-            case inp.ConfirmWanted(request_id):
+            case inp.ConfirmationRequested(request_id):
                 yield from claims.confirm(world, now_ms, request_id)
             case inp.ClaimEnded(request_id, outcome):
                 yield from ends.on_ended(world, now_ms, request_id, outcome)
@@ -53,7 +53,7 @@
 
 
 def _want(
-    world: world_module.World, now_ms: float, item: inp.ClaimWanted
+    world: world_module.World, now_ms: float, item: inp.ClaimRequested
 ) -> abc.Iterator[out.Output]:
     claim = models.ClaimRow(
         item.request_id, item.key, item.created_ms, item.deadline_ms
--- a/packages/core/src/zinnialead_core/components/members/beliefs.py
+++ b/packages/core/src/zinnialead_core/components/members/beliefs.py
@@ -111,7 +111,7 @@
         return
     if row.entry == world.node.ref.entry:
         if item.leaving and row.health is models.Health.ALIVE:
-            yield out.Notify(inp.StopAsked())
+            yield out.Notify(inp.StopRequested())
         return
     if row.incarnation == 0:
         row = row._replace(domain=item.domain, address=item.address)
@@ -194,14 +194,14 @@
     if row.health is models.Health.SUSPECT:
         _start_suspicion(world, now_ms, row)
         return
-    timers.stop(world.timers, timers.SuspicionOver(row.entry))
+    timers.stop(world.timers, timers.SuspicionTimeout(row.entry))
 
 
 def _start_suspicion(
     world: world_module.World, now_ms: float, row: models.MemberRow
 ) -> None:
     due_ms = now_ms + _suspicion_ms(world, row)
-    timers.start(world.timers, timers.SuspicionOver(row.entry), due_ms)
+    timers.start(world.timers, timers.SuspicionTimeout(row.entry), due_ms)
 
 
 def _suspicion_ms(world: world_module.World, row: models.MemberRow) -> float:
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -36,7 +36,7 @@
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
-            case inp.StopAsked():
+            case inp.StopRequested():
                 yield from _leave(world)
             case inp.StateChanged(number):
                 row = views.own(world)._replace(state_number=number)
@@ -110,9 +110,9 @@
             yield from probing.next_round(world, now_ms)
         case timers.ProbeTimeout():
             yield from probing.unanswered(world, now_ms, timer)
-        case timers.SuspicionOver(entry):
+        case timers.SuspicionTimeout(entry):
             yield from beliefs.give_up(world, now_ms, entry)
-        case timers.NewsDue():
+        case timers.GossipDue():
             yield from gossip.push(world, now_ms)
 
 
--- a/packages/core/src/zinnialead_core/components/members/gossip.py
+++ b/packages/core/src/zinnialead_core/components/members/gossip.py
@@ -22,9 +22,9 @@
     """Note that an entry's row is news, to be pushed soon."""
     world.probes.news[entry] = 0
     world.probes.urgent[entry] = None
-    if timers.NewsDue() not in world.timers.due_ms:
+    if timers.GossipDue() not in world.timers.due_ms:
         due_ms = now_ms + const.URGENT_PERIOD_MS * world.random.random()
-        timers.start(world.timers, timers.NewsDue(), due_ms)
+        timers.start(world.timers, timers.GossipDue(), due_ms)
 
 
 def push(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
@@ -45,7 +45,7 @@
     )
     if urgent:
         due_ms = now_ms + const.URGENT_PERIOD_MS
-        timers.start(world.timers, timers.NewsDue(), due_ms)
+        timers.start(world.timers, timers.GossipDue(), due_ms)
 
 
 def tell(
--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -25,14 +25,14 @@
     """Send a request, once its key is confirmed, to its slot's upstream."""
     row = world.requests.rows.get(request_id)
     if row is None or row.attempt != attempt:
-        yield out.Notify(inp.SlotGone(request_id, attempt))
+        yield out.Notify(inp.SlotReleased(request_id, attempt))
         return
     if row.phase is not models.Phase.SLOT:
         return
     row = row._replace(phase=models.Phase.CONFIRM, upstream=upstream)
     world.requests.rows[request_id] = row
     if row.keyed:
-        yield out.Notify(inp.ConfirmWanted(request_id))
+        yield out.Notify(inp.ConfirmationRequested(request_id))
         return
     yield from confirmed(world, now_ms, request_id)
 
@@ -46,7 +46,7 @@
         return
     known = world.states['in-force'].upstreams.get(row.upstream or NOWHERE)
     if known is None or now_ms >= row.deadline_ms:
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         yield from endings.refuse(world, row, _no_more(row, row.upstream))
         return
     world.requests.rows[request_id] = row._replace(phase=models.Phase.UPSTREAM)
@@ -71,7 +71,7 @@
     row = world.requests.rows.get(item.request_id)
     if row is None or row.attempt != item.attempt:
         world.counters['requests.late_outcome'] += 1
-        yield out.Notify(inp.SlotGone(item.request_id, item.attempt))
+        yield out.Notify(inp.SlotReleased(item.request_id, item.attempt))
         return
     if row.phase not in models.AT_UPSTREAM:
         world.counters['requests.late_outcome'] += 1
@@ -87,12 +87,14 @@
             yield from _failed(world, now_ms, row, item.outcome)
 
 
-def _slot_gone(row: models.RequestRow, item: inp.DispatchDone) -> inp.SlotGone:
+def _slot_gone(
+    row: models.RequestRow, item: inp.DispatchDone
+) -> inp.SlotReleased:
     """Tell of the slot; a cancelled attempt says nothing of upstreams."""
     outcome: verdict.Outcome | None = item.outcome
     if row.caller_gone:
         outcome = None
-    return inp.SlotGone(
+    return inp.SlotReleased(
         item.request_id,
         item.attempt,
         outcome,
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -42,13 +42,13 @@
                 yield from answers.started(world, request_id, attempt)
             case inp.DispatchDone():
                 yield from attempts.done(world, now_ms, item)
-            case inp.CallerGone(request_id):
+            case inp.CallerDisconnected(request_id):
                 yield from endings.caller_gone(world, now_ms, request_id)
             case inp.TimerDue(timers.RequestDeadline(request_id)):
                 yield from endings.deadline(world, now_ms, request_id)
             case inp.TimerDue(timers.RetryDue(request_id)):
                 yield from _want_slot(world, request_id)
-            case inp.StopAsked():
+            case inp.StopRequested():
                 world.requests.stopping.add(STOPPING)
                 yield from endings.stopped_if_idle(world)
 
@@ -93,7 +93,7 @@
         yield from _want_slot(world, item.request_id)
         return
     yield out.Notify(
-        inp.ClaimWanted(
+        inp.ClaimRequested(
             item.request_id, item.key, item.key_created_ms, row.deadline_ms
         )
     )
@@ -109,7 +109,7 @@
         return
     row = row._replace(phase=models.Phase.SLOT, attempt=row.attempt + 1)
     world.requests.rows[request_id] = row
-    yield out.Notify(inp.SlotWanted(request_id, row.attempt))
+    yield out.Notify(inp.SlotRequested(request_id, row.attempt))
 
 
 def _slot_refused(
@@ -131,7 +131,7 @@
     if row.phase not in (models.Phase.CLAIM, models.Phase.CONFIRM):
         return
     if row.phase is models.Phase.CONFIRM:
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
     match denial:
         case keys.Recorded(status, record):
             world.counters['requests.replayed'] += 1
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/endings.py
@@ -47,7 +47,7 @@
         return
     if row.phase is models.Phase.ENDING:
         world.counters['requests.ending_dropped'] += 1
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         lost = verdict.Lost(f'no end of attempt {row.attempt}')
         yield from ended(world, row, lost)
         return
@@ -128,7 +128,7 @@
     if row.phase not in models.AT_UPSTREAM:
         if row.keyed and row.phase is models.Phase.CLAIM:
             refusal = claims.overdue(world, request_id)
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
     ending = row._replace(
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -59,7 +59,7 @@
 
 
 def give_back(
-    world: world_module.World, now_ms: float, item: inp.SlotGone
+    world: world_module.World, now_ms: float, item: inp.SlotReleased
 ) -> abc.Iterator[out.Output]:
     """Give back a request's slot, or take its ask out of the queue."""
     ask_id = ids.AskId(world.node.ref, item.request_id, item.attempt)
@@ -258,7 +258,7 @@
     return member is not None and member.domain == row.domain
 
 
-def _end_of(item: inp.SlotGone) -> models.SlotEnd:
+def _end_of(item: inp.SlotReleased) -> models.SlotEnd:
     match item.outcome:
         case None | verdict.NeverStarted():
             return models.SlotEnd.UNUSED
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -31,9 +31,9 @@
     yield from _members_changed(world, now_ms, inputs)
     for item in inputs:
         match item:
-            case inp.SlotWanted(request_id, attempt):
+            case inp.SlotRequested(request_id, attempt):
                 yield from asker.ask(world, now_ms, request_id, attempt)
-            case inp.SlotGone():
+            case inp.SlotReleased():
                 yield from asker.give_back(world, now_ms, item)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
@@ -96,7 +96,7 @@
                 _lost(world, now_ms, earlier)
                 renewed.add(ref.entry)
                 changed = True
-            case inp.MemberChanged() | inp.StopAsked():
+            case inp.MemberChanged() | inp.StopRequested():
                 changed = True
     if changed:
         ownership.refresh(world, now_ms)
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CallerGone:
+class CallerDisconnected:
     """Report that the caller of a request went away."""
 
     request_id: ids.RequestId
@@ -123,7 +123,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClaimWanted:
+class ClaimRequested:
     """Tell the keys system to claim a request's key."""
 
     request_id: ids.RequestId
@@ -140,7 +140,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConfirmWanted:
+class ConfirmationRequested:
     """Tell the keys system that a request with a claim has its slot."""
 
     request_id: ids.RequestId
@@ -177,7 +177,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SlotWanted:
+class SlotRequested:
     """Tell the slots system that a request waits for a slot."""
 
     request_id: ids.RequestId
@@ -185,7 +185,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SlotGone:
+class SlotReleased:
     """Tell the slots system that a request needs its slot no more.
 
     ``outcome`` is how the attempt ended, None where none was made;
@@ -219,7 +219,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StopAsked:
+class StopRequested:
     """Ask the entry to stop without cutting a request in flight."""
 
 
@@ -232,7 +232,7 @@
 
 Input = (
     RequestArrived
-    | CallerGone
+    | CallerDisconnected
     | AnswerStarted
     | DispatchDone
     | UpstreamReport
@@ -244,17 +244,17 @@
     | MemberLost
     | MemberJoined
     | MemberChanged
-    | ClaimWanted
+    | ClaimRequested
     | ClaimHeld
-    | ConfirmWanted
+    | ConfirmationRequested
     | ClaimConfirmed
     | ClaimDenied
     | ClaimEnded
     | ClaimClosed
-    | SlotWanted
-    | SlotGone
+    | SlotRequested
+    | SlotReleased
     | SlotHeld
     | SlotRefused
-    | StopAsked
+    | StopRequested
     | TimerDue
 )
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -77,14 +77,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SuspicionOver:
+class SuspicionTimeout:
     """Fire when a suspected entry is to be taken for dead."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class NewsDue:
+class GossipDue:
     """Fire when urgent news of members is to be pushed."""
 
 
@@ -121,8 +121,8 @@
     | SlotsDue
     | ProbeRound
     | ProbeTimeout
-    | SuspicionOver
-    | NewsDue
+    | SuspicionTimeout
+    | GossipDue
     | SpreadRound
     | StoreDue
     | LoadRound
--- a/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
@@ -23,7 +23,7 @@
         exchange.gone = True
     if exchange.decision is None:
         front.engine.world.counters['front.caller_gone'] += 1
-        engines.feed(front.engine, inp.CallerGone(exchange.request_id))
+        engines.feed(front.engine, inp.CallerDisconnected(exchange.request_id))
 
 
 async def _read_body(exchange: models.Exchange, receive: http.Receive) -> None:
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -171,7 +171,7 @@
         return
     if exchange.decision is None:
         front.engine.world.counters['front.undecided'] += 1
-        engines.feed(front.engine, inp.CallerGone(exchange.request_id))
+        engines.feed(front.engine, inp.CallerDisconnected(exchange.request_id))
         await answers.refuse(send, answers.UNDECIDED)
         return
     await answers.send_decision(send, exchange, exchange.decision)
--- a/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
@@ -53,7 +53,7 @@
                 engine.world.states['in-force']
             )
         case 'POST', const.STOP_PATH:
-            engines.feed(engine, inp.StopAsked())
+            engines.feed(engine, inp.StopRequested())
             in_hand = len(engine.world.requests.rows)
             return models.Stopping(stopping=True, in_hand=in_hand)
         case method, path:
--- a/packages/daemon/src/zinnialead_daemon/main.py
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -126,7 +126,7 @@
                 nursery.cancel_scope.cancel()
             case _:
                 asked = True
-                engines.feed(application.engine, inp.StopAsked())
+                engines.feed(application.engine, inp.StopRequested())
 
 
 def _bound_files(connections_max: int) -> None:
--- a/packages/lab/src/zinnialead_lab/demo/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/demo/coordinator.py
@@ -105,7 +105,7 @@
         aim = work.everywhere(demo)
         nursery.start_soon(work.calm, demo, 'stop', aim)
         await trio.sleep(const.CALM_S / 3)
-        engines.feed(application.engine, inp.StopAsked())
+        engines.feed(application.engine, inp.StopRequested())
     cut = [
         row
         for row in demo.done
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -140,7 +140,7 @@
         case Resume(entry):
             _resume(fleet, entry)
         case Stop(entry):
-            entries.feed(fleet, entry, inp.StopAsked())
+            entries.feed(fleet, entry, inp.StopRequested())
         case _:
             _inject_around(fleet, injection)
 
--- a/packages/lab/src/zinnialead_lab/fleet/plain.py
+++ b/packages/lab/src/zinnialead_lab/fleet/plain.py
@@ -37,7 +37,7 @@
                 yield from _try(table, now_ms, row)
             case inp.DispatchDone(request_id, attempt, outcome):
                 yield from _done(table, now_ms, request_id, attempt, outcome)
-            case inp.StopAsked():
+            case inp.StopRequested():
                 yield out.Stopped()
 
 
--- a/tests/core/components/keys/bag.py
+++ b/tests/core/components/keys/bag.py
@@ -124,14 +124,14 @@
     holder = bag.worlds[name].node.ref
     due_ms = bag.now_ms[0] + SKEWS_MS[name] + deadline_ms
     bag.copies[request_id] = Copy(request_id, holder, key, due_ms)
-    feed(bag, name, inp.ClaimWanted(request_id, key, None, due_ms))
+    feed(bag, name, inp.ClaimRequested(request_id, key, None, due_ms))
     return request_id
 
 
 def confirm(bag: Bag, request_id: int) -> None:
     """Tell the keys system that a request's slot has come."""
     name = bag.copies[request_id].holder.entry
-    feed(bag, name, inp.ConfirmWanted(request_id))
+    feed(bag, name, inp.ConfirmationRequested(request_id))
 
 
 def dispatch(bag: Bag, copy: Copy) -> None:
--- a/tests/core/components/keys/test_binding.py
+++ b/tests/core/components/keys/test_binding.py
@@ -39,7 +39,7 @@
 
 
 def want(world, request_id=1, now_ms=NOW_MS, created_ms=None):
-    wanted = inp.ClaimWanted(request_id, KEY, created_ms, now_ms + 3_000.0)
+    wanted = inp.ClaimRequested(request_id, KEY, created_ms, now_ms + 3_000.0)
     return feed(world, now_ms, wanted)
 
 
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -130,7 +130,7 @@
 
 def test_a_leaving_entry_is_known_at_once_and_stays_leaving():
     bag = settled()
-    member_bag.feed(bag, 'a0', inp.StopAsked())
+    member_bag.feed(bag, 'a0', inp.StopRequested())
     member_bag.run_until(bag, bag.now_ms + 10.0)
     neighbours = [member_bag.health(bag, f'a{n}', 'a0') for n in (1, 2, 3)]
     assert neighbours == [LEAVING] * 3
--- a/tests/core/components/requests/test_endings.py
+++ b/tests/core/components/requests/test_endings.py
@@ -41,7 +41,7 @@
 def test_the_slot_of_a_caller_that_left_is_held_until_its_attempt_ends():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
-    outputs = tick(world, 1.0, inp.CallerGone(1))
+    outputs = tick(world, 1.0, inp.CallerDisconnected(1))
     assert outputs[0] == out.CancelDispatch(1, 1)
     assert not dispatches(outputs)
     outputs = tick(world, 2.0, done(1, verdict.NeverStarted()))
@@ -52,7 +52,7 @@
 def test_a_caller_that_left_is_never_retried_for():
     world = samples.world()
     tick(world, 0.0, samples.request(1))
-    tick(world, 1.0, inp.CallerGone(1))
+    tick(world, 1.0, inp.CallerDisconnected(1))
     tick(world, 2.0, done(1, SHED))
     assert not world.requests.rows
     assert world.counters['requests.retried'] == 0
@@ -61,7 +61,7 @@
 def test_a_caller_that_leaves_the_queue_costs_no_slot():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
-    tick(world, 1.0, inp.CallerGone(2))
+    tick(world, 1.0, inp.CallerDisconnected(2))
     assert not tick(world, 2.0, done(1, verdict.Answered(200)))[1:]
     assert not world.requests.rows
 
@@ -79,7 +79,7 @@
 def test_keyed_work_heard_out_after_its_caller_left_is_replayed():
     world = samples.world()
     tick(world, 0.0, booking(1))
-    outputs = tick(world, 1.0, inp.CallerGone(1))
+    outputs = tick(world, 1.0, inp.CallerDisconnected(1))
     assert outputs[0] == out.CancelDispatch(1, 1)
     tick(world, 2.0, done(1, verdict.Answered(201, b'booked')))
     assert tick(world, 3.0, booking(2)) == [out.Replay(2, 201, b'booked')]
@@ -88,7 +88,7 @@
 def test_keyed_work_that_was_shed_after_its_caller_left_may_be_sent_again():
     world = samples.world()
     tick(world, 0.0, booking(1))
-    tick(world, 1.0, inp.CallerGone(1))
+    tick(world, 1.0, inp.CallerDisconnected(1))
     tick(world, 2.0, done(1, SHED))
     assert dispatches(tick(world, 3.0, booking(2)))
 
@@ -129,7 +129,7 @@
 def test_a_stop_admits_nothing_and_ends_what_is_in_hand():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
-    outputs = tick(world, 1.0, inp.StopAsked(), samples.request(3))
+    outputs = tick(world, 1.0, inp.StopRequested(), samples.request(3))
     [refuse] = [x for x in outputs if isinstance(x, out.Refuse)]
     assert refuse.refusal.reason is verdict.Reason.STOPPING
     assert refuse.refusal.verdict is verdict.Verdict.NOT_RUN
@@ -176,7 +176,7 @@
                 number, 'intake', key=key, deadline_ms=now_ms + 5_000.0
             )
         todo = tick(world, now_ms, item)
-        gone = [inp.CallerGone(number)] if leaves else []
+        gone = [inp.CallerDisconnected(number)] if leaves else []
         while number in world.requests.rows or todo:
             for output in todo:
                 match output:
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -65,7 +65,7 @@
         item = request(number, LATER_MS)
         asking.pump(worlds, LATER_MS, other, item)
     assert worlds[owner].queues.queued
-    asking.pump(worlds, 1_000.0, owner, inp.StopAsked())
+    asking.pump(worlds, 1_000.0, owner, inp.StopRequested())
     assert not worlds[owner].queues.queued
     assert len(worlds[other].queues.grants) == 3
     assert len(worlds[other].queues.queued) == 1
@@ -143,7 +143,7 @@
     alone = {other: worlds[other]}
     asking.pump(alone, LATER_MS, other, request(1, LATER_MS))
     [ask_id] = worlds[other].asks
-    asking.pump(alone, LATER_MS, other, inp.CallerGone(1))
+    asking.pump(alone, LATER_MS, other, inp.CallerDisconnected(1))
     late = slots.SlotAnswer(ask_id, 'pricebook-1')
     given = inp.PeerMessage(ids.EntryRef(owner, 1), late)
     assert list(core.tick(worlds[other], LATER_MS + 1.0, [given])) == [
@@ -171,7 +171,7 @@
     owner, other = owner_and_other(worlds)
     item = request(1, LATER_MS)
     asking.pump(worlds, LATER_MS, other, item)
-    stop = inp.StopAsked()
+    stop = inp.StopRequested()
     sent = [*core.tick(worlds[owner], 1_000.0, [stop])]
     sent += core.tick(worlds[owner], 1_000.0, [stop])
     reports = [
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -61,7 +61,7 @@
 def test_a_stop_waits_for_work_in_flight():
     world = samples.world()
     list(core.tick(world, 0.0, [samples.request(1)]))
-    assert list(core.tick(world, 1.0, [inp.StopAsked()])) == []
+    assert list(core.tick(world, 1.0, [inp.StopRequested()])) == []
     done = inp.DispatchDone(1, 1, verdict.Answered(200))
     outputs = list(core.tick(world, 9.0, [done]))
     assert outputs == [out.Relay(1, 1), out.Stopped()]
@@ -83,7 +83,7 @@
 
 def test_a_stop_is_told_after_what_came_with_it():
     world = samples.world()
-    inputs = [inp.StopAsked(), samples.request(1)]
+    inputs = [inp.StopRequested(), samples.request(1)]
     [refusal, stopped] = core.tick(world, 0.0, inputs)
     assert isinstance(refusal, out.Refuse)
     assert stopped == out.Stopped()
@@ -98,7 +98,7 @@
     ask_id = ids.AskId(samples.REF, 1, 0)
     granted = keys.ClaimAnswer(claim.key, ask_id, keys.Granted())
     list(core.tick(world, 1.0, [inp.PeerMessage(other, granted)]))
-    list(core.tick(world, 2.0, [inp.StopAsked()]))
+    list(core.tick(world, 2.0, [inp.StopRequested()]))
     done = inp.DispatchDone(1, 1, verdict.Answered(200))
     outputs = list(core.tick(world, 9.0, [done]))
     assert out.Stopped() not in outputs
--- a/tests/daemon/test_application.py
+++ b/tests/daemon/test_application.py
@@ -59,7 +59,7 @@
         entry_nursery.start_soon(ask, addresses.callers)
         await reached.wait()
         app.linger_s = 0.0
-        engines.feed(app.engine, inp.StopAsked())
+        engines.feed(app.engine, inp.StopRequested())
         finish.set()
     assert app.stopped.is_set()
     assert [answer.content for answer in answers] == [b'whole']
