--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -134,7 +134,7 @@
 
 def test_a_leaving_entry_is_known_at_once_and_stays_leaving():
     network = settled()
-    member_network.feed(network, 'a0', inp.StopAsked())
+    member_network.feed(network, 'a0', inp.StopRequested())
     member_network.run_until(network, network.now_ms + 10.0)
     neighbours = [
         member_network.health(network, f'a{n}', 'a0') for n in (1, 2, 3)
