Describe the choice of upstreams in the terms of load balancing

placement/abroad is remote_share (home, abroad, near and far are local and remote), placement/cold is cold_rate_limit, and placement/orders is rendezvous, after the hashing it does. Functions named of, earn, fade, believed, sent and _pick say what they return or do: get, add_overflow_credit, decay, estimate, record_send, _choose_in_group. An upstream that is out is ejected, one that remembers an object has it cached, what it told is reported. Constants such as ROOM_BY_RANK, LOAD_APART and STEP_OUT are LOAD_MAX_BY_RANK, LOAD_MARGIN and REMOTE_SHARE_STEP_UP; every reason and number in their comments stays.

LoadRow, which the state dump writes out, keeps its fields, and the text 'abroad|' that is hashed is unchanged.

--- a/packages/core/src/zinnialead_core/gateway/placement/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Choose the upstream of a request, by its object and by load."""
+"""Choose the upstream of a request by its object and by load."""
--- a/packages/core/src/zinnialead_core/gateway/placement/cold.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -1,4 +1,4 @@
-"""Keep what cold upstreams get below their rate, over all entries."""
+"""Limit the rate at which cold upstreams get requests from all entries."""
 
 from zinnialead_core.gateway.entries import members as entries
 from zinnialead_core.gateway import hashing
@@ -12,52 +12,57 @@
 def may_send(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> bool:
-    """Return whether this entry may send an upstream one more now."""
+    """Return whether this entry may send an upstream one more request."""
     if not upstreams.is_cold(world, now_ms, upstream):
         return True
-    if not _is_keeper(world, now_ms, upstream):
+    if not _is_sender(world, now_ms, upstream):
         return False
-    sent = _last_second(world, now_ms, upstream)
-    return len(sent) < _own_rate(world, upstream)
+    send_times_ms = _recent_sends_ms(world, now_ms, upstream)
+    return len(send_times_ms) < _own_rate_per_s(world, upstream)
 
 
-def sent(
+def record_send(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> None:
     """Count a request that is sent to an upstream, if it is cold."""
     if upstreams.is_cold(world, now_ms, upstream):
-        _last_second(world, now_ms, upstream).append(now_ms)
+        _recent_sends_ms(world, now_ms, upstream).append(now_ms)
 
 
-def _last_second(
+def _recent_sends_ms(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> list[float]:
-    times = world.placement.cold_sent.setdefault(upstream, [])
-    times[:] = [x for x in times if now_ms - x < const.COLD_WINDOW_MS]
-    return times
+    """Return the times of the sends in the window; drop older ones."""
+    times_ms = world.placement.cold_sends_ms.setdefault(upstream, [])
+    times_ms[:] = [x for x in times_ms if now_ms - x < const.COLD_WINDOW_MS]
+    return times_ms
 
 
-def _own_rate(world: world_module.World, upstream: ids.UpstreamId) -> int:
-    known = routes.active_configuration(world)
+def _own_rate_per_s(
+    world: world_module.World, upstream: ids.UpstreamId
+) -> int:
+    configuration = routes.active_configuration(world)
     row = world.upstreams.rows[upstream]
-    service = known.services.get(row.service) if known else None
+    service = (
+        configuration.services.get(row.service) if configuration else None
+    )
     if service is None:
         return 1
-    return max(1, int(service.cold_per_s / const.COLD_KEEPERS))
+    return max(1, int(service.cold_per_s / const.COLD_SENDERS))
 
 
-def _is_keeper(
+def _is_sender(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> bool:
-    """Return whether this entry is one of those that use the upstream.
+    """Return whether this entry is one of those that use a cold upstream.
 
-    They stand in its own region; another region leaves it alone.
+    Only entries of the upstream's own region send to it.
     """
     row = world.upstreams.rows[upstream]
     if world.node.regions.get(row.domain) != world.node.region:
         return False
     present = entries.present_in_region(world, now_ms)
-    # The strong ones get the callers.
+    # Callers are directed to the fastest entries.
     ordered = sorted(
         present,
         key=lambda name: (
@@ -65,5 +70,5 @@
             hashing.weight(upstream, name),
         ),
     )
-    keepers = ordered[: const.COLD_KEEPERS]
-    return str(world.node.ref.entry) in keepers
+    senders = ordered[: const.COLD_SENDERS]
+    return str(world.node.ref.entry) in senders
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -1,55 +1,61 @@
 """Hold the constants of the placement component."""
 
-# The load that others put on an upstream is forgotten after this time.
-TOLD_MAX_AGE_MS = 1_200.0
-# Ranks by urgency: the load, in slots, up to which an upstream gets more
-# work.  Less urgent work leaves slots free; urgent work may queue there.
-ROOM_BY_RANK = (2.2, 1.6, 0.65)
-# Below this load an object stays at its first upstream, and only an
-# upstream below the second takes it over: an object that an upstream does
-# not remember takes three times as long there.
-PREFERRED_ROOM = (1.3, 1.2, 0.65)
-OTHER_ROOM = (0.8, 0.8, 0.5)
-# An object uses at most this share of a region's upstreams, and so many:
-# on more of them it would push others out of their memory, and work that
-# nobody remembers keeps a full service full.
+# Age at which the load that other entries put on an upstream, as it last
+# reported, no longer counts.
+REPORTED_LOAD_MAX_AGE_MS = 1_200.0
+# All loads are in requests per slot.  Up to this load an upstream gets more
+# work, by rank, the most urgent first: less urgent work leaves slots free,
+# urgent work may queue at the upstream.
+LOAD_MAX_BY_RANK = (2.2, 1.6, 0.65)
+# Below this load an object stays at its preferred upstream.  Above it, the
+# object moves only to an upstream below the alternative's limit, since work
+# on an object that an upstream has not cached takes three times as long.
+PREFERRED_LOAD_MAX_BY_RANK = (1.3, 1.2, 0.65)
+ALTERNATIVE_LOAD_MAX_BY_RANK = (0.8, 0.8, 0.5)
+# An object uses at most this share of a region's upstreams, and at most
+# this many.  On more of them it would evict other objects from their
+# caches, and the longer uncached work would keep a full service full.
 SPREAD_SHARE = 0.5
 SPREAD_MAX = 2
-# Only a nearly idle upstream beyond those is worth its longer work, and
-# only to work that is urgent.
-IDLE_ROOM = 0.4
+# Beyond those, only a nearly idle upstream makes up for the longer uncached
+# work, and only for urgent requests.
+IDLE_LOAD_MAX = 0.4
 IDLE_RANK_MAX = 1
-# So much less loaded is an upstream worth a move, in slots.
-LOAD_APART = 0.3
+# An upstream must be less loaded than the best so far by this much.
+LOAD_MARGIN = 0.3
 ORDERS_MAX = 5_000
-# After failures in a row an upstream is left out, twice as long each time.
-OUT_MIN_MS = 300.0
-OUT_MAX_MS = 4_000.0
-LOST_IN_A_ROW = 2
-# A moving mean over about the last ten attempts.
+# An upstream is ejected after consecutive failures, for twice as long after
+# each further one.
+EJECTION_MIN_MS = 300.0
+EJECTION_MAX_MS = 4_000.0
+LOST_BEFORE_EJECTION = 2
+# Weight of the latest value in a moving mean over about ten attempts.
 MEAN_WEIGHT = 0.1
-# The usual service time of a route moves over about fifty answers.
-USUAL_WEIGHT = 0.02
-# Failures count sooner: two in a row are beyond ``FAILING_MAX``.
+# The mean service time of a route covers about fifty answers.
+SERVICE_TIME_WEIGHT = 0.02
+# Failures weigh more: two in a row exceed ``FAILING_MAX``.
 FAILURE_WEIGHT = 0.2
 FAILING_MAX = 0.35
 PACE_MAX = 2.5
-# What is held against an upstream fades by this part each balance period,
-# to half in two seconds, since one that is avoided can't show itself well.
-FADE = 0.16
-# Two entries of a region may use a cold upstream, with half of its rate
-# each; entries that disagree on who these are stay below the slack.
-COLD_KEEPERS = 2
+# Failure rate and slowness of an upstream decay by this part each balance
+# period, to half in two seconds, since an upstream that is avoided has few
+# attempts that could show its recovery.
+DECAY = 0.16
+# Two entries of a region may use a cold upstream, each at half of its rate.
+# Where entries disagree on which two, the excess stays within tolerance.
+COLD_SENDERS = 2
 COLD_WINDOW_MS = 1_000.0
-# The share abroad moves by these steps each period: in two seconds less
+# The remote share moves by these steps each period: in two seconds by less
 # than the bound on requests that change their region, 0.15.
 BALANCE_PERIOD_MS = 500.0
-STEP_OUT = 0.025
-STEP_HOME = 0.015
-BUSY_LOAD = 0.8
-IDLE_LOAD = 0.5
-# Fewer slots at home than this share of before are a loss, not a change.
-LOST_SHARE = 0.8
-# Requests that may leave the region out of turn, by request.
-OVERFLOW_SHARE = 0.03
-OVERFLOW_MAX = 3.0
+REMOTE_SHARE_STEP_UP = 0.025
+REMOTE_SHARE_STEP_DOWN = 0.015
+LOCAL_LOAD_HIGH = 0.8
+LOCAL_LOAD_LOW = 0.5
+# Local slots below this share of the last count are a loss of capacity, to
+# which the remote share jumps.
+CAPACITY_LOSS_SHARE = 0.8
+# Credit for requests that may leave the region although their objects are
+# not in the remote share.
+OVERFLOW_CREDIT_PER_REQUEST = 0.03
+OVERFLOW_CREDIT_MAX = 3.0
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -1,15 +1,15 @@
-"""Choose upstreams, and move objects abroad slowly when home is full."""
+"""Choose upstreams, and shift objects to other regions under load."""
 
 from collections import abc
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
-from zinnialead_core.gateway.placement import abroad
-from zinnialead_core.gateway.placement import cold
+from zinnialead_core.gateway.placement import cold_rate_limit
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models
-from zinnialead_core.gateway.placement import orders
+from zinnialead_core.gateway.placement import remote_share
+from zinnialead_core.gateway.placement import rendezvous
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
@@ -21,138 +21,145 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Balance between regions, and forget upstreams that are gone."""
+    """Rebalance between regions, and drop rows of removed upstreams."""
     for item in inputs:
         match item:
             case inp.Started():
-                _next_round(world, now_ms)
+                _schedule_rebalance(world, now_ms)
             case inp.TimerDue(timers.BalanceRound()):
-                abroad.balance(world, now_ms)
-                loads.fade(world)
-                _next_round(world, now_ms)
+                remote_share.rebalance(world, now_ms)
+                loads.decay(world)
+                _schedule_rebalance(world, now_ms)
             case inp.UpstreamDropped(upstream):
                 world.loads.pop(upstream, None)
-                world.placement.cold_sent.pop(upstream, None)
+                world.placement.cold_sends_ms.pop(upstream, None)
     yield from ()
 
 
 def choose(
-    world: world_module.World, now_ms: float, wanted: models.PlacementRequest
+    world: world_module.World, now_ms: float, request: models.PlacementRequest
 ) -> ids.UpstreamId | None:
-    """Return the upstream that a request is sent to, None without room."""
-    order = orders.of_object(world, wanted)
-    groups = [order.near, *order.far]
-    if order.near and order.far and _is_abroad(world, wanted):
+    """Return the upstream for a request, None if none has capacity."""
+    order = rendezvous.order_upstreams(world, request)
+    groups = [order.local, *order.remote]
+    if order.local and order.remote and _is_placed_remotely(world, request):
         groups[0], groups[1] = groups[1], groups[0]
-    for place, group in enumerate(groups):
-        if place == 1 and not _may_leave(world, now_ms, wanted, groups[0]):
+    for index, group in enumerate(groups):
+        if index == 1 and not _may_change_region(
+            world, now_ms, request, groups[0]
+        ):
             return None
-        chosen = _pick(world, now_ms, wanted, group)
+        chosen = _choose_in_group(world, now_ms, request, group)
         if chosen is not None:
             return chosen
     return None
 
 
-def _may_leave(
+def _may_change_region(
     world: world_module.World,
     now_ms: float,
-    wanted: models.PlacementRequest,
+    request: models.PlacementRequest,
     group: tuple[ids.UpstreamId, ...],
 ) -> bool:
-    """Return whether a request may go beyond its steady region.
+    """Return whether a request may leave the region of its object.
 
-    It may where nothing there can take it, and a few may where all is
-    full: many that moved from moment to moment would break the bound on
-    requests that change their region, and be remembered nowhere.
+    Any request may if no upstream there accepts work, and a few may while
+    all are full.  More of them would exceed the bound on requests that
+    change their region, and would find their objects cached nowhere.
     """
-    if wanted.tried or all(
-        loads.is_out(world, now_ms, upstream)
-        or not cold.may_send(world, now_ms, upstream)
+    if request.tried_upstreams or all(
+        loads.is_ejected(world, now_ms, upstream)
+        or not cold_rate_limit.may_send(world, now_ms, upstream)
         for upstream in group
     ):
         return True
-    return abroad.may_overflow(world, wanted.service)
+    return remote_share.take_overflow_credit(world, request.service)
 
 
-def _is_abroad(
-    world: world_module.World, wanted: models.PlacementRequest
+def _is_placed_remotely(
+    world: world_module.World, request: models.PlacementRequest
 ) -> bool:
-    share = abroad.of(world, wanted.service).share
+    share = remote_share.get(world, request.service).share
     if share <= 0.0:
         return False
-    return orders.share_of(f'abroad|{wanted.object_key}') < share
+    return rendezvous.hash_fraction(f'abroad|{request.object_key}') < share
 
 
-def _pick(
+def _choose_in_group(
     world: world_module.World,
     now_ms: float,
-    wanted: models.PlacementRequest,
-    order: tuple[ids.UpstreamId, ...],
+    request: models.PlacementRequest,
+    group: tuple[ids.UpstreamId, ...],
 ) -> ids.UpstreamId | None:
-    """Return the preferred upstream, another one only if that is busy.
+    """Return the preferred upstream, or another one if that is busy.
 
-    An object waits less behind others where it is remembered than it is
-    worked on longer elsewhere.
+    Queueing where the object is cached takes less time than uncached work
+    on another upstream, up to the preferred upstream's load limit.
     """
-    rank = min(wanted.rank, len(const.ROOM_BY_RANK) - 1)
+    rank = min(request.rank, len(const.LOAD_MAX_BY_RANK) - 1)
     best: ids.UpstreamId | None = None
-    least = const.ROOM_BY_RANK[rank]
-    limit = const.PREFERRED_ROOM[rank]
-    candidates = _sound_first(world, _able(world, now_ms, wanted, order))
-    spread = _spread(order)
+    load_max = const.LOAD_MAX_BY_RANK[rank]
+    accepted_load = const.PREFERRED_LOAD_MAX_BY_RANK[rank]
+    candidates = _healthy_first(
+        world, _available(world, now_ms, request, group)
+    )
+    spread = _spread(group)
     for upstream in candidates[:spread]:
-        load = loads.believed(world, now_ms, upstream)
-        if load >= least or not cold.may_send(world, now_ms, upstream):
+        load = loads.estimate(world, now_ms, upstream)
+        if load >= load_max or not cold_rate_limit.may_send(
+            world, now_ms, upstream
+        ):
             continue
-        if load < limit:
+        if load < accepted_load:
             return upstream
-        limit = const.OTHER_ROOM[rank]
-        best, least = upstream, load - const.LOAD_APART
+        accepted_load = const.ALTERNATIVE_LOAD_MAX_BY_RANK[rank]
+        best, load_max = upstream, load - const.LOAD_MARGIN
     if best is None and rank <= const.IDLE_RANK_MAX:
-        return _idle(world, now_ms, candidates[spread:])
+        return _first_idle(world, now_ms, candidates[spread:])
     return best
 
 
-def _able(
+def _available(
     world: world_module.World,
     now_ms: float,
-    wanted: models.PlacementRequest,
-    order: tuple[ids.UpstreamId, ...],
+    request: models.PlacementRequest,
+    group: tuple[ids.UpstreamId, ...],
 ) -> abc.Iterator[ids.UpstreamId]:
-    for upstream in order:
-        if upstream in wanted.tried:
+    """Yield the upstreams that are neither tried nor ejected."""
+    for upstream in group:
+        if upstream in request.tried_upstreams:
             continue
-        if not loads.is_out(world, now_ms, upstream):
+        if not loads.is_ejected(world, now_ms, upstream):
             yield upstream
 
 
-def _spread(order: tuple[ids.UpstreamId, ...]) -> int:
+def _spread(group: tuple[ids.UpstreamId, ...]) -> int:
     """Return how many of a region's upstreams an object uses."""
-    share = int(len(order) * const.SPREAD_SHARE)
+    share = int(len(group) * const.SPREAD_SHARE)
     return max(1, min(const.SPREAD_MAX, share))
 
 
-def _sound_first(
+def _healthy_first(
     world: world_module.World, upstreams: abc.Iterable[ids.UpstreamId]
 ) -> list[ids.UpstreamId]:
-    """Return upstreams with those last that fail often or are slow."""
+    """Return upstreams in order, those that fail often or are slow last."""
     return sorted(upstreams, key=lambda name: loads.is_suspect(world, name))
 
 
-def _idle(
+def _first_idle(
     world: world_module.World,
     now_ms: float,
     candidates: list[ids.UpstreamId],
 ) -> ids.UpstreamId | None:
     """Return the first upstream that is nearly idle."""
     for upstream in candidates:
-        if loads.believed(world, now_ms, upstream) >= const.IDLE_ROOM:
+        if loads.estimate(world, now_ms, upstream) >= const.IDLE_LOAD_MAX:
             continue
-        if cold.may_send(world, now_ms, upstream):
+        if cold_rate_limit.may_send(world, now_ms, upstream):
             return upstream
     return None
 
 
-def _next_round(world: world_module.World, now_ms: float) -> None:
+def _schedule_rebalance(world: world_module.World, now_ms: float) -> None:
     due_ms = now_ms + const.BALANCE_PERIOD_MS
     timer_table.start(world.timers, timers.BalanceRound(), due_ms)
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -6,11 +6,13 @@
 
 
 class LoadRow(typing.NamedTuple):
-    """Hold what this entry believes of one upstream's load.
+    """Hold what this entry estimates of one upstream's load.
 
-    ``others`` is the load by other entries when the upstream last told
-    its load, at ``told_ms``; ``failing`` and ``pace`` are moving means of
-    failures an attempt and of service time over the usual.
+    ``others`` is the count of requests from other entries in the load that
+    the upstream last reported, at ``told_ms``.  ``failures`` counts the
+    consecutive ones, and ``out_until_ms`` is when the upstream's ejection
+    ends.  ``failing`` and ``pace`` are moving means of failures per attempt
+    and of service time relative to the route's mean.
     """
 
     in_flight: int = 0
@@ -23,54 +25,59 @@
 
 
 class RemoteShareRow(typing.NamedTuple):
-    """Hold the share of a service's objects that is served abroad.
+    """Hold the share of a service's objects that other regions serve.
 
-    ``overflow`` counts the requests that may leave the region out of turn,
-    ``near_slots`` are those at home when the share was last looked at.
+    ``overflow_credit`` is the number of requests that may leave the region
+    beyond the share; ``local_slots`` is as of the last rebalancing.
     """
 
     share: float = 0.0
-    overflow: float = 0.0
-    near_slots: int = 0
+    overflow_credit: float = 0.0
+    local_slots: int = 0
 
 
 class PlacementRequest(typing.NamedTuple):
-    """Say what a request needs of an upstream."""
+    """Describe the request that an upstream is chosen for.
+
+    ``tried_upstreams`` are those that earlier attempts went to.
+    """
 
     service: ids.ServiceId
     object_key: str
     rank: int
     home_regions: frozenset[ids.RegionId]
-    tried: tuple[ids.UpstreamId, ...]
+    tried_upstreams: tuple[ids.UpstreamId, ...]
 
 
-class Order(typing.NamedTuple):
+class UpstreamOrder(typing.NamedTuple):
     """Hold an object's upstreams, the preferred first.
 
-    ``near`` are those at home; ``far`` holds a group for each other
-    region, the preferred region first.
+    ``local`` are those of the entry's region; ``remote`` holds one group
+    for each other region, the preferred region first.
     """
 
-    near: tuple[ids.UpstreamId, ...]
-    far: tuple[tuple[ids.UpstreamId, ...], ...]
+    local: tuple[ids.UpstreamId, ...]
+    remote: tuple[tuple[ids.UpstreamId, ...], ...]
 
 
 class PlacementTable(typing.NamedTuple):
-    """Hold orders by object, shares abroad and what cold upstreams got.
+    """Hold cached orders, remote shares and statistics of upstreams.
 
-    ``orders_as_of`` is the count of changes of the upstreams that the
-    orders are worked out from.  ``cold_sent`` are the times at which cold
-    upstreams were sent to in the last second, ``usual_ms`` is the usual
-    service time of a route.
+    ``orders_version`` is the number of changes of the upstreams that the
+    orders were derived from.  ``mean_service_ms`` is by route name, and
+    ``cold_sends_ms`` are the times of the requests to each cold upstream in
+    the last second.
     """
 
-    orders: dict[tuple[ids.ServiceId, str, frozenset[ids.RegionId]], Order]
-    orders_as_of: list[int]
+    orders: dict[
+        tuple[ids.ServiceId, str, frozenset[ids.RegionId]], UpstreamOrder
+    ]
+    orders_version: list[int]
     remote_shares: dict[ids.ServiceId, RemoteShareRow]
-    usual_ms: dict[str, float]
-    cold_sent: dict[ids.UpstreamId, list[float]]
+    mean_service_ms: dict[str, float]
+    cold_sends_ms: dict[ids.UpstreamId, list[float]]
 
 
 def new_table() -> PlacementTable:
-    """Return a table that has placed nothing."""
+    """Return an empty placement table."""
     return PlacementTable({}, [0], {}, {}, {})
--- /dev/null
+++ b/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
@@ -0,0 +1,122 @@
+"""Decide which share of a service's objects other regions serve.
+
+The share moves in small steps, so that few requests change their region
+at a time.  It jumps only when the local region loses capacity, because
+its objects move then in any case.
+"""
+
+import typing
+
+from zinnialead_core.gateway.placement import const
+from zinnialead_core.gateway.placement import loads
+from zinnialead_core.gateway.placement import models
+from zinnialead_core.gateway.upstreams import coordinator as upstreams
+from zinnialead_core.gateway import world as world_module
+from zinnialead_core import ids
+
+
+class RegionTotals(typing.NamedTuple):
+    """Hold a figure for the local and the remote regions of a service."""
+
+    local: float
+    remote: float
+    region_count: int
+
+
+def get(
+    world: world_module.World, service: ids.ServiceId
+) -> models.RemoteShareRow:
+    """Return a service's remote share, derived from slots at first."""
+    row = world.placement.remote_shares.get(service)
+    if row is None:
+        slots = _total_slots(world, service)
+        row = models.RemoteShareRow(
+            _fair_share(slots), local_slots=int(slots.local)
+        )
+        world.placement.remote_shares[service] = row
+    return row
+
+
+def add_overflow_credit(
+    world: world_module.World, service: ids.ServiceId
+) -> None:
+    """Add one request's credit for requests that overflow the region."""
+    row = get(world, service)
+    credit = min(
+        const.OVERFLOW_CREDIT_MAX,
+        row.overflow_credit + const.OVERFLOW_CREDIT_PER_REQUEST,
+    )
+    world.placement.remote_shares[service] = row._replace(
+        overflow_credit=credit
+    )
+
+
+def take_overflow_credit(
+    world: world_module.World, service: ids.ServiceId
+) -> bool:
+    """Take the credit of one request; return False if there is none."""
+    row = get(world, service)
+    if row.overflow_credit < 1.0:
+        return False
+    charged = row._replace(overflow_credit=row.overflow_credit - 1.0)
+    world.placement.remote_shares[service] = charged
+    return True
+
+
+def rebalance(world: world_module.World, now_ms: float) -> None:
+    """Move each service's remote share one step towards equal loads."""
+    for service, row in list(world.placement.remote_shares.items()):
+        slots = _total_slots(world, service)
+        share = row.share
+        if slots.local < const.CAPACITY_LOSS_SHARE * row.local_slots:
+            share = max(share, _fair_share(slots))
+        load = _mean_loads(world, now_ms, service)
+        if load.local > const.LOCAL_LOAD_HIGH and load.local > load.remote:
+            share = min(1.0, share + const.REMOTE_SHARE_STEP_UP)
+        elif load.local < const.LOCAL_LOAD_LOW:
+            share = max(0.0, share - const.REMOTE_SHARE_STEP_DOWN)
+        world.placement.remote_shares[service] = row._replace(
+            share=share, local_slots=int(slots.local)
+        )
+
+
+def _fair_share(slots: RegionTotals) -> float:
+    """Return the remote share if every region has the same demand."""
+    total = slots.local + slots.remote
+    if total == 0.0 or slots.local == 0.0:
+        return 0.0
+    return max(0.0, 1.0 - slots.region_count * slots.local / total)
+
+
+def _total_slots(
+    world: world_module.World, service: ids.ServiceId
+) -> RegionTotals:
+    regions = world.node.regions
+    local = remote = 0.0
+    for row in upstreams.usable(world, service):
+        if regions.get(row.domain) == world.node.region:
+            local += row.slots
+        else:
+            remote += row.slots
+    return RegionTotals(local, remote, len(set(regions.values())))
+
+
+def _mean_loads(
+    world: world_module.World, now_ms: float, service: ids.ServiceId
+) -> RegionTotals:
+    """Return the mean load of the local and of the remote upstreams."""
+    regions = world.node.regions
+    local: list[float] = []
+    remote: list[float] = []
+    for row in upstreams.usable(world, service):
+        if loads.is_ejected(world, now_ms, row.upstream):
+            continue
+        values = (
+            local if regions.get(row.domain) == world.node.region else remote
+        )
+        values.append(loads.estimate(world, now_ms, row.upstream))
+    return RegionTotals(
+        sum(local) / max(1, len(local)),
+        sum(remote) / max(1, len(remote)),
+        len(set(regions.values())),
+    )
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -4,11 +4,11 @@
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
-from zinnialead_core.gateway.placement import abroad
-from zinnialead_core.gateway.placement import cold
+from zinnialead_core.gateway.placement import cold_rate_limit
 from zinnialead_core.gateway.placement import coordinator as placement
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models as placement_models
+from zinnialead_core.gateway.placement import remote_share
 from zinnialead_core.gateway.requests import budget
 from zinnialead_core.gateway.requests import const
 from zinnialead_core.gateway.requests import endings
@@ -25,7 +25,7 @@
 ) -> abc.Iterator[out.Output]:
     """Send a request to an upstream with room, or let it wait."""
     if row.attempt == 0:
-        abroad.earn(world, row.service)
+        remote_share.add_overflow_credit(world, row.service)
     upstream = choose(world, now_ms, row)
     if upstream is None:
         yield from waiting.join(world, now_ms, row)
@@ -56,8 +56,8 @@
     """Begin an attempt at an upstream."""
     known = world.upstreams.rows[upstream]
     waiting.leave(world, row)
-    loads.started(world, upstream)
-    cold.sent(world, now_ms, upstream)
+    loads.record_start(world, upstream)
+    cold_rate_limit.record_send(world, now_ms, upstream)
     if row.sends:
         budget.repeated(world, now_ms, row.service)
     row = row._replace(
@@ -87,7 +87,7 @@
     row: models.RequestRow,
     upstream: ids.UpstreamId,
 ) -> out.LogDecision:
-    load = loads.of(world, upstream)
+    load = loads.get(world, upstream)
     known = routes.active_configuration(world)
     inputs: dict[str, str | float | int | None] = {
         'upstream': upstream,
@@ -96,9 +96,9 @@
         'object': row.object_key,
         'version': known.version if known else 0,
         'revision': world.upstreams.rows[upstream].revision,
-        'load': round(loads.believed(world, now_ms, upstream), 2),
+        'load': round(loads.estimate(world, now_ms, upstream), 2),
         'load_age_ms': round(now_ms - load.told_ms),
-        'abroad': round(abroad.of(world, row.service).share, 3),
+        'abroad': round(remote_share.get(world, row.service).share, 3),
     }
     return out.LogDecision(
         row.request_id, row.name, 'sent', inputs, is_routine=True
@@ -113,7 +113,7 @@
     if row is None or row.attempt != item.attempt or row.upstream is None:
         return
     if row.upstream in world.upstreams.rows:
-        loads.ended(world, now_ms, row.upstream, row.route.name, item)
+        loads.record_end(world, now_ms, row.upstream, row.route.name, item)
     if row.answered:
         endings.forget(world, row.request_id)
     else:
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -5,12 +5,12 @@
 from core.gateway import samples
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
-from zinnialead_core.gateway.placement import abroad
-from zinnialead_core.gateway.placement import cold
+from zinnialead_core.gateway.placement import cold_rate_limit
 from zinnialead_core.gateway.placement import coordinator as placement
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models
-from zinnialead_core.gateway.placement import orders
+from zinnialead_core.gateway.placement import remote_share
+from zinnialead_core.gateway.placement import rendezvous
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
 
 NAMES = [f'u-{n}' for n in range(8)]
@@ -62,10 +62,10 @@
     far = [samples.upstream(f'far-{n}', 'tn-a') for n in range(2)]
     world = samples.served(upstreams_=[samples.upstream('near'), *far])
     world.loads['near'] = models.LoadRow(in_flight=20)
-    before = abroad.of(world, 'specdesk').share
+    before = remote_share.get(world, 'specdesk').share
     for _ in range(4):
-        abroad.balance(world, 1.0)
-    after = abroad.of(world, 'specdesk').share
+        remote_share.rebalance(world, 1.0)
+    after = remote_share.get(world, 'specdesk').share
     assert 0.0 < after - before < samples.BOUNDS.shift_share_max
 
 
@@ -88,8 +88,8 @@
             ),
             *heard,
         )
-        while cold.may_send(world, 10.0, 'u-1'):
-            cold.sent(world, 10.0, 'u-1')
+        while cold_rate_limit.may_send(world, 10.0, 'u-1'):
+            cold_rate_limit.record_send(world, 10.0, 'u-1')
             total += 1
     assert 0 < total <= 4.3 * 1.5 + 5
 
@@ -115,8 +115,8 @@
     listed = inp.UpstreamsListed(tuple(rows), 1)
     samples.feed(native, 0.0, listed)
     for key in map(str, range(50)):
-        far = orders.of_object(world, wanted(key)).far
-        assert far[0] == orders.of_object(native, wanted(key)).near
+        far = rendezvous.order_upstreams(world, wanted(key)).remote
+        assert far[0] == rendezvous.order_upstreams(native, wanted(key)).local
 
 
 def test_work_goes_abroad_freely_when_home_is_out():
@@ -152,5 +152,5 @@
     world.loads['u-1'] = models.LoadRow(failing=0.6, pace=4.0)
     assert loads.is_suspect(world, 'u-1')
     for _ in range(8):
-        loads.fade(world)
+        loads.decay(world)
     assert not loads.is_suspect(world, 'u-1')
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -144,7 +144,7 @@
     """Slow upstreams kept their objects for seconds (incident inc-588d)."""
     known = [samples.upstream(f'u-{n}') for n in range(4)]
     world = samples.served(samples.route(timeout_ms=800.0), upstreams_=known)
-    world.placement.usual_ms['lookup'] = 100.0
+    world.placement.mean_service_ms['lookup'] = 100.0
     now_ms = 1.0
     chosen = []
     for number in range(4):
