Name activation, credits and limits of routes in usual terms

A configuration was adopted and in force, the coordinator's locals were known, before, best and most. It is activated and active, and they are configuration, previous_version, chosen and highest_credit. RouteRow and ServiceRow say what their less obvious fields mean. The counter routes.adopted and the fields, which go to peers in order and to /v1/state by name, stay.

make check passes; tests/core/gateway and tests/adapter pass (163).

--- a/packages/core/src/zinnialead_core/gateway/routes/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the configuration in force and match requests to routes."""
+"""Hold the active configuration and match requests to its routes."""
--- a/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
@@ -1,4 +1,4 @@
-"""Put configurations in force, and choose route and service."""
+"""Activate configurations, and choose routes and services."""
 
 from collections import abc
 
@@ -14,34 +14,36 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Adopt configurations of a higher version; writes ``routes``."""
+    """Activate configurations of a higher version; writes ``routes``."""
     for item in inputs:
         match item:
             case inp.ConfigurationRead(configuration, source):
-                yield from _adopt(world, configuration, source)
+                yield from _activate(world, configuration, source)
             case inp.ConfigurationsListed(items):
                 for read in items:
-                    yield from _adopt(world, read.configuration, read.source)
+                    yield from _activate(
+                        world, read.configuration, read.source
+                    )
 
 
 def active_configuration(
     world: world_module.World,
 ) -> models.Configuration | None:
-    """Return the configuration in force, None before the first."""
+    """Return the active configuration, None before the first."""
     return world.routes.active.get(models.ACTIVE)
 
 
 def limits(world: world_module.World) -> models.LimitsRow:
-    """Return what a caller may send now."""
-    known = active_configuration(world)
-    return known.limits if known else models.DEFAULT_LIMITS
+    """Return the limits on what callers may send."""
+    configuration = active_configuration(world)
+    return configuration.limits if configuration else models.DEFAULT_LIMITS
 
 
 def match_route(
-    known: models.Configuration, host: str, path: str
+    configuration: models.Configuration, host: str, path: str
 ) -> models.RouteRow | None:
-    """Return the route with the longest prefix that begins ``path``."""
-    for row in known.by_host.get(host, ()):
+    """Return the route with the longest prefix of ``path``."""
+    for row in configuration.by_host.get(host, ()):
         if path.startswith(row.prefix):
             return row
     return None
@@ -50,37 +52,37 @@
 def choose_service(
     world: world_module.World, route: models.RouteRow
 ) -> ids.ServiceId:
-    """Return a route's service, in proportion to the weights.
+    """Return one of a route's services, in proportion to the weights.
 
-    Smooth weighted round robin: each part earns its weight, the part with
-    the most credit is chosen and pays the sum.
+    Smooth weighted round robin: each service gains its weight in credit,
+    the one with the most credit is chosen and loses the total weight.
     """
     if len(route.parts) == 1:
         return route.parts[0].service
     credits = world.routes.credits
-    total = 0.0
-    best = route.parts[0].service
-    most = float('-inf')
+    total_weight = 0.0
+    chosen = route.parts[0].service
+    highest_credit = float('-inf')
     for part in route.parts:
-        total += part.weight
+        total_weight += part.weight
         key = (route.name, part.service)
         # A random start keeps entries from choosing in step.
         credit = credits.get(key, world.random.random() * part.weight)
         credits[key] = credit + part.weight
-        if part.weight > 0 and credits[key] > most:
-            best, most = part.service, credits[key]
-    credits[(route.name, best)] -= total
-    return best
+        if part.weight > 0 and credits[key] > highest_credit:
+            chosen, highest_credit = part.service, credits[key]
+    credits[(route.name, chosen)] -= total_weight
+    return chosen
 
 
-def _adopt(
+def _activate(
     world: world_module.World,
     configuration: models.Configuration,
     source: str,
 ) -> abc.Iterator[out.Output]:
-    known = active_configuration(world)
-    before = known.version if known else 0
-    if configuration.version <= before:
+    previous = active_configuration(world)
+    previous_version = previous.version if previous else 0
+    if configuration.version <= previous_version:
         return
     world.routes.active[models.ACTIVE] = configuration
     world.routes.credits.clear()
@@ -88,7 +90,7 @@
     yield out.LogBelief(
         'routes',
         'configuration',
-        f'version {before}',
+        f'version {previous_version}',
         f'version {configuration.version}',
         f'from {source}',
     )
--- a/packages/core/src/zinnialead_core/gateway/routes/models.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the configuration in force."""
+"""Define the rows of configurations."""
 
 import typing
 
@@ -6,14 +6,21 @@
 
 
 class WeightedServiceRow(typing.NamedTuple):
-    """Give one service's share of a route's requests."""
+    """Hold one service of a route and its share of the requests."""
 
     service: ids.ServiceId
     weight: float
 
 
 class RouteRow(typing.NamedTuple):
-    """Describe one route; ``rank`` 0 is the most urgent."""
+    """Describe one route.
+
+    Requests match it by ``host`` and path prefix; ``rank`` 0 is the most
+    urgent.  ``parts`` split the requests over services by weight.
+    ``attempts_max`` bounds how often a request is sent, and
+    ``by_object`` places requests by the object that they name.  An empty
+    ``home_regions`` allows every region.
+    """
 
     name: str
     host: str
@@ -29,7 +36,11 @@
 
 
 class ServiceRow(typing.NamedTuple):
-    """Describe what every upstream of a service has in common."""
+    """Describe what the upstreams of a service have in common.
+
+    ``cold_per_s`` is the request rate that an upstream tolerates while it
+    is cold, for ``warm_up_ms`` after its start.
+    """
 
     service: ids.ServiceId
     connections_max: int
@@ -38,7 +49,7 @@
 
 
 class LimitsRow(typing.NamedTuple):
-    """Bound what a caller may send, and how slowly."""
+    """Limit the size and the duration of what a caller sends."""
 
     header_bytes_max: int
     body_bytes_max: int
@@ -60,19 +71,19 @@
 
 
 class RouteTable(typing.NamedTuple):
-    """Hold the configuration in force and the credit of weighted parts."""
+    """Hold the active configuration and the credits of weighted services."""
 
     active: dict[str, Configuration]
     credits: dict[tuple[str, ids.ServiceId], float]
 
 
 ACTIVE = 'in-force'
-# Holds until a first configuration is read: the usual bounds of servers.
+# Apply until the first configuration is read: usual limits of servers.
 DEFAULT_LIMITS = LimitsRow(16_384, 1_048_576, 3_000.0, 15_000.0)
 
 
 def new_table() -> RouteTable:
-    """Return a table without a configuration."""
+    """Return a table without an active configuration."""
     return RouteTable({}, {})
 
 
@@ -82,15 +93,15 @@
     services: dict[ids.ServiceId, ServiceRow],
     limits: LimitsRow,
 ) -> Configuration:
-    """Return a configuration with its routes sorted by host and prefix."""
+    """Return a configuration with its routes indexed by host."""
     by_host: dict[str, list[RouteRow]] = {}
     for row in routes.values():
         by_host.setdefault(row.host, []).append(row)
-    ordered = {
+    sorted_by_host = {
         host: tuple(sorted(rows, key=_prefix_length, reverse=True))
         for host, rows in by_host.items()
     }
-    return Configuration(version, routes, services, limits, ordered)
+    return Configuration(version, routes, services, limits, sorted_by_host)
 
 
 def _prefix_length(row: RouteRow) -> int:
