Describe the path of a request as queue, retry and completion

requests/waiting is wait_queue (line, join, leave, over, wake are queue, enqueue, remove, time_out, send_waiting), budget is retry_budget (repeats are retries), endings is completion. place, done and _next are send_or_queue, finish and _relay_or_retry. RequestRow.answered, which was also set when the caller had left, is is_abandoned; worst, sends and tried are worst_verdict, send_count and tried_upstreams; the table's waiting is queues. Refusals' details say what happened, such as 'the deadline passed in the queue' for 'its time passed while it waited'; no test or tool matches them.

--- a/packages/core/src/zinnialead_core/gateway/requests/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/__init__.py
@@ -1,1 +1,1 @@
-"""Take requests through placement and upstream to one answer."""
+"""Take each request from admission over its attempts to one answer."""
--- a/packages/core/src/zinnialead_core/gateway/requests/admission.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/admission.py
@@ -1,4 +1,4 @@
-"""Check a request at the door."""
+"""Admit or refuse a request on its arrival."""
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.requests import const
@@ -9,33 +9,39 @@
 
 
 def admit(
-    world: world_module.World, now_ms: float, item: inp.RequestArrived
+    world: world_module.World, now_ms: float, arrival: inp.RequestArrived
 ) -> models.RequestRow | verdict.Refusal:
-    """Return the row of a request, or why it is refused."""
-    known = routes.active_configuration(world)
-    if known is None:
+    """Return the row of an admitted request, or its refusal."""
+    configuration = routes.active_configuration(world)
+    if configuration is None:
         return not_run_refusal(
-            verdict.Reason.NOT_READY, 'no configuration is known yet'
+            verdict.Reason.NOT_READY, 'no configuration has been read yet'
         )
-    route = routes.match_route(known, item.host, item.path)
+    route = routes.match_route(configuration, arrival.host, arrival.path)
     if route is None:
-        detail = f'version {known.version} has no route for {item.path!r}'
+        detail = (
+            f'configuration version {configuration.version} has no route for '
+            f'{arrival.path!r}'
+        )
         return not_run_refusal(verdict.Reason.UNKNOWN_SERVICE, detail)
-    if len(world.requests.rows) >= const.ROWS_MAX:
-        return not_run_refusal(verdict.Reason.QUEUE_FULL, 'this entry is full')
-    left_ms = item.deadline_in_ms
+    if len(world.requests.rows) >= const.REQUESTS_MAX:
+        return not_run_refusal(
+            verdict.Reason.QUEUE_FULL, 'this entry has too many requests'
+        )
+    left_ms = arrival.deadline_in_ms
     if left_ms is None:
         left_ms = min(route.timeout_ms, const.DEADLINE_DEFAULT_MS)
     if left_ms <= 0.0:
         return not_run_refusal(
-            verdict.Reason.DEADLINE_PASSED, 'no time is left'
+            verdict.Reason.DEADLINE_PASSED,
+            'the deadline had passed on arrival',
         )
     return models.RequestRow(
-        request_id=item.request_id,
-        name=item.name,
+        request_id=arrival.request_id,
+        name=arrival.name,
         route=route,
         service=routes.choose_service(world, route),
-        object_key=_object_key(world, route.by_object, item.object_key),
+        object_key=_object_key(world, route.by_object, arrival.object_key),
         arrived_ms=now_ms,
         caller_deadline_ms=now_ms + left_ms,
         deadline_ms=now_ms + min(left_ms, route.timeout_ms),
@@ -46,7 +52,7 @@
 def not_run_refusal(
     reason: verdict.Reason, detail: str, retry_after_ms: float = 500.0
 ) -> verdict.Refusal:
-    """Return a refusal of a request of which nothing was sent."""
+    """Return the refusal of a request that was sent to no upstream."""
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN, reason, detail, retry_after_ms
     )
@@ -57,6 +63,6 @@
 ) -> str:
     if by_object and key is not None:
         return key
-    # Without an object any order of upstreams serves; one of few, so that
-    # orders are kept.
+    # Without an object any order of upstreams will do.  Few distinct keys
+    # keep the orders in the cache.
     return f'any-{world.random.randrange(64)}'
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -1,4 +1,4 @@
-"""Make attempts at upstreams and take in how they ended."""
+"""Send requests to upstreams, and retry them after failures."""
 
 from collections import abc
 
@@ -9,26 +9,26 @@
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models as placement_models
 from zinnialead_core.gateway.placement import remote_share
-from zinnialead_core.gateway.requests import budget
+from zinnialead_core.gateway.requests import completion
 from zinnialead_core.gateway.requests import const
-from zinnialead_core.gateway.requests import endings
 from zinnialead_core.gateway.requests import models
-from zinnialead_core.gateway.requests import waiting
+from zinnialead_core.gateway.requests import retry_budget
+from zinnialead_core.gateway.requests import wait_queue
 from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
 from zinnialead_core import verdict
 
 
-def place(
+def send_or_queue(
     world: world_module.World, now_ms: float, row: models.RequestRow
 ) -> abc.Iterator[out.Output]:
-    """Send a request to an upstream with room, or let it wait."""
+    """Send a request to an upstream with capacity, or queue it."""
     if row.attempt == 0:
         remote_share.add_overflow_credit(world, row.service)
     upstream = choose(world, now_ms, row)
     if upstream is None:
-        yield from waiting.join(world, now_ms, row)
+        yield from wait_queue.enqueue(world, now_ms, row)
         return
     yield from send(world, now_ms, row, upstream)
 
@@ -36,15 +36,15 @@
 def choose(
     world: world_module.World, now_ms: float, row: models.RequestRow
 ) -> ids.UpstreamId | None:
-    """Return the upstream that a request's next attempt goes to."""
-    wanted = placement_models.PlacementRequest(
+    """Return the upstream of a request's next attempt, None without one."""
+    request = placement_models.PlacementRequest(
         row.service,
         row.object_key,
         row.route.rank,
         row.route.home_regions,
-        row.tried,
+        row.tried_upstreams,
     )
-    return placement.choose(world, now_ms, wanted)
+    return placement.choose(world, now_ms, request)
 
 
 def send(
@@ -53,31 +53,35 @@
     row: models.RequestRow,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    """Begin an attempt at an upstream."""
-    known = world.upstreams.rows[upstream]
-    waiting.leave(world, row)
+    """Start an attempt at an upstream."""
+    upstream_row = world.upstreams.rows[upstream]
+    wait_queue.remove(world, row)
     loads.record_start(world, upstream)
     cold_rate_limit.record_send(world, now_ms, upstream)
-    if row.sends:
-        budget.repeated(world, now_ms, row.service)
+    if row.send_count:
+        retry_budget.record_retry(world, now_ms, row.service)
     row = row._replace(
         phase=models.Phase.UPSTREAM,
         attempt=row.attempt + 1,
-        sends=row.sends + 1,
+        send_count=row.send_count + 1,
         upstream=upstream,
-        tried=(*row.tried, upstream),
+        tried_upstreams=(*row.tried_upstreams, upstream),
     )
     world.requests.rows[row.request_id] = row
     world.counters['requests.sent'] += 1
     yield _log_sent(world, now_ms, row, upstream)
-    idle_ms = const.IDLE_ANY_MS if row.route.idempotent else const.IDLE_ONCE_MS
+    idle_max_ms = (
+        const.IDLE_MAX_IDEMPOTENT_MS
+        if row.route.idempotent
+        else const.IDLE_MAX_NON_IDEMPOTENT_MS
+    )
     yield out.Dispatch(
         row.request_id,
         row.attempt,
         upstream,
-        known.address,
+        upstream_row.address,
         row.deadline_ms - now_ms,
-        idle_ms,
+        idle_max_ms,
     )
 
 
@@ -88,13 +92,13 @@
     upstream: ids.UpstreamId,
 ) -> out.LogDecision:
     load = loads.get(world, upstream)
-    known = routes.active_configuration(world)
+    configuration = routes.active_configuration(world)
     inputs: dict[str, str | float | int | None] = {
         'upstream': upstream,
         'attempt': row.attempt,
         'route': row.route.name,
         'object': row.object_key,
-        'version': known.version if known else 0,
+        'version': configuration.version if configuration else 0,
         'revision': world.upstreams.rows[upstream].revision,
         'load': round(loads.estimate(world, now_ms, upstream), 2),
         'load_age_ms': round(now_ms - load.told_ms),
@@ -105,55 +109,55 @@
     )
 
 
-def done(
-    world: world_module.World, now_ms: float, item: inp.AttemptDone
+def finish(
+    world: world_module.World, now_ms: float, result: inp.AttemptDone
 ) -> abc.Iterator[out.Output]:
-    """Relay an attempt's answer, try again, or give up."""
-    row = world.requests.rows.get(item.request_id)
-    if row is None or row.attempt != item.attempt or row.upstream is None:
+    """Process the end of an attempt: relay its answer, retry or refuse."""
+    row = world.requests.rows.get(result.request_id)
+    if row is None or row.attempt != result.attempt or row.upstream is None:
         return
     if row.upstream in world.upstreams.rows:
-        loads.record_end(world, now_ms, row.upstream, row.route.name, item)
-    if row.answered:
-        endings.forget(world, row.request_id)
+        loads.record_end(world, now_ms, row.upstream, row.route.name, result)
+    if row.is_abandoned:
+        completion.remove_row(world, row.request_id)
     else:
-        yield from _next(world, now_ms, row, item)
-    yield from waiting.wake(world, now_ms, row.service)
+        yield from _relay_or_retry(world, now_ms, row, result)
+    yield from wait_queue.send_waiting(world, now_ms, row.service)
 
 
-def _next(
+def _relay_or_retry(
     world: world_module.World,
     now_ms: float,
     row: models.RequestRow,
-    item: inp.AttemptDone,
+    result: inp.AttemptDone,
 ) -> abc.Iterator[out.Output]:
-    match item.outcome:
+    match result.outcome:
         case verdict.Answered(status):
-            if _is_faulty(world, row, status):
-                row = row._replace(worst=verdict.Verdict.MAY_HAVE_RUN)
+            if _is_upstream_fault(world, row, status):
+                row = row._replace(worst_verdict=verdict.Verdict.MAY_HAVE_RUN)
                 if _may_retry(world, now_ms, row):
-                    yield from _retry(world, now_ms, row, item)
+                    yield from _retry(world, now_ms, row, result)
                     return
-            yield from endings.relay(world, now_ms, row, status)
+            yield from completion.relay(world, now_ms, row, status)
             return
-        case verdict.NotSent() if not item.misdirected:
-            row = row._replace(sends=row.sends - 1)
+        case verdict.NotSent() if not result.misdirected:
+            row = row._replace(send_count=row.send_count - 1)
         case verdict.Lost():
-            row = row._replace(worst=verdict.Verdict.MAY_HAVE_RUN)
+            row = row._replace(worst_verdict=verdict.Verdict.MAY_HAVE_RUN)
     world.requests.rows[row.request_id] = row
     if _may_retry(world, now_ms, row):
-        yield from _retry(world, now_ms, row, item)
+        yield from _retry(world, now_ms, row, result)
         return
-    yield from endings.give_up(world, now_ms, row, item.outcome)
+    yield from completion.give_up(world, now_ms, row, result.outcome)
 
 
-def _is_faulty(
+def _is_upstream_fault(
     world: world_module.World, row: models.RequestRow, status: int
 ) -> bool:
-    """Return whether a failure is the upstream's rather than the work's.
+    """Return whether a server error is due to the upstream.
 
-    Work that fails fails anywhere; only an upstream that fails more than
-    others is worth a second send.
+    A faulty request fails at any upstream, so that only the error of an
+    upstream that fails often or is slow is worth a retry elsewhere.
     """
     if status < 500 or not row.route.idempotent or row.upstream is None:
         return False
@@ -163,22 +167,26 @@
 def _may_retry(
     world: world_module.World, now_ms: float, row: models.RequestRow
 ) -> bool:
-    may_repeat = row.worst is verdict.Verdict.NOT_RUN or row.route.idempotent
-    if not may_repeat or row.attempt >= const.CONNECTS_MAX:
+    is_repeatable = (
+        row.worst_verdict is verdict.Verdict.NOT_RUN or row.route.idempotent
+    )
+    if not is_repeatable or row.attempt >= const.ATTEMPTS_MAX:
         return False
-    if row.sends >= row.route.attempts_max:
+    if row.send_count >= row.route.attempts_max:
         return False
-    useful_ms = const.USEFUL_SHARE_OF_TARGET * row.route.target_ms
-    if row.deadline_ms - now_ms <= useful_ms:
+    time_min_ms = const.RETRY_TIME_SHARE_OF_TARGET * row.route.target_ms
+    if row.deadline_ms - now_ms <= time_min_ms:
         return False
-    return row.sends == 0 or budget.may_repeat(world, now_ms, row.service)
+    return row.send_count == 0 or retry_budget.may_retry(
+        world, now_ms, row.service
+    )
 
 
 def _retry(
     world: world_module.World,
     now_ms: float,
     row: models.RequestRow,
-    item: inp.AttemptDone,
+    result: inp.AttemptDone,
 ) -> abc.Iterator[out.Output]:
     world.counters['requests.retried'] += 1
     yield out.LogDecision(
@@ -188,10 +196,10 @@
         {
             'upstream': row.upstream,
             'attempt': row.attempt,
-            'outcome': str(item.outcome),
+            'outcome': str(result.outcome),
             'left_ms': round(row.deadline_ms - now_ms),
         },
     )
     row = row._replace(phase=models.Phase.WAITING)
     world.requests.rows[row.request_id] = row
-    yield from place(world, now_ms, row)
+    yield from send_or_queue(world, now_ms, row)
--- a/packages/core/src/zinnialead_core/gateway/requests/endings.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/completion.py
@@ -1,11 +1,11 @@
-"""End requests: by an answer, a refusal, a caller that left, a deadline."""
+"""Complete requests: answer, refuse or abandon them."""
 
 from collections import abc
 
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.requests import admission
 from zinnialead_core.gateway.requests import models
-from zinnialead_core.gateway.requests import waiting
+from zinnialead_core.gateway.requests import wait_queue
 from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
@@ -20,13 +20,13 @@
     row: models.RequestRow,
     status: int,
 ) -> abc.Iterator[out.Output]:
-    """Give the caller its upstream's answer."""
+    """Relay the upstream's answer to the caller."""
     world.counters[f'requests.answered.{row.route.rank}'] += 1
     after_ms = now_ms - row.arrived_ms
     yield out.Relay(row.request_id, row.attempt, row.route.name, after_ms)
     if status >= 500 or now_ms - row.arrived_ms > row.route.target_ms:
         yield _log(world, now_ms, row, 'answered', f'status {status}')
-    forget(world, row.request_id)
+    remove_row(world, row.request_id)
 
 
 def refuse(
@@ -35,14 +35,14 @@
     row: models.RequestRow,
     refusal: verdict.Refusal,
 ) -> abc.Iterator[out.Output]:
-    """Refuse a request that has no attempt at an upstream."""
-    if row.worst is verdict.Verdict.MAY_HAVE_RUN:
-        refusal = refusal._replace(verdict=row.worst)
+    """Refuse a request that has no attempt in progress."""
+    if row.worst_verdict is verdict.Verdict.MAY_HAVE_RUN:
+        refusal = refusal._replace(verdict=row.worst_verdict)
     world.counters[f'requests.refused.{refusal.reason.value}'] += 1
     yield out.Refuse(row.request_id, refusal)
     yield _log(world, now_ms, row, refusal.verdict.value, refusal.detail)
-    waiting.leave(world, row)
-    forget(world, row.request_id)
+    wait_queue.remove(world, row)
+    remove_row(world, row.request_id)
 
 
 def give_up(
@@ -54,15 +54,15 @@
     """Refuse a request after its last attempt failed."""
     detail = f'attempt {row.attempt} at {row.upstream}: {outcome}'
     refusal = verdict.Refusal(
-        row.worst, verdict.Reason.UPSTREAM_LOST, detail, 300.0
+        row.worst_verdict, verdict.Reason.UPSTREAM_LOST, detail, 300.0
     )
     yield from refuse(world, now_ms, row, refusal)
 
 
-def caller_gone(
+def caller_disconnected(
     world: world_module.World, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Drop the work of a caller that left."""
+    """Abandon the request of a caller that has disconnected."""
     row = world.requests.rows.get(request_id)
     if row is None:
         return
@@ -70,23 +70,23 @@
     yield from _abandon(world, row)
 
 
-def deadline(
+def deadline_passed(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Refuse a request whose time is over."""
+    """Refuse a request whose deadline has passed."""
     row = world.requests.rows.get(request_id)
-    if row is None or row.answered:
+    if row is None or row.is_abandoned:
         return
     if row.phase is models.Phase.WAITING:
         refusal = admission.not_run_refusal(
-            verdict.Reason.DEADLINE_PASSED, 'its time passed while it waited'
+            verdict.Reason.DEADLINE_PASSED, 'the deadline passed in the queue'
         )
         yield from refuse(world, now_ms, row, refusal)
         return
     refusal = verdict.Refusal(
         verdict.Verdict.MAY_HAVE_RUN,
         verdict.Reason.DEADLINE_PASSED,
-        f'no answer of {row.upstream} in time',
+        f'no answer from {row.upstream} before the deadline',
     )
     world.counters['requests.refused.deadline-passed'] += 1
     yield out.Refuse(request_id, refusal)
@@ -94,8 +94,8 @@
     yield from _abandon(world, row)
 
 
-def forget(world: world_module.World, request_id: ids.RequestId) -> None:
-    """Drop a request's row and its timers."""
+def remove_row(world: world_module.World, request_id: ids.RequestId) -> None:
+    """Remove a request's row and stop its timers."""
     world.requests.rows.pop(request_id, None)
     timer_table.stop(world.timers, timers.RequestDue(request_id))
     timer_table.stop(world.timers, timers.WaitDue(request_id))
@@ -104,12 +104,15 @@
 def _abandon(
     world: world_module.World, row: models.RequestRow
 ) -> abc.Iterator[out.Output]:
-    """Cancel a request's attempt, whose end frees the row."""
+    """Drop a queued request, or cancel its attempt.
+
+    A cancelled attempt's end removes the row.
+    """
     if row.phase is models.Phase.WAITING:
-        waiting.leave(world, row)
-        forget(world, row.request_id)
+        wait_queue.remove(world, row)
+        remove_row(world, row.request_id)
         return
-    world.requests.rows[row.request_id] = row._replace(answered=True)
+    world.requests.rows[row.request_id] = row._replace(is_abandoned=True)
     yield out.CancelAttempt(row.request_id, row.attempt)
 
 
@@ -120,7 +123,7 @@
     decision: str,
     detail: str,
 ) -> out.LogDecision:
-    known = routes.active_configuration(world)
+    configuration = routes.active_configuration(world)
     return out.LogDecision(
         row.request_id,
         row.name,
@@ -129,7 +132,7 @@
             'route': row.route.name,
             'service': row.service,
             'rank': row.route.rank,
-            'version': known.version if known else 0,
+            'version': configuration.version if configuration else 0,
             'upstream': row.upstream,
             'attempt': row.attempt,
             'after_ms': round(now_ms - row.arrived_ms),
--- a/packages/core/src/zinnialead_core/gateway/requests/const.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/const.py
@@ -1,25 +1,28 @@
 """Hold the constants of the requests component."""
 
-# More requests in hand than this can't be answered within their time; a
-# row and its bodies take some 20 KB of the process's 222 MB.
-ROWS_MAX = 3_000
-WAITING_MAX = 400
-# A caller that is refused later than an eighth of its target is worse off,
-# one that is served is not.
-WAIT_SHARE_OF_TARGET = 0.2
-# The work is not begun with less than this share of the target left.
-USEFUL_SHARE_OF_TARGET = 0.1
-# What a caller is told to wait before it comes back, at the least.
+# More concurrent requests than this can't be answered in time.  A row and
+# its bodies take some 20 KB of the process's 222 MB.
+REQUESTS_MAX = 3_000
+QUEUE_LENGTH_MAX = 400
+# Longest time in the queue, as a share of the target time.  A refusal after
+# more than an eighth of the target harms the caller, but an answer after a
+# longer wait does not.
+QUEUE_TIME_SHARE_OF_TARGET = 0.2
+# With less than this share of the target left, a retry is not worth it.
+RETRY_TIME_SHARE_OF_TARGET = 0.1
+# Least time after which a refused caller is told to retry.
 RETRY_AFTER_MIN_MS = 150.0
 RETRY_AFTER_SHARE_OF_LEFT = 0.25
-# Entries keep to this part of the retry budget, since upstreams count
-# repeats when they arrive and entries when they send.
-BUDGET_PART = 0.7
+# Entries use only this share of the retry budget, since upstreams count
+# retries when they arrive and entries when they send.
+RETRY_BUDGET_SHARE = 0.7
 SECOND_MS = 1_000.0
-# Connections that can't be opened send nothing; so many are tried.
-CONNECTS_MAX = 4
-# Work that runs once goes only on connections used this lately: one that
-# its upstream closes as the request is sent leaves its end unknown.
-IDLE_ONCE_MS = 2_500.0
-IDLE_ANY_MS = 8_000.0
+# Bounds all attempts.  Those whose connection can't be opened send nothing
+# and don't count towards a route's ``attempts_max``.
+ATTEMPTS_MAX = 4
+# Longest idle time of a connection that is reused.  If the upstream closes
+# it while the request is sent, the outcome is unknown, so that a request
+# that is not idempotent can't be sent again.
+IDLE_MAX_NON_IDEMPOTENT_MS = 2_500.0
+IDLE_MAX_IDEMPOTENT_MS = 8_000.0
 DEADLINE_DEFAULT_MS = 10_000.0
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -1,4 +1,4 @@
-"""Move requests on by what happened to them."""
+"""Drive requests from their arrival to their completion."""
 
 from collections import abc
 
@@ -6,10 +6,10 @@
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.requests import admission
 from zinnialead_core.gateway.requests import attempts
-from zinnialead_core.gateway.requests import budget
-from zinnialead_core.gateway.requests import endings
+from zinnialead_core.gateway.requests import completion
 from zinnialead_core.gateway.requests import models
-from zinnialead_core.gateway.requests import waiting
+from zinnialead_core.gateway.requests import retry_budget
+from zinnialead_core.gateway.requests import wait_queue
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import timers as timer_table
@@ -21,41 +21,43 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Take requests in and on; writes ``requests`` and ``loads``."""
+    """Process the inputs of requests; writes ``requests`` and ``loads``."""
     for item in inputs:
         match item:
             case inp.RequestArrived():
                 yield from _arrive(world, now_ms, item)
             case inp.AttemptDone():
-                yield from attempts.done(world, now_ms, item)
+                yield from attempts.finish(world, now_ms, item)
             case inp.CallerGone(request_id):
-                yield from endings.caller_gone(world, request_id)
+                yield from completion.caller_disconnected(world, request_id)
             case inp.TimerDue(timers.RequestDue(request_id)):
-                yield from endings.deadline(world, now_ms, request_id)
+                yield from completion.deadline_passed(
+                    world, now_ms, request_id
+                )
             case inp.TimerDue(timers.WaitDue(request_id)):
-                yield from waiting.over(world, now_ms, request_id)
+                yield from wait_queue.time_out(world, now_ms, request_id)
             case inp.UpstreamsListed() | inp.UpstreamSeen() | inp.DrainGone():
-                yield from waiting.wake_all(world, now_ms)
+                yield from wait_queue.send_all_waiting(world, now_ms)
 
 
 def _arrive(
-    world: world_module.World, now_ms: float, item: inp.RequestArrived
+    world: world_module.World, now_ms: float, arrival: inp.RequestArrived
 ) -> abc.Iterator[out.Output]:
     world.counters['requests.arrived'] += 1
-    decision = admission.admit(world, now_ms, item)
+    decision = admission.admit(world, now_ms, arrival)
     match decision:
         case verdict.Refusal():
             world.counters[f'requests.refused.{decision.reason.value}'] += 1
             yield out.LogDecision(
-                item.request_id,
-                item.name,
+                arrival.request_id,
+                arrival.name,
                 'refused',
                 {'reason': decision.reason.value, 'detail': decision.detail},
             )
-            yield out.Refuse(item.request_id, decision)
+            yield out.Refuse(arrival.request_id, decision)
         case models.RequestRow():
-            world.requests.rows[item.request_id] = decision
-            budget.arrived(world, now_ms, decision.service)
-            timer = timers.RequestDue(item.request_id)
+            world.requests.rows[arrival.request_id] = decision
+            retry_budget.record_request(world, now_ms, decision.service)
+            timer = timers.RequestDue(arrival.request_id)
             timer_table.start(world.timers, timer, decision.deadline_ms)
-            yield from attempts.place(world, now_ms, decision)
+            yield from attempts.send_or_queue(world, now_ms, decision)
--- a/packages/core/src/zinnialead_core/gateway/requests/models.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/models.py
@@ -9,17 +9,21 @@
 
 
 class Phase(enum.Enum):
-    """Say what a request waits for: room, or its upstream's answer."""
+    """Name what a request waits for: capacity or its upstream's answer."""
 
     WAITING = 'waiting'
     UPSTREAM = 'upstream'
 
 
 class RequestRow(typing.NamedTuple):
-    """Hold one request between its arrival and its answer.
-
-    ``tried`` are the upstreams that it was sent to, ``sends`` counts those
-    that took it, and ``worst`` is what is known of its effect so far.
+    """Hold one request between its arrival and its completion.
+
+    ``name`` identifies the request in logs, and ``caller_deadline_ms`` is
+    its deadline before the route's timeout is applied.  ``attempt`` counts
+    all attempts, ``send_count`` those that may have reached their upstream.
+    ``worst_verdict`` is what is known so far of the request's effect.
+    ``is_abandoned`` is set when the caller needs no answer any more while
+    an attempt is still being cancelled.
     """
 
     request_id: ids.RequestId
@@ -32,27 +36,27 @@
     deadline_ms: float
     phase: Phase
     attempt: int = 0
-    sends: int = 0
+    send_count: int = 0
     upstream: ids.UpstreamId | None = None
-    tried: tuple[ids.UpstreamId, ...] = ()
-    worst: verdict.Verdict = verdict.Verdict.NOT_RUN
-    answered: bool = False
+    tried_upstreams: tuple[ids.UpstreamId, ...] = ()
+    worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
+    is_abandoned: bool = False
 
 
-class BudgetRow(typing.NamedTuple):
-    """Hold one second's requests and repeats of a service."""
+class RetryBudgetRow(typing.NamedTuple):
+    """Hold one second's requests and retries of a service."""
 
     second: int
     requests: int
-    repeats: int
+    retries: int
 
 
 class RequestTable(typing.NamedTuple):
-    """Hold the requests in hand, those that wait, and the retry budget."""
+    """Hold current requests, queues by service and the retry budgets."""
 
     rows: dict[ids.RequestId, RequestRow]
-    waiting: dict[ids.ServiceId, dict[ids.RequestId, None]]
-    budgets: dict[ids.ServiceId, list[BudgetRow]]
+    queues: dict[ids.ServiceId, dict[ids.RequestId, None]]
+    retry_budgets: dict[ids.ServiceId, list[RetryBudgetRow]]
     stopping: set[str]
 
 
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -107,8 +107,8 @@
         sent += samples.only(samples.feed(world, 1.0, arrival), out.Dispatch)
     samples.feed(world, 2.0, samples.arrival(10, '/later/1'))
     samples.feed(world, 3.0, samples.arrival(11, '/urgent/1'))
-    waiting = world.requests.waiting['specdesk']
-    assert set(waiting) == {10, 11}
+    queue = world.requests.queues['specdesk']
+    assert set(queue) == {10, 11}
     next_sent = []
     for dispatch in sent:
         outputs = samples.feed(world, 40.0, samples.done(dispatch, WELL))
