Name the tests of placement, requests and routes by what they guard

Test names and docstrings spoke of work that goes abroad, a home that is full, warmth that ends and the like; they name regions, upstreams, retries and deadlines now. samples.done and dispatched are attempt_done and single_dispatch. The parameter is_heard is has_heartbeats, which changes the literal in parametrize with it. Number of tests, assertions, bounds and seeds are as before.

--- a/tests/core/gateway/samples.py
+++ b/tests/core/gateway/samples.py
@@ -1,4 +1,4 @@
-"""Give the gateway's tests small worlds and requests."""
+"""Build small worlds, rows and inputs for the gateway's tests."""
 
 from zinnialead_core import gateway
 from zinnialead_core.gateway.entries import models as entries
@@ -44,13 +44,13 @@
 
 
 def configuration(version=1, *rows):
-    table = {row.name: row for row in rows or (route(),)}
+    rows_by_name = {row.name: row for row in rows or (route(),)}
     services = {
         part.service: routes.ServiceRow(part.service, 800, 3_000.0, 4.3)
-        for row in table.values()
+        for row in rows_by_name.values()
         for part in row.parts
     }
-    return routes.new_configuration(version, table, services, LIMITS)
+    return routes.new_configuration(version, rows_by_name, services, LIMITS)
 
 
 def upstream(name, domain='guj-a', **fields):
@@ -79,15 +79,15 @@
 
 
 def served(*rows, upstreams_=None, config=None):
-    """Return a world that serves a configuration with upstreams."""
+    """Return a world with an active configuration and upstreams."""
     world = gateway.new_world(node(), seed=1)
     config = config or configuration(1, *rows)
-    known = upstreams_ or [upstream('u-1'), upstream('u-2', 'guj-b')]
+    upstream_rows = upstreams_ or [upstream('u-1'), upstream('u-2', 'guj-b')]
     feed(
         world,
         0.0,
         inp.ConfigurationRead(config, 'test'),
-        inp.UpstreamsListed(tuple(known), 1),
+        inp.UpstreamsListed(tuple(upstream_rows), 1),
     )
     return world
 
@@ -102,17 +102,17 @@
     return [x for x in outputs if isinstance(x, kind)]
 
 
-def dispatched(outputs):
-    (found,) = only(outputs, out.Dispatch)
-    return found
+def single_dispatch(outputs):
+    (dispatch,) = only(outputs, out.Dispatch)
+    return dispatch
 
 
-def done(dispatch, outcome, **fields):
+def attempt_done(dispatch, outcome, **fields):
     return inp.AttemptDone(
         dispatch.request_id, dispatch.attempt, outcome, 100.0, **fields
     )
 
 
 def stored(world, kind, result):
-    """Return the end of the call that counts for a kind."""
+    """Return the result of the current store call for a kind."""
     return inp.StoreDone(kind, result, world.store.watches[kind].number)
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -1,4 +1,4 @@
-"""Place objects, near and abroad, warm and cold."""
+"""Test the choice of upstreams by object, region and load."""
 
 import pytest
 
@@ -16,15 +16,15 @@
 NAMES = [f'u-{n}' for n in range(8)]
 
 
-def wanted(key, homes=frozenset(), rank=1):
-    return models.PlacementRequest('specdesk', key, rank, homes, ())
+def request_for(key, home_regions=frozenset(), rank=1):
+    return models.PlacementRequest('specdesk', key, rank, home_regions, ())
 
 
 def choose(world, key, **fields):
-    return placement.choose(world, 1.0, wanted(key, **fields))
+    return placement.choose(world, 1.0, request_for(key, **fields))
 
 
-def test_entries_agree_on_an_object_without_asking():
+def test_entries_choose_the_same_upstream_for_an_object():
     rows = tuple(samples.upstream(name) for name in NAMES)
     first = samples.served(upstreams_=rows)
     second = samples.served(upstreams_=tuple(reversed(rows)))
@@ -32,7 +32,7 @@
         assert choose(first, key) == choose(second, key)
 
 
-def test_an_upstream_that_goes_moves_only_its_own_objects():
+def test_a_removed_upstream_moves_only_its_own_objects():
     rows = [samples.upstream(name) for name in NAMES]
     world = samples.served(upstreams_=rows)
     keys = [str(n) for n in range(100)]
@@ -43,24 +43,26 @@
     assert moved == {key for key in keys if before[key] == 'u-3'}
 
 
-def test_a_route_with_homes_stays_in_them():
+def test_a_route_stays_in_its_home_regions():
     rows = [samples.upstream('near'), samples.upstream('far', 'tn-a')]
     world = samples.served(upstreams_=rows)
-    homes = frozenset({'tn'})
-    assert {choose(world, str(n), homes=homes) for n in range(20)} == {'far'}
+    home_regions = frozenset({'tn'})
+    assert {
+        choose(world, str(n), home_regions=home_regions) for n in range(20)
+    } == {'far'}
 
 
-def test_a_region_with_few_slots_sends_a_part_abroad_from_the_start():
-    far = [samples.upstream(f'far-{n}', 'tn-a') for n in range(7)]
-    world = samples.served(upstreams_=[samples.upstream('near'), *far])
+def test_a_region_with_few_slots_uses_other_regions_from_the_start():
+    remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(7)]
+    world = samples.served(upstreams_=[samples.upstream('near'), *remote])
     chosen = [choose(world, str(n)) for n in range(200)]
     share = sum(name != 'near' for name in chosen) / len(chosen)
     assert 0.6 < share < 0.9
 
 
-def test_the_share_abroad_moves_by_less_than_the_bound_in_two_seconds():
-    far = [samples.upstream(f'far-{n}', 'tn-a') for n in range(2)]
-    world = samples.served(upstreams_=[samples.upstream('near'), *far])
+def test_the_remote_share_moves_by_less_than_the_bound_in_two_seconds():
+    remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(2)]
+    world = samples.served(upstreams_=[samples.upstream('near'), *remote])
     world.loads['near'] = models.LoadRow(in_flight=20)
     before = remote_share.get(world, 'specdesk').share
     for _ in range(4):
@@ -69,15 +71,20 @@
     assert 0.0 < after - before < samples.BOUNDS.shift_share_max
 
 
-@pytest.mark.parametrize('is_heard', [True, False])
-def test_a_cold_upstream_gets_its_rate_from_few_entries(is_heard):
-    """Entries that had just started took each other for dead."""
-    total = 0
+@pytest.mark.parametrize('has_heartbeats', [True, False])
+def test_a_cold_upstream_gets_its_rate_from_few_entries(has_heartbeats):
+    """All entries sent to it when each took the others for dead.
+
+    They did so just after their start, before the first heartbeats.
+    """
+    send_count = 0
     names = [f'entry-{n}' for n in range(8)]
     for name in names:
         world = gateway.new_world(samples.node(name), seed=1)
         config = samples.configuration(1)
-        heard = [inp.BeatHeard(gateway_beat(x)) for x in names if is_heard]
+        heartbeats = [
+            inp.BeatHeard(new_heartbeat(x)) for x in names if has_heartbeats
+        ]
         samples.feed(
             world,
             0.0,
@@ -86,68 +93,71 @@
             inp.UpstreamsListed(
                 (samples.upstream('u-1', cold_ms=3_000.0),), 1
             ),
-            *heard,
+            *heartbeats,
         )
         while cold_rate_limit.may_send(world, 10.0, 'u-1'):
             cold_rate_limit.record_send(world, 10.0, 'u-1')
-            total += 1
-    assert 0 < total <= 4.3 * 1.5 + 5
+            send_count += 1
+    assert 0 < send_count <= 4.3 * 1.5 + 5
 
 
-def gateway_beat(entry):
+def new_heartbeat(entry):
     from zinnialead_core.gateway.entries import models as entries
 
     return entries.Beat(entry, 1, False, True)
 
 
-def test_warmth_ends_with_its_time():
+def test_an_upstream_is_cold_until_its_time_has_passed():
     world = samples.served()
     upstreams.set_cold(world, 0.0, 'u-1', 1_000.0)
     assert upstreams.is_cold(world, 999.0, 'u-1')
     assert not upstreams.is_cold(world, 1_001.0, 'u-1')
 
 
-def test_an_object_from_abroad_finds_where_the_region_keeps_it():
+def test_a_remote_object_goes_where_its_region_has_it_cached():
     rows = [samples.upstream(f'tn-{n}', 'tn-a') for n in range(6)]
     rows += [samples.upstream(f'guj-{n}') for n in range(2)]
     world = samples.served(upstreams_=rows)
-    native = gateway.new_world(samples.node('entry-9', 'tn-a'), seed=1)
+    remote_world = gateway.new_world(samples.node('entry-9', 'tn-a'), seed=1)
     listed = inp.UpstreamsListed(tuple(rows), 1)
-    samples.feed(native, 0.0, listed)
+    samples.feed(remote_world, 0.0, listed)
     for key in map(str, range(50)):
-        far = rendezvous.order_upstreams(world, wanted(key)).remote
-        assert far[0] == rendezvous.order_upstreams(native, wanted(key)).local
+        remote = rendezvous.order_upstreams(world, request_for(key)).remote
+        assert (
+            remote[0]
+            == rendezvous.order_upstreams(remote_world, request_for(key)).local
+        )
 
 
-def test_work_goes_abroad_freely_when_home_is_out():
-    far = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
-    near = [samples.upstream(f'near-{n}') for n in range(3)]
-    world = samples.served(upstreams_=[*near, *far])
-    for row in near:
-        out = models.LoadRow(out_until_ms=10_000.0)
-        world.loads[row.upstream] = out
+def test_all_work_leaves_a_region_whose_upstreams_are_ejected():
+    remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
+    local = [samples.upstream(f'near-{n}') for n in range(3)]
+    world = samples.served(upstreams_=[*local, *remote])
+    for row in local:
+        ejected = models.LoadRow(out_until_ms=10_000.0)
+        world.loads[row.upstream] = ejected
     chosen = {choose(world, str(n)) for n in range(60)}
-    assert chosen == {row.upstream for row in far}
+    assert chosen == {row.upstream for row in remote}
 
 
-def test_few_leave_a_home_that_is_full():
-    far = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
-    near = [samples.upstream(f'near-{n}') for n in range(3)]
-    world = samples.served(upstreams_=[*near, *far])
-    for row in near:
+def test_few_requests_leave_a_full_region():
+    remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
+    local = [samples.upstream(f'near-{n}') for n in range(3)]
+    world = samples.served(upstreams_=[*local, *remote])
+    for row in local:
         world.loads[row.upstream] = models.LoadRow(in_flight=40)
     chosen = [choose(world, str(n)) for n in range(60)]
     assert sum(name is not None for name in chosen) <= 3
 
 
-def test_work_is_served_where_every_upstream_fails_often():
+def test_requests_are_placed_where_every_upstream_fails_often():
     world = samples.served()
     for name in ('u-1', 'u-2'):
         world.loads[name] = models.LoadRow(failing=0.9)
     assert {choose(world, str(n), rank=2) for n in range(20)} <= {'u-1', 'u-2'}
 
 
-def test_what_is_held_against_an_upstream_fades():
+def test_failure_rate_and_slowness_of_an_upstream_decay():
     world = samples.served()
     world.loads['u-1'] = models.LoadRow(failing=0.6, pace=4.0)
     assert loads.is_suspect(world, 'u-1')
--- a/tests/core/gateway/test_routes.py
+++ b/tests/core/gateway/test_routes.py
@@ -1,4 +1,4 @@
-"""Choose routes and services."""
+"""Test the choice of routes and services."""
 
 import collections
 
@@ -9,15 +9,15 @@
 
 
 def test_the_longest_prefix_wins():
-    long = samples.route('lookup-deep', prefix='/lookup/deep/')
-    config = samples.configuration(1, samples.route(), long)
-    found = routes.match_route(config, 'desk.example', '/lookup/deep/3')
-    assert found.name == 'lookup-deep'
+    longer = samples.route('lookup-deep', prefix='/lookup/deep/')
+    config = samples.configuration(1, samples.route(), longer)
+    matched = routes.match_route(config, 'desk.example', '/lookup/deep/3')
+    assert matched.name == 'lookup-deep'
     assert routes.match_route(config, 'desk.example', '/lookup') is None
     assert routes.match_route(config, 'other.example', '/lookup/1') is None
 
 
-def test_an_older_version_is_never_adopted():
+def test_an_older_version_is_never_activated():
     world = samples.served()
     for version, expected in ((5, 5), (3, 5), (9, 9)):
         config = samples.configuration(version)
@@ -25,7 +25,7 @@
         assert routes.active_configuration(world).version == expected
 
 
-def test_parts_get_their_weights():
+def test_services_are_chosen_in_proportion_to_their_weights():
     parts = (
         models.WeightedServiceRow('specdesk', 90.0),
         models.WeightedServiceRow('other', 10.0),
@@ -38,7 +38,7 @@
     assert abs(chosen['other'] - 20) <= 1
 
 
-def test_a_part_without_weight_gets_nothing():
+def test_a_service_without_weight_gets_no_requests():
     parts = (
         models.WeightedServiceRow('specdesk', 0.0),
         models.WeightedServiceRow('other', 1.0),
