Describe entries by liveness, ranking and selection

A place is a sort key, neighbours are peer addresses, speakers are those that send to remote regions, and beats and fades are heartbeats and decay.

Comments on constants keep their figures and reasons in plain words. Log values, counters, the hash's salt and the store's kinds stay.

--- a/packages/core/src/zinnialead_core/gateway/entries/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/__init__.py
@@ -1,1 +1,1 @@
-"""Find the other entries and say which of them callers may use."""
+"""Track the other entries and select those that callers should use."""
--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -1,4 +1,4 @@
-"""Announce this entry, heartbeat, and remove the registrations of the dead."""
+"""Register this entry, send heartbeats and remove dead entries."""
 
 from collections import abc
 
@@ -21,28 +21,28 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Keep ``entries``, with a heartbeat each period."""
+    """Maintain ``entries`` and send a heartbeat each period."""
     for item in inputs:
         match item:
             case inp.Started():
                 _next_round(world, now_ms, 0.0)
             case inp.EntryRegistered(row):
-                yield from _seen(world, now_ms, row)
+                yield from _apply_registration(world, now_ms, row)
             case inp.EntryDeregistered(entry):
-                yield from _gone(world, now_ms, entry)
+                yield from _apply_removal(world, now_ms, entry)
             case inp.EntriesListed(rows):
-                yield from _listed(world, now_ms, rows)
+                yield from _apply_list(world, now_ms, rows)
             case inp.HeartbeatReceived(heartbeat):
-                yield from _heard(world, now_ms, heartbeat)
+                yield from _record_heartbeat(world, now_ms, heartbeat)
             case inp.TimerDue(timers.HeartbeatRound()):
-                yield from _round(world, now_ms)
+                yield from _run_round(world, now_ms)
             case inp.TimerDue(timers.StoreCallDue('registration')):
                 yield _register(world)
             case inp.StoreDone('registration', result):
-                yield from _registered(world, now_ms, result)
+                yield from _handle_registration_result(world, now_ms, result)
             case inp.StopRequested():
                 world.entries.leaving.add(world.node.ref.entry)
-                yield from _beat(world, now_ms, foreign=True)
+                yield from _send_heartbeat(world, now_ms, to_all_regions=True)
 
 
 def _register(world: world_module.World) -> out.CallStore:
@@ -51,18 +51,19 @@
     return out.CallStore(REGISTRATION, store.RegisterEntry(row))
 
 
-def _registered(
+def _handle_registration_result(
     world: world_module.World, now_ms: float, result: store.Result
 ) -> abc.Iterator[out.Output]:
     match result:
         case store.Written():
             return
         case store.Conflict(found) if found is not None:
-            # A list that was read earlier did not name this entry's object.
+            # The list that was read before the write did not contain this
+            # entry's registration.
             entry = world.node.ref.entry
             own = members.own_row(world)._replace(revision=found.revision)
             world.entries.rows[entry] = own
-            if not _is_of_run(found, own):
+            if not _is_same_run(found, own):
                 yield _register(world)
             return
     world.counters['entries.registration_failed'] += 1
@@ -71,50 +72,51 @@
     timer_table.start(world.timers, timer, due_ms)
 
 
-def _is_of_run(row: models.EntryRow, own: models.EntryRow) -> bool:
+def _is_same_run(row: models.EntryRow, own: models.EntryRow) -> bool:
     """Return whether a registration was made by this run of the entry."""
     return row.incarnation == own.incarnation
 
 
-def _seen(
+def _apply_registration(
     world: world_module.World, now_ms: float, row: models.EntryRow
 ) -> abc.Iterator[out.Output]:
     table = world.entries
-    known = table.rows.get(row.entry)
+    previous = table.rows.get(row.entry)
     if row.entry == world.node.ref.entry:
-        if known is None or row.revision > known.revision:
+        if previous is None or row.revision > previous.revision:
             own = members.own_row(world)._replace(revision=row.revision)
             is_own = row.incarnation == own.incarnation
             table.rows[row.entry] = row if is_own else own
         return
-    if known is not None and not _is_later(row, known):
+    if previous is not None and not _supersedes(row, previous):
         return
     table.rows[row.entry] = row
-    if known is not None and known.incarnation == row.incarnation:
+    if previous is not None and previous.incarnation == row.incarnation:
         return
-    if known is not None and row.incarnation < known.incarnation:
-        # A clock that was set back numbers a later run lower.
+    if previous is not None and row.incarnation < previous.incarnation:
+        # A later run has a lower incarnation if the clock was set back.
         table.heartbeats.pop(row.entry, None)
     table.seen_ms[row.entry] = now_ms
-    # Who has just started learns at once that this entry lives, and where.
-    to = (row.peer_address,)
-    yield out.SendHeartbeat(to, members.own_heartbeat(world, now_ms))
-    yield out.SendChanges(to, _announcement(world))
+    # Tell an entry that has just started at once that this one is live,
+    # and its address.
+    addresses = (row.peer_address,)
+    yield out.SendHeartbeat(addresses, members.own_heartbeat(world, now_ms))
+    yield out.SendChanges(addresses, _announcement(world))
     yield out.LogStateChange(
         'entries', row.entry, 'unknown', 'registered', row.front_address
     )
 
 
-def _is_later(row: models.EntryRow, known: models.EntryRow) -> bool:
+def _supersedes(row: models.EntryRow, previous: models.EntryRow) -> bool:
     """Return whether a row replaces another one of the same entry.
 
-    An entry's own announcement may come before its revision is known.
+    An entry may announce itself before it knows its revision.
     """
-    if row.revision > known.revision:
+    if row.revision > previous.revision:
         return True
-    if row.incarnation == known.incarnation:
-        return row.revision == known.revision
-    return row.incarnation > known.incarnation
+    if row.incarnation == previous.incarnation:
+        return row.revision == previous.revision
+    return row.incarnation > previous.incarnation
 
 
 def _announcement(world: world_module.World) -> inp.PeerChanges:
@@ -123,7 +125,7 @@
     return inp.PeerChanges(store.Kind.ENTRIES, 0, 0, own, source)
 
 
-def _gone(
+def _apply_removal(
     world: world_module.World, now_ms: float, entry: ids.EntryId
 ) -> abc.Iterator[out.Output]:
     row = world.entries.rows.get(entry)
@@ -135,7 +137,8 @@
             yield _register(world)
         return
     if not members.is_silent(world, now_ms, row):
-        # It is heard, and registers again once it learns this.
+        # Its heartbeats still arrive, and it will register again once it
+        # reads the removal.
         world.entries.rows[entry] = row._replace(revision=0)
         return
     world.entries.rows.pop(entry)
@@ -146,43 +149,43 @@
     )
 
 
-def _listed(
+def _apply_list(
     world: world_module.World,
     now_ms: float,
     rows: abc.Sequence[models.EntryRow],
 ) -> abc.Iterator[out.Output]:
     own = members.own_row(world)
-    named = {row.entry: row for row in rows}
+    listed = {row.entry: row for row in rows}
     for row in rows:
-        yield from _seen(world, now_ms, row)
-    for entry in [x for x in world.entries.rows if x not in named]:
+        yield from _apply_registration(world, now_ms, row)
+    for entry in [x for x in world.entries.rows if x not in listed]:
         if entry != own.entry:
-            yield from _gone(world, now_ms, entry)
-    found = named.get(own.entry)
-    if world.entries.leaving or (found and _is_of_run(found, own)):
+            yield from _apply_removal(world, now_ms, entry)
+    found = listed.get(own.entry)
+    if world.entries.leaving or (found and _is_same_run(found, own)):
         return
     if found is None:
         world.entries.rows[own.entry] = own._replace(revision=0)
     yield _register(world)
 
 
-def _heard(
+def _record_heartbeat(
     world: world_module.World, now_ms: float, heartbeat: models.Heartbeat
 ) -> abc.Iterator[out.Output]:
     table = world.entries
-    known = table.heartbeats.get(heartbeat.entry)
+    previous = table.heartbeats.get(heartbeat.entry)
     if (
-        known is not None
-        and heartbeat.incarnation < known.heartbeat.incarnation
-        and now_ms - known.received_ms <= const.SILENCE_MAX_MS
+        previous is not None
+        and heartbeat.incarnation < previous.heartbeat.incarnation
+        and now_ms - previous.received_ms <= const.SILENCE_MAX_MS
     ):
         return
     table.heartbeats[heartbeat.entry] = models.HeartbeatRow(heartbeat, now_ms)
-    if known is None or _differs(known.heartbeat, heartbeat):
+    if previous is None or _is_state_change(previous.heartbeat, heartbeat):
         after = 'leaving' if heartbeat.leaving else 'live'
         if not heartbeat.may_read:
             after += ', without the store'
-        before = 'unheard' if known is None else 'known'
+        before = 'unheard' if previous is None else 'known'
         yield out.LogStateChange(
             'entries',
             heartbeat.entry,
@@ -192,58 +195,64 @@
         )
 
 
-def _differs(known: models.Heartbeat, heartbeat: models.Heartbeat) -> bool:
-    """Return whether a heartbeat tells more than how things go on."""
-    usual = known._replace(
+def _is_state_change(
+    previous: models.Heartbeat, heartbeat: models.Heartbeat
+) -> bool:
+    """Return whether more than revisions and traffic has changed."""
+    unchanged = previous._replace(
         latest_revisions=heartbeat.latest_revisions,
         requests_per_s=heartbeat.requests_per_s,
     )
-    return usual != heartbeat
+    return unchanged != heartbeat
 
 
-def _round(
+def _run_round(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
     rounds = world.entries.heartbeat_rounds
     rounds[0] += 1
-    _count_traffic(world, now_ms)
-    speaks = members.is_speaker(world, now_ms)
+    _update_traffic(world, now_ms)
+    is_remote_sender = members.sends_to_remote_regions(world, now_ms)
     is_even = rounds[0] % const.SPARSE_ROUND_INTERVAL == 0
-    if is_even or speaks or members.has_callers(world):
-        yield from _beat(world, now_ms, foreign=is_even and speaks)
+    if is_even or is_remote_sender or members.has_callers(world):
+        yield from _send_heartbeat(
+            world, now_ms, to_all_regions=is_even and is_remote_sender
+        )
     yield from _remove_dead(world, now_ms)
     _next_round(world, now_ms, const.HEARTBEAT_PERIOD_MS)
 
 
-def _count_traffic(world: world_module.World, now_ms: float) -> None:
-    """Work out the requests a second since the round before."""
-    known = world.entries.traffic[0]
+def _update_traffic(world: world_module.World, now_ms: float) -> None:
+    """Update the rate of requests since the previous round."""
+    previous = world.entries.traffic[0]
     arrived = world.counters['requests.arrived']
-    requests_per_s = known.requests_per_s
-    span_ms = now_ms - known.at_ms
+    requests_per_s = previous.requests_per_s
+    span_ms = now_ms - previous.at_ms
     if span_ms > 0.0:
-        since_per_s = (arrived - known.arrived) * const.MS_PER_S / span_ms
-        # A caller's burst is taken for real at once, its end later.
+        current_per_s = (arrived - previous.arrived) * const.MS_PER_S / span_ms
+        # The rate rises at once, but falls slowly after a burst.
         requests_per_s = max(
-            since_per_s, known.requests_per_s * const.TRAFFIC_DECAY
+            current_per_s, previous.requests_per_s * const.TRAFFIC_DECAY
         )
     world.entries.traffic[0] = models.TrafficRow(
         arrived, now_ms, requests_per_s
     )
 
 
-def _beat(
-    world: world_module.World, now_ms: float, *, foreign: bool
+def _send_heartbeat(
+    world: world_module.World, now_ms: float, *, to_all_regions: bool
 ) -> abc.Iterator[out.Output]:
     node = world.node
-    to = tuple(
+    addresses = tuple(
         row.peer_address
         for row in world.entries.rows.values()
         if row.entry != node.ref.entry
-        and (foreign or row.region == node.region)
+        and (to_all_regions or row.region == node.region)
     )
-    if to:
-        yield out.SendHeartbeat(to, members.own_heartbeat(world, now_ms))
+    if addresses:
+        yield out.SendHeartbeat(
+            addresses, members.own_heartbeat(world, now_ms)
+        )
 
 
 def _next_round(
@@ -256,9 +265,10 @@
 def _remove_dead(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Remove registrations of the long silent, if that is up to this entry.
+    """Remove the registrations of entries that were silent for too long.
 
-    The first live entry by name does it, under the object's revision.
+    Only the region's first live entry by name does so, and only if the
+    registration's revision has not changed.
     """
     present = members.present_in_region(world, now_ms)
     if present[0] != world.node.ref.entry or not store.is_available(
--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -1,4 +1,4 @@
-"""Say which entries run, take callers, and how this one describes itself."""
+"""Determine which entries are live, and build this one's heartbeat."""
 
 from collections import abc
 
@@ -14,20 +14,20 @@
 def is_live(
     world: world_module.World, now_ms: float, row: models.EntryRow
 ) -> bool:
-    """Return whether an entry was heard lately and takes callers."""
+    """Return whether an entry sent a heartbeat lately and takes callers."""
     if row.entry == world.node.ref.entry:
         return not world.entries.leaving and is_ready(world)
-    heard = world.entries.heartbeats.get(row.entry)
-    if heard is None or heard.heartbeat.leaving or not heard.heartbeat.ready:
+    last = world.entries.heartbeats.get(row.entry)
+    if last is None or last.heartbeat.leaving or not last.heartbeat.ready:
         return False
-    silence_ms = const.SILENCE_MAX_MS
+    silence_max_ms = const.SILENCE_MAX_MS
     if row.region != world.node.region:
-        silence_ms = const.REMOTE_SILENCE_MAX_MS
-    return now_ms - heard.received_ms <= silence_ms
+        silence_max_ms = const.REMOTE_SILENCE_MAX_MS
+    return now_ms - last.received_ms <= silence_max_ms
 
 
 def is_ready(world: world_module.World) -> bool:
-    """Return whether this entry may be given callers."""
+    """Return whether this entry is ready to serve callers."""
     if world.entries.leaving:
         return False
     return routes.in_force(world) is not None and bool(world.upstreams.rows)
@@ -36,12 +36,12 @@
 def is_silent(
     world: world_module.World, now_ms: float, row: models.EntryRow
 ) -> bool:
-    """Return whether an entry is leaving, or was not heard for long.
+    """Return whether an entry is leaving or has sent no heartbeat lately.
 
-    One that has just been seen for the first time is not silent yet.
+    An entry that has just registered is not silent yet.
     """
-    heard = world.entries.heartbeats.get(row.entry)
-    if heard is not None and heard.heartbeat.leaving:
+    last = world.entries.heartbeats.get(row.entry)
+    if last is not None and last.heartbeat.leaving:
         return True
     return silence_ms(world, now_ms, row.entry) > const.SILENCE_MAX_MS
 
@@ -49,29 +49,30 @@
 def silence_ms(
     world: world_module.World, now_ms: float, entry: ids.EntryId
 ) -> float:
-    """Return the time since an entry was heard or first seen."""
-    heard = world.entries.heartbeats.get(entry)
+    """Return the time since an entry's last heartbeat or registration."""
+    last = world.entries.heartbeats.get(entry)
     since_ms = world.entries.seen_ms.get(entry, now_ms)
-    return now_ms - max(since_ms, heard.received_ms if heard else 0.0)
+    return now_ms - max(since_ms, last.received_ms if last else 0.0)
 
 
 def present_in_region(world: world_module.World, now_ms: float) -> list[str]:
-    """Return this region's entries that may be running, by name.
+    """Return the names of this region's entries that may be running.
 
-    Entries that start at once agree on these before they hear each other.
+    They are sorted, and entries that start together agree on them before
+    the first heartbeats arrive.
     """
-    names = [str(row.entry) for row in _present_others(world, now_ms)]
+    names = [str(row.entry) for row in _present_peers(world, now_ms)]
     return sorted([*names, str(world.node.ref.entry)])
 
 
-def is_speaker(world: world_module.World, now_ms: float) -> bool:
-    """Return whether this entry is one of those that other regions hear."""
-    present = _present_others(world, now_ms)
-    return ranking.count_before(world, present) < const.REMOTE_SENDERS
+def sends_to_remote_regions(world: world_module.World, now_ms: float) -> bool:
+    """Return whether this entry sends heartbeats to other regions."""
+    present = _present_peers(world, now_ms)
+    return ranking.count_ahead(world, present) < const.REMOTE_SENDERS
 
 
 def has_callers(world: world_module.World) -> bool:
-    """Return whether callers use this entry."""
+    """Return whether this entry gets requests at a notable rate."""
     return (
         world.entries.traffic[0].requests_per_s
         >= const.USED_MIN_REQUESTS_PER_S
@@ -79,32 +80,34 @@
 
 
 def speed(world: world_module.World, entry: ids.EntryId) -> float:
-    """Return an entry's processor time in s a second."""
+    """Return an entry's processor time in s per second."""
     if entry == world.node.ref.entry:
         return world.node.speed
     row = world.entries.rows.get(entry)
     return row.speed if row else 1.0
 
 
-def neighbours(world: world_module.World, now_ms: float) -> tuple[str, ...]:
-    """Return where the region's other entries that may run are reached."""
-    present = _present_others(world, now_ms)
+def peer_addresses(
+    world: world_module.World, now_ms: float
+) -> tuple[str, ...]:
+    """Return the addresses of the region's other entries that may run."""
+    present = _present_peers(world, now_ms)
     return tuple(row.peer_address for row in present)
 
 
-def _present_others(
+def _present_peers(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[models.EntryRow]:
     """Yield the other entries of the region that may be running."""
-    for row in ranking.others(world):
+    for row in ranking.region_peers(world):
         if not is_silent(world, now_ms, row):
             yield row
 
 
 def own_row(world: world_module.World) -> models.EntryRow:
-    """Return this entry as it registers, at the revision that is known."""
+    """Return this entry's registration, with its last known revision."""
     node = world.node
-    known = world.entries.rows.get(node.ref.entry)
+    registered = world.entries.rows.get(node.ref.entry)
     return models.EntryRow(
         node.ref.entry,
         node.ref.incarnation,
@@ -112,7 +115,7 @@
         node.region,
         node.front_address,
         node.peer_address,
-        known.revision if known else 0,
+        registered.revision if registered else 0,
         node.speed,
     )
 
@@ -120,7 +123,7 @@
 def own_heartbeat(
     world: world_module.World, now_ms: float
 ) -> models.Heartbeat:
-    """Return this entry's heartbeat as of now."""
+    """Return this entry's current heartbeat."""
     ref = world.node.ref
     leaving = bool(world.entries.leaving)
     return models.Heartbeat(
@@ -129,6 +132,6 @@
         leaving,
         is_ready(world),
         tuple(row.latest_revision for row in world.store.watches.values()),
-        readers.is_fit(world, now_ms),
+        readers.may_read(world, now_ms),
         world.entries.traffic[0].requests_per_s,
     )
--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -1,4 +1,4 @@
-"""Order the entries of a region, the strong ones first."""
+"""Rank the entries of a region by speed, then by a hash of their names."""
 
 from collections import abc
 import functools
@@ -10,34 +10,34 @@
 from zinnialead_core import ids
 
 SALT = 'reader'
-# Entries of several deployments of the size to design for.
-PLACES_MAX = 4_096
+# The cache holds the entries of several of the largest deployments.
+SORT_KEYS_MAX = 4_096
 
 
-class Place(typing.NamedTuple):
-    """Order entries: the strong ones first, then by their weight."""
+class SortKey(typing.NamedTuple):
+    """Sort the fast entries first, and equally fast ones by their hash."""
 
     slowness: float
-    weight: int
+    name_hash: int
 
 
-@functools.lru_cache(PLACES_MAX)
-def place(speed: float, entry: ids.EntryId) -> Place:
-    """Return what an entry is ordered by among those of its region."""
-    return Place(-speed, hashing.stable_hash(SALT, entry))
+@functools.lru_cache(SORT_KEYS_MAX)
+def sort_key(speed: float, entry: ids.EntryId) -> SortKey:
+    """Return the key by which an entry is ranked in its region."""
+    return SortKey(-speed, hashing.stable_hash(SALT, entry))
 
 
-def others(world: world_module.World) -> abc.Iterator[models.EntryRow]:
-    """Yield the registered entries of the region but this one."""
+def region_peers(world: world_module.World) -> abc.Iterator[models.EntryRow]:
+    """Yield the other registered entries of this entry's region."""
     node = world.node
     for row in world.entries.rows.values():
         if row.region == node.region and row.entry != node.ref.entry:
             yield row
 
 
-def count_before(
+def count_ahead(
     world: world_module.World, rows: abc.Iterable[models.EntryRow]
 ) -> int:
-    """Return how many of some entries come before this one."""
-    own = place(world.node.speed, world.node.ref.entry)
-    return sum(place(row.speed, row.entry) < own for row in rows)
+    """Return how many of ``rows`` rank before this entry."""
+    own = sort_key(world.node.speed, world.node.ref.entry)
+    return sum(sort_key(row.speed, row.entry) < own for row in rows)
