--- a/packages/core/src/zinnialead_core/gateway/store/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/store/__init__.py
@@ -1,1 +1,1 @@
-"""Decide when the platform's store is read, watched and written."""
+"""Read the platform's store, or follow the entries that do."""
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -1,51 +1,52 @@
 """Hold the constants of the store component."""
 
-# A watch that was opened while the store was silent hears nothing more: it
-# ends, with the time for an answer, within 7 s (the time after an outage,
-# and the time in which a configuration is to be in force).
+# A watch that is opened during an outage of the store may report nothing.
+# Including the timeout of the call it ends within 7 s, the limit after an
+# outage and for a configuration to take effect.
 WATCH_WAIT_MS = 4_000
-# The longest wait that the store takes is 30 s.
-ENTRIES_WAIT_MS = 25_000
-# Entries of a region that read the store and tell the others: two, so that
-# the death of one delays no change.
+# The store accepts at most 30 s.
+ENTRIES_WATCH_WAIT_MS = 25_000
+# Entries of a region that read the store and send changes to the others.
+# With two, the death of one delays no change.
 READERS = 2
-# Two heartbeats of a reader that were lost; another entry reads then.
+# Two lost heartbeats of a reader, after which another entry takes over.
 READER_SILENCE_MS = 2_500.0
-# An entry that does not read compares what it knows with a reader this
-# often: what was removed while nobody read shows in no later change.
+# How often an entry that does not read compares its objects with a reader's:
+# a removal while no entry read does not show in later changes.
 COMPARE_PERIOD_MS = 10_000.0
-# An entry that the store turned away leaves reading to others for so long.
+# How long an entry leaves reading to others after a failed call.
 READER_PENALTY_MS = 4_000.0
-# How often an entry looks whether it is to read.
-READER_PERIOD_MS = 500.0
-# Changes that come within this time are read by one call: the first reader
-# of a region, then the one that stands by.  A leaving upstream may get work
-# for 2.5 s after it said so.
+# How often an entry checks whether it is a reader.
+READER_CHECK_PERIOD_MS = 500.0
+# Pauses between watches, in which changes are batched: of the first reader of
+# a region, and of the standby.  A leaving upstream may get requests for at
+# most 2.5 s after it announced this.
 WATCH_PAUSES_MS = (300.0, 900.0)
-# Entries announce themselves; the store's list of them only finds again
-# those that no announcement reached.
+# Entries announce themselves to each other; the store's list only finds those
+# whose announcement was lost.
 ENTRIES_PAUSE_MS = 5_000.0
 ENTRIES_PERIOD_MS = 30_000.0
-# The first start of a deployment: upstreams register over some seconds, and
-# no caller comes before.
+# At the first start of a deployment, upstreams register over some seconds, and
+# no caller sends requests before.
 FIRST_START_MS = 7_000.0
 FIRST_START_PAUSE_MS = 1_500.0
 RETRY_MIN_MS = 100.0
-# A store that is back is to be known again well within 4 s.
+# The return of the store must be noticed well within 4 s.
 RETRY_MAX_MS = 1_200.0
-# Registrations that lapsed in an outage come back within about 2 s.
-SETTLE_MS = 2_300.0
-# A registration lapses after three heartbeats; a shorter silence of the
-# store lets none lapse.
+# Registrations that expired in an outage are renewed within about 2 s.
+REMOVAL_DELAY_MS = 2_300.0
+# A registration expires after three heartbeats, so a shorter outage of the
+# store lets none expire.
 OUTAGE_MIN_MS = 1_500.0
-# A change that others know and this entry does not is asked for after this
-# time: a watch brings it within its pause.
-BEHIND_MS = 450.0
-# Then a reader reads the store again, and any other entry asks one of its
-# region; after this time it asks any entry, and last the store.
-BEHIND_ASK_MS = 900.0
+# After this time behind another entry a change is missing: a watch reports it
+# within its pause.
+BEHIND_MIN_MS = 450.0
+# A reader then lists the kind again, and another entry requests a snapshot
+# from one of its region; after this time from any entry, and last it lists
+# the kind itself.
+BEHIND_REQUEST_MS = 900.0
 BEHIND_READ_MS = 1_600.0
-# A store that does not answer this soon after a start is not waited for.
-START_ASK_MS = 600.0
-# One answer of another entry is waited for before the next one is asked.
-ASK_PAUSE_MS = 400.0
+# How long a starting entry waits for the store before it queries the seeds.
+SEED_QUERY_MS = 600.0
+# Waits for one snapshot before the next one is requested.
+REQUEST_PAUSE_MS = 400.0
--- a/packages/core/src/zinnialead_core/gateway/store/health.py
+++ b/packages/core/src/zinnialead_core/gateway/store/health.py
@@ -1,4 +1,4 @@
-"""Keep whether the store answers, and tell when that changes."""
+"""Track whether the store is available, and log when that changes."""
 
 from collections import abc
 
@@ -10,22 +10,25 @@
 from zinnialead_core.gateway import world as world_module
 
 
-def note(
+def record_result(
     world: world_module.World, now_ms: float, result: models.Result
 ) -> abc.Iterator[out.Output]:
-    """Take in whether a call of this entry was answered."""
+    """Update the availability after a call of this entry."""
     if isinstance(result, (models.Failed, models.Refused)):
-        known = world.store.health[models.STORE]
-        world.store.health[models.STORE] = known._replace(failed_ms=now_ms)
-        yield from _away(world, now_ms, f'{result}')
+        health = world.store.health[models.STORE]
+        world.store.health[models.STORE] = health._replace(failed_ms=now_ms)
+        yield from _mark_unavailable(world, now_ms, f'{result}')
     else:
-        yield from _back(world, now_ms, type(result).__name__)
+        yield from _mark_available(world, now_ms, type(result).__name__)
 
 
-def heard(
+def infer_availability(
     world: world_module.World, now_ms: float, heartbeat: entries.Heartbeat
 ) -> abc.Iterator[out.Output]:
-    """Take the word of a reader, where this entry makes no calls."""
+    """Infer that the store is available from the heartbeat of a reader.
+
+    Only an entry that does not read itself relies on this.
+    """
     row = world.entries.rows.get(heartbeat.entry)
     if (
         not heartbeat.may_read
@@ -36,49 +39,53 @@
     if row.region == world.node.region and not readers.is_reader(
         world, now_ms
     ):
-        yield from _back(world, now_ms, f'heartbeat of {heartbeat.entry}')
+        yield from _mark_available(
+            world, now_ms, f'heartbeat of {heartbeat.entry}'
+        )
 
 
-def settle(world: world_module.World, now_ms: float, wait_ms: float) -> None:
-    """Hold what is missing for as long as the entry that told so does."""
-    known = world.store.health[models.STORE]
+def hold_removals(
+    world: world_module.World, now_ms: float, delay_ms: float
+) -> None:
+    """Hold back removals for at least as long as the sending entry does."""
+    health = world.store.health[models.STORE]
     removals_held_until_ms = max(
-        known.removals_held_until_ms, now_ms + wait_ms
+        health.removals_held_until_ms, now_ms + delay_ms
     )
-    world.store.health[models.STORE] = known._replace(
+    world.store.health[models.STORE] = health._replace(
         removals_held_until_ms=removals_held_until_ms
     )
 
 
 def removal_delay_ms(world: world_module.World, now_ms: float) -> float:
-    """Return how long what is missing is held from now."""
+    """Return for how long removals are held back from now."""
     left_ms = models.removals_held_until_ms(world.store) - now_ms
-    return min(max(0.0, left_ms), const.SETTLE_MS)
+    return min(max(0.0, left_ms), const.REMOVAL_DELAY_MS)
 
 
-def _back(
+def _mark_available(
     world: world_module.World, now_ms: float, cause: str
 ) -> abc.Iterator[out.Output]:
-    known = world.store.health[models.STORE]
-    if known.is_available:
+    health = world.store.health[models.STORE]
+    if health.is_available:
         return
     removals_held_until_ms = 0.0
-    lost_ms = known.lost_ms
+    lost_ms = health.lost_ms
     if lost_ms is not None and now_ms - lost_ms > const.OUTAGE_MIN_MS:
-        removals_held_until_ms = now_ms + const.SETTLE_MS
-    world.store.health[models.STORE] = known._replace(
+        removals_held_until_ms = now_ms + const.REMOVAL_DELAY_MS
+    world.store.health[models.STORE] = health._replace(
         is_available=True, removals_held_until_ms=removals_held_until_ms
     )
     yield out.LogStateChange('store', 'store', 'away', 'answers', cause)
 
 
-def _away(
+def _mark_unavailable(
     world: world_module.World, now_ms: float, cause: str
 ) -> abc.Iterator[out.Output]:
-    known = world.store.health[models.STORE]
-    if not known.is_available:
+    health = world.store.health[models.STORE]
+    if not health.is_available:
         return
-    world.store.health[models.STORE] = known._replace(
+    world.store.health[models.STORE] = health._replace(
         is_available=False, removals_held_until_ms=float('inf'), lost_ms=now_ms
     )
     yield out.LogStateChange('store', 'store', 'answers', 'away', cause)
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -1,4 +1,4 @@
-"""Learn from other entries what the store does not tell."""
+"""Synchronize this entry's objects with those of other entries."""
 
 from collections import abc
 import typing
@@ -17,20 +17,20 @@
 from zinnialead_core import timers as timer_table
 
 
-def compare(
+def catch_up(
     world: world_module.World, now_ms: float, heartbeat: entries.Heartbeat
 ) -> abc.Iterator[out.Output]:
-    """Catch up on kinds of which another entry knows a later change."""
-    asked: list[models.Kind] = []
+    """Catch up on kinds of which another entry has a later change."""
+    kinds_to_request: list[models.Kind] = []
     for kind, latest_revision in zip(
         models.Kind, heartbeat.latest_revisions, strict=False
     ):
         row = world.store.watches[kind]
-        known = models.known_revision(row)
-        if latest_revision <= known:
+        known_revision = models.known_revision(row)
+        if latest_revision <= known_revision:
             continue
         behind = world.store.behind.get(kind)
-        if behind is None or behind.latest_revision <= known:
+        if behind is None or behind.latest_revision <= known_revision:
             behind = models.BehindRow(now_ms, latest_revision)
         behind = behind._replace(
             latest_revision=max(latest_revision, behind.latest_revision)
@@ -38,11 +38,11 @@
         world.store.behind[kind] = behind
         match _remedy(world, now_ms, row, heartbeat):
             case models.Remedy.ASK:
-                asked.append(kind)
+                kinds_to_request.append(kind)
             case models.Remedy.READ:
-                _read_again(world, now_ms, row)
-    if asked:
-        yield from _ask(world, now_ms, heartbeat, tuple(asked))
+                _schedule_list(world, now_ms, row)
+    if kinds_to_request:
+        yield from _request(world, now_ms, heartbeat, tuple(kinds_to_request))
 
 
 def _remedy(
@@ -51,10 +51,10 @@
     row: models.WatchRow,
     heartbeat: entries.Heartbeat,
 ) -> models.Remedy:
-    """Return what to do about changes that another entry knows.
+    """Return how to get the changes that another entry has.
 
-    A watch that fell silent is replaced by a new read of the store.  Who
-    leaves reading to others asks one of them, soon where it is near.
+    A reader replaces a watch that reports nothing by a new list.  Other
+    entries request a snapshot, sooner from an entry of their own region.
     """
     if not models.is_available(world.store):
         return models.Remedy.ASK
@@ -62,30 +62,30 @@
         return models.Remedy.WAIT
     behind_ms = now_ms - world.store.behind[row.kind].since_ms
     if readers.is_reader(world, now_ms):
-        if behind_ms >= const.BEHIND_ASK_MS:
+        if behind_ms >= const.BEHIND_REQUEST_MS:
             return models.Remedy.ASK
-        if behind_ms >= const.BEHIND_MS and row.revision is not None:
+        if behind_ms >= const.BEHIND_MIN_MS and row.revision is not None:
             return models.Remedy.READ
         return models.Remedy.WAIT
     if behind_ms >= const.BEHIND_READ_MS:
         return models.Remedy.READ
-    # A configuration is too large to be told; it is asked for at once.
-    wait_ms = const.BEHIND_ASK_MS
-    if _is_near(world, heartbeat):
-        is_told = row.kind is not models.Kind.CONFIGURATION
-        wait_ms = const.BEHIND_MS if is_told else 0.0
+    # A configuration is too large for a datagram, so it is requested at once.
+    wait_ms = const.BEHIND_REQUEST_MS
+    if _is_local(world, heartbeat):
+        is_pushed = row.kind is not models.Kind.CONFIGURATION
+        wait_ms = const.BEHIND_MIN_MS if is_pushed else 0.0
     return models.Remedy.ASK if behind_ms >= wait_ms else models.Remedy.WAIT
 
 
-def _is_near(world: world_module.World, heartbeat: entries.Heartbeat) -> bool:
+def _is_local(world: world_module.World, heartbeat: entries.Heartbeat) -> bool:
     row = world.entries.rows.get(heartbeat.entry)
     return row is not None and row.region == world.node.region
 
 
-def heard(
+def apply_snapshot(
     world: world_module.World, now_ms: float, item: inp.PeerSnapshot
 ) -> abc.Iterator[out.Output]:
-    """Take in what another entry knows, if it is later."""
+    """Apply another entry's snapshot if it is later than what is known."""
     row = world.store.watches[item.kind]
     synced_revision = max(item.latest_revision, item.synced_revision)
     if (
@@ -94,18 +94,18 @@
     ):
         return
     world.counters['store.heard_from_peers'] += 1
-    health.settle(world, now_ms, item.removal_delay_ms)
+    health.hold_removals(world, now_ms, item.removal_delay_ms)
     latest_revision = max(item.latest_revision, row.latest_revision)
     world.store.watches[item.kind] = row._replace(
         latest_revision=latest_revision,
         synced_revision=max(synced_revision, row.synced_revision or 0),
     )
     if item.kind is models.Kind.ENTRIES:
-        # One that has just announced itself may be unknown to the other.
+        # Not as a list: the other entry may lack one that has just started.
         for entry in item.items:
             yield out.Notify(typing.cast('inp.Input', entry))
     else:
-        yield out.Notify(whole(item.kind, item.items, synced_revision))
+        yield out.Notify(complete_list(item.kind, item.items, synced_revision))
     if latest_revision == row.latest_revision:
         return
     yield out.LogStateChange(
@@ -117,21 +117,21 @@
     )
 
 
-def told(
+def apply_changes(
     world: world_module.World, now_ms: float, item: inp.PeerChanges
 ) -> abc.Iterator[out.Output]:
-    """Take in changes that another entry has read, if none is missed."""
+    """Apply changes that another entry has read, unless some are missing."""
     row = world.store.watches[item.kind]
-    known = models.known_revision(row)
+    known_revision = models.known_revision(row)
     if item.kind is not models.Kind.ENTRIES:
-        if item.latest_revision <= known:
+        if item.latest_revision <= known_revision:
             return
-        if row.synced_revision is None or known < item.base_revision:
-            # The next heartbeat makes this entry ask.
+        if row.synced_revision is None or known_revision < item.base_revision:
+            # The next heartbeat makes this entry request a snapshot.
             world.counters['store.told_with_gap'] += 1
             return
     world.counters['store.told_by_peers'] += 1
-    health.settle(world, now_ms, item.removal_delay_ms)
+    health.hold_removals(world, now_ms, item.removal_delay_ms)
     latest_revision = max(item.latest_revision, row.latest_revision)
     world.store.watches[item.kind] = row._replace(
         latest_revision=latest_revision
@@ -140,48 +140,54 @@
         yield out.Notify(typing.cast('inp.Input', change))
 
 
-def tell(
+def send_changes(
     world: world_module.World,
     now_ms: float,
     row: models.WatchRow,
     base_revision: int,
     items: tuple[object, ...],
 ) -> abc.Iterator[out.Output]:
-    """Tell the other entries of the region what the store told."""
-    to = members.neighbours(world, now_ms)
-    if not to:
+    """Send changes from the store to the other entries of the region.
+
+    A configuration is too large for that; the heartbeat announces its
+    revision, and the others request it.
+    """
+    addresses = members.peer_addresses(world, now_ms)
+    if not addresses:
         return
     if row.kind is models.Kind.CONFIGURATION:
-        yield out.SendHeartbeat(to, members.own_heartbeat(world, now_ms))
+        yield out.SendHeartbeat(
+            addresses, members.own_heartbeat(world, now_ms)
+        )
         return
     source = str(world.node.ref.entry)
-    wait_ms = health.removal_delay_ms(world, now_ms)
-    told_ = inp.PeerChanges(
-        row.kind, base_revision, row.latest_revision, items, source, wait_ms
+    delay_ms = health.removal_delay_ms(world, now_ms)
+    changes = inp.PeerChanges(
+        row.kind, base_revision, row.latest_revision, items, source, delay_ms
     )
-    yield out.SendChanges(to, told_)
+    yield out.SendChanges(addresses, changes)
 
 
-def lacks(world: world_module.World, listed: inp.Input) -> bool:
-    """Return whether a whole list lacks what is known."""
+def lacks_known(world: world_module.World, listed: inp.Input) -> bool:
+    """Return whether a complete list lacks objects that are known."""
     match listed:
         case inp.UpstreamsListed(rows):
-            named = {row.upstream for row in rows}
-            return bool(world.upstreams.rows.keys() - named)
+            listed_upstreams = {row.upstream for row in rows}
+            return bool(world.upstreams.rows.keys() - listed_upstreams)
         case inp.DrainsListed(domains):
             return bool(world.upstreams.drained.difference(domains))
         case _:
             return False
 
 
-def compare_whole(
+def compare_all(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Ask a reader for all that it knows, from time to time."""
-    asked_ms = world.store.compared_ms.setdefault(models.STORE, now_ms)
-    if now_ms - asked_ms < const.COMPARE_PERIOD_MS:
+    """Request all kinds from a reader, once each period."""
+    compared_ms = world.store.compared_ms.setdefault(models.STORE, now_ms)
+    if now_ms - compared_ms < const.COMPARE_PERIOD_MS:
         return
-    reader = readers.nearest(world, now_ms)
+    reader = readers.first_peer(world, now_ms)
     if reader is None:
         return
     world.store.compared_ms[models.STORE] = now_ms
@@ -189,44 +195,44 @@
     yield out.RequestSnapshots(reader.peer_address, kinds)
 
 
-def ask_seeds(
+def query_seeds(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Ask the seeds while the store has told nothing since the start."""
-    missing = tuple(
+    """Request from the seeds the kinds not yet read since the start."""
+    missing_kinds = tuple(
         row.kind
         for row in world.store.watches.values()
         if row.synced_revision is None
     )
-    if not missing:
+    if not missing_kinds:
         return
     for address in world.node.seeds:
-        yield out.RequestSnapshots(address, missing)
+        yield out.RequestSnapshots(address, missing_kinds)
     timer = timers.SeedQueryDue()
-    timer_table.start(world.timers, timer, now_ms + const.START_ASK_MS)
+    timer_table.start(world.timers, timer, now_ms + const.SEED_QUERY_MS)
 
 
 def snapshot(
     world: world_module.World, now_ms: float, kind: models.Kind
 ) -> inp.PeerSnapshot | None:
-    """Return what this entry can tell others of a kind, None if nothing."""
+    """Return this entry's objects of a kind, None before it has them all."""
     row = world.store.watches[kind]
     if row.synced_revision is None:
         return None
     return inp.PeerSnapshot(
         kind,
         row.latest_revision,
-        _items(world, kind),
+        _snapshot_items(world, kind),
         str(world.node.ref.entry),
         models.known_revision(row),
         health.removal_delay_ms(world, now_ms),
     )
 
 
-def whole(
+def complete_list(
     kind: models.Kind, items: abc.Sequence[object], revision: int
 ) -> inp.Input:
-    """Return the input that replaces all that was known of a kind."""
+    """Return the input that replaces all known objects of a kind."""
     match kind:
         case models.Kind.UPSTREAMS:
             registered = (
@@ -244,7 +250,7 @@
             return inp.ConfigurationsListed(tuple(read))
 
 
-def _items(
+def _snapshot_items(
     world: world_module.World, kind: models.Kind
 ) -> tuple[inp.Input, ...]:
     match kind:
@@ -260,12 +266,12 @@
         case models.Kind.ENTRIES:
             return tuple(map(inp.EntryRegistered, world.entries.rows.values()))
         case models.Kind.CONFIGURATION:
-            known = world.routes.in_force.get(routes.IN_FORCE)
+            active = world.routes.in_force.get(routes.IN_FORCE)
             source = str(world.node.ref.entry)
-            return (inp.ConfigurationRead(known, source),) if known else ()
+            return (inp.ConfigurationRead(active, source),) if active else ()
 
 
-def _read_again(
+def _schedule_list(
     world: world_module.World, now_ms: float, row: models.WatchRow
 ) -> None:
     if row.must_list:
@@ -276,20 +282,20 @@
     timer_table.start(world.timers, timer, now_ms)
 
 
-def _ask(
+def _request(
     world: world_module.World,
     now_ms: float,
     heartbeat: entries.Heartbeat,
     kinds: tuple[models.Kind, ...],
 ) -> abc.Iterator[out.Output]:
     row = world.entries.rows.get(heartbeat.entry)
-    asked_ms = world.store.requested_ms
+    requested_ms = world.store.requested_ms
     kinds = tuple(
         kind
         for kind in kinds
-        if now_ms - asked_ms.get(kind, 0.0) >= const.ASK_PAUSE_MS
+        if now_ms - requested_ms.get(kind, 0.0) >= const.REQUEST_PAUSE_MS
     )
     if row is None or not kinds:
         return
-    asked_ms.update(dict.fromkeys(kinds, now_ms))
+    requested_ms.update(dict.fromkeys(kinds, now_ms))
     yield out.RequestSnapshots(row.peer_address, kinds)
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -1,4 +1,4 @@
-"""Say which entries of a region read the store for the others."""
+"""Determine which entries of a region read the store for the others."""
 
 from collections import abc
 
@@ -10,34 +10,34 @@
 
 
 def rank(world: world_module.World, now_ms: float) -> int:
-    """Return how many entries of the region read before this one does.
+    """Return how many entries of the region rank before this one as readers.
 
-    Only those count that were heard lately and that the store answers, so
-    that an entry which hears none of them reads itself.
+    Only entries with a recent heartbeat which the store answers count, so
+    that an entry that hears from none of them reads itself.
     """
-    rows = _reading(world, now_ms)
-    if not is_fit(world, now_ms):
+    rows = _reading_peers(world, now_ms)
+    if not may_read(world, now_ms):
         return sum(1 for _ in rows)
-    return ranking.count_before(world, rows)
+    return ranking.count_ahead(world, rows)
 
 
-def nearest(
+def first_peer(
     world: world_module.World, now_ms: float
 ) -> entries.EntryRow | None:
-    """Return the first reader of the region but this entry, if any lives."""
+    """Return the first reader among the region's other entries, if any."""
     return min(
-        _reading(world, now_ms),
-        key=lambda row: ranking.place(row.speed, row.entry),
+        _reading_peers(world, now_ms),
+        key=lambda row: ranking.sort_key(row.speed, row.entry),
         default=None,
     )
 
 
-def is_fit(world: world_module.World, now_ms: float) -> bool:
-    """Return whether the store has answered this entry's calls lately."""
-    known = world.store.health[models.STORE]
+def may_read(world: world_module.World, now_ms: float) -> bool:
+    """Return whether no call of this entry to the store failed lately."""
+    health = world.store.health[models.STORE]
     return (
-        known.is_available
-        and now_ms - known.failed_ms >= const.READER_PENALTY_MS
+        health.is_available
+        and now_ms - health.failed_ms >= const.READER_PENALTY_MS
     )
 
 
@@ -46,17 +46,17 @@
     return rank(world, now_ms) < const.READERS
 
 
-def _reading(
+def _reading_peers(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[entries.EntryRow]:
-    """Yield the other entries of the region that may read."""
-    for row in ranking.others(world):
-        heard = world.entries.heartbeats.get(row.entry)
+    """Yield the other entries of the region that may read the store."""
+    for row in ranking.region_peers(world):
+        last = world.entries.heartbeats.get(row.entry)
         if (
-            heard is None
-            or heard.heartbeat.leaving
-            or not heard.heartbeat.may_read
+            last is None
+            or last.heartbeat.leaving
+            or not last.heartbeat.may_read
         ):
             continue
-        if now_ms - heard.received_ms <= const.READER_SILENCE_MS:
+        if now_ms - last.received_ms <= const.READER_SILENCE_MS:
             yield row
