Describe the upstreams table by registration, expiry and drains

Seen, gone, lapsed, hold and forget are now apply a registration or a removal, expire, delay a removal and remove. Log values stay.

make check passes; tests/core/gateway, tests/gateway and tests/adapter pass with the whole change; no difference in the structure of the code.

--- a/packages/core/src/zinnialead_core/gateway/upstreams/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the upstreams that registered, and the domains that are drained."""
+"""Track the registered upstreams and the drained domains."""
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -1,4 +1,4 @@
-"""Learn upstreams and drained domains from the store."""
+"""Track the registered upstreams and the drained domains."""
 
 from collections import abc
 
@@ -19,29 +19,29 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Keep ``upstreams`` as the store names them; reads ``store``."""
+    """Keep ``upstreams`` in line with the store; reads ``store``."""
     for item in inputs:
         match item:
             case inp.UpstreamRegistered(row):
-                yield from _seen(world, now_ms, row)
+                yield from _apply_registration(world, now_ms, row)
             case inp.UpstreamDeregistered(upstream):
-                yield from _gone(world, now_ms, upstream)
+                yield from _apply_removal(world, now_ms, upstream)
             case inp.UpstreamsListed(rows, revision):
-                yield from _listed(world, now_ms, rows, revision)
+                yield from _apply_list(world, now_ms, rows, revision)
             case inp.DrainsListed(domains):
-                yield from _drains(world, now_ms, domains)
+                yield from _apply_drain_list(world, now_ms, domains)
             case inp.DrainAdded(domain):
-                yield from _drain(world, domain)
+                yield from _add_drain(world, domain)
             case inp.DrainRemoved(domain):
-                yield from _undrain(world, now_ms, domain)
+                yield from _remove_drain(world, now_ms, domain)
             case inp.TimerDue(timers.UpstreamExpiry(upstream)):
-                yield from _lapsed(world, now_ms, upstream)
+                yield from _expire(world, now_ms, upstream)
 
 
 def usable(
     world: world_module.World, service: ids.ServiceId
 ) -> abc.Iterator[models.UpstreamRow]:
-    """Yield the upstreams of a service that may get new work."""
+    """Yield the upstreams of a service that may get new requests."""
     table = world.upstreams
     for upstream in table.by_service.get(service, ()):
         row = table.rows[upstream]
@@ -52,7 +52,7 @@
 def is_cold(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> bool:
-    """Return whether an upstream tolerates only its service's cold rate."""
+    """Return whether an upstream is limited to its service's cold rate."""
     return world.upstreams.cold_until_ms.get(upstream, 0.0) > now_ms
 
 
@@ -62,87 +62,91 @@
     upstream: ids.UpstreamId,
     cold_ms: float,
 ) -> None:
-    """Take an upstream for cold for ``cold_ms`` from now."""
+    """Treat an upstream as cold for at least ``cold_ms`` from now."""
     if cold_ms <= 0.0:
         return
-    known = world.upstreams.cold_until_ms.get(upstream, 0.0)
-    world.upstreams.cold_until_ms[upstream] = max(known, now_ms + cold_ms)
+    previous_ms = world.upstreams.cold_until_ms.get(upstream, 0.0)
+    world.upstreams.cold_until_ms[upstream] = max(
+        previous_ms, now_ms + cold_ms
+    )
 
 
-def _seen(
+def _apply_registration(
     world: world_module.World, now_ms: float, row: models.UpstreamRow
 ) -> abc.Iterator[out.Output]:
     table = world.upstreams
-    known = table.rows.get(row.upstream)
-    if known is not None and row.revision < known.revision:
+    previous = table.rows.get(row.upstream)
+    if previous is not None and row.revision < previous.revision:
         return
-    if known == row and row.upstream not in table.expiring:
-        # The same change comes from the store and from other entries.
+    if previous == row and row.upstream not in table.expiring:
+        # The same change arrives from the store and from other entries.
         return
     table.expiring.pop(row.upstream, None)
     timer_table.stop(world.timers, timers.UpstreamExpiry(row.upstream))
     set_cold(world, now_ms, row.upstream, row.cold_ms)
     table.rows[row.upstream] = row
     table.generation[0] += 1
-    if known is None or known.service != row.service:
-        _index(table)
-    if known is not None and known.born_ms != row.born_ms:
+    if previous is None or previous.service != row.service:
+        _rebuild_index(table)
+    if previous is not None and previous.born_ms != row.born_ms:
         world.loads.pop(row.upstream, None)
-    if known is None or known.leaving != row.leaving:
-        yield _log(row, 'known' if known else 'unknown')
+    if previous is None or previous.leaving != row.leaving:
+        yield _state_change(row, 'known' if previous else 'unknown')
 
 
-def _gone(
+def _apply_removal(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> abc.Iterator[out.Output]:
     if upstream not in world.upstreams.rows:
         return
     if now_ms < store_models.removals_held_until_ms(world.store):
-        _hold(world, now_ms, upstream)
+        _delay_removal(world, now_ms, upstream)
         return
-    yield from _forget(world, upstream, 'removed from the store')
+    yield from _remove(world, upstream, 'removed from the store')
 
 
-def _listed(
+def _apply_list(
     world: world_module.World,
     now_ms: float,
     rows: abc.Sequence[models.UpstreamRow],
     revision: int,
 ) -> abc.Iterator[out.Output]:
     for row in rows:
-        yield from _seen(world, now_ms, row)
-    named = {row.upstream for row in rows}
+        yield from _apply_registration(world, now_ms, row)
+    listed = {row.upstream for row in rows}
     for row in list(world.upstreams.rows.values()):
-        if row.upstream not in named and row.revision <= revision:
-            yield from _gone(world, now_ms, row.upstream)
+        if row.upstream not in listed and row.revision <= revision:
+            yield from _apply_removal(world, now_ms, row.upstream)
 
 
-def _hold(
+def _delay_removal(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> None:
     if upstream in world.upstreams.expiring:
         return
-    removals_held_until_ms = store_models.removals_held_until_ms(world.store)
-    until_ms = min(removals_held_until_ms, now_ms + const.LAPSE_HOLD_MS)
-    world.upstreams.expiring[upstream] = until_ms
-    timer_table.start(world.timers, timers.UpstreamExpiry(upstream), until_ms)
+    held_until_ms = store_models.removals_held_until_ms(world.store)
+    expires_ms = min(held_until_ms, now_ms + const.EXPIRY_DELAY_MS)
+    world.upstreams.expiring[upstream] = expires_ms
+    timer_table.start(
+        world.timers, timers.UpstreamExpiry(upstream), expires_ms
+    )
 
 
-def _lapsed(
+def _expire(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> abc.Iterator[out.Output]:
     if upstream not in world.upstreams.expiring:
         return
     if not store_models.is_available(world.store):
-        later_ms = now_ms + const.LAPSE_HOLD_MS
+        due_ms = now_ms + const.EXPIRY_DELAY_MS
         timer_table.start(
-            world.timers, timers.UpstreamExpiry(upstream), later_ms
+            world.timers, timers.UpstreamExpiry(upstream), due_ms
         )
         return
-    yield from _forget(world, upstream, 'not registered again')
+    yield from _remove(world, upstream, 'not registered again')
 
 
-def _forget(
+def _remove(
     world: world_module.World, upstream: ids.UpstreamId, reason: str
 ) -> abc.Iterator[out.Output]:
     table = world.upstreams
@@ -152,13 +156,13 @@
     if row is None:
         return
     table.generation[0] += 1
-    _index(table)
+    _rebuild_index(table)
     yield out.Notify(inp.UpstreamRemoved(upstream))
     yield out.CloseIdleConnections(row.address)
     yield out.LogStateChange('upstreams', upstream, 'known', 'unknown', reason)
 
 
-def _index(table: models.UpstreamTable) -> None:
+def _rebuild_index(table: models.UpstreamTable) -> None:
     by_service: dict[ids.ServiceId, list[ids.UpstreamId]] = {}
     for row in table.rows.values():
         by_service.setdefault(row.service, []).append(row.upstream)
@@ -167,18 +171,18 @@
         table.by_service[service] = tuple(upstreams)
 
 
-def _drains(
+def _apply_drain_list(
     world: world_module.World,
     now_ms: float,
     domains: abc.Sequence[ids.DomainId],
 ) -> abc.Iterator[out.Output]:
     for domain in domains:
-        yield from _drain(world, domain)
+        yield from _add_drain(world, domain)
     for domain in world.upstreams.drained.difference(domains):
-        yield from _undrain(world, now_ms, domain)
+        yield from _remove_drain(world, now_ms, domain)
 
 
-def _drain(
+def _add_drain(
     world: world_module.World, domain: ids.DomainId
 ) -> abc.Iterator[out.Output]:
     if domain in world.upstreams.drained:
@@ -190,7 +194,7 @@
     )
 
 
-def _undrain(
+def _remove_drain(
     world: world_module.World, now_ms: float, domain: ids.DomainId
 ) -> abc.Iterator[out.Output]:
     if domain not in world.upstreams.drained:
@@ -206,7 +210,7 @@
     )
 
 
-def _log(row: models.UpstreamRow, before: str) -> out.LogStateChange:
+def _state_change(row: models.UpstreamRow, before: str) -> out.LogStateChange:
     after = 'leaving' if row.leaving else 'in service'
     return out.LogStateChange(
         'upstreams',
@@ -218,7 +222,9 @@
 
 
 def warm_up_ms(world: world_module.World, service: ids.ServiceId) -> float:
-    """Return how long an upstream of a service stays cold."""
-    known = routes.in_force(world)
-    row = known.services.get(service) if known else None
-    return row.warm_up_ms if row else const.COLD_AFTER_DRAIN_MS
+    """Return how long an upstream of a service stays cold after a drain."""
+    configuration = routes.in_force(world)
+    service_row = (
+        configuration.services.get(service) if configuration else None
+    )
+    return service_row.warm_up_ms if service_row else const.COLD_AFTER_DRAIN_MS
