--- a/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -67,7 +67,7 @@
         present,
         key=lambda name: (
             -entries.speed(world, ids.EntryId(name)),
-            hashing.weight(upstream, name),
+            hashing.stable_hash(upstream, name),
         ),
     )
     senders = ordered[: const.COLD_SENDERS]
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -30,7 +30,7 @@
                 remote_share.rebalance(world, now_ms)
                 loads.decay(world)
                 _schedule_rebalance(world, now_ms)
-            case inp.UpstreamDropped(upstream):
+            case inp.UpstreamRemoved(upstream):
                 world.loads.pop(upstream, None)
                 world.placement.cold_sends_ms.pop(upstream, None)
     yield from ()
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -63,7 +63,7 @@
 class PlacementTable(typing.NamedTuple):
     """Hold cached orders, remote shares and statistics of upstreams.
 
-    ``orders_version`` is the number of changes of the upstreams that the
+    ``orders_generation`` is the number of changes of the upstreams that the
     orders were derived from.  ``mean_service_ms`` is by route name, and
     ``cold_sends_ms`` are the times of the requests to each cold upstream in
     the last second.
@@ -72,7 +72,7 @@
     orders: dict[
         tuple[ids.ServiceId, str, frozenset[ids.RegionId]], UpstreamOrder
     ]
-    orders_version: list[int]
+    orders_generation: list[int]
     remote_shares: dict[ids.ServiceId, RemoteShareRow]
     mean_service_ms: dict[str, float]
     cold_sends_ms: dict[ids.UpstreamId, list[float]]
--- a/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
@@ -24,10 +24,10 @@
     An upstream that is removed moves only its own objects.
     """
     table = world.placement
-    is_stale = table.orders_version != world.upstreams.changes
+    is_stale = table.orders_generation != world.upstreams.generation
     if is_stale or len(table.orders) >= const.ORDERS_MAX:
         table.orders.clear()
-        table.orders_version[:] = world.upstreams.changes
+        table.orders_generation[:] = world.upstreams.generation
     key = (request.service, request.object_key, request.home_regions)
     order = table.orders.get(key)
     if order is None:
@@ -38,7 +38,7 @@
 
 def hash_fraction(text: str) -> float:
     """Return a number from 0 to 1 that depends on a text alone."""
-    return float(hashing.weight(text)) / HASH_RANGE
+    return float(hashing.stable_hash(text)) / HASH_RANGE
 
 
 def by_weight(
@@ -48,7 +48,7 @@
     return tuple(
         sorted(
             names,
-            key=lambda name: hashing.weight(object_key, name),
+            key=lambda name: hashing.stable_hash(object_key, name),
             reverse=True,
         )
     )
--- a/packages/core/src/zinnialead_core/gateway/requests/completion.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/completion.py
@@ -97,8 +97,8 @@
 def remove_row(world: world_module.World, request_id: ids.RequestId) -> None:
     """Remove a request's row and stop its timers."""
     world.requests.rows.pop(request_id, None)
-    timer_table.stop(world.timers, timers.RequestDue(request_id))
-    timer_table.stop(world.timers, timers.WaitDue(request_id))
+    timer_table.stop(world.timers, timers.RequestDeadline(request_id))
+    timer_table.stop(world.timers, timers.QueueTimeout(request_id))
 
 
 def _abandon(
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -28,15 +28,19 @@
                 yield from _arrive(world, now_ms, item)
             case inp.AttemptDone():
                 yield from attempts.finish(world, now_ms, item)
-            case inp.CallerGone(request_id):
+            case inp.CallerDisconnected(request_id):
                 yield from completion.caller_disconnected(world, request_id)
-            case inp.TimerDue(timers.RequestDue(request_id)):
+            case inp.TimerDue(timers.RequestDeadline(request_id)):
                 yield from completion.deadline_passed(
                     world, now_ms, request_id
                 )
-            case inp.TimerDue(timers.WaitDue(request_id)):
+            case inp.TimerDue(timers.QueueTimeout(request_id)):
                 yield from wait_queue.time_out(world, now_ms, request_id)
-            case inp.UpstreamsListed() | inp.UpstreamSeen() | inp.DrainGone():
+            case (
+                inp.UpstreamsListed()
+                | inp.UpstreamRegistered()
+                | inp.DrainRemoved()
+            ):
                 yield from wait_queue.send_all_waiting(world, now_ms)
 
 
@@ -58,6 +62,6 @@
         case models.RequestRow():
             world.requests.rows[arrival.request_id] = decision
             retry_budget.record_request(world, now_ms, decision.service)
-            timer = timers.RequestDue(arrival.request_id)
+            timer = timers.RequestDeadline(arrival.request_id)
             timer_table.start(world.timers, timer, decision.deadline_ms)
             yield from attempts.send_or_queue(world, now_ms, decision)
--- a/packages/core/src/zinnialead_core/gateway/requests/wait_queue.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/wait_queue.py
@@ -30,7 +30,7 @@
     world.requests.rows[row.request_id] = row
     queue[row.request_id] = None
     world.counters['requests.waited'] += 1
-    timer = timers.WaitDue(row.request_id)
+    timer = timers.QueueTimeout(row.request_id)
     timer_table.start(world.timers, timer, now_ms + queue_time_ms)
 
 
@@ -39,7 +39,7 @@
     queue = world.requests.queues.get(row.service)
     if queue is not None and row.request_id in queue:
         del queue[row.request_id]
-        timer_table.stop(world.timers, timers.WaitDue(row.request_id))
+        timer_table.stop(world.timers, timers.QueueTimeout(row.request_id))
 
 
 def time_out(
--- a/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
@@ -87,7 +87,7 @@
     world.routes.active[models.ACTIVE] = configuration
     world.routes.credits.clear()
     world.counters['routes.adopted'] += 1
-    yield out.LogBelief(
+    yield out.LogStateChange(
         'routes',
         'configuration',
         f'version {previous_version}',
--- a/tests/core/gateway/samples.py
+++ b/tests/core/gateway/samples.py
@@ -115,4 +115,4 @@
 
 def stored(world, kind, result):
     """Return the result of the current store call for a kind."""
-    return inp.StoreDone(kind, result, world.store.watches[kind].number)
+    return inp.StoreDone(kind, result, world.store.watches[kind].call_number)
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -37,7 +37,7 @@
     world = samples.served(upstreams_=rows)
     keys = [str(n) for n in range(100)]
     before = {key: choose(world, key) for key in keys}
-    samples.feed(world, 2.0, inp.UpstreamGone('u-3'))
+    samples.feed(world, 2.0, inp.UpstreamDeregistered('u-3'))
     after = {key: choose(world, key) for key in keys}
     moved = {key for key in keys if before[key] != after[key]}
     assert moved == {key for key in keys if before[key] == 'u-3'}
@@ -83,7 +83,9 @@
         world = gateway.new_world(samples.node(name), seed=1)
         config = samples.configuration(1)
         heartbeats = [
-            inp.BeatHeard(new_heartbeat(x)) for x in names if has_heartbeats
+            inp.HeartbeatReceived(new_heartbeat(x))
+            for x in names
+            if has_heartbeats
         ]
         samples.feed(
             world,
@@ -104,7 +106,7 @@
 def new_heartbeat(entry):
     from zinnialead_core.gateway.entries import models as entries
 
-    return entries.Beat(entry, 1, False, True)
+    return entries.Heartbeat(entry, 1, False, True)
 
 
 def test_an_upstream_is_cold_until_its_time_has_passed():
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -74,7 +74,7 @@
 def test_a_request_whose_caller_disconnected_is_cancelled():
     world = samples.served()
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
-    outputs = samples.feed(world, 5.0, inp.CallerGone(1))
+    outputs = samples.feed(world, 5.0, inp.CallerDisconnected(1))
     assert samples.only(outputs, out.CancelAttempt)
     cancelled = samples.attempt_done(
         sent, verdict.Lost('cancelled'), cancelled=True
@@ -181,5 +181,5 @@
     world = samples.served(upstreams_=[samples.upstream('u-1', slots=1)])
     for number in range(10):
         samples.feed(world, 1.0, samples.arrival(number))
-    outputs = samples.feed(world, 2_000.0, inp.UpstreamGone('u-1'))
+    outputs = samples.feed(world, 2_000.0, inp.UpstreamDeregistered('u-1'))
     assert samples.only(outputs, out.Refuse)
