--- /dev/null
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -0,0 +1,43 @@
+"""Rank the entries of a region by speed, then by a hash of their names."""
+
+from collections import abc
+import functools
+import typing
+
+from zinnialead_core.gateway.entries import models
+from zinnialead_core.gateway import hashing
+from zinnialead_core.gateway import world as world_module
+from zinnialead_core import ids
+
+SALT = 'reader'
+# The cache holds the entries of several of the largest deployments.
+SORT_KEYS_MAX = 4_096
+
+
+class SortKey(typing.NamedTuple):
+    """Sort the fast entries first, and equally fast ones by their hash."""
+
+    slowness: float
+    name_hash: int
+
+
+@functools.lru_cache(SORT_KEYS_MAX)
+def sort_key(speed: float, entry: ids.EntryId) -> SortKey:
+    """Return the key by which an entry is ranked in its region."""
+    return SortKey(-speed, hashing.stable_hash(SALT, entry))
+
+
+def region_peers(world: world_module.World) -> abc.Iterator[models.EntryRow]:
+    """Yield the other registered entries of this entry's region."""
+    node = world.node
+    for row in world.entries.rows.values():
+        if row.region == node.region and row.entry != node.ref.entry:
+            yield row
+
+
+def count_ahead(
+    world: world_module.World, rows: abc.Iterable[models.EntryRow]
+) -> int:
+    """Return how many of ``rows`` rank before this entry."""
+    own = sort_key(world.node.speed, world.node.ref.entry)
+    return sum(sort_key(row.speed, row.entry) < own for row in rows)
--- a/packages/core/src/zinnialead_core/gateway/store/health.py
+++ b/packages/core/src/zinnialead_core/gateway/store/health.py
@@ -1,4 +1,4 @@
-"""Keep whether the store answers, and tell when that changes."""
+"""Track whether the store is available, and log when that changes."""
 
 from collections import abc
 
@@ -10,67 +10,82 @@
 from zinnialead_core.gateway import world as world_module
 
 
-def note(
+def record_result(
     world: world_module.World, now_ms: float, result: models.Result
 ) -> abc.Iterator[out.Output]:
-    """Take in whether a call of this entry was answered."""
+    """Update the availability after a call of this entry."""
     if isinstance(result, (models.Failed, models.Refused)):
-        known = world.store.health[models.STORE]
-        world.store.health[models.STORE] = known._replace(failed_ms=now_ms)
-        yield from _away(world, now_ms, f'{result}')
+        health = world.store.health[models.STORE]
+        world.store.health[models.STORE] = health._replace(failed_ms=now_ms)
+        yield from _mark_unavailable(world, now_ms, f'{result}')
     else:
-        yield from _back(world, now_ms, type(result).__name__)
+        yield from _mark_available(world, now_ms, type(result).__name__)
 
 
-def heard(
-    world: world_module.World, now_ms: float, beat: entries.Beat
+def infer_availability(
+    world: world_module.World, now_ms: float, heartbeat: entries.Heartbeat
 ) -> abc.Iterator[out.Output]:
-    """Take the word of a reader, where this entry makes no calls."""
-    row = world.entries.rows.get(beat.entry)
-    if not beat.may_read or row is None or models.in_touch(world.store):
+    """Infer that the store is available from the heartbeat of a reader.
+
+    Only an entry that does not read itself relies on this.
+    """
+    row = world.entries.rows.get(heartbeat.entry)
+    if (
+        not heartbeat.may_read
+        or row is None
+        or models.is_available(world.store)
+    ):
         return
     if row.region == world.node.region and not readers.is_reader(
         world, now_ms
     ):
-        yield from _back(world, now_ms, f'heartbeat of {beat.entry}')
+        yield from _mark_available(
+            world, now_ms, f'heartbeat of {heartbeat.entry}'
+        )
 
 
-def settle(world: world_module.World, now_ms: float, wait_ms: float) -> None:
-    """Hold what is missing for as long as the entry that told so does."""
-    known = world.store.health[models.STORE]
-    settled_ms = max(known.settled_ms, now_ms + wait_ms)
-    world.store.health[models.STORE] = known._replace(settled_ms=settled_ms)
+def hold_removals(
+    world: world_module.World, now_ms: float, delay_ms: float
+) -> None:
+    """Hold back removals for at least as long as the sending entry does."""
+    health = world.store.health[models.STORE]
+    removals_held_until_ms = max(
+        health.removals_held_until_ms, now_ms + delay_ms
+    )
+    world.store.health[models.STORE] = health._replace(
+        removals_held_until_ms=removals_held_until_ms
+    )
 
 
-def settle_ms(world: world_module.World, now_ms: float) -> float:
-    """Return how long what is missing is held from now."""
-    left_ms = models.settled_ms(world.store) - now_ms
-    return min(max(0.0, left_ms), const.SETTLE_MS)
+def removal_delay_ms(world: world_module.World, now_ms: float) -> float:
+    """Return for how long removals are held back from now."""
+    left_ms = models.removals_held_until_ms(world.store) - now_ms
+    return min(max(0.0, left_ms), const.REMOVAL_DELAY_MS)
 
 
-def _back(
+def _mark_available(
     world: world_module.World, now_ms: float, cause: str
 ) -> abc.Iterator[out.Output]:
-    known = world.store.health[models.STORE]
-    if known.in_touch:
+    health = world.store.health[models.STORE]
+    if health.is_available:
         return
-    settled_ms = 0.0
-    lost_ms = known.lost_ms
+    removals_held_until_ms = 0.0
+    lost_ms = health.lost_ms
     if lost_ms is not None and now_ms - lost_ms > const.OUTAGE_MIN_MS:
-        settled_ms = now_ms + const.SETTLE_MS
-    world.store.health[models.STORE] = known._replace(
-        in_touch=True, settled_ms=settled_ms
+        removals_held_until_ms = now_ms + const.REMOVAL_DELAY_MS
+    world.store.health[models.STORE] = health._replace(
+        is_available=True, removals_held_until_ms=removals_held_until_ms
     )
-    yield out.LogBelief('store', 'store', 'away', 'answers', cause)
+    yield out.LogStateChange('store', 'store', 'away', 'answers', cause)
 
 
-def _away(
+def _mark_unavailable(
     world: world_module.World, now_ms: float, cause: str
 ) -> abc.Iterator[out.Output]:
-    known = world.store.health[models.STORE]
-    if not known.in_touch:
+    health = world.store.health[models.STORE]
+    if not health.is_available:
         return
-    world.store.health[models.STORE] = known._replace(
-        in_touch=False, settled_ms=float('inf'), lost_ms=now_ms
+    world.store.health[models.STORE] = health._replace(
+        is_available=False, removals_held_until_ms=float('inf'), lost_ms=now_ms
     )
-    yield out.LogBelief('store', 'store', 'answers', 'away', cause)
+    yield out.LogStateChange('store', 'store', 'answers', 'away', cause)
