Name the notified input and the request count of the gateway's rows

Notify.item hid what it holds and is notification, as in the core of the daemon; TrafficRow.arrived is requests.

make check passes; tests/core/gateway, tests/gateway and tests/adapter pass; no difference in the structure of the code.

--- a/packages/core/src/zinnialead_core/gateway/entries/models.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/models.py
@@ -49,7 +49,7 @@
 class TrafficRow(typing.NamedTuple):
     """Hold the number of requests so far, and their rate, at a time."""
 
-    arrived: int = 0
+    requests: int = 0
     at_ms: float = 0.0
     requests_per_s: float = 0.0
 
--- a/packages/core/src/zinnialead_core/gateway/outputs.py
+++ b/packages/core/src/zinnialead_core/gateway/outputs.py
@@ -16,7 +16,7 @@
 class Notify:
     """Pass an input to the systems within the same tick."""
 
-    item: 'inputs.Input'
+    notification: 'inputs.Input'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/gateway/tick.py
+++ b/packages/core/src/zinnialead_core/gateway/tick.py
@@ -41,8 +41,8 @@
         for system in SYSTEMS:
             for output in system(world, now_ms, batch):
                 match output:
-                    case out.Notify(item):
-                        notified.append(item)
+                    case out.Notify(notification):
+                        notified.append(notification)
                     case _:
                         yield output
         batch = notified
