--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -1,4 +1,4 @@
-"""Leave reading the store to two entries of a region, and learn by them."""
+"""Test that two entries of a region read the store for the others."""
 
 from core.gateway import samples
 from zinnialead_core import gateway
@@ -14,15 +14,15 @@
 NAMES = tuple(f'entry-{number}' for number in range(1, 7))
 
 
-def beat(entry, latest=0, may_read=True, kind=UPSTREAMS):
-    places = tuple(latest if x is kind else 0 for x in store.Kind)
+def heartbeat(entry, latest=0, may_read=True, kind=UPSTREAMS):
+    revisions = tuple(latest if x is kind else 0 for x in store.Kind)
     return inp.HeartbeatReceived(
-        entries.Heartbeat(entry, 1, False, True, places, may_read)
+        entries.Heartbeat(entry, 1, False, True, revisions, may_read)
     )
 
 
 def fleet(name, now_ms=10_000.0):
-    """Return the world of one of six entries that have read everything."""
+    """Return the world of one of six entries that have read every kind."""
     world = gateway.new_world(samples.node(name), seed=1)
     samples.feed(world, 0.0, inp.Started())
     rows = tuple(samples.entry_row(x) for x in NAMES)
@@ -32,17 +32,17 @@
     ]
     samples.feed(world, 1.0, *pages)
     samples.feed(world, 2.0, inp.EntriesListed(rows))
-    samples.feed(world, now_ms, *(beat(x) for x in NAMES if x != name))
-    ended = [
+    samples.feed(world, now_ms, *(heartbeat(x) for x in NAMES if x != name))
+    watch_results = [
         samples.stored(world, kind, store.Changed((), 41))
         for kind in store.Kind
     ]
-    samples.feed(world, now_ms, *ended)
+    samples.feed(world, now_ms, *watch_results)
     return world
 
 
-def ranked():
-    """Return the names in the order in which they read."""
+def names_by_rank():
+    """Return the entries' names in the order of their rank as readers."""
     return sorted(NAMES, key=lambda name: readers.rank(fleet(name), 10_000.0))
 
 
@@ -51,11 +51,13 @@
 
 
 def run_for(world, now_ms, span_ms, *others, may_read=True):
-    """Tick for a time in which others beat; return the store's calls."""
+    """Return the calls to the store while others send heartbeats."""
     calls = []
     for step in range(int(span_ms / 50.0)):
-        heard = [beat(x, may_read=may_read) for x in others]
-        calls += store_calls(samples.feed(world, now_ms + 50.0 * step, *heard))
+        heartbeats = [heartbeat(x, may_read=may_read) for x in others]
+        calls += store_calls(
+            samples.feed(world, now_ms + 50.0 * step, *heartbeats)
+        )
     return calls
 
 
@@ -64,31 +66,31 @@
     assert found.count(True) == const.READERS
 
 
-def test_the_others_leave_their_kinds_alone():
-    *_, last = ranked()
+def test_other_entries_make_no_calls():
+    *_, last = names_by_rank()
     world = fleet(last)
     others = [x for x in NAMES if x != last]
     assert run_for(world, 10_000.0, 10_000.0, *others) == []
 
 
-def test_an_entry_reads_once_the_readers_are_silent():
-    first, second, third, *_ = ranked()
+def test_an_entry_reads_when_the_readers_are_silent():
+    first, second, third, *_ = names_by_rank()
     world = fleet(third)
     others = [x for x in NAMES if x not in (first, second, third)]
     calls = run_for(world, 10_000.0, 3_100.0, *others)
     assert {x.kind for x in calls} >= set(store.Kind) - {store.Kind.ENTRIES}
 
 
-def test_an_entry_reads_while_the_store_answers_no_other():
-    *_, last = ranked()
+def test_an_entry_reads_if_the_store_answers_no_other():
+    *_, last = names_by_rank()
     world = fleet(last)
     others = [x for x in NAMES if x != last]
     assert run_for(world, 10_000.0, 1_000.0, *others, may_read=False)
 
 
-def test_an_entry_that_is_turned_away_leaves_reading_to_others():
-    """Nine entries that were turned away once made 270 calls in 9 s."""
-    first, *others = ranked()
+def test_an_entry_leaves_reading_to_others_after_a_failure():
+    """Nine entries whose calls failed once made 270 calls in 9 s."""
+    first, *others = names_by_rank()
     world = fleet(first)
     failed = samples.stored(world, UPSTREAMS, store.Failed('reset'))
     samples.feed(world, 10_000.0, failed)
@@ -96,7 +98,7 @@
     assert run_for(world, 10_000.0, 3_500.0, *others) == []
 
 
-def test_one_kind_asks_whether_the_store_is_back():
+def test_calls_of_one_kind_check_whether_the_store_is_back():
     world = gateway.new_world(samples.node(), seed=1)
     samples.feed(world, 0.0, inp.Started())
     failed = [
@@ -107,8 +109,8 @@
     assert {x.kind for x in run_for(world, 1.0, 5_000.0)} == {CONFIGURATION}
 
 
-def test_what_a_reader_reads_is_told_to_its_region():
-    first, *_ = ranked()
+def test_a_reader_sends_changes_to_its_region():
+    first, *_ = names_by_rank()
     world = fleet(first)
     row = samples.upstream('u-9', revision=55)
     changed = store.Changed((inp.UpstreamRegistered(row),), 56, 55)
@@ -123,99 +125,107 @@
     )
 
 
-def told(base, latest, *items, settle_ms=0.0):
+def peer_changes(base, latest, *items, removal_delay_ms=0.0):
     return inp.PeerChanges(
-        UPSTREAMS, base, latest, items, 'entry-2', settle_ms
+        UPSTREAMS, base, latest, items, 'entry-2', removal_delay_ms
     )
 
 
-def test_changes_that_are_told_are_taken_in_without_a_call():
-    *_, last = ranked()
+def test_received_changes_are_applied_without_a_call():
+    *_, last = names_by_rank()
     world = fleet(last)
     row = samples.upstream('u-9', revision=55)
-    item = told(40, 55, inp.UpstreamRegistered(row))
+    item = peer_changes(40, 55, inp.UpstreamRegistered(row))
     outputs = samples.feed(world, 10_001.0, item)
     assert 'u-9' in world.upstreams.rows
-    gone = told(55, 60, inp.UpstreamDeregistered('u-9'))
-    outputs += samples.feed(world, 10_002.0, gone)
+    removal = peer_changes(55, 60, inp.UpstreamDeregistered('u-9'))
+    outputs += samples.feed(world, 10_002.0, removal)
     assert 'u-9' not in world.upstreams.rows
     assert not store_calls(outputs)
 
 
-def test_changes_after_a_gap_are_not_taken_in_but_asked_for():
-    *others, last = ranked()
+def test_changes_after_a_gap_are_not_applied_but_requested():
+    *others, last = names_by_rank()
     world = fleet(last)
     row = samples.upstream('u-9', revision=55)
-    samples.feed(world, 10_001.0, told(50, 55, inp.UpstreamRegistered(row)))
+    samples.feed(
+        world, 10_001.0, peer_changes(50, 55, inp.UpstreamRegistered(row))
+    )
     assert 'u-9' not in world.upstreams.rows
-    samples.feed(world, 10_100.0, beat(others[0], 55))
-    outputs = samples.feed(world, 10_600.0, beat(others[0], 55))
+    samples.feed(world, 10_100.0, heartbeat(others[0], 55))
+    outputs = samples.feed(world, 10_600.0, heartbeat(others[0], 55))
     (asked,) = samples.only(outputs, out.RequestSnapshots)
     assert asked.kinds == (UPSTREAMS,)
 
 
-def test_an_older_change_that_is_told_late_takes_nothing_back():
-    *_, last = ranked()
+def test_an_older_change_that_arrives_late_is_ignored():
+    *_, last = names_by_rank()
     world = fleet(last)
     samples.feed(
-        world, 10_001.0, told(40, 60, inp.UpstreamDeregistered('u-9'))
+        world, 10_001.0, peer_changes(40, 60, inp.UpstreamDeregistered('u-9'))
     )
     row = samples.upstream('u-9', revision=55)
-    samples.feed(world, 10_002.0, told(40, 55, inp.UpstreamRegistered(row)))
+    samples.feed(
+        world, 10_002.0, peer_changes(40, 55, inp.UpstreamRegistered(row))
+    )
     assert 'u-9' not in world.upstreams.rows
 
 
-def test_a_configuration_is_asked_for_at_the_first_heartbeat():
-    *others, last = ranked()
+def test_a_configuration_is_requested_at_the_first_heartbeat():
+    *others, last = names_by_rank()
     world = fleet(last)
     outputs = samples.feed(
-        world, 10_100.0, beat(others[0], 55, kind=CONFIGURATION)
+        world, 10_100.0, heartbeat(others[0], 55, kind=CONFIGURATION)
     )
     (asked,) = samples.only(outputs, out.RequestSnapshots)
     assert asked.kinds == (CONFIGURATION,)
 
 
-def test_what_no_other_entry_tells_is_read_from_the_store_in_the_end():
-    *others, last = ranked()
+def test_changes_that_no_entry_sends_are_read_from_the_store():
+    *others, last = names_by_rank()
     world = fleet(last)
     calls = []
     for step in range(25):
-        items = [beat(x, 55) for x in others]
+        items = [heartbeat(x, 55) for x in others]
         now_ms = 10_000.0 + 100.0 * step
         calls += store_calls(samples.feed(world, now_ms, *items))
     assert calls == [store.ListKind(UPSTREAMS, None)]
 
 
-def test_what_is_told_missing_after_an_outage_is_held():
-    *_, last = ranked()
+def test_a_received_removal_after_an_outage_is_delayed():
+    *_, last = names_by_rank()
     world = fleet(last)
     row = samples.upstream('u-9', revision=50)
-    samples.feed(world, 10_001.0, told(40, 50, inp.UpstreamRegistered(row)))
-    gone = told(50, 55, inp.UpstreamDeregistered('u-9'), settle_ms=1_500.0)
-    samples.feed(world, 10_002.0, gone)
+    samples.feed(
+        world, 10_001.0, peer_changes(40, 50, inp.UpstreamRegistered(row))
+    )
+    removal = peer_changes(
+        50, 55, inp.UpstreamDeregistered('u-9'), removal_delay_ms=1_500.0
+    )
+    samples.feed(world, 10_002.0, removal)
     assert 'u-9' in world.upstreams.rows
     samples.feed(world, 11_600.0)
     assert 'u-9' not in world.upstreams.rows
 
 
-def test_an_entry_that_makes_no_calls_takes_a_readers_word_for_the_store():
-    *others, last = ranked()
+def test_a_readers_heartbeat_shows_that_the_store_is_available():
+    *others, last = names_by_rank()
     world = fleet(last)
     failed = inp.StoreDone('removal', store.Failed('reset'))
     samples.feed(world, 10_001.0, failed)
     assert not store.is_available(world.store)
-    samples.feed(world, 10_500.0, *(beat(x) for x in others))
+    samples.feed(world, 10_500.0, *(heartbeat(x) for x in others))
     assert store.is_available(world.store)
 
 
-def test_a_removal_that_only_a_list_shows_reaches_the_others():
-    """A removal while nobody read bears no revision that shows later."""
-    first, *_ = ranked()
+def test_a_removal_that_only_a_list_shows_raises_the_revision():
+    """A removal while no entry read has no revision that shows later."""
+    first, *_ = names_by_rank()
     world = fleet(first)
     samples.feed(
         world,
         10_001.0,
-        told(
+        peer_changes(
             40,
             42,
             inp.UpstreamRegistered(samples.upstream('u-9', revision=42)),
@@ -230,12 +240,12 @@
     assert world.store.watches[UPSTREAMS].latest_revision == 70
 
 
-def test_an_entry_compares_all_that_it_knows_with_a_reader():
-    first, *others, last = ranked()
+def test_an_entry_compares_all_its_objects_with_a_reader():
+    first, *others, last = names_by_rank()
     world = fleet(last)
     asked = []
     for step in range(120):
-        items = [beat(x) for x in (first, *others)]
+        items = [heartbeat(x) for x in (first, *others)]
         now_ms = 10_000.0 + 100.0 * step
         asked += samples.only(
             samples.feed(world, now_ms, *items), out.RequestSnapshots
@@ -245,10 +255,10 @@
     assert UPSTREAMS in ask.kinds
 
 
-def test_the_strong_entries_of_a_region_read():
-    world = fleet(ranked()[0])
+def test_the_fast_entries_of_a_region_read():
+    world = fleet(names_by_rank()[0])
     for name in NAMES[:3]:
-        strong = samples.entry_row(name, revision=50)._replace(speed=2.0)
+        fast = samples.entry_row(name, revision=50)._replace(speed=2.0)
         if name != world.node.ref.entry:
-            samples.feed(world, 10_001.0, inp.EntryRegistered(strong))
+            samples.feed(world, 10_001.0, inp.EntryRegistered(fast))
     assert not readers.is_reader(world, 10_002.0)
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -1,4 +1,4 @@
-"""Read, watch and lose the store."""
+"""Test listing and watching the store, and its failures."""
 
 from core.gateway import samples
 from zinnialead_core import gateway
@@ -29,7 +29,7 @@
     raise AssertionError('no call came')
 
 
-def test_every_kind_is_read_and_then_watched():
+def test_every_kind_is_listed_and_then_watched():
     world, outputs = started()
     listed = {
         x.call.kind
@@ -46,7 +46,7 @@
     assert 'u-1' in world.upstreams.rows
 
 
-def test_a_list_in_pages_replaces_what_was_known_only_when_whole():
+def test_a_list_in_pages_is_applied_after_the_last_page():
     world, _ = started()
     first = store.Listed(
         (inp.UpstreamRegistered(samples.upstream('a')),), 'a', 7
@@ -55,10 +55,10 @@
     assert not world.upstreams.rows
     call, now_ms = until_called(world, 1.0)
     assert call == store.ListKind(UPSTREAMS, 'a')
-    second = store.Listed(
+    last = store.Listed(
         (inp.UpstreamRegistered(samples.upstream('b')),), None, 9
     )
-    samples.feed(world, now_ms, samples.stored(world, UPSTREAMS, second))
+    samples.feed(world, now_ms, samples.stored(world, UPSTREAMS, last))
     assert set(world.upstreams.rows) == {'a', 'b'}
 
 
@@ -67,13 +67,13 @@
     page = store.Listed((), None, 40)
     samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, page))
     _, now_ms = until_called(world, 1.0)
-    gone = samples.stored(world, UPSTREAMS, store.HistoryGone())
-    samples.feed(world, now_ms, gone)
+    history_gone = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    samples.feed(world, now_ms, history_gone)
     call, _ = until_called(world, now_ms)
     assert call == store.ListKind(UPSTREAMS, None)
 
 
-def test_failures_are_followed_by_longer_and_longer_pauses():
+def test_failures_are_followed_by_increasing_pauses():
     world, _ = started()
     now_ms = 1.0
     pauses = []
@@ -87,8 +87,8 @@
     assert 500.0 <= pauses[-1] <= 1_300.0
 
 
-def test_a_refused_registration_is_tried_again_by_its_owner():
-    """A timer of the registration once ended the process."""
+def test_a_failed_registration_is_repeated():
+    """The timer of the repeated registration once ended the process."""
     world, _ = started()
     conflict = inp.StoreDone('registration', store.Conflict())
     samples.feed(world, 1.0, conflict)
@@ -96,10 +96,10 @@
     assert isinstance(call, store.RegisterEntry)
 
 
-def beat(latest, entry='entry-2'):
-    places = [latest if kind is UPSTREAMS else 0 for kind in store.Kind]
+def heartbeat(latest, entry='entry-2'):
+    revisions = [latest if kind is UPSTREAMS else 0 for kind in store.Kind]
     return inp.HeartbeatReceived(
-        entries.Heartbeat(entry, 1, False, True, tuple(places))
+        entries.Heartbeat(entry, 1, False, True, tuple(revisions))
     )
 
 
@@ -113,52 +113,52 @@
     return world
 
 
-def test_a_watch_that_fell_silent_is_replaced_by_a_new_read():
-    """A watch that was opened as history went stayed deaf for good."""
+def test_a_watch_that_misses_changes_is_replaced_by_a_list():
+    """A watch opened while the store lost its history reports no changes."""
     world = watching()
-    samples.feed(world, 1_000.0, beat(55))
-    samples.feed(world, 1_500.0, beat(55))
+    samples.feed(world, 1_000.0, heartbeat(55))
+    samples.feed(world, 1_500.0, heartbeat(55))
     call, _ = until_called(world, 1_500.0)
     assert call == store.ListKind(UPSTREAMS, None)
 
 
-def test_the_end_of_a_call_that_was_replaced_changes_nothing():
+def test_the_result_of_a_replaced_call_is_ignored():
     world = watching()
-    old = samples.stored(world, UPSTREAMS, store.HistoryGone())
-    samples.feed(world, 1_000.0, beat(55))
-    samples.feed(world, 1_500.0, beat(55))
+    old_result = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    samples.feed(world, 1_000.0, heartbeat(55))
+    samples.feed(world, 1_500.0, heartbeat(55))
     until_called(world, 1_500.0)
-    number = world.store.watches[UPSTREAMS].call_number
-    samples.feed(world, 1_600.0, old)
-    assert world.store.watches[UPSTREAMS].call_number == number
+    call_number = world.store.watches[UPSTREAMS].call_number
+    samples.feed(world, 1_600.0, old_result)
+    assert world.store.watches[UPSTREAMS].call_number == call_number
 
 
-def test_an_entry_out_of_touch_asks_one_that_knows_more():
+def test_an_entry_without_the_store_requests_a_snapshot():
     world = watching()
     failed = samples.stored(world, UPSTREAMS, store.Failed('cut off'))
     samples.feed(world, 900.0, failed)
-    outputs = samples.feed(world, 1_000.0, beat(55))
+    outputs = samples.feed(world, 1_000.0, heartbeat(55))
     (asked,) = samples.only(outputs, out.RequestSnapshots)
     assert asked == out.RequestSnapshots('entry-2:2', (UPSTREAMS,))
     items = (inp.UpstreamRegistered(samples.upstream('u-9', revision=55)),)
-    told = inp.PeerSnapshot(UPSTREAMS, 55, items, 'entry-2')
-    samples.feed(world, 1_010.0, told)
+    snapshot = inp.PeerSnapshot(UPSTREAMS, 55, items, 'entry-2')
+    samples.feed(world, 1_010.0, snapshot)
     assert 'u-9' in world.upstreams.rows
     assert not samples.only(
-        samples.feed(world, 2_000.0, beat(55)), out.RequestSnapshots
+        samples.feed(world, 2_000.0, heartbeat(55)), out.RequestSnapshots
     )
 
 
-def test_what_another_entry_knew_earlier_is_not_taken_back():
+def test_an_older_snapshot_is_ignored():
     world = watching()
     row = samples.upstream('u-1', revision=60)
     samples.feed(world, 900.0, inp.UpstreamRegistered(row))
-    told = inp.PeerSnapshot(UPSTREAMS, 39, (), 'entry-2')
-    samples.feed(world, 1_010.0, told)
+    snapshot = inp.PeerSnapshot(UPSTREAMS, 39, (), 'entry-2')
+    samples.feed(world, 1_010.0, snapshot)
     assert 'u-1' in world.upstreams.rows
 
 
-def test_a_start_without_the_store_asks_the_seeds():
+def test_a_start_without_the_store_queries_the_seeds():
     node = samples.node()._replace(seeds=('10.0.0.9:1',))
     world = gateway.new_world(node, seed=1)
     samples.feed(world, 0.0, inp.Started())
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -1,4 +1,4 @@
-"""Learn upstreams from the store."""
+"""Test tracking upstreams and drained domains."""
 
 from core.gateway import samples
 from zinnialead_core import gateway
@@ -11,14 +11,14 @@
     return {x.upstream for x in upstreams.usable(world, 'specdesk')}
 
 
-def test_a_leaving_upstream_gets_nothing_at_once():
+def test_a_leaving_upstream_is_unusable_at_once():
     world = samples.served()
     row = samples.upstream('u-1', leaving=True, revision=2)
     samples.feed(world, 1.0, inp.UpstreamRegistered(row))
     assert usable(world) == {'u-2'}
 
 
-def test_an_older_revision_changes_nothing():
+def test_an_older_revision_is_ignored():
     world = samples.served()
     newer = samples.upstream('u-1', leaving=True, revision=9)
     older = samples.upstream('u-1', revision=4)
@@ -31,7 +31,7 @@
     assert usable(world) == {'u-2'}
 
 
-def test_a_drained_domain_gets_nothing_and_comes_back_cold():
+def test_a_drained_domain_is_unusable_and_returns_cold():
     world = samples.served()
     samples.feed(world, 1.0, inp.DrainAdded('guj-a'))
     assert usable(world) == {'u-2'}
@@ -41,7 +41,7 @@
     assert not upstreams.is_cold(world, 101.0, 'u-2')
 
 
-def test_a_removed_upstream_is_gone_at_once_while_the_store_is_well():
+def test_a_deregistered_upstream_is_removed_at_once():
     world = samples.served()
     samples.feed(world, 5.0, inp.UpstreamDeregistered('u-1'))
     assert usable(world) == {'u-2'}
@@ -59,7 +59,7 @@
         samples.feed(world, now_ms, done)
 
 
-def test_what_lapsed_in_an_outage_is_held_until_it_may_be_back():
+def test_an_upstream_that_expired_in_an_outage_is_removed_later():
     world = samples.served()
     outage(world, 1_000.0, 8_000.0)
     samples.feed(world, 8_001.0, inp.UpstreamDeregistered('u-1'))
@@ -68,17 +68,17 @@
     assert usable(world) == {'u-2'}
 
 
-def test_what_registers_again_after_an_outage_stays():
+def test_an_upstream_that_registers_after_an_outage_stays():
     world = samples.served()
     outage(world, 1_000.0, 8_000.0)
     samples.feed(world, 8_001.0, inp.UpstreamDeregistered('u-1'))
-    back = samples.upstream('u-1', revision=30)
-    samples.feed(world, 9_000.0, inp.UpstreamRegistered(back))
+    renewed = samples.upstream('u-1', revision=30)
+    samples.feed(world, 9_000.0, inp.UpstreamRegistered(renewed))
     samples.feed(world, 20_000.0)
     assert usable(world) == {'u-1', 'u-2'}
 
 
-def test_a_short_silence_of_the_store_holds_nothing_back():
+def test_a_short_outage_of_the_store_delays_no_removal():
     world = samples.served()
     outage(world, 1_000.0, 1_400.0)
     samples.feed(world, 1_401.0, inp.UpstreamDeregistered('u-1'))
