--- a/packages/core/src/zinnialead_core/components/slots/__init__.py
+++ b/packages/core/src/zinnialead_core/components/slots/__init__.py
@@ -1,4 +1,4 @@
-"""Share the upstreams' slots through one queue a service and domain."""
+"""Grant upstream slots from one queue per service and failure domain."""
 
 from zinnialead_core.components.slots.messages import SlotAnswer
 from zinnialead_core.components.slots.messages import SlotAsk
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -1,4 +1,4 @@
-"""Ask the owners of a service's slots on behalf of a request."""
+"""Ask slot owners for slots on behalf of this entry's requests."""
 
 from collections import abc
 
@@ -22,74 +22,74 @@
     request_id: ids.RequestId,
     attempt: int,
 ) -> abc.Iterator[out.Output]:
-    """Send a request's ask to the slot owner that steering names."""
-    row = world.requests.rows.get(request_id)
-    if row is None or row.attempt != attempt:
+    """Ask this domain's slot owner for a slot for a request's attempt."""
+    request = world.requests.rows.get(request_id)
+    if request is None or request.attempt != attempt:
         return
     ask_id = ids.AskId(world.node.ref, request_id, attempt)
-    yield from _ask_home(world, now_ms, row, ask_id, (), None)
+    yield from _ask_local_owner(world, now_ms, request, ask_id, (), None)
 
 
-def answered(
+def on_answer(
     world: world_module.World,
     now_ms: float,
     sender: ids.EntryRef,
     message: messages.SlotAnswer,
 ) -> abc.Iterator[out.Output]:
-    """Pass a slot owner's answer on to the request, or ask elsewhere."""
+    """Pass a slot owner's answer to the request, or ask another owner."""
     row = world.asks.get(message.ask_id)
     if message.upstream is not None:
-        yield from _granted(world, now_ms, sender, message, message.upstream)
+        yield from _on_grant(world, now_ms, sender, message, message.upstream)
         return
     if row is None or row.upstream is not None or message.refusal is None:
         return
-    if _speaks_for(world, sender, row):
-        yield from _refused(world, now_ms, row, message)
+    if _may_answer(world, sender, row):
+        yield from _on_refusal(world, now_ms, row, message)
 
 
-def waiting(
+def on_waiting(
     world: world_module.World,
     sender: ids.EntryRef,
     message: messages.SlotWaiting,
 ) -> None:
-    """Note that the owner of an open ask is alive."""
+    """Reset the count of unanswered asks, as the owner has responded."""
     row = world.asks.get(message.ask_id)
-    if row is not None and _speaks_for(world, sender, row):
+    if row is not None and _may_answer(world, sender, row):
         world.asks[row.ask_id] = row._replace(misses=0)
 
 
-def give_back(
-    world: world_module.World, now_ms: float, item: inp.SlotGone
+def release(
+    world: world_module.World, now_ms: float, released: inp.SlotGone
 ) -> abc.Iterator[out.Output]:
-    """Give back a request's slot, or take its ask out of the queue."""
-    ask_id = ids.AskId(world.node.ref, item.request_id, item.attempt)
+    """Return a request's slot, or withdraw its ask from the queue."""
+    ask_id = ids.AskId(world.node.ref, released.request_id, released.attempt)
     row = close(world, ask_id)
     if row is None:
         return
     message = messages.SlotReturn(
         ask_id,
         row.upstream,
-        item.elapsed_ms,
-        _end_of(item),
-        item.answer_bytes,
+        released.elapsed_ms,
+        _slot_end(released),
+        released.answer_bytes,
     )
     owner = ownership.owner_of(world, now_ms, row.service, row.domain)
-    # An owner that took over may have counted the slot already.
+    # An entry that took over ownership may already count this slot.
     for entry in dict.fromkeys((row.owner, owner or row.owner)):
         yield out.SendPeer(entry, message)
 
 
-def ask_at(
+def open_ask(
     world: world_module.World,
     now_ms: float,
     request: requests.RequestRow,
     ask_id: ids.AskId,
     target: slot_owners.Target,
     tried: tuple[ids.DomainId, ...] = (),
-    first: verdict.Refusal | None = None,
+    first_refusal: verdict.Refusal | None = None,
 ) -> abc.Iterator[out.Output]:
-    """Open an ask at a target, after ``tried`` domains refused it."""
-    opened = models.AskRow(
+    """Open an ask at a target, once the ``tried`` domains refused it."""
+    ask_row = models.AskRow(
         ask_id=ask_id,
         service=request.service,
         rank=request.rank,
@@ -98,24 +98,24 @@
         sent_ms=now_ms,
         upstream=None,
         tried=tried,
-        refusal=first,
+        refusal=first_refusal,
     )
-    yield from send(world, now_ms, opened)
+    yield from send(world, now_ms, ask_row)
 
 
 def send(
     world: world_module.World, now_ms: float, row: models.AskRow
 ) -> abc.Iterator[out.Output]:
-    """Send an ask to its owner, for the first time or again."""
+    """Send an ask to its owner, initially or as a repeat."""
     request = world.requests.rows.get(row.ask_id.request_id)
     if request is None:
         return
     world.asks[row.ask_id] = row
-    pause_ms = min(
-        const.ASK_TIMEOUT_MAX_MS, const.ASK_TIMEOUT_MS * 2**row.rounds
+    timeout_ms = min(
+        const.ASK_TIMEOUT_MAX_MS, const.ASK_TIMEOUT_MS * 2**row.backoff_steps
     )
     timer = timers.AskTimeout(row.ask_id)
-    timers.start(world.timers, timer, now_ms + pause_ms)
+    timers.start(world.timers, timer, now_ms + timeout_ms)
     message = messages.SlotAsk(
         row.ask_id,
         row.service,
@@ -137,7 +137,7 @@
     return row.refusal.reason is verdict.Reason.NO_UPSTREAM
 
 
-def _granted(
+def _on_grant(
     world: world_module.World,
     now_ms: float,
     sender: ids.EntryRef,
@@ -150,23 +150,23 @@
         return
     if row is None or row.upstream is not None:
         world.counters['slots.grant_unused'] += 1
-        back = messages.SlotReturn(ask_id, upstream)
-        yield out.SendPeer(sender.entry, back)
+        slot_return = messages.SlotReturn(ask_id, upstream)
+        yield out.SendPeer(sender.entry, slot_return)
         return
     if row.owner != sender.entry:
         yield out.SendPeer(row.owner, messages.SlotReturn(ask_id, None))
-    known = world.states['in-force'].upstreams.get(upstream)
-    # A grant of another domain, asked before, may come while home is asked.
-    domain = known.domain if known else row.domain
+    upstream_row = world.states['in-force'].upstreams.get(upstream)
+    # A domain asked earlier may grant while the local owner is asked.
+    domain = upstream_row.domain if upstream_row else row.domain
     world.asks[ask_id] = row._replace(
         owner=sender.entry, domain=domain, upstream=upstream, misses=0
     )
-    due_ms = now_ms + const.HELD_PERIOD_MS
+    due_ms = now_ms + const.LEASE_RENEWAL_PERIOD_MS
     timers.start(world.timers, timers.AskTimeout(ask_id), due_ms)
     yield out.Notify(inp.SlotHeld(ask_id.request_id, ask_id.attempt, upstream))
 
 
-def _refused(
+def _on_refusal(
     world: world_module.World,
     now_ms: float,
     row: models.AskRow,
@@ -174,40 +174,40 @@
 ) -> abc.Iterator[out.Output]:
     ask_id = row.ask_id
     request = world.requests.rows.get(ask_id.request_id)
-    # The first domain asked is the caller's own: its refusal says most.
-    first = row.refusal or message.refusal
+    # The first refusal comes from this domain and is the most relevant.
+    first_refusal = row.refusal or message.refusal
     if request is not None and row.domain != world.node.domain:
-        yield from pass_over(world, now_ms, row, first)
+        yield from skip_domain(world, now_ms, row, first_refusal)
         return
     if request is not None and message.redirect is not None:
-        row = row._replace(refusal=first)
-        yield from _ask_elsewhere(
-            world, now_ms, request, row, message.redirect
-        )
+        row = row._replace(refusal=first_refusal)
+        yield from _ask_redirect(world, now_ms, request, row, message.redirect)
         return
     close(world, ask_id)
-    if first is not None:
+    if first_refusal is not None:
         yield out.Notify(
-            inp.SlotRefused(ask_id.request_id, ask_id.attempt, first)
+            inp.SlotRefused(ask_id.request_id, ask_id.attempt, first_refusal)
         )
 
 
-def pass_over(
+def skip_domain(
     world: world_module.World,
     now_ms: float,
     row: models.AskRow,
-    first: verdict.Refusal | None,
+    first_refusal: verdict.Refusal | None,
 ) -> abc.Iterator[out.Output]:
-    """Ask at home again, after another domain gave no slot."""
+    """Ask the local owner again after another domain gave no slot."""
     request = world.requests.rows.get(row.ask_id.request_id)
     if request is None:
         close(world, row.ask_id)
         return
     tried = (*row.tried, row.domain)
-    yield from _ask_home(world, now_ms, request, row.ask_id, tried, first)
+    yield from _ask_local_owner(
+        world, now_ms, request, row.ask_id, tried, first_refusal
+    )
 
 
-def _ask_elsewhere(
+def _ask_redirect(
     world: world_module.World,
     now_ms: float,
     request: requests.RequestRow,
@@ -217,39 +217,41 @@
     entry = ownership.owner_of(world, now_ms, row.service, domain)
     if entry is None:
         tried = (*row.tried, domain)
-        yield from _ask_home(
+        yield from _ask_local_owner(
             world, now_ms, request, row.ask_id, tried, row.refusal
         )
         return
     target = slot_owners.Target(entry, domain)
-    yield from ask_at(
+    yield from open_ask(
         world, now_ms, request, row.ask_id, target, row.tried, row.refusal
     )
 
 
-def _ask_home(
+def _ask_local_owner(
     world: world_module.World,
     now_ms: float,
     request: requests.RequestRow,
     ask_id: ids.AskId,
     tried: tuple[ids.DomainId, ...],
-    first: verdict.Refusal | None,
+    first_refusal: verdict.Refusal | None,
 ) -> abc.Iterator[out.Output]:
     domain = world.node.domain
     entry = ownership.owner_of(world, now_ms, request.service, domain)
     target = slot_owners.Target(entry or world.node.ref.entry, domain)
-    yield from ask_at(world, now_ms, request, ask_id, target, tried, first)
+    yield from open_ask(
+        world, now_ms, request, ask_id, target, tried, first_refusal
+    )
 
 
 def close(
     world: world_module.World, ask_id: ids.AskId
 ) -> models.AskRow | None:
-    """Forget an ask, and return what was known of it."""
+    """Remove an ask with its timer and return its row."""
     timers.stop(world.timers, timers.AskTimeout(ask_id))
     return world.asks.pop(ask_id, None)
 
 
-def _speaks_for(
+def _may_answer(
     world: world_module.World, sender: ids.EntryRef, row: models.AskRow
 ) -> bool:
     if sender.entry == row.owner:
@@ -258,8 +260,8 @@
     return member is not None and member.domain == row.domain
 
 
-def _end_of(item: inp.SlotGone) -> models.SlotEnd:
-    match item.outcome:
+def _slot_end(released: inp.SlotGone) -> models.SlotEnd:
+    match released.outcome:
         case None | verdict.NeverStarted():
             return models.SlotEnd.UNUSED
         case verdict.Answered(502 | 503 | 504):
@@ -268,7 +270,7 @@
             return models.SlotEnd.SERVED
         case verdict.Shed():
             return models.SlotEnd.SHED
-        case verdict.Lost() if item.timed_out:
+        case verdict.Lost() if released.timed_out:
             return models.SlotEnd.TIMED_OUT
         case verdict.NotSent() | verdict.Lost():
             return models.SlotEnd.FAILED
--- a/packages/core/src/zinnialead_core/components/slots/choice.py
+++ b/packages/core/src/zinnialead_core/components/slots/availability.py
@@ -1,4 +1,4 @@
-"""Choose the upstream of a grant and count the slots that can be used."""
+"""Select upstreams with free slots and count a service's slots."""
 
 from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.upstreams import believed
@@ -6,67 +6,67 @@
 from zinnialead_core import world as world_module
 
 
-def pick(
+def select_upstream(
     world: world_module.World,
     now_ms: float,
     service: ids.ServiceId,
     avoid: ids.UpstreamId | None,
 ) -> ids.UpstreamId | None:
-    """Return the upstream with the most free slots, if one has any.
+    """Return the upstream with the most free slots, None if all are full.
 
-    ``avoid`` is taken only where no other has a slot.
+    ``avoid`` is selected only if no other upstream has a free slot.
     """
-    here = local_config.get(world, service)
+    local = local_config.get(world, service)
     limit = local_config.in_flight_max(world, now_ms, service)
-    if _at_limit(world, service, limit):
+    if _is_at_limit(world, service, limit):
         return None
     best: tuple[bool, int, ids.UpstreamId] | None = None
-    for row in here.upstreams:
+    for row in local.upstreams:
         health = world.upstreams.get(row.upstream)
         slots = believed.slots(health, row.slots, now_ms)
         free = slots - world.queues.in_use.get(row.upstream, 0)
-        offer = (row.upstream != avoid, free, row.upstream)
-        if free > 0 and (best is None or offer > best):
-            best = offer
+        candidate = (row.upstream != avoid, free, row.upstream)
+        if free > 0 and (best is None or candidate > best):
+            best = candidate
     return best[2] if best else None
 
 
 def usable_slots(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> int:
-    """Return how many slots of a service may be in use at once now."""
-    here = local_config.get(world, service)
+    """Return how many slots of a service may currently be in use."""
+    local = local_config.get(world, service)
     total = sum(
         believed.slots(world.upstreams.get(row.upstream), row.slots, now_ms)
-        for row in here.upstreams
+        for row in local.upstreams
     )
     limit = local_config.in_flight_max(world, now_ms, service)
     return total if limit is None else min(total, limit)
 
 
-def all_slots(world: world_module.World, service: ids.ServiceId) -> int:
-    """Return how many slots the state in force gives a service here."""
-    here = local_config.get(world, service)
-    total = sum(row.slots for row in here.upstreams)
-    if here.in_flight_max is None:
+def configured_slots(world: world_module.World, service: ids.ServiceId) -> int:
+    """Return how many slots a service has here in the state in force."""
+    local = local_config.get(world, service)
+    total = sum(row.slots for row in local.upstreams)
+    if local.in_flight_max is None:
         return total
-    return min(total, here.in_flight_max)
+    return min(total, local.in_flight_max)
 
 
 def in_flight(world: world_module.World, service: ids.ServiceId) -> int:
-    """Return how many slots of a service are in use here."""
+    """Return how many slots of a service are in use in this domain."""
     return sum(row.service == service for row in world.queues.grants.values())
 
 
-def is_served(world: world_module.World, service: ids.ServiceId) -> bool:
-    """Return whether any upstream here takes new work, now or soon."""
+def has_upstream(world: world_module.World, service: ids.ServiceId) -> bool:
+    """Return whether an upstream here accepts work now or will soon."""
     return any(
         not believed.is_leaving(world.upstreams.get(row.upstream))
         for row in local_config.get(world, service).upstreams
     )
 
 
-def _at_limit(
+def _is_at_limit(
     world: world_module.World,
     service: ids.ServiceId,
     in_flight_max: int | None,
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -1,15 +1,15 @@
-"""Ask for slots, and own the queue in front of a domain's upstreams."""
+"""Ask for slots, and grant the slots that this entry owns."""
 
 from collections import abc
 
 from zinnialead_core.components.slots import asker
 from zinnialead_core.components.slots import granting
 from zinnialead_core.components.slots import leases
-from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.slots import messages
-from zinnialead_core.components.slots import owner
 from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.slots import queueing
+from zinnialead_core.components.slots import rank_queues
 from zinnialead_core.components.slots import renewals
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -23,7 +23,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Ask for the slots that requests want and grant those owned here.
+    """Ask for slots for requests and grant the slots owned here.
 
     Reads ``requests``, ``states`` and ``members``; writes ``asks``,
     ``queues``, ``upstreams`` and ``timers``.
@@ -34,13 +34,13 @@
             case inp.SlotWanted(request_id, attempt):
                 yield from asker.ask(world, now_ms, request_id, attempt)
             case inp.SlotGone():
-                yield from asker.give_back(world, now_ms, item)
+                yield from asker.release(world, now_ms, item)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
             case inp.StateChanged():
-                local_config.changed(world, now_ms)
+                local_config.update_previous_limits(world, now_ms)
                 ownership.refresh(world, now_ms)
                 yield from granting.grant_all(world, now_ms)
             case inp.UpstreamReport():
@@ -55,15 +55,15 @@
 ) -> abc.Iterator[out.Output]:
     match message:
         case messages.SlotAsk():
-            yield from owner.enqueue(world, now_ms, message)
+            yield from queueing.enqueue(world, now_ms, message)
         case messages.SlotAnswer():
-            yield from asker.answered(world, now_ms, sender, message)
+            yield from asker.on_answer(world, now_ms, sender, message)
         case messages.SlotWaiting():
-            asker.waiting(world, sender, message)
+            asker.on_waiting(world, sender, message)
         case messages.SlotHeldReport():
             leases.renew(world, now_ms, message)
         case messages.SlotReturn():
-            yield from owner.leave(world, now_ms, message)
+            yield from queueing.release(world, now_ms, message)
 
 
 def _on_timer(
@@ -71,7 +71,7 @@
 ) -> abc.Iterator[out.Output]:
     match timer:
         case timers.QueueExpiry(ask_id):
-            yield from owner.expire(world, now_ms, ask_id)
+            yield from queueing.expire(world, now_ms, ask_id)
         case timers.AskTimeout(ask_id):
             yield from renewals.on_timer(world, now_ms, ask_id)
         case timers.SlotsDue(service):
@@ -83,31 +83,33 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Take in all changes of members of a tick at once."""
+    """Apply all membership changes of a tick at once."""
     changed = False
-    renewed: set[ids.EntryId] = set()
+    restarted: set[ids.EntryId] = set()
     for item in inputs:
         match item:
             case inp.MemberLost(ref):
-                _lost(world, now_ms, ref)
+                _on_entry_lost(world, now_ms, ref)
                 changed = True
             case inp.MemberJoined(ref):
-                earlier = ref._replace(incarnation=ref.incarnation - 1)
-                _lost(world, now_ms, earlier)
-                renewed.add(ref.entry)
+                previous_run = ref._replace(incarnation=ref.incarnation - 1)
+                _on_entry_lost(world, now_ms, previous_run)
+                restarted.add(ref.entry)
                 changed = True
             case inp.MemberChanged() | inp.StopAsked():
                 changed = True
     if changed:
         ownership.refresh(world, now_ms)
         yield from ownership.hand_over(world, now_ms)
-        yield from renewals.owners_changed(world, now_ms, renewed)
+        yield from renewals.on_owners_changed(world, now_ms, restarted)
         yield from granting.grant_all(world, now_ms)
 
 
-def _lost(world: world_module.World, now_ms: float, ref: ids.EntryRef) -> None:
-    leases.holder_lost(world, now_ms, ref)
+def _on_entry_lost(
+    world: world_module.World, now_ms: float, ref: ids.EntryRef
+) -> None:
+    leases.on_holder_lost(world, now_ms, ref)
     for row in list(world.queues.queued.values()):
         if leases.is_run_of(row.ask_id.asker, ref):
-            lines.leave(world, row.ask_id)
+            rank_queues.remove(world, row.ask_id)
             timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
--- a/packages/core/src/zinnialead_core/components/slots/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/slots/diagnostics.py
@@ -2,13 +2,13 @@
 
 import typing
 
-from zinnialead_core.components.slots import choice
-from zinnialead_core.components.slots import door
+from zinnialead_core.components.slots import admission
+from zinnialead_core.components.slots import availability
 from zinnialead_core import world as world_module
 
 
 class ServiceSlotsDump(typing.TypedDict):
-    """Show the queue of one service, where this entry owns its slots."""
+    """Show a service whose slots this entry owns or has owned."""
 
     owned: bool
     slots: int
@@ -17,7 +17,7 @@
 
 
 class SlotsDump(typing.TypedDict):
-    """Show the asks in hand and the slots in use by upstream."""
+    """Show the open and queued asks and the slots in use by upstream."""
 
     asks: int
     queued: int
@@ -36,12 +36,12 @@
         in_use={str(k): v for k, v in queues.in_use.items()},
         services={
             str(row.service): ServiceSlotsDump(
-                owned=row.owned_ms is not None,
-                slots=choice.all_slots(world, row.service),
-                service_time_ms=door.service_time_ms(world, row.service),
+                owned=row.owned_since_ms is not None,
+                slots=availability.configured_slots(world, row.service),
+                service_time_ms=admission.service_time_ms(world, row.service),
                 queued_by_rank={
-                    str(rank): len(line)
-                    for rank, line in queues.rank_queues.get(
+                    str(rank): len(rank_queue)
+                    for rank, rank_queue in queues.rank_queues.get(
                         row.service, {}
                     ).items()
                 },
--- a/packages/core/src/zinnialead_core/components/slots/granting.py
+++ b/packages/core/src/zinnialead_core/components/slots/granting.py
@@ -1,16 +1,16 @@
-"""Grant free slots to waiting asks, and answer asks."""
+"""Grant free slots to waiting asks, and refuse asks."""
 
 from collections import abc
 
-from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import availability
 from zinnialead_core.components.slots import const
-from zinnialead_core.components.slots import floors
 from zinnialead_core.components.slots import leases
-from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
 from zinnialead_core.components.slots import ownership
+from zinnialead_core.components.slots import rank_queues
 from zinnialead_core.components.slots import refusals
+from zinnialead_core.components.slots import scheduling
 from zinnialead_core.components.steering import caps
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
@@ -22,7 +22,7 @@
 def grant_all(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Grant free slots of every service that has asks waiting."""
+    """Grant free slots of every service with waiting asks."""
     for service in list(world.queues.rank_queues):
         yield from grant(world, now_ms, service)
 
@@ -30,21 +30,23 @@
 def grant(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> abc.Iterator[out.Output]:
-    """Grant free slots of a service to its asks, as their turns come."""
-    held_until_ms = ownership.held_until_ms(world, service)
-    if now_ms < held_until_ms:
-        _look_again(world, service, held_until_ms)
+    """Grant free slots of a service to its asks in scheduling order."""
+    paused_until_ms = ownership.grants_paused_until_ms(world, service)
+    if now_ms < paused_until_ms:
+        _schedule_recheck(world, service, paused_until_ms)
         return
-    served = choice.is_served(world, service)
-    while (ask_id := floors.next_ask(world, service)) is not None:
+    has_upstream = availability.has_upstream(world, service)
+    while (ask_id := scheduling.next_ask(world, service)) is not None:
         row = world.queues.queued[ask_id]
-        if not served:
-            _drop(world, row)
+        if not has_upstream:
+            _dequeue(world, row)
             yield from refuse(world, row, refusals.no_upstream(world, service))
             continue
-        upstream = choice.pick(world, now_ms, service, row.avoid)
+        upstream = availability.select_upstream(
+            world, now_ms, service, row.avoid
+        )
         if upstream is None:
-            _look_again(world, service, now_ms + const.RECHECK_MS)
+            _schedule_recheck(world, service, now_ms + const.RECHECK_PERIOD_MS)
             return
         yield from _grant_one(world, now_ms, row, upstream)
 
@@ -55,9 +57,9 @@
     row: models.QueuedRow,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    floors.granted(world, row.service, row.rank)
+    scheduling.record_grant(world, row.service, row.rank)
     caps.start(world, now_ms, row.service, row.home_region, row.ask_id)
-    _drop(world, row)
+    _dequeue(world, row)
     yield from leases.start(world, now_ms, row, upstream)
 
 
@@ -67,19 +69,19 @@
     refusal: verdict.Refusal,
     redirect: ids.DomainId | None = None,
 ) -> abc.Iterator[out.Output]:
-    """Refuse an ask, and name a domain that may serve it."""
+    """Refuse an ask; ``redirect`` names a domain that may serve it."""
     world.counters[f'slots.refused.{refusal.reason.value}'] += 1
     answer = messages.SlotAnswer(row.ask_id, None, refusal, redirect)
     yield out.SendPeer(row.ask_id.asker.entry, answer)
 
 
-def _drop(world: world_module.World, row: models.QueuedRow) -> None:
-    lines.leave(world, row.ask_id)
+def _dequeue(world: world_module.World, row: models.QueuedRow) -> None:
+    rank_queues.remove(world, row.ask_id)
     timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
 
 
-def _look_again(
+def _schedule_recheck(
     world: world_module.World, service: ids.ServiceId, due_ms: float
 ) -> None:
-    if lines.waiting(world, service):
+    if rank_queues.by_rank(world, service):
         timers.start(world.timers, timers.SlotsDue(service), due_ms)
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -1,17 +1,17 @@
-"""Lease slots to askers and count those in use.
+"""Lease slots to askers and count the slots in use.
 
-A lease outlives a holder that died, or was paused, by a few seconds; a
-holder that lives renews it each second with ``SlotHeldReport``.
+A live holder renews its lease every second with ``SlotHeldReport``.  The
+lease of a holder that died or was paused expires after a few seconds.
 """
 
 from collections import abc
 
+from zinnialead_core.components.slots import admission
 from zinnialead_core.components.slots import const
-from zinnialead_core.components.slots import door
-from zinnialead_core.components.slots import floors
 from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
+from zinnialead_core.components.slots import scheduling
 from zinnialead_core.components.upstreams import outliers
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
@@ -25,7 +25,7 @@
     row: models.QueuedRow,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    """Lease a slot at ``upstream`` to an ask, and tell the asker."""
+    """Lease a slot at ``upstream`` to an ask and notify the asker."""
     world.counters[f'slots.granted.{row.rank}'] += 1
     grant = models.GrantRow(
         row.ask_id,
@@ -36,7 +36,7 @@
         now_ms + const.GRANT_LEASE_MS,
         row.from_domain,
     )
-    _count(world, grant)
+    _add_grant(world, grant)
     answer = messages.SlotAnswer(row.ask_id, upstream)
     yield out.SendPeer(row.ask_id.asker.entry, answer)
 
@@ -46,17 +46,17 @@
     now_ms: float,
     report: messages.SlotHeldReport,
 ) -> None:
-    """Count a slot in use that was not known, or renew its lease."""
-    known = world.queues.grants.get(report.ask_id)
+    """Renew the lease of a slot, or count the slot if it is not known."""
+    existing = world.queues.grants.get(report.ask_id)
     expires_ms = now_ms + const.GRANT_LEASE_MS
-    if known is not None and known.upstream == report.upstream:
-        _expire_at(world, known, expires_ms)
+    if existing is not None and existing.upstream == report.upstream:
+        _expire_at(world, existing, expires_ms)
         return
     if report.upstream not in world.states['in-force'].upstreams:
         world.counters['slots.report_unknown'] += 1
         return
-    if known is not None:
-        _discount(world, known)
+    if existing is not None:
+        _remove_grant(world, existing)
     world.counters['slots.report_counted'] += 1
     grant = models.GrantRow(
         report.ask_id,
@@ -67,43 +67,46 @@
         expires_ms,
         report.from_domain,
     )
-    _count(world, grant)
+    _add_grant(world, grant)
 
 
 def end(
-    world: world_module.World, now_ms: float, back: messages.SlotReturn
+    world: world_module.World, now_ms: float, slot_return: messages.SlotReturn
 ) -> models.GrantRow | None:
-    """Free a slot, and learn from how the attempt that held it ended."""
-    row = world.queues.grants.get(back.ask_id)
+    """Free a slot and record how its attempt ended; return its grant."""
+    row = world.queues.grants.get(slot_return.ask_id)
     if row is None:
         return None
-    _discount(world, row)
-    elapsed_ms = max(0.0, back.elapsed_ms) or now_ms - row.granted_ms
-    usual_ms = door.service_time_ms(world, row.service)
-    if usual_ms > 0.0:
-        floors.used(world, row.service, row.rank, elapsed_ms / usual_ms)
-    _measure(world, row.service, back.end, elapsed_ms)
+    _remove_grant(world, row)
+    elapsed_ms = max(0.0, slot_return.elapsed_ms) or now_ms - row.granted_ms
+    mean_ms = admission.service_time_ms(world, row.service)
+    if mean_ms > 0.0:
+        scheduling.correct_credits(
+            world, row.service, row.rank, elapsed_ms / mean_ms
+        )
+    _record_service_time(world, row.service, slot_return.end, elapsed_ms)
     siblings = local_config.get(world, row.service).upstreams
-    end = _judged(world, row, back.end, elapsed_ms)
+    end = _end_for_health(world, row, slot_return.end, elapsed_ms)
     outliers.attempt_ended(world, now_ms, row.upstream, siblings, end)
     return row
 
 
-def holder_lost(
+def on_holder_lost(
     world: world_module.World, now_ms: float, lost: ids.EntryRef
 ) -> None:
-    """Let the leases of a run of an entry that is over lapse soon.
+    """Shorten the leases of a lost entry to one mean service time.
 
-    Its upstreams may still be busy with what they were sent, for about
-    a service time.
+    Its upstreams may still be processing its requests for that long.
     """
     for row in list(world.queues.grants.values()):
         if is_run_of(row.ask_id.asker, lost):
-            soon_ms = now_ms + door.service_time_ms(world, row.service)
-            _expire_at(world, row, min(row.expires_ms, soon_ms))
+            early_expiry_ms = now_ms + admission.service_time_ms(
+                world, row.service
+            )
+            _expire_at(world, row, min(row.expires_ms, early_expiry_ms))
 
 
-def _measure(
+def _record_service_time(
     world: world_module.World,
     service: ids.ServiceId,
     end: models.SlotEnd,
@@ -111,50 +114,52 @@
 ) -> None:
     match end:
         case models.SlotEnd.SERVED:
-            door.measured(world, service, elapsed_ms)
+            admission.record_service_time(world, service, elapsed_ms)
         case models.SlotEnd.TIMED_OUT:
-            # To leave these out would make service look ever shorter.
-            ample_ms = _ample_ms(world, service)
-            door.measured(world, service, min(elapsed_ms, ample_ms))
+            # Without timeouts the measured time would be biased downwards.
+            ample_ms = _ample_time_ms(world, service)
+            admission.record_service_time(
+                world, service, min(elapsed_ms, ample_ms)
+            )
 
 
-def _ample_ms(world: world_module.World, service: ids.ServiceId) -> float:
-    service_time_ms = door.service_time_ms(world, service)
-    return service_time_ms * const.AMPLE_SERVICE_TIMES
+def _ample_time_ms(world: world_module.World, service: ids.ServiceId) -> float:
+    service_time_ms = admission.service_time_ms(world, service)
+    return service_time_ms * const.AMPLE_TIME_SERVICE_TIMES
 
 
-def _judged(
+def _end_for_health(
     world: world_module.World,
     row: models.GrantRow,
     end: models.SlotEnd,
     elapsed_ms: float,
 ) -> models.SlotEnd:
-    """Hold a timeout against its upstream only where it had ample time."""
+    """Count a timeout as a failure only if the upstream had enough time."""
     if end is not models.SlotEnd.TIMED_OUT:
         return end
-    if elapsed_ms < _ample_ms(world, row.service):
+    if elapsed_ms < _ample_time_ms(world, row.service):
         return models.SlotEnd.UNUSED
     return models.SlotEnd.FAILED
 
 
 def is_run_of(asker: ids.EntryRef, lost: ids.EntryRef) -> bool:
-    """Return whether an asker is a run of an entry up to ``lost``."""
+    """Return whether ``asker`` is the ``lost`` run or an earlier one."""
     return asker.entry == lost.entry and asker.incarnation <= lost.incarnation
 
 
-def _count(world: world_module.World, row: models.GrantRow) -> None:
+def _add_grant(world: world_module.World, row: models.GrantRow) -> None:
     queues = world.queues
     queues.grants[row.ask_id] = row
-    used = queues.in_use.get(row.upstream, 0) + 1
-    queues.in_use[row.upstream] = used
+    in_use = queues.in_use.get(row.upstream, 0) + 1
+    queues.in_use[row.upstream] = in_use
     queues.in_use_peaks[row.upstream] = max(
-        used, queues.in_use_peaks.get(row.upstream, 0)
+        in_use, queues.in_use_peaks.get(row.upstream, 0)
     )
     timer = timers.QueueExpiry(row.ask_id)
     timers.start(world.timers, timer, row.expires_ms)
 
 
-def _discount(world: world_module.World, row: models.GrantRow) -> None:
+def _remove_grant(world: world_module.World, row: models.GrantRow) -> None:
     del world.queues.grants[row.ask_id]
     world.queues.in_use[row.upstream] -= 1
     timers.stop(world.timers, timers.QueueExpiry(row.ask_id))
--- a/packages/core/src/zinnialead_core/components/slots/local_config.py
+++ b/packages/core/src/zinnialead_core/components/slots/local_config.py
@@ -1,4 +1,4 @@
-"""Work out what the state in force gives each service in this domain."""
+"""Derive the local upstreams and limits of services from the state."""
 
 from collections import abc
 import math
@@ -9,65 +9,77 @@
 from zinnialead_core import world as world_module
 
 
-def get(world: world_module.World, service: ids.ServiceId) -> models.LocalRow:
-    """Return a service's upstreams here and its share of a limit."""
+def get(
+    world: world_module.World, service: ids.ServiceId
+) -> models.LocalConfigRow:
+    """Return a service's upstreams and in-flight limit in this domain."""
     state = world.states['in-force']
     queues = world.queues
-    _renew(world)
-    if service not in queues.locals:
-        queues.locals[service] = _work_out(world, state, service)
-    return queues.locals[service]
+    _refresh(world)
+    if service not in queues.local_configs:
+        queues.local_configs[service] = _build_row(world, state, service)
+    return queues.local_configs[service]
 
 
-def changed(world: world_module.World, now_ms: float) -> None:
-    """Keep the shares of before a ticket until work under them ends.
+def update_previous_limits(world: world_module.World, now_ms: float) -> None:
+    """Keep limits from before a ticket until work under them has ended.
 
-    A share that grows at once would add to work that other domains still
-    have in flight under theirs.
+    If this domain's share of a region limit grew at once, its work would
+    add to what other domains still have in flight under their old shares.
     """
-    _renew(world)
-    former = world.queues.former
-    for service, rows in list(former.items()):
-        known = world.states['in-force'].services.get(service)
-        longest_ms = known.deadline_max_ms if known else 0.0
-        dated = (_dated(row, now_ms + longest_ms) for row in rows)
-        former[service] = tuple(x for x in dated if now_ms < x.until_ms)
-        if not former[service]:
-            del former[service]
+    _refresh(world)
+    previous_limits = world.queues.previous_limits
+    for service, rows in list(previous_limits.items()):
+        service_row = world.states['in-force'].services.get(service)
+        longest_ms = service_row.deadline_max_ms if service_row else 0.0
+        expiring = (_with_expiry(row, now_ms + longest_ms) for row in rows)
+        previous_limits[service] = tuple(
+            x for x in expiring if now_ms < x.until_ms
+        )
+        if not previous_limits[service]:
+            del previous_limits[service]
 
 
 def in_flight_max(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> int | None:
-    """Return how much of a service this domain may have in flight."""
-    stated = get(world, service).in_flight_max
-    if stated is None:
+    """Return the current in-flight limit of a service in this domain.
+
+    It is the lowest of the new and any previous limits; None is no limit.
+    """
+    current = get(world, service).in_flight_max
+    if current is None:
         return None
-    rows = world.queues.former.get(service, ())
-    held = (row.in_flight_max for row in rows if now_ms < row.until_ms)
-    return min((stated, *held))
+    rows = world.queues.previous_limits.get(service, ())
+    previous = (row.in_flight_max for row in rows if now_ms < row.until_ms)
+    return min((current, *previous))
 
 
-def _renew(world: world_module.World) -> None:
+def _refresh(world: world_module.World) -> None:
     queues = world.queues
     number = world.states['in-force'].number
-    if queues.numbers[0] == number:
+    if queues.state_numbers[0] == number:
         return
-    _keep_former(world)
-    queues.locals.clear()
-    queues.numbers[0] = number
+    _keep_limits(world)
+    queues.local_configs.clear()
+    queues.state_numbers[0] = number
 
 
-def _keep_former(world: world_module.World) -> None:
-    # ``changed`` sets the end, since only it knows the time.
-    former = world.queues.former
-    for service, row in world.queues.locals.items():
+def _keep_limits(world: world_module.World) -> None:
+    # update_previous_limits() sets the expiry, as the time is known there.
+    previous_limits = world.queues.previous_limits
+    for service, row in world.queues.local_configs.items():
         if row.in_flight_max is not None:
-            kept = models.FormerRow(row.in_flight_max, math.inf)
-            former[service] = (*former.get(service, ()), kept)
+            previous = models.PreviousLimitRow(row.in_flight_max, math.inf)
+            previous_limits[service] = (
+                *previous_limits.get(service, ()),
+                previous,
+            )
 
 
-def _dated(row: models.FormerRow, until_ms: float) -> models.FormerRow:
+def _with_expiry(
+    row: models.PreviousLimitRow, until_ms: float
+) -> models.PreviousLimitRow:
     if math.isinf(row.until_ms):
         return row._replace(until_ms=until_ms)
     return row
@@ -78,40 +90,40 @@
 ) -> int | None:
     """Return this domain's share of a region's limit for a service.
 
-    The limit is split by the slots in service in each domain of the
-    region, and the shares sum to it exactly.
+    The limit is split in proportion to the undrained slots of each domain
+    in the region, and the shares add up to it exactly.
     """
     state = world.states['in-force']
-    limit = _limit(world, state, service)
+    limit = _region_limit(world, state, service)
     if limit is None:
         return None
-    here = world.node.domain
+    own_domain = world.node.domain
     before = own = total = 0
-    for row in _in_service(state, service):
+    for row in _undrained_upstreams(state, service):
         domain = state.domains.get(row.domain)
         if domain is None or domain.region != limit.region:
             continue
         total += row.slots
-        before += row.slots if row.domain < here else 0
-        own += row.slots if row.domain == here else 0
+        before += row.slots if row.domain < own_domain else 0
+        own += row.slots if row.domain == own_domain else 0
     if total == 0:
         return 0
-    upto = limit.in_flight * (before + own) // total
-    return upto - limit.in_flight * before // total
+    through_own = limit.in_flight * (before + own) // total
+    return through_own - limit.in_flight * before // total
 
 
-def _work_out(
+def _build_row(
     world: world_module.World, state: tickets.State, service: ids.ServiceId
-) -> models.LocalRow:
+) -> models.LocalConfigRow:
     upstreams = tuple(
         row
-        for row in _in_service(state, service)
+        for row in _undrained_upstreams(state, service)
         if row.domain == world.node.domain
     )
-    return models.LocalRow(upstreams, in_flight_share(world, service))
+    return models.LocalConfigRow(upstreams, in_flight_share(world, service))
 
 
-def _in_service(
+def _undrained_upstreams(
     state: tickets.State, service: ids.ServiceId
 ) -> abc.Iterator[tickets.UpstreamRow]:
     for row in state.upstreams.values():
@@ -119,15 +131,15 @@
             yield row
 
 
-def _limit(
+def _region_limit(
     world: world_module.World, state: tickets.State, service: ids.ServiceId
 ) -> tickets.RegionLimit | None:
     here = state.domains.get(world.node.domain)
     region = here.region if here else world.node.region
     for cap in state.caps.values():
         match cap:
-            case tickets.RegionLimit(at, of_service) if (
-                at == region and of_service == service
+            case tickets.RegionLimit(region_id, service_id) if (
+                region_id == region and service_id == service
             ):
                 return cap
     return None
--- a/packages/core/src/zinnialead_core/components/slots/messages.py
+++ b/packages/core/src/zinnialead_core/components/slots/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages between askers and owners of slots."""
+"""Messages between the entries that ask for slots and slot owners."""
 
 import dataclasses
 
@@ -6,19 +6,20 @@
 from zinnialead_core import ids
 from zinnialead_core import verdict
 
-HERE = ids.RegionId('')
+OWN_REGION = ids.RegionId('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAsk:
     """Ask the owner of a service's slots in a domain for one slot.
 
-    ``avoid`` names the upstream of the attempt before; ``forwarded`` says
-    that an entry that owns the slots no more sent the ask on; ``tried``
-    are the domains that refused it already.  ``home_region`` is where the
-    work comes from, for caps on shifts; empty for the owner's own region.
-    ``homeless`` says that the asker's domain has no upstream for it, so
-    that the ask may wait here as if it were the domain's own.
+    ``avoid`` is the upstream of the previous attempt.  ``forwarded`` is
+    set if an entry that does not own the slots, or no longer does, sent
+    the ask on.
+    ``tried`` are the domains that refused it.  ``home_region`` is where
+    the work originates, for shift caps; empty for the owner's region.
+    ``homeless`` is set if the asker's domain has no upstream for it: the
+    ask may then be queued here like an ask of this domain.
     """
 
     ask_id: ids.AskId
@@ -29,16 +30,16 @@
     avoid: ids.UpstreamId | None = None
     forwarded: bool = False
     tried: tuple[ids.DomainId, ...] = ()
-    home_region: ids.RegionId = HERE
+    home_region: ids.RegionId = OWN_REGION
     body_bytes: int = 0
     homeless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotAnswer:
-    """Grant a slot at ``upstream``, or say why there is none.
+    """Grant a slot at ``upstream``, or refuse the ask.
 
-    ``redirect`` names a domain that is worth an ask.
+    ``redirect`` names another domain to ask.
     """
 
     ask_id: ids.AskId
@@ -49,14 +50,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotWaiting:
-    """Say that an ask, sent again, still waits in the queue."""
+    """Confirm that a repeated ask is still queued."""
 
     ask_id: ids.AskId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotHeldReport:
-    """Tell a slot owner that a slot is in use, and renew its lease."""
+    """Report a slot in use to its owner and renew the lease."""
 
     ask_id: ids.AskId
     service: ids.ServiceId
@@ -67,7 +68,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotReturn:
-    """Give a slot back, or leave the queue."""
+    """Return a slot, or withdraw an ask from the queue.
+
+    ``end`` is how the attempt that used the slot ended.
+    """
 
     ask_id: ids.AskId
     upstream: ids.UpstreamId | None
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the slots tables."""
+"""Rows and tables of the slots component."""
 
 import enum
 import typing
@@ -9,7 +9,7 @@
 
 
 class SlotEnd(enum.Enum):
-    """Say how the attempt that held a slot ended at its upstream."""
+    """How the attempt that used a slot ended at its upstream."""
 
     SERVED = 'served'
     SHED = 'shed'
@@ -19,11 +19,12 @@
 
 
 class AskRow(typing.NamedTuple):
-    """Hold an ask that this entry has open at a slot owner.
+    """Hold an ask that this entry has sent to a slot owner.
 
-    ``tried`` are the domains that refused it, ``refusal`` is what the
-    first of them said, and ``misses`` counts the times that the owner
-    left it without a word.
+    ``upstream`` is set once a slot is granted.  ``tried`` are the domains
+    that refused the ask and ``refusal`` is the first refusal.  ``misses``
+    counts timeouts in a row without a response of the owner, and
+    ``backoff_steps`` how often the timeout has doubled.
     """
 
     ask_id: ids.AskId
@@ -36,11 +37,11 @@
     tried: tuple[ids.DomainId, ...]
     refusal: verdict.Refusal | None
     misses: int = 0
-    rounds: int = 0
+    backoff_steps: int = 0
 
 
 class QueuedRow(typing.NamedTuple):
-    """Hold an ask that waits here, at the slot owner, for a slot."""
+    """Hold an ask that is queued at this entry, the slot owner."""
 
     ask_id: ids.AskId
     service: ids.ServiceId
@@ -56,9 +57,9 @@
 
 
 class GrantRow(typing.NamedTuple):
-    """Hold a slot that is in use.
+    """Hold a slot that is in use and its lease.
 
-    ``passed_to`` is the owner that this one handed the slot over to.
+    ``handed_over_to`` is the new owner that was sent a report of it.
     """
 
     ask_id: ids.AskId
@@ -68,28 +69,28 @@
     granted_ms: float
     expires_ms: float
     from_domain: ids.DomainId
-    passed_to: ids.EntryId | None = None
+    handed_over_to: ids.EntryId | None = None
 
 
 class ServiceLoadRow(typing.NamedTuple):
-    """Hold what a slot owner has measured of one service.
+    """Hold a slot owner's measurements of one service.
 
-    ``deviation_ms`` is how far service times lie from their mean, on
-    average.  ``owned_ms`` is since when this entry owns the service's
-    slots, None while another one does.
+    ``deviation_ms`` is the mean absolute deviation of the service time.
+    ``owned_since_ms`` is when this entry became the owner of the slots,
+    None while another entry is.
     """
 
     service: ids.ServiceId
     service_time_ms: float | None = None
     deviation_ms: float = 0.0
-    owned_ms: float | None = None
+    owned_since_ms: float | None = None
 
 
 class RankLoadRow(typing.NamedTuple):
-    """Hold a rank's floor credit and its rate of arrivals in a service.
+    """Hold a rank's floor credit and its arrival rate in a service.
 
-    ``credit`` counts the grants that the rank's floor is owed, and
-    ``arrivals`` those of the last seconds, decayed since ``seen_ms``.
+    ``credit`` is the number of grants due to the rank under its floor.
+    ``arrivals`` is an exponentially decayed count as of ``seen_ms``.
     """
 
     credit: float
@@ -97,50 +98,50 @@
     seen_ms: float
 
 
-class LocalRow(typing.NamedTuple):
-    """Hold what the state in force gives a service in this domain."""
+class LocalConfigRow(typing.NamedTuple):
+    """Hold a service's upstreams and in-flight limit in this domain."""
 
     upstreams: tuple[tickets.UpstreamRow, ...]
     in_flight_max: int | None
 
 
-class FormerRow(typing.NamedTuple):
-    """Hold a share of a region's limit that held before a ticket."""
+class PreviousLimitRow(typing.NamedTuple):
+    """Hold a share of a region's limit from before a ticket."""
 
     in_flight_max: int
     until_ms: float
 
 
 class OwnerRow(typing.NamedTuple):
-    """Hold who owned a service's slots when that was last worked out."""
+    """Hold a cached owner of a service's slots."""
 
     owner: ids.EntryId | None
-    fresh_until_ms: float
+    valid_until_ms: float
 
 
 AskTable = dict[ids.AskId, AskRow]
-Line = dict[ids.AskId, None]
+RankQueue = dict[ids.AskId, None]
 
 
 class QueueTable(typing.NamedTuple):
-    """Hold what a slot owner knows: asks that wait and slots in use.
+    """Hold a slot owner's queued asks and slots in use.
 
-    ``locals`` is worked out from the state whose number is the one item
-    of ``numbers``; ``in_use_peaks`` are the most slots in use of each upstream
-    since its last report.
+    ``state_numbers`` has one item, the number of the state from which
+    ``local_configs`` was derived.  ``in_use_peaks`` has the most slots in
+    use of each upstream since its last report.
     """
 
     queued: dict[ids.AskId, QueuedRow]
-    rank_queues: dict[ids.ServiceId, dict[ids.RankId, Line]]
+    rank_queues: dict[ids.ServiceId, dict[ids.RankId, RankQueue]]
     grants: dict[ids.AskId, GrantRow]
     in_use: dict[ids.UpstreamId, int]
     in_use_peaks: dict[ids.UpstreamId, int]
     owners: dict[tuple[ids.ServiceId, ids.DomainId], OwnerRow]
     service_loads: dict[ids.ServiceId, ServiceLoadRow]
     rank_loads: dict[tuple[ids.ServiceId, ids.RankId], RankLoadRow]
-    locals: dict[ids.ServiceId, LocalRow]
-    former: dict[ids.ServiceId, tuple[FormerRow, ...]]
-    numbers: list[int]
+    local_configs: dict[ids.ServiceId, LocalConfigRow]
+    previous_limits: dict[ids.ServiceId, tuple[PreviousLimitRow, ...]]
+    state_numbers: list[int]
 
 
 def new_asks() -> AskTable:
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -1,12 +1,12 @@
-"""Know which entry owns the slots of a service in a domain."""
+"""Track which entry owns the slots of a service in a domain."""
 
 from collections import abc
 
 from zinnialead_core.components import members
 from zinnialead_core.components.slots import const
-from zinnialead_core.components.slots import lines
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import models
+from zinnialead_core.components.slots import rank_queues
 from zinnialead_core.components.steering import slot_owners
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
@@ -20,13 +20,13 @@
     service: ids.ServiceId,
     domain: ids.DomainId,
 ) -> ids.EntryId | None:
-    """Return the owner of a service's slots, worked out a moment ago."""
-    known = world.queues.owners.get((service, domain))
-    if known is not None and now_ms < known.fresh_until_ms:
-        return known.owner
+    """Return the owner of a service's slots, cached for a short time."""
+    cached = world.queues.owners.get((service, domain))
+    if cached is not None and now_ms < cached.valid_until_ms:
+        return cached.owner
     owner = slot_owners.slot_owner(world, service, domain)
     if domain == world.node.domain:
-        _note_owner(world, now_ms, service, owner)
+        _record_owner(world, now_ms, service, owner)
     world.queues.owners[service, domain] = models.OwnerRow(
         owner, now_ms + const.OWNER_CACHE_MS
     )
@@ -38,19 +38,19 @@
 ) -> bool:
     """Return whether this entry owns a service's slots in its domain.
 
-    An entry that knows of no owner takes itself for it.
+    If no owner is known, this entry acts as the owner.
     """
     owner = owner_of(world, now_ms, service, world.node.domain)
     return owner is None or owner == world.node.ref.entry
 
 
 def refresh(world: world_module.World, now_ms: float) -> None:
-    """Note which services' slots this entry owns now, and since when."""
+    """Recompute which services' slots this entry owns, and since when."""
     world.queues.owners.clear()
     loads = world.queues.service_loads
     services = world.states['in-force'].services
-    for gone in loads.keys() - services.keys():
-        del loads[gone]
+    for removed in loads.keys() - services.keys():
+        del loads[removed]
     for service in services:
         owner_of(world, now_ms, service, world.node.domain)
 
@@ -58,35 +58,37 @@
 def take_over(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> None:
-    """Take this entry for an owner, since another one does."""
+    """Act as the owner because another entry treats this one as it."""
     loads = world.queues.service_loads
     row = loads.get(service) or models.ServiceLoadRow(service)
-    if row.owned_ms is None:
-        loads[service] = row._replace(owned_ms=now_ms)
+    if row.owned_since_ms is None:
+        loads[service] = row._replace(owned_since_ms=now_ms)
 
 
-def held_until_ms(world: world_module.World, service: ids.ServiceId) -> float:
+def grants_paused_until_ms(
+    world: world_module.World, service: ids.ServiceId
+) -> float:
     """Return until when a new owner waits for reports of slots in use.
 
-    An entry that is alone in its domain has none to wait for.
+    The only entry of a domain has no reports to wait for.
     """
     row = world.queues.service_loads.get(service)
-    if row is None or row.owned_ms is None or _is_alone(world):
+    if row is None or row.owned_since_ms is None or _is_only_entry(world):
         return 0.0
-    return row.owned_ms + const.TAKEOVER_MS
+    return row.owned_since_ms + const.TAKEOVER_PAUSE_MS
 
 
 def hand_over(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Pass on the slots in use, then the asks, that others own now."""
+    """Send slots in use, then queued asks, to their new owners."""
     queues = world.queues
     for grant in list(queues.grants.values()):
         owner = owner_of(world, now_ms, grant.service, world.node.domain)
-        if owner in (None, world.node.ref.entry, grant.passed_to):
+        if owner in (None, world.node.ref.entry, grant.handed_over_to):
             continue
-        passed = grant._replace(passed_to=owner)
-        queues.grants[grant.ask_id] = passed
+        handed_over = grant._replace(handed_over_to=owner)
+        queues.grants[grant.ask_id] = handed_over
         report = messages.SlotHeldReport(
             grant.ask_id,
             grant.service,
@@ -94,27 +96,27 @@
             grant.upstream,
             grant.from_domain,
         )
-        yield from pass_on(world, now_ms, grant.service, report)
+        yield from forward(world, now_ms, grant.service, report)
     for ask in list(queues.queued.values()):
         if not is_owner(world, now_ms, ask.service):
-            lines.leave(world, ask.ask_id)
+            rank_queues.remove(world, ask.ask_id)
             timers.stop(world.timers, timers.QueueExpiry(ask.ask_id))
-            yield from _pass_ask(world, now_ms, ask)
+            yield from _forward_ask(world, now_ms, ask)
 
 
-def pass_on(
+def forward(
     world: world_module.World,
     now_ms: float,
     service: ids.ServiceId,
     message: messages.SlotAsk | messages.SlotHeldReport | messages.SlotReturn,
 ) -> abc.Iterator[out.Output]:
-    """Send a message on to the owner of a service's slots."""
+    """Forward a message to the owner of a service's slots."""
     owner = owner_of(world, now_ms, service, world.node.domain)
     if owner is not None and owner != world.node.ref.entry:
         yield out.SendPeer(owner, message)
 
 
-def _pass_ask(
+def _forward_ask(
     world: world_module.World, now_ms: float, row: models.QueuedRow
 ) -> abc.Iterator[out.Output]:
     ask = messages.SlotAsk(
@@ -130,10 +132,10 @@
         body_bytes=row.body_bytes,
         homeless=row.homeless,
     )
-    yield from pass_on(world, now_ms, row.service, ask)
+    yield from forward(world, now_ms, row.service, ask)
 
 
-def _note_owner(
+def _record_owner(
     world: world_module.World,
     now_ms: float,
     service: ids.ServiceId,
@@ -144,10 +146,10 @@
         return
     row = world.queues.service_loads.get(service)
     if row is not None:
-        world.queues.service_loads[service] = row._replace(owned_ms=None)
+        world.queues.service_loads[service] = row._replace(owned_since_ms=None)
 
 
-def _is_alone(world: world_module.World) -> bool:
+def _is_only_entry(world: world_module.World) -> bool:
     return not any(
         row.domain == world.node.domain
         and row.entry != world.node.ref.entry
--- a/packages/core/src/zinnialead_core/components/slots/refusals.py
+++ b/packages/core/src/zinnialead_core/components/slots/refusals.py
@@ -1,4 +1,4 @@
-"""Word the refusals of slot owners."""
+"""Build the refusals of slot owners."""
 
 from zinnialead_core.components.slots import const
 from zinnialead_core.components.slots import models
@@ -10,7 +10,7 @@
 def no_headroom(
     world: world_module.World, row: models.QueuedRow
 ) -> verdict.Refusal:
-    """Say that no slot is idle here for a while."""
+    """Return the refusal of an ask that finds no idle slot here."""
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.NO_HEADROOM,
@@ -22,7 +22,7 @@
 def no_upstream(
     world: world_module.World, service: ids.ServiceId
 ) -> verdict.Refusal:
-    """Say that no upstream here takes work."""
+    """Return the refusal where no upstream here accepts work."""
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.NO_UPSTREAM,
@@ -34,7 +34,7 @@
 def queue_full(
     world: world_module.World, row: models.QueuedRow
 ) -> verdict.Refusal:
-    """Say that more urgent work fills the queue."""
+    """Return the refusal of an ask dropped from a full queue."""
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.QUEUE_FULL,
--- a/packages/core/src/zinnialead_core/components/steering/caps.py
+++ b/packages/core/src/zinnialead_core/components/steering/caps.py
@@ -163,9 +163,9 @@
 ) -> bool:
     # The owner before may have let in shifts that are not known here.
     load = world.queues.service_loads.get(service)
-    if load is None or load.owned_ms is None:
+    if load is None or load.owned_since_ms is None:
         return False
-    return now_ms < load.owned_ms + const.SHIFT_HOLD_MS
+    return now_ms < load.owned_since_ms + const.SHIFT_HOLD_MS
 
 
 def _recent(
--- a/packages/core/src/zinnialead_core/components/steering/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/steering/coordinator.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import availability
 from zinnialead_core.components.slots import ownership
 from zinnialead_core.components.steering import const
 from zinnialead_core.components.steering import messages
@@ -67,8 +67,8 @@
     return models.LoadRow(
         service=service,
         domain=world.node.domain,
-        slots=choice.usable_slots(world, now_ms, service),
-        in_use=choice.in_flight(world, service),
+        slots=availability.usable_slots(world, now_ms, service),
+        in_use=availability.in_flight(world, service),
         queued=sum(map(len, lines.values())),
         service_time_ms=measured or stated,
         seen_ms=now_ms,
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -14,7 +14,7 @@
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
 
-LATER_MS = const.TAKEOVER_MS + 1.0
+LATER_MS = const.TAKEOVER_PAUSE_MS + 1.0
 
 
 def owner_and_other(worlds):
@@ -127,7 +127,7 @@
     grant = slots.SlotAnswer(ask_id, 'far')
     given = inp.PeerMessage(ids.EntryRef('far-entry', 1), grant)
     list(core.tick(world, 3.0, [given]))
-    outputs = list(core.tick(world, 3.0 + const.HELD_PERIOD_MS, []))
+    outputs = list(core.tick(world, 3.0 + const.LEASE_RENEWAL_PERIOD_MS, []))
     renewed = [
         x.entry
         for x in outputs
@@ -160,7 +160,7 @@
     assert sent.message.forwarded
     again = inp.PeerMessage(ids.EntryRef(owner, 1), sent.message)
     assert not asking.tick(worlds[other], LATER_MS, again)
-    outputs = core.tick(worlds[other], LATER_MS + const.TAKEOVER_MS, [])
+    outputs = core.tick(worlds[other], LATER_MS + const.TAKEOVER_PAUSE_MS, [])
     assert [x.message.upstream for x in outputs if x.entry == 'asker'] == [
         'pricebook-1'
     ]
--- a/tests/core/components/slots/test_limits.py
+++ b/tests/core/components/slots/test_local_config.py
@@ -2,7 +2,7 @@
 
 from core import samples
 import zinnialead_core as core
-from zinnialead_core.components.slots import choice
+from zinnialead_core.components.slots import availability
 from zinnialead_core.components.slots import local_config
 from zinnialead_core.components import tickets
 from zinnialead_core import inputs as inp
@@ -30,7 +30,7 @@
 def limits(world, now_ms):
     return (
         local_config.in_flight_max(world, now_ms, 'pricebook'),
-        choice.usable_slots(world, now_ms, 'pricebook'),
+        availability.usable_slots(world, now_ms, 'pricebook'),
     )
 
 
--- a/tests/core/components/steering/test_caps.py
+++ b/tests/core/components/steering/test_caps.py
@@ -159,7 +159,7 @@
 
 def test_a_new_owner_lets_in_nothing_for_a_while():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
-    load = slot_models.ServiceLoadRow('intake', None, owned_ms=100.0)
+    load = slot_models.ServiceLoadRow('intake', None, owned_since_ms=100.0)
     world.queues.service_loads['intake'] = load
     assert ask(world, 101.0).reason is verdict.Reason.CAP_REACHED
     assert ask(world, 100.0 + const.SHIFT_HOLD_MS) is None
