Describe steering in the terms of caps, shares and redirects

A cap was "dealt" to "holders" in "parts", a shift went its "way" and was "let in", a domain had "room" and "neighbours", loads were "taken in" and "believed". Now a cap is apportioned to owners in shares, a shift is on a link and is admitted, a domain has headroom, and a load report is applied and goes stale. The reasons of the window, the pause of new owners and the costs are kept.

Fields of HeadroomRow, ShiftRow, ServingDomainsRow and ShiftTable change their names; none is written out.

--- a/packages/core/src/zinnialead_core/components/slots/granting.py
+++ b/packages/core/src/zinnialead_core/components/slots/granting.py
@@ -58,7 +58,7 @@
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
     scheduling.record_grant(world, row.service, row.rank)
-    caps.start(world, now_ms, row.service, row.home_region, row.ask_id)
+    caps.record_sent(world, now_ms, row.service, row.home_region, row.ask_id)
     _dequeue(world, row)
     yield from leases.start(world, now_ms, row, upstream)
 
--- a/packages/core/src/zinnialead_core/components/slots/queueing.py
+++ b/packages/core/src/zinnialead_core/components/slots/queueing.py
@@ -53,7 +53,7 @@
         ownership.take_over(world, now_ms, ask.service)
     row = _queued_row(world, now_ms, ask)
     for domain in ask.tried:
-        redirects.refused(world, now_ms, ask.service, domain)
+        redirects.pause_domain(world, now_ms, ask.service, domain)
     if row.from_domain != world.node.domain and not row.homeless:
         yield from _admit_from_other_domain(world, now_ms, row)
     else:
@@ -78,7 +78,9 @@
     if removed is None:
         return
     if slot_return.answer_bytes > 0:
-        caps.learn_answer(world, removed.service, slot_return.answer_bytes)
+        caps.record_answer_size(
+            world, removed.service, slot_return.answer_bytes
+        )
     if not ownership.is_owner(world, now_ms, removed.service):
         yield from ownership.forward(
             world, now_ms, removed.service, slot_return
@@ -169,7 +171,7 @@
     shift = caps.Shift(
         row.ask_id, row.service, row.rank, row.home_region, row.body_bytes
     )
-    return caps.permit(world, now_ms, shift)
+    return caps.admit(world, now_ms, shift)
 
 
 def _append(
@@ -185,7 +187,7 @@
             world, dropped, refusals.queue_full(world, dropped)
         )
     if dropped_id == row.ask_id:
-        caps.leave(world, row.service, row.home_region, row.ask_id)
+        caps.remove_waiting(world, row.service, row.home_region, row.ask_id)
         return
     rank_queues.append(world, row)
     yield from granting.grant(world, now_ms, row.service)
@@ -215,7 +217,7 @@
     if refusal is not None:
         yield from granting.refuse(world, row, refusal)
         return
-    caps.start(world, now_ms, row.service, row.home_region, row.ask_id)
+    caps.record_sent(world, now_ms, row.service, row.home_region, row.ask_id)
     yield from leases.start(world, now_ms, row, upstream)
 
 
--- a/packages/core/src/zinnialead_core/components/slots/rank_queues.py
+++ b/packages/core/src/zinnialead_core/components/slots/rank_queues.py
@@ -29,7 +29,7 @@
         del service_queues[row.rank]
     if not service_queues:
         del world.queues.rank_queues[row.service]
-    caps.leave(world, row.service, row.home_region, ask_id)
+    caps.remove_waiting(world, row.service, row.home_region, ask_id)
     return row
 
 
--- a/packages/core/src/zinnialead_core/components/steering/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/steering/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe loads and shifts for a dump."""
+"""Describe the loads of other domains for the state dump."""
 
 import typing
 
@@ -18,7 +18,7 @@
 
 
 def dump(world: world_module.World) -> SteeringDump:
-    """Return the steering's part of the state dump."""
+    """Return the steering section of the state dump."""
     return {
         f'{row.service}/{row.domain}': LoadDump(
             slots=row.slots,
--- a/packages/core/src/zinnialead_core/components/steering/messages.py
+++ b/packages/core/src/zinnialead_core/components/steering/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that exchange loads."""
+"""Messages that exchange loads between slot owners."""
 
 import dataclasses
 
@@ -7,6 +7,6 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Tell a peer the loads of the services owned at the sender."""
+    """Report the loads of the services whose slots the sender owns."""
 
     rows: tuple[models.LoadRow, ...]
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the steering tables."""
+"""Rows and tables of the steering component."""
 
 import collections
 import typing
@@ -7,7 +7,7 @@
 
 
 class LoadRow(typing.NamedTuple):
-    """Hold the load of one service in one domain, as its owner saw it."""
+    """Hold the load of a service in a domain, as its slot owner saw it."""
 
     service: ids.ServiceId
     domain: ids.DomainId
@@ -18,34 +18,34 @@
     seen_ms: float
 
 
-class RoomRow(typing.NamedTuple):
-    """Hold what a slot owner may still send to another domain.
+class HeadroomRow(typing.NamedTuple):
+    """Hold how many asks may still be redirected to another domain.
 
-    ``left`` counts the asks that the last report leaves room for, and
-    none are sent before ``paused_until_ms``.
+    ``asks_left`` is based on the domain's last report.  No asks are
+    sent before ``paused_until_ms``.
     """
 
-    left: float
+    asks_left: float
     paused_until_ms: float
 
 
 class ShiftRow(typing.NamedTuple):
-    """Hold one shift that was let in."""
+    """Hold one shift that was sent."""
 
-    at_ms: float
+    sent_ms: float
     size_bytes: float
 
 
-class NeighbourRow(typing.NamedTuple):
-    """Hold the other domains that serve a service under one ticket."""
+class ServingDomainsRow(typing.NamedTuple):
+    """Hold the other domains that serve a service in one state."""
 
-    number: int
-    siblings: tuple[ids.DomainId, ...]
-    others: tuple[ids.DomainId, ...]
+    state_number: int
+    same_region: tuple[ids.DomainId, ...]
+    other_regions: tuple[ids.DomainId, ...]
 
 
 class LinkId(typing.NamedTuple):
-    """Name the way of a shift, from a region to a region."""
+    """Identify the link of a shift, from one region to another."""
 
     from_region: ids.RegionId
     to_region: ids.RegionId
@@ -54,22 +54,21 @@
 LoadTable = dict[tuple[ids.ServiceId, ids.DomainId], LoadRow]
 
 
-Way = tuple[ids.ServiceId, LinkId]
+ServiceLink = tuple[ids.ServiceId, LinkId]
 
 
 class ShiftTable(typing.NamedTuple):
-    """Hold the shifts of the last second by service and way.
+    """Hold recent shifts by service and link, and where to redirect asks.
 
-    ``waiting`` are those let in that wait for a slot, with their sizes in
-    bytes; ``rooms`` are by service and domain; ``neighbours`` are kept
-    until the next ticket; ``answer_bytes`` are the usual sizes of the
-    answers of services.
+    ``sent`` covers the cap window.  ``waiting`` has the sizes in bytes of
+    admitted shifts that wait for a slot.  ``serving_domains`` is cached
+    until the next ticket.  ``answer_bytes`` are mean answer sizes.
     """
 
-    sent: dict[Way, collections.deque[ShiftRow]]
-    waiting: dict[Way, dict[ids.AskId, float]]
-    neighbours: dict[ids.ServiceId, NeighbourRow]
-    rooms: dict[tuple[ids.ServiceId, ids.DomainId], RoomRow]
+    sent: dict[ServiceLink, collections.deque[ShiftRow]]
+    waiting: dict[ServiceLink, dict[ids.AskId, float]]
+    serving_domains: dict[ids.ServiceId, ServingDomainsRow]
+    headrooms: dict[tuple[ids.ServiceId, ids.DomainId], HeadroomRow]
     answer_bytes: dict[ids.ServiceId, float]
 
 
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -1,4 +1,4 @@
-"""Choose another domain for an ask that would wait too long here."""
+"""Redirect asks that would wait too long here to another domain."""
 
 from collections import abc
 import math
@@ -12,7 +12,7 @@
 
 
 class Candidate(typing.NamedTuple):
-    """Name a domain that may take an ask, and what asking it costs."""
+    """Hold a domain that may serve an ask, and the cost of asking it."""
 
     domain: ids.DomainId
     cost_ms: float
@@ -26,90 +26,94 @@
     left_ms: float,
     tried: abc.Collection[ids.DomainId],
 ) -> ids.DomainId | None:
-    """Return the domain to ask in place of waiting ``wait_ms`` here.
+    """Return the domain to ask instead of waiting ``wait_ms`` here.
 
-    Domains of this region go first.  A report is trusted for the number
-    of asks that it leaves room for, and no longer than a few seconds;
-    the domain's own slot owner decides in the end.
+    Domains of this region are preferred.  A load report allows a limited
+    number of asks and expires after a few seconds; the final decision is
+    up to the slot owner of the selected domain.
     """
     if wait_ms <= const.SIBLING_COST_MS:
         return None
-    homeless = math.isinf(wait_ms)
+    no_local_upstream = math.isinf(wait_ms)
     tried_max = const.DOMAINS_TRIED_MAX
-    if homeless:
-        tried_max = const.DOMAINS_TRIED_HOMELESS_MAX
+    if no_local_upstream:
+        tried_max = const.DOMAINS_TRIED_NO_UPSTREAM_MAX
     if len(tried) >= tried_max:
         return None
-    worth = [
+    worthwhile = [
         candidate.domain
         for candidate in _candidates(world, service)
         if candidate.domain not in tried
         and candidate.cost_ms < min(wait_ms, left_ms)
     ]
-    for domain in worth:
-        if _take_room(world, now_ms, service, domain):
+    for domain in worthwhile:
+        if _reserve_headroom(world, now_ms, service, domain):
             world.counters['steering.redirected'] += 1
             return domain
-    if not homeless or not worth:
+    if not no_local_upstream or not worthwhile:
         return None
-    # Work without an upstream here may wait in another domain's queue.
+    # Work without an upstream here may be queued in another domain.
     world.counters['steering.homeless'] += 1
-    return min(worth, key=lambda domain: _busy(world, service, domain))
+    return min(
+        worthwhile, key=lambda domain: _utilization(world, service, domain)
+    )
 
 
-def refused(
+def pause_domain(
     world: world_module.World,
     now_ms: float,
     service: ids.ServiceId,
     domain: ids.DomainId,
 ) -> None:
-    """Leave a domain alone for a moment that refused an ask."""
-    room = world.shifts.rooms.get((service, domain))
+    """Pause redirects to a domain that refused an ask."""
+    headroom = world.shifts.headrooms.get((service, domain))
     paused_until_ms = now_ms + const.REFUSED_PAUSE_MS
-    left = room.left if room else 0.0
-    row = models.RoomRow(left, paused_until_ms)
-    world.shifts.rooms[service, domain] = row
+    asks_left = headroom.asks_left if headroom else 0.0
+    row = models.HeadroomRow(asks_left, paused_until_ms)
+    world.shifts.headrooms[service, domain] = row
 
 
-def take_in(
+def apply_load(
     world: world_module.World, now_ms: float, row: models.LoadRow
 ) -> None:
-    """Take in a load report, and the room that it leaves."""
+    """Apply a load report and compute how many asks it allows."""
     if row.domain == world.node.domain:
         return
     world.loads[row.service, row.domain] = row._replace(seen_ms=now_ms)
     free = max(0, row.slots - row.in_use - row.queued)
-    served = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
-    # Free slots are used over and over until the next report.
-    left = free * max(1.0, served)
-    known = world.shifts.rooms.get((row.service, row.domain))
-    paused_until_ms = known.paused_until_ms if known else -math.inf
-    room = models.RoomRow(left, paused_until_ms)
-    world.shifts.rooms[row.service, row.domain] = room
+    uses = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
+    # Each free slot is used several times until the next report.
+    asks_left = free * max(1.0, uses)
+    previous = world.shifts.headrooms.get((row.service, row.domain))
+    paused_until_ms = previous.paused_until_ms if previous else -math.inf
+    headroom = models.HeadroomRow(asks_left, paused_until_ms)
+    world.shifts.headrooms[row.service, row.domain] = headroom
 
 
-def _take_room(
+def _reserve_headroom(
     world: world_module.World,
     now_ms: float,
     service: ids.ServiceId,
     domain: ids.DomainId,
 ) -> bool:
-    room = world.shifts.rooms.get((service, domain))
-    if room is not None and now_ms < room.paused_until_ms:
+    headroom = world.shifts.headrooms.get((service, domain))
+    if headroom is not None and now_ms < headroom.paused_until_ms:
         return False
     load = world.loads.get((service, domain))
     fresh = load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
-    if not fresh or room is None:
-        trial = models.RoomRow(0.0, now_ms + const.TRIAL_PERIOD_MS)
-        world.shifts.rooms[service, domain] = trial
+    if not fresh or headroom is None:
+        trial = models.HeadroomRow(0.0, now_ms + const.STALE_ASK_PERIOD_MS)
+        world.shifts.headrooms[service, domain] = trial
         return True
-    if room.left < 1.0:
+    if headroom.asks_left < 1.0:
         return False
-    world.shifts.rooms[service, domain] = room._replace(left=room.left - 1.0)
+    world.shifts.headrooms[service, domain] = headroom._replace(
+        asks_left=headroom.asks_left - 1.0
+    )
     return True
 
 
-def _busy(
+def _utilization(
     world: world_module.World, service: ids.ServiceId, domain: ids.DomainId
 ) -> float:
     load = world.loads.get((service, domain))
@@ -121,35 +125,39 @@
 def _candidates(
     world: world_module.World, service: ids.ServiceId
 ) -> abc.Iterator[Candidate]:
-    row = _neighbours(world, service)
-    for domain in row.siblings:
+    row = _serving_domains(world, service)
+    for domain in row.same_region:
         yield Candidate(domain, const.SIBLING_COST_MS)
-    others = list(row.others)
-    world.random.shuffle(others)
-    for domain in others:
+    other_regions = list(row.other_regions)
+    world.random.shuffle(other_regions)
+    for domain in other_regions:
         yield Candidate(domain, const.REGION_COST_MS)
 
 
-def _neighbours(
+def _serving_domains(
     world: world_module.World, service: ids.ServiceId
-) -> models.NeighbourRow:
+) -> models.ServingDomainsRow:
     state = world.states['in-force']
-    known = world.shifts.neighbours.get(service)
-    if known is not None and known.number == state.number:
-        return known
-    found = {
-        row.domain: state.domains[row.domain].region
-        for row in state.upstreams.values()
-        if row.service == service
-        and row.domain in state.domains
-        and row.domain != world.node.domain
-        and not tickets.is_drained(state, row)
+    cached = world.shifts.serving_domains.get(service)
+    if cached is not None and cached.state_number == state.number:
+        return cached
+    regions = {
+        upstream.domain: state.domains[upstream.domain].region
+        for upstream in state.upstreams.values()
+        if upstream.service == service
+        and upstream.domain in state.domains
+        and upstream.domain != world.node.domain
+        and not tickets.is_drained(state, upstream)
     }
-    here = world.node.region
-    made = models.NeighbourRow(
+    own_region = world.node.region
+    row = models.ServingDomainsRow(
         state.number,
-        tuple(sorted(x for x, region in found.items() if region == here)),
-        tuple(sorted(x for x, region in found.items() if region != here)),
+        tuple(
+            sorted(x for x, region in regions.items() if region == own_region)
+        ),
+        tuple(
+            sorted(x for x, region in regions.items() if region != own_region)
+        ),
     )
-    world.shifts.neighbours[service] = made
-    return made
+    world.shifts.serving_domains[service] = row
+    return row
--- a/packages/core/src/zinnialead_core/components/steering/slot_owners.py
+++ b/packages/core/src/zinnialead_core/components/steering/slot_owners.py
@@ -1,4 +1,4 @@
-"""Name the slot owners of services in domains."""
+"""Determine the slot owners of services by rendezvous hashing."""
 
 import typing
 
@@ -10,7 +10,7 @@
 
 
 class Target(typing.NamedTuple):
-    """Name the slot owner to ask and the domain that it owns slots in."""
+    """Hold the slot owner to ask and the domain whose slots it owns."""
 
     entry: ids.EntryId
     domain: ids.DomainId
@@ -24,31 +24,31 @@
     """Return the entry that owns a service's slots in a domain.
 
     It is the live entry of the domain with the highest weight in
-    rendezvous hashing, so that a death moves only the dead entry's part.
-    A leaving entry owns slots only where no other entry can.
+    rendezvous hashing, so that the loss of an entry moves only its own
+    services.  A leaving entry is the owner only if no other entry can be.
     """
     rows = [row for row in world.members.values() if row.domain == domain]
-    leaving = members.Health.LEAVING
+    leaving_health = members.Health.LEAVING
     alive = [
         row.entry
         for row in rows
         if row.health is members.Health.ALIVE and not _is_stopping(world, row)
     ]
-    last = [
+    leaving = [
         row.entry
         for row in rows
-        if row.health is leaving or _is_stopping(world, row)
+        if row.health is leaving_health or _is_stopping(world, row)
     ]
-    entries = alive or last
+    entries = alive or leaving
     if not entries:
         return None
-    return max(entries, key=lambda entry: _weight(service, entry))
+    return max(entries, key=lambda entry: _hash_weight(service, entry))
 
 
 def _is_stopping(world: world_module.World, row: members.MemberRow) -> bool:
-    itself = row.entry == world.node.ref.entry
-    return itself and bool(world.requests.stopping)
+    is_self = row.entry == world.node.ref.entry
+    return is_self and bool(world.requests.stopping)
 
 
-def _weight(service: ids.ServiceId, entry: ids.EntryId) -> int:
+def _hash_weight(service: ids.ServiceId, entry: ids.EntryId) -> int:
     return xxhash.xxh3_64_intdigest(f'{service}/{entry}'.encode())
--- a/tests/core/components/steering/test_caps.py
+++ b/tests/core/components/steering/test_caps.py
@@ -70,9 +70,9 @@
 
 def ask(world, now_ms, service='intake', rank='urgent', home='huye'):
     asked = shift(next(NUMBERS), service, rank, home)
-    refusal = caps.permit(world, now_ms, asked)
+    refusal = caps.admit(world, now_ms, asked)
     if refusal is None:
-        caps.start(world, now_ms, service, home, asked.ask_id)
+        caps.record_sent(world, now_ms, service, home, asked.ask_id)
     return refusal
 
 
@@ -110,7 +110,7 @@
 def test_the_parts_of_a_cap_add_up_to_it():
     cap = tickets.ShiftCap('huye', 'kigali', 40.0)
     parts = [
-        caps.share(owner(domain, cap), service, 40.0)
+        caps.owner_share(owner(domain, cap), service, 40.0)
         for domain in ('k-a', 'k-b')
         for service in SERVICES
     ]
@@ -147,14 +147,14 @@
 def test_a_shift_counts_from_its_permit_until_its_window_ends():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 6.0))
     first, second = shift(1), shift(2)
-    assert caps.permit(world, 0.0, first) is None
+    assert caps.admit(world, 0.0, first) is None
     late_ms = 10 * const.SHIFT_WINDOW_MS
-    assert caps.permit(world, late_ms, second) is not None
-    caps.start(world, late_ms, 'intake', 'huye', first.ask_id)
-    assert caps.permit(world, late_ms + 1.0, second) is not None
-    assert caps.permit(world, 2 * late_ms, second) is None
-    caps.leave(world, 'intake', 'huye', second.ask_id)
-    assert caps.permit(world, 2 * late_ms, shift(3)) is None
+    assert caps.admit(world, late_ms, second) is not None
+    caps.record_sent(world, late_ms, 'intake', 'huye', first.ask_id)
+    assert caps.admit(world, late_ms + 1.0, second) is not None
+    assert caps.admit(world, 2 * late_ms, second) is None
+    caps.remove_waiting(world, 'intake', 'huye', second.ask_id)
+    assert caps.admit(world, 2 * late_ms, shift(3)) is None
 
 
 def test_a_new_owner_lets_in_nothing_for_a_while():
@@ -162,7 +162,7 @@
     load = slot_models.ServiceLoadRow('intake', None, owned_since_ms=100.0)
     world.queues.service_loads['intake'] = load
     assert ask(world, 101.0).reason is verdict.Reason.CAP_REACHED
-    assert ask(world, 100.0 + const.SHIFT_HOLD_MS) is None
+    assert ask(world, 100.0 + const.NEW_OWNER_PAUSE_MS) is None
 
 
 def test_parts_follow_what_each_service_can_serve():
@@ -171,6 +171,6 @@
     state = world.states['in-force']
     row = state.upstreams['intake/k-a']
     state.upstreams['intake/k-a'] = row._replace(slots=12)
-    assert caps.share(world, 'intake', 100.0) > 2 * caps.share(
+    assert caps.owner_share(world, 'intake', 100.0) > 2 * caps.owner_share(
         world, 'payouts', 100.0
     )
--- a/tests/core/components/steering/test_redirects.py
+++ b/tests/core/components/steering/test_redirects.py
@@ -22,7 +22,7 @@
 def world_with(*rows):
     world = test_caps.owner('k-a', CAP)
     for row in rows:
-        redirects.take_in(world, 0.0, row)
+        redirects.apply_load(world, 0.0, row)
     return world
 
 
@@ -55,12 +55,12 @@
     late_ms = const.LOAD_STALE_MS + 1.0
     assert choose(world, late_ms) == 'k-b'
     assert choose(world, late_ms + 1.0) is None
-    assert choose(world, late_ms + const.TRIAL_PERIOD_MS) == 'k-b'
+    assert choose(world, late_ms + const.STALE_ASK_PERIOD_MS) == 'k-b'
 
 
 def test_a_refusal_pauses_a_domain_whatever_it_reports():
     world = world_with(load('k-b'))
-    redirects.refused(world, 0.0, 'intake', 'k-b')
-    redirects.take_in(world, 1.0, load('k-b'))
+    redirects.pause_domain(world, 0.0, 'intake', 'k-b')
+    redirects.apply_load(world, 1.0, load('k-b'))
     assert choose(world, 2.0) is None
     assert choose(world, const.REFUSED_PAUSE_MS + 1.0) == 'k-b'
