Write the look-ups component in the terms of the field

What read oddly: modules 'choices' and 'orders' whose names say nearly the same, functions chosen(), witness() and order(), rows ChosenRow with made_ms, ChosenKey with near and turn, 'sites' for positions of domains, constants NEAR, TURNS and LIFETIME_ALONE_MS; comments that spoke of places, of kept choices and of entries that outlive the near ones.

Now: selection.select(), choose_witness(), orders.service_order() and witness_order(), SelectionKey (domain, rotation), SelectedEntry, SelectionRow (selected_ms), indexes into a block table's domains, block_rows and selections in the table of look-ups, NEAREST_CHOICES, ROTATIONS and NO_WITNESS_LIFETIME_MS. Comments name caches, address ranges and registrars. None of the renamed rows is written out: the dump has its own document, and the answers to callers keep LookUpAnswer and Choice.

--- a/packages/core/src/zinnialead_core/components/keys/binding.py
+++ b/packages/core/src/zinnialead_core/components/keys/binding.py
@@ -8,7 +8,7 @@
 from zinnialead_core.components.keys import const
 from zinnialead_core.components.keys import issued
 from zinnialead_core.components.keys import models
-from zinnialead_core.components.lookups import choices
+from zinnialead_core.components.lookups import selection
 from zinnialead_core.components import store
 from zinnialead_core.components.store import limits
 from zinnialead_core import ids
@@ -176,7 +176,7 @@
     home = world.node.ref
     for claim in _waiting(world, shard):
         turn = xxhash.xxh3_64_intdigest(claim.key.encode())
-        other = choices.witness(world, home, world.node.domain, turn)
+        other = selection.choose_witness(world, home, world.node.domain, turn)
         prefix = issued.prefix(home, other, now_ms)
         kept.setdefault(claim.key, ids.Key(f'{prefix}.{claim.key}'))
     return tuple(store.BindingRow(*item) for item in kept.items())
--- a/packages/core/src/zinnialead_core/components/lookups/__init__.py
+++ b/packages/core/src/zinnialead_core/components/lookups/__init__.py
@@ -1,4 +1,4 @@
-"""Tell callers which entries to use."""
+"""Answer look-ups: which entries should a caller send to."""
 
 from zinnialead_core.components.lookups.models import Choice
 from zinnialead_core.components.lookups.models import LookUp
--- a/packages/core/src/zinnialead_core/components/lookups/blocks.py
+++ b/packages/core/src/zinnialead_core/components/lookups/blocks.py
@@ -1,4 +1,4 @@
-"""Find the failure domain that a client's block of addresses is in."""
+"""Map client addresses to failure domains by CIDR block."""
 
 import array
 import bisect
@@ -12,15 +12,18 @@
 from zinnialead_core import ids
 
 
-class Starts(typing.NamedTuple):
-    """Hold where runs of addresses of one site start."""
+class Ranges(typing.NamedTuple):
+    """Hold the starts of disjoint address ranges, in ascending order.
+
+    ``indexes`` gives each range's position in ``BlockTable.domains``.
+    """
 
     starts: 'array.array[int]'
-    sites: 'array.array[int]'
+    indexes: 'array.array[int]'
 
 
 def build(rows: abc.Iterable[tickets.BlockRow]) -> models.BlockTable:
-    """Return the table of blocks; the longest prefix of an address wins.
+    """Build the lookup table; the longest matching prefix wins.
 
     >>> row = tickets.BlockRow
     >>> table = build([row('10.0.0.0/8', 'a'), row('10.1.0.0/16', 'b')])
@@ -29,45 +32,47 @@
     >>> find(table, '10.2.0.1'), find(table, '11.0.0.1')
     ('a', None)
     """
-    sites: dict[ids.DomainId | None, int] = {None: 0}
-    ipv4: list[int] = []
-    ipv6: list[int] = []
-    bits4 = const.IPV4_BITS
+    indexes: dict[ids.DomainId | None, int] = {None: 0}
+    packed_ipv4: list[int] = []
+    packed_ipv6: list[int] = []
+    ipv4_bits = const.IPV4_BITS
     for row in rows:
-        site = sites.setdefault(row.domain, len(sites))
+        index = indexes.setdefault(row.domain, len(indexes))
         address, _, length = row.prefix.partition('/')
-        start = _ipv4(address)
+        start = _parse_ipv4(address)
         if start is not None:
-            ipv4.append(_packed(start, int(length or bits4), bits4, site))
+            packed_ipv4.append(
+                _pack(start, int(length or ipv4_bits), ipv4_bits, index)
+            )
             continue
         network = ipaddress.ip_network(row.prefix, strict=False)
         start = int(network.network_address) >> const.IPV6_BITS
         bits = min(network.prefixlen, const.IPV6_BITS)
-        ipv6.append(_packed(start, bits, const.IPV6_BITS, site))
-    four = _flatten(ipv4, const.IPV4_BITS, 'I')
-    six = _flatten(ipv6, const.IPV6_BITS, 'Q')
-    return models.BlockTable(*four, *six, tuple(sites))
+        packed_ipv6.append(_pack(start, bits, const.IPV6_BITS, index))
+    ipv4_ranges = _flatten(packed_ipv4, const.IPV4_BITS, 'I')
+    ipv6_ranges = _flatten(packed_ipv6, const.IPV6_BITS, 'Q')
+    return models.BlockTable(*ipv4_ranges, *ipv6_ranges, tuple(indexes))
 
 
 def find(table: models.BlockTable, client: str) -> ids.DomainId | None:
-    """Return the domain of a client's block, or None where there is none.
+    """Return the domain of a client's address, None if no block has it.
 
-    The time grows with the logarithm of the table's size alone.
+    The lookup is a binary search.
     """
-    address = _ipv4(client)
+    address = _parse_ipv4(client)
     if address is not None:
-        starts, sites = table.ipv4_starts, table.ipv4_sites
+        starts, indexes = table.ipv4_starts, table.ipv4_indexes
     else:
-        address = _ipv6(client)
-        starts, sites = table.ipv6_starts, table.ipv6_sites
+        address = _parse_ipv6(client)
+        starts, indexes = table.ipv6_starts, table.ipv6_indexes
     if address is None:
         return None
-    place = bisect.bisect_right(starts, address)
-    return table.domains[sites[place - 1]] if place else None
+    position = bisect.bisect_right(starts, address)
+    return table.domains[indexes[position - 1]] if position else None
 
 
-def _ipv4(text: str) -> int | None:
-    # Much faster than ipaddress, on the path of each look-up.
+def _parse_ipv4(text: str) -> int | None:
+    # Much faster than ipaddress, and every look-up parses an address.
     try:
         packed = bytes(map(int, text.split('.')))
     except ValueError:
@@ -77,53 +82,54 @@
     return int.from_bytes(packed, 'big')
 
 
-def _ipv6(text: str) -> int | None:
+def _parse_ipv6(text: str) -> int | None:
     try:
         return int(ipaddress.IPv6Address(text)) >> const.IPV6_BITS
     except ValueError:
         return None
 
 
-def _packed(start: int, length: int, bits: int, site: int) -> int:
-    # Sorts by start, then the wider block first; one int a block keeps
-    # the memory of a build small.
+def _pack(start: int, length: int, bits: int, index: int) -> int:
+    # Packed blocks sort by start, then by length, so an outer block
+    # precedes the blocks inside it.  One int per block saves memory
+    # during a build.
     start = start >> bits - length << bits - length
-    return (start << 7 | length) << 16 | min(site, const.SITES_MAX)
+    return (start << 7 | length) << 16 | min(index, const.DOMAIN_INDEX_MAX)
 
 
-def _flatten(packed: list[int], bits: int, typecode: str) -> Starts:
-    """Turn nested blocks into runs that do not overlap."""
-    found = Starts(array.array(typecode), array.array('H'))
+def _flatten(packed: list[int], bits: int, typecode: str) -> Ranges:
+    """Flatten nested blocks into disjoint ranges."""
+    ranges = Ranges(array.array(typecode), array.array('H'))
     open_blocks: list[tuple[int, int]] = []
     packed.sort()
     for block in packed:
         start = block >> 23
         length = block >> 16 & 0x7F
-        site = block & const.SITES_MAX
-        _close(found, open_blocks, start)
+        index = block & const.DOMAIN_INDEX_MAX
+        _close_blocks(ranges, open_blocks, start)
         end = start + (1 << bits - length)
-        open_blocks.append((end, site))
-        _start(found, start, site)
-    _close(found, open_blocks, 1 << bits)
-    return found
+        open_blocks.append((end, index))
+        _start_range(ranges, start, index)
+    _close_blocks(ranges, open_blocks, 1 << bits)
+    return ranges
 
 
-def _close(
-    found: Starts, open_blocks: list[tuple[int, int]], before: int
+def _close_blocks(
+    ranges: Ranges, open_blocks: list[tuple[int, int]], before: int
 ) -> None:
-    """End the open blocks that end by ``before``: the outer one goes on."""
+    """Close the blocks that end by ``before``; their outer block resumes."""
     while open_blocks and open_blocks[-1][0] <= before:
         end, _ = open_blocks.pop()
         outer = open_blocks[-1][1] if open_blocks else 0
         if end < before:
-            _start(found, end, outer)
+            _start_range(ranges, end, outer)
 
 
-def _start(found: Starts, start: int, site: int) -> None:
-    if found.starts and found.starts[-1] == start:
-        found.sites[-1] = site
+def _start_range(ranges: Ranges, start: int, index: int) -> None:
+    if ranges.starts and ranges.starts[-1] == start:
+        ranges.indexes[-1] = index
         return
-    if found.sites and found.sites[-1] == site:
+    if ranges.indexes and ranges.indexes[-1] == index:
         return
-    found.starts.append(start)
-    found.sites.append(site)
+    ranges.starts.append(start)
+    ranges.indexes.append(index)
--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -1,4 +1,4 @@
-"""Answer look-ups from the tables, a bisect and a few reads each."""
+"""Answer look-ups from cached selections and block tables."""
 
 from collections import abc
 
@@ -6,9 +6,9 @@
 
 from zinnialead_core.components import keys
 from zinnialead_core.components.lookups import blocks
-from zinnialead_core.components.lookups import choices
 from zinnialead_core.components.lookups import const
 from zinnialead_core.components.lookups import models
+from zinnialead_core.components.lookups import selection
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -20,17 +20,17 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Forget kept orders when what they were made from changes.
+    """Clear the caches when members or the state change.
 
     Reads ``states``; writes ``lookups``.
     """
     for item in inputs:
         match item:
             case inp.StateChanged():
-                _forget_orders(world)
+                _clear_caches(world)
                 _build_blocks(world)
             case inp.MemberLost() | inp.MemberJoined():
-                _forget_orders(world)
+                _clear_caches(world)
     yield from ()
 
 
@@ -41,14 +41,14 @@
 
     Reads ``members``, ``states`` and ``lookups``.
     """
-    near = question.domain or _domain_of(world, question.client)
+    domain = question.domain or _client_domain(world, question.client)
     client = question.client or str(now_ms)
-    turn = xxhash.xxh3_64_intdigest(client.encode()) % const.TURNS
-    row = choices.chosen(
-        world, now_ms, models.ChosenKey(question.service, near, turn)
+    rotation = xxhash.xxh3_64_intdigest(client.encode()) % const.ROTATIONS
+    selected = selection.select(
+        world, now_ms, models.SelectionKey(question.service, domain, rotation)
     )
-    listed = tuple(_choice(entry, now_ms) for entry in row.entries)
-    return models.LookUpAnswer(listed, _lifetime_ms(row))
+    choices = tuple(_to_choice(entry, now_ms) for entry in selected.entries)
+    return models.LookUpAnswer(choices, _lifetime_ms(selected))
 
 
 def look_up_many(
@@ -56,38 +56,40 @@
     now_ms: float,
     questions: abc.Iterable[models.LookUp],
 ) -> abc.Iterator[models.LookUpAnswer]:
-    """Yield the answers to the questions of one call, in their order."""
+    """Yield one answer per question, in the order of the questions."""
     for question in questions:
         yield look_up(world, now_ms, question)
 
 
-def _lifetime_ms(row: models.ChosenRow) -> float:
-    # An entry that has just started knows no witnesses yet.
-    if any(entry.witness is None for entry in row.entries):
-        return const.LIFETIME_ALONE_MS
-    return const.LIFETIME_MS
+def _lifetime_ms(selected: models.SelectionRow) -> float:
+    # A newly started entry has heard from no possible witness yet.
+    if any(entry.witness is None for entry in selected.entries):
+        return const.NO_WITNESS_LIFETIME_MS
+    return const.ANSWER_LIFETIME_MS
 
 
-def _choice(row: models.ChosenEntry, now_ms: float) -> models.Choice:
+def _to_choice(row: models.SelectedEntry, now_ms: float) -> models.Choice:
     prefix = keys.prefix(row.home, row.witness, now_ms)
     return models.Choice(row.entry, row.domain, row.address, prefix)
 
 
-def _forget_orders(world: world_module.World) -> None:
+def _clear_caches(world: world_module.World) -> None:
     world.lookups.orders.clear()
     world.lookups.witnesses.clear()
-    world.lookups.chosen.clear()
+    world.lookups.selections.clear()
 
 
 def _build_blocks(world: world_module.World) -> None:
     table = world.lookups
     rows = world.states['in-force'].blocks
-    if rows != table.sources[0]:
+    if rows != table.block_rows[0]:
         table.blocks[0] = blocks.build(rows.values())
-        table.sources[0] = rows
+        table.block_rows[0] = rows
 
 
-def _domain_of(world: world_module.World, client: str | None) -> ids.DomainId:
+def _client_domain(
+    world: world_module.World, client: str | None
+) -> ids.DomainId:
     if client is None:
         return world.node.domain
     return blocks.find(world.lookups.blocks[0], client) or world.node.domain
--- a/packages/core/src/zinnialead_core/components/lookups/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/lookups/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the look-ups for a dump."""
+"""Describe the look-ups tables for the state dump."""
 
 import typing
 
@@ -6,7 +6,7 @@
 
 
 class LookUpsDump(typing.TypedDict):
-    """Show how many blocks and kept orders look-ups go by."""
+    """Count address blocks, the ranges they form, and cached orders."""
 
     blocks: int
     runs: int
@@ -19,5 +19,5 @@
     built = table.blocks[0]
     runs = len(built.ipv4_starts) + len(built.ipv6_starts)
     return LookUpsDump(
-        blocks=len(table.sources[0]), runs=runs, orders=len(table.orders)
+        blocks=len(table.block_rows[0]), runs=runs, orders=len(table.orders)
     )
--- a/packages/core/src/zinnialead_core/components/lookups/models.py
+++ b/packages/core/src/zinnialead_core/components/lookups/models.py
@@ -1,4 +1,4 @@
-"""Define the question and the answer of a look-up, and its tables."""
+"""Define look-up questions, answers and tables."""
 
 import array
 import typing
@@ -8,7 +8,11 @@
 
 
 class LookUp(typing.NamedTuple):
-    """Ask which entries to use for a service, rank and zone or client."""
+    """Ask which entries to use for a service.
+
+    ``domain`` is the caller's; without it, ``client``, the caller's IP
+    address, is mapped to a domain.
+    """
 
     service: ids.ServiceId
     rank: ids.RankId | None
@@ -17,10 +21,10 @@
 
 
 class Choice(typing.NamedTuple):
-    """Name one entry that may be used, and a prefix for keys used there.
+    """Describe an entry to use, with the prefix for keys issued for it.
 
-    Work that was sent under a key keeps that key wherever it is sent
-    again; work that never left its caller takes another choice's prefix.
+    Retries keep the key that the work was first sent under, whichever
+    entry they go to; only work that was never sent may switch prefixes.
     """
 
     entry: ids.EntryId
@@ -37,34 +41,37 @@
 
 
 class BlockTable(typing.NamedTuple):
-    """Hold the starts of the blocks of clients, and each one's site.
+    """Hold the starts of address ranges, and each one's domain.
 
-    ``sites`` are places in ``domains``; place 0 is no domain at all.
+    Indexes are positions in ``domains``; position 0 is None, no domain.
     """
 
     ipv4_starts: 'array.array[int]'
-    ipv4_sites: 'array.array[int]'
+    ipv4_indexes: 'array.array[int]'
     ipv6_starts: 'array.array[int]'
-    ipv6_sites: 'array.array[int]'
+    ipv6_indexes: 'array.array[int]'
     domains: tuple[ids.DomainId | None, ...]
 
 
 class OrderRow(typing.NamedTuple):
-    """Hold the entries for a service and domain, nearest group first."""
+    """Hold entries grouped by domain, best group first."""
 
     groups: tuple[tuple[ids.EntryId, ...], ...]
 
 
-class ChosenKey(typing.NamedTuple):
-    """Name what a choice was made for."""
+class SelectionKey(typing.NamedTuple):
+    """Identify a cached selection.
+
+    ``rotation`` is the offset at which a domain's entries start.
+    """
 
     service: ids.ServiceId
-    near: ids.DomainId
-    turn: int
+    domain: ids.DomainId
+    rotation: int
 
 
-class ChosenEntry(typing.NamedTuple):
-    """Hold an entry that was chosen, and the registrars of its keys."""
+class SelectedEntry(typing.NamedTuple):
+    """Hold a selected entry and the registrars of keys issued for it."""
 
     entry: ids.EntryId
     domain: ids.DomainId
@@ -73,25 +80,26 @@
     witness: ids.EntryRef | None
 
 
-class ChosenRow(typing.NamedTuple):
-    """Hold a choice of entries, best first."""
+class SelectionRow(typing.NamedTuple):
+    """Hold a selection of entries, best first."""
 
-    entries: tuple[ChosenEntry, ...]
-    made_ms: float
+    entries: tuple[SelectedEntry, ...]
+    selected_ms: float
 
 
 class LookUpTable(typing.NamedTuple):
-    """Hold what look-ups go by until the members or the state change.
+    """Hold what look-ups use, rebuilt when members or the state change.
 
-    ``blocks`` holds the one table in use, and ``sources`` the rows of the
-    state that it was built from.
+    ``blocks`` has one item, the table in use; ``block_rows`` has one item,
+    the state's rows that it was built from.  ``orders`` and ``witnesses``
+    hold ordered entries by service and domain, and by home domain.
     """
 
-    sources: list[dict[str, tickets.BlockRow]]
+    block_rows: list[dict[str, tickets.BlockRow]]
     blocks: list[BlockTable]
     orders: dict[tuple[ids.ServiceId, ids.DomainId], OrderRow]
     witnesses: dict[ids.DomainId, OrderRow]
-    chosen: dict[ChosenKey, ChosenRow]
+    selections: dict[SelectionKey, SelectionRow]
 
 
 def new_blocks() -> BlockTable:
@@ -106,5 +114,5 @@
 
 
 def new_table() -> LookUpTable:
-    """Return the table of an entry that knows no blocks and entries."""
+    """Return empty tables."""
     return LookUpTable([{}], [new_blocks()], {}, {}, {})
--- a/packages/core/src/zinnialead_core/components/lookups/orders.py
+++ b/packages/core/src/zinnialead_core/components/lookups/orders.py
@@ -1,4 +1,4 @@
-"""Order the entries for a service by where they and its upstreams are."""
+"""Order entries by domain: distance, drains and available upstreams."""
 
 from zinnialead_core.components.lookups import models
 from zinnialead_core.components import members
@@ -7,74 +7,75 @@
 from zinnialead_core import world as world_module
 
 
-def order(
-    world: world_module.World, service: ids.ServiceId, near: ids.DomainId
+def service_order(
+    world: world_module.World, service: ids.ServiceId, origin: ids.DomainId
 ) -> models.OrderRow:
-    """Return the entries by domain: the nearest that serves goes first.
+    """Group the entries by domain, the nearest serving domain first.
 
-    Reads ``members`` and ``states``; keeps the answer in ``lookups``.
+    Drained domains come last, before them those without an upstream of
+    the service.  Reads ``members`` and ``states``; caches in ``lookups``.
     """
-    known = world.lookups.orders.get((service, near))
-    if known is not None:
-        return known
+    cached = world.lookups.orders.get((service, origin))
+    if cached is not None:
+        return cached
     state = world.states['in-force']
     drained = drained_domains(state)
-    serving = _serving(state, service)
+    serving = _serving_domains(state, service)
 
-    domains = sorted(_domains(world))
-    domains.sort(key=lambda domain: _distance(world, near, domain))
+    domains = sorted(_member_domains(world))
+    domains.sort(key=lambda domain: _distance(world, origin, domain))
     domains.sort(key=lambda domain: domain not in serving)
     domains.sort(key=lambda domain: domain in drained)
-    made = _grouped(world, domains)
-    if service in state.services and near in state.domains:
-        # Names that callers make up must not fill the table.
-        world.lookups.orders[service, near] = made
-    return made
+    order = _group_by_domain(world, domains)
+    if service in state.services and origin in state.domains:
+        # Unknown names from callers must not fill the cache.
+        world.lookups.orders[service, origin] = order
+    return order
 
 
-def witnesses(
+def witness_order(
     world: world_module.World, home: ids.DomainId
 ) -> models.OrderRow:
-    """Return the entries fit to be the witness of a key, best first.
+    """Group the entries that may be the witness of a key, best first.
 
-    A sibling domain survives the loss of the home's domain and is near;
-    other regions are too far for a claim.
+    Domains of the same region come first: they survive the loss of the
+    home's domain at low latency.  Other regions are too far for a claim.
     """
-    known = world.lookups.witnesses.get(home)
-    if known is not None:
-        return known
-    near = [
+    cached = world.lookups.witnesses.get(home)
+    if cached is not None:
+        return cached
+    siblings = [
         domain
-        for domain in sorted(_domains(world))
+        for domain in sorted(_member_domains(world))
         if domain != home and _distance(world, home, domain) == 1
     ]
-    made = _grouped(world, [*near, home])
-    world.lookups.witnesses[home] = made
-    return made
+    order = _group_by_domain(world, [*siblings, home])
+    world.lookups.witnesses[home] = order
+    return order
 
 
 def drained_domains(state: tickets.State) -> frozenset[ids.DomainId]:
-    """Return the domains that a drain takes out of service."""
-    found: set[ids.DomainId] = set()
+    """Return the domains that are drained, alone or with their region."""
+    drained: set[ids.DomainId] = set()
     for drain in state.drains.values():
         match drain:
             case tickets.DomainDrain(domain):
-                found.add(domain)
+                drained.add(domain)
             case tickets.RegionDrain(region):
-                found.update(
+                drained.update(
                     row.domain
                     for row in state.domains.values()
                     if row.region == region
                 )
             case tickets.UpstreamDrain():
                 pass
-    return frozenset(found)
+    return frozenset(drained)
 
 
-def _serving(
+def _serving_domains(
     state: tickets.State, service: ids.ServiceId
 ) -> frozenset[ids.DomainId]:
-    gone = {
+    drained_upstreams = {
         drain.upstream
         for drain in state.drains.values()
         if isinstance(drain, tickets.UpstreamDrain)
@@ -82,28 +83,28 @@
     return frozenset(
         row.domain
         for row in state.upstreams.values()
-        if row.service == service and row.upstream not in gone
+        if row.service == service and row.upstream not in drained_upstreams
     )
 
 
 def _distance(
-    world: world_module.World, near: ids.DomainId, far: ids.DomainId
+    world: world_module.World, origin: ids.DomainId, other: ids.DomainId
 ) -> int:
-    if near == far:
+    if origin == other:
         return 0
     domains = world.states['in-force'].domains
-    here = domains.get(near)
-    there = domains.get(far)
-    if here is None or there is None:
+    origin_row = domains.get(origin)
+    other_row = domains.get(other)
+    if origin_row is None or other_row is None:
         return 2
-    return 1 if here.region == there.region else 2
+    return 1 if origin_row.region == other_row.region else 2
 
 
-def _domains(world: world_module.World) -> frozenset[ids.DomainId]:
+def _member_domains(world: world_module.World) -> frozenset[ids.DomainId]:
     return frozenset(row.domain for row in world.members.values())
 
 
-def _grouped(
+def _group_by_domain(
     world: world_module.World, domains: list[ids.DomainId]
 ) -> models.OrderRow:
     groups: dict[ids.DomainId, list[ids.EntryId]] = {x: [] for x in domains}
--- a/packages/lab/src/zinnialead_lab/capacity/blocks.py
+++ b/packages/lab/src/zinnialead_lab/capacity/blocks.py
@@ -45,7 +45,7 @@
     table = blocks.build(rows.values())
     built_s = time.process_time() - started_s
     yield models.Step(ROLE, 'build of the table', 's', count, built_s)
-    starts, sites = table.ipv4_starts, table.ipv4_sites
+    starts, sites = table.ipv4_starts, table.ipv4_indexes
     held = len(starts) * starts.itemsize + len(sites) * sites.itemsize
     mb = held / const.BYTES_PER_MB
     yield models.Step(ROLE, 'table in use', 'MB', count, mb)
--- a/tests/core/components/lookups/test_blocks.py
+++ b/tests/core/components/lookups/test_blocks.py
@@ -1,4 +1,4 @@
-"""Compare the table of blocks with a search through all of them."""
+"""Compare look-ups in the block table with a linear search."""
 
 import ipaddress
 
@@ -8,7 +8,7 @@
 from zinnialead_core.components.lookups import blocks
 from zinnialead_core.components import tickets
 
-SMALL = st.tuples(
+BLOCKS = st.tuples(
     st.integers(0, 255), st.integers(24, 32), st.sampled_from('abc')
 )
 
@@ -18,25 +18,25 @@
 
 
 @hypothesis.settings(derandomize=True, max_examples=100, database=None)
-@hypothesis.given(st.lists(SMALL, max_size=12), st.sampled_from([4, 6]))
+@hypothesis.given(st.lists(BLOCKS, max_size=12), st.sampled_from([4, 6]))
 def test_the_longest_prefix_wins(drawn, version):
-    places = {}
+    networks = {}
     for low, length, domain in drawn:
-        text = f'10.0.0.{low}/{length}'
+        prefix = f'10.0.0.{low}/{length}'
         if version == 6:
-            text = f'2001:db8:0:{low:x}::/{length + 32}'
-        network = ipaddress.ip_network(text, strict=False)
-        places[network] = domain
-    table = blocks.build(row(str(x), domain) for x, domain in places.items())
+            prefix = f'2001:db8:0:{low:x}::/{length + 32}'
+        network = ipaddress.ip_network(prefix, strict=False)
+        networks[network] = domain
+    table = blocks.build(row(str(x), domain) for x, domain in networks.items())
     for low in range(0, 256, 3):
         client = f'10.0.0.{low}' if version == 4 else f'2001:db8:0:{low:x}::1'
         address = ipaddress.ip_address(client)
-        inside = [x for x in places if address in x]
-        best = max(inside, key=lambda x: x.prefixlen, default=None)
-        assert blocks.find(table, client) == places.get(best)
+        matches = [x for x in networks if address in x]
+        longest_match = max(matches, key=lambda x: x.prefixlen, default=None)
+        assert blocks.find(table, client) == networks.get(longest_match)
 
 
-def test_a_client_that_is_no_address_has_no_block():
+def test_a_client_that_is_not_an_address_matches_no_block():
     table = blocks.build([row('0.0.0.0/0', 'a')])
     assert blocks.find(table, '255.255.255.255') == 'a'
     for client in ('', '1.2.3', '1.2.3.4:5', 'x' * 500, '::1'):
--- a/tests/core/components/lookups/test_choices.py
+++ b/tests/core/components/lookups/test_selection.py
@@ -1,4 +1,4 @@
-"""Order entries by distance, health, drains and service."""
+"""Check which entries a look-up returns, and in which order."""
 
 from core import samples
 import zinnialead_core as core
@@ -18,18 +18,18 @@
 
 
 def state(**changed):
-    old = samples.state(number=2)
-    base = old.upstreams['intake-1']
+    sample = samples.state(number=2)
+    upstream = sample.upstreams['intake-1']
     upstreams = {
-        domain: base._replace(upstream=domain, domain=domain)
+        domain: upstream._replace(upstream=domain, domain=domain)
         for domain in DOMAINS
     }
     domains = {
         domain: tickets.DomainRow(domain, region, 4)
         for domain, region in DOMAINS.items()
     }
-    made = old._replace(upstreams=upstreams, domains=domains)
-    return made._replace(**changed)
+    state = sample._replace(upstreams=upstreams, domains=domains)
+    return state._replace(**changed)
 
 
 def world(**changed):
@@ -48,12 +48,12 @@
     return [choice.domain for choice in answer.choices]
 
 
-def test_a_sibling_and_another_region_outlive_the_own_domain():
+def test_choices_add_the_sibling_domain_and_another_region():
     answer = coordinator.look_up(world(), 5.0, QUESTION)
     assert domains_of(answer) == [*['kigali-a'] * 2, 'kigali-b', 'huye-a']
 
 
-def test_clients_start_at_different_entries():
+def test_clients_are_spread_over_the_entries():
     made = world()
     first = {
         coordinator.look_up(made, 5.0, QUESTION._replace(client=f'10.0.0.{x}'))
@@ -64,7 +64,7 @@
     assert len(first) == 5
 
 
-def test_drained_and_unserved_domains_go_last():
+def test_drained_domains_and_those_without_upstreams_go_last():
     drains = {'d': tickets.DomainDrain('kigali-a')}
     answer = coordinator.look_up(world(drains=drains), 5.0, QUESTION)
     assert domains_of(answer) == ['kigali-b', 'kigali-b', 'huye-a', 'kigali-b']
@@ -73,7 +73,7 @@
     assert domains_of(answer) == ['huye-a', 'huye-a', 'kigali-a', 'huye-a']
 
 
-def test_a_dead_or_leaving_entry_is_no_choice():
+def test_dead_and_leaving_entries_are_not_returned():
     made = world()
     coordinator.look_up(made, 5.0, QUESTION)
     for health in (members.Health.DEAD, members.Health.LEAVING):
@@ -91,7 +91,7 @@
         assert answer.choices[0].entry == samples.REF.entry
 
 
-def test_each_choice_has_keys_that_name_it_and_a_sibling():
+def test_key_prefixes_name_the_choice_and_a_witness_in_its_region():
     answer = coordinator.look_up(world(), 12.0, QUESTION)
     for choice in answer.choices:
         key = issued.parse(f'{choice.key_prefix}.n')
@@ -104,7 +104,7 @@
     assert witness.incarnation == 7
 
 
-def test_an_answer_whose_keys_have_no_witness_is_soon_asked_again():
+def test_an_answer_without_witnesses_has_a_short_lifetime():
     made = world()
     assert coordinator.look_up(made, 5.0, QUESTION).lifetime_ms == 10_000.0
     for entry in list(made.members):
@@ -117,16 +117,16 @@
     assert answer.lifetime_ms == 1_000.0
 
 
-def test_many_questions_are_answered_in_their_order():
+def test_many_questions_are_answered_in_order():
     made = world()
     asked = [QUESTION, QUESTION._replace(domain='huye-a')]
     answers = list(coordinator.look_up_many(made, 5.0, asked))
     assert [domains_of(x)[0] for x in answers] == ['kigali-a', 'huye-a']
 
 
-def test_a_client_is_found_by_its_block():
+def test_a_client_address_selects_its_domain_by_block():
     blocks = {'b': tickets.BlockRow('10.0.0.0/24', 'huye-a')}
     made = world(blocks=blocks)
     asked = QUESTION._replace(domain=None)
     assert domains_of(coordinator.look_up(made, 5.0, asked))[0] == 'huye-a'
-    assert made.lookups.sources[0] == blocks
+    assert made.lookups.block_rows[0] == blocks
