Write the members component in the terms of failure detection

What read oddly: a module 'beliefs' with believe(), heard(), seen(), give_up() and forget(); gossip with tell(), spread() and turn_page(); probing with answered(), relayed() and unanswered(); fields order, foreign_order, rounds, news, urgent, sync and origin; comments in which news rides, word wins and entries are taken for dead.

Now: 'updates' with apply_update(), record_contact(), apply_listing(), declare_dead() and remove_dead(); queue_news(), push_urgent(), send_news(), piggybacked_rows(), request_page(), send_page() and advance_cursor(); run_round(), on_answer(), on_relayed(), on_timeout() and reset_after_pause(); domain_order, other_domain_order, round_count, news_send_counts, urgent_news, sync_cursor and requester. An entry refutes a suspicion, as SWIM calls it. The fields of messages, the counters, the log record 'members' and the dump keep their names; the keyword announce (was news) and the renamed fields stay inside the process.

Tests keep their assertions, bounds and seeds; their names say which fault each guards against.

--- a/packages/core/src/zinnialead_core/components/members/__init__.py
+++ b/packages/core/src/zinnialead_core/components/members/__init__.py
@@ -1,4 +1,4 @@
-"""Know which entries are alive."""
+"""Track which entries are alive, by probes and gossip (as in SWIM)."""
 
 from zinnialead_core.components.members.messages import MembersAsk
 from zinnialead_core.components.members.messages import MembersPage
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -1,14 +1,14 @@
-"""Keep the table of members by what is seen and told of them."""
+"""Dispatch inputs to the handlers that maintain the members table."""
 
 from collections import abc
 
-from zinnialead_core.components.members import beliefs
 from zinnialead_core.components.members import const
 from zinnialead_core.components.members import gossip
 from zinnialead_core.components.members import messages
 from zinnialead_core.components.members import models
 from zinnialead_core.components.members import probing
 from zinnialead_core.components.members import queries
+from zinnialead_core.components.members import updates
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -21,29 +21,29 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Probe peers, judge them, and exchange news of them.
+    """Probe peers, detect failures and gossip about changes.
 
     Reads ``states``; writes ``members``, ``probes`` and ``timers``.
     """
-    yield from _set_up(world, now_ms)
+    yield from _add_own_row(world, now_ms)
     if _was_paused(world, now_ms):
-        probing.resume(world, now_ms)
+        probing.reset_after_pause(world, now_ms)
     for item in inputs:
         match item:
             case inp.PeerSeen():
-                yield from beliefs.seen(world, now_ms, item)
+                yield from updates.apply_listing(world, now_ms, item)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
             case inp.StopAsked():
-                yield from _leave(world)
+                yield from _announce_leaving(world)
             case inp.StateChanged(number):
                 row = queries.own_row(world)._replace(state_number=number)
                 world.members[row.entry] = row
 
 
-def _set_up(
+def _add_own_row(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
     node = world.node
@@ -59,13 +59,13 @@
         state_number=world.states['in-force'].number,
         callers_address=node.callers_address,
     )
-    probing.start_round(world, now_ms)
+    probing.start_round_timer(world, now_ms)
     yield out.Notify(inp.MemberJoined(node.ref))
 
 
 def _was_paused(world: world_module.World, now_ms: float) -> bool:
-    [round_ms] = world.probes.round_ms
-    return now_ms - round_ms > const.PAUSED_MS
+    [round_due_ms] = world.probes.round_due_ms
+    return now_ms - round_due_ms > const.LATE_ROUND_MS
 
 
 def _on_message(
@@ -74,30 +74,32 @@
     sender: ids.EntryRef,
     message: object,
 ) -> abc.Iterator[out.Output]:
-    beliefs.heard(world, now_ms, sender)
+    updates.record_contact(world, now_ms, sender)
     match message:
         case messages.Probe(_, number, news):
-            yield from _take_in(world, now_ms, news)
+            yield from _apply_news(world, now_ms, news)
             yield from probing.answer(world, sender, message)
-            _note_number(world, sender, number)
+            _update_state_number(world, sender, number)
         case messages.ProbeAnswer(sequence, number, news):
-            yield from _take_in(world, now_ms, news)
-            yield from probing.answered(world, sender, sequence)
-            _note_number(world, sender, number)
+            yield from _apply_news(world, now_ms, news)
+            yield from probing.on_answer(world, sender, sequence)
+            _update_state_number(world, sender, number)
         case messages.ProbeFor(sequence, target):
             yield from probing.probe(
                 world, now_ms, target, sender.entry, sequence
             )
         case messages.ProbeRelayed():
-            probing.relayed(world, now_ms, message)
+            probing.on_relayed(world, now_ms, message)
         case messages.News(news):
-            yield from _take_in(world, now_ms, news)
+            yield from _apply_news(world, now_ms, news)
         case messages.MembersAsk():
-            yield from gossip.page(world, sender, message)
+            yield from gossip.send_page(world, sender, message)
         case messages.MembersPage(_, _, _, news):
-            gossip.turn_page(world, message)
+            gossip.advance_cursor(world, message)
             for row in news:
-                yield from beliefs.believe(world, now_ms, row, news=False)
+                yield from updates.apply_update(
+                    world, now_ms, row, announce=False
+                )
 
 
 def _on_timer(
@@ -107,25 +109,25 @@
 ) -> abc.Iterator[out.Output]:
     match timer:
         case timers.ProbeRound():
-            yield from probing.next_round(world, now_ms)
+            yield from probing.run_round(world, now_ms)
         case timers.ProbeTimeout():
-            yield from probing.unanswered(world, now_ms, timer)
+            yield from probing.on_timeout(world, now_ms, timer)
         case timers.SuspicionOver(entry):
-            yield from beliefs.give_up(world, now_ms, entry)
+            yield from updates.declare_dead(world, now_ms, entry)
         case timers.NewsDue():
-            yield from gossip.push(world, now_ms)
+            yield from gossip.push_urgent(world, now_ms)
 
 
-def _take_in(
+def _apply_news(
     world: world_module.World,
     now_ms: float,
     news: tuple[models.MemberRow, ...],
 ) -> abc.Iterator[out.Output]:
     for row in news:
-        yield from beliefs.believe(world, now_ms, row)
+        yield from updates.apply_update(world, now_ms, row)
 
 
-def _note_number(
+def _update_state_number(
     world: world_module.World, sender: ids.EntryRef, number: int
 ) -> None:
     row = world.members.get(sender.entry)
@@ -133,10 +135,10 @@
         world.members[row.entry] = row._replace(state_number=number)
 
 
-def _leave(world: world_module.World) -> abc.Iterator[out.Output]:
-    """Tell the domain at once that this entry takes nothing new."""
+def _announce_leaving(world: world_module.World) -> abc.Iterator[out.Output]:
+    """Tell the domain at once that this entry accepts no new work."""
     row = queries.own_row(world)._replace(health=models.Health.LEAVING)
     world.members[row.entry] = row
-    world.probes.news[row.entry] = 0
+    world.probes.news_send_counts[row.entry] = 0
     entries = [x.entry for x in queries.domain_peers(world)]
-    yield from gossip.tell(world, entries, (row,))
+    yield from gossip.send_news(world, entries, (row,))
--- a/packages/core/src/zinnialead_core/components/members/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/members/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the members for a dump."""
+"""Describe the members table for the state dump."""
 
 import typing
 
@@ -6,7 +6,7 @@
 
 
 class MemberDump(typing.TypedDict):
-    """Show what is believed of one entry."""
+    """Show the known state of one entry."""
 
     incarnation: int
     domain: str
--- a/packages/core/src/zinnialead_core/components/members/gossip.py
+++ b/packages/core/src/zinnialead_core/components/members/gossip.py
@@ -1,4 +1,4 @@
-"""Tell peers what changed among the members, within bounds."""
+"""Spread changed member rows, with a bounded cost per message."""
 
 from collections import abc
 import heapq
@@ -13,27 +13,29 @@
 from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
-News = tuple[models.MemberRow, ...]
+Rows = tuple[models.MemberRow, ...]
 
 
-def spread(
+def queue_news(
     world: world_module.World, now_ms: float, entry: ids.EntryId
 ) -> None:
-    """Note that an entry's row is news, to be pushed soon."""
-    world.probes.news[entry] = 0
-    world.probes.urgent[entry] = None
+    """Queue an entry's row to be pushed soon and piggybacked on probes."""
+    world.probes.news_send_counts[entry] = 0
+    world.probes.urgent_news[entry] = None
     if timers.NewsDue() not in world.timers.due_ms:
         due_ms = now_ms + const.URGENT_PERIOD_MS * world.random.random()
         timers.start(world.timers, timers.NewsDue(), due_ms)
 
 
-def push(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
-    """Push urgent news to a few peers, each of which pushes it further."""
-    urgent = world.probes.urgent
-    entries = list(urgent)[: const.URGENT_MAX]
+def push_urgent(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Push urgent rows to a few peers, which push them further."""
+    urgent = world.probes.urgent_news
+    entries = list(urgent)[: const.URGENT_ROWS_MAX]
     for entry in entries:
         del urgent[entry]
-    yield from tell(
+    yield from send_news(
         world,
         [
             *queries.sample_entries(
@@ -42,7 +44,7 @@
             *queries.sample_entries(
                 world,
                 queries.other_domain_peers(world),
-                const.URGENT_FOREIGN_FANOUT,
+                const.URGENT_OTHER_DOMAIN_FANOUT,
             ),
         ],
         tuple(world.members[x] for x in entries if x in world.members),
@@ -52,88 +54,94 @@
         timers.start(world.timers, timers.NewsDue(), due_ms)
 
 
-def tell(
-    world: world_module.World, entries: abc.Iterable[ids.EntryId], rows: News
+def send_news(
+    world: world_module.World, entries: abc.Iterable[ids.EntryId], rows: Rows
 ) -> abc.Iterator[out.Output]:
-    """Send rows to entries at once."""
+    """Send rows to entries without waiting for the next probe."""
     if not rows:
         return
     for entry in entries:
         yield out.SendPeer(entry, messages.News(rows))
 
 
-def news(world: world_module.World, recipient: ids.EntryId) -> News:
-    """Return the rows that ride on a message, those told least first.
+def piggybacked_rows(
+    world: world_module.World, recipient: ids.EntryId
+) -> Rows:
+    """Return the rows to attach to a message, the least sent first.
 
-    The sender's own row is always there, and the recipient's where the
-    recipient has to contradict it.
+    The sender's own row is always included, and the recipient's if the
+    recipient has to refute it.
     """
     rows = [queries.own_row(world)]
-    theirs = world.members.get(recipient)
-    if theirs is not None and theirs.health is not models.Health.ALIVE:
-        rows.append(theirs)
-    told = world.probes.news
-    room = const.NEWS_MAX - len(rows)
-    for entry in heapq.nsmallest(room, told, key=lambda x: told[x]):
+    peer_row = world.members.get(recipient)
+    if peer_row is not None and peer_row.health is not models.Health.ALIVE:
+        rows.append(peer_row)
+    counts = world.probes.news_send_counts
+    limit = const.NEWS_ROWS_MAX - len(rows)
+    for entry in heapq.nsmallest(limit, counts, key=lambda x: counts[x]):
         row = world.members.get(entry)
-        told[entry] += 1
-        if row is None or told[entry] >= _repeats(world):
-            del told[entry]
+        counts[entry] += 1
+        if row is None or counts[entry] >= _send_limit(world):
+            del counts[entry]
         if row is not None and row not in rows:
             rows.append(row)
     return tuple(row for row in rows if row.incarnation)
 
 
-def sync(
+def request_page(
     world: world_module.World, peer: ids.EntryId | None
 ) -> abc.Iterator[out.Output]:
-    """Ask a peer for the next page of the members."""
-    if not world.probes.sync:
+    """Ask a peer for the next page of its members table if one is due."""
+    if not world.probes.sync_cursor:
         row = models.SyncRow(world.node.domain, ids.EntryId(''), True)
-        world.probes.sync.append(row)
+        world.probes.sync_cursor.append(row)
     if peer is None:
         return
-    [cursor] = world.probes.sync
-    slow_round = world.probes.rounds[0] % const.ROUNDS_PER_SYNC == 0
-    if cursor.joining or slow_round:
+    [cursor] = world.probes.sync_cursor
+    sync_due = world.probes.round_count[0] % const.ROUNDS_PER_SYNC == 0
+    if cursor.joining or sync_due:
         ask = messages.MembersAsk(cursor.domain, cursor.after)
         yield out.SendPeer(peer, ask)
 
 
-def page(
+def send_page(
     world: world_module.World,
     sender: ids.EntryRef,
     ask: messages.MembersAsk,
 ) -> abc.Iterator[out.Output]:
-    """Answer with one page of the members that were ever heard."""
-    found = [
+    """Send one page of the members whose incarnation is known."""
+    matching = [
         row
         for row in world.members.values()
         if row.entry > ask.after
         and row.incarnation
         and ask.domain in ('', row.domain)
     ]
-    rows = heapq.nsmallest(const.PAGE_ROWS, found, key=lambda x: x.entry)
-    last = len(rows) == len(found)
+    rows = heapq.nsmallest(
+        const.PAGE_ROWS_MAX, matching, key=lambda x: x.entry
+    )
+    last = len(rows) == len(matching)
     answer = messages.MembersPage(ask.domain, ask.after, last, tuple(rows))
     yield out.SendPeer(sender.entry, answer)
 
 
-def turn_page(world: world_module.World, found: messages.MembersPage) -> None:
-    """Move on to the next page, after own domain to all domains."""
-    if not world.probes.sync:
+def advance_cursor(
+    world: world_module.World, reply: messages.MembersPage
+) -> None:
+    """Move to the next page; after the own domain, to all domains."""
+    if not world.probes.sync_cursor:
         return
-    [cursor] = world.probes.sync
-    if (found.domain, found.after) != (cursor.domain, cursor.after):
+    [cursor] = world.probes.sync_cursor
+    if (reply.domain, reply.after) != (cursor.domain, cursor.after):
         return
     first = ids.EntryId('')
-    if not found.last and found.news:
-        after = found.news[-1].entry
-        world.probes.sync[0] = cursor._replace(after=after)
+    if not reply.last and reply.news:
+        after = reply.news[-1].entry
+        world.probes.sync_cursor[0] = cursor._replace(after=after)
         return
     joining = cursor.joining and cursor.domain != ''
-    world.probes.sync[0] = models.SyncRow('', first, joining)
+    world.probes.sync_cursor[0] = models.SyncRow('', first, joining)
 
 
-def _repeats(world: world_module.World) -> int:
+def _send_limit(world: world_module.World) -> int:
     return const.NEWS_REPEATS * math.ceil(math.log2(len(world.members) + 1))
--- a/packages/core/src/zinnialead_core/components/members/messages.py
+++ b/packages/core/src/zinnialead_core/components/members/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that show which entries are alive."""
+"""Define the messages of failure detection and gossip."""
 
 import dataclasses
 
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask a peer whether it is alive, with news of a few members."""
+    """Ask a peer whether it is alive; ``news`` has a few changed rows."""
 
     sequence: int
     state_number: int
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeAnswer:
-    """Answer a probe, with news of a few members."""
+    """Answer a probe; ``news`` has a few changed rows."""
 
     sequence: int
     state_number: int
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeFor:
-    """Ask a peer to probe ``target`` in the sender's place."""
+    """Ask a peer to probe ``target`` on the sender's behalf."""
 
     sequence: int
     target: ids.EntryId
@@ -42,14 +42,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
-    """Tell a peer news that cannot wait for the next probe."""
+    """Push changed rows that cannot wait for the next probe."""
 
     news: tuple[models.MemberRow, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersAsk:
-    """Ask for the members named after ``after``, of one domain or all."""
+    """Ask for members with ids above ``after``, of one domain or all."""
 
     domain: str
     after: ids.EntryId
@@ -57,7 +57,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersPage:
-    """Answer a ``MembersAsk``; ``last`` says that nothing follows."""
+    """Answer a ``MembersAsk``; ``last`` marks the final page."""
 
     domain: str
     after: ids.EntryId
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the members tables."""
+"""Define the tables of the members component."""
 
 import enum
 import typing
@@ -7,7 +7,7 @@
 
 
 class Health(enum.Enum):
-    """Say what is believed of an entry."""
+    """Health of an entry as this one knows it."""
 
     ALIVE = 'alive'
     SUSPECT = 'suspect'
@@ -16,14 +16,13 @@
 
 
 class MemberRow(typing.NamedTuple):
-    """Hold what is believed of one entry.
+    """Hold the known state of one entry.
 
-    Peers reach it at ``address``, callers at ``callers_address``.
-
-    Incarnation 0 stands for an entry that is listed and was never heard.
-    ``version`` counts how often the entry contradicted a suspicion in
-    this incarnation.  ``address`` is for peers, ``callers_address`` for
-    callers where it differs.
+    Incarnation 0 marks an entry that the platform lists but that has not
+    been heard from.  ``version`` counts the suspicions that the entry
+    refuted in this incarnation.  Peers use ``address``; callers use
+    ``callers_address`` where it differs.  ``heard_ms`` is when the entry
+    was last heard from, ``state_number`` the state that it has in force.
     """
 
     entry: ids.EntryId
@@ -38,18 +37,22 @@
 
 
 class ProbeRow(typing.NamedTuple):
-    """Hold one open probe; ``origin`` is whom it was sent for, if any."""
+    """Hold an open probe, and the peer that requested it, if any.
+
+    ``indirect`` is set once other peers were asked to probe the target.
+    """
 
     target: ids.EntryId
     indirect: bool
-    origin: ids.EntryId | None
-    origin_sequence: int
+    requester: ids.EntryId | None
+    requester_sequence: int
 
 
 class SyncRow(typing.NamedTuple):
-    """Hold which page of the members is asked for next.
+    """Hold the cursor of the table sync: the next page to ask for.
 
-    An empty ``domain`` stands for all; ``joining`` asks in each round.
+    An empty ``domain`` means all domains.  While ``joining``, a page is
+    asked for in every round.
     """
 
     domain: str
@@ -58,26 +61,27 @@
 
 
 class ProbeTable(typing.NamedTuple):
-    """Hold whom to probe next, the open probes, and what news to tell.
+    """Hold the probe order, the open probes and the rows to gossip.
 
-    ``news`` counts how often a member's row was told; ``urgent`` names
-    those not yet pushed; ``listed_leaving`` is the incarnation for which
-    the platform's list was believed.  The lists of one item hold a value
-    that changes.
+    ``news_send_counts`` counts how often a changed row was sent, and
+    ``urgent_news`` names the rows not yet pushed.  ``listed_leaving`` has
+    the incarnation for which the platform's leaving mark was applied.
+    ``sequence``, ``round_count``, ``round_due_ms`` and ``sync_cursor``
+    are one-item lists, since a row's fields can't be reassigned.
     """
 
-    order: list[ids.EntryId]
-    foreign_order: list[ids.EntryId]
+    domain_order: list[ids.EntryId]
+    other_domain_order: list[ids.EntryId]
     sequence: list[int]
-    rounds: list[int]
-    round_ms: list[float]
+    round_count: list[int]
+    round_due_ms: list[float]
     open: dict[int, ProbeRow]
-    news: dict[ids.EntryId, int]
-    urgent: dict[ids.EntryId, None]
+    news_send_counts: dict[ids.EntryId, int]
+    urgent_news: dict[ids.EntryId, None]
     listed_leaving: dict[ids.EntryId, int]
-    sync: list[SyncRow]
+    sync_cursor: list[SyncRow]
 
 
 def new_probes() -> ProbeTable:
-    """Return a table without probes."""
+    """Return an empty table."""
     return ProbeTable([], [], [0], [0], [], {}, {}, {}, {}, [])
--- a/packages/core/src/zinnialead_core/components/members/queries.py
+++ b/packages/core/src/zinnialead_core/components/members/queries.py
@@ -1,4 +1,4 @@
-"""Read the members table."""
+"""Query the members table."""
 
 from collections import abc
 import typing
@@ -19,7 +19,7 @@
 def live_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
-    """Yield the rows of the other entries that are not taken for dead."""
+    """Yield the rows of the other entries that are not dead."""
     me = world.node.ref.entry
     for row in world.members.values():
         if row.health is not models.Health.DEAD and row.entry != me:
@@ -29,7 +29,7 @@
 def domain_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
-    """Yield the other rows of this entry's domain."""
+    """Yield the live peers in this entry's domain."""
     for row in live_peers(world):
         if row.domain == world.node.domain:
             yield row
@@ -38,7 +38,7 @@
 def other_domain_peers(
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
-    """Yield the other rows outside this entry's domain."""
+    """Yield the live peers outside this entry's domain."""
     for row in live_peers(world):
         if row.domain != world.node.domain:
             yield row
@@ -49,15 +49,18 @@
     rows: abc.Iterable[models.MemberRow],
     count: int,
 ) -> abc.Sequence[ids.EntryId]:
-    """Return up to ``count`` of the rows' entries, at random."""
+    """Return a random sample of up to ``count`` of the rows' entries."""
     names = [row.entry for row in rows]
     return world.random.sample(names, min(count, len(names)))
 
 
 def random_peer(world: 'world_module.World') -> ids.EntryId | None:
-    """Return another entry at random, without a look at every row."""
+    """Return a random live peer, or None after a few misses.
+
+    This samples instead of filtering all rows, to stay cheap per round.
+    """
     names = list(world.members)
-    for _ in range(const.PICK_TRIES):
+    for _ in range(const.RANDOM_PEER_TRIES):
         row = world.members[world.random.choice(names)]
         dead = row.health is models.Health.DEAD
         if not dead and row.entry != world.node.ref.entry:
@@ -66,5 +69,5 @@
 
 
 def entry_ref(row: models.MemberRow) -> ids.EntryRef:
-    """Return the run of an entry that a row is about."""
+    """Return the entry and incarnation that a row describes."""
     return ids.EntryRef(row.entry, row.incarnation)
--- a/tests/core/components/members/member_network.py
+++ b/tests/core/components/members/member_network.py
@@ -1,4 +1,4 @@
-"""Join a few entries by a network of messages on one mock clock."""
+"""Simulate entries on a lossy network with one mock clock."""
 
 import dataclasses
 import heapq
@@ -16,7 +16,7 @@
 LATENCY_MS = 1.0
 
 
-class Mail(typing.NamedTuple):
+class Delivery(typing.NamedTuple):
     due_ms: float
     sequence: int
     entry: str
@@ -30,13 +30,13 @@
     now_ms: float = 0.0
     drop_share: float = 0.0
     delay_max_ms: float = 0.0
-    mail: list = dataclasses.field(default_factory=list)
+    deliveries: list = dataclasses.field(default_factory=list)
     stopped: set = dataclasses.field(default_factory=set)
     isolated: set = dataclasses.field(default_factory=set)
     health_changes: list = dataclasses.field(default_factory=list)
     sent_counts: dict = dataclasses.field(default_factory=dict)
     due_ms: dict = dataclasses.field(default_factory=dict)
-    numbers: object = dataclasses.field(default_factory=itertools.count)
+    sequences: object = dataclasses.field(default_factory=itertools.count)
     store_calls: list = dataclasses.field(default_factory=list)
 
 
@@ -47,18 +47,20 @@
 
 
 def new_network(domains, seed=1):
-    """Return entries named after their domains, with all of them listed."""
-    names = {f'{d}{n}': d for d, size in domains.items() for n in range(size)}
-    made = Network({}, random.Random(seed))
-    for number, (entry, domain) in enumerate(names.items()):
-        made.worlds[entry] = new_world(entry, domain, seed=number)
-    for entry in names:
-        feed(made, entry, *listing(names))
-    return made
+    """Return entries named after their domains, each given the full list."""
+    domains_by_entry = {
+        f'{d}{n}': d for d, size in domains.items() for n in range(size)
+    }
+    network = Network({}, random.Random(seed))
+    for number, (entry, domain) in enumerate(domains_by_entry.items()):
+        network.worlds[entry] = new_world(entry, domain, seed=number)
+    for entry in domains_by_entry:
+        feed(network, entry, *listing(domains_by_entry))
+    return network
 
 
-def listing(names):
-    return [inp.PeerSeen(e, d, f'{e}:1') for e, d in names.items()]
+def listing(domains_by_entry):
+    return [inp.PeerSeen(e, d, f'{e}:1') for e, d in domains_by_entry.items()]
 
 
 def feed(network, entry, *items):
@@ -91,14 +93,18 @@
     ref = network.worlds[entry].node.ref
     delay_ms = LATENCY_MS + network.random.uniform(0.0, network.delay_max_ms)
     item = inp.PeerMessage(ref, message)
-    mail = Mail(network.now_ms + delay_ms, next(network.numbers), target, item)
-    heapq.heappush(network.mail, mail)
+    delivery = Delivery(
+        network.now_ms + delay_ms, next(network.sequences), target, item
+    )
+    heapq.heappush(network.deliveries, delivery)
 
 
 def run_until(network, end_ms):
-    """Deliver mail and run due timers in the order of their times."""
+    """Deliver messages and fire timers in order of time."""
     while True:
-        due = [(network.mail[0].due_ms, '')] if network.mail else []
+        due = (
+            [(network.deliveries[0].due_ms, '')] if network.deliveries else []
+        )
         awake = network.due_ms.keys() - network.stopped
         due.extend((network.due_ms[entry], entry) for entry in awake)
         if not due or min(due)[0] > end_ms:
@@ -108,9 +114,9 @@
         if entry:
             feed(network, entry)
             continue
-        mail = heapq.heappop(network.mail)
-        if mail.entry not in network.stopped:
-            feed(network, mail.entry, mail.item)
+        delivery = heapq.heappop(network.deliveries)
+        if delivery.entry not in network.stopped:
+            feed(network, delivery.entry, delivery.item)
     network.now_ms = end_ms
 
 
@@ -120,7 +126,7 @@
 
 
 def health_seen_by_others(network, entry):
-    """Return what the living others believe of an entry."""
+    """Return the states that the other running entries have for an entry."""
     return {
         health(network, viewer, entry)
         for viewer in network.worlds
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -1,4 +1,4 @@
-"""Kill, part, pause and restart entries, and see what the others believe."""
+"""Check the members tables after crashes, partitions and restarts."""
 
 import hypothesis
 from hypothesis import strategies as st
@@ -6,10 +6,10 @@
 from core.components.members import member_network
 import zinnialead_core as core
 from zinnialead_core.components import members
-from zinnialead_core.components.members import beliefs
 from zinnialead_core.components.members import const
 from zinnialead_core.components.members import coordinator
 from zinnialead_core.components.members import messages
+from zinnialead_core.components.members import updates
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
 
@@ -28,37 +28,37 @@
     return network.now_ms
 
 
-def test_a_dead_neighbour_is_found_in_its_domain_within_two_seconds():
+def test_a_crash_is_detected_in_its_domain_within_two_seconds():
     for seed in range(5):
         network = settled(seed=seed)
         died_ms = kill(network, 'a0')
         member_network.run_until(network, died_ms + 2_500.0)
-        found = [
+        delays_ms = [
             at_ms - died_ms
             for at_ms, viewer, entry, after in network.health_changes
             if (viewer[0], entry, after) == ('a', 'a0', 'dead 1')
         ]
-        assert len(found) == 3
-        assert min(found) <= 2_000.0
+        assert len(delays_ms) == 3
+        assert min(delays_ms) <= 2_000.0
         member_network.run_until(network, died_ms + 10_000.0)
         assert member_network.health_seen_by_others(network, 'a0') == {DEAD}
 
 
-def test_the_lost_and_the_joined_are_told_to_the_systems():
+def test_systems_are_notified_of_joined_and_lost_members():
     world = member_network.new_world('a0', 'a')
-    joined, told = [], inp.PeerSeen('a1', 'a', 'a1:1')
+    events, listed = [], inp.PeerSeen('a1', 'a', 'a1:1')
     alive = members.MemberRow('a1', 1, 'a', 'a1:1', ALIVE, 0.0, 0)
-    again = alive._replace(incarnation=2)
-    dead = again._replace(health=DEAD)
+    restarted = alive._replace(incarnation=2)
+    dead = restarted._replace(health=DEAD)
     ref = world.node.ref._replace(entry='b0')
-    for item in (told, *(_news(ref, x) for x in (alive, again, dead))):
+    for item in (listed, *(_news(ref, x) for x in (alive, restarted, dead))):
         for output in coordinator.run(world, 0.0, [item]):
             match output:
                 case out.Notify(inp.MemberJoined(who)):
-                    joined.append(('joined', *who))
+                    events.append(('joined', *who))
                 case out.Notify(inp.MemberLost(who)):
-                    joined.append(('lost', *who))
-    assert joined == [
+                    events.append(('lost', *who))
+    assert events == [
         ('joined', 'a0', 1),
         ('joined', 'a1', 0),
         ('joined', 'a1', 1),
@@ -72,7 +72,7 @@
     return inp.PeerMessage(sender, messages.News(rows))
 
 
-def test_a_partition_splits_the_view_and_the_heal_joins_it():
+def test_members_recover_after_a_partition_heals():
     network = settled()
     network.isolated = {
         entry for entry in network.worlds if entry.startswith('a')
@@ -90,7 +90,7 @@
 @hypothesis.given(
     st.integers(0, 99), st.floats(0.0, 0.15), st.floats(0.0, 100.0)
 )
-def test_lost_and_late_messages_kill_nobody_for_good(seed, drop, delay_ms):
+def test_lost_and_late_messages_leave_no_entry_dead(seed, drop, delay_ms):
     network = settled({'a': 3, 'b': 3}, seed)
     network.drop_share, network.delay_max_ms = drop, delay_ms
     member_network.run_until(network, network.now_ms + 20_000.0)
@@ -99,7 +99,7 @@
     assert member_network.all_alive(network)
 
 
-def test_a_paused_entry_takes_nobody_for_dead():
+def test_a_paused_entry_declares_no_peer_dead():
     network = settled()
     network.stopped.add('a0')
     member_network.run_until(network, network.now_ms + 30_000.0)
@@ -115,7 +115,7 @@
     assert member_network.all_alive(network)
 
 
-def test_a_restart_is_a_new_run():
+def test_a_restart_replaces_the_old_incarnation():
     network = settled()
     network.worlds['a0'] = member_network.new_world('a0', 'a', incarnation=2)
     member_network.feed(network, 'a0', inp.PeerSeen('a1', 'a', 'a1:1'))
@@ -124,7 +124,7 @@
     assert {(row.incarnation, row.health) for row in rows} == {(2, ALIVE)}
 
 
-def test_a_newcomer_learns_all_members_from_one_seed():
+def test_a_new_entry_learns_all_members_from_one_seed():
     network = settled({'a': 4, 'b': 70})
     network.worlds['a9'] = member_network.new_world('a9', 'a')
     member_network.feed(network, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
@@ -132,7 +132,7 @@
     assert len(network.worlds['a9'].members) == 75
 
 
-def test_a_leaving_entry_is_known_at_once_and_stays_leaving():
+def test_leaving_is_announced_at_once_and_stays_until_death():
     network = settled()
     member_network.feed(network, 'a0', inp.StopAsked())
     member_network.run_until(network, network.now_ms + 10.0)
@@ -147,7 +147,7 @@
     assert member_network.health_seen_by_others(network, 'a0') == {DEAD}
 
 
-def test_a_listed_leave_is_contradicted_by_one_who_stays():
+def test_an_entry_refutes_a_wrong_leaving_mark_from_the_list():
     network = settled()
     seen = inp.PeerSeen('a0', 'a', 'a0:1', leaving=True)
     member_network.feed(network, 'b0', seen)
@@ -157,22 +157,22 @@
     assert member_network.health(network, 'b0', 'a0') is ALIVE
 
 
-def test_a_lagging_list_brings_nobody_back_and_kills_nobody():
+def test_a_lagging_list_neither_revives_nor_removes_entries():
     network = settled()
     kill(network, 'a0')
     member_network.run_until(network, network.now_ms + 20_000.0)
     seen = inp.PeerSeen('a0', 'a', 'a0:1')
     member_network.feed(network, 'b0', seen)
     assert member_network.health(network, 'b0', 'a0') is DEAD
-    later_ms = network.now_ms + const.DEAD_KEPT_MS
+    later_ms = network.now_ms + const.DEAD_RETENTION_MS
     for world in network.worlds.values():
-        beliefs.forget(world, later_ms)
+        updates.remove_dead(world, later_ms)
     member_network.run_until(network, network.now_ms + 120_000.0)
     assert member_network.health_seen_by_others(network, 'a0') == {None}
     assert member_network.health_seen_by_others(network, 'a1') == {ALIVE}
 
 
-def test_messages_and_news_do_not_grow_with_the_fleet():
+def test_message_rate_and_news_size_do_not_grow_with_the_fleet():
     sent = []
     for size in (6, 24):
         network = settled({'a': size, 'b': size})
@@ -186,10 +186,10 @@
         for output in core.tick(network.worlds['a0'], 31_000.0, [])
         if isinstance(output.message, messages.Probe)
     ][:1]
-    assert len(probe.message.news) <= const.NEWS_MAX
+    assert len(probe.message.news) <= const.NEWS_ROWS_MAX
 
 
-def test_a_domain_that_was_cut_off_rejoins_without_a_burst():
+def test_an_isolated_domain_rejoins_without_a_burst():
     network = settled({'a': 6, 'b': 6, 'c': 6})
     network.isolated = {
         entry for entry in network.worlds if entry.startswith('a')
@@ -199,15 +199,15 @@
     while not member_network.all_alive(network):
         network.sent_counts.clear()
         member_network.run_until(network, network.now_ms + 1_000.0)
-        # Ten pushes to four peers, the probes and their answers.
+        # Ten pushes to four peers, plus probes and their answers.
         assert sum(network.sent_counts.values()) <= 18 * (10 * 4 + 10)
     assert network.now_ms < 200_000.0
 
 
-def test_entries_given_one_list_do_not_probe_one_entry_together():
+def test_entries_with_the_same_list_probe_in_different_orders():
     network = member_network.new_network({'a': 4, 'b': 40})
     orders = {
-        tuple(world.probes.foreign_order[-3:])
+        tuple(world.probes.other_domain_order[-3:])
         for entry, world in network.worlds.items()
         if entry[0] == 'a'
     }
