Describe the health of upstreams in terms of outlier detection

They are now `repeated_reports`, `answered_ms`, `ejections`, `ramp_start_ms` and `shed_limit`; constants speak of ejection. HealthRow is not written out by field name: the dump, its keys and the counters stay as they were.

--- a/packages/core/src/zinnialead_core/components/upstreams/__init__.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/__init__.py
@@ -1,4 +1,4 @@
-"""Judge upstreams by what is seen of them."""
+"""Track the health and usable capacity of upstreams."""
 
 from zinnialead_core.components.upstreams.models import HealthRow
 
--- a/packages/core/src/zinnialead_core/components/upstreams/capacity.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/capacity.py
@@ -1,4 +1,4 @@
-"""Say how many slots of an upstream to believe in."""
+"""Estimate how many slots of an upstream may be used."""
 
 from zinnialead_core.components.upstreams import const
 from zinnialead_core.components.upstreams import models
@@ -21,40 +21,42 @@
     if health.on_trial:
         return min(1, declared)
     usable = min(
-        _ramped(health, declared, now_ms),
-        _after_shed(health, declared, now_ms),
-        _after_report(health, declared, now_ms),
+        _slots_in_ramp(health, declared, now_ms),
+        _slots_after_shed(health, declared, now_ms),
+        _slots_after_report(health, declared, now_ms),
     )
     return min(declared, max(1, int(usable)))
 
 
 def is_leaving(health: models.HealthRow | None) -> bool:
-    """Return whether an upstream says that it is leaving."""
+    """Return whether an upstream reports that it is leaving."""
     return health is not None and health.leaving
 
 
-def _ramped(health: models.HealthRow, declared: int, now_ms: float) -> float:
-    if health.since_ms is None:
+def _slots_in_ramp(
+    health: models.HealthRow, declared: int, now_ms: float
+) -> float:
+    if health.ramp_start_ms is None:
         return declared
-    return declared * (now_ms - health.since_ms) / const.RAMP_MS
+    return declared * (now_ms - health.ramp_start_ms) / const.RAMP_MS
 
 
-def _after_shed(
+def _slots_after_shed(
     health: models.HealthRow, declared: int, now_ms: float
 ) -> float:
-    if health.limit is None:
+    if health.shed_limit is None:
         return declared
-    back = (now_ms - health.shed_ms) / const.RECOVERY_MS_PER_SLOT
-    return health.limit + back
+    recovered = (now_ms - health.shed_ms) / const.RECOVERY_MS_PER_SLOT
+    return health.shed_limit + recovered
 
 
-def _after_report(
+def _slots_after_report(
     health: models.HealthRow, declared: int, now_ms: float
 ) -> float:
-    if health.heard_ms is None or health.excess == 0:
+    if health.reported_ms is None or health.excess == 0:
         return declared
-    if now_ms - health.heard_ms > const.REPORT_STALE_MS:
+    if now_ms - health.reported_ms > const.REPORT_STALE_MS:
         return declared
-    if health.told_same >= const.REPORT_FROZEN_COUNT:
+    if health.repeated_reports >= const.REPORT_FROZEN_COUNT:
         return declared
     return declared - min(health.excess, declared * const.EXCESS_SHARE_MAX)
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -1,4 +1,4 @@
-"""Take in what upstreams say of themselves and what tickets say."""
+"""Process the reports of upstreams and the changes of tickets."""
 
 from collections import abc
 
@@ -18,7 +18,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Record the reports of upstreams, their comings and goings.
+    """Record reports, and upstreams that were added, removed or drained.
 
     Reads ``states`` and ``queues``; writes ``upstreams`` and the peaks
     of ``queues``.
@@ -26,92 +26,95 @@
     for item in inputs:
         match item:
             case inp.UpstreamReport():
-                yield from _report(world, now_ms, item)
+                yield from _record_report(world, now_ms, item)
             case inp.StateChanged():
-                _state_changed(world, now_ms)
+                _update_upstreams(world, now_ms)
 
 
-def _report(
-    world: world_module.World, now_ms: float, item: inp.UpstreamReport
+def _record_report(
+    world: world_module.World, now_ms: float, report: inp.UpstreamReport
 ) -> abc.Iterator[out.Output]:
-    known = world.states['in-force'].upstreams.get(item.upstream)
-    if known is None:
+    declared = world.states['in-force'].upstreams.get(report.upstream)
+    if declared is None:
         world.counters['upstreams.report_unknown'] += 1
         return
-    before = world.upstreams.get(item.upstream)
-    row = before or models.HealthRow(item.upstream)
-    returned = row.leaving and not item.leaving
-    row = _told(world, row, item)._replace(
-        healthy=item.healthy,
-        leaving=item.leaving,
-        heard_ms=now_ms,
-        since_ms=now_ms if returned else row.since_ms,
+    before = world.upstreams.get(report.upstream)
+    row = before or models.HealthRow(report.upstream)
+    returned = row.leaving and not report.leaving
+    row = _record_load(world, row, report)._replace(
+        healthy=report.healthy,
+        leaving=report.leaving,
+        reported_ms=now_ms,
+        ramp_start_ms=now_ms if returned else row.ramp_start_ms,
     )
-    world.upstreams[item.upstream] = row
-    if not (item.healthy or row.on_trial or _is_proved(row, now_ms)):
-        siblings = local.of(world, known.service).upstreams
+    world.upstreams[report.upstream] = row
+    if not (report.healthy or row.on_trial or _answered_recently(row, now_ms)):
+        siblings = local.of(world, declared.service).upstreams
         outliers.eject(world, now_ms, row, siblings)
-    if before is not None and before.leaving != item.leaving:
+    if before is not None and before.leaving != report.leaving:
         yield out.LogChange(
             'upstreams',
-            str(item.upstream),
-            _standing(before.leaving),
-            _standing(item.leaving),
+            str(report.upstream),
+            _status(before.leaving),
+            _status(report.leaving),
         )
 
 
-def _told(
+def _record_load(
     world: world_module.World,
     row: models.HealthRow,
-    item: inp.UpstreamReport,
+    report: inp.UpstreamReport,
 ) -> models.HealthRow:
-    """Take in a told load; it lags, so it is held against past peaks."""
+    """Compare a reported load with the peaks granted here.
+
+    A report lags, so work granted before the last report counts too.
+    """
     queues = world.queues
-    peak = queues.peaks.get(item.upstream, 0)
-    queues.peaks[item.upstream] = queues.in_use.get(item.upstream, 0)
-    told = item.in_flight or 0
-    same = told == row.told_in_flight and told > 0
+    peak = queues.peaks.get(report.upstream, 0)
+    queues.peaks[report.upstream] = queues.in_use.get(report.upstream, 0)
+    reported = report.in_flight or 0
+    is_repeated = reported == row.told_in_flight and reported > 0
     return row._replace(
-        told_in_flight=item.in_flight,
-        told_same=row.told_same + 1 if same else 0,
-        excess=max(0, told - max(peak, row.last_peak)),
-        last_peak=peak,
+        told_in_flight=report.in_flight,
+        repeated_reports=row.repeated_reports + 1 if is_repeated else 0,
+        excess=max(0, reported - max(peak, row.previous_peak)),
+        previous_peak=peak,
     )
 
 
-def _is_proved(row: models.HealthRow, now_ms: float) -> bool:
-    if row.proved_ms is None:
+def _answered_recently(row: models.HealthRow, now_ms: float) -> bool:
+    if row.answered_ms is None:
         return False
-    return now_ms - row.proved_ms <= const.PROOF_MS
+    return now_ms - row.answered_ms <= const.ANSWER_TRUST_MS
 
 
-def _state_changed(world: world_module.World, now_ms: float) -> None:
+def _update_upstreams(world: world_module.World, now_ms: float) -> None:
     state = world.states['in-force']
-    # An entry's first state says nothing of how long upstreams ran.
-    since_ms = now_ms if world.upstreams else None
-    for upstream, known in state.upstreams.items():
+    # The first state does not show how long its upstreams have run.
+    ramp_start_ms = now_ms if world.upstreams else None
+    for upstream, declared in state.upstreams.items():
         row = world.upstreams.get(upstream)
-        drained = tickets.is_drained(state, known)
+        drained = tickets.is_drained(state, declared)
         if row is None:
-            row = models.HealthRow(upstream, since_ms=since_ms)
+            row = models.HealthRow(upstream, ramp_start_ms=ramp_start_ms)
         elif row.drained and not drained:
-            row = row._replace(since_ms=now_ms)
+            row = row._replace(ramp_start_ms=now_ms)
         world.upstreams[upstream] = row._replace(drained=drained)
-    _forget_gone(world, state)
+    _delete_removed(world, state)
 
 
-def _forget_gone(world: world_module.World, state: tickets.State) -> None:
-    gone: list[ids.UpstreamId] = [
+def _delete_removed(world: world_module.World, state: tickets.State) -> None:
+    removed: list[ids.UpstreamId] = [
         upstream
         for upstream in world.upstreams
         if upstream not in state.upstreams
     ]
-    for upstream in gone:
+    for upstream in removed:
         del world.upstreams[upstream]
         world.queues.peaks.pop(upstream, None)
         if not world.queues.in_use.get(upstream):
             world.queues.in_use.pop(upstream, None)
 
 
-def _standing(leaving: bool) -> str:
+def _status(leaving: bool) -> str:
     return 'leaving' if leaving else 'in service'
--- a/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the upstreams for a dump."""
+"""Describe the health of upstreams for a dump."""
 
 import typing
 
@@ -6,7 +6,7 @@
 
 
 class UpstreamDump(typing.TypedDict):
-    """Show what is believed of one upstream."""
+    """Show the observed and reported state of one upstream."""
 
     healthy: bool
     leaving: bool
@@ -32,7 +32,7 @@
             on_trial=row.on_trial,
             failures=row.failures,
             out_until_ms=row.out_until_ms,
-            believed_limit=row.limit,
+            believed_limit=row.shed_limit,
             told_in_flight=row.told_in_flight,
             told_excess=row.excess,
         )
--- a/packages/core/src/zinnialead_core/components/upstreams/models.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/models.py
@@ -6,14 +6,18 @@
 
 
 class HealthRow(typing.NamedTuple):
-    """Hold what is seen and told of one upstream.
+    """Hold what this entry observed of one upstream and what it reported.
 
-    ``failures`` are those in a row of attempts from here; the upstream
-    is left out until ``out_until_ms`` and then is ``on_trial`` with one
-    slot. ``since_ms`` is when it came into service, None where it was
-    there from the start. ``limit`` is the slots believed after the shed
-    at ``shed_ms``. ``excess`` is the told work in flight above what was
-    granted here; ``told_same`` counts reports in a row of one value.
+    ``failures`` counts this entry's failed attempts in a row. An ejected
+    upstream gets no requests until ``out_until_ms`` and then is
+    ``on_trial`` with one slot; ``ejections`` counts ejections since the
+    last success, up to a maximum. ``ramp_start_ms`` is when it came into
+    service, None if it was there from the start. ``answered_ms`` is when
+    it last served or shed an attempt. ``shed_limit`` holds the usable
+    slots after the shed at ``shed_ms``. ``excess`` is the reported work
+    in flight above what was granted here, ``previous_peak`` the most
+    granted at once before the last report. ``repeated_reports`` counts
+    how often the same load was reported again in a row.
     """
 
     upstream: ids.UpstreamId
@@ -22,14 +26,14 @@
     failures: int = 0
     out_until_ms: float = 0.0
     told_in_flight: int | None = None
-    heard_ms: float | None = None
+    reported_ms: float | None = None
     on_trial: bool = False
-    times_out: int = 0
-    since_ms: float | None = None
-    proved_ms: float | None = None
-    limit: float | None = None
+    ejections: int = 0
+    ramp_start_ms: float | None = None
+    answered_ms: float | None = None
+    shed_limit: float | None = None
     shed_ms: float = 0.0
     excess: int = 0
-    last_peak: int = 0
-    told_same: int = 0
+    previous_peak: int = 0
+    repeated_reports: int = 0
     drained: bool = False
--- a/packages/core/src/zinnialead_core/components/upstreams/outliers.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/outliers.py
@@ -1,9 +1,9 @@
-"""Leave out upstreams that fail, and try them again.
+"""Eject upstreams that fail, and try them again.
 
-An upstream is left out after failures in a row, then gets one slot on
-trial, and ramps up after a success; a failed trial leaves it out for
-longer. Never more than half of a service's upstreams are out, since
-what fails everywhere is seldom the upstreams' own fault.
+An upstream is ejected after several failures in a row, then gets one
+slot on trial, and ramps up after a success; a failed trial ejects it
+for longer. Never more than half of a service's upstreams are ejected,
+since a failure of all of them rarely has its cause in the upstreams.
 """
 
 from collections import abc
@@ -23,7 +23,7 @@
     siblings: abc.Sequence[tickets.UpstreamRow],
     end: slots.SlotEnd,
 ) -> None:
-    """Take in how an attempt at an upstream ended."""
+    """Update the health of an upstream after an attempt."""
     row = world.upstreams.get(upstream) or models.HealthRow(upstream)
     match end:
         case slots.SlotEnd.SERVED:
@@ -47,54 +47,54 @@
     row: models.HealthRow,
     siblings: abc.Sequence[tickets.UpstreamRow],
 ) -> None:
-    """Leave an upstream out for a while, unless too many are out."""
+    """Eject an upstream for a while, unless too many are ejected."""
     if now_ms < row.out_until_ms:
         return
-    others_out = sum(
-        _is_out(world, sibling.upstream)
+    ejected_siblings = sum(
+        _is_ejected(world, sibling.upstream)
         for sibling in siblings
         if sibling.upstream != row.upstream
     )
-    if others_out + 1 > len(siblings) * const.LEFT_OUT_SHARE_MAX:
+    if ejected_siblings + 1 > len(siblings) * const.EJECTED_SHARE_MAX:
         world.counters['upstreams.left_in'] += 1
         return
     world.counters['upstreams.left_out'] += 1
-    out_ms = const.LEFT_OUT_MS * 2**row.times_out
+    ejection_ms = const.EJECTION_MS * 2**row.ejections
     world.upstreams[row.upstream] = row._replace(
-        out_until_ms=now_ms + min(out_ms, const.LEFT_OUT_MAX_MS),
+        out_until_ms=now_ms + min(ejection_ms, const.EJECTION_MAX_MS),
         on_trial=True,
-        times_out=min(row.times_out + 1, const.TIMES_OUT_MAX),
+        ejections=min(row.ejections + 1, const.EJECTIONS_MAX),
     )
 
 
 def _served(row: models.HealthRow, now_ms: float) -> models.HealthRow:
-    since_ms = now_ms if row.on_trial else row.since_ms
+    ramp_start_ms = now_ms if row.on_trial else row.ramp_start_ms
     return row._replace(
         failures=0,
         on_trial=False,
-        times_out=0,
-        proved_ms=now_ms,
-        since_ms=since_ms,
+        ejections=0,
+        answered_ms=now_ms,
+        ramp_start_ms=ramp_start_ms,
     )
 
 
 def _shed(
     row: models.HealthRow, now_ms: float, in_use: int
 ) -> models.HealthRow:
-    """Cut the believed slots, once for a burst of sheds.
+    """Lower the usable slots, once for a burst of shed requests.
 
-    A shed tells that the upstream lives, so it is no failure.
+    A shed request is not a failure: it shows that the upstream runs.
     """
-    proved = row._replace(failures=0, proved_ms=now_ms)
-    recent = row.limit is not None and (
+    answered = row._replace(failures=0, answered_ms=now_ms)
+    already_lowered = row.shed_limit is not None and (
         now_ms - row.shed_ms < const.SHED_PERIOD_MS
     )
-    if recent:
-        return proved
-    limit = max(1.0, in_use * const.SHED_SHARE)
-    return proved._replace(limit=limit, shed_ms=now_ms)
+    if already_lowered:
+        return answered
+    shed_limit = max(1.0, in_use * const.SHED_SHARE)
+    return answered._replace(shed_limit=shed_limit, shed_ms=now_ms)
 
 
-def _is_out(world: world_module.World, upstream: ids.UpstreamId) -> bool:
+def _is_ejected(world: world_module.World, upstream: ids.UpstreamId) -> bool:
     row = world.upstreams.get(upstream)
     return row is not None and row.on_trial
--- a/tests/core/components/upstreams/test_upstreams.py
+++ b/tests/core/components/upstreams/test_upstreams.py
@@ -1,4 +1,4 @@
-"""Mistrust upstreams within bounds, leave out and ramp up again."""
+"""Check ejection, trial, ramp-up and load reports of upstreams."""
 
 from core.components.slots import asking
 import hypothesis
@@ -23,46 +23,46 @@
 
 
 def report(world, now_ms, upstream=FIRST, **fields):
-    told = {'healthy': True, 'in_flight': 0, **fields}
-    list(core.tick(world, now_ms, [inp.UpstreamReport(upstream, **told)]))
+    values = {'healthy': True, 'in_flight': 0, **fields}
+    list(core.tick(world, now_ms, [inp.UpstreamReport(upstream, **values)]))
 
 
 def attempts(world, now_ms, count, end, upstream=FIRST):
-    """Let attempts at one upstream end, none of them at another."""
-    others = {
+    """Make attempts at one upstream only, each ending with ``end``."""
+    other_upstreams = {
         name: row
         for name, row in world.states['in-force'].upstreams.items()
         if row.service == 'pricebook' and name != upstream
     }
     for number in range(count):
-        avoid = next(iter(others), None)
+        avoid = next(iter(other_upstreams), None)
         answers = asking.tell(world, now_ms, asking.ask(number, avoid=avoid))
         assert answers[0].upstream == upstream
         asking.tell(world, now_ms, asking.give_back(number, end))
 
 
-def test_failures_in_a_row_leave_an_upstream_out_until_a_trial():
+def test_failures_in_a_row_eject_an_upstream_until_a_trial():
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, const.FAILURES_MAX, slots.SlotEnd.FAILED)
     assert usable(world, 2.0) == 0
-    back_ms = 1.0 + const.LEFT_OUT_MS
-    assert usable(world, back_ms) == 1
-    attempts(world, back_ms, 1, slots.SlotEnd.SERVED)
-    assert usable(world, back_ms) == 1
-    assert usable(world, back_ms + const.RAMP_MS * 0.7) == 2
-    assert usable(world, back_ms + const.RAMP_MS) == 3
+    trial_ms = 1.0 + const.EJECTION_MS
+    assert usable(world, trial_ms) == 1
+    attempts(world, trial_ms, 1, slots.SlotEnd.SERVED)
+    assert usable(world, trial_ms) == 1
+    assert usable(world, trial_ms + const.RAMP_MS * 0.7) == 2
+    assert usable(world, trial_ms + const.RAMP_MS) == 3
 
 
-def test_a_failed_trial_leaves_it_out_for_longer():
+def test_a_failed_trial_ejects_an_upstream_for_longer():
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, const.FAILURES_MAX, slots.SlotEnd.FAILED)
-    back_ms = 1.0 + const.LEFT_OUT_MS
-    attempts(world, back_ms, 1, slots.SlotEnd.FAILED)
-    assert usable(world, back_ms + const.LEFT_OUT_MS) == 0
-    assert usable(world, back_ms + const.LEFT_OUT_MAX_MS) == 1
+    trial_ms = 1.0 + const.EJECTION_MS
+    attempts(world, trial_ms, 1, slots.SlotEnd.FAILED)
+    assert usable(world, trial_ms + const.EJECTION_MS) == 0
+    assert usable(world, trial_ms + const.EJECTION_MAX_MS) == 1
 
 
-def test_never_more_than_half_of_the_upstreams_are_left_out():
+def test_at_most_half_of_the_upstreams_are_ejected():
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, const.FAILURES_MAX, slots.SlotEnd.FAILED)
     for number in range(20):
@@ -74,7 +74,7 @@
     assert usable(world, 3.0, 'pricebook-2') == 3
 
 
-def test_successes_between_failures_keep_an_upstream_in():
+def test_successes_between_failures_prevent_an_ejection():
     world = asking.world_with(upstreams=2)
     for _ in range(5):
         attempts(world, 1.0, const.FAILURES_MAX - 1, slots.SlotEnd.FAILED)
@@ -82,13 +82,13 @@
     assert usable(world, 2.0) == 3
 
 
-def test_a_timeout_counts_only_after_ample_time():
+def test_timeouts_do_not_eject_an_upstream():
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, 20, slots.SlotEnd.TIMED_OUT)
     assert usable(world, 2.0) == 3
 
 
-def test_sheds_cut_the_believed_slots_for_a_moment():
+def test_shed_requests_lower_the_usable_slots_for_a_while():
     world = asking.world_with(slots=4)
     asking.tell(world, 1.0, *map(asking.ask, range(4)))
     shed = asking.give_back(0, slots.SlotEnd.SHED)
@@ -108,39 +108,41 @@
         ([90] * 7, 4),
     ],
 )
-def test_a_told_load_takes_a_bounded_part_of_the_slots(reports, expected):
+def test_a_reported_load_takes_a_bounded_share_of_the_slots(reports, expected):
     world = asking.world_with(slots=4)
     asking.tell(world, 1.0, *map(asking.ask, range(4)))
     report(world, 1.0, in_flight=4)
-    for number, told in enumerate(reports):
-        report(world, 2.0 + number, in_flight=told)
+    for number, in_flight in enumerate(reports):
+        report(world, 2.0 + number, in_flight=in_flight)
     assert usable(world, 10.0) == expected
     stale_ms = 10.0 + const.REPORT_STALE_MS
     assert usable(world, stale_ms) == 4
 
 
-def test_told_ill_health_counts_only_without_own_proof():
+def test_reported_ill_health_counts_only_without_a_recent_answer():
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, 1, slots.SlotEnd.SERVED)
     report(world, 2.0, healthy=False)
     assert usable(world, 2.0) == 3
-    late_ms = 2.0 + const.PROOF_MS
+    late_ms = 2.0 + const.ANSWER_TRUST_MS
     report(world, late_ms, healthy=False)
     assert usable(world, late_ms) == 0
-    back_ms = late_ms + const.LEFT_OUT_MS
-    report(world, back_ms, healthy=False)
-    assert usable(world, back_ms) == 1
+    trial_ms = late_ms + const.EJECTION_MS
+    report(world, trial_ms, healthy=False)
+    assert usable(world, trial_ms) == 1
 
 
-def test_told_ill_health_of_all_leaves_half_in():
+def test_reported_ill_health_of_all_ejects_only_half():
     world = asking.world_with(upstreams=4)
     for upstream in [f'pricebook-{n}' for n in range(1, 5)]:
         report(world, 9_000.0, upstream, healthy=False)
-    found = [usable(world, 9_001.0, f'pricebook-{n}') for n in range(1, 5)]
-    assert sorted(found) == [0, 0, 3, 3]
+    usable_slots = [
+        usable(world, 9_001.0, f'pricebook-{n}') for n in range(1, 5)
+    ]
+    assert sorted(usable_slots) == [0, 0, 3, 3]
 
 
-def test_a_leaving_upstream_gets_no_grant_from_its_report_on():
+def test_a_leaving_upstream_gets_no_grants_after_its_report():
     world = asking.world_with(upstreams=2)
     report(world, 2.0, leaving=True)
     answers = asking.tell(world, 2.0, *map(asking.ask, range(4)))
@@ -174,17 +176,19 @@
         st.booleans(),
         out_until_ms=st.floats(0.0, 1e5),
         on_trial=st.booleans(),
-        since_ms=st.none() | st.floats(0.0, 1e5),
-        limit=st.none() | st.floats(1.0, 50.0),
+        ramp_start_ms=st.none() | st.floats(0.0, 1e5),
+        shed_limit=st.none() | st.floats(1.0, 50.0),
         shed_ms=st.floats(0.0, 1e5),
         excess=st.integers(0, 1000),
-        heard_ms=st.none() | st.floats(0.0, 1e5),
+        reported_ms=st.none() | st.floats(0.0, 1e5),
     ),
     st.integers(0, 20),
     st.floats(1e5, 2e5),
 )
-def test_no_belief_exceeds_the_declared_slots(health, declared, now_ms):
-    found = capacity.usable_slots(health, declared, now_ms)
-    assert 0 <= found <= declared
+def test_usable_slots_never_exceed_the_declared_slots(
+    health, declared, now_ms
+):
+    usable_slots = capacity.usable_slots(health, declared, now_ms)
+    assert 0 <= usable_slots <= declared
     if declared and not health.leaving:
-        assert found >= 1
+        assert usable_slots >= 1
