State what inputs, outputs, timers and verdicts mean

Docstrings in the root of the core spoke of telling, asking and going away. They now name the event or the request, and the condition for a timer to fire. `Notify.item` is `notification`, `buckets.Taken` is `TakeResult`, and the parameters of `buckets.take` are `refill_per_s` and `capacity`. None of these names leaves the process. Tests are named after the behaviour that they check.

make check passed; pytest tests/core and the doctests of the core passed.

--- a/packages/core/src/zinnialead_core/__init__.py
+++ b/packages/core/src/zinnialead_core/__init__.py
@@ -1,7 +1,7 @@
-"""Decide everything that zinnialead decides, without I/O or a clock.
+"""Make all decisions of zinnialead, without I/O or a clock.
 
-The names of the world that tickets drive are loaded when they are first
-used: an entry that runs the gateway's world starts sooner without them.
+The names of this package are imported when they are first used: an entry
+that runs ``zinnialead_core.gateway`` does without them and starts sooner.
 """
 
 import importlib
@@ -40,7 +40,7 @@
 
 
 def __getattr__(name: str) -> object:
-    """Return a name of this package from the module that defines it."""
+    """Import a name of this package from the module that defines it."""
     if name not in _MODULES:
         raise AttributeError(f'{__name__} has no {name!r}')
     module = importlib.import_module(f'{__name__}.{_MODULES[name]}')
--- a/packages/core/src/zinnialead_core/buckets.py
+++ b/packages/core/src/zinnialead_core/buckets.py
@@ -1,4 +1,4 @@
-"""Bound a rate by a token bucket, whose row its owner keeps."""
+"""Limit rates by token buckets; the caller stores the rows."""
 
 import typing
 
@@ -6,14 +6,14 @@
 
 
 class BucketRow(typing.NamedTuple):
-    """Hold how many tokens there were at a time."""
+    """Hold how many tokens a bucket had at ``at_ms``."""
 
     tokens: float
     at_ms: float
 
 
-class Taken(typing.NamedTuple):
-    """Hold a bucket after tokens were asked for, and whether it had them."""
+class TakeResult(typing.NamedTuple):
+    """Hold a bucket after a request for tokens, and whether it had them."""
 
     row: BucketRow
     is_allowed: bool
@@ -22,20 +22,20 @@
 def take(
     row: BucketRow,
     now_ms: float,
-    per_s: float,
-    most: float,
+    refill_per_s: float,
+    capacity: float,
     cost: float = 1.0,
-) -> Taken:
-    """Return a bucket filled up to now, less ``cost`` if it holds so much.
+) -> TakeResult:
+    """Refill a bucket up to now and take ``cost`` tokens if it has them.
 
     >>> full = BucketRow(1.0, 0.0)
     >>> take(full, 0.0, 2.0, 5.0).is_allowed
     True
     >>> take(BucketRow(0.0, 0.0), 400.0, 2.0, 5.0)
-    Taken(row=BucketRow(tokens=0.8, at_ms=400.0), is_allowed=False)
+    TakeResult(row=BucketRow(tokens=0.8, at_ms=400.0), is_allowed=False)
     """
-    gained = (now_ms - row.at_ms) * per_s / MS_PER_S
-    tokens = min(most, row.tokens + gained)
+    refilled = (now_ms - row.at_ms) * refill_per_s / MS_PER_S
+    tokens = min(capacity, row.tokens + refilled)
     is_allowed = tokens >= cost
-    left = tokens - cost if is_allowed else tokens
-    return Taken(BucketRow(left, now_ms), is_allowed)
+    remaining = tokens - cost if is_allowed else tokens
+    return TakeResult(BucketRow(remaining, now_ms), is_allowed)
--- a/packages/core/src/zinnialead_core/components/__init__.py
+++ b/packages/core/src/zinnialead_core/components/__init__.py
@@ -1,1 +1,1 @@
-"""Group the core's components, one folder each."""
+"""Contain the core's components, one package each."""
--- a/packages/core/src/zinnialead_core/dump.py
+++ b/packages/core/src/zinnialead_core/dump.py
@@ -1,4 +1,4 @@
-"""Describe the whole state of an entry on request."""
+"""Build the dump of an entry's whole state."""
 
 import typing
 
@@ -15,7 +15,7 @@
 
 
 class Dump(typing.TypedDict):
-    """Show every component's part of an entry's state."""
+    """Hold every component's part of the dump."""
 
     entry: str
     incarnation: int
@@ -34,7 +34,7 @@
 
 
 def dump(world: world_module.World) -> Dump:
-    """Return the state of an entry without keys, bodies or secrets."""
+    """Return the state of an entry, without keys, bodies or secrets."""
     return Dump(
         entry=world.node.ref.entry,
         incarnation=world.node.ref.incarnation,
--- a/packages/core/src/zinnialead_core/ids.py
+++ b/packages/core/src/zinnialead_core/ids.py
@@ -1,4 +1,4 @@
-"""Name the things that the core's tables are keyed by."""
+"""Define the types of the keys of the core's tables."""
 
 import typing
 
@@ -13,14 +13,14 @@
 
 
 class EntryRef(typing.NamedTuple):
-    """Name one run of an entry: a restarted entry has a new incarnation."""
+    """Identify one run of an entry; a restart gives a new incarnation."""
 
     entry: EntryId
     incarnation: int
 
 
 class AskId(typing.NamedTuple):
-    """Name one attempt of one request, unique over the whole fleet."""
+    """Identify one attempt of one request, uniquely within the fleet."""
 
     asker: EntryRef
     request_id: RequestId
--- a/packages/core/src/zinnialead_core/inputs.py
+++ b/packages/core/src/zinnialead_core/inputs.py
@@ -1,4 +1,4 @@
-"""Define everything that the outside can tell the core."""
+"""Define the inputs of a tick, from outside or between systems."""
 
 import dataclasses
 
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """Report a caller's request; ``deadline_ms`` is on the core's clock."""
+    """Report a request of a caller; times are on the core's clock."""
 
     request_id: ids.RequestId
     service: ids.ServiceId
@@ -27,14 +27,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerDisconnected:
-    """Report that the caller of a request went away."""
+    """Report that the caller of a request closed its connection."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStarted:
-    """Report that an upstream began an answer too large to hold back."""
+    """Report that an upstream began an answer too large to buffer."""
 
     request_id: ids.RequestId
     attempt: int
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamReport:
-    """Report what an upstream says of itself; its word is not trusted."""
+    """Report the state that an upstream claims; it may be wrong."""
 
     upstream: ids.UpstreamId
     healthy: bool
@@ -63,7 +63,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """Deliver a message from another entry or from this one."""
+    """Deliver a message of another entry or of this one."""
 
     sender: ids.EntryRef
     message: object
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSeen:
-    """Report one entry that the platform's list of VMs names."""
+    """Report one entry of the platform's list of VMs."""
 
     entry: ids.EntryId
     domain: ids.DomainId
@@ -89,42 +89,42 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateRead:
-    """Report a state read from the platform's store or given at start."""
+    """Report a state read from the platform's store or given at startup."""
 
     state: tickets.State
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateChanged:
-    """Tell the systems that another ticket is in force."""
+    """Notify the systems that a newer ticket is in force."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberLost:
-    """Tell the systems that an entry is taken for dead."""
+    """Notify the systems that an entry was declared dead."""
 
     ref: ids.EntryRef
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberJoined:
-    """Tell the systems that an entry, or a new run of one, is alive."""
+    """Notify the systems that an entry, or a new run of one, is alive."""
 
     ref: ids.EntryRef
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberChanged:
-    """Tell the systems that a live entry is suspected, leaving, or well."""
+    """Notify the systems that a live entry is suspected, leaving or well."""
 
     ref: ids.EntryRef
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRequested:
-    """Tell the keys system to claim a request's key."""
+    """Ask the keys system to claim a request's key."""
 
     request_id: ids.RequestId
     key: ids.Key
@@ -134,28 +134,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """Tell the requests system that its request may ask for a slot."""
+    """Notify the requests system that its request may ask for a slot."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfirmationRequested:
-    """Tell the keys system that a request with a claim has its slot."""
+    """Ask the keys system to confirm the claim of a request with a slot."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimConfirmed:
-    """Tell the requests system that its request may be sent."""
+    """Notify the requests system that its request may be sent."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimDenied:
-    """Tell the requests system why its request's key may not be used."""
+    """Notify the requests system why its request's key was denied."""
 
     request_id: ids.RequestId
     denial: keys.Denial
@@ -163,7 +163,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimEnded:
-    """Tell the keys system how the work under a key ended."""
+    """Notify the keys system how the work under a key ended."""
 
     request_id: ids.RequestId
     outcome: verdict.Outcome
@@ -171,14 +171,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimClosed:
-    """Tell that registrars have confirmed how a request's work ended."""
+    """Report that the registrars recorded how a request's work ended."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotRequested:
-    """Tell the slots system that a request waits for a slot."""
+    """Ask the slots system for a slot for a request."""
 
     request_id: ids.RequestId
     attempt: int
@@ -186,10 +186,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotReleased:
-    """Tell the slots system that a request needs its slot no more.
+    """Notify the slots system that a request no longer needs its slot.
 
-    ``outcome`` is how the attempt ended, None where none was made;
-    ``timed_out`` says that the request's deadline ended it.
+    ``outcome`` is how the attempt ended, None if none was made;
+    ``timed_out`` is set if the request's deadline ended it.
     """
 
     request_id: ids.RequestId
@@ -202,7 +202,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotHeld:
-    """Tell the requests system which upstream it may use."""
+    """Notify the requests system which upstream its request may use."""
 
     request_id: ids.RequestId
     attempt: int
@@ -211,7 +211,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotRefused:
-    """Tell the requests system that it gets no slot."""
+    """Notify the requests system why its request gets no slot."""
 
     request_id: ids.RequestId
     attempt: int
@@ -220,12 +220,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
-    """Ask the entry to stop without cutting a request in flight."""
+    """Ask the entry to stop once the requests in flight have ended."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimerDue:
-    """Report that a timer's time has come."""
+    """Report that a timer is due."""
 
     timer: timers.Timer
 
--- a/packages/core/src/zinnialead_core/messages.py
+++ b/packages/core/src/zinnialead_core/messages.py
@@ -1,4 +1,4 @@
-"""Name every message that entries send each other."""
+"""List every message that entries send each other."""
 
 from zinnialead_core.components.keys import messages as keys
 from zinnialead_core.components.members import messages as members
--- a/packages/core/src/zinnialead_core/outputs.py
+++ b/packages/core/src/zinnialead_core/outputs.py
@@ -1,4 +1,4 @@
-"""Define everything that the core can ask of the outside."""
+"""Define the outputs of a tick: what the application must do."""
 
 import dataclasses
 import typing
@@ -13,14 +13,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notify:
-    """Hand an input to the systems within the same tick."""
+    """Pass an input to the systems within the same tick."""
 
-    item: 'inputs.Input'
+    notification: 'inputs.Input'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendPeer:
-    """Send a message to an entry; one to itself stays in the tick."""
+    """Send a message to an entry; one to itself stays in the same tick."""
 
     entry: ids.EntryId
     message: object
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relay:
-    """Give the caller the upstream's answer of this attempt."""
+    """Forward the upstream's answer of this attempt to the caller."""
 
     request_id: ids.RequestId
     attempt: int
@@ -56,7 +56,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replay:
-    """Give the caller the answer recorded under the request's key."""
+    """Send the caller the answer recorded under the request's key."""
 
     request_id: ids.RequestId
     status: int
@@ -92,7 +92,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stopped:
-    """Tell the application that nothing is in flight any more."""
+    """Report that the entry has stopped and no request is in flight."""
 
 
 Output = (
--- a/packages/core/src/zinnialead_core/systems.py
+++ b/packages/core/src/zinnialead_core/systems.py
@@ -1,4 +1,4 @@
-"""Run the systems over the tables, in one written order."""
+"""Run the systems over the tables, in a fixed order."""
 
 from collections import abc
 
@@ -16,7 +16,7 @@
 from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
-# Each system sees what the ones before it wrote in the same pass.
+# Each system sees what the systems before it wrote in the same pass.
 SYSTEMS = (
     store.run,
     tickets.run,
@@ -35,38 +35,38 @@
     now_ms: float,
     inputs: abc.Iterable[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Yield what the outside must do about ``inputs`` and due timers.
+    """Yield the outputs that ``inputs`` and the due timers lead to.
 
-    The systems run again over what they tell each other, until nothing
-    is left to tell. That the entry has stopped is the last thing told.
+    The systems run again over the inputs that they give each other, until
+    there are none left. ``Stopped`` is always the last output.
     """
-    due = timers.pop_due(world.timers, now_ms)
-    batch = [*inputs, *map(inp.TimerDue, due)]
+    due_timers = timers.pop_due(world.timers, now_ms)
+    batch = [*inputs, *map(inp.TimerDue, due_timers)]
     stopped: list[out.Stopped] = []
     while batch:
-        told: list[inp.Input] = []
-        for output in _one_pass(world, now_ms, batch):
+        next_batch: list[inp.Input] = []
+        for output in _run_once(world, now_ms, batch):
             match output:
-                case out.Notify(item):
-                    told.append(item)
+                case out.Notify(notification):
+                    next_batch.append(notification)
                 case out.SendPeer(entry, message) if (
                     entry == world.node.ref.entry
                 ):
-                    told.append(inp.PeerMessage(world.node.ref, message))
+                    next_batch.append(inp.PeerMessage(world.node.ref, message))
                 case out.Stopped():
                     stopped = [output]
                 case _:
                     yield output
-        batch = told
+        batch = next_batch
     yield from stopped
 
 
 def next_due_ms(world: world_module.World) -> float | None:
-    """Return when the next tick is due without an input, if at all."""
+    """Return when the next tick is due without an input, None if never."""
     return timers.next_due_ms(world.timers)
 
 
-def _one_pass(
+def _run_once(
     world: world_module.World,
     now_ms: float,
     batch: abc.Sequence[inp.Input],
--- a/packages/core/src/zinnialead_core/timers.py
+++ b/packages/core/src/zinnialead_core/timers.py
@@ -1,4 +1,4 @@
-"""Keep the timers that tell the core when to run next."""
+"""Define the core's timers and the table that holds them."""
 
 from collections import abc
 import dataclasses
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestDeadline:
-    """Fire when a request's time is over."""
+    """Fire at a request's deadline."""
 
     request_id: ids.RequestId
 
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimTimeout:
-    """Fire when a registrar has not answered a claim."""
+    """Fire when a registrar has not answered a claim in time."""
 
     request_id: ids.RequestId
     step: int
@@ -32,33 +32,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeysExpiry:
-    """Fire when records of keys may be dropped."""
+    """Fire when expired records of keys may be deleted."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BindDue:
-    """Fire when a shard of the keys' bindings may be asked for."""
+    """Fire when a shard of the key bindings may be read or written."""
 
     shard: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskTimeout:
-    """Fire when a slot owner has not answered."""
+    """Fire when a slot owner has not answered in time."""
 
     ask_id: ids.AskId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueExpiry:
-    """Fire when a queued ask's time is over."""
+    """Fire at the deadline of a queued request for a slot."""
 
     ask_id: ids.AskId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotsDue:
-    """Fire when a slot owner has queued work to look at again."""
+    """Fire when a slot owner must check its queues again."""
 
     service: ids.ServiceId
 
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeTimeout:
-    """Fire when a probed peer has not answered."""
+    """Fire when a probed peer has not answered in time."""
 
     entry: ids.EntryId
     sequence: int
@@ -78,19 +78,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspicionTimeout:
-    """Fire when a suspected entry is to be taken for dead."""
+    """Fire when a suspected entry is to be declared dead."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipDue:
-    """Fire when urgent news of members is to be pushed."""
+    """Fire when urgent news of members is to be pushed to peers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SpreadRound:
-    """Fire when the state in force is compared with a peer's."""
+    """Fire when a peer has not answered a request for a newer state."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,12 +100,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadRound:
-    """Fire when loads are exchanged."""
+    """Fire when the next load reports are due."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamDue:
-    """Fire when an upstream's state is to be looked at again."""
+    """Fire when an upstream's state must be checked again."""
 
     upstream: ids.UpstreamId
 
@@ -130,7 +130,8 @@
 )
 
 
-# The heap is rebuilt when it holds this many stale entries.
+# The heap is rebuilt when it holds this many entries more than twice the
+# number of timers.
 STALE_MAX = 1_000
 
 
@@ -138,7 +139,11 @@
 
 
 class TimerTable(typing.NamedTuple, typing.Generic[T]):
-    """Hold due times by timer, and a heap with stale entries left in."""
+    """Hold the due time of each timer, and a heap to find the next one.
+
+    The heap keeps entries of stopped and reset timers; an entry counts
+    only if its time is the one in ``due_ms``.
+    """
 
     due_ms: dict[T, float]
     heap: list[tuple[float, int, T]]
@@ -151,7 +156,7 @@
 
 
 def start(table: TimerTable[T], timer: T, due_ms: float) -> None:
-    """Set a timer, in place of an earlier setting of the same one."""
+    """Start a timer, or reset it if it is already started."""
     table.due_ms[timer] = due_ms
     table.sequence[0] += 1
     heapq.heappush(table.heap, (due_ms, table.sequence[0], timer))
@@ -167,12 +172,12 @@
 
 
 def stop(table: TimerTable[T], timer: T) -> None:
-    """Forget a timer."""
+    """Stop a timer, if it was started."""
     table.due_ms.pop(timer, None)
 
 
 def next_due_ms(table: TimerTable[T]) -> float | None:
-    """Return when the earliest timer is due, or None without timers."""
+    """Return when the earliest timer is due, None without timers."""
     while table.heap:
         due_ms, _, timer = table.heap[0]
         if table.due_ms.get(timer) == due_ms:
@@ -182,7 +187,7 @@
 
 
 def pop_due(table: TimerTable[T], now_ms: float) -> abc.Iterator[T]:
-    """Yield the timers due by ``now_ms`` in order, and forget them."""
+    """Remove the timers due by ``now_ms`` and yield them in order."""
     while (due_ms := next_due_ms(table)) is not None and due_ms <= now_ms:
         _, _, timer = heapq.heappop(table.heap)
         del table.due_ms[timer]
--- a/packages/core/src/zinnialead_core/verdict.py
+++ b/packages/core/src/zinnialead_core/verdict.py
@@ -1,4 +1,4 @@
-"""Say whether a request may have run, and why it was refused."""
+"""Define the outcomes of attempts and the refusals of requests."""
 
 import dataclasses
 import enum
@@ -6,7 +6,7 @@
 
 
 class Verdict(enum.StrEnum):
-    """Say what is known about the effect of a request."""
+    """Define whether a request took effect, as far as is known."""
 
     RAN = 'ran'
     NOT_RUN = 'not-run'
@@ -14,7 +14,7 @@
 
 
 class Reason(enum.StrEnum):
-    """Name the cause of a refusal."""
+    """Define the reasons for a refusal."""
 
     BAD_REQUEST = 'bad-request'
     UNKNOWN_SERVICE = 'unknown-service'
@@ -40,7 +40,7 @@
 
 
 class Refusal(typing.NamedTuple):
-    """Answer a request without the answer of an upstream."""
+    """Hold an answer that the entry gives in place of an upstream's."""
 
     verdict: Verdict
     reason: Reason
@@ -50,10 +50,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """Report a whole answer of an upstream.
+    """Report a complete answer of an upstream.
 
     ``record`` is the encoded answer to replay under the request's key, or
-    None where it was too large to keep.
+    None if it was too large to keep.
     """
 
     status: int
@@ -76,12 +76,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NeverStarted:
-    """Report a cancellation that the upstream acknowledged as unstarted."""
+    """Report a cancelled request that, says the upstream, never started."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
-    """Report that the request was sent and its end is unknown."""
+    """Report that the request was sent and its outcome is unknown."""
 
     detail: str = ''
 
@@ -90,7 +90,7 @@
 
 
 def verdict_of(outcome: Outcome) -> Verdict:
-    """Return what an attempt's outcome says about the request's effect.
+    """Return whether a request took effect, by its attempt's outcome.
 
     >>> verdict_of(Shed()).value
     'not-run'
--- a/packages/core/src/zinnialead_core/world.py
+++ b/packages/core/src/zinnialead_core/world.py
@@ -1,4 +1,4 @@
-"""Hold the tables that the systems run over."""
+"""Define the tables that the systems run over."""
 
 import collections
 import random
@@ -18,7 +18,7 @@
 
 
 class NodeRow(typing.NamedTuple):
-    """Say which entry this is, and where peers and callers reach it."""
+    """Describe this entry, and where peers and callers reach it."""
 
     ref: ids.EntryRef
     domain: ids.DomainId
@@ -52,7 +52,7 @@
 
 
 def new_world(node: NodeRow, seed: int) -> World:
-    """Return the tables of an entry that knows only itself."""
+    """Return the tables of an entry that knows no peers yet."""
     return World(
         node=node,
         states={'in-force': tickets.empty_state()},
--- a/tests/core/samples.py
+++ b/tests/core/samples.py
@@ -1,4 +1,4 @@
-"""Give the core's tests small worlds and requests."""
+"""Build small worlds and requests for the core's tests."""
 
 import zinnialead_core as core
 from zinnialead_core.components import keys
@@ -47,10 +47,10 @@
 
 def world(slots: int = 3) -> core.World:
     node = world_module.NodeRow(REF, DOMAIN, 'kigali', '127.0.0.1:0')
-    made = core.new_world(node, seed=1)
-    seen = inp.PeerSeen(REF.entry, DOMAIN, '127.0.0.1:0')
-    list(core.tick(made, 0.0, [seen, inp.StateRead(state(slots))]))
-    return made
+    new_world = core.new_world(node, seed=1)
+    own_entry = inp.PeerSeen(REF.entry, DOMAIN, '127.0.0.1:0')
+    list(core.tick(new_world, 0.0, [own_entry, inp.StateRead(state(slots))]))
+    return new_world
 
 
 def issued_key(nonce: str, issued_ms: float = 0.0) -> str:
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -1,4 +1,4 @@
-"""Take requests through one entry's tick."""
+"""Test requests from end to end through the ticks of one entry."""
 
 from core import samples
 import zinnialead_core as core
@@ -28,8 +28,8 @@
     [refusal] = core.tick(world, 5.0, [])
     assert refusal.refusal.reason is verdict.Reason.KEY_IN_PROGRESS
     assert refusal.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
-    waits = samples.request(3, service='intake', key=key)
-    assert list(core.tick(world, 6.0, [waits])) == []
+    third = samples.request(3, service='intake', key=key)
+    assert list(core.tick(world, 6.0, [third])) == []
     done = inp.DispatchDone(1, 1, verdict.Answered(201, b'booked'))
     outputs = list(core.tick(world, 10.0, [done]))
     assert outputs == [out.Relay(1, 1), out.Replay(3, 201, b'booked')]
@@ -39,7 +39,7 @@
     assert dispatch.idempotent is False
 
 
-def test_waiting_work_is_granted_most_urgent_first():
+def test_queued_requests_are_granted_by_rank():
     world = samples.world(slots=1)
     list(core.tick(world, 0.0, [samples.request(1)]))
     later = [samples.request(2, rank='night'), samples.request(3)]
@@ -49,7 +49,7 @@
     assert [x.request_id for x in outputs] == [1, 3]
 
 
-def test_a_deadline_in_the_queue_is_a_true_not_run():
+def test_a_deadline_in_the_queue_is_refused_as_not_run():
     world = samples.world(slots=1)
     list(core.tick(world, 0.0, [samples.request(1)]))
     late = samples.request(2, deadline_ms=50.0)
@@ -67,7 +67,7 @@
     assert outputs == [out.Relay(1, 1), out.Stopped()]
 
 
-def test_a_key_that_was_not_looked_at_may_have_run():
+def test_a_refusal_before_the_key_was_checked_is_may_have_run():
     world = samples.world()
     key = samples.issued_key('k')
     for late in (
@@ -81,7 +81,7 @@
     assert refusal.refusal.verdict is verdict.Verdict.NOT_RUN
 
 
-def test_a_stop_is_told_after_what_came_with_it():
+def test_stopped_is_the_last_output_of_its_tick():
     world = samples.world()
     inputs = [inp.StopRequested(), samples.request(1)]
     [refusal, stopped] = core.tick(world, 0.0, inputs)
@@ -89,19 +89,19 @@
     assert stopped == out.Stopped()
 
 
-def test_a_stop_waits_until_registrars_know_how_work_ended():
+def test_a_stop_waits_until_registrars_acknowledge_the_end():
     world = samples.world()
-    other = ids.EntryRef('entry-2', 1)
-    key = f'{keys.prefix(samples.REF, other, 0.0)}.n'
+    registrar = ids.EntryRef('entry-2', 1)
+    key = f'{keys.prefix(samples.REF, registrar, 0.0)}.n'
     list(core.tick(world, 0.0, [samples.request(1, 'intake', key=key)]))
     claim = world.claims[1]
     ask_id = ids.AskId(samples.REF, 1, 0)
     granted = keys.ClaimAnswer(claim.key, ask_id, keys.Granted())
-    list(core.tick(world, 1.0, [inp.PeerMessage(other, granted)]))
+    list(core.tick(world, 1.0, [inp.PeerMessage(registrar, granted)]))
     list(core.tick(world, 2.0, [inp.StopRequested()]))
     done = inp.DispatchDone(1, 1, verdict.Answered(200))
     outputs = list(core.tick(world, 9.0, [done]))
     assert out.Stopped() not in outputs
     ack = keys.ClaimEndAck(claim.key, ask_id, 1)
-    outputs = list(core.tick(world, 10.0, [inp.PeerMessage(other, ack)]))
+    outputs = list(core.tick(world, 10.0, [inp.PeerMessage(registrar, ack)]))
     assert outputs == [out.Stopped()]
