Name the steps of the store's tasks after what they do

`set_up`, `step`, `done`, `_run`, `_call`, `_next` and `_alone` were vague. They are `plan_first_calls`, `make_due_calls`, `finish_call`, `_run_task`, `_plan_call`, `_plan_next` and `_has_no_contact`; `lost_calls` is `overdue_calls` and `OpenRow` is `OpenCallRow`. Comments and docstrings of calls, results and constants state the condition that they mean. The detail of an overdue call reads "no result in time" instead of "no end"; nothing matches it. The tests are in test_tasks.py, which mirrors tasks.py, and count the same calls against the same bounds.

--- a/packages/core/src/zinnialead_core/components/store/calls.py
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Watch:
-    """Wait for a version of an object newer than ``version``."""
+    """Wait for an object to get a version newer than ``version``."""
 
     name: str
     version: int
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Create:
-    """Write an object that must not exist yet."""
+    """Create an object that must not exist yet."""
 
     name: str
     value: bytes
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
-    """Write an object that must still be at ``version``."""
+    """Replace an object that must still be at ``version``."""
 
     name: str
     value: bytes
@@ -40,14 +40,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListVms:
-    """Read a page of the platform's list of VMs, after a name."""
+    """Read the page of the platform's list of VMs that follows ``after``."""
 
     name: str = 'vms'
     after: str = ''
 
 
 class BindingRow(typing.NamedTuple):
-    """Bind a key that a caller chose to an issued one."""
+    """Map a key that a caller chose to the key issued for it."""
 
     key: ids.Key
     issued: ids.Key
@@ -55,14 +55,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadBindings:
-    """Read one shard of the bindings of keys."""
+    """Read one shard of the key bindings."""
 
     name: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteBindings:
-    """Write a shard that must be at ``version``, or absent for None."""
+    """Write a shard that must be at ``version``, or must not exist if None."""
 
     name: str
     rows: tuple[BindingRow, ...]
@@ -74,7 +74,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Found:
-    """Report an object as read, watched or written."""
+    """Report an object after it was read, watched or written."""
 
     name: str
     value: bytes
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundBindings:
-    """Report a shard of the bindings as read or written."""
+    """Report a shard of bindings after it was read or written."""
 
     name: str
     rows: tuple[BindingRow, ...]
@@ -106,9 +106,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
-    """Report that VMs were listed, each as a ``PeerSeen``.
+    """Report that a page of VMs was read; each is its own ``PeerSeen``.
 
-    The next page begins after ``next_after``; the last one has none.
+    The next page begins after ``next_after``, empty for the last page.
     """
 
     name: str = 'vms'
@@ -117,21 +117,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
-    """Report that the object is at another version: nothing written."""
+    """Report that nothing was written: the object has another version."""
 
     name: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TooOld:
-    """Report that the store no longer knows the watch's version."""
+    """Report that the store no longer has the version of the watch."""
 
     name: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Report that the store shed the call: nothing was written."""
+    """Report that the store shed the call and wrote nothing."""
 
     name: str
     retry_after_ms: float
@@ -139,7 +139,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """Report a call without an answer; a write may have taken effect."""
+    """Report that a call got no answer; a write may have taken effect."""
 
     name: str
     detail: str
--- a/packages/core/src/zinnialead_core/components/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/store/coordinator.py
@@ -14,15 +14,15 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Watch the state for the domain, and list the VMs.
+    """Watch the state and list the VMs, if this entry is a reader.
 
     Reads ``members``; writes ``store`` and ``timers``.
     """
-    tasks.set_up(world, now_ms)
+    tasks.plan_first_calls(world, now_ms)
     for item in inputs:
         match item:
             case inp.StoreDone(call_id, result):
-                tasks.done(world, now_ms, call_id, result)
-                yield from tasks.step(world, now_ms)
+                tasks.finish_call(world, now_ms, call_id, result)
+                yield from tasks.make_due_calls(world, now_ms)
             case inp.TimerDue(timers.StoreDue()):
-                yield from tasks.step(world, now_ms)
+                yield from tasks.make_due_calls(world, now_ms)
--- a/packages/core/src/zinnialead_core/components/store/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/store/diagnostics.py
@@ -6,7 +6,7 @@
 
 
 class StoreDump(typing.TypedDict):
-    """Show the open calls and the failures in a row."""
+    """Show the number of open calls and of failures in a row."""
 
     open_calls: int
     failures: int
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -1,4 +1,4 @@
-"""Make calls within this entry's share of the store's rates."""
+"""Limit calls to this entry's share of the store's rates."""
 
 from collections import abc
 
@@ -17,35 +17,37 @@
     call: calls.Call,
     timeout_ms: float = const.CALL_TIMEOUT_MS,
 ) -> out.CallStore | None:
-    """Return the output that makes a call, or None without budget.
+    """Return the output that makes a call, None if it is over budget.
 
-    Its end comes as a ``StoreDone`` of the same ``call_id``.
+    The result arrives as a ``StoreDone`` with the same ``call_id``.
     """
-    if not _affordable(world, now_ms, _budget(call)):
+    if not _take_from_budget(world, now_ms, _budget_for(call)):
         world.counters['store.over_budget'] += 1
         return None
     world.store.sequence[0] += 1
     call_id = world.store.sequence[0]
     deadline_ms = now_ms + timeout_ms
-    world.store.open_calls[call_id] = models.OpenRow(call, deadline_ms)
+    world.store.open_calls[call_id] = models.OpenCallRow(call, deadline_ms)
     return out.CallStore(call_id, call, deadline_ms)
 
 
 def backoff_ms(world: world_module.World, failures: int) -> float:
-    """Return a wait with full jitter, longer after each failure."""
+    """Return a backoff with full jitter, longer after each failure."""
     longest_ms = const.BACKOFF_MIN_MS * 2.0 ** min(failures, 16)
     limit_ms = min(const.BACKOFF_MAX_MS, longest_ms)
     return world.random.uniform(0.0, limit_ms)
 
 
-def lost_calls(world: world_module.World, now_ms: float) -> abc.Iterator[int]:
-    """Yield the open calls whose end should have come long ago."""
+def overdue_calls(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[int]:
+    """Yield the open calls whose result is overdue."""
     for call_id, row in list(world.store.open_calls.items()):
         if now_ms > row.deadline_ms + const.LOST_MARGIN_MS:
             yield call_id
 
 
-def _budget(call: calls.Call) -> models.Budget:
+def _budget_for(call: calls.Call) -> models.Budget:
     match call:
         case calls.Create() | calls.Update() | calls.WriteBindings():
             return models.Budget.WRITES
@@ -58,7 +60,7 @@
             return models.Budget.READS
 
 
-def _affordable(
+def _take_from_budget(
     world: world_module.World, now_ms: float, budget: models.Budget
 ) -> bool:
     full = buckets.BucketRow(const.BURST_CALLS, now_ms)
--- a/packages/core/src/zinnialead_core/components/store/models.py
+++ b/packages/core/src/zinnialead_core/components/store/models.py
@@ -7,31 +7,31 @@
 from zinnialead_core.components.store import calls
 
 
-class OpenRow(typing.NamedTuple):
-    """Hold one open call."""
+class OpenCallRow(typing.NamedTuple):
+    """Hold one call that has no result yet."""
 
     call: calls.Call
     deadline_ms: float
 
 
 class Budget(enum.Enum):
-    """Name the two rates that the store bounds."""
+    """Define the two rates that the store limits."""
 
     READS = 'reads'
     WRITES = 'writes'
 
 
 class Task(enum.Enum):
-    """Name what this entry itself wants of the store."""
+    """Define the repeated calls that this entry makes for itself."""
 
     STATE = 'state'
     LIST = 'list'
 
 
 class TaskRow(typing.NamedTuple):
-    """Hold when a task may call the store next, and its open call.
+    """Hold when a task may call the store next, and its open call if any.
 
-    ``after`` is where a list goes on that is read in pages.
+    ``after`` is where the next page of a list begins, empty at its start.
     """
 
     due_ms: float
@@ -43,11 +43,12 @@
 class StoreTable(typing.NamedTuple):
     """Hold the open calls, the budgets and this entry's tasks.
 
-    ``sequence`` holds the last call's number, ``failures`` how many calls
-    failed in a row, ``version`` the state object's version if known.
+    ``sequence`` holds the number of the last call, ``failures`` how many
+    calls failed in a row, ``version`` the state object's version once it
+    was read.
     """
 
-    open_calls: dict[int, OpenRow]
+    open_calls: dict[int, OpenCallRow]
     sequence: list[int]
     failures: list[int]
     budgets: dict[Budget, buckets.BucketRow]
--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -1,4 +1,4 @@
-"""Choose who reads the store, and read it without bursts."""
+"""Choose the entries that read the store, and schedule their calls."""
 
 from collections import abc
 import typing
@@ -17,15 +17,15 @@
 from zinnialead_core import world as world_module
 
 
-class Planned(typing.NamedTuple):
-    """Hold the call that a task makes next."""
+class PlannedCall(typing.NamedTuple):
+    """Hold the next call of a task."""
 
     call: calls.Call
     timeout_ms: float
 
 
-def set_up(world: world_module.World, now_ms: float) -> None:
-    """Plan the first calls, spread so that a full restart is no burst."""
+def plan_first_calls(world: world_module.World, now_ms: float) -> None:
+    """Plan the first calls, spread out so that a full restart is no burst."""
     if world.store.tasks:
         return
     for task in models.Task:
@@ -34,91 +34,100 @@
     _start_timer(world, now_ms)
 
 
-def step(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
-    """Make the calls that are due, and start the timer of the next."""
-    for call_id in limits.lost_calls(world, now_ms):
-        lost = calls.Failed(
-            world.store.open_calls[call_id].call.name, 'no end'
+def make_due_calls(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Make the calls that are due, and start the timer for the next."""
+    for call_id in limits.overdue_calls(world, now_ms):
+        overdue = calls.Failed(
+            world.store.open_calls[call_id].call.name, 'no result in time'
         )
-        done(world, now_ms, call_id, lost)
+        finish_call(world, now_ms, call_id, overdue)
     for task, row in world.store.tasks.items():
         if row.call_id is not None or now_ms < row.due_ms:
             continue
-        yield from _run(world, now_ms, task, row)
+        yield from _run_task(world, now_ms, task, row)
     _start_timer(world, now_ms)
 
 
-def done(
+def finish_call(
     world: world_module.World,
     now_ms: float,
     call_id: int,
     result: calls.Result,
 ) -> None:
-    """Take in the end of a call, and plan the next if it was a task's."""
+    """Process a call's result, and plan the next if a task made it."""
     world.store.open_calls.pop(call_id, None)
-    _count(world, result)
+    _count_failures(world, result)
     for task, row in world.store.tasks.items():
         if row.call_id == call_id:
-            world.store.tasks[task] = _next(world, now_ms, task, row, result)
+            world.store.tasks[task] = _plan_next(
+                world, now_ms, task, row, result
+            )
             _start_timer(world, now_ms)
 
 
 def is_reader(world: world_module.World) -> bool:
-    """Say whether this entry watches the store for its domain."""
-    me = world.node.ref.entry
-    alive = [
+    """Return whether this entry watches the store for its domain.
+
+    Rendezvous hashing chooses the readers among the live entries.
+    """
+    own_entry = world.node.ref.entry
+    live_entries = [
         row.entry
         for row in views.neighbours(world)
         if row.health is member_models.Health.ALIVE
     ]
-    above = sum(_weight(entry) > _weight(me) for entry in alive)
-    return above < const.READERS_PER_DOMAIN
+    entries_above = sum(
+        _weight(entry) > _weight(own_entry) for entry in live_entries
+    )
+    return entries_above < const.READERS_PER_DOMAIN
 
 
-def _run(
+def _run_task(
     world: world_module.World,
     now_ms: float,
     task: models.Task,
     row: models.TaskRow,
 ) -> abc.Iterator[out.Output]:
-    """Make a task's call, or look again later."""
-    call, timeout_ms = _call(world, task, row)
-    wanted = is_reader(world) or _alone(world)
-    made = (
-        limits.open_call(world, now_ms, call, timeout_ms) if wanted else None
+    """Make a task's call, or check later if it may not be made now."""
+    call, timeout_ms = _plan_call(world, task, row)
+    may_call = is_reader(world) or _has_no_contact(world)
+    output = (
+        limits.open_call(world, now_ms, call, timeout_ms) if may_call else None
     )
-    if made is None:
-        later_ms = now_ms + const.ROLE_CHECK_MS * world.random.uniform(0.5, 1)
-        world.store.tasks[task] = row._replace(due_ms=later_ms)
+    if output is None:
+        check_ms = now_ms + const.ROLE_CHECK_MS * world.random.uniform(0.5, 1)
+        world.store.tasks[task] = row._replace(due_ms=check_ms)
         return
-    world.store.tasks[task] = row._replace(call_id=made.call_id)
-    yield made
+    world.store.tasks[task] = row._replace(call_id=output.call_id)
+    yield output
 
 
-def _call(
+def _plan_call(
     world: world_module.World, task: models.Task, row: models.TaskRow
-) -> Planned:
+) -> PlannedCall:
     match task:
         case models.Task.LIST:
             listing = calls.ListVms(after=row.after)
-            return Planned(listing, const.CALL_TIMEOUT_MS)
+            return PlannedCall(listing, const.CALL_TIMEOUT_MS)
         case models.Task.STATE:
             version = next(iter(world.store.version), None)
             if version is None:
                 read = calls.Read(const.STATE_OBJECT)
-                return Planned(read, const.CALL_TIMEOUT_MS)
+                return PlannedCall(read, const.CALL_TIMEOUT_MS)
             watch = calls.Watch(const.STATE_OBJECT, version)
-            return Planned(watch, const.WATCH_TIMEOUT_MS)
+            return PlannedCall(watch, const.WATCH_TIMEOUT_MS)
 
 
-def _next(
+def _plan_next(
     world: world_module.World,
     now_ms: float,
     task: models.Task,
     row: models.TaskRow,
     result: calls.Result,
 ) -> models.TaskRow:
-    """Return when to call again after a result."""
+    """Return a task's row after a result of its call."""
     match result:
         case calls.Failed() | calls.Conflict():
             wait_ms = limits.backoff_ms(world, row.failures)
@@ -142,7 +151,7 @@
     return models.TaskRow(now_ms, None, 0)
 
 
-def _count(world: world_module.World, result: calls.Result) -> None:
+def _count_failures(world: world_module.World, result: calls.Result) -> None:
     match result:
         case calls.Failed() | calls.Refused():
             world.store.failures[0] += 1
@@ -151,8 +160,11 @@
             world.store.failures[0] = 0
 
 
-def _alone(world: world_module.World) -> bool:
-    """Say whether no peer was ever heard, so that none can tell."""
+def _has_no_contact(world: world_module.World) -> bool:
+    """Return whether no known peer has been in contact yet.
+
+    Such an entry cannot get the state from a peer.
+    """
     return not any(row.incarnation for row in views.others(world))
 
 
--- a/tests/core/components/store/test_policy.py
+++ b/tests/core/components/store/test_tasks.py
@@ -1,4 +1,4 @@
-"""Let entries call a store that works, fails and comes back."""
+"""Test entries against a store that works, fails and recovers."""
 
 import collections
 
@@ -15,28 +15,28 @@
 DOMAINS = {'a': 6, 'b': 6}
 
 
-def answer_all(bag, answer):
-    """Answer the calls made so far, and return them by kind and entry."""
-    found = collections.Counter()
+def answer_calls(bag, answer):
+    """Answer the calls made so far, and count them by kind and entry."""
+    counts = collections.Counter()
     calls, bag.calls = bag.calls, []
     for _, entry, output in calls:
-        found[type(output.call).__name__, entry] += 1
+        counts[type(output.call).__name__, entry] += 1
         result = answer(output.call)
         if result is not None and entry not in bag.dead:
             done = inp.StoreDone(output.call_id, result)
             member_bag.feed(bag, entry, done)
-    return found
+    return counts
 
 
 def run(bag, end_ms, answer, step_ms=100.0):
-    found = collections.Counter()
+    counts = collections.Counter()
     while bag.now_ms < end_ms:
         member_bag.run_until(bag, bag.now_ms + step_ms)
-        found += answer_all(bag, answer)
-    return found
+        counts += answer_calls(bag, answer)
+    return counts
 
 
-def works(call):
+def answer_normally(call):
     match call:
         case store.ListVms():
             return store.Listed()
@@ -46,72 +46,74 @@
             return None
 
 
-def fails(call):
+def answer_failed(call):
     return store.Failed(call.name, 'down')
 
 
-def test_a_couple_of_readers_a_domain_watch_the_state():
+def test_two_readers_per_domain_watch_the_state():
     bag = member_bag.new_bag(DOMAINS)
-    run(bag, 10_000.0, works)
-    found = run(bag, 60_000.0, works)
-    watchers = {entry for kind, entry in found if kind == 'Watch'}
+    run(bag, 10_000.0, answer_normally)
+    counts = run(bag, 60_000.0, answer_normally)
+    watchers = {entry for kind, entry in counts if kind == 'Watch'}
     assert len([x for x in watchers if x[0] == 'a']) == 2
     assert len([x for x in watchers if x[0] == 'b']) == 2
     readers = {e for e, w in bag.worlds.items() if tasks.is_reader(w)}
     assert watchers == readers
 
 
-def test_another_entry_reads_in_place_of_a_dead_one():
+def test_another_entry_replaces_a_dead_reader():
     bag = member_bag.new_bag(DOMAINS)
-    run(bag, 10_000.0, works)
+    run(bag, 10_000.0, answer_normally)
     readers = {e for e, w in bag.worlds.items() if tasks.is_reader(w)}
     bag.dead.add(min(readers))
-    run(bag, 20_000.0, works)
-    alive = set(bag.worlds) - bag.dead
-    now = {e for e in alive if tasks.is_reader(bag.worlds[e])}
-    assert len(now) == 4
-    assert readers - bag.dead < now
+    run(bag, 20_000.0, answer_normally)
+    live_entries = set(bag.worlds) - bag.dead
+    new_readers = {e for e in live_entries if tasks.is_reader(bag.worlds[e])}
+    assert len(new_readers) == 4
+    assert readers - bag.dead < new_readers
 
 
-def test_a_long_outage_is_met_with_few_calls_and_soon_seen_over():
+def test_calls_back_off_in_a_long_outage_and_resume_soon_after():
     bag = member_bag.new_bag(DOMAINS)
-    run(bag, 60_000.0, fails)
-    during = run(bag, 120_000.0, fails)
+    run(bag, 60_000.0, answer_failed)
+    during = run(bag, 120_000.0, answer_failed)
     assert sum(during.values()) <= 60 * 2 * 4
-    after = run(bag, 127_000.0, works)
+    after = run(bag, 127_000.0, answer_normally)
     assert any(kind == 'Read' for kind, _ in after)
 
 
-def test_a_start_of_all_at_once_is_spread_out():
+def test_first_calls_of_a_full_restart_are_spread_out():
     bag = member_bag.new_bag({'a': 50, 'b': 50})
-    seen = []
+    calls_per_step = []
     while bag.now_ms < 3_000.0:
-        found = run(bag, bag.now_ms + 100.0, lambda _: None)
-        seen.append(sum(found.values()))
-    assert max(seen) <= 30
-    assert sum(seen) < 2 * 100
+        counts = run(bag, bag.now_ms + 100.0, lambda _: None)
+        calls_per_step.append(sum(counts.values()))
+    assert max(calls_per_step) <= 30
+    assert sum(calls_per_step) < 2 * 100
 
 
-def test_a_version_that_is_too_old_is_read_afresh():
-    world = alone()
+def test_an_object_is_read_again_when_its_version_is_too_old():
+    world = entry_without_peers()
     now_ms = 3_000.0
-    made = _calls(world, now_ms)
-    for result, wanted in (
+    outputs = _calls(world, now_ms)
+    for result, expected in (
         (store.Found('state', b'', 7), store.Watch('state', 7)),
         (store.Unchanged('state'), store.Watch('state', 7)),
         (store.TooOld('state'), store.Read('state')),
         (store.Missing('state'), store.Watch('state', 0)),
     ):
-        [call_id] = [x.call_id for x in made if x.call.name == 'state']
+        [call_id] = [x.call_id for x in outputs if x.call.name == 'state']
         done = inp.StoreDone(call_id, result)
-        made = list(core.tick(world, now_ms, [done]))
-        made = [x for x in made if isinstance(x, out.CallStore)]
+        outputs = list(core.tick(world, now_ms, [done]))
+        outputs = [x for x in outputs if isinstance(x, out.CallStore)]
         now_ms += 1_000.0
-        made += _calls(world, now_ms)
-        assert [x.call for x in made if x.call.name == 'state'] == [wanted]
+        outputs += _calls(world, now_ms)
+        assert [x.call for x in outputs if x.call.name == 'state'] == [
+            expected
+        ]
 
 
-def alone():
+def entry_without_peers():
     world = member_bag.new_world('a0', 'a')
     list(core.tick(world, 0.0, [inp.PeerSeen('a0', 'a', 'a0:1')]))
     return world
@@ -122,8 +124,8 @@
     return [x for x in outputs if isinstance(x, out.CallStore)]
 
 
-def test_a_call_whose_end_is_lost_is_made_again():
-    world = alone()
+def test_a_call_whose_result_is_lost_is_made_again():
+    world = entry_without_peers()
     first = _calls(world, 3_000.0)
     late_ms = 3_000.0 + const.CALL_TIMEOUT_MS + const.LOST_MARGIN_MS
     _calls(world, late_ms + const.CALL_TIMEOUT_MS)
@@ -133,7 +135,7 @@
     assert {x.call_id for x in again}.isdisjoint(x.call_id for x in first)
 
 
-def test_the_budget_is_a_share_of_the_fleet():
+def test_an_entry_gets_its_share_of_the_fleet_budget():
     bag = member_bag.new_bag({'a': 30})
     world = bag.worlds['a0']
     write = store.Update('keys-1', b'', 1)
@@ -146,7 +148,7 @@
     assert world.counters['store.over_budget'] > 0
 
 
-def test_all_restart_together_while_the_store_is_slow():
+def test_a_full_restart_with_a_slow_store_makes_few_calls():
     bag = member_bag.new_bag({'a': 20, 'b': 20})
     state = samples.state(number=9)
     waiting, calls = [], 0
@@ -160,7 +162,7 @@
         due = [x for x in waiting if bag.now_ms - x[0] >= 2_000.0]
         waiting = [x for x in waiting if x not in due]
         for _, entry, output in due:
-            result = works(output.call)
+            result = answer_normally(output.call)
             if result is not None:
                 done = inp.StoreDone(output.call_id, result)
                 read = [inp.StateRead(state)] if 'state' in str(result) else []
@@ -170,16 +172,16 @@
     assert calls <= 2 * 40
 
 
-def test_a_list_in_pages_is_read_to_its_end_at_once():
-    asked = collections.Counter()
+def test_all_pages_of_a_list_are_read_without_a_pause():
+    pages_read = collections.Counter()
 
-    def in_pages(call):
+    def answer_in_pages(call):
         if not isinstance(call, store.ListVms):
-            return works(call)
-        asked[call.after] += 1
+            return answer_normally(call)
+        pages_read[call.after] += 1
         after = {'': 'e500', 'e500': 'e900', 'e900': ''}[call.after]
         return store.Listed(next_after=after)
 
     bag = member_bag.new_bag(DOMAINS)
-    run(bag, 5_000.0, in_pages)
-    assert asked['e900'] == asked['e500'] == asked[''] > 0
+    run(bag, 5_000.0, answer_in_pages)
+    assert pages_read['e900'] == pages_read['e500'] == pages_read[''] > 0
