Describe the spread of states as requests, parts and deltas

`hear`, `ask`, `take_part`, `_take_data`, `joined`, `applied` and `_only` did not say what they do; they are `request_if_newer`, `request_state`, `receive_part`, `_receive_data`, `join`, `apply_delta` and `_select_rows`. `want` is the `target` of the transfer, a `Cell` is a `RowKey`, and the push counts name the domains that they apply to. The module `spreading` holds the spread table and is now `spread`. Messages, their fields, counters and log fields stay.

--- a/packages/core/src/zinnialead_core/components/tickets/__init__.py
+++ b/packages/core/src/zinnialead_core/components/tickets/__init__.py
@@ -1,4 +1,4 @@
-"""Keep the state that tickets put in force, which never goes back."""
+"""Keep the state in force and spread it; its number never decreases."""
 
 from zinnialead_core.components.tickets.drains import covers
 from zinnialead_core.components.tickets.drains import is_drained
@@ -22,8 +22,8 @@
 from zinnialead_core.components.tickets.models import TicketNote
 from zinnialead_core.components.tickets.models import UpstreamDrain
 from zinnialead_core.components.tickets.models import UpstreamRow
-from zinnialead_core.components.tickets.spreading import new_spread
-from zinnialead_core.components.tickets.spreading import SpreadTable
+from zinnialead_core.components.tickets.spread import new_spread
+from zinnialead_core.components.tickets.spread import SpreadTable
 
 __all__ = [
     'BlockRow',
--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -1,4 +1,4 @@
-"""Put newer states in force and spread them to peers."""
+"""Adopt newer states and spread them to peers."""
 
 from collections import abc
 
@@ -27,7 +27,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Adopt newer states, ask peers for them and answer those who ask.
+    """Adopt newer states, request them from peers and serve them to peers.
 
     Reads ``members``; writes ``states``, ``spread`` and ``timers``.
     """
@@ -54,33 +54,35 @@
             member_messages.Probe(state_number=number)
             | member_messages.ProbeAnswer(state_number=number)
         ):
-            yield from _compare(world, now_ms, sender, number)
+            yield from _compare_number(world, now_ms, sender, number)
         case messages.StateNumber(number, digest):
             yield from _check_digest(world, number, digest)
-            yield from pulling.hear(world, now_ms, sender.entry, number)
+            yield from pulling.request_if_newer(
+                world, now_ms, sender.entry, number
+            )
         case messages.StateAsk(number, digest):
             yield from _check_digest(world, number, digest)
-            yield from serving.answer(world, now_ms, sender, message)
+            yield from serving.answer_request(world, now_ms, sender, message)
         case messages.StateData():
-            yield from _take_data(world, sender, message)
+            yield from _receive_data(world, sender, message)
         case messages.StateDelta():
-            yield from _take_delta(world, message)
+            yield from _receive_delta(world, message)
 
 
-def _compare(
+def _compare_number(
     world: world_module.World,
     now_ms: float,
     sender: ids.EntryRef,
     number: int,
 ) -> abc.Iterator[out.Output]:
-    """Ask a peer that is ahead, and tell one that is behind."""
+    """Request the state of a peer that is ahead, notify one behind."""
     state = in_force(world)
     if number < state.number:
-        yield out.SendPeer(sender.entry, _number(state))
-    yield from pulling.hear(world, now_ms, sender.entry, number)
+        yield out.SendPeer(sender.entry, _state_number(state))
+    yield from pulling.request_if_newer(world, now_ms, sender.entry, number)
 
 
-def _take_data(
+def _receive_data(
     world: world_module.World,
     sender: ids.EntryRef,
     message: messages.StateData,
@@ -90,15 +92,15 @@
         world.counters['tickets.older_refused'] += 1
         yield from _check_digest(world, state.number, parts.digest(state))
         return
-    for found in pulling.take_part(world, sender, message):
-        match found:
+    for result in pulling.receive_part(world, sender, message):
+        match result:
             case models.State():
-                yield from _adopt(world, found)
+                yield from _adopt(world, result)
             case _:
-                yield found
+                yield result
 
 
-def _take_delta(
+def _receive_delta(
     world: world_module.World, message: messages.StateDelta
 ) -> abc.Iterator[out.Output]:
     state = in_force(world)
@@ -106,7 +108,7 @@
     if base != (state.number, parts.digest(state)):
         world.counters['tickets.delta_refused'] += 1
         return
-    yield from _adopt(world, parts.applied(state, message))
+    yield from _adopt(world, parts.apply_delta(state, message))
 
 
 def _adopt(
@@ -120,54 +122,65 @@
     world.states[const.IN_FORCE] = state
     world.counters['tickets.adopted'] += 1
     _keep_delta(world, before, state)
-    _forget_transfer(world, state.number)
+    _drop_transfer(world, state.number)
     yield out.Notify(inp.StateChanged(state.number))
     yield out.LogChange(
         'tickets', 'in force', str(before.number), str(state.number)
     )
-    near = views.pick(world, views.neighbours(world), const.PUSH_NEAR)
-    far = views.pick(world, views.foreigners(world), const.PUSH_FAR)
-    for entry in (*near, *far):
-        yield out.SendPeer(entry, _number(state))
+    same_domain = views.pick(
+        world, views.neighbours(world), const.PUSH_SAME_DOMAIN_COUNT
+    )
+    other_domains = views.pick(
+        world, views.foreigners(world), const.PUSH_OTHER_DOMAINS_COUNT
+    )
+    for entry in (*same_domain, *other_domains):
+        yield out.SendPeer(entry, _state_number(state))
 
 
 def _keep_delta(
     world: world_module.World, before: models.State, after: models.State
 ) -> None:
-    change = parts.delta(before, after)
+    delta = parts.make_delta(before, after)
     deltas = world.spread.deltas
-    if parts.size(change.changed) > const.PART_ROWS:
+    if parts.row_count(delta.changed) > const.PART_ROWS:
         deltas.clear()
         return
-    deltas.append(change)
+    deltas.append(delta)
     del deltas[: -const.DELTAS_KEPT]
 
 
-def _forget_transfer(world: world_module.World, number: int) -> None:
+def _drop_transfer(world: world_module.World, number: int) -> None:
     spread = world.spread
-    spread.want[:] = [x for x in spread.want if x.number > number]
-    spread.transfer[:] = [x for x in spread.transfer if x.number > number]
-    if not spread.want:
+    spread.target[:] = [row for row in spread.target if row.number > number]
+    spread.transfer[:] = [
+        row for row in spread.transfer if row.number > number
+    ]
+    if not spread.target:
         timers.stop(world.timers, timers.SpreadRound())
 
 
 def _check_digest(
     world: world_module.World, number: int, digest: str
 ) -> abc.Iterator[out.Output]:
-    """Count a state of the same number that another ticket made.
+    """Count a state that has the same number but comes from another ticket.
 
     Only the first is logged, since peers repeat it.
     """
     state = in_force(world)
-    known = parts.digest(state)
-    if number != state.number or not digest or not known or digest == known:
+    own_digest = parts.digest(state)
+    if (
+        number != state.number
+        or not digest
+        or not own_digest
+        or digest == own_digest
+    ):
         return
     world.counters['tickets.conflicts'] += 1
     if world.counters['tickets.conflicts'] == 1:
         yield out.LogChange(
-            'tickets', f'conflict over {number}', known, digest
+            'tickets', f'conflict over {number}', own_digest, digest
         )
 
 
-def _number(state: models.State) -> messages.StateNumber:
+def _state_number(state: models.State) -> messages.StateNumber:
     return messages.StateNumber(state.number, parts.digest(state))
--- a/packages/core/src/zinnialead_core/components/tickets/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/tickets/diagnostics.py
@@ -7,7 +7,7 @@
 
 
 class TicketsDump(typing.TypedDict):
-    """Show which ticket is in force and how much it holds."""
+    """Show the number of the state in force and what it contains."""
 
     number: int
     services: int
--- a/packages/core/src/zinnialead_core/components/tickets/messages.py
+++ b/packages/core/src/zinnialead_core/components/tickets/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that spread what is in force."""
+"""Define the messages that spread the state in force."""
 
 import dataclasses
 
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateNumber:
-    """Tell a peer which ticket is in force here."""
+    """Announce the number and digest of the sender's state in force."""
 
     number: int
     digest: str = ''
@@ -15,9 +15,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateAsk:
-    """Ask a peer for its state, which must be newer than ``number``.
+    """Request the receiver's state if it is newer than ``number``.
 
-    ``part`` above 0 asks for one more part of the state ``wanted``.
+    ``part`` above 0 requests that part of the state numbered ``wanted``.
     """
 
     number: int
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateData:
-    """Carry one part of the rows of the state in force at the sender."""
+    """Carry one part of the rows of the sender's state in force."""
 
     state: models.State
     part: int = 0
@@ -39,7 +39,7 @@
 class StateDelta:
     """Carry the rows that changed since the state ``base_number``.
 
-    ``removed`` names rows as table and key.
+    ``removed`` identifies rows by table and key.
     """
 
     base_number: int
--- a/packages/core/src/zinnialead_core/components/tickets/models.py
+++ b/packages/core/src/zinnialead_core/components/tickets/models.py
@@ -1,4 +1,4 @@
-"""Hold what the tickets put in force."""
+"""Define the state that tickets put in force."""
 
 import dataclasses
 import typing
@@ -30,7 +30,7 @@
 
 
 class DomainRow(typing.NamedTuple):
-    """Describe one failure domain and the region that it stands in."""
+    """Describe one failure domain and its region."""
 
     domain: ids.DomainId
     region: ids.RegionId
@@ -38,7 +38,7 @@
 
 
 class RankRow(typing.NamedTuple):
-    """Describe one rank: its place in the order, worth and floor."""
+    """Describe one rank of requests: its order, worth and floor."""
 
     rank: ids.RankId
     order: int
@@ -102,14 +102,14 @@
 
 
 class BlockRow(typing.NamedTuple):
-    """Give the failure domain that one block of clients is nearest to."""
+    """Assign the nearest failure domain to one block of client addresses."""
 
     prefix: str
     domain: ids.DomainId
 
 
 class TicketNote(typing.NamedTuple):
-    """Name who filed a ticket, and its digest, to settle races."""
+    """Record who filed a ticket; its digest tells apart racing tickets."""
 
     number: int
     digest: str
@@ -118,7 +118,7 @@
 
 
 class State(typing.NamedTuple):
-    """Hold all that is in force after the ticket ``number``."""
+    """Hold everything that is in force after the ticket ``number``."""
 
     number: int
     services: dict[ids.ServiceId, ServiceRow]
--- a/packages/core/src/zinnialead_core/components/tickets/parts.py
+++ b/packages/core/src/zinnialead_core/components/tickets/parts.py
@@ -1,4 +1,4 @@
-"""Cut states into parts and deltas, and put them together again."""
+"""Split states into parts and deltas, and combine them again."""
 
 from collections import abc
 import typing
@@ -19,8 +19,8 @@
 Table = dict[typing.Any, typing.Any]
 
 
-class Cell(typing.NamedTuple):
-    """Name one row of a state."""
+class RowKey(typing.NamedTuple):
+    """Identify one row of a state."""
 
     table: str
     key: str
@@ -31,82 +31,89 @@
     return state.history[-1].digest if state.history else ''
 
 
-def size(state: models.State) -> int:
+def row_count(state: models.State) -> int:
     """Return how many rows a state holds."""
     return sum(len(getattr(state, table)) for table in TABLES)
 
 
-def count(state: models.State) -> int:
-    """Return into how many parts a state is cut."""
-    return max(1, -(-size(state) // const.PART_ROWS))
+def part_count(state: models.State) -> int:
+    """Return into how many parts a state is split."""
+    return max(1, -(-row_count(state) // const.PART_ROWS))
 
 
 def part(state: models.State, number: int) -> models.State:
     """Return one part of the rows; the first holds the whole history."""
     start = number * const.PART_ROWS
-    cells = sorted(_cells(state))[start : start + const.PART_ROWS]
+    row_keys = sorted(_row_keys(state))[start : start + const.PART_ROWS]
     history = state.history if number == 0 else state.history[-1:]
-    return _only(state, cells)._replace(history=history)
+    return _select_rows(state, row_keys)._replace(history=history)
 
 
-def joined(found: abc.Mapping[int, models.State]) -> models.State:
-    """Return the state that all its parts make."""
-    whole = found[0]
-    for number in sorted(found):
-        whole = _merged(whole, found[number])
-    return whole
+def join(received: abc.Mapping[int, models.State]) -> models.State:
+    """Return the state that consists of all the received parts."""
+    state = received[0]
+    for number in sorted(received):
+        state = _merge(state, received[number])
+    return state
 
 
-def delta(before: models.State, after: models.State) -> messages.StateDelta:
-    """Return what changed from one state to a later one."""
+def make_delta(
+    before: models.State, after: models.State
+) -> messages.StateDelta:
+    """Return the difference between a state and a later one."""
     changed = [
-        cell
-        for cell in _cells(after)
-        if _row(before, cell) != _row(after, cell)
+        row_key
+        for row_key in _row_keys(after)
+        if _row(before, row_key) != _row(after, row_key)
     ]
-    gone = sorted(set(_cells(before)) - set(_cells(after)))
-    rows = _only(after, changed)._replace(history=after.history)
-    removed = tuple((cell.table, cell.key) for cell in gone)
+    removed_keys = sorted(set(_row_keys(before)) - set(_row_keys(after)))
+    rows = _select_rows(after, changed)._replace(history=after.history)
+    removed = tuple((row_key.table, row_key.key) for row_key in removed_keys)
     return messages.StateDelta(before.number, digest(before), rows, removed)
 
 
-def applied(state: models.State, change: messages.StateDelta) -> models.State:
-    """Return the state that a delta makes of its base."""
-    merged = _merged(state, change.changed)
+def apply_delta(
+    state: models.State, delta: messages.StateDelta
+) -> models.State:
+    """Return a state after a delta was applied to it."""
+    merged = _merge(state, delta.changed)
     tables: dict[str, Table] = {
         table: dict(getattr(merged, table)) for table in TABLES
     }
-    for table, key in change.removed:
+    for table, key in delta.removed:
         tables.get(table, {}).pop(key, None)
     return merged._replace(
-        number=change.changed.number,
-        history=change.changed.history,
+        number=delta.changed.number,
+        history=delta.changed.history,
         **typing.cast('typing.Any', tables),
     )
 
 
-def _cells(state: models.State) -> abc.Iterator[Cell]:
+def _row_keys(state: models.State) -> abc.Iterator[RowKey]:
     for table in TABLES:
         for key in getattr(state, table):
-            yield Cell(table, key)
+            yield RowKey(table, key)
 
 
 Row = typing.Any
 
 
-def _row(state: models.State, cell: Cell) -> Row:
-    return getattr(state, cell.table).get(cell.key)
+def _row(state: models.State, row_key: RowKey) -> Row:
+    return getattr(state, row_key.table).get(row_key.key)
 
 
-def _only(state: models.State, cells: abc.Iterable[Cell]) -> models.State:
+def _select_rows(
+    state: models.State, row_keys: abc.Iterable[RowKey]
+) -> models.State:
     tables: dict[str, Table] = {table: {} for table in TABLES}
-    for cell in cells:
-        tables[cell.table][cell.key] = _row(state, cell)
+    for row_key in row_keys:
+        tables[row_key.table][row_key.key] = _row(state, row_key)
     return state._replace(**typing.cast('typing.Any', tables))
 
 
-def _merged(state: models.State, more: models.State) -> models.State:
+def _merge(state: models.State, newer: models.State) -> models.State:
     tables: dict[str, Table] = {
-        table: getattr(state, table) | getattr(more, table) for table in TABLES
+        table: getattr(state, table) | getattr(newer, table)
+        for table in TABLES
     }
     return state._replace(**typing.cast('typing.Any', tables))
--- a/packages/core/src/zinnialead_core/components/tickets/pulling.py
+++ b/packages/core/src/zinnialead_core/components/tickets/pulling.py
@@ -1,4 +1,4 @@
-"""Ask peers for a newer state until it is whole."""
+"""Request a newer state from peers until all of it has arrived."""
 
 from collections import abc
 
@@ -7,68 +7,70 @@
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
 from zinnialead_core.components.tickets import parts
-from zinnialead_core.components.tickets import spreading
+from zinnialead_core.components.tickets import spread
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import timers
 from zinnialead_core import world as world_module
 
 
-def hear(
+def request_if_newer(
     world: world_module.World,
     now_ms: float,
     holder: ids.EntryId,
     number: int,
 ) -> abc.Iterator[out.Output]:
-    """Ask for a state that is newer than any asked for so far."""
-    wanted = next(iter(world.spread.want), None)
-    known = wanted.number if wanted else world.states[const.IN_FORCE].number
-    if number <= known:
+    """Request a state that is newer than any requested so far."""
+    target = next(iter(world.spread.target), None)
+    newest = target.number if target else world.states[const.IN_FORCE].number
+    if number <= newest:
         return
-    world.spread.want[:] = [spreading.WantRow(number, holder)]
-    if wanted is None:
-        yield from ask(world, now_ms)
+    world.spread.target[:] = [spread.TargetRow(number, holder)]
+    if target is None:
+        yield from request_state(world, now_ms)
 
 
-def ask(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
-    """Ask for what is still missing, and look again after a while."""
+def request_state(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Request what is still missing, and start the timer for a retry."""
     state = world.states[const.IN_FORCE]
-    want = next(iter(world.spread.want), None)
-    if want is None or want.number <= state.number:
-        world.spread.want.clear()
+    target = next(iter(world.spread.target), None)
+    if target is None or target.number <= state.number:
+        world.spread.target.clear()
         return
     due_ms = now_ms + const.ASK_TIMEOUT_MS
     timers.start(world.timers, timers.SpreadRound(), due_ms)
-    holders = _holders(world, want.number) or [want.holder]
+    holders = _holders(world, target.number) or [target.holder]
     if not world.spread.transfer:
-        holder = want.holder if want.holder in holders else holders[0]
-        question = messages.StateAsk(state.number, parts.digest(state))
-        yield out.SendPeer(holder, question)
+        holder = target.holder if target.holder in holders else holders[0]
+        request = messages.StateAsk(state.number, parts.digest(state))
+        yield out.SendPeer(holder, request)
         return
     [transfer] = world.spread.transfer
-    yield from _ask_parts(state, transfer, holders)
+    yield from _request_parts(state, transfer, holders)
 
 
 def retry(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Ask another holder, since the last one did not answer."""
-    want = next(iter(world.spread.want), None)
-    if want is None:
+    """Request the state of another holder after one did not answer."""
+    target = next(iter(world.spread.target), None)
+    if target is None:
         return
-    holders = _holders(world, want.number)
+    holders = _holders(world, target.number)
     if holders:
-        world.spread.want[:] = [want._replace(holder=holders[0])]
-    yield from ask(world, now_ms)
+        world.spread.target[:] = [target._replace(holder=holders[0])]
+    yield from request_state(world, now_ms)
 
 
-def take_part(
+def receive_part(
     world: world_module.World,
     sender: ids.EntryRef,
     data: messages.StateData,
 ) -> abc.Iterator[out.Output | models.State]:
-    """Keep a part, ask its sender for another; yield the state if whole."""
-    state, found = world.states[const.IN_FORCE], data.state
+    """Store a part, request another; yield the state once it is complete."""
+    state, part = world.states[const.IN_FORCE], data.state
     if not 0 <= data.part < data.parts <= const.PARTS_MAX:
         world.counters['tickets.parts_refused'] += 1
         return
@@ -76,61 +78,67 @@
     if transfer is None:
         world.counters['tickets.parts_refused'] += 1
         return
-    fresh = data.part not in transfer.received
-    transfer.received[data.part] = found
+    is_new = data.part not in transfer.received
+    transfer.received[data.part] = part
     if len(transfer.received) == transfer.parts:
         world.spread.transfer.clear()
-        yield parts.joined(transfer.received)
+        yield parts.join(transfer.received)
         return
-    if not fresh:
+    if not is_new:
         return
     if len(transfer.received) == 1:
         holders = _holders(world, transfer.number)
-        others = [x for x in holders if x != sender.entry]
-        yield from _ask_parts(state, transfer, others or [sender.entry])
-    elif not _is_newcomer(state):
+        other_holders = [x for x in holders if x != sender.entry]
+        yield from _request_parts(
+            state, transfer, other_holders or [sender.entry]
+        )
+    elif not _has_no_state(state):
         *_, last = _missing(transfer)
-        yield _ask_part(state, transfer, sender.entry, last)
+        yield _request_part(state, transfer, sender.entry, last)
 
 
-def _is_newcomer(state: models.State) -> bool:
-    """Say whether this entry has nothing yet and asks at a slow pace.
+def _has_no_state(state: models.State) -> bool:
+    """Return whether this entry has no state yet.
 
-    It asks each holder for one part in a round, below 17 KB a second.
+    Such an entry requests one part from each holder in a round, which
+    keeps the transfer below 17 KB/s.
     """
     return state.number == 0
 
 
-def _ask_parts(
+def _request_parts(
     state: models.State,
-    transfer: spreading.TransferRow,
+    transfer: spread.TransferRow,
     holders: abc.Sequence[ids.EntryId],
 ) -> abc.Iterator[out.Output]:
-    """Ask for the next parts, of each holder in turn."""
-    for place, number in enumerate(_missing(transfer)):
-        if place >= len(holders) and _is_newcomer(state):
+    """Request the next parts, from each holder in turn."""
+    for index, number in enumerate(_missing(transfer)):
+        if index >= len(holders) and _has_no_state(state):
             return
-        holder = holders[place % len(holders)]
-        yield _ask_part(state, transfer, holder, number)
+        holder = holders[index % len(holders)]
+        yield _request_part(state, transfer, holder, number)
 
 
 def _transfer(
     world: world_module.World, data: messages.StateData
-) -> spreading.TransferRow | None:
-    """Return the transfer that a part belongs to, a newer one if due."""
+) -> spread.TransferRow | None:
+    """Return the transfer that a part belongs to, None if it conflicts.
+
+    A part of a newer state starts a new transfer.
+    """
     digest = parts.digest(data.state)
     number = data.state.number
     current = next(iter(world.spread.transfer), None)
     if current is not None and current.number >= number:
-        name = (current.number, current.digest, current.parts)
-        return current if name == (number, digest, data.parts) else None
-    fresh = spreading.TransferRow(number, digest, data.parts, {})
-    world.spread.transfer[:] = [fresh]
-    return fresh
+        identity = (current.number, current.digest, current.parts)
+        return current if identity == (number, digest, data.parts) else None
+    new_transfer = spread.TransferRow(number, digest, data.parts, {})
+    world.spread.transfer[:] = [new_transfer]
+    return new_transfer
 
 
-def _missing(transfer: spreading.TransferRow) -> abc.Iterator[int]:
-    """Yield the first few parts that are missing."""
+def _missing(transfer: spread.TransferRow) -> abc.Iterator[int]:
+    """Yield the numbers of the first few missing parts."""
     missing = (
         number
         for number in range(transfer.parts)
@@ -140,20 +148,20 @@
         yield number
 
 
-def _ask_part(
+def _request_part(
     state: models.State,
-    transfer: spreading.TransferRow,
+    transfer: spread.TransferRow,
     holder: ids.EntryId,
     number: int,
 ) -> out.SendPeer:
-    question = messages.StateAsk(
+    request = messages.StateAsk(
         state.number, parts.digest(state), number, transfer.number
     )
-    return out.SendPeer(holder, question)
+    return out.SendPeer(holder, request)
 
 
 def _holders(
     world: world_module.World, number: int
 ) -> abc.Sequence[ids.EntryId]:
-    rows = (x for x in views.others(world) if x.state_number >= number)
+    rows = (row for row in views.others(world) if row.state_number >= number)
     return views.pick(world, rows, const.PARTS_ASKED_MAX)
--- a/packages/core/src/zinnialead_core/components/tickets/serving.py
+++ b/packages/core/src/zinnialead_core/components/tickets/serving.py
@@ -1,4 +1,4 @@
-"""Give peers the state in force, within a budget."""
+"""Serve the state in force to peers, within a budget."""
 
 from collections import abc
 
@@ -11,53 +11,55 @@
 from zinnialead_core import world as world_module
 
 
-def answer(
+def answer_request(
     world: world_module.World,
     now_ms: float,
     sender: ids.EntryRef,
-    ask: messages.StateAsk,
+    request: messages.StateAsk,
 ) -> abc.Iterator[out.Output]:
-    """Answer with what changed since the asker's state, or with a part."""
+    """Send what changed since the sender's state, or one part of the state."""
     state = world.states[const.IN_FORCE]
-    if ask.number >= state.number:
+    if request.number >= state.number:
         return
-    chain = [] if ask.part else list(_chain(world, ask))
-    found: list[messages.StateDelta | messages.StateData] = [*chain]
-    if not chain:
-        wanted = ask.part if ask.wanted == state.number else 0
-        rows = parts.part(state, wanted)
-        found = [messages.StateData(rows, wanted, parts.count(state))]
-    if not _affordable(world, now_ms, sum(map(_rows, found))):
+    deltas = [] if request.part else list(_deltas_since(world, request))
+    answers: list[messages.StateDelta | messages.StateData] = [*deltas]
+    if not deltas:
+        part = request.part if request.wanted == state.number else 0
+        rows = parts.part(state, part)
+        answers = [messages.StateData(rows, part, parts.part_count(state))]
+    if not _take_from_budget(world, now_ms, sum(map(_row_cost, answers))):
         world.counters['tickets.serve_refused'] += 1
         return
-    for message in found:
+    for message in answers:
         yield out.SendPeer(sender.entry, message)
 
 
-def _chain(
-    world: world_module.World, ask: messages.StateAsk
+def _deltas_since(
+    world: world_module.World, request: messages.StateAsk
 ) -> abc.Iterator[messages.StateDelta]:
-    """Yield the deltas from the asker's state to the one in force."""
-    base = (ask.number, ask.digest)
-    found = []
-    for change in world.spread.deltas:
-        if (change.base_number, change.base_digest) == base:
-            found.append(change)
-            base = (change.changed.number, parts.digest(change.changed))
+    """Yield the deltas from the requester's state to the one in force."""
+    base = (request.number, request.digest)
+    deltas = []
+    for delta in world.spread.deltas:
+        if (delta.base_number, delta.base_digest) == base:
+            deltas.append(delta)
+            base = (delta.changed.number, parts.digest(delta.changed))
     if base[0] == world.states[const.IN_FORCE].number:
-        yield from found
+        yield from deltas
 
 
-def _rows(message: messages.StateDelta | messages.StateData) -> int:
+def _row_cost(message: messages.StateDelta | messages.StateData) -> int:
     match message:
         case messages.StateDelta(_, _, changed, removed):
-            return 1 + parts.size(changed) + len(removed)
+            return 1 + parts.row_count(changed) + len(removed)
         case messages.StateData(state):
-            return 1 + parts.size(state)
+            return 1 + parts.row_count(state)
 
 
-def _affordable(world: world_module.World, now_ms: float, rows: int) -> bool:
-    """Take rows out of the budget if they are there."""
+def _take_from_budget(
+    world: world_module.World, now_ms: float, rows: int
+) -> bool:
+    """Take rows from the budget; return whether it had enough."""
     full = buckets.BucketRow(const.SERVED_ROWS_BURST, now_ms)
     row = next(iter(world.spread.budget), full)
     taken = buckets.take(
--- a/packages/core/src/zinnialead_core/components/tickets/spreading.py
+++ b/packages/core/src/zinnialead_core/components/tickets/spread.py
@@ -1,4 +1,4 @@
-"""Define the rows of the table by which states spread."""
+"""Define the rows of the table for spreading states to peers."""
 
 import typing
 
@@ -8,15 +8,15 @@
 from zinnialead_core import ids
 
 
-class WantRow(typing.NamedTuple):
-    """Hold the newest number heard of, and who has it."""
+class TargetRow(typing.NamedTuple):
+    """Hold the newest known state's number, and an entry that has it."""
 
     number: int
     holder: ids.EntryId
 
 
 class TransferRow(typing.NamedTuple):
-    """Hold the parts received so far of one state."""
+    """Hold the parts of one state that were received so far."""
 
     number: int
     digest: str
@@ -25,17 +25,17 @@
 
 
 class SpreadTable(typing.NamedTuple):
-    """Hold what is wanted and received, and deltas for those behind.
+    """Hold the state being requested, and what peers are served from.
 
-    ``want``, ``transfer`` and ``budget`` hold one row at most.
+    ``target``, ``transfer`` and ``budget`` hold one row at most.
     """
 
-    want: list[WantRow]
+    target: list[TargetRow]
     transfer: list[TransferRow]
     budget: list[buckets.BucketRow]
     deltas: list[messages.StateDelta]
 
 
 def new_spread() -> SpreadTable:
-    """Return a table that wants nothing."""
+    """Return a table without requests and deltas."""
     return SpreadTable([], [], [], [])
