--- a/packages/core/src/zinnialead_core/components/members/updates.py
+++ b/packages/core/src/zinnialead_core/components/members/updates.py
@@ -115,7 +115,7 @@
         return
     if row.entry == world.node.ref.entry:
         if listing.leaving and row.health is models.Health.ALIVE:
-            yield out.Notify(inp.StopAsked())
+            yield out.Notify(inp.StopRequested())
         return
     if row.incarnation == 0:
         row = row._replace(domain=listing.domain, address=listing.address)
--- a/packages/core/src/zinnialead_core/components/slots/availability.py
+++ b/packages/core/src/zinnialead_core/components/slots/availability.py
@@ -37,7 +37,9 @@
     """Return how many slots of a service may currently be in use."""
     local = local_config.get(world, service)
     total = sum(
-        capacity.usable_slots(world.upstreams.get(row.upstream), row.slots, now_ms)
+        capacity.usable_slots(
+            world.upstreams.get(row.upstream), row.slots, now_ms
+        )
         for row in local.upstreams
     )
     limit = local_config.in_flight_max(world, now_ms, service)
