Shorten names of placement and requests that broke lines

overflow_credit is credit, RegionTotals, which also holds mean loads, is RegionSplit, _activate is _apply, deadline_passed is expire, and RETRY_BUDGET_SHARE is BUDGET_SHARE. None of these names leaves the process.

make check passes; tests/core/gateway, tests/gateway and tests/adapter pass (197).

--- a/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -18,7 +18,7 @@
     if not _is_sender(world, now_ms, upstream):
         return False
     send_times_ms = _recent_sends_ms(world, now_ms, upstream)
-    return len(send_times_ms) < _own_rate_per_s(world, upstream)
+    return len(send_times_ms) < _rate_per_s(world, upstream)
 
 
 def record_send(
@@ -38,14 +38,11 @@
     return times_ms
 
 
-def _own_rate_per_s(
-    world: world_module.World, upstream: ids.UpstreamId
-) -> int:
-    configuration = routes.active_configuration(world)
+def _rate_per_s(world: world_module.World, upstream: ids.UpstreamId) -> int:
+    """Return this entry's share of the rate that a cold upstream gets."""
+    config = routes.active_configuration(world)
     row = world.upstreams.rows[upstream]
-    service = (
-        configuration.services.get(row.service) if configuration else None
-    )
+    service = config.services.get(row.service) if config else None
     if service is None:
         return 1
     return max(1, int(service.cold_per_s / const.COLD_SENDERS))
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -57,5 +57,5 @@
 CAPACITY_LOSS_SHARE = 0.8
 # Credit for requests that may leave the region although their objects are
 # not in the remote share.
-OVERFLOW_CREDIT_PER_REQUEST = 0.03
-OVERFLOW_CREDIT_MAX = 3.0
+CREDIT_PER_REQUEST = 0.03
+CREDIT_MAX = 3.0
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -45,9 +45,7 @@
     if order.local and order.remote and _is_placed_remotely(world, request):
         groups[0], groups[1] = groups[1], groups[0]
     for index, group in enumerate(groups):
-        if index == 1 and not _may_change_region(
-            world, now_ms, request, groups[0]
-        ):
+        if index == 1 and not _may_leave(world, now_ms, request, groups[0]):
             return None
         chosen = _choose_in_group(world, now_ms, request, group)
         if chosen is not None:
@@ -55,7 +53,7 @@
     return None
 
 
-def _may_change_region(
+def _may_leave(
     world: world_module.World,
     now_ms: float,
     request: models.PlacementRequest,
@@ -73,7 +71,7 @@
         for upstream in group
     ):
         return True
-    return remote_share.take_overflow_credit(world, request.service)
+    return remote_share.take_credit(world, request.service)
 
 
 def _is_placed_remotely(
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -117,12 +117,10 @@
     elapsed_ms: float,
 ) -> models.LoadRow:
     """Update the route's mean service time and the upstream's pace."""
-    means_ms = world.placement.mean_service_ms
-    mean_ms = means_ms.get(route, elapsed_ms)
-    means_ms[route] = mean_ms + const.SERVICE_TIME_WEIGHT * (
-        elapsed_ms - mean_ms
-    )
-    pace = elapsed_ms / max(1.0, means_ms[route])
+    means = world.placement.mean_service_ms
+    mean_ms = means.get(route, elapsed_ms)
+    means[route] = mean_ms + const.SERVICE_TIME_WEIGHT * (elapsed_ms - mean_ms)
+    pace = elapsed_ms / max(1.0, means[route])
     return load._replace(pace=_moving_mean(load.pace, pace))
 
 
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -27,12 +27,12 @@
 class RemoteShareRow(typing.NamedTuple):
     """Hold the share of a service's objects that other regions serve.
 
-    ``overflow_credit`` is the number of requests that may leave the region
+    ``credit`` is the number of requests that may leave the region
     beyond the share; ``local_slots`` is as of the last rebalancing.
     """
 
     share: float = 0.0
-    overflow_credit: float = 0.0
+    credit: float = 0.0
     local_slots: int = 0
 
 
--- a/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
@@ -15,7 +15,7 @@
 from zinnialead_core import ids
 
 
-class RegionTotals(typing.NamedTuple):
+class RegionSplit(typing.NamedTuple):
     """Hold a figure for the local and the remote regions of a service."""
 
     local: float
@@ -29,7 +29,7 @@
     """Return a service's remote share, derived from slots at first."""
     row = world.placement.remote_shares.get(service)
     if row is None:
-        slots = _total_slots(world, service)
+        slots = _slots(world, service)
         row = models.RemoteShareRow(
             _fair_share(slots), local_slots=int(slots.local)
         )
@@ -37,28 +37,19 @@
     return row
 
 
-def add_overflow_credit(
-    world: world_module.World, service: ids.ServiceId
-) -> None:
-    """Add one request's credit for requests that overflow the region."""
+def add_credit(world: world_module.World, service: ids.ServiceId) -> None:
+    """Add one request's credit for requests that may leave the region."""
     row = get(world, service)
-    credit = min(
-        const.OVERFLOW_CREDIT_MAX,
-        row.overflow_credit + const.OVERFLOW_CREDIT_PER_REQUEST,
-    )
-    world.placement.remote_shares[service] = row._replace(
-        overflow_credit=credit
-    )
+    credit = min(const.CREDIT_MAX, row.credit + const.CREDIT_PER_REQUEST)
+    world.placement.remote_shares[service] = row._replace(credit=credit)
 
 
-def take_overflow_credit(
-    world: world_module.World, service: ids.ServiceId
-) -> bool:
-    """Take the credit of one request; return False if there is none."""
+def take_credit(world: world_module.World, service: ids.ServiceId) -> bool:
+    """Take the credit of one request; return False if there is not enough."""
     row = get(world, service)
-    if row.overflow_credit < 1.0:
+    if row.credit < 1.0:
         return False
-    charged = row._replace(overflow_credit=row.overflow_credit - 1.0)
+    charged = row._replace(credit=row.credit - 1.0)
     world.placement.remote_shares[service] = charged
     return True
 
@@ -66,7 +57,7 @@
 def rebalance(world: world_module.World, now_ms: float) -> None:
     """Move each service's remote share one step towards equal loads."""
     for service, row in list(world.placement.remote_shares.items()):
-        slots = _total_slots(world, service)
+        slots = _slots(world, service)
         share = row.share
         if slots.local < const.CAPACITY_LOSS_SHARE * row.local_slots:
             share = max(share, _fair_share(slots))
@@ -80,7 +71,7 @@
         )
 
 
-def _fair_share(slots: RegionTotals) -> float:
+def _fair_share(slots: RegionSplit) -> float:
     """Return the remote share if every region has the same demand."""
     total = slots.local + slots.remote
     if total == 0.0 or slots.local == 0.0:
@@ -88,9 +79,7 @@
     return max(0.0, 1.0 - slots.region_count * slots.local / total)
 
 
-def _total_slots(
-    world: world_module.World, service: ids.ServiceId
-) -> RegionTotals:
+def _slots(world: world_module.World, service: ids.ServiceId) -> RegionSplit:
     regions = world.node.regions
     local = remote = 0.0
     for row in upstreams.usable(world, service):
@@ -98,12 +87,12 @@
             local += row.slots
         else:
             remote += row.slots
-    return RegionTotals(local, remote, len(set(regions.values())))
+    return RegionSplit(local, remote, len(set(regions.values())))
 
 
 def _mean_loads(
     world: world_module.World, now_ms: float, service: ids.ServiceId
-) -> RegionTotals:
+) -> RegionSplit:
     """Return the mean load of the local and of the remote upstreams."""
     regions = world.node.regions
     local: list[float] = []
@@ -115,7 +104,7 @@
             local if regions.get(row.domain) == world.node.region else remote
         )
         values.append(loads.estimate(world, now_ms, row.upstream))
-    return RegionTotals(
+    return RegionSplit(
         sum(local) / max(1, len(local)),
         sum(remote) / max(1, len(remote)),
         len(set(regions.values())),
--- a/packages/core/src/zinnialead_core/gateway/requests/admission.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/admission.py
@@ -12,22 +12,17 @@
     world: world_module.World, now_ms: float, arrival: inp.RequestArrived
 ) -> models.RequestRow | verdict.Refusal:
     """Return the row of an admitted request, or its refusal."""
-    configuration = routes.active_configuration(world)
-    if configuration is None:
+    config = routes.active_configuration(world)
+    if config is None:
         return not_run_refusal(
             verdict.Reason.NOT_READY, 'no configuration has been read yet'
         )
-    route = routes.match_route(configuration, arrival.host, arrival.path)
+    route = routes.match_route(config, arrival.host, arrival.path)
     if route is None:
-        detail = (
-            f'configuration version {configuration.version} has no route for '
-            f'{arrival.path!r}'
-        )
+        detail = f'version {config.version} has no route for {arrival.path!r}'
         return not_run_refusal(verdict.Reason.UNKNOWN_SERVICE, detail)
     if len(world.requests.rows) >= const.REQUESTS_MAX:
-        return not_run_refusal(
-            verdict.Reason.QUEUE_FULL, 'this entry has too many requests'
-        )
+        return not_run_refusal(verdict.Reason.QUEUE_FULL, 'this entry is full')
     left_ms = arrival.deadline_in_ms
     if left_ms is None:
         left_ms = min(route.timeout_ms, const.DEADLINE_DEFAULT_MS)
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -25,7 +25,7 @@
 ) -> abc.Iterator[out.Output]:
     """Send a request to an upstream with capacity, or queue it."""
     if row.attempt == 0:
-        remote_share.add_overflow_credit(world, row.service)
+        remote_share.add_credit(world, row.service)
     upstream = choose(world, now_ms, row)
     if upstream is None:
         yield from wait_queue.enqueue(world, now_ms, row)
--- a/packages/core/src/zinnialead_core/gateway/requests/completion.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/completion.py
@@ -70,7 +70,7 @@
     yield from _abandon(world, row)
 
 
-def deadline_passed(
+def expire(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
     """Refuse a request whose deadline has passed."""
--- a/packages/core/src/zinnialead_core/gateway/requests/const.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/const.py
@@ -15,7 +15,7 @@
 RETRY_AFTER_SHARE_OF_LEFT = 0.25
 # Entries use only this share of the retry budget, since upstreams count
 # retries when they arrive and entries when they send.
-RETRY_BUDGET_SHARE = 0.7
+BUDGET_SHARE = 0.7
 SECOND_MS = 1_000.0
 # Bounds all attempts.  Those whose connection can't be opened send nothing
 # and don't count towards a route's ``attempts_max``.
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -31,9 +31,7 @@
             case inp.CallerDisconnected(request_id):
                 yield from completion.caller_disconnected(world, request_id)
             case inp.TimerDue(timers.RequestDeadline(request_id)):
-                yield from completion.deadline_passed(
-                    world, now_ms, request_id
-                )
+                yield from completion.expire(world, now_ms, request_id)
             case inp.TimerDue(timers.QueueTimeout(request_id)):
                 yield from wait_queue.time_out(world, now_ms, request_id)
             case (
--- a/packages/core/src/zinnialead_core/gateway/requests/retry_budget.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/retry_budget.py
@@ -28,19 +28,15 @@
     requests = sum(row.requests for row in rows)
     retries = sum(row.retries for row in rows)
     extra = bounds.retry_extra * _speed_share(world)
-    allowed = (
-        bounds.retry_share * requests + extra
-    ) * const.RETRY_BUDGET_SHARE
+    allowed = (bounds.retry_share * requests + extra) * const.BUDGET_SHARE
     return retries + 1 <= allowed
 
 
 def _speed_share(world: world_module.World) -> float:
     """Return this entry's share of the speed of all entries."""
-    own_entry = world.node.ref.entry
+    own = world.node.ref.entry
     other_speeds = sum(
-        row.speed
-        for row in world.entries.rows.values()
-        if row.entry != own_entry
+        row.speed for row in world.entries.rows.values() if row.entry != own
     )
     return world.node.speed / (world.node.speed + other_speeds)
 
--- a/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
@@ -1,4 +1,4 @@
-"""Activate configurations, and choose routes and services."""
+"""Apply configurations, and choose routes and services."""
 
 from collections import abc
 
@@ -14,16 +14,14 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Activate configurations of a higher version; writes ``routes``."""
+    """Apply configurations of a higher version; writes ``routes``."""
     for item in inputs:
         match item:
             case inp.ConfigurationRead(configuration, source):
-                yield from _activate(world, configuration, source)
+                yield from _apply(world, configuration, source)
             case inp.ConfigurationsListed(items):
                 for read in items:
-                    yield from _activate(
-                        world, read.configuration, read.source
-                    )
+                    yield from _apply(world, read.configuration, read.source)
 
 
 def active_configuration(
@@ -75,7 +73,7 @@
     return chosen
 
 
-def _activate(
+def _apply(
     world: world_module.World,
     configuration: models.Configuration,
     source: str,
--- a/packages/core/src/zinnialead_core/gateway/routes/models.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/models.py
@@ -13,13 +13,11 @@
 
 
 class RouteRow(typing.NamedTuple):
-    """Describe one route.
+    """Describe one route; ``rank`` 0 is the most urgent.
 
-    Requests match it by ``host`` and path prefix; ``rank`` 0 is the most
-    urgent.  ``parts`` split the requests over services by weight.
-    ``attempts_max`` bounds how often a request is sent, and
-    ``by_object`` places requests by the object that they name.  An empty
-    ``home_regions`` allows every region.
+    ``parts`` split its requests over services, ``attempts_max`` bounds how
+    often a request is sent, and ``by_object`` places requests by the object
+    that they name.  Empty ``home_regions`` allow every region.
     """
 
     name: str
@@ -38,8 +36,7 @@
 class ServiceRow(typing.NamedTuple):
     """Describe what the upstreams of a service have in common.
 
-    ``cold_per_s`` is the request rate that an upstream tolerates while it
-    is cold, for ``warm_up_ms`` after its start.
+    ``cold_per_s`` is the request rate that one tolerates while it is cold.
     """
 
     service: ids.ServiceId
