--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from zinnialead_core.components.members import models as member_models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
 from zinnialead_core.components.store import limits
@@ -37,7 +37,9 @@
 def step(world: world_module.World, now_ms: float) -> abc.Iterator[out.Output]:
     """Make the calls that are due, and start the timer of the next."""
     for call_id in limits.lost_calls(world, now_ms):
-        lost = calls.Failed(world.store.open[call_id].call.name, 'no end')
+        lost = calls.Failed(
+            world.store.open_calls[call_id].call.name, 'no end'
+        )
         done(world, now_ms, call_id, lost)
     for task, row in world.store.tasks.items():
         if row.call_id is not None or now_ms < row.due_ms:
@@ -53,7 +55,7 @@
     result: calls.Result,
 ) -> None:
     """Take in the end of a call, and plan the next if it was a task's."""
-    world.store.open.pop(call_id, None)
+    world.store.open_calls.pop(call_id, None)
     _count(world, result)
     for task, row in world.store.tasks.items():
         if row.call_id == call_id:
@@ -66,7 +68,7 @@
     me = world.node.ref.entry
     alive = [
         row.entry
-        for row in views.neighbours(world)
+        for row in queries.domain_peers(world)
         if row.health is member_models.Health.ALIVE
     ]
     above = sum(_weight(entry) > _weight(me) for entry in alive)
@@ -151,7 +153,7 @@
 
 def _alone(world: world_module.World) -> bool:
     """Say whether no peer was ever heard, so that none can tell."""
-    return not any(row.incarnation for row in views.others(world))
+    return not any(row.incarnation for row in queries.live_peers(world))
 
 
 def _start_timer(world: world_module.World, now_ms: float) -> None:
