Tighten names and docstrings of the gateway's store and entries

removals_held_until_ms was long enough to wrap most of its uses and is hold_until_ms; what peers send is called received; the call's number is described once, at StoreDone.

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -229,12 +229,10 @@
     requests_per_s = previous.requests_per_s
     span_ms = now_ms - previous.at_ms
     if span_ms > 0.0:
-        current_per_s = (
-            (arrived - previous.requests) * const.MS_PER_S / span_ms
-        )
+        new_per_s = (arrived - previous.requests) * const.MS_PER_S / span_ms
         # The rate rises at once, but falls slowly after a burst.
         requests_per_s = max(
-            current_per_s, previous.requests_per_s * const.TRAFFIC_DECAY
+            new_per_s, previous.requests_per_s * const.TRAFFIC_DECAY
         )
     world.entries.traffic[0] = models.TrafficRow(
         arrived, now_ms, requests_per_s
--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -73,10 +73,7 @@
 
 def has_callers(world: world_module.World) -> bool:
     """Return whether this entry gets requests at a notable rate."""
-    return (
-        world.entries.traffic[0].requests_per_s
-        >= const.USED_MIN_REQUESTS_PER_S
-    )
+    return world.entries.traffic[0].requests_per_s >= const.USED_MIN_PER_S
 
 
 def speed(world: world_module.World, entry: ids.EntryId) -> float:
--- a/packages/core/src/zinnialead_core/gateway/inputs.py
+++ b/packages/core/src/zinnialead_core/gateway/inputs.py
@@ -16,8 +16,8 @@
 class RequestArrived:
     """Report a request that was received in full.
 
-    ``deadline_in_ms`` is the time left until the caller's deadline, and
-    ``object_key`` names the object that the request concerns.
+    ``name`` is the caller's id of the request, ``object_key`` identifies
+    the object that it concerns, and ``deadline_in_ms`` is the time left.
     """
 
     request_id: ids.RequestId
@@ -184,7 +184,7 @@
     """Report changes of a kind that another entry read from the store.
 
     They are all changes after ``base_revision`` up to ``latest_revision``.
-    Upstreams that are absent are removed after ``removal_delay_ms``.
+    Deregistered upstreams are removed after ``removal_delay_ms``.
     """
 
     kind: store.Kind
--- a/packages/core/src/zinnialead_core/gateway/outputs.py
+++ b/packages/core/src/zinnialead_core/gateway/outputs.py
@@ -80,10 +80,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallStore:
-    """Make one call to the platform's store.
-
-    ``kind`` and ``call_number`` return with the result in ``StoreDone``.
-    """
+    """Make one call to the platform's store, answered by ``StoreDone``."""
 
     kind: str
     call: store.Call
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -38,7 +38,7 @@
 # A registration expires after three heartbeats, so a shorter outage of the
 # store lets none expire.
 OUTAGE_MIN_MS = 1_500.0
-# After this time behind another entry a change is missing: a watch reports it
+# How long a change that another entry has may be missing: a watch reports it
 # within its pause.
 BEHIND_MIN_MS = 450.0
 # A reader then lists the kind again, and another entry requests a snapshot
@@ -48,5 +48,5 @@
 BEHIND_READ_MS = 1_600.0
 # How long a starting entry waits for the store before it queries the seeds.
 SEED_QUERY_MS = 600.0
-# Waits for one snapshot before the next one is requested.
+# How long a requested snapshot is awaited before the next request.
 REQUEST_PAUSE_MS = 400.0
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -24,8 +24,8 @@
     for item in inputs:
         match item:
             case inp.Started():
-                started = models.HealthRow(started_ms=now_ms)
-                world.store.health[models.STORE] = started
+                health_row = models.HealthRow(started_ms=now_ms)
+                world.store.health[models.STORE] = health_row
                 timer = timers.SeedQueryDue()
                 due_ms = now_ms + const.SEED_QUERY_MS
                 timer_table.start(world.timers, timer, due_ms)
--- a/packages/core/src/zinnialead_core/gateway/store/health.py
+++ b/packages/core/src/zinnialead_core/gateway/store/health.py
@@ -49,17 +49,15 @@
 ) -> None:
     """Hold back removals for at least as long as the sending entry does."""
     health = world.store.health[models.STORE]
-    removals_held_until_ms = max(
-        health.removals_held_until_ms, now_ms + delay_ms
-    )
+    hold_until_ms = max(health.hold_until_ms, now_ms + delay_ms)
     world.store.health[models.STORE] = health._replace(
-        removals_held_until_ms=removals_held_until_ms
+        hold_until_ms=hold_until_ms
     )
 
 
 def removal_delay_ms(world: world_module.World, now_ms: float) -> float:
     """Return for how long removals are held back from now."""
-    left_ms = models.removals_held_until_ms(world.store) - now_ms
+    left_ms = models.hold_until_ms(world.store) - now_ms
     return min(max(0.0, left_ms), const.REMOVAL_DELAY_MS)
 
 
@@ -69,12 +67,12 @@
     health = world.store.health[models.STORE]
     if health.is_available:
         return
-    removals_held_until_ms = 0.0
+    hold_until_ms = 0.0
     lost_ms = health.lost_ms
     if lost_ms is not None and now_ms - lost_ms > const.OUTAGE_MIN_MS:
-        removals_held_until_ms = now_ms + const.REMOVAL_DELAY_MS
+        hold_until_ms = now_ms + const.REMOVAL_DELAY_MS
     world.store.health[models.STORE] = health._replace(
-        is_available=True, removals_held_until_ms=removals_held_until_ms
+        is_available=True, hold_until_ms=hold_until_ms
     )
     yield out.LogStateChange('store', 'store', 'away', 'answers', cause)
 
@@ -86,6 +84,6 @@
     if not health.is_available:
         return
     world.store.health[models.STORE] = health._replace(
-        is_available=False, removals_held_until_ms=float('inf'), lost_ms=now_ms
+        is_available=False, hold_until_ms=float('inf'), lost_ms=now_ms
     )
     yield out.LogStateChange('store', 'store', 'answers', 'away', cause)
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -60,14 +60,14 @@
 class HealthRow(typing.NamedTuple):
     """Hold whether the store is available, and since when.
 
-    Registrations that disappear before ``removals_held_until_ms`` may have
-    expired in an outage; they are kept for a while.  ``lost_ms`` is when
-    the store became unavailable, ``started_ms`` when this entry started to
-    read, and ``failed_ms`` when a call of its own last failed.
+    Registrations that disappear before ``hold_until_ms`` may have expired
+    in an outage and are kept for a while.  The store became unavailable at
+    ``lost_ms``; this entry started to read at ``started_ms``, and the last
+    failure of a call of its own was at ``failed_ms``.
     """
 
     is_available: bool = False
-    removals_held_until_ms: float = 0.0
+    hold_until_ms: float = 0.0
     lost_ms: float | None = None
     started_ms: float = 0.0
     failed_ms: float = float('-inf')
@@ -103,9 +103,9 @@
     return StoreTable(watches, {STORE: HealthRow()}, {}, {}, {})
 
 
-def removals_held_until_ms(table: StoreTable) -> float:
+def hold_until_ms(table: StoreTable) -> float:
     """Return when removals from the store take effect at once again."""
-    return table.health[STORE].removals_held_until_ms
+    return table.health[STORE].hold_until_ms
 
 
 def is_available(table: StoreTable) -> bool:
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -83,60 +83,65 @@
 
 
 def apply_snapshot(
-    world: world_module.World, now_ms: float, item: inp.PeerSnapshot
+    world: world_module.World, now_ms: float, received: inp.PeerSnapshot
 ) -> abc.Iterator[out.Output]:
     """Apply another entry's snapshot if it is later than what is known."""
-    row = world.store.watches[item.kind]
-    synced_revision = max(item.latest_revision, item.synced_revision)
+    row = world.store.watches[received.kind]
+    synced_revision = max(received.latest_revision, received.synced_revision)
     if (
         row.synced_revision is not None
         and synced_revision <= models.known_revision(row)
     ):
         return
     world.counters['store.heard_from_peers'] += 1
-    health.hold_removals(world, now_ms, item.removal_delay_ms)
-    latest_revision = max(item.latest_revision, row.latest_revision)
-    world.store.watches[item.kind] = row._replace(
+    health.hold_removals(world, now_ms, received.removal_delay_ms)
+    latest_revision = max(received.latest_revision, row.latest_revision)
+    world.store.watches[received.kind] = row._replace(
         latest_revision=latest_revision,
         synced_revision=max(synced_revision, row.synced_revision or 0),
     )
-    if item.kind is models.Kind.ENTRIES:
+    if received.kind is models.Kind.ENTRIES:
         # Not as a list: the other entry may lack one that has just started.
-        for entry in item.items:
+        for entry in received.items:
             yield out.Notify(typing.cast('inp.Input', entry))
     else:
-        yield out.Notify(complete_list(item.kind, item.items, synced_revision))
+        yield out.Notify(
+            complete_list(received.kind, received.items, synced_revision)
+        )
     if latest_revision == row.latest_revision:
         return
     yield out.LogStateChange(
         'store',
-        item.kind,
+        received.kind,
         f'revision {row.latest_revision}',
         f'revision {latest_revision}',
-        f'from {item.source}',
+        f'from {received.source}',
     )
 
 
 def apply_changes(
-    world: world_module.World, now_ms: float, item: inp.PeerChanges
+    world: world_module.World, now_ms: float, received: inp.PeerChanges
 ) -> abc.Iterator[out.Output]:
     """Apply changes that another entry has read, unless some are missing."""
-    row = world.store.watches[item.kind]
+    row = world.store.watches[received.kind]
     known_revision = models.known_revision(row)
-    if item.kind is not models.Kind.ENTRIES:
-        if item.latest_revision <= known_revision:
+    if received.kind is not models.Kind.ENTRIES:
+        if received.latest_revision <= known_revision:
             return
-        if row.synced_revision is None or known_revision < item.base_revision:
+        if (
+            row.synced_revision is None
+            or known_revision < received.base_revision
+        ):
             # The next heartbeat makes this entry request a snapshot.
             world.counters['store.told_with_gap'] += 1
             return
     world.counters['store.told_by_peers'] += 1
-    health.hold_removals(world, now_ms, item.removal_delay_ms)
-    latest_revision = max(item.latest_revision, row.latest_revision)
-    world.store.watches[item.kind] = row._replace(
+    health.hold_removals(world, now_ms, received.removal_delay_ms)
+    latest_revision = max(received.latest_revision, row.latest_revision)
+    world.store.watches[received.kind] = row._replace(
         latest_revision=latest_revision
     )
-    for change in item.items:
+    for change in received.items:
         yield out.Notify(typing.cast('inp.Input', change))
 
 
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -65,10 +65,8 @@
     """Treat an upstream as cold for at least ``cold_ms`` from now."""
     if cold_ms <= 0.0:
         return
-    previous_ms = world.upstreams.cold_until_ms.get(upstream, 0.0)
-    world.upstreams.cold_until_ms[upstream] = max(
-        previous_ms, now_ms + cold_ms
-    )
+    until_ms = world.upstreams.cold_until_ms.get(upstream, 0.0)
+    world.upstreams.cold_until_ms[upstream] = max(until_ms, now_ms + cold_ms)
 
 
 def _apply_registration(
@@ -99,7 +97,7 @@
 ) -> abc.Iterator[out.Output]:
     if upstream not in world.upstreams.rows:
         return
-    if now_ms < store_models.removals_held_until_ms(world.store):
+    if now_ms < store_models.hold_until_ms(world.store):
         _delay_removal(world, now_ms, upstream)
         return
     yield from _remove(world, upstream, 'removed from the store')
@@ -124,12 +122,10 @@
 ) -> None:
     if upstream in world.upstreams.expiring:
         return
-    held_until_ms = store_models.removals_held_until_ms(world.store)
-    expires_ms = min(held_until_ms, now_ms + const.EXPIRY_DELAY_MS)
-    world.upstreams.expiring[upstream] = expires_ms
-    timer_table.start(
-        world.timers, timers.UpstreamExpiry(upstream), expires_ms
-    )
+    hold_until_ms = store_models.hold_until_ms(world.store)
+    due_ms = min(hold_until_ms, now_ms + const.EXPIRY_DELAY_MS)
+    world.upstreams.expiring[upstream] = due_ms
+    timer_table.start(world.timers, timers.UpstreamExpiry(upstream), due_ms)
 
 
 def _expire(
