--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from zinnialead_core import buckets
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
 from zinnialead_core.components.store import models
@@ -27,7 +27,7 @@
     world.store.sequence[0] += 1
     call_id = world.store.sequence[0]
     deadline_ms = now_ms + timeout_ms
-    world.store.open[call_id] = models.OpenRow(call, deadline_ms)
+    world.store.open_calls[call_id] = models.OpenRow(call, deadline_ms)
     return out.CallStore(call_id, call, deadline_ms)
 
 
@@ -40,7 +40,7 @@
 
 def lost_calls(world: world_module.World, now_ms: float) -> abc.Iterator[int]:
     """Yield the open calls whose end should have come long ago."""
-    for call_id, row in list(world.store.open.items()):
+    for call_id, row in list(world.store.open_calls.items()):
         if now_ms > row.deadline_ms + const.LOST_MARGIN_MS:
             yield call_id
 
@@ -70,7 +70,7 @@
 
 
 def _share_per_s(world: world_module.World, budget: models.Budget) -> float:
-    entries = 1 + sum(1 for _ in views.others(world))
+    entries = 1 + sum(1 for _ in queries.live_peers(world))
     match budget:
         case models.Budget.READS:
             return const.FLEET_READS_PER_S / entries
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -271,7 +271,7 @@
         case models.Kind.ENTRIES:
             return tuple(map(inp.EntryRegistered, world.entries.rows.values()))
         case models.Kind.CONFIGURATION:
-            active = world.routes.in_force.get(routes.IN_FORCE)
+            active = world.routes.active.get(routes.ACTIVE)
             source = str(world.node.ref.entry)
             return (inp.ConfigurationRead(active, source),) if active else ()
 
