Describe the requests component in the usual terms of requests

`endings` is `completion`, as in the gateway's core. Requests were "tried again", "told", "given up" by functions named `ended`, `done`, `started`, `confirmed`, `earn`, `_no_more` or `_true_end`; handlers of events are now `on_...`, the others say what they do: `record_end`, `refuse_after_failure`, `remove`, `add_tokens`, `_final_outcome`. `RequestRow.worst` is `worst_verdict` and isn't written out; `ROWS_MAX` is `REQUESTS_MAX`. The reasons for keeping an ending request's slot, for the verdict of keyed refusals and for the retry budget stay.

Three texts read plainer: of a caller that has left, an attempt that has not ended, and a slot that arrived too late; no test matches them.

--- a/packages/core/src/zinnialead_core/components/requests/__init__.py
+++ b/packages/core/src/zinnialead_core/components/requests/__init__.py
@@ -1,4 +1,4 @@
-"""Carry each caller's request from its arrival to its answer."""
+"""Process each caller's request from its arrival to its answer."""
 
 from zinnialead_core.components.requests.models import new_table
 from zinnialead_core.components.requests.models import Phase
--- a/packages/core/src/zinnialead_core/components/requests/answers.py
+++ b/packages/core/src/zinnialead_core/components/requests/answers.py
@@ -1,4 +1,4 @@
-"""Let an answer begin before its end is known."""
+"""Stream answers that are relayed before they are complete."""
 
 from collections import abc
 
@@ -8,13 +8,17 @@
 from zinnialead_core import world as world_module
 
 
-def started(
+def on_started(
     world: world_module.World, request_id: ids.RequestId, attempt: int
 ) -> abc.Iterator[out.Output]:
-    """Relay an answer as it comes; after this there is no retry."""
+    """Relay an answer as it arrives; it is not retried from here on."""
     row = world.requests.rows.get(request_id)
-    current = row is not None and row.attempt == attempt
-    if row is None or not current or row.phase is not models.Phase.UPSTREAM:
+    is_current_attempt = row is not None and row.attempt == attempt
+    if (
+        row is None
+        or not is_current_attempt
+        or row.phase is not models.Phase.UPSTREAM
+    ):
         world.counters['requests.late_answer'] += 1
         yield out.CancelDispatch(request_id, attempt)
         return
--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -1,8 +1,8 @@
-"""Make attempts at upstreams and take in how they ended."""
+"""Dispatch attempts to upstreams and process their outcomes."""
 
 from collections import abc
 
-from zinnialead_core.components.requests import endings
+from zinnialead_core.components.requests import completion
 from zinnialead_core.components.requests import models
 from zinnialead_core.components.requests import retries
 from zinnialead_core import ids
@@ -12,7 +12,7 @@
 from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
-NOWHERE = ids.UpstreamId('')
+NO_UPSTREAM = ids.UpstreamId('')
 
 
 def dispatch(
@@ -22,7 +22,7 @@
     attempt: int,
     upstream: ids.UpstreamId,
 ) -> abc.Iterator[out.Output]:
-    """Send a request, once its key is confirmed, to its slot's upstream."""
+    """Send a request to its slot's upstream, confirming any key first."""
     row = world.requests.rows.get(request_id)
     if row is None or row.attempt != attempt:
         yield out.Notify(inp.SlotGone(request_id, attempt))
@@ -34,71 +34,80 @@
     if row.keyed:
         yield out.Notify(inp.ConfirmWanted(request_id))
         return
-    yield from confirmed(world, now_ms, request_id)
+    yield from on_confirmed(world, now_ms, request_id)
 
 
-def confirmed(
+def on_confirmed(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Send a request that has its slot and, where it needs one, its key."""
+    """Send a request that has its slot and, if keyed, its confirmed key."""
     row = world.requests.rows.get(request_id)
     if row is None or row.phase is not models.Phase.CONFIRM:
         return
-    known = world.states['in-force'].upstreams.get(row.upstream or NOWHERE)
-    if known is None or now_ms >= row.deadline_ms:
+    upstream_row = world.states['in-force'].upstreams.get(
+        row.upstream or NO_UPSTREAM
+    )
+    if upstream_row is None or now_ms >= row.deadline_ms:
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
-        yield from endings.refuse(world, row, _no_more(row, row.upstream))
+        yield from completion.refuse(
+            world, row, _slot_too_late(row, row.upstream)
+        )
         return
     world.requests.rows[request_id] = row._replace(phase=models.Phase.UPSTREAM)
     world.counters['requests.dispatched'] += 1
     if row.attempt == 1:
         world.counters['requests.accepted'] += 1
-        retries.earn(world, row.service)
+        retries.add_tokens(world, row.service)
     yield out.Dispatch(
         request_id,
         row.attempt,
-        known.upstream,
-        known.address,
+        upstream_row.upstream,
+        upstream_row.address,
         row.deadline_ms,
         row.idempotent,
     )
 
 
-def done(
-    world: world_module.World, now_ms: float, item: inp.DispatchDone
+def on_done(
+    world: world_module.World, now_ms: float, result: inp.DispatchDone
 ) -> abc.Iterator[out.Output]:
-    """Relay an attempt's answer, try again, or give up."""
-    row = world.requests.rows.get(item.request_id)
-    if row is None or row.attempt != item.attempt:
+    """Relay an attempt's answer, schedule a retry, or give up."""
+    row = world.requests.rows.get(result.request_id)
+    if row is None or row.attempt != result.attempt:
         world.counters['requests.late_outcome'] += 1
-        yield out.Notify(inp.SlotGone(item.request_id, item.attempt))
+        yield out.Notify(inp.SlotGone(result.request_id, result.attempt))
         return
     if row.phase not in models.AT_UPSTREAM:
         world.counters['requests.late_outcome'] += 1
         return
-    yield out.Notify(_slot_gone(row, item))
+    yield out.Notify(_slot_gone(row, result))
     if row.phase is models.Phase.ENDING:
-        yield from endings.ended(world, row, item.outcome)
+        yield from completion.record_end(world, row, result.outcome)
         return
-    match item.outcome:
+    match result.outcome:
         case verdict.Answered():
-            yield from _answered(world, row, item.outcome)
+            yield from _answered(world, row, result.outcome)
         case _:
-            yield from _failed(world, now_ms, row, item.outcome)
+            yield from _failed(world, now_ms, row, result.outcome)
+
 
+def _slot_gone(
+    row: models.RequestRow, result: inp.DispatchDone
+) -> inp.SlotGone:
+    """Return the slot's release, without outcome if the caller has left.
 
-def _slot_gone(row: models.RequestRow, item: inp.DispatchDone) -> inp.SlotGone:
-    """Tell of the slot; a cancelled attempt says nothing of upstreams."""
-    outcome: verdict.Outcome | None = item.outcome
+    A cancelled attempt must not count for or against its upstream.
+    """
+    outcome: verdict.Outcome | None = result.outcome
     if row.caller_gone:
         outcome = None
     return inp.SlotGone(
-        item.request_id,
-        item.attempt,
+        result.request_id,
+        result.attempt,
         outcome,
-        item.elapsed_ms,
+        result.elapsed_ms,
         timed_out=row.phase is models.Phase.ENDING,
-        answer_bytes=item.answer_bytes,
+        answer_bytes=result.answer_bytes,
     )
 
 
@@ -112,7 +121,7 @@
     world.counters[f'requests.answered.{row.rank}'] += 1
     if row.phase is not models.Phase.ANSWER:
         yield out.Relay(row.request_id, row.attempt)
-    yield from endings.forget(world, row.request_id)
+    yield from completion.remove(world, row.request_id)
 
 
 def _failed(
@@ -121,11 +130,13 @@
     row: models.RequestRow,
     outcome: verdict.Outcome,
 ) -> abc.Iterator[out.Output]:
-    row = row._replace(worst=_worse(row.worst, verdict.verdict_of(outcome)))
+    row = row._replace(
+        worst_verdict=_worse(row.worst_verdict, verdict.verdict_of(outcome))
+    )
     world.requests.rows[row.request_id] = row
     delay_ms = retries.delay_ms(world, now_ms, row, outcome)
     if delay_ms is None:
-        yield from endings.give_up(world, row, outcome)
+        yield from completion.refuse_after_failure(world, row, outcome)
         return
     world.requests.rows[row.request_id] = row._replace(
         phase=models.Phase.BACKOFF
@@ -134,17 +145,17 @@
     timers.start(world.timers, retry, now_ms + delay_ms)
 
 
-def _worse(known: verdict.Verdict, latest: verdict.Verdict) -> verdict.Verdict:
-    if known is verdict.Verdict.NOT_RUN:
+def _worse(worst: verdict.Verdict, latest: verdict.Verdict) -> verdict.Verdict:
+    if worst is verdict.Verdict.NOT_RUN:
         return latest
-    return known
+    return worst
 
 
-def _no_more(
+def _slot_too_late(
     row: models.RequestRow, upstream: ids.UpstreamId | None
 ) -> verdict.Refusal:
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.DEADLINE_PASSED,
-        f'the slot at {upstream!r} came too late for attempt {row.attempt}',
+        f'the slot at {upstream!r} arrived too late for attempt {row.attempt}',
     )
--- a/packages/core/src/zinnialead_core/components/requests/endings.py
+++ b/packages/core/src/zinnialead_core/components/requests/completion.py
@@ -1,10 +1,9 @@
-"""End requests: by a refusal, a caller that left, or a deadline.
+"""End requests on a refusal, a departed caller or a deadline.
 
-A request whose attempt is still at its upstream keeps its row and its
-slot until the attempt ends, since the upstream is busy until then, and
-since only the attempt's end says what became of keyed work: the edge
-cancels such work where the upstream promises not to start it, and hears
-it out where it has started.
+A request with an attempt at an upstream keeps its row and slot until the
+attempt ends.  The upstream is busy until then, and only the end of the
+attempt shows whether keyed work has run: the edge cancels such work if
+the upstream guarantees not to start it, else waits for it to finish.
 """
 
 from collections import abc
@@ -23,33 +22,35 @@
 NOTHING_SENT = verdict.NotSent()
 
 
-def caller_gone(
+def on_caller_gone(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Drop the work of a caller that left."""
+    """Abandon the request of a caller that has left."""
     row = world.requests.rows.get(request_id)
     if row is None or row.phase is models.Phase.ENDING:
         return
     row = row._replace(caller_gone=True)
     world.requests.rows[request_id] = row
     refusal = verdict.Refusal(
-        verdict.Verdict.NOT_RUN, verdict.Reason.CALLER_GONE, 'caller left'
+        verdict.Verdict.NOT_RUN,
+        verdict.Reason.CALLER_GONE,
+        'the caller has left',
     )
     yield from _abandon(world, now_ms, row, refusal)
 
 
-def deadline(
+def on_deadline(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Refuse a request whose time is over."""
+    """Refuse a request at its deadline, or give up its last attempt."""
     row = world.requests.rows.get(request_id)
     if row is None:
         return
     if row.phase is models.Phase.ENDING:
         world.counters['requests.ending_dropped'] += 1
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
-        lost = verdict.Lost(f'no end of attempt {row.attempt}')
-        yield from ended(world, row, lost)
+        lost = verdict.Lost(f'attempt {row.attempt} has not ended')
+        yield from record_end(world, row, lost)
         return
     refusal = verdict.Refusal(
         verdict.Verdict.NOT_RUN,
@@ -59,27 +60,29 @@
     yield from _abandon(world, now_ms, row, refusal)
 
 
-def ended(
+def record_end(
     world: world_module.World,
     row: models.RequestRow,
     outcome: verdict.Outcome,
 ) -> abc.Iterator[out.Output]:
-    """Record the true end of work whose caller has its answer."""
+    """Record the outcome of work whose caller was already answered."""
     if row.keyed:
         yield out.Notify(
-            inp.ClaimEnded(row.request_id, _true_end(row, outcome))
+            inp.ClaimEnded(row.request_id, _final_outcome(row, outcome))
         )
-    yield from forget(world, row.request_id)
+    yield from remove(world, row.request_id)
 
 
-def give_up(
+def refuse_after_failure(
     world: world_module.World,
     row: models.RequestRow,
     outcome: verdict.Outcome,
 ) -> abc.Iterator[out.Output]:
     """Refuse a request after its last attempt failed."""
     detail = f'attempt {row.attempt} at {row.upstream}: {outcome}'
-    refusal = verdict.Refusal(row.worst, verdict.Reason.UPSTREAM_LOST, detail)
+    refusal = verdict.Refusal(
+        row.worst_verdict, verdict.Reason.UPSTREAM_LOST, detail
+    )
     yield from refuse(world, row, refusal, outcome)
 
 
@@ -89,18 +92,18 @@
     refusal: verdict.Refusal,
     outcome: verdict.Outcome = NOTHING_SENT,
 ) -> abc.Iterator[out.Output]:
-    """Refuse a request that has no attempt at an upstream."""
+    """Refuse a request without an attempt in progress."""
     if row.keyed:
-        end = _true_end(row, outcome)
+        end = _final_outcome(row, outcome)
         yield out.Notify(inp.ClaimEnded(row.request_id, end))
-    yield _told(world, row, refusal)
-    yield from forget(world, row.request_id)
+    yield _refuse_output(world, row, refusal)
+    yield from remove(world, row.request_id)
 
 
-def forget(
+def remove(
     world: world_module.World, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Drop a request's row and its timers."""
+    """Remove a request's row and its timers."""
     world.requests.rows.pop(request_id, None)
     timers.stop(world.timers, timers.RequestDeadline(request_id))
     timers.stop(world.timers, timers.RetryDue(request_id))
@@ -110,10 +113,10 @@
 def stopped_if_idle(
     world: world_module.World,
 ) -> abc.Iterator[out.Output]:
-    """Tell that a stopping entry has nothing in flight any more."""
+    """Report a stopping entry as stopped once nothing is in flight."""
     if not world.requests.stopping or world.requests.rows:
         return
-    # Registrars that never hear of an end could only say may-have-run.
+    # Without the recorded end, registrars could answer only may-have-run.
     if not any(map(keys.is_open, world.claims.values())):
         yield out.Stopped()
 
@@ -131,37 +134,37 @@
         yield out.Notify(inp.SlotGone(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
-    ending = row._replace(
-        phase=models.Phase.ENDING, worst=verdict.Verdict.MAY_HAVE_RUN
+    ending_row = row._replace(
+        phase=models.Phase.ENDING, worst_verdict=verdict.Verdict.MAY_HAVE_RUN
     )
-    world.requests.rows[request_id] = ending
-    drop_ms = max(now_ms, row.deadline_ms) + const.ENDING_MAX_MS
-    timers.start(world.timers, timers.RequestDeadline(request_id), drop_ms)
+    world.requests.rows[request_id] = ending_row
+    give_up_ms = max(now_ms, row.deadline_ms) + const.ENDING_MAX_MS
+    timers.start(world.timers, timers.RequestDeadline(request_id), give_up_ms)
     yield out.CancelDispatch(request_id, row.attempt)
-    yield _told(world, ending, refusal)
+    yield _refuse_output(world, ending_row, refusal)
 
 
-def _told(
+def _refuse_output(
     world: world_module.World,
     row: models.RequestRow,
     refusal: verdict.Refusal,
 ) -> out.Refuse:
     world.counters[f'requests.refused.{refusal.reason.value}'] += 1
-    if row.worst is verdict.Verdict.MAY_HAVE_RUN:
-        refusal = refusal._replace(verdict=row.worst)
+    if row.worst_verdict is verdict.Verdict.MAY_HAVE_RUN:
+        refusal = refusal._replace(verdict=row.worst_verdict)
     return out.Refuse(row.request_id, refusal)
 
 
-def _true_end(
+def _final_outcome(
     row: models.RequestRow, outcome: verdict.Outcome
 ) -> verdict.Outcome:
-    """Return what became of keyed work, over all its attempts.
+    """Return the outcome of keyed work over all its attempts.
 
-    Keyed work is tried again only after a true not-run, so the last
-    attempt's end is the end, but where an earlier one was lost.
+    Keyed work is retried only if the previous attempt has certainly not
+    run, so the last attempt decides unless an earlier one was lost.
     """
     if row.phase is models.Phase.ENDING:
         return outcome
-    if row.worst is verdict.Verdict.MAY_HAVE_RUN:
+    if row.worst_verdict is verdict.Verdict.MAY_HAVE_RUN:
         return verdict.Lost(f'attempt {row.attempt}')
     return outcome
--- a/packages/core/src/zinnialead_core/components/requests/const.py
+++ b/packages/core/src/zinnialead_core/components/requests/const.py
@@ -1,13 +1,14 @@
-"""Hold the constants of the requests component."""
+"""Constants of the requests component."""
 
 # Tokens that each accepted request adds to the retry budget: one retry
-# for ten requests keeps the load on upstreams within 1.1 times.
+# per ten requests limits the load on upstreams to 1.1 times.
 RETRY_TOKENS_PER_REQUEST = 0.1
 RETRY_TOKENS_START = 0.0
 RETRY_TOKENS_MAX = 10.0
 RETRY_BACKOFF_MS = 5.0
 RETRY_BACKOFF_MAX_MS = 200.0
 ATTEMPTS_MAX = 3
-ROWS_MAX = 20_000
-# An attempt that has not ended this long after its request is given up.
+REQUESTS_MAX = 20_000
+# An attempt that has not ended this long after its request's deadline is
+# given up.
 ENDING_MAX_MS = 30_000.0
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -1,4 +1,4 @@
-"""Take requests through claim, slot and upstream to one answer."""
+"""Advance requests through claim, slot and attempt to one answer."""
 
 from collections import abc
 
@@ -6,7 +6,7 @@
 from zinnialead_core.components.requests import admission
 from zinnialead_core.components.requests import answers
 from zinnialead_core.components.requests import attempts
-from zinnialead_core.components.requests import endings
+from zinnialead_core.components.requests import completion
 from zinnialead_core.components.requests import models
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -15,7 +15,7 @@
 from zinnialead_core import verdict
 from zinnialead_core import world as world_module
 
-STOPPING = 'stopping'
+STOPPING_MARKER = 'stopping'
 
 
 def run(
@@ -23,51 +23,51 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Move requests on by what happened to them.
+    """Advance requests by the events of a tick.
 
     Reads ``states`` and ``claims``; writes ``requests`` and ``timers``.
     """
     for item in inputs:
-        yield from _on_claim(world, now_ms, item)
+        yield from _on_claim_event(world, now_ms, item)
         match item:
             case inp.RequestArrived():
-                yield from _arrive(world, now_ms, item)
+                yield from _on_arrival(world, now_ms, item)
             case inp.SlotHeld(request_id, attempt, upstream):
                 yield from attempts.dispatch(
                     world, now_ms, request_id, attempt, upstream
                 )
             case inp.SlotRefused():
-                yield from _slot_refused(world, item)
+                yield from _on_slot_refused(world, item)
             case inp.AnswerStarted(request_id, attempt):
-                yield from answers.started(world, request_id, attempt)
+                yield from answers.on_started(world, request_id, attempt)
             case inp.DispatchDone():
-                yield from attempts.done(world, now_ms, item)
+                yield from attempts.on_done(world, now_ms, item)
             case inp.CallerGone(request_id):
-                yield from endings.caller_gone(world, now_ms, request_id)
+                yield from completion.on_caller_gone(world, now_ms, request_id)
             case inp.TimerDue(timers.RequestDeadline(request_id)):
-                yield from endings.deadline(world, now_ms, request_id)
+                yield from completion.on_deadline(world, now_ms, request_id)
             case inp.TimerDue(timers.RetryDue(request_id)):
-                yield from _want_slot(world, request_id)
+                yield from _request_slot(world, request_id)
             case inp.StopAsked():
-                world.requests.stopping.add(STOPPING)
-                yield from endings.stopped_if_idle(world)
+                world.requests.stopping.add(STOPPING_MARKER)
+                yield from completion.stopped_if_idle(world)
 
 
-def _on_claim(
+def _on_claim_event(
     world: world_module.World, now_ms: float, item: inp.Input
 ) -> abc.Iterator[out.Output]:
     match item:
         case inp.ClaimHeld(request_id):
-            yield from _want_slot(world, request_id)
+            yield from _request_slot(world, request_id)
         case inp.ClaimConfirmed(request_id):
-            yield from attempts.confirmed(world, now_ms, request_id)
+            yield from attempts.on_confirmed(world, now_ms, request_id)
         case inp.ClaimDenied(request_id, denial):
-            yield from _deny(world, request_id, denial)
+            yield from _on_claim_denied(world, request_id, denial)
         case inp.ClaimClosed():
-            yield from endings.stopped_if_idle(world)
+            yield from completion.stopped_if_idle(world)
 
 
-def _arrive(
+def _on_arrival(
     world: world_module.World, now_ms: float, item: inp.RequestArrived
 ) -> abc.Iterator[out.Output]:
     world.counters['requests.arrived'] += 1
@@ -90,7 +90,7 @@
     deadline = timers.RequestDeadline(item.request_id)
     timers.start(world.timers, deadline, row.deadline_ms)
     if item.key is None or row.idempotent:
-        yield from _want_slot(world, item.request_id)
+        yield from _request_slot(world, item.request_id)
         return
     yield out.Notify(
         inp.ClaimWanted(
@@ -99,7 +99,7 @@
     )
 
 
-def _want_slot(
+def _request_slot(
     world: world_module.World, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
     row = world.requests.rows.get(request_id)
@@ -112,17 +112,17 @@
     yield out.Notify(inp.SlotWanted(request_id, row.attempt))
 
 
-def _slot_refused(
+def _on_slot_refused(
     world: world_module.World, item: inp.SlotRefused
 ) -> abc.Iterator[out.Output]:
     row = world.requests.rows.get(item.request_id)
     if row is None or row.attempt != item.attempt:
         return
     if row.phase is models.Phase.SLOT:
-        yield from endings.refuse(world, row, item.refusal)
+        yield from completion.refuse(world, row, item.refusal)
 
 
-def _deny(
+def _on_claim_denied(
     world: world_module.World, request_id: ids.RequestId, denial: keys.Denial
 ) -> abc.Iterator[out.Output]:
     row = world.requests.rows.get(request_id)
@@ -139,4 +139,4 @@
         case keys.Denied(refusal):
             world.counters[f'requests.refused.{refusal.reason.value}'] += 1
             yield out.Refuse(request_id, refusal)
-    yield from endings.forget(world, request_id)
+    yield from completion.remove(world, request_id)
--- a/packages/core/src/zinnialead_core/components/requests/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/requests/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the requests in hand for a dump."""
+"""Describe the requests in progress for the state dump."""
 
 import collections
 import typing
@@ -7,7 +7,7 @@
 
 
 class RequestsDump(typing.TypedDict):
-    """Count the requests in hand by what they wait for."""
+    """Count the requests in progress by phase."""
 
     in_hand: int
     by_phase: dict[str, int]
@@ -16,7 +16,7 @@
 
 
 def dump(world: world_module.World) -> RequestsDump:
-    """Return the requests' part of the state dump."""
+    """Return the requests section of the state dump."""
     table = world.requests
     phases = collections.Counter(
         row.phase.value for row in table.rows.values()
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the requests tables."""
+"""Rows and tables of the requests component."""
 
 import enum
 import typing
@@ -8,12 +8,12 @@
 
 
 class Phase(enum.Enum):
-    """Say what a request waits for.
+    """What a request waits for.
 
-    One in ``CONFIRM`` has a slot, and waits for the witness of its key.
-    One in ``ANSWER`` has begun to be answered, and is not tried again.
-    One that is ``ENDING`` has been answered, or its caller has left, but
-    its attempt still keeps the upstream busy.
+    ``CONFIRM`` has a slot and waits for the witness of its key.
+    ``ANSWER`` is streaming an answer and is not retried.  ``ENDING`` has
+    been answered, or its caller has left, but its attempt still occupies
+    the upstream.
     """
 
     CLAIM = 'claim'
@@ -25,12 +25,15 @@
     ENDING = 'ending'
 
 
-# The phases in which an attempt keeps an upstream busy.
+# The phases in which an attempt occupies an upstream.
 AT_UPSTREAM = (Phase.UPSTREAM, Phase.ANSWER, Phase.ENDING)
 
 
 class RequestRow(typing.NamedTuple):
-    """Hold one request between its arrival and its answer."""
+    """Hold one request from its arrival until it has ended.
+
+    ``worst_verdict`` covers all attempts made so far.
+    """
 
     request_id: ids.RequestId
     service: ids.ServiceId
@@ -45,12 +48,15 @@
     attempt: int
     upstream: ids.UpstreamId | None
     caller_gone: bool
-    worst: verdict.Verdict
+    worst_verdict: verdict.Verdict
     home_region: ids.RegionId
 
 
 class RequestTable(typing.NamedTuple):
-    """Hold the requests in hand, and what the retry budget has left."""
+    """Hold the requests in progress and the retry budgets.
+
+    ``stopping`` is non-empty once the entry has been asked to stop.
+    """
 
     rows: dict[ids.RequestId, RequestRow]
     retry_tokens: dict[ids.ServiceId, float]
@@ -58,5 +64,5 @@
 
 
 def new_table() -> RequestTable:
-    """Return a table without requests."""
+    """Return an empty table."""
     return RequestTable({}, {}, set())
--- a/packages/core/src/zinnialead_core/components/requests/retries.py
+++ b/packages/core/src/zinnialead_core/components/requests/retries.py
@@ -1,4 +1,4 @@
-"""Decide whether and when an attempt is tried again."""
+"""Decide whether and when to retry a failed attempt."""
 
 from zinnialead_core.components.requests import const
 from zinnialead_core.components.requests import models
@@ -7,18 +7,18 @@
 from zinnialead_core import world as world_module
 
 
-def earn(world: world_module.World, service: ids.ServiceId) -> None:
-    """Add what a request's first attempt gives to the retry budget.
+def add_tokens(world: world_module.World, service: ids.ServiceId) -> None:
+    """Add the tokens of a request's first attempt to the retry budget.
 
-    Requests refused before an attempt earn nothing, so that a flood
-    does not fill the budget.
+    Requests refused before an attempt add none, so that an overload does
+    not fill the budget.
     """
     tokens = world.requests.retry_tokens
-    earned = (
+    balance = (
         tokens.get(service, const.RETRY_TOKENS_START)
         + const.RETRY_TOKENS_PER_REQUEST
     )
-    tokens[service] = min(const.RETRY_TOKENS_MAX, earned)
+    tokens[service] = min(const.RETRY_TOKENS_MAX, balance)
 
 
 def delay_ms(
@@ -27,8 +27,8 @@
     row: models.RequestRow,
     outcome: verdict.Outcome,
 ) -> float | None:
-    """Return the pause before the next attempt, or None for no retry."""
-    may_repeat = row.idempotent or row.worst is verdict.Verdict.NOT_RUN
+    """Return the delay before a retry, which takes a token, else None."""
+    may_repeat = row.idempotent or row.worst_verdict is verdict.Verdict.NOT_RUN
     if not may_repeat or not row.replayable or row.caller_gone:
         return None
     if row.phase is models.Phase.ANSWER:
@@ -50,10 +50,10 @@
 def _backoff_ms(
     world: world_module.World, attempt: int, outcome: verdict.Outcome
 ) -> float:
-    ceiling = min(
+    ceiling_ms = min(
         const.RETRY_BACKOFF_MAX_MS, const.RETRY_BACKOFF_MS * 2**attempt
     )
-    pause_ms = world.random.uniform(0.0, ceiling)
+    pause_ms = world.random.uniform(0.0, ceiling_ms)
     match outcome:
         case verdict.Shed(retry_after_ms):
             return max(pause_ms, retry_after_ms)
--- a/tests/core/components/requests/test_endings.py
+++ b/tests/core/components/requests/test_completion.py
@@ -143,8 +143,8 @@
     world = samples.world()
     rows = world.requests.rows
     tick(world, 0.0, samples.request(-1))
-    rows |= {n: rows[-1] for n in range(const.ROWS_MAX - 1)}
-    [refuse] = tick(world, 1.0, samples.request(const.ROWS_MAX))
+    rows |= {n: rows[-1] for n in range(const.REQUESTS_MAX - 1)}
+    [refuse] = tick(world, 1.0, samples.request(const.REQUESTS_MAX))
     assert refuse.refusal.reason is verdict.Reason.QUEUE_FULL
 
 
