--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -25,14 +25,14 @@
     """Send a request to its slot's upstream, confirming any key first."""
     row = world.requests.rows.get(request_id)
     if row is None or row.attempt != attempt:
-        yield out.Notify(inp.SlotGone(request_id, attempt))
+        yield out.Notify(inp.SlotReleased(request_id, attempt))
         return
     if row.phase is not models.Phase.SLOT:
         return
     row = row._replace(phase=models.Phase.CONFIRM, upstream=upstream)
     world.requests.rows[request_id] = row
     if row.keyed:
-        yield out.Notify(inp.ConfirmWanted(request_id))
+        yield out.Notify(inp.ConfirmationRequested(request_id))
         return
     yield from on_confirmed(world, now_ms, request_id)
 
@@ -48,7 +48,7 @@
         row.upstream or NO_UPSTREAM
     )
     if upstream_row is None or now_ms >= row.deadline_ms:
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         yield from completion.refuse(
             world, row, _slot_too_late(row, row.upstream)
         )
@@ -75,12 +75,12 @@
     row = world.requests.rows.get(result.request_id)
     if row is None or row.attempt != result.attempt:
         world.counters['requests.late_outcome'] += 1
-        yield out.Notify(inp.SlotGone(result.request_id, result.attempt))
+        yield out.Notify(inp.SlotReleased(result.request_id, result.attempt))
         return
     if row.phase not in models.AT_UPSTREAM:
         world.counters['requests.late_outcome'] += 1
         return
-    yield out.Notify(_slot_gone(row, result))
+    yield out.Notify(_slot_released(row, result))
     if row.phase is models.Phase.ENDING:
         yield from completion.record_end(world, row, result.outcome)
         return
@@ -91,9 +91,9 @@
             yield from _failed(world, now_ms, row, result.outcome)
 
 
-def _slot_gone(
+def _slot_released(
     row: models.RequestRow, result: inp.DispatchDone
-) -> inp.SlotGone:
+) -> inp.SlotReleased:
     """Return the slot's release, without outcome if the caller has left.
 
     A cancelled attempt must not count for or against its upstream.
@@ -101,7 +101,7 @@
     outcome: verdict.Outcome | None = result.outcome
     if row.caller_gone:
         outcome = None
-    return inp.SlotGone(
+    return inp.SlotReleased(
         result.request_id,
         result.attempt,
         outcome,
--- a/packages/core/src/zinnialead_core/components/requests/completion.py
+++ b/packages/core/src/zinnialead_core/components/requests/completion.py
@@ -48,7 +48,7 @@
         return
     if row.phase is models.Phase.ENDING:
         world.counters['requests.ending_dropped'] += 1
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         lost = verdict.Lost(f'attempt {row.attempt} has not ended')
         yield from record_end(world, row, lost)
         return
@@ -130,8 +130,8 @@
     request_id = row.request_id
     if row.phase not in models.AT_UPSTREAM:
         if row.keyed and row.phase is models.Phase.CLAIM:
-            refusal = claims.overdue(world, request_id)
-        yield out.Notify(inp.SlotGone(request_id, row.attempt))
+            refusal = claims.deadline_refusal(world, request_id)
+        yield out.Notify(inp.SlotReleased(request_id, row.attempt))
         yield from refuse(world, row, refusal)
         return
     ending_row = row._replace(
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -59,7 +59,7 @@
 
 
 def release(
-    world: world_module.World, now_ms: float, released: inp.SlotGone
+    world: world_module.World, now_ms: float, released: inp.SlotReleased
 ) -> abc.Iterator[out.Output]:
     """Return a request's slot, or withdraw its ask from the queue."""
     ask_id = ids.AskId(world.node.ref, released.request_id, released.attempt)
@@ -260,7 +260,7 @@
     return member is not None and member.domain == row.domain
 
 
-def _slot_end(released: inp.SlotGone) -> models.SlotEnd:
+def _slot_end(released: inp.SlotReleased) -> models.SlotEnd:
     match released.outcome:
         case None | verdict.NeverStarted():
             return models.SlotEnd.UNUSED
--- a/packages/core/src/zinnialead_core/components/slots/availability.py
+++ b/packages/core/src/zinnialead_core/components/slots/availability.py
@@ -1,7 +1,7 @@
 """Select upstreams with free slots and count a service's slots."""
 
 from zinnialead_core.components.slots import local_config
-from zinnialead_core.components.upstreams import believed
+from zinnialead_core.components.upstreams import capacity
 from zinnialead_core import ids
 from zinnialead_core import world as world_module
 
@@ -23,7 +23,7 @@
     best: tuple[bool, int, ids.UpstreamId] | None = None
     for row in local.upstreams:
         health = world.upstreams.get(row.upstream)
-        slots = believed.slots(health, row.slots, now_ms)
+        slots = capacity.usable_slots(health, row.slots, now_ms)
         free = slots - world.queues.in_use.get(row.upstream, 0)
         candidate = (row.upstream != avoid, free, row.upstream)
         if free > 0 and (best is None or candidate > best):
@@ -37,7 +37,9 @@
     """Return how many slots of a service may currently be in use."""
     local = local_config.get(world, service)
     total = sum(
-        believed.slots(world.upstreams.get(row.upstream), row.slots, now_ms)
+        capacity.usable_slots(
+            world.upstreams.get(row.upstream), row.slots, now_ms
+        )
         for row in local.upstreams
     )
     limit = local_config.in_flight_max(world, now_ms, service)
@@ -61,7 +63,7 @@
 def has_upstream(world: world_module.World, service: ids.ServiceId) -> bool:
     """Return whether an upstream here accepts work now or will soon."""
     return any(
-        not believed.is_leaving(world.upstreams.get(row.upstream))
+        not capacity.is_leaving(world.upstreams.get(row.upstream))
         for row in local_config.get(world, service).upstreams
     )
 
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -87,7 +87,7 @@
     _record_service_time(world, row.service, slot_return.end, elapsed_ms)
     siblings = local_config.get(world, row.service).upstreams
     end = _end_for_health(world, row, slot_return.end, elapsed_ms)
-    outliers.attempt_ended(world, now_ms, row.upstream, siblings, end)
+    outliers.record_attempt(world, now_ms, row.upstream, siblings, end)
     return row
 
 
