--- a/tests/core/components/slots/asking.py
+++ b/tests/core/components/slots/asking.py
@@ -28,11 +28,11 @@
     )
 
 
-def slot_return(number, end=slots.SlotEnd.SERVED, elapsed_ms=20.0):
+def give_back(number, end=slots.SlotEnd.SERVED, elapsed_ms=20.0):
     return slots.SlotReturn(ask_id(number), 'any', elapsed_ms, end)
 
 
-def send(world, now_ms, *messages):
+def tell(world, now_ms, *messages):
     """Return what a slot owner answers to messages of the asker."""
     given = [inp.PeerMessage(ASKER, message) for message in messages]
     return [
--- a/tests/core/components/slots/test_queueing.py
+++ b/tests/core/components/slots/test_queueing.py
@@ -14,14 +14,12 @@
 def fill(world, count=1):
     """Take all slots, with asks numbered from 1,001."""
     numbers = range(1_001, 1_001 + count)
-    answers = asking.send(world, 1.0, *map(asking.ask, numbers))
+    answers = asking.tell(world, 1.0, *map(asking.ask, numbers))
     assert asking.granted(answers) == list(numbers)
 
 
 def serve(world, now_ms, number):
-    return asking.granted(
-        asking.send(world, now_ms, asking.slot_return(number))
-    )
+    return asking.granted(asking.tell(world, now_ms, asking.give_back(number)))
 
 
 def test_a_flood_of_urgent_work_leaves_other_ranks_their_floors():
@@ -30,7 +28,7 @@
     ranks = ('urgent', 'normal', 'night')
     for number in range(600):
         ask = asking.ask(number, ranks[number % 3], left_ms=10_000_000.0)
-        asking.send(world, 1.0, ask)
+        asking.tell(world, 1.0, ask)
     last, order = 1_001, []
     for turn in range(200):
         [last] = serve(world, 2.0 + turn, last)
@@ -45,57 +43,57 @@
     world = asking.world_with(slots=1, queue_max=4)
     fill(world)
     asks = [asking.ask(n, 'night') for n in (1, 2, 3, 4)]
-    assert asking.send(world, 1.0, *asks) == []
-    answers = asking.send(world, 1.0, asking.ask(5))
+    assert asking.tell(world, 1.0, *asks) == []
+    answers = asking.tell(world, 1.0, asking.ask(5))
     assert asking.refused(answers) == {4: 'queue-full'}
-    answers = asking.send(world, 1.0, asking.ask(6, 'night'))
+    answers = asking.tell(world, 1.0, asking.ask(6, 'night'))
     assert asking.refused(answers) == {6: 'queue-full'}
 
 
 def test_a_full_queue_keeps_the_places_of_a_floor():
     world = asking.world_with(slots=1, queue_max=20)
     fill(world)
-    asking.send(world, 1.0, *[asking.ask(n) for n in range(20)])
-    answers = asking.send(world, 1.0, asking.ask(30, 'normal'))
+    asking.tell(world, 1.0, *[asking.ask(n) for n in range(20)])
+    answers = asking.tell(world, 1.0, asking.ask(30, 'normal'))
     assert asking.refused(answers) == {19: 'queue-full'}
-    answers = asking.send(world, 1.0, asking.ask(31, 'normal'))
+    answers = asking.tell(world, 1.0, asking.ask(31, 'normal'))
     assert asking.refused(answers) == {18: 'queue-full'}
-    answers = asking.send(world, 1.0, asking.ask(32, 'normal'))
+    answers = asking.tell(world, 1.0, asking.ask(32, 'normal'))
     assert asking.refused(answers) == {32: 'queue-full'}
 
 
 def test_work_that_would_wait_too_long_is_refused_at_the_door():
     world = asking.world_with(slots=1)
     fill(world)
-    asking.send(world, 1.0, *[asking.ask(n) for n in range(5)])
+    asking.tell(world, 1.0, *[asking.ask(n) for n in range(5)])
     # Six times 20 ms of waiting and 20 ms of service.
-    answers = asking.send(world, 1.0, asking.ask(6, left_ms=139.0))
+    answers = asking.tell(world, 1.0, asking.ask(6, left_ms=139.0))
     assert asking.refused(answers) == {6: 'deadline-too-short'}
-    assert asking.send(world, 1.0, asking.ask(7, left_ms=141.0)) == []
+    assert asking.tell(world, 1.0, asking.ask(7, left_ms=141.0)) == []
 
 
 def test_waiting_work_is_refused_while_there_is_time_for_a_retry():
     world = asking.world_with(slots=1)
     fill(world)
-    assert asking.send(world, 1.0, asking.ask(1, left_ms=100.0)) == []
-    assert asking.send(world, 80.0) == []
-    answers = asking.send(world, 81.0)
+    assert asking.tell(world, 1.0, asking.ask(1, left_ms=100.0)) == []
+    assert asking.tell(world, 80.0) == []
+    answers = asking.tell(world, 81.0)
     assert asking.refused(answers) == {1: 'deadline-too-short'}
 
 
 def test_a_slow_spell_does_not_refuse_work_that_finds_a_slot():
     world = asking.world_with(slots=1)
     fill(world)
-    slow = asking.slot_return(1_001, elapsed_ms=60_000.0)
-    asking.send(world, 2.0, slow)
-    answers = asking.send(world, 3.0, asking.ask(1, left_ms=100.0))
+    slow = asking.give_back(1_001, elapsed_ms=60_000.0)
+    asking.tell(world, 2.0, slow)
+    answers = asking.tell(world, 3.0, asking.ask(1, left_ms=100.0))
     assert asking.granted(answers) == [1]
 
 
 def test_a_foreign_ask_gets_an_idle_slot_or_a_refusal_at_once():
     world = asking.world_with(slots=1)
     foreign = [asking.ask(n, domain='huye-a') for n in (1, 2)]
-    answers = asking.send(world, 1.0, *foreign)
+    answers = asking.tell(world, 1.0, *foreign)
     assert asking.granted(answers) == [1]
     assert asking.refused(answers) == {2: 'no-headroom'}
 
@@ -103,7 +101,7 @@
 def test_a_regions_limit_bounds_what_is_in_flight():
     limit = tickets.RegionLimit('kigali', 'pricebook', 2)
     world = asking.world_with(slots=3, caps={'x': limit})
-    answers = asking.send(world, 1.0, *map(asking.ask, (1, 2, 3)))
+    answers = asking.tell(world, 1.0, *map(asking.ask, (1, 2, 3)))
     assert asking.granted(answers) == [1, 2]
     assert serve(world, 2.0, 1) == [3]
 
@@ -122,15 +120,15 @@
     )
     upstreams = {**world.states['in-force'].upstreams, 'b': other}
     asking.change(world, 2.0, upstreams=upstreams)
-    answers = asking.send(world, 3.0, *map(asking.ask, (1, 2, 3)))
+    answers = asking.tell(world, 3.0, *map(asking.ask, (1, 2, 3)))
     assert asking.granted(answers) == [1]
 
 
 def test_a_repeated_ask_is_answered_and_counted_once():
     world = asking.world_with(slots=1)
     first, second = asking.ask(1), asking.ask(2)
-    assert asking.granted(asking.send(world, 1.0, first, first)) == [1, 1]
-    answers = asking.send(world, 2.0, second, second)
+    assert asking.granted(asking.tell(world, 1.0, first, first)) == [1, 1]
+    answers = asking.tell(world, 2.0, second, second)
     assert answers == [slots.SlotWaiting(second.ask_id)]
     assert world.queues.in_use == {'pricebook-1': 1}
 
@@ -138,9 +136,7 @@
 def test_a_slot_returned_twice_is_freed_once():
     world = asking.world_with(slots=2)
     fill(world, 2)
-    asking.send(
-        world, 2.0, asking.slot_return(1_001), asking.slot_return(1_001)
-    )
+    asking.tell(world, 2.0, asking.give_back(1_001), asking.give_back(1_001))
     assert world.queues.in_use == {'pricebook-1': 1}
 
 
@@ -150,8 +146,8 @@
     held = slots.SlotHeldReport(
         asking.ask_id(1_002), 'pricebook', 'urgent', 'pricebook-1', 'x'
     )
-    asking.send(world, 3_000.0, held)
-    asking.send(world, 1.0 + const.GRANT_LEASE_MS)
+    asking.tell(world, 3_000.0, held)
+    asking.tell(world, 1.0 + const.GRANT_LEASE_MS)
     assert list(world.queues.grants) == [asking.ask_id(1_002)]
     assert world.counters['slots.lease_lapsed'] == 1
 
@@ -161,7 +157,7 @@
     held = slots.SlotHeldReport(
         asking.ask_id(9), 'pricebook', 'urgent', 'pricebook-1', 'x'
     )
-    answers = asking.send(world, 1.0, held, asking.ask(1))
+    answers = asking.tell(world, 1.0, held, asking.ask(1))
     assert asking.granted(answers) == []
     assert serve(world, 2.0, 9) == [1]
 
@@ -170,7 +166,7 @@
     world = asking.world_with(slots=1)
     fill(world)
     waiting = asking.ask(1, asker=asking.ASKER._replace(entry='other'))
-    asking.send(world, 1.0, waiting)
+    asking.tell(world, 1.0, waiting)
     list(core.tick(world, 2.0, [inp.MemberLost(asking.ASKER)]))
     assert world.queues.in_use == {'pricebook-1': 1}
     [answer] = core.tick(world, 22.0, [])
@@ -190,37 +186,37 @@
 def test_a_drain_ends_grants_from_its_tick_on(drain):
     world = asking.world_with(slots=1)
     fill(world)
-    asking.send(world, 1.0, asking.ask(1))
+    asking.tell(world, 1.0, asking.ask(1))
     answers = asking.change(world, 2.0, drains={'x': drain})
     assert asking.refused(answers) == {1: 'no-upstream'}
-    answers = asking.send(world, 3.0, asking.ask(2))
+    answers = asking.tell(world, 3.0, asking.ask(2))
     assert asking.refused(answers) == {2: 'no-upstream'}
     assert serve(world, 4.0, 1_001) == []
 
 
 def test_a_retry_goes_to_another_upstream_where_one_is_free():
     world = asking.world_with(slots=1, upstreams=2)
-    [answer] = asking.send(world, 1.0, asking.ask(1, avoid='pricebook-2'))
+    [answer] = asking.tell(world, 1.0, asking.ask(1, avoid='pricebook-2'))
     assert answer.upstream == 'pricebook-1'
-    [answer] = asking.send(world, 1.0, asking.ask(2, avoid='pricebook-1'))
+    [answer] = asking.tell(world, 1.0, asking.ask(2, avoid='pricebook-1'))
     assert answer.upstream == 'pricebook-2'
     serve(world, 2.0, 1)
-    [answer] = asking.send(world, 3.0, asking.ask(3, avoid='pricebook-1'))
+    [answer] = asking.tell(world, 3.0, asking.ask(3, avoid='pricebook-1'))
     assert answer.upstream == 'pricebook-1'
 
 
 def test_uneven_service_times_keep_a_margin_before_the_deadline():
     world = asking.world_with(slots=1)
     fill(world)
-    asking.send(world, 2.0, asking.slot_return(1_001, elapsed_ms=420.0))
+    asking.tell(world, 2.0, asking.give_back(1_001, elapsed_ms=420.0))
     # The mean is now 40 ms, and the mean deviation 20 ms.
-    asking.send(world, 3.0, asking.ask(1_002))
-    answers = asking.send(world, 3.0, asking.ask(1, left_ms=159.0))
+    asking.tell(world, 3.0, asking.ask(1_002))
+    answers = asking.tell(world, 3.0, asking.ask(1, left_ms=159.0))
     assert asking.refused(answers) == {}
-    asking.send(world, 3.0, asking.slot_return(1))
-    answers = asking.send(world, 3.0, asking.ask(2, left_ms=119.0))
+    asking.tell(world, 3.0, asking.give_back(1))
+    answers = asking.tell(world, 3.0, asking.ask(2, left_ms=119.0))
     assert asking.refused(answers) == {2: 'deadline-too-short'}
-    assert asking.send(world, 3.0, asking.ask(3, left_ms=121.0)) == []
-    assert asking.send(world, 3.0 + 40.0) == []
-    answers = asking.send(world, 3.0 + 41.0)
+    assert asking.tell(world, 3.0, asking.ask(3, left_ms=121.0)) == []
+    assert asking.tell(world, 3.0 + 40.0) == []
+    answers = asking.tell(world, 3.0 + 41.0)
     assert asking.refused(answers) == {3: 'deadline-too-short'}
--- a/tests/core/components/slots/test_queueing_properties.py
+++ b/tests/core/components/slots/test_queueing_properties.py
@@ -25,7 +25,7 @@
     st.sampled_from((samples.DOMAIN, 'huye-a')),
 )
 returns = st.builds(
-    asking.slot_return,
+    asking.give_back,
     numbers,
     st.sampled_from(slots.SlotEnd),
     st.floats(0.0, 500.0),
@@ -127,15 +127,15 @@
         for name, row in samples.state().ranks.items()
     }
     world = asking.world_with(slots=1, ranks=flat)
-    asking.send(world, 1.0, asking.ask(1_000))
+    asking.tell(world, 1.0, asking.ask(1_000))
     waiting = [
         asking.ask(number, rank, left_ms=1e9)
         for number, rank in enumerate(ranks)
     ]
-    asking.send(world, 1.0, *waiting)
+    asking.tell(world, 1.0, *waiting)
     last, order = 1_000, []
     for _ in ranks:
-        answers = asking.send(world, 2.0, asking.slot_return(last))
+        answers = asking.tell(world, 2.0, asking.give_back(last))
         [last] = asking.granted(answers)
         order.append((flat[ranks[last]].order, last))
     assert order == sorted(order)
@@ -154,16 +154,16 @@
         'night': base['night']._replace(floor_share=floors[1]),
     }
     world = asking.world_with(slots=1, queue_max=1_000, ranks=ranks)
-    asking.send(world, 1.0, asking.ask(1_000))
+    asking.tell(world, 1.0, asking.ask(1_000))
     names = ('urgent', 'normal', 'night')
     waiting = [
         asking.ask(number, names[number % 3], left_ms=1e9)
         for number in range(3 * count)
     ]
-    asking.send(world, 1.0, *waiting)
+    asking.tell(world, 1.0, *waiting)
     last, kept = 1_000, collections.Counter()
     for _ in range(count):
-        answers = asking.send(world, 2.0, asking.slot_return(last))
+        answers = asking.tell(world, 2.0, asking.give_back(last))
         [last] = asking.granted(answers)
         kept[names[last % 3]] += 1
     assert kept['normal'] >= floors[0] * count - 1.0
--- a/tests/core/components/upstreams/test_upstreams.py
+++ b/tests/core/components/upstreams/test_upstreams.py
@@ -36,9 +36,9 @@
     }
     for number in range(count):
         avoid = next(iter(others), None)
-        answers = asking.send(world, now_ms, asking.ask(number, avoid=avoid))
+        answers = asking.tell(world, now_ms, asking.ask(number, avoid=avoid))
         assert answers[0].upstream == upstream
-        asking.send(world, now_ms, asking.slot_return(number, end))
+        asking.tell(world, now_ms, asking.give_back(number, end))
 
 
 def test_failures_in_a_row_leave_an_upstream_out_until_a_trial():
@@ -66,10 +66,10 @@
     world = asking.world_with(upstreams=2)
     attempts(world, 1.0, const.FAILURES_MAX, slots.SlotEnd.FAILED)
     for number in range(20):
-        answers = asking.send(world, 2.0, asking.ask(number))
+        answers = asking.tell(world, 2.0, asking.ask(number))
         assert answers[0].upstream == 'pricebook-2'
-        failed = asking.slot_return(number, slots.SlotEnd.FAILED)
-        asking.send(world, 2.0, failed)
+        failed = asking.give_back(number, slots.SlotEnd.FAILED)
+        asking.tell(world, 2.0, failed)
     assert world.counters['upstreams.left_in'] > 0
     assert usable(world, 3.0, 'pricebook-2') == 3
 
@@ -90,9 +90,9 @@
 
 def test_sheds_cut_the_believed_slots_for_a_moment():
     world = asking.world_with(slots=4)
-    asking.send(world, 1.0, *map(asking.ask, range(4)))
-    shed = asking.slot_return(0, slots.SlotEnd.SHED)
-    asking.send(world, 1.0, shed)
+    asking.tell(world, 1.0, *map(asking.ask, range(4)))
+    shed = asking.give_back(0, slots.SlotEnd.SHED)
+    asking.tell(world, 1.0, shed)
     assert usable(world, 1.0) == 3
     assert usable(world, 1.0 + const.RECOVERY_MS_PER_SLOT) == 4
 
@@ -110,7 +110,7 @@
 )
 def test_a_told_load_takes_a_bounded_part_of_the_slots(reports, expected):
     world = asking.world_with(slots=4)
-    asking.send(world, 1.0, *map(asking.ask, range(4)))
+    asking.tell(world, 1.0, *map(asking.ask, range(4)))
     report(world, 1.0, in_flight=4)
     for number, told in enumerate(reports):
         report(world, 2.0 + number, in_flight=told)
@@ -143,10 +143,10 @@
 def test_a_leaving_upstream_gets_no_grant_from_its_report_on():
     world = asking.world_with(upstreams=2)
     report(world, 2.0, leaving=True)
-    answers = asking.send(world, 2.0, *map(asking.ask, range(4)))
+    answers = asking.tell(world, 2.0, *map(asking.ask, range(4)))
     assert {x.upstream for x in answers if x.upstream} == {'pricebook-2'}
     report(world, 2.0, 'pricebook-2', leaving=True)
-    answers = asking.send(world, 2.0, asking.ask(9))
+    answers = asking.tell(world, 2.0, asking.ask(9))
     assert asking.refused(answers) == {9: 'no-upstream'}
 
 
