--- a/packages/core/src/zinnialead_core/components/keys/__init__.py
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -1,6 +1,12 @@
-"""Let work under one key run at most once."""
+"""Run the work under an idempotency key at most once.
 
-from zinnialead_core.components.keys.issued import prefix
+An issued key names one or two entries as its registrars: the home and the
+witness.  The entry that wants to run the work claims the key at the home,
+then at the witness, and is its holder once both have granted it.  A bar
+ensures that nothing runs under a key that nobody holds.
+"""
+
+from zinnialead_core.components.keys.issued_keys import prefix
 from zinnialead_core.components.keys.messages import BarKey
 from zinnialead_core.components.keys.messages import ClaimAnswer
 from zinnialead_core.components.keys.messages import ClaimAsk
--- a/packages/core/src/zinnialead_core/components/keys/binding.py
+++ b/packages/core/src/zinnialead_core/components/keys/binding.py
@@ -1,4 +1,4 @@
-"""Bind keys that callers chose freely to issued ones, in the store."""
+"""Bind free keys, which callers chose, to issued keys in the store."""
 
 from collections import abc
 
@@ -6,7 +6,7 @@
 
 from zinnialead_core.components.keys import claims
 from zinnialead_core.components.keys import const
-from zinnialead_core.components.keys import issued
+from zinnialead_core.components.keys import issued_keys
 from zinnialead_core.components.keys import models
 from zinnialead_core.components.lookups import selection
 from zinnialead_core.components import store
@@ -19,7 +19,7 @@
 from zinnialead_core import world as world_module
 
 Rows = tuple[store.BindingRow, ...]
-EMPTY = models.ShardRow({}, False, None, None, 0.0, ())
+EMPTY_SHARD = models.ShardRow({}, False, None, None, 0.0, ())
 UNDECIDED = models.denied(
     verdict.Verdict.MAY_HAVE_RUN,
     verdict.Reason.KEY_UNDECIDED,
@@ -42,18 +42,21 @@
 )
 
 
-def want(
+def start_claim(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
-    """Claim a free key by its binding, and bind it first if need be."""
-    number = _shard_of(claim.key)
-    shard = world.bindings.get(number, EMPTY)
+    """Claim a free key through the issued key that it is bound to.
+
+    If it is not bound yet, the claim waits until the store has the binding.
+    """
+    number = _shard_number(claim.key)
+    shard = world.bindings.get(number, EMPTY_SHARD)
     denial = _denial(now_ms, claim, shard)
     if denial is not None:
         yield out.Notify(inp.ClaimDenied(claim.request_id, denial))
         return
-    if _usable(shard, claim.key, now_ms):
-        yield from _begin(world, now_ms, claim, shard)
+    if _is_bound(shard, claim.key, now_ms):
+        yield from _start_bound_claim(world, now_ms, claim, shard)
         return
     if len(shard.waiting) >= const.BIND_WAITING_MAX:
         yield out.Notify(inp.ClaimDenied(claim.request_id, FULL))
@@ -61,60 +64,60 @@
     world.claims[claim.request_id] = claim
     waiting = (*shard.waiting, claim.request_id)
     world.bindings[number] = shard._replace(waiting=waiting)
-    if shard.call_id is not None and now_ms <= shard.call_ends_ms:
+    if shard.call_id is not None and now_ms <= shard.call_timeout_ms:
         return
     if timers.BindDue(number) not in world.timers.due_ms:
-        yield from _call(world, now_ms, number)
+        yield from _call_store(world, now_ms, number)
 
 
-def on_done(
+def on_store_done(
     world: world_module.World,
     now_ms: float,
     call_id: int,
     result: store.Result,
 ) -> abc.Iterator[out.Output]:
-    """Take in a shard, and go on with the requests that wait for it."""
+    """Apply the result of a store call to the shard that made it."""
     for number, shard in world.bindings.items():
         if shard.call_id == call_id:
-            yield from _take_in(world, now_ms, number, result)
+            yield from _apply_result(world, now_ms, number, result)
             return
 
 
-def on_due(
+def on_retry_due(
     world: world_module.World, now_ms: float, number: int
 ) -> abc.Iterator[out.Output]:
-    """Call for a shard that had to wait for the store's budget."""
-    shard = world.bindings.get(number, EMPTY)
-    if shard.call_id is None and any(_waiting(world, shard)):
-        yield from _call(world, now_ms, number)
+    """Retry a store call that was delayed by the call budget."""
+    shard = world.bindings.get(number, EMPTY_SHARD)
+    if shard.call_id is None and any(_waiting_claims(world, shard)):
+        yield from _call_store(world, now_ms, number)
 
 
-def _take_in(
+def _apply_result(
     world: world_module.World,
     now_ms: float,
     number: int,
     result: store.Result,
 ) -> abc.Iterator[out.Output]:
     shard = world.bindings[number]
-    wrote = shard.known
+    was_write = shard.is_loaded
     shard = shard._replace(call_id=None)
     match result:
         case store.FoundBindings(_, rows, version):
             shard = shard._replace(
                 rows={x.key: x.issued for x in rows},
-                known=True,
+                is_loaded=True,
                 version=version,
             )
         case store.Missing():
-            shard = shard._replace(rows={}, known=True, version=None)
+            shard = shard._replace(rows={}, is_loaded=True, version=None)
         case store.Conflict():
-            shard = shard._replace(known=False)
-        case _ if wrote:
-            # The write may have taken effect: read what is there now.
-            shard = shard._replace(known=False)
+            shard = shard._replace(is_loaded=False)
+        case _ if was_write:
+            # The write may have taken effect: read the shard again.
+            shard = shard._replace(is_loaded=False)
         case _:
             world.bindings[number] = shard
-            yield from _give_up(world, number, UNDECIDED)
+            yield from _deny_waiting(world, number, UNDECIDED)
             return
     world.bindings[number] = shard
     yield from _resolve(world, now_ms, number)
@@ -123,89 +126,91 @@
 def _resolve(
     world: world_module.World, now_ms: float, number: int
 ) -> abc.Iterator[out.Output]:
-    """Claim by the bindings that are there now, and bind the others."""
+    """Start the waiting claims that are bound now, and bind the others."""
     shard = world.bindings[number]
-    left: list[ids.RequestId] = []
-    for claim in _waiting(world, shard):
+    still_waiting: list[ids.RequestId] = []
+    for claim in _waiting_claims(world, shard):
         denial = _denial(now_ms, claim, shard)
         if denial is not None:
             del world.claims[claim.request_id]
             yield out.Notify(inp.ClaimDenied(claim.request_id, denial))
-        elif _usable(shard, claim.key, now_ms):
-            yield from _begin(world, now_ms, claim, shard)
+        elif _is_bound(shard, claim.key, now_ms):
+            yield from _start_bound_claim(world, now_ms, claim, shard)
         else:
-            left.append(claim.request_id)
-    world.bindings[number] = shard._replace(waiting=tuple(left))
-    if left:
-        yield from _call(world, now_ms, number)
+            still_waiting.append(claim.request_id)
+    world.bindings[number] = shard._replace(waiting=tuple(still_waiting))
+    if still_waiting:
+        yield from _call_store(world, now_ms, number)
 
 
-def _call(
+def _call_store(
     world: world_module.World, now_ms: float, number: int
 ) -> abc.Iterator[out.Output]:
     shard = world.bindings[number]
     name = f'keys-{number}'
     call: store.Call = store.ReadBindings(name)
-    if shard.known:
-        rows = _with_new(world, now_ms, shard)
+    if shard.is_loaded:
+        rows = _rows_with_new_bindings(world, now_ms, shard)
         if len(rows) > const.SHARD_ROWS_MAX:
-            yield from _give_up(world, number, FULL)
+            yield from _deny_waiting(world, number, FULL)
             return
         call = store.WriteBindings(name, rows, shard.version)
-    made = limits.open_call(world, now_ms, call, const.BIND_TIMEOUT_MS)
-    if made is None:
-        # Over budget: what waits goes together in a later call.
+    store_call = limits.open_call(world, now_ms, call, const.BIND_TIMEOUT_MS)
+    if store_call is None:
+        # Over budget: a later call writes all waiting bindings at once.
         due = timers.BindDue(number)
-        timers.start(world.timers, due, now_ms + const.BIND_PAUSE_MS)
+        timers.start(world.timers, due, now_ms + const.BIND_RETRY_MS)
         return
     world.bindings[number] = shard._replace(
-        call_id=made.call_id,
-        call_ends_ms=made.deadline_ms + const.CLOCK_MARGIN_MS,
+        call_id=store_call.call_id,
+        call_timeout_ms=store_call.deadline_ms + const.CLOCK_MARGIN_MS,
     )
-    yield made
+    yield store_call
 
 
-def _with_new(
+def _rows_with_new_bindings(
     world: world_module.World, now_ms: float, shard: models.ShardRow
 ) -> Rows:
-    kept = {
+    bindings = {
         key: bound
         for key, bound in shard.rows.items()
-        if not _forgotten(bound, now_ms)
+        if not _is_past_expiry(bound, now_ms)
     }
     home = world.node.ref
-    for claim in _waiting(world, shard):
-        turn = xxhash.xxh3_64_intdigest(claim.key.encode())
-        other = selection.choose_witness(world, home, world.node.domain, turn)
-        prefix = issued.prefix(home, other, now_ms)
-        kept.setdefault(claim.key, ids.Key(f'{prefix}.{claim.key}'))
-    return tuple(store.BindingRow(*item) for item in kept.items())
+    for claim in _waiting_claims(world, shard):
+        rotation = xxhash.xxh3_64_intdigest(claim.key.encode())
+        witness = selection.choose_witness(
+            world, home, world.node.domain, rotation
+        )
+        prefix = issued_keys.prefix(home, witness, now_ms)
+        bindings.setdefault(claim.key, ids.Key(f'{prefix}.{claim.key}'))
+    return tuple(store.BindingRow(*item) for item in bindings.items())
 
 
-def _begin(
+def _start_bound_claim(
     world: world_module.World,
     now_ms: float,
     claim: models.ClaimRow,
     shard: models.ShardRow,
 ) -> abc.Iterator[out.Output]:
     bound = claim._replace(key=shard.rows[claim.key])
-    yield from claims.begin(world, now_ms, bound)
+    yield from claims.start(world, now_ms, bound)
 
 
-def _give_up(
+def _deny_waiting(
     world: world_module.World, number: int, denial: models.Denied
 ) -> abc.Iterator[out.Output]:
     shard = world.bindings[number]
     world.bindings[number] = shard._replace(
-        known=False, call_id=None, waiting=()
+        is_loaded=False, call_id=None, waiting=()
     )
-    for claim in _waiting(world, shard):
+    for claim in _waiting_claims(world, shard):
         world.counters['keys.not_bound'] += 1
         del world.claims[claim.request_id]
         yield out.Notify(inp.ClaimDenied(claim.request_id, denial))
 
 
-def _waiting(
+def _waiting_claims(
     world: world_module.World, shard: models.ShardRow
 ) -> abc.Iterator[models.ClaimRow]:
     for request_id in shard.waiting:
@@ -225,25 +230,25 @@
     if not -2 * const.CLOCK_MARGIN_MS <= age_ms < const.KEY_LIFETIME_MS:
         return EXPIRED
     bound = shard.rows.get(claim.key)
-    if bound is not None and not _forgotten(bound, now_ms):
-        known = issued.parse(bound)
-        if known is None or issued.expired(known, now_ms):
+    if bound is not None and not _is_past_expiry(bound, now_ms):
+        issued_key = issued_keys.parse(bound)
+        if issued_key is None or issued_keys.is_expired(issued_key, now_ms):
             return EXPIRED
     return None
 
 
-def _usable(shard: models.ShardRow, key: ids.Key, now_ms: float) -> bool:
+def _is_bound(shard: models.ShardRow, key: ids.Key, now_ms: float) -> bool:
     bound = shard.rows.get(key)
-    return bound is not None and not _forgotten(bound, now_ms)
+    return bound is not None and not _is_past_expiry(bound, now_ms)
 
 
-def _forgotten(bound: ids.Key, now_ms: float) -> bool:
-    """Say whether no registrar can grant a binding's key any more."""
-    known = issued.parse(bound)
-    if known is None:
+def _is_past_expiry(bound: ids.Key, now_ms: float) -> bool:
+    """Return whether no registrar can grant the issued key any more."""
+    issued_key = issued_keys.parse(bound)
+    if issued_key is None:
         return False
-    return now_ms >= issued.expires_ms(known) + const.CLOCK_MARGIN_MS
+    return now_ms >= issued_keys.expires_ms(issued_key) + const.CLOCK_MARGIN_MS
 
 
-def _shard_of(key: ids.Key) -> int:
+def _shard_number(key: ids.Key) -> int:
     return xxhash.xxh3_64_intdigest(key.encode()) % const.SHARDS
--- a/packages/core/src/zinnialead_core/components/keys/claims.py
+++ b/packages/core/src/zinnialead_core/components/keys/claims.py
@@ -1,10 +1,10 @@
-"""Claim the keys of requests here, and report how their work ended."""
+"""Claim the keys of this entry's requests at their registrars."""
 
 from collections import abc
 
 from zinnialead_core.components.keys import const
-from zinnialead_core.components.keys import ends
-from zinnialead_core.components.keys import issued
+from zinnialead_core.components.keys import end_reports
+from zinnialead_core.components.keys import issued_keys
 from zinnialead_core.components.keys import liveness
 from zinnialead_core.components.keys import messages
 from zinnialead_core.components.keys import models
@@ -18,19 +18,19 @@
 Step = models.Step
 
 
-def begin(
+def start(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
-    """Claim an issued key, or refuse one that can't be claimed."""
-    known = issued.parse(claim.key)
-    if known is None:
-        yield from _deny(world, claim, _malformed())
+    """Start a claim of an issued key; deny a malformed or expired one."""
+    issued_key = issued_keys.parse(claim.key)
+    if issued_key is None:
+        yield from _deny_claim(world, claim, _malformed_denial())
         return
-    if issued.expired(known, now_ms):
-        yield from _deny(world, claim, _expired())
+    if issued_keys.is_expired(issued_key, now_ms):
+        yield from _deny_claim(world, claim, _expired_denial())
         return
-    claim = claim._replace(registrars=known.registrars)
-    yield from _enter(world, now_ms, claim, Step.HOME)
+    claim = claim._replace(registrars=issued_key.registrars)
+    yield from _enter_step(world, now_ms, claim, Step.HOME)
 
 
 def on_answer(
@@ -39,29 +39,29 @@
     sender: ids.EntryRef,
     message: messages.ClaimAnswer,
 ) -> abc.Iterator[out.Output]:
-    """Move a claim on by the answer of the registrar that it asked."""
+    """Advance a claim by the answer of the registrar that it asked."""
     claim = world.claims.get(message.ask_id.request_id)
-    if claim is None or message.ask_id != ends.ask_id(world, claim):
+    if claim is None or message.ask_id != end_reports.ask_id(world, claim):
         return
-    asked = _asked(claim)
-    if asked is None or asked.entry != sender.entry:
+    registrar = _asked_registrar(claim)
+    if registrar is None or registrar.entry != sender.entry:
         return
     match message.answer:
         case models.NotRegistrar():
-            yield from _failed(world, now_ms, claim)
-        case _ if asked != sender:
+            yield from _on_registrar_failed(world, now_ms, claim)
+        case _ if registrar != sender:
             return
         case models.Granted():
-            yield from _granted(world, now_ms, claim)
+            yield from _on_granted(world, now_ms, claim)
         case models.Waiting():
             waiting = claim._replace(waiting=True, tries=0)
             world.claims[claim.request_id] = waiting
             due_ms = now_ms + const.WAIT_RESEND_MS
-            timers.start(world.timers, ends.timeout(claim), due_ms)
+            timers.start(world.timers, end_reports.step_timer(claim), due_ms)
         case models.Freed():
-            yield from _enter(world, now_ms, claim, claim.step)
+            yield from _enter_step(world, now_ms, claim, claim.step)
         case models.Recorded() | models.Denied() as denial:
-            yield from _denied(world, now_ms, claim, denial)
+            yield from _on_denied(world, now_ms, claim, denial)
 
 
 def on_timeout(
@@ -70,141 +70,145 @@
     request_id: ids.RequestId,
     step: int,
 ) -> abc.Iterator[out.Output]:
-    """Ask a silent registrar again, or give it up."""
+    """Ask a silent registrar again, or treat it as failed."""
     claim = world.claims.get(request_id)
     if claim is None or claim.step != step or now_ms >= claim.deadline_ms:
         return
-    if claim.tries >= const.ASKS_MAX and not claim.waiting:
-        yield from _failed(world, now_ms, claim)
+    if claim.tries >= const.CLAIM_TRIES_MAX and not claim.waiting:
+        yield from _on_registrar_failed(world, now_ms, claim)
         return
-    yield from _ask(world, now_ms, claim._replace(waiting=False))
+    yield from _send_ask(world, now_ms, claim._replace(waiting=False))
 
 
-def on_lost(
+def on_registrar_lost(
     world: world_module.World, now_ms: float, ref: ids.EntryRef
 ) -> abc.Iterator[out.Output]:
-    """Give up a registrar that is taken for dead without a timeout."""
+    """Treat a dead or restarted registrar as failed before its timeout."""
     for claim in list(world.claims.values()):
-        asked = _asked(claim)
-        if asked is not None and models.is_over(asked, ref):
-            yield from _failed(world, now_ms, claim)
+        registrar = _asked_registrar(claim)
+        if registrar is not None and models.is_same_or_older(registrar, ref):
+            yield from _on_registrar_failed(world, now_ms, claim)
 
 
 def deadline_refusal(
     world: world_module.World, request_id: ids.RequestId
 ) -> verdict.Refusal:
-    """Return what is known of a request whose time ends in its claim."""
+    """Return the refusal of a request that reached its deadline unclaimed."""
     claim = world.claims.get(request_id)
     reason = verdict.Reason.KEY_REGISTRAR_DOWN
-    known = verdict.Verdict.MAY_HAVE_RUN
+    run_verdict = verdict.Verdict.MAY_HAVE_RUN
     detail = 'the deadline passed before the key was claimed'
     if claim is None:
-        return verdict.Refusal(known, reason, detail)
-    if claim.step in (Step.AT_HOME, Step.WITNESS, Step.HELD):
-        known = verdict.Verdict.NOT_RUN
+        return verdict.Refusal(run_verdict, reason, detail)
+    if claim.step in (Step.HOME_GRANTED, Step.WITNESS, Step.CONFIRMED):
+        run_verdict = verdict.Verdict.NOT_RUN
         reason = verdict.Reason.DEADLINE_PASSED
     elif claim.waiting:
         reason = verdict.Reason.KEY_IN_PROGRESS
         detail = 'another copy was in progress until the deadline'
     elif claim.step is Step.BIND:
         reason = verdict.Reason.KEY_UNDECIDED
-    return verdict.Refusal(known, reason, detail)
+    return verdict.Refusal(run_verdict, reason, detail)
 
 
-def _enter(
+def _enter_step(
     world: world_module.World,
     now_ms: float,
     claim: models.ClaimRow,
     step: models.Step,
 ) -> abc.Iterator[out.Output]:
-    timers.stop(world.timers, ends.timeout(claim))
+    timers.stop(world.timers, end_reports.step_timer(claim))
     claim = claim._replace(step=step, tries=0, waiting=False)
     world.claims[claim.request_id] = claim
-    asked = _asked(claim)
-    if asked is not None and liveness.is_lost(world, asked):
-        yield from _failed(world, now_ms, claim)
+    registrar = _asked_registrar(claim)
+    if registrar is not None and liveness.is_lost(world, registrar):
+        yield from _on_registrar_failed(world, now_ms, claim)
         return
-    yield from _ask(world, now_ms, claim)
+    yield from _send_ask(world, now_ms, claim)
 
 
-def _ask(
+def _send_ask(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
     claim = claim._replace(tries=claim.tries + 1)
     world.claims[claim.request_id] = claim
-    asked = _asked(claim)
-    if asked is None:
+    registrar = _asked_registrar(claim)
+    if registrar is None:
         return
     due_ms = now_ms + const.CLAIM_TIMEOUT_MS
-    timers.start(world.timers, ends.timeout(claim), due_ms)
+    timers.start(world.timers, end_reports.step_timer(claim), due_ms)
     if claim.tries > 1:
         world.counters['keys.ask_resent'] += 1
-    ask_id = ends.ask_id(world, claim)
+    ask_id = end_reports.ask_id(world, claim)
     if claim.step is Step.BAR:
-        yield out.SendPeer(asked.entry, messages.BarKey(claim.key, ask_id))
+        yield out.SendPeer(registrar.entry, messages.BarKey(claim.key, ask_id))
     else:
-        yield out.SendPeer(asked.entry, messages.ClaimAsk(claim.key, ask_id))
+        yield out.SendPeer(
+            registrar.entry, messages.ClaimAsk(claim.key, ask_id)
+        )
 
 
-def _granted(
+def _on_granted(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
-    known = issued.parse(claim.key)
-    late = known is None or issued.expired(known, now_ms)
+    issued_key = issued_keys.parse(claim.key)
+    late = issued_key is None or issued_keys.is_expired(issued_key, now_ms)
     if late or now_ms >= claim.deadline_ms or claim.step is Step.BAR:
-        # The timer of the deadline ends a claim that was granted late.
+        # Too late to use the grant: the request's deadline ends the claim.
         return
-    timers.stop(world.timers, ends.timeout(claim))
+    timers.stop(world.timers, end_reports.step_timer(claim))
     if claim.step is Step.HOME:
-        world.claims[claim.request_id] = claim._replace(step=Step.AT_HOME)
+        world.claims[claim.request_id] = claim._replace(step=Step.HOME_GRANTED)
         yield out.Notify(inp.ClaimHeld(claim.request_id))
         return
-    yield from _hold(world, claim)
+    yield from _confirm_claim(world, claim)
 
 
 def confirm(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Claim a key at its witness, now that its work has a slot.
+    """Claim a key at its witness once its work has a slot.
 
-    Until then the witness knows nothing of the key, so that it can say
-    truly that work which waits at an entry that dies did not run.
+    The witness is not asked earlier, so that if this entry dies while the
+    work is queued, the witness can correctly tell that it did not run.
     """
     claim = world.claims.get(request_id)
     if claim is None:
         return
-    if claim.step is Step.HELD:
+    if claim.step is Step.CONFIRMED:
         yield out.Notify(inp.ClaimConfirmed(request_id))
         return
-    if claim.step is not Step.AT_HOME:
+    if claim.step is not Step.HOME_GRANTED:
         return
     if len(claim.registrars) > 1:
-        yield from _enter(world, now_ms, claim, Step.WITNESS)
+        yield from _enter_step(world, now_ms, claim, Step.WITNESS)
         return
-    yield from _hold(world, claim)
+    yield from _confirm_claim(world, claim)
 
 
-def _hold(
+def _confirm_claim(
     world: world_module.World, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
-    world.claims[claim.request_id] = claim._replace(step=Step.HELD)
+    world.claims[claim.request_id] = claim._replace(step=Step.CONFIRMED)
     world.counters['keys.held'] += 1
     yield out.Notify(inp.ClaimConfirmed(claim.request_id))
 
 
-def _denied(
+def _on_denied(
     world: world_module.World,
     now_ms: float,
     claim: models.ClaimRow,
     denial: models.Denial,
 ) -> abc.Iterator[out.Output]:
-    # A home that denied its only ask has nothing to forget.
+    # A home that denied its only ask has no claim to release.
     if claim.step is not Step.HOME or claim.tries > 1:
-        yield from ends.send(world, now_ms, claim, _bar_of(denial))
-    yield from _deny(world, claim, denial)
+        yield from end_reports.end_claim(
+            world, now_ms, claim, _bar_end(denial)
+        )
+    yield from _deny_claim(world, claim, denial)
 
 
-def _bar_of(denial: models.Denial) -> models.Barred | None:
+def _bar_end(denial: models.Denial) -> models.Barred | None:
     match denial:
         case models.Denied(refusal) if (
             refusal.reason is verdict.Reason.KEY_BARRED
@@ -214,35 +218,35 @@
             return None
 
 
-def _failed(
+def _on_registrar_failed(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
     world.counters['keys.registrar_failed'] += 1
-    known = verdict.Verdict.MAY_HAVE_RUN
+    run_verdict = verdict.Verdict.MAY_HAVE_RUN
     match claim.step:
         case models.Step.HOME if len(claim.registrars) > 1:
-            yield from _enter(world, now_ms, claim, Step.BAR)
+            yield from _enter_step(world, now_ms, claim, Step.BAR)
             return
         case models.Step.WITNESS:
-            # The home's grant shows that no copy ran before this one.
-            known = verdict.Verdict.NOT_RUN
-    yield from ends.send(world, now_ms, claim, None)
+            # The home's grant proves that no other copy has run.
+            run_verdict = verdict.Verdict.NOT_RUN
+    yield from end_reports.end_claim(world, now_ms, claim, None)
     denial = models.denied(
-        known,
+        run_verdict,
         verdict.Reason.KEY_REGISTRAR_DOWN,
-        f'a registrar of the key did not answer: {_asked(claim)}',
+        f'a registrar of the key did not answer: {_asked_registrar(claim)}',
     )
-    yield from _deny(world, claim, denial)
+    yield from _deny_claim(world, claim, denial)
 
 
-def _deny(
+def _deny_claim(
     world: world_module.World,
     claim: models.ClaimRow,
     denial: models.Denial,
 ) -> abc.Iterator[out.Output]:
-    known = world.claims.get(claim.request_id)
-    if known is not None and known.step is not Step.END:
-        timers.stop(world.timers, ends.timeout(known))
+    stored = world.claims.get(claim.request_id)
+    if stored is not None and stored.step is not Step.END:
+        timers.stop(world.timers, end_reports.step_timer(stored))
         del world.claims[claim.request_id]
     match denial:
         case models.Denied(refusal):
@@ -252,7 +256,7 @@
     yield out.Notify(inp.ClaimDenied(claim.request_id, denial))
 
 
-def _asked(claim: models.ClaimRow) -> ids.EntryRef | None:
+def _asked_registrar(claim: models.ClaimRow) -> ids.EntryRef | None:
     match claim.step:
         case models.Step.HOME:
             return claim.registrars[0]
@@ -262,7 +266,7 @@
             return None
 
 
-def _malformed() -> models.Denied:
+def _malformed_denial() -> models.Denied:
     return models.denied(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.BAD_REQUEST,
@@ -270,7 +274,7 @@
     )
 
 
-def _expired() -> models.Denied:
+def _expired_denial() -> models.Denied:
     return models.denied(
         verdict.Verdict.MAY_HAVE_RUN,
         verdict.Reason.KEY_EXPIRED,
--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -1,15 +1,15 @@
-"""Claim keys at their registrars and keep registrations for others."""
+"""Dispatch inputs to the handlers of claims and registrations."""
 
 from collections import abc
 
 from zinnialead_core.components.keys import binding
 from zinnialead_core.components.keys import claims
-from zinnialead_core.components.keys import ends
-from zinnialead_core.components.keys import issued
+from zinnialead_core.components.keys import end_reports
+from zinnialead_core.components.keys import issued_keys
 from zinnialead_core.components.keys import messages
 from zinnialead_core.components.keys import models
-from zinnialead_core.components.keys import records
 from zinnialead_core.components.keys import registrar
+from zinnialead_core.components.keys import registrations
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
 from zinnialead_core import outputs as out
@@ -22,7 +22,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Make claims for requests here and answer claims of others.
+    """Make claims for this entry's requests and answer those of others.
 
     Reads ``members``; writes ``claims``, ``registrations``,
     ``bindings``, ``store`` and ``timers``.
@@ -30,38 +30,42 @@
     for item in inputs:
         match item:
             case inp.ClaimWanted():
-                yield from _want(world, now_ms, item)
+                yield from _start_claim(world, now_ms, item)
             case inp.ConfirmWanted(request_id):
                 yield from claims.confirm(world, now_ms, request_id)
             case inp.ClaimEnded(request_id, outcome):
-                yield from ends.on_ended(world, now_ms, request_id, outcome)
+                yield from end_reports.on_claim_ended(
+                    world, now_ms, request_id, outcome
+                )
             case inp.DispatchDone(request_id, _, outcome):
-                yield from ends.on_late_outcome(
+                yield from end_reports.on_late_outcome(
                     world, now_ms, request_id, outcome
                 )
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.MemberLost(ref):
-                yield from _on_lost(world, now_ms, ref)
+                yield from _on_member_lost(world, now_ms, ref)
             case inp.MemberJoined(ref):
                 older = ref._replace(incarnation=ref.incarnation - 1)
-                yield from _on_lost(world, now_ms, older)
+                yield from _on_member_lost(world, now_ms, older)
             case inp.StoreDone(call_id, result):
-                yield from binding.on_done(world, now_ms, call_id, result)
+                yield from binding.on_store_done(
+                    world, now_ms, call_id, result
+                )
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
 
 
-def _want(
-    world: world_module.World, now_ms: float, item: inp.ClaimWanted
+def _start_claim(
+    world: world_module.World, now_ms: float, wanted: inp.ClaimWanted
 ) -> abc.Iterator[out.Output]:
     claim = models.ClaimRow(
-        item.request_id, item.key, item.created_ms, item.deadline_ms
+        wanted.request_id, wanted.key, wanted.created_ms, wanted.deadline_ms
     )
-    if issued.is_issued(item.key):
-        yield from claims.begin(world, now_ms, claim)
+    if issued_keys.is_issued(wanted.key):
+        yield from claims.start(world, now_ms, claim)
         return
-    yield from binding.want(world, now_ms, claim)
+    yield from binding.start_claim(world, now_ms, claim)
 
 
 def _on_message(
@@ -78,14 +82,14 @@
         case messages.ClaimAnswer():
             yield from claims.on_answer(world, now_ms, sender, message)
         case messages.ClaimEndAck():
-            yield from ends.on_ack(world, now_ms, sender, message)
+            yield from end_reports.on_ack(world, now_ms, sender, message)
 
 
-def _on_lost(
+def _on_member_lost(
     world: world_module.World, now_ms: float, ref: ids.EntryRef
 ) -> abc.Iterator[out.Output]:
-    yield from registrar.on_lost(world, ref)
-    yield from claims.on_lost(world, now_ms, ref)
+    yield from registrar.on_holder_lost(world, ref)
+    yield from claims.on_registrar_lost(world, now_ms, ref)
 
 
 def _on_timer(
@@ -93,10 +97,10 @@
 ) -> abc.Iterator[out.Output]:
     match timer:
         case timers.ClaimTimeout(request_id, models.Step.END):
-            yield from ends.on_timeout(world, now_ms, request_id)
+            yield from end_reports.on_timeout(world, now_ms, request_id)
         case timers.ClaimTimeout(request_id, step):
             yield from claims.on_timeout(world, now_ms, request_id, step)
         case timers.BindDue(shard):
-            yield from binding.on_due(world, now_ms, shard)
+            yield from binding.on_retry_due(world, now_ms, shard)
         case timers.KeysExpiry():
-            records.expire(world, now_ms)
+            registrations.drop_expired(world, now_ms)
--- a/packages/core/src/zinnialead_core/components/keys/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/keys/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the keys tables for a dump."""
+"""Describe the keys tables for the state dump."""
 
 import collections
 import typing
@@ -7,7 +7,7 @@
 
 
 class KeysDump(typing.TypedDict):
-    """Count claims and registrations; keys themselves stay private."""
+    """Count claims and registrations, without showing any key."""
 
     claims: int
     registrations: int
--- a/packages/core/src/zinnialead_core/components/keys/ends.py
+++ b/packages/core/src/zinnialead_core/components/keys/end_reports.py
@@ -1,4 +1,4 @@
-"""Tell the registrars of a key how the work under it ended."""
+"""Report to a key's registrars how the work under it ended."""
 
 from collections import abc
 
@@ -20,45 +20,45 @@
     return ids.AskId(world.node.ref, claim.request_id, 0)
 
 
-def timeout(claim: models.ClaimRow) -> timers.ClaimTimeout:
-    """Return the timer of the step that a claim is at."""
+def step_timer(claim: models.ClaimRow) -> timers.ClaimTimeout:
+    """Return the timer of a claim's current step."""
     return timers.ClaimTimeout(claim.request_id, int(claim.step))
 
 
-def send(
+def end_claim(
     world: world_module.World,
     now_ms: float,
     claim: models.ClaimRow,
     end: models.KeyEnd,
 ) -> abc.Iterator[out.Output]:
-    """End a claim and report it until the registrars confirm it."""
-    timers.stop(world.timers, timeout(claim))
-    at_home = claim.step in (Step.HOME, Step.AT_HOME)
+    """End a claim and report its end until the registrars confirm it."""
+    timers.stop(world.timers, step_timer(claim))
+    only_home_asked = claim.step in (Step.HOME, Step.HOME_GRANTED)
     claim = claim._replace(
         step=Step.END,
         end=end,
         sequence=claim.sequence + 1,
         tries=0,
         waiting=False,
-        unacked=claim.registrars[:1] if at_home else claim.registrars,
+        unacked=claim.registrars[:1] if only_home_asked else claim.registrars,
     )
-    yield from _resend(world, now_ms, claim)
+    yield from _send_end(world, now_ms, claim)
 
 
-def on_ended(
+def on_claim_ended(
     world: world_module.World,
     now_ms: float,
     request_id: ids.RequestId,
     outcome: verdict.Outcome,
 ) -> abc.Iterator[out.Output]:
-    """End the claim of a request whose work is over, or never began."""
+    """End the claim of a request that is done or was given up."""
     claim = world.claims.get(request_id)
     if claim is None or claim.step is Step.END:
         return
     if claim.step is Step.BIND:
         del world.claims[request_id]
         return
-    yield from send(world, now_ms, claim, _end_of(outcome))
+    yield from end_claim(world, now_ms, claim, _to_key_end(outcome))
 
 
 def on_late_outcome(
@@ -67,14 +67,14 @@
     request_id: ids.RequestId,
     outcome: verdict.Outcome,
 ) -> abc.Iterator[out.Output]:
-    """Report the real end of work that was given up as undecided."""
+    """Report the answer to work whose end was reported as undecided."""
     claim = world.claims.get(request_id)
     if claim is None or claim.step is not Step.END:
         return
     match (claim.end, outcome):
         case (models.Undecided(), verdict.Answered()):
             world.counters['keys.late_end'] += 1
-            yield from send(world, now_ms, claim, _end_of(outcome))
+            yield from end_claim(world, now_ms, claim, _to_key_end(outcome))
 
 
 def on_ack(
@@ -83,44 +83,44 @@
     sender: ids.EntryRef,
     ack: messages.ClaimEndAck,
 ) -> abc.Iterator[out.Output]:
-    """Take in that a registrar recorded the end of a claim."""
+    """Handle a registrar's confirmation that it recorded an end."""
     claim = world.claims.get(ack.ask_id.request_id)
     if claim is None or ack.ask_id != ask_id(world, claim):
         return
     if claim.step is not Step.END or claim.sequence != ack.sequence:
         return
-    left = tuple(x for x in claim.unacked if x.entry != sender.entry)
-    world.claims[claim.request_id] = claim._replace(unacked=left)
-    if not left:
-        yield from _close(world, now_ms, claim)
+    unacked = tuple(x for x in claim.unacked if x.entry != sender.entry)
+    world.claims[claim.request_id] = claim._replace(unacked=unacked)
+    if not unacked:
+        yield from _close_claim(world, now_ms, claim)
 
 
 def on_timeout(
     world: world_module.World, now_ms: float, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Report an end again, or stop reporting it."""
+    """Send an unconfirmed end again, up to ``END_TRIES_MAX`` times."""
     claim = world.claims.get(request_id)
     if claim is None or claim.step is not Step.END:
         return
     if not claim.unacked:
         del world.claims[request_id]
         return
-    if claim.tries >= const.ENDS_MAX:
+    if claim.tries >= const.END_TRIES_MAX:
         world.counters['keys.end_unconfirmed'] += 1
-        yield from _close(world, now_ms, claim)
+        yield from _close_claim(world, now_ms, claim)
         return
     world.counters['keys.end_resent'] += 1
-    yield from _resend(world, now_ms, claim)
+    yield from _send_end(world, now_ms, claim)
 
 
-def _resend(
+def _send_end(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
-    pause_ms = const.CLAIM_TIMEOUT_MS * 2.0**claim.tries
-    due_ms = now_ms + min(pause_ms, const.END_TIMEOUT_MAX_MS)
+    delay_ms = const.CLAIM_TIMEOUT_MS * 2.0**claim.tries
+    due_ms = now_ms + min(delay_ms, const.END_TIMEOUT_MAX_MS)
     claim = claim._replace(tries=claim.tries + 1)
     world.claims[claim.request_id] = claim
-    timers.start(world.timers, timeout(claim), due_ms)
+    timers.start(world.timers, step_timer(claim), due_ms)
     message = messages.ClaimEnd(
         claim.key, ask_id(world, claim), claim.sequence, claim.end
     )
@@ -128,22 +128,22 @@
         yield out.SendPeer(registrar.entry, message)
 
 
-def _close(
+def _close_claim(
     world: world_module.World, now_ms: float, claim: models.ClaimRow
 ) -> abc.Iterator[out.Output]:
     match claim.end:
         case models.Undecided():
-            # The row stays for a while, since the outcome may still come.
+            # Keep the row for a while: the outcome may still arrive.
             world.claims[claim.request_id] = claim._replace(unacked=())
-            due_ms = now_ms + const.LATE_OUTCOME_MS
-            timers.start(world.timers, timeout(claim), due_ms)
+            due_ms = now_ms + const.LATE_OUTCOME_WAIT_MS
+            timers.start(world.timers, step_timer(claim), due_ms)
         case _:
-            timers.stop(world.timers, timeout(claim))
+            timers.stop(world.timers, step_timer(claim))
             world.claims.pop(claim.request_id, None)
     yield out.Notify(inp.ClaimClosed(claim.request_id))
 
 
-def _end_of(outcome: verdict.Outcome) -> models.KeyEnd:
+def _to_key_end(outcome: verdict.Outcome) -> models.KeyEnd:
     match outcome:
         case verdict.Answered(status, record):
             return models.Ended(status, record)
--- a/packages/core/src/zinnialead_core/components/keys/issued.py
+++ b/packages/core/src/zinnialead_core/components/keys/issued_keys.py
@@ -1,4 +1,4 @@
-"""Write and read keys that name their registrars."""
+"""Format and parse issued keys, which name their registrars."""
 
 import typing
 
@@ -6,11 +6,11 @@
 from zinnialead_core import ids
 
 MARK = 'z1'
-NOBODY = '-'
+NO_WITNESS = '-'
 
 
 class IssuedKey(typing.NamedTuple):
-    """Hold what an issued key says: its registrars and its issue time."""
+    """Hold the parts of an issued key."""
 
     registrars: tuple[ids.EntryRef, ...]
     issued_ms: float
@@ -18,27 +18,27 @@
 
 
 def is_issued(key: ids.Key) -> bool:
-    """Tell an issued key from one that a caller chose freely."""
+    """Return whether a key was issued, not chosen by the caller."""
     return key.startswith(f'{MARK}.')
 
 
 def prefix(
     home: ids.EntryRef, witness: ids.EntryRef | None, issued_ms: float
 ) -> str:
-    """Return the start of a key, to which the caller adds its nonce.
+    """Return a key prefix, to which the caller appends a dot and a nonce.
 
     >>> prefix(ids.EntryRef('e1', 7), None, 12.7)
     'z1.e1.7.-.0.12'
     """
-    other = witness or ids.EntryRef(ids.EntryId(NOBODY), 0)
+    second = witness or ids.EntryRef(ids.EntryId(NO_WITNESS), 0)
     return (
         f'{MARK}.{home.entry}.{home.incarnation}'
-        f'.{other.entry}.{other.incarnation}.{int(issued_ms)}'
+        f'.{second.entry}.{second.incarnation}.{int(issued_ms)}'
     )
 
 
 def parse(key: ids.Key) -> IssuedKey | None:
-    """Read an issued key, or return None where it is malformed.
+    """Parse an issued key, or return None if it is malformed.
 
     >>> parse('z1.e1.7.e2.9.12.nonce').registrars[1]
     EntryRef(entry='e2', incarnation=9)
@@ -53,45 +53,45 @@
         return None
     if not 0 < len(parts[6]) <= const.NONCE_MAX_CHARS:
         return None
-    home = _ref(parts[1], parts[2])
-    witness = _ref(parts[3], parts[4])
+    home = _parse_ref(parts[1], parts[2])
+    witness = _parse_ref(parts[3], parts[4])
     if not home.entry or not witness.entry or home.entry == witness.entry:
         return None
-    pair = (home,) if witness.entry == NOBODY else (home, witness)
-    return IssuedKey(pair, float(parts[5]), parts[6])
+    registrars = (home,) if witness.entry == NO_WITNESS else (home, witness)
+    return IssuedKey(registrars, float(parts[5]), parts[6])
 
 
-def expired(issued: IssuedKey, now_ms: float) -> bool:
-    """Say whether a holder must refuse a key by its issue time."""
+def is_expired(issued: IssuedKey, now_ms: float) -> bool:
+    """Return whether a holder must refuse a key because of its age."""
     age_ms = now_ms - issued.issued_ms
     too_new = age_ms < -2 * const.CLOCK_MARGIN_MS
     return too_new or age_ms >= const.KEY_LIFETIME_MS
 
 
-def registrable(issued: IssuedKey, now_ms: float) -> bool:
-    """Say whether a registrar may still register a key.
+def is_registrable(issued: IssuedKey, now_ms: float) -> bool:
+    """Return whether a registrar may still register a key.
 
-    A registration outlives this by a margin on the same clock, so that
-    no key can be registered again after its record is dropped.
+    The registration is kept for a margin longer by the same clock, so no
+    key can be registered again after its record is dropped.
     """
     too_new = now_ms - issued.issued_ms < -3 * const.CLOCK_MARGIN_MS
-    return not too_new and now_ms < _last_ms(issued)
+    return not too_new and now_ms < _registrable_until_ms(issued)
 
 
 def expires_ms(issued: IssuedKey) -> float:
     """Return when a registrar may drop its record of a key."""
-    return _last_ms(issued) + const.CLOCK_MARGIN_MS
+    return _registrable_until_ms(issued) + const.CLOCK_MARGIN_MS
 
 
-def _last_ms(issued: IssuedKey) -> float:
+def _registrable_until_ms(issued: IssuedKey) -> float:
     return issued.issued_ms + const.KEY_LIFETIME_MS + const.CLOCK_MARGIN_MS
 
 
 def _is_number(text: str) -> bool:
-    # Long runs of digits would cost time and mean no time or run.
+    # Longer numbers are slow to parse and no valid time or incarnation.
     short = 0 < len(text) <= 18
     return short and text.isascii() and text.isdigit()
 
 
-def _ref(entry: str, incarnation: str) -> ids.EntryRef:
+def _parse_ref(entry: str, incarnation: str) -> ids.EntryRef:
     return ids.EntryRef(ids.EntryId(entry), int(incarnation))
--- a/packages/core/src/zinnialead_core/components/keys/liveness.py
+++ b/packages/core/src/zinnialead_core/components/keys/liveness.py
@@ -1,4 +1,4 @@
-"""Judge holders and registrars by the members table."""
+"""Check holders and registrars against the members table."""
 
 from zinnialead_core.components import members
 from zinnialead_core import ids
@@ -6,7 +6,7 @@
 
 
 def is_lost(world: world_module.World, ref: ids.EntryRef) -> bool:
-    """Say whether one run of an entry is taken for dead or replaced."""
+    """Return whether an entry's incarnation is dead or was replaced."""
     if ref.entry == world.node.ref.entry:
         return ref != world.node.ref
     member = world.members.get(ref.entry)
--- a/packages/core/src/zinnialead_core/components/keys/messages.py
+++ b/packages/core/src/zinnialead_core/components/keys/messages.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Answer a claim or a bar."""
+    """Answer a ``ClaimAsk`` or a ``BarKey``."""
 
     key: ids.Key
     ask_id: ids.AskId
@@ -33,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimEnd:
-    """Tell a registrar how the work ended, None for not run at all."""
+    """Report to a registrar how the work ended; None if it did not run."""
 
     key: ids.Key
     ask_id: ids.AskId
--- a/packages/core/src/zinnialead_core/components/keys/models.py
+++ b/packages/core/src/zinnialead_core/components/keys/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the keys tables."""
+"""Define the tables of the keys component and a claim's answers."""
 
 import collections
 import dataclasses
@@ -11,14 +11,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claimed:
-    """Say that ``holder`` may run the work, or is running it."""
+    """Mark a key as claimed; ``holder`` may run its work or is running it."""
 
     holder: ids.AskId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
-    """Say how the work ended; ``record`` is the answer to replay."""
+    """Mark work as answered; ``record`` is the answer to replay."""
 
     status: int
     record: bytes | None
@@ -26,29 +26,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecided:
-    """Say that the work was sent and its end is not known."""
+    """Mark work as sent, with an unknown outcome."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Barred:
-    """Say that nothing ran under the key and nothing ever will."""
+    """Mark a key under which nothing ran and nothing ever will."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Free:
-    """Say that every claim so far was released and nothing ran."""
+    """Mark a key as unclaimed: all claims were released, nothing ran."""
 
 
 KeyState = Claimed | Ended | Undecided | Barred | Free
-# How a claim ends; None releases it, since nothing ran.
+# How a claim ended; None releases it, because nothing ran.
 KeyEnd = Ended | Undecided | Barred | None
 
 
 class RegistrationRow(typing.NamedTuple):
-    """Hold what a registrar knows of one key.
+    """Hold a registrar's record of one key.
 
-    ``released`` names claims that are over, so that a late duplicate of
-    their asks can't claim the key again.
+    ``released`` has the latest released claims, so that a late duplicate
+    of an ask can't claim the key again.  ``waiters`` are claims that get
+    an answer when the holder's claim ends.
     """
 
     key: ids.Key
@@ -59,38 +60,47 @@
 
 
 class RegistrationTable(typing.NamedTuple):
-    """Hold the registrations, and what bounds them.
+    """Hold the registrations and the indexes that keep them bounded.
 
-    ``buckets`` lists keys by the period in which they expire; ``recorded``
-    lists the keys with a recorded answer, oldest first; ``waited`` names
-    the keys with waiters, and ``free`` the released ones.
+    ``expiry_buckets`` lists keys by the period in which they expire;
+    ``with_record`` lists the keys with a recorded answer, oldest first;
+    ``awaited`` has the keys with waiters, and ``free`` the released ones.
+    ``record_bytes`` has one item, the size of all recorded answers.
     """
 
     rows: dict[ids.Key, RegistrationRow]
-    buckets: dict[int, list[ids.Key]]
-    recorded: collections.deque[ids.Key]
-    recorded_bytes: list[int]
-    waited: dict[ids.Key, None]
+    expiry_buckets: dict[int, list[ids.Key]]
+    with_record: collections.deque[ids.Key]
+    record_bytes: list[int]
+    awaited: dict[ids.Key, None]
     free: dict[ids.Key, None]
 
 
 class Step(enum.IntEnum):
-    """Say what a claim waits for: a registrar, a slot or the work's end."""
+    """Name what a claim waits for.
+
+    BIND: a free key's binding.  HOME: the home's grant.  HOME_GRANTED: a
+    slot for the work.  WITNESS: the witness's grant.  CONFIRMED: the end
+    of the work.  BAR: the witness's bar, asked for when the home failed.
+    END: confirmations of the end, then a late outcome of undecided work.
+    """
 
     BIND = 0
     HOME = 1
     WITNESS = 2
     BAR = 3
-    HELD = 4
-    AT_HOME = 6
+    CONFIRMED = 4
+    HOME_GRANTED = 6
     END = 5
 
 
 class ClaimRow(typing.NamedTuple):
-    """Hold a claim that this entry makes for a request of its own.
+    """Hold a claim for one of this entry's requests.
 
-    ``registrars`` are the home and, where there is one, the witness.
-    ``unacked`` are those that have not confirmed ``end`` yet.
+    ``registrars`` are the home and the witness, if there is one; ``tries``
+    counts the messages sent in this step.  ``waiting`` is set while another
+    copy is in progress.  ``sequence`` numbers the reports of ``end``, and
+    ``unacked`` are the registrars that have not confirmed it yet.
     """
 
     request_id: ids.RequestId
@@ -107,7 +117,7 @@
 
 
 def is_open(claim: ClaimRow) -> bool:
-    """Say whether a registrar still has to confirm the claim's end."""
+    """Return whether a registrar has yet to confirm the claim's end."""
     return claim.step is not Step.END or bool(claim.unacked)
 
 
@@ -115,18 +125,19 @@
 
 
 class ShardRow(typing.NamedTuple):
-    """Hold what is known of one shard of the bindings of free keys.
+    """Cache one shard of the store's bindings from free to issued keys.
 
-    A binding never changes before it expires, so an old copy of ``rows``
-    can lack bindings but not be wrong. ``known`` says whether ``version``
-    was read; ``waiting`` names the requests that wait for a binding.
+    A binding never changes before it expires, so outdated ``rows`` can
+    lack bindings but not be wrong.  ``is_loaded`` tells whether
+    ``version`` is current enough to write; ``waiting`` has the requests
+    that wait for a binding.
     """
 
     rows: dict[ids.Key, ids.Key]
-    known: bool
+    is_loaded: bool
     version: int | None
     call_id: int | None
-    call_ends_ms: float
+    call_timeout_ms: float
     waiting: tuple[ids.RequestId, ...]
 
 
@@ -140,22 +151,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
-    """Say that another copy is in progress and its end will be told."""
+    """Make a claim wait: another copy is in progress; its end is reported."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Freed:
-    """Say that the other copy did not run, so it is worth asking again."""
+    """Invite another ask, because the copy in progress did not run."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRegistrar:
-    """Say that this run of the entry is no registrar of the key."""
+    """Reject an ask: this incarnation is not a registrar of the key."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recorded:
-    """Deny a claim, since the key's work has its answer already."""
+    """Deny a claim because the work was answered, as recorded."""
 
     status: int
     record: bytes | None
@@ -163,7 +174,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Denied:
-    """Deny a claim for another reason."""
+    """Deny a claim with a refusal."""
 
     refusal: verdict.Refusal
 
@@ -178,7 +189,7 @@
 
 
 def new_bindings() -> BindingTable:
-    """Return a table that knows no shard."""
+    """Return a table without shards."""
     return {}
 
 
@@ -188,16 +199,16 @@
 
 
 def denied(
-    known: verdict.Verdict, reason: verdict.Reason, detail: str
+    run_verdict: verdict.Verdict, reason: verdict.Reason, detail: str
 ) -> Denied:
-    """Return a denial with the refusal that the caller gets."""
-    return Denied(verdict.Refusal(known, reason, detail))
+    """Return a denial that carries a refusal for the caller."""
+    return Denied(verdict.Refusal(run_verdict, reason, detail))
 
 
-def is_over(ref: ids.EntryRef, lost: ids.EntryRef) -> bool:
-    """Say whether ``ref`` names the lost run of an entry or an older one.
+def is_same_or_older(ref: ids.EntryRef, lost: ids.EntryRef) -> bool:
+    """Return whether ``ref`` is the lost incarnation or an older one.
 
-    >>> is_over(ids.EntryRef('e', 1), ids.EntryRef('e', 2))
+    >>> is_same_or_older(ids.EntryRef('e', 1), ids.EntryRef('e', 2))
     True
     """
     return ref.entry == lost.entry and ref.incarnation <= lost.incarnation
--- a/packages/core/src/zinnialead_core/components/keys/registrar.py
+++ b/packages/core/src/zinnialead_core/components/keys/registrar.py
@@ -3,11 +3,11 @@
 from collections import abc
 
 from zinnialead_core.components.keys import const
-from zinnialead_core.components.keys import issued
+from zinnialead_core.components.keys import issued_keys
 from zinnialead_core.components.keys import liveness
 from zinnialead_core.components.keys import messages
 from zinnialead_core.components.keys import models
-from zinnialead_core.components.keys import records
+from zinnialead_core.components.keys import registrations
 from zinnialead_core import ids
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
@@ -20,7 +20,7 @@
     sender: ids.EntryRef,
     ask: messages.ClaimAsk | messages.BarKey,
 ) -> abc.Iterator[out.Output]:
-    """Answer a claim or a bar, unless it is one that is over."""
+    """Answer a claim or a bar, unless that claim was already released."""
     answer = _decide(world, now_ms, ask)
     if answer is None:
         world.counters['keys.stale_ask'] += 1
@@ -35,38 +35,40 @@
     sender: ids.EntryRef,
     end: messages.ClaimEnd,
 ) -> abc.Iterator[out.Output]:
-    """Record the end of a claim, confirm it, and tell the waiters."""
+    """Record and confirm the end of a claim, and answer its waiters."""
     ack = messages.ClaimEndAck(end.key, end.ask_id, end.sequence)
     yield out.SendPeer(sender.entry, ack)
-    known = issued.parse(end.key)
-    if known is None or world.node.ref not in known.registrars:
+    issued_key = issued_keys.parse(end.key)
+    if issued_key is None or world.node.ref not in issued_key.registrars:
         return
-    if not issued.registrable(known, now_ms):
+    if not issued_keys.is_registrable(issued_key, now_ms):
         return
     row = world.registrations.rows.get(end.key)
     if row is None:
-        if not records.make_room(world):
+        if not registrations.make_room(world):
             world.counters['keys.end_dropped'] += 1
             return
         row = models.RegistrationRow(
-            end.key, models.Free(), issued.expires_ms(known)
+            end.key, models.Free(), issued_keys.expires_ms(issued_key)
         )
     row = _without_waiter(row, end.ask_id)
     if end.state is None:
-        row = _released(row, end.ask_id)
-    row = row._replace(state=_after_end(row.state, end))
-    yield from _store_and_tell(world, row)
+        row = _with_released(row, end.ask_id)
+    row = row._replace(state=_state_after_end(row.state, end))
+    yield from _store_and_notify(world, row)
 
 
-def on_lost(
+def on_holder_lost(
     world: world_module.World, ref: ids.EntryRef
 ) -> abc.Iterator[out.Output]:
-    """Tell those who wait for a lost entry's work that it may have run."""
-    for row in list(records.waited(world)):
+    """Tell the waiters of a lost holder that the work may have run."""
+    for row in list(registrations.with_waiters(world)):
         match row.state:
-            case models.Claimed(holder) if models.is_over(holder.asker, ref):
-                yield from _tell(row, _holder_lost())
-                records.put(world, row._replace(waiters=()))
+            case models.Claimed(holder) if models.is_same_or_older(
+                holder.asker, ref
+            ):
+                yield from _answer_waiters(row, _holder_lost_denial())
+                registrations.store(world, row._replace(waiters=()))
 
 
 def _decide(
@@ -74,10 +76,10 @@
     now_ms: float,
     ask: messages.ClaimAsk | messages.BarKey,
 ) -> models.Answer | None:
-    known = issued.parse(ask.key)
-    if known is None or world.node.ref not in known.registrars:
+    issued_key = issued_keys.parse(ask.key)
+    if issued_key is None or world.node.ref not in issued_key.registrars:
         return models.NotRegistrar()
-    if not issued.registrable(known, now_ms):
+    if not issued_keys.is_registrable(issued_key, now_ms):
         return models.denied(
             verdict.Verdict.MAY_HAVE_RUN,
             verdict.Reason.KEY_EXPIRED,
@@ -85,23 +87,23 @@
         )
     row = world.registrations.rows.get(ask.key)
     if row is None:
-        if not records.make_room(world):
-            return _full(ask)
+        if not registrations.make_room(world):
+            return _full_denial(ask)
         row = models.RegistrationRow(
-            ask.key, models.Free(), issued.expires_ms(known)
+            ask.key, models.Free(), issued_keys.expires_ms(issued_key)
         )
     if ask.ask_id in row.released:
         return None
     match row.state:
         case models.Free():
-            return _take(world, row, ask)
+            return _decide_free(world, row, ask)
         case models.Claimed(holder):
-            return _taken(world, row, holder, ask)
+            return _decide_claimed(world, row, holder, ask)
         case state:
-            return _final(state)
+            return _denial_of(state)
 
 
-def _take(
+def _decide_free(
     world: world_module.World,
     row: models.RegistrationRow,
     ask: messages.ClaimAsk | messages.BarKey,
@@ -109,16 +111,16 @@
     match ask:
         case messages.ClaimAsk():
             claimed = models.Claimed(ask.ask_id)
-            records.put(world, row._replace(state=claimed))
+            registrations.store(world, row._replace(state=claimed))
             world.counters['keys.granted'] += 1
             return models.Granted()
         case messages.BarKey():
-            records.put(world, row._replace(state=models.Barred()))
+            registrations.store(world, row._replace(state=models.Barred()))
             world.counters['keys.barred'] += 1
-            return _final(models.Barred())
+            return _denial_of(models.Barred())
 
 
-def _taken(
+def _decide_claimed(
     world: world_module.World,
     row: models.RegistrationRow,
     holder: ids.AskId,
@@ -127,7 +129,7 @@
     if holder == ask.ask_id:
         return models.Granted()
     if liveness.is_lost(world, holder.asker):
-        return _holder_lost()
+        return _holder_lost_denial()
     if ask.ask_id in row.waiters:
         return models.Waiting()
     if len(row.waiters) >= const.WAITERS_MAX:
@@ -136,11 +138,13 @@
             verdict.Reason.KEY_IN_PROGRESS,
             'too many copies wait for the work under this key',
         )
-    records.put(world, row._replace(waiters=(*row.waiters, ask.ask_id)))
+    registrations.store(
+        world, row._replace(waiters=(*row.waiters, ask.ask_id))
+    )
     return models.Waiting()
 
 
-def _final(
+def _denial_of(
     state: models.Ended | models.Undecided | models.Barred,
 ) -> models.Denial:
     match state:
@@ -160,19 +164,19 @@
             )
 
 
-def _full(ask: messages.ClaimAsk | messages.BarKey) -> models.Denied:
+def _full_denial(ask: messages.ClaimAsk | messages.BarKey) -> models.Denied:
     # A bar that can't be recorded leaves the key open to other copies.
     match ask:
         case messages.ClaimAsk():
-            known = verdict.Verdict.NOT_RUN
+            run_verdict = verdict.Verdict.NOT_RUN
         case messages.BarKey():
-            known = verdict.Verdict.MAY_HAVE_RUN
+            run_verdict = verdict.Verdict.MAY_HAVE_RUN
     return models.denied(
-        known, verdict.Reason.KEYS_FULL, 'the table of keys is full'
+        run_verdict, verdict.Reason.KEYS_FULL, 'the table of keys is full'
     )
 
 
-def _holder_lost() -> models.Denied:
+def _holder_lost_denial() -> models.Denied:
     return models.denied(
         verdict.Verdict.MAY_HAVE_RUN,
         verdict.Reason.KEY_UNDECIDED,
@@ -180,26 +184,26 @@
     )
 
 
-def _after_end(
+def _state_after_end(
     state: models.KeyState, end: messages.ClaimEnd
 ) -> models.KeyState:
     match (state, end.state):
-        case (models.Claimed(holder), done) if holder == end.ask_id:
-            return done or models.Free()
-        case (models.Undecided(), models.Ended() as done):
-            return done
+        case (models.Claimed(holder), end_state) if holder == end.ask_id:
+            return end_state or models.Free()
+        case (models.Undecided(), models.Ended() as end_state):
+            return end_state
         case (models.Free(), models.Barred()):
             return models.Barred()
         case _:
             return state
 
 
-def _released(
+def _with_released(
     row: models.RegistrationRow, ask_id: ids.AskId
 ) -> models.RegistrationRow:
     if ask_id in row.released:
         return row
-    released = (*row.released, ask_id)[-const.RELEASED_MAX :]
+    released = (*row.released, ask_id)[-const.RELEASED_CLAIMS_MAX :]
     return row._replace(released=released)
 
 
@@ -210,22 +214,22 @@
     return row._replace(waiters=waiters)
 
 
-def _store_and_tell(
+def _store_and_notify(
     world: world_module.World, row: models.RegistrationRow
 ) -> abc.Iterator[out.Output]:
     match row.state:
         case models.Claimed():
-            records.put(world, row)
+            registrations.store(world, row)
             return
         case models.Free():
             answer: models.Answer = models.Freed()
         case state:
-            answer = _final(state)
-    records.put(world, row._replace(waiters=()))
-    yield from _tell(row, answer)
+            answer = _denial_of(state)
+    registrations.store(world, row._replace(waiters=()))
+    yield from _answer_waiters(row, answer)
 
 
-def _tell(
+def _answer_waiters(
     row: models.RegistrationRow, answer: models.Answer
 ) -> abc.Iterator[out.Output]:
     for ask_id in row.waiters:
--- a/packages/core/src/zinnialead_core/components/keys/records.py
+++ b/packages/core/src/zinnialead_core/components/keys/registrations.py
@@ -1,4 +1,4 @@
-"""Keep the table of registrations within its bounds."""
+"""Store registrations of keys within bounds of count, size and time."""
 
 from collections import abc
 
@@ -10,10 +10,10 @@
 
 
 def make_room(world: world_module.World) -> bool:
-    """Say whether another key fits, and drop a released one if needed.
+    """Return whether another key fits; drop a released one if needed.
 
-    A released key has no work to remember: its row only keeps late
-    duplicates of old asks from claiming the key for nobody.
+    A released key has no work to remember: its row only rejects late
+    duplicates of old asks, which would claim the key for a finished claim.
     """
     table = world.registrations
     if len(table.rows) < const.REGISTRATIONS_MAX:
@@ -24,75 +24,77 @@
     return True
 
 
-def put(world: world_module.World, row: models.RegistrationRow) -> None:
-    """Store a registration in place of the key's earlier one."""
+def store(world: world_module.World, row: models.RegistrationRow) -> None:
+    """Store a registration and update the table's indexes."""
     table = world.registrations
-    known = table.rows.get(row.key)
+    previous = table.rows.get(row.key)
     table.rows[row.key] = row
-    if known is None:
-        _await_expiry(world, row)
-    _mark(table.waited, row.key, bool(row.waiters))
-    _mark(table.free, row.key, isinstance(row.state, models.Free))
-    if known is None or known.state != row.state:
-        _keep_record(world, row)
+    if previous is None:
+        _schedule_expiry(world, row)
+    _set_present(table.awaited, row.key, bool(row.waiters))
+    _set_present(table.free, row.key, isinstance(row.state, models.Free))
+    if previous is None or previous.state != row.state:
+        _track_record(world, row)
 
 
-def expire(world: world_module.World, now_ms: float) -> None:
-    """Drop some of the registrations whose time is over."""
+def drop_expired(world: world_module.World, now_ms: float) -> None:
+    """Drop a batch of expired registrations."""
     table = world.registrations
     latest = int(now_ms // const.EXPIRY_BUCKET_MS)
-    left = const.EXPIRY_BATCH
-    for number in sorted(n for n in table.buckets if n < latest):
-        keys = table.buckets[number]
-        while keys and left > 0:
+    remaining = const.EXPIRY_BATCH_ROWS
+    for number in sorted(n for n in table.expiry_buckets if n < latest):
+        keys = table.expiry_buckets[number]
+        while keys and remaining > 0:
             _drop(table, keys.pop())
-            left -= 1
+            remaining -= 1
         if keys:
             break
-        del table.buckets[number]
-    if table.buckets:
-        due_ms = (min(table.buckets) + 1) * const.EXPIRY_BUCKET_MS
+        del table.expiry_buckets[number]
+    if table.expiry_buckets:
+        due_ms = (min(table.expiry_buckets) + 1) * const.EXPIRY_BUCKET_MS
         timers.start(
             world.timers, timers.KeysExpiry(), max(due_ms, now_ms + 1.0)
         )
 
 
-def waited(
+def with_waiters(
     world: world_module.World,
 ) -> abc.Iterator[models.RegistrationRow]:
     """Yield the registrations that have waiters."""
-    for key in world.registrations.waited:
+    for key in world.registrations.awaited:
         yield world.registrations.rows[key]
 
 
-def _mark(marks: dict[ids.Key, None], key: ids.Key, marked: bool) -> None:
-    if marked:
-        marks[key] = None
+def _set_present(
+    keys: dict[ids.Key, None], key: ids.Key, is_present: bool
+) -> None:
+    if is_present:
+        keys[key] = None
     else:
-        marks.pop(key, None)
+        keys.pop(key, None)
 
 
-def _await_expiry(
+def _schedule_expiry(
     world: world_module.World, row: models.RegistrationRow
 ) -> None:
     number = int(row.expires_ms // const.EXPIRY_BUCKET_MS)
-    buckets = world.registrations.buckets
+    buckets = world.registrations.expiry_buckets
     if not buckets or number < min(buckets):
         due_ms = (number + 1) * const.EXPIRY_BUCKET_MS
         timers.start(world.timers, timers.KeysExpiry(), due_ms)
     buckets.setdefault(number, []).append(row.key)
 
 
-def _keep_record(
+def _track_record(
     world: world_module.World, row: models.RegistrationRow
 ) -> None:
     table = world.registrations
     match row.state:
         case models.Ended(_, bytes() as record):
-            table.recorded.append(row.key)
-            table.recorded_bytes[0] += len(record)
-    while table.recorded_bytes[0] > const.RECORDED_MAX_BYTES:
-        _drop_record(world, table.recorded.popleft())
+            table.with_record.append(row.key)
+            table.record_bytes[0] += len(record)
+    while table.record_bytes[0] > const.RECORDS_MAX_BYTES:
+        _drop_record(world, table.with_record.popleft())
 
 
 def _drop_record(world: world_module.World, key: ids.Key) -> None:
@@ -104,18 +106,18 @@
         case models.Ended(status, bytes() as record):
             ended = models.Ended(status, None)
             table.rows[key] = row._replace(state=ended)
-            table.recorded_bytes[0] -= len(record)
+            table.record_bytes[0] -= len(record)
             world.counters['keys.record_dropped'] += 1
 
 
 def _drop(table: models.RegistrationTable, key: ids.Key) -> None:
     row = table.rows.pop(key, None)
-    table.waited.pop(key, None)
+    table.awaited.pop(key, None)
     table.free.pop(key, None)
     if row is None:
         return
     match row.state:
         case models.Ended(_, bytes() as record):
-            table.recorded_bytes[0] -= len(record)
-    while table.recorded and table.recorded[0] not in table.rows:
-        table.recorded.popleft()
+            table.record_bytes[0] -= len(record)
+    while table.with_record and table.with_record[0] not in table.rows:
+        table.with_record.popleft()
--- a/packages/core/src/zinnialead_core/components/lookups/const.py
+++ b/packages/core/src/zinnialead_core/components/lookups/const.py
@@ -1,4 +1,4 @@
-"""Constants of the look-ups component."""
+"""Define the constants of the look-ups component."""
 
 CHOICES_MAX = 4
 # Of CHOICES_MAX; one more goes to the second nearest domain and one to
--- a/packages/core/src/zinnialead_core/components/members/const.py
+++ b/packages/core/src/zinnialead_core/components/members/const.py
@@ -1,4 +1,4 @@
-"""Constants of the members component."""
+"""Define the constants of the members component."""
 
 PROBE_PERIOD_MS = 500.0
 # Each period varies by up to this share, so that entries do not probe in
--- a/packages/core/src/zinnialead_core/components/members/models.py
+++ b/packages/core/src/zinnialead_core/components/members/models.py
@@ -7,7 +7,7 @@
 
 
 class Health(enum.Enum):
-    """Health of an entry as this one knows it."""
+    """Name the health of an entry, as known here."""
 
     ALIVE = 'alive'
     SUSPECT = 'suspect'
--- a/packages/core/src/zinnialead_core/components/members/updates.py
+++ b/packages/core/src/zinnialead_core/components/members/updates.py
@@ -107,7 +107,7 @@
     """Apply an item of the platform's list.
 
     The list lags, so it only adds entries and marks them as leaving; it
-    never removes or revives one.
+    never removes or revives one.  This entry stops if it is so marked.
     """
     row = world.members.get(listing.entry)
     if row is None:
--- a/tests/core/components/lookups/test_selection.py
+++ b/tests/core/components/lookups/test_selection.py
@@ -2,7 +2,7 @@
 
 from core import samples
 import zinnialead_core as core
-from zinnialead_core.components.keys import issued
+from zinnialead_core.components.keys import issued_keys
 from zinnialead_core.components.lookups import coordinator
 from zinnialead_core.components.lookups import models
 from zinnialead_core.components import members
@@ -94,7 +94,7 @@
 def test_key_prefixes_name_the_choice_and_a_witness_in_its_region():
     answer = coordinator.look_up(world(), 12.0, QUESTION)
     for choice in answer.choices:
-        key = issued.parse(f'{choice.key_prefix}.n')
+        key = issued_keys.parse(f'{choice.key_prefix}.n')
         home, witness = key.registrars
         assert home.entry == choice.entry
         assert key.issued_ms == 12.0
@@ -111,9 +111,9 @@
         if entry != samples.REF.entry:
             del made.members[entry]
     answer = coordinator.look_up(made, 6_000.0, QUESTION)
-    assert issued.parse(f'{answer.choices[0].key_prefix}.n').registrars == (
-        samples.REF,
-    )
+    assert issued_keys.parse(
+        f'{answer.choices[0].key_prefix}.n'
+    ).registrars == (samples.REF,)
     assert answer.lifetime_ms == 1_000.0
 
 
