--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -29,9 +29,9 @@
     """
     for item in inputs:
         match item:
-            case inp.ClaimWanted():
+            case inp.ClaimRequested():
                 yield from _start_claim(world, now_ms, item)
-            case inp.ConfirmWanted(request_id):
+            case inp.ConfirmationRequested(request_id):
                 yield from claims.confirm(world, now_ms, request_id)
             case inp.ClaimEnded(request_id, outcome):
                 yield from end_reports.on_claim_ended(
@@ -57,7 +57,7 @@
 
 
 def _start_claim(
-    world: world_module.World, now_ms: float, wanted: inp.ClaimWanted
+    world: world_module.World, now_ms: float, wanted: inp.ClaimRequested
 ) -> abc.Iterator[out.Output]:
     claim = models.ClaimRow(
         wanted.request_id, wanted.key, wanted.created_ms, wanted.deadline_ms
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -36,7 +36,7 @@
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
-            case inp.StopAsked():
+            case inp.StopRequested():
                 yield from _announce_leaving(world)
             case inp.StateChanged(number):
                 row = queries.own_row(world)._replace(state_number=number)
@@ -112,9 +112,9 @@
             yield from probing.run_round(world, now_ms)
         case timers.ProbeTimeout():
             yield from probing.on_timeout(world, now_ms, timer)
-        case timers.SuspicionOver(entry):
+        case timers.SuspicionTimeout(entry):
             yield from updates.declare_dead(world, now_ms, entry)
-        case timers.NewsDue():
+        case timers.GossipDue():
             yield from gossip.push_urgent(world, now_ms)
 
 
--- a/packages/core/src/zinnialead_core/components/members/gossip.py
+++ b/packages/core/src/zinnialead_core/components/members/gossip.py
@@ -22,9 +22,9 @@
     """Queue an entry's row to be pushed soon and piggybacked on probes."""
     world.probes.news_send_counts[entry] = 0
     world.probes.urgent_news[entry] = None
-    if timers.NewsDue() not in world.timers.due_ms:
+    if timers.GossipDue() not in world.timers.due_ms:
         due_ms = now_ms + const.URGENT_PERIOD_MS * world.random.random()
-        timers.start(world.timers, timers.NewsDue(), due_ms)
+        timers.start(world.timers, timers.GossipDue(), due_ms)
 
 
 def push_urgent(
@@ -51,7 +51,7 @@
     )
     if urgent:
         due_ms = now_ms + const.URGENT_PERIOD_MS
-        timers.start(world.timers, timers.NewsDue(), due_ms)
+        timers.start(world.timers, timers.GossipDue(), due_ms)
 
 
 def send_news(
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -6,7 +6,7 @@
 from zinnialead_core.components.slots import granting
 from zinnialead_core.components.slots import leases
 from zinnialead_core.components.slots import lines
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components.slots import messages
 from zinnialead_core.components.slots import owner
 from zinnialead_core.components.slots import ownership
@@ -31,16 +31,16 @@
     yield from _members_changed(world, now_ms, inputs)
     for item in inputs:
         match item:
-            case inp.SlotWanted(request_id, attempt):
+            case inp.SlotRequested(request_id, attempt):
                 yield from asker.ask(world, now_ms, request_id, attempt)
-            case inp.SlotGone():
+            case inp.SlotReleased():
                 yield from asker.give_back(world, now_ms, item)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
                 yield from _on_timer(world, now_ms, timer)
             case inp.StateChanged():
-                local.changed(world, now_ms)
+                local_config.changed(world, now_ms)
                 ownership.refresh(world, now_ms)
                 yield from granting.grant_all(world, now_ms)
             case inp.UpstreamReport():
@@ -96,7 +96,7 @@
                 _lost(world, now_ms, earlier)
                 renewed.add(ref.entry)
                 changed = True
-            case inp.MemberChanged() | inp.StopAsked():
+            case inp.MemberChanged() | inp.StopRequested():
                 changed = True
     if changed:
         ownership.refresh(world, now_ms)
--- a/tests/core/components/keys/key_network.py
+++ b/tests/core/components/keys/key_network.py
@@ -139,14 +139,14 @@
     holder = network.worlds[name].node.ref
     due_ms = network.now_ms[0] + CLOCK_SKEWS_MS[name] + deadline_ms
     network.copies[request_id] = Copy(request_id, holder, key, due_ms)
-    feed(network, name, inp.ClaimWanted(request_id, key, None, due_ms))
+    feed(network, name, inp.ClaimRequested(request_id, key, None, due_ms))
     return request_id
 
 
 def confirm(network: Network, request_id: int) -> None:
     """Tell the keys system that a request got its slot."""
     name = network.copies[request_id].holder.entry
-    feed(network, name, inp.ConfirmWanted(request_id))
+    feed(network, name, inp.ConfirmationRequested(request_id))
 
 
 def dispatch(network: Network, copy: Copy) -> None:
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -134,7 +134,7 @@
 
 def test_leaving_is_announced_at_once_and_stays_until_death():
     network = settled()
-    member_network.feed(network, 'a0', inp.StopAsked())
+    member_network.feed(network, 'a0', inp.StopRequested())
     member_network.run_until(network, network.now_ms + 10.0)
     neighbours = [
         member_network.health(network, f'a{n}', 'a0') for n in (1, 2, 3)
