Reword the last names and comments of the members and keys components

What read oddly: a list item named 'seen' and a list of health values named 'neighbours' in the members tests; two docstrings that repeated 'claim' and 'call' in two senses.

Now: listing and healths; the docstrings name the shard and the request.

--- a/packages/core/src/zinnialead_core/components/keys/binding.py
+++ b/packages/core/src/zinnialead_core/components/keys/binding.py
@@ -76,7 +76,7 @@
     call_id: int,
     result: store.Result,
 ) -> abc.Iterator[out.Output]:
-    """Apply the result of a store call to the shard that made it."""
+    """Apply the result of a store call to its shard."""
     for number, shard in world.bindings.items():
         if shard.call_id == call_id:
             yield from _apply_result(world, now_ms, number, result)
--- a/packages/core/src/zinnialead_core/components/keys/registrations.py
+++ b/packages/core/src/zinnialead_core/components/keys/registrations.py
@@ -13,7 +13,7 @@
     """Return whether another key fits; drop a released one if needed.
 
     A released key has no work to remember: its row only rejects late
-    duplicates of old asks, which would claim the key for a finished claim.
+    duplicates of old asks, which would claim it for a request that is over.
     """
     table = world.registrations
     if len(table.rows) < const.REGISTRATIONS_MAX:
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -136,10 +136,10 @@
     network = settled()
     member_network.feed(network, 'a0', inp.StopRequested())
     member_network.run_until(network, network.now_ms + 10.0)
-    neighbours = [
+    healths = [
         member_network.health(network, f'a{n}', 'a0') for n in (1, 2, 3)
     ]
-    assert neighbours == [LEAVING] * 3
+    assert healths == [LEAVING] * 3
     member_network.run_until(network, network.now_ms + 20_000.0)
     assert member_network.health_seen_by_others(network, 'a0') == {LEAVING}
     kill(network, 'a0')
@@ -149,11 +149,11 @@
 
 def test_an_entry_refutes_a_wrong_leaving_mark_from_the_list():
     network = settled()
-    seen = inp.PeerSeen('a0', 'a', 'a0:1', leaving=True)
-    member_network.feed(network, 'b0', seen)
+    listing = inp.PeerSeen('a0', 'a', 'a0:1', leaving=True)
+    member_network.feed(network, 'b0', listing)
     assert member_network.health(network, 'b0', 'a0') is LEAVING
     member_network.run_until(network, network.now_ms + 20_000.0)
-    member_network.feed(network, 'b0', seen)
+    member_network.feed(network, 'b0', listing)
     assert member_network.health(network, 'b0', 'a0') is ALIVE
 
 
@@ -161,8 +161,8 @@
     network = settled()
     kill(network, 'a0')
     member_network.run_until(network, network.now_ms + 20_000.0)
-    seen = inp.PeerSeen('a0', 'a', 'a0:1')
-    member_network.feed(network, 'b0', seen)
+    listing = inp.PeerSeen('a0', 'a', 'a0:1')
+    member_network.feed(network, 'b0', listing)
     assert member_network.health(network, 'b0', 'a0') is DEAD
     later_ms = network.now_ms + const.DEAD_RETENTION_MS
     for world in network.worlds.values():
