Say when an upstream is on trial, and what a rank's floor is

The docstring of HealthRow left open how long `on_trial` is set, that of RankRow which order is the more urgent one and what a floor is a share of. Both say it now.

make check passed; pytest tests/core, tests/daemon, tests/lab and the doctests of the core passed.

--- a/packages/core/src/zinnialead_core/components/tickets/models.py
+++ b/packages/core/src/zinnialead_core/components/tickets/models.py
@@ -38,7 +38,10 @@
 
 
 class RankRow(typing.NamedTuple):
-    """Describe one rank of requests: its order, worth and floor."""
+    """Describe one rank of requests; a lower ``order`` is more urgent.
+
+    ``floor_share`` is the share of slot time that it gets while it waits.
+    """
 
     rank: ids.RankId
     order: int
--- a/packages/core/src/zinnialead_core/components/upstreams/const.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/const.py
@@ -23,5 +23,5 @@
 # Reported work that was not granted here takes at most this share of
 # the declared slots.
 EXCESS_SHARE_MAX = 0.5
-# Each failed trial doubles the next ejection, up to this exponent.
+# Each ejection in a row doubles the next one, this many times at most.
 EJECTIONS_MAX = 1
--- a/packages/core/src/zinnialead_core/components/upstreams/models.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/models.py
@@ -9,14 +9,14 @@
     """Hold what this entry observed of one upstream and what it reported.
 
     ``failures`` counts this entry's failed attempts in a row. An ejected
-    upstream gets no requests until ``out_until_ms`` and then is
-    ``on_trial`` with one slot; ``ejections`` counts ejections since the
-    last success, up to a maximum. ``ramp_start_ms`` is when it came into
-    service, None if it was there from the start. ``answered_ms`` is when
-    it last served or shed an attempt. ``shed_limit`` holds the usable
-    slots after the shed at ``shed_ms``. ``excess`` is the reported work
-    in flight above what was granted here, ``previous_peak`` the most
-    granted at once before the last report. ``repeated_reports`` counts
+    upstream has no slots until ``out_until_ms`` and then one; it is
+    ``on_trial`` until a success. ``ejections`` counts ejections since the
+    last success, up to a maximum. ``ramp_start_ms`` is when it came or
+    returned into service, None if it was there from the start.
+    ``answered_ms`` is when it last served or shed an attempt; ``shed_limit``
+    holds the usable slots after the shed at ``shed_ms``. ``excess`` is the
+    reported work in flight above what was granted here, ``previous_peak`` the
+    most granted at once before the last report. ``repeated_reports`` counts
     how often the same load was reported again in a row.
     """
 
--- a/packages/core/src/zinnialead_core/verdict.py
+++ b/packages/core/src/zinnialead_core/verdict.py
@@ -76,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NeverStarted:
-    """Report a cancelled request that, says the upstream, never started."""
+    """Report a cancelled request that the upstream confirmed as not run."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
