--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from zinnialead_core.components.members import models as member_models
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.store import calls
 from zinnialead_core.components.store import const
 from zinnialead_core.components.store import limits
@@ -75,7 +75,7 @@
     own_entry = world.node.ref.entry
     live_entries = [
         row.entry
-        for row in views.neighbours(world)
+        for row in queries.domain_peers(world)
         if row.health is member_models.Health.ALIVE
     ]
     entries_above = sum(
@@ -165,7 +165,7 @@
 
     Such an entry cannot get the state from a peer.
     """
-    return not any(row.incarnation for row in views.others(world))
+    return not any(row.incarnation for row in queries.live_peers(world))
 
 
 def _start_timer(world: world_module.World, now_ms: float) -> None:
--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from zinnialead_core.components.members import messages as member_messages
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
@@ -127,11 +127,13 @@
     yield out.LogChange(
         'tickets', 'in force', str(before.number), str(state.number)
     )
-    same_domain = views.pick(
-        world, views.neighbours(world), const.PUSH_SAME_DOMAIN_COUNT
+    same_domain = queries.sample_entries(
+        world, queries.domain_peers(world), const.PUSH_SAME_DOMAIN_COUNT
     )
-    other_domains = views.pick(
-        world, views.foreigners(world), const.PUSH_OTHER_DOMAINS_COUNT
+    other_domains = queries.sample_entries(
+        world,
+        queries.other_domain_peers(world),
+        const.PUSH_OTHER_DOMAINS_COUNT,
     )
     for entry in (*same_domain, *other_domains):
         yield out.SendPeer(entry, _state_number(state))
--- a/packages/core/src/zinnialead_core/components/tickets/pulling.py
+++ b/packages/core/src/zinnialead_core/components/tickets/pulling.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.components.members import views
+from zinnialead_core.components.members import queries
 from zinnialead_core.components.tickets import const
 from zinnialead_core.components.tickets import messages
 from zinnialead_core.components.tickets import models
@@ -163,5 +163,7 @@
 def _holders(
     world: world_module.World, number: int
 ) -> abc.Sequence[ids.EntryId]:
-    rows = (row for row in views.others(world) if row.state_number >= number)
-    return views.pick(world, rows, const.PARTS_ASKED_MAX)
+    rows = (
+        row for row in queries.live_peers(world) if row.state_number >= number
+    )
+    return queries.sample_entries(world, rows, const.PARTS_ASKED_MAX)
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.components.slots import local
+from zinnialead_core.components.slots import local_config
 from zinnialead_core.components import tickets
 from zinnialead_core.components.upstreams import const
 from zinnialead_core.components.upstreams import models
@@ -49,7 +49,7 @@
     )
     world.upstreams[report.upstream] = row
     if not (report.healthy or row.on_trial or _answered_recently(row, now_ms)):
-        siblings = local.of(world, declared.service).upstreams
+        siblings = local_config.get(world, declared.service).upstreams
         outliers.eject(world, now_ms, row, siblings)
     if before is not None and before.leaving != report.leaving:
         yield out.LogChange(
@@ -70,8 +70,10 @@
     A report lags, so work granted before the last report counts too.
     """
     queues = world.queues
-    peak = queues.peaks.get(report.upstream, 0)
-    queues.peaks[report.upstream] = queues.in_use.get(report.upstream, 0)
+    peak = queues.in_use_peaks.get(report.upstream, 0)
+    queues.in_use_peaks[report.upstream] = queues.in_use.get(
+        report.upstream, 0
+    )
     reported = report.in_flight or 0
     is_repeated = reported == row.told_in_flight and reported > 0
     return row._replace(
@@ -111,7 +113,7 @@
     ]
     for upstream in removed:
         del world.upstreams[upstream]
-        world.queues.peaks.pop(upstream, None)
+        world.queues.in_use_peaks.pop(upstream, None)
         if not world.queues.in_use.get(upstream):
             world.queues.in_use.pop(upstream, None)
 
