--- a/tests/core/components/store/test_tasks.py
+++ b/tests/core/components/store/test_tasks.py
@@ -15,24 +15,24 @@
 DOMAINS = {'a': 6, 'b': 6}
 
 
-def answer_calls(bag, answer):
+def answer_calls(network, answer):
     """Answer the calls made so far, and count them by kind and entry."""
     counts = collections.Counter()
-    calls, bag.store_calls = bag.store_calls, []
+    calls, network.store_calls = network.store_calls, []
     for _, entry, output in calls:
         counts[type(output.call).__name__, entry] += 1
         result = answer(output.call)
-        if result is not None and entry not in bag.stopped:
+        if result is not None and entry not in network.stopped:
             done = inp.StoreDone(output.call_id, result)
-            member_network.feed(bag, entry, done)
+            member_network.feed(network, entry, done)
     return counts
 
 
-def run(bag, end_ms, answer, step_ms=100.0):
+def run(network, end_ms, answer, step_ms=100.0):
     counts = collections.Counter()
-    while bag.now_ms < end_ms:
-        member_network.run_until(bag, bag.now_ms + step_ms)
-        counts += answer_calls(bag, answer)
+    while network.now_ms < end_ms:
+        member_network.run_until(network, network.now_ms + step_ms)
+        counts += answer_calls(network, answer)
     return counts
 
 
@@ -51,42 +51,44 @@
 
 
 def test_two_readers_per_domain_watch_the_state():
-    bag = member_network.new_network(DOMAINS)
-    run(bag, 10_000.0, answer_normally)
-    counts = run(bag, 60_000.0, answer_normally)
+    network = member_network.new_network(DOMAINS)
+    run(network, 10_000.0, answer_normally)
+    counts = run(network, 60_000.0, answer_normally)
     watchers = {entry for kind, entry in counts if kind == 'Watch'}
     assert len([x for x in watchers if x[0] == 'a']) == 2
     assert len([x for x in watchers if x[0] == 'b']) == 2
-    readers = {e for e, w in bag.worlds.items() if tasks.is_reader(w)}
+    readers = {e for e, w in network.worlds.items() if tasks.is_reader(w)}
     assert watchers == readers
 
 
 def test_another_entry_replaces_a_dead_reader():
-    bag = member_network.new_network(DOMAINS)
-    run(bag, 10_000.0, answer_normally)
-    readers = {e for e, w in bag.worlds.items() if tasks.is_reader(w)}
-    bag.stopped.add(min(readers))
-    run(bag, 20_000.0, answer_normally)
-    live_entries = set(bag.worlds) - bag.stopped
-    new_readers = {e for e in live_entries if tasks.is_reader(bag.worlds[e])}
+    network = member_network.new_network(DOMAINS)
+    run(network, 10_000.0, answer_normally)
+    readers = {e for e, w in network.worlds.items() if tasks.is_reader(w)}
+    network.stopped.add(min(readers))
+    run(network, 20_000.0, answer_normally)
+    live_entries = set(network.worlds) - network.stopped
+    new_readers = {
+        e for e in live_entries if tasks.is_reader(network.worlds[e])
+    }
     assert len(new_readers) == 4
-    assert readers - bag.stopped < new_readers
+    assert readers - network.stopped < new_readers
 
 
 def test_calls_back_off_in_a_long_outage_and_resume_soon_after():
-    bag = member_network.new_network(DOMAINS)
-    run(bag, 60_000.0, answer_failed)
-    during = run(bag, 120_000.0, answer_failed)
+    network = member_network.new_network(DOMAINS)
+    run(network, 60_000.0, answer_failed)
+    during = run(network, 120_000.0, answer_failed)
     assert sum(during.values()) <= 60 * 2 * 4
-    after = run(bag, 127_000.0, answer_normally)
+    after = run(network, 127_000.0, answer_normally)
     assert any(kind == 'Read' for kind, _ in after)
 
 
 def test_first_calls_of_a_full_restart_are_spread_out():
-    bag = member_network.new_network({'a': 50, 'b': 50})
+    network = member_network.new_network({'a': 50, 'b': 50})
     calls_per_step = []
-    while bag.now_ms < 3_000.0:
-        counts = run(bag, bag.now_ms + 100.0, lambda _: None)
+    while network.now_ms < 3_000.0:
+        counts = run(network, network.now_ms + 100.0, lambda _: None)
         calls_per_step.append(sum(counts.values()))
     assert max(calls_per_step) <= 30
     assert sum(calls_per_step) < 2 * 100
@@ -136,8 +138,8 @@
 
 
 def test_an_entry_gets_its_share_of_the_fleet_budget():
-    bag = member_network.new_network({'a': 30})
-    world = bag.worlds['a0']
+    network = member_network.new_network({'a': 30})
+    world = network.worlds['a0']
     write = store.Update('keys-1', b'', 1)
     for second in range(10):
         for _ in range(100):
@@ -149,25 +151,25 @@
 
 
 def test_a_full_restart_with_a_slow_store_makes_few_calls():
-    bag = member_network.new_network({'a': 20, 'b': 20})
+    network = member_network.new_network({'a': 20, 'b': 20})
     state = samples.state(number=9)
     waiting, calls = [], 0
-    while bag.now_ms < 10_000.0:
-        member_network.run_until(bag, bag.now_ms + 100.0)
-        waiting, bag.store_calls, calls = (
-            waiting + bag.store_calls,
+    while network.now_ms < 10_000.0:
+        member_network.run_until(network, network.now_ms + 100.0)
+        waiting, network.store_calls, calls = (
+            waiting + network.store_calls,
             [],
-            calls + len(bag.store_calls),
+            calls + len(network.store_calls),
         )
-        due = [x for x in waiting if bag.now_ms - x[0] >= 2_000.0]
+        due = [x for x in waiting if network.now_ms - x[0] >= 2_000.0]
         waiting = [x for x in waiting if x not in due]
         for _, entry, output in due:
             result = answer_normally(output.call)
             if result is not None:
                 done = inp.StoreDone(output.call_id, result)
                 read = [inp.StateRead(state)] if 'state' in str(result) else []
-                member_network.feed(bag, entry, *read, done)
-    numbers = {w.states['in-force'].number for w in bag.worlds.values()}
+                member_network.feed(network, entry, *read, done)
+    numbers = {w.states['in-force'].number for w in network.worlds.values()}
     assert numbers == {9}
     assert calls <= 2 * 40
 
@@ -182,6 +184,6 @@
         after = {'': 'e500', 'e500': 'e900', 'e900': ''}[call.after]
         return store.Listed(next_after=after)
 
-    bag = member_network.new_network(DOMAINS)
-    run(bag, 5_000.0, answer_in_pages)
+    network = member_network.new_network(DOMAINS)
+    run(network, 5_000.0, answer_in_pages)
     assert pages_read['e900'] == pages_read['e500'] == pages_read[''] > 0
