--- a/tests/core/gateway/samples.py
+++ b/tests/core/gateway/samples.py
@@ -78,7 +78,7 @@
     return list(gateway.tick(world, now_ms, inputs))
 
 
-def served(*rows, upstreams_=None, config=None):
+def serving_world(*rows, upstreams_=None, config=None):
     """Return a world with an active configuration and upstreams."""
     world = gateway.new_world(node(), seed=1)
     config = config or configuration(1, *rows)
@@ -98,12 +98,12 @@
     )
 
 
-def only(outputs, kind):
+def of_type(outputs, kind):
     return [x for x in outputs if isinstance(x, kind)]
 
 
 def single_dispatch(outputs):
-    (dispatch,) = only(outputs, out.Dispatch)
+    (dispatch,) = of_type(outputs, out.Dispatch)
     return dispatch
 
 
@@ -113,6 +113,6 @@
     )
 
 
-def stored(world, kind, result):
+def store_done(world, kind, result):
     """Return the result of the current store call for a kind."""
     return inp.StoreDone(kind, result, world.store.watches[kind].call_number)
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -24,7 +24,7 @@
 
 
 def fleet():
-    world = samples.served()
+    world = samples.serving_world()
     rows = tuple(samples.entry_row(name) for name in ('entry-1', *OTHERS))
     samples.feed(world, 0.0, inp.EntriesListed(rows))
     samples.feed(world, 1.0, *map(heartbeat, OTHERS))
@@ -61,7 +61,7 @@
 def test_a_stopping_entry_announces_it_and_excludes_itself():
     world = fleet()
     outputs = samples.feed(world, 30.0, inp.StopRequested())
-    (sent,) = samples.only(outputs, out.SendHeartbeat)
+    (sent,) = samples.of_type(outputs, out.SendHeartbeat)
     assert sent.heartbeat.leaving
     assert 'entry-1:1' not in selected(world, 31.0)
     assert not members.is_ready(world)
@@ -79,7 +79,7 @@
 def test_the_registration_of_a_dead_entry_is_removed():
     world = fleet()
     samples.feed(world, 2.0, inp.Started())
-    store_answer = samples.stored(
+    store_answer = samples.store_done(
         world, store.Kind.DRAINS, store.Changed((), 1)
     )
     samples.feed(world, 3.0, store_answer)
@@ -87,7 +87,7 @@
     for second in range(1, 40):
         heartbeats = map(heartbeat, OTHERS[:2])
         outputs = samples.feed(world, 1_000.0 * second, *heartbeats)
-        calls = samples.only(outputs, out.CallStore)
+        calls = samples.of_type(outputs, out.CallStore)
         removed += [x.call for x in calls if x.kind == 'removal']
     assert [x.row.entry for x in removed] == ['entry-4']
 
@@ -97,14 +97,14 @@
     own = inp.EntryRegistered(samples.entry_row('entry-9', revision=0))
     announcement = inp.PeerChanges(store.Kind.ENTRIES, 0, 0, (own,), 'entry-9')
     outputs = samples.feed(world, 20.0, announcement)
-    (sent,) = samples.only(outputs, out.SendHeartbeat)
+    (sent,) = samples.of_type(outputs, out.SendHeartbeat)
     assert sent.addresses == ('entry-9:2',)
-    (sent_changes,) = samples.only(outputs, out.SendChanges)
+    (sent_changes,) = samples.of_type(outputs, out.SendChanges)
     (item,) = sent_changes.changes.items
     assert item.row.entry == 'entry-1'
     samples.feed(world, 21.0, heartbeat('entry-9'))
     assert 'entry-9:1' in selected(world, 22.0)
-    assert not samples.only(
+    assert not samples.of_type(
         samples.feed(world, 23.0, announcement), out.SendChanges
     )
 
@@ -126,45 +126,47 @@
 
 def registration(world, *rows):
     outputs = samples.feed(world, 3.0, inp.EntriesListed(rows))
-    return [x.call for x in samples.only(outputs, out.CallStore)]
+    return [x.call for x in samples.of_type(outputs, out.CallStore)]
 
 
 def test_an_entry_registers_after_it_has_read_the_list():
-    world = samples.served()
+    world = samples.serving_world()
     (call,) = registration(world)
     assert (call.row.entry, call.row.revision) == ('entry-1', 0)
     assert registration(world, call.row._replace(revision=8)) == []
 
 
 def test_the_registration_of_an_earlier_run_is_replaced():
-    world = samples.served()
+    world = samples.serving_world()
     earlier = samples.entry_row('entry-1', revision=8)._replace(incarnation=0)
     (call,) = registration(world, earlier)
     assert (call.row.incarnation, call.row.revision) == (1, 8)
 
 
 def test_after_a_conflict_the_found_revision_is_replaced():
-    world = samples.served()
+    world = samples.serving_world()
     registration(world)
     found = samples.entry_row('entry-1', revision=8)._replace(incarnation=0)
     outputs = samples.feed(
         world, 4.0, inp.StoreDone('registration', store.Conflict(found))
     )
-    ((call),) = [x.call for x in samples.only(outputs, out.CallStore)]
+    ((call),) = [x.call for x in samples.of_type(outputs, out.CallStore)]
     assert (call.row.incarnation, call.row.revision) == (1, 8)
 
 
 def test_an_entry_whose_registration_was_removed_registers_again():
-    world = samples.served()
+    world = samples.serving_world()
     registration(world, samples.entry_row('entry-1', revision=8))
     outputs = samples.feed(world, 4.0, inp.EntryDeregistered('entry-1'))
-    ((call),) = [x.call for x in samples.only(outputs, out.CallStore)]
+    ((call),) = [x.call for x in samples.of_type(outputs, out.CallStore)]
     assert call.row.revision == 0
 
 
 def unequal_speeds(per_s, fast=('entry-2', 'entry-3')):
     """Return a world of fast and slow entries with a rate of requests."""
-    world = samples.served()._replace(node=samples.node()._replace(speed=0.3))
+    world = samples.serving_world()._replace(
+        node=samples.node()._replace(speed=0.3)
+    )
     rows = [
         samples.entry_row(name)._replace(speed=2.0 if name in fast else 0.3)
         for name in ('entry-1', *OTHERS)
@@ -196,7 +198,7 @@
 def test_a_change_of_rate_is_not_logged():
     world = fleet()
     outputs = samples.feed(world, 20.0, heartbeat('entry-2', per_s=40.0))
-    assert not samples.only(outputs, out.LogStateChange)
+    assert not samples.of_type(outputs, out.LogStateChange)
 
 
 def count_heartbeats(name, count, rounds=4, per_s=0.0):
@@ -213,7 +215,7 @@
         others = [heartbeat(x) for x in names if x != name]
         world.counters['requests.arrived'] += int(per_s * 1.2)
         outputs = samples.feed(world, now_ms, *others)
-        for sent in samples.only(outputs, out.SendHeartbeat):
+        for sent in samples.of_type(outputs, out.SendHeartbeat):
             found['remote'] += remote.peer_address in sent.addresses
             found['local'] += len(sent.addresses) > 1
     return found
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -26,15 +26,15 @@
 
 def test_entries_choose_the_same_upstream_for_an_object():
     rows = tuple(samples.upstream(name) for name in NAMES)
-    first = samples.served(upstreams_=rows)
-    second = samples.served(upstreams_=tuple(reversed(rows)))
+    first = samples.serving_world(upstreams_=rows)
+    second = samples.serving_world(upstreams_=tuple(reversed(rows)))
     for key in map(str, range(40)):
         assert choose(first, key) == choose(second, key)
 
 
 def test_a_removed_upstream_moves_only_its_own_objects():
     rows = [samples.upstream(name) for name in NAMES]
-    world = samples.served(upstreams_=rows)
+    world = samples.serving_world(upstreams_=rows)
     keys = [str(n) for n in range(100)]
     before = {key: choose(world, key) for key in keys}
     samples.feed(world, 2.0, inp.UpstreamDeregistered('u-3'))
@@ -45,7 +45,7 @@
 
 def test_a_route_stays_in_its_home_regions():
     rows = [samples.upstream('near'), samples.upstream('far', 'tn-a')]
-    world = samples.served(upstreams_=rows)
+    world = samples.serving_world(upstreams_=rows)
     home_regions = frozenset({'tn'})
     assert {
         choose(world, str(n), home_regions=home_regions) for n in range(20)
@@ -54,7 +54,9 @@
 
 def test_a_region_with_few_slots_uses_other_regions_from_the_start():
     remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(7)]
-    world = samples.served(upstreams_=[samples.upstream('near'), *remote])
+    world = samples.serving_world(
+        upstreams_=[samples.upstream('near'), *remote]
+    )
     chosen = [choose(world, str(n)) for n in range(200)]
     share = sum(name != 'near' for name in chosen) / len(chosen)
     assert 0.6 < share < 0.9
@@ -62,7 +64,9 @@
 
 def test_the_remote_share_moves_by_less_than_the_bound_in_two_seconds():
     remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(2)]
-    world = samples.served(upstreams_=[samples.upstream('near'), *remote])
+    world = samples.serving_world(
+        upstreams_=[samples.upstream('near'), *remote]
+    )
     world.loads['near'] = models.LoadRow(in_flight=20)
     before = remote_share.get(world, 'specdesk').share
     for _ in range(4):
@@ -110,7 +114,7 @@
 
 
 def test_an_upstream_is_cold_until_its_time_has_passed():
-    world = samples.served()
+    world = samples.serving_world()
     upstreams.set_cold(world, 0.0, 'u-1', 1_000.0)
     assert upstreams.is_cold(world, 999.0, 'u-1')
     assert not upstreams.is_cold(world, 1_001.0, 'u-1')
@@ -119,7 +123,7 @@
 def test_a_remote_object_goes_where_its_region_has_it_cached():
     rows = [samples.upstream(f'tn-{n}', 'tn-a') for n in range(6)]
     rows += [samples.upstream(f'guj-{n}') for n in range(2)]
-    world = samples.served(upstreams_=rows)
+    world = samples.serving_world(upstreams_=rows)
     remote_world = gateway.new_world(samples.node('entry-9', 'tn-a'), seed=1)
     listed = inp.UpstreamsListed(tuple(rows), 1)
     samples.feed(remote_world, 0.0, listed)
@@ -134,7 +138,7 @@
 def test_all_work_leaves_a_region_whose_upstreams_are_ejected():
     remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
     local = [samples.upstream(f'near-{n}') for n in range(3)]
-    world = samples.served(upstreams_=[*local, *remote])
+    world = samples.serving_world(upstreams_=[*local, *remote])
     for row in local:
         ejected = models.LoadRow(out_until_ms=10_000.0)
         world.loads[row.upstream] = ejected
@@ -145,7 +149,7 @@
 def test_few_requests_leave_a_full_region():
     remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(3)]
     local = [samples.upstream(f'near-{n}') for n in range(3)]
-    world = samples.served(upstreams_=[*local, *remote])
+    world = samples.serving_world(upstreams_=[*local, *remote])
     for row in local:
         world.loads[row.upstream] = models.LoadRow(in_flight=40)
     chosen = [choose(world, str(n)) for n in range(60)]
@@ -153,14 +157,14 @@
 
 
 def test_requests_are_placed_where_every_upstream_fails_often():
-    world = samples.served()
+    world = samples.serving_world()
     for name in ('u-1', 'u-2'):
         world.loads[name] = models.LoadRow(failing=0.9)
     assert {choose(world, str(n), rank=2) for n in range(20)} <= {'u-1', 'u-2'}
 
 
 def test_failure_rate_and_slowness_of_an_upstream_decay():
-    world = samples.served()
+    world = samples.serving_world()
     world.loads['u-1'] = models.LoadRow(failing=0.6, pace=4.0)
     assert loads.is_suspect(world, 'u-1')
     for _ in range(8):
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -27,14 +27,14 @@
     samples.feed(world, 0.0, inp.Started())
     rows = tuple(samples.entry_row(x) for x in NAMES)
     pages = [
-        samples.stored(world, kind, store.Listed((), None, 40, 40))
+        samples.store_done(world, kind, store.Listed((), None, 40, 40))
         for kind in store.Kind
     ]
     samples.feed(world, 1.0, *pages)
     samples.feed(world, 2.0, inp.EntriesListed(rows))
     samples.feed(world, now_ms, *(heartbeat(x) for x in NAMES if x != name))
     watch_results = [
-        samples.stored(world, kind, store.Changed((), 41))
+        samples.store_done(world, kind, store.Changed((), 41))
         for kind in store.Kind
     ]
     samples.feed(world, now_ms, *watch_results)
@@ -47,7 +47,7 @@
 
 
 def store_calls(outputs):
-    return [x.call for x in samples.only(outputs, out.CallStore)]
+    return [x.call for x in samples.of_type(outputs, out.CallStore)]
 
 
 def run_for(world, now_ms, span_ms, *others, may_read=True):
@@ -92,7 +92,7 @@
     """Nine entries whose calls failed once made 270 calls in 9 s."""
     first, *others = names_by_rank()
     world = fleet(first)
-    failed = samples.stored(world, UPSTREAMS, store.Failed('reset'))
+    failed = samples.store_done(world, UPSTREAMS, store.Failed('reset'))
     samples.feed(world, 10_000.0, failed)
     assert not readers.is_reader(world, 10_001.0)
     assert run_for(world, 10_000.0, 3_500.0, *others) == []
@@ -102,7 +102,7 @@
     world = gateway.new_world(samples.node(), seed=1)
     samples.feed(world, 0.0, inp.Started())
     failed = [
-        samples.stored(world, kind, store.Failed('down'))
+        samples.store_done(world, kind, store.Failed('down'))
         for kind in store.Kind
     ]
     samples.feed(world, 1.0, *failed)
@@ -115,9 +115,9 @@
     row = samples.upstream('u-9', revision=55)
     changed = store.Changed((inp.UpstreamRegistered(row),), 56, 55)
     outputs = samples.feed(
-        world, 10_001.0, samples.stored(world, UPSTREAMS, changed)
+        world, 10_001.0, samples.store_done(world, UPSTREAMS, changed)
     )
-    (sent,) = samples.only(outputs, out.SendChanges)
+    (sent,) = samples.of_type(outputs, out.SendChanges)
     assert len(sent.addresses) == len(NAMES) - 1
     assert (sent.changes.base_revision, sent.changes.latest_revision) == (
         40,
@@ -154,7 +154,7 @@
     assert 'u-9' not in world.upstreams.rows
     samples.feed(world, 10_100.0, heartbeat(others[0], 55))
     outputs = samples.feed(world, 10_600.0, heartbeat(others[0], 55))
-    (asked,) = samples.only(outputs, out.RequestSnapshots)
+    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
     assert asked.kinds == (UPSTREAMS,)
 
 
@@ -177,7 +177,7 @@
     outputs = samples.feed(
         world, 10_100.0, heartbeat(others[0], 55, kind=CONFIGURATION)
     )
-    (asked,) = samples.only(outputs, out.RequestSnapshots)
+    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
     assert asked.kinds == (CONFIGURATION,)
 
 
@@ -231,10 +231,10 @@
             inp.UpstreamRegistered(samples.upstream('u-9', revision=42)),
         ),
     )
-    broken = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    broken = samples.store_done(world, UPSTREAMS, store.HistoryGone())
     samples.feed(world, 10_002.0, broken)
     run_for(world, 10_003.0, 300.0)
-    page = samples.stored(world, UPSTREAMS, store.Listed((), None, 70, 0))
+    page = samples.store_done(world, UPSTREAMS, store.Listed((), None, 70, 0))
     samples.feed(world, 10_400.0, page)
     assert 'u-9' not in world.upstreams.rows
     assert world.store.watches[UPSTREAMS].latest_revision == 70
@@ -247,7 +247,7 @@
     for step in range(120):
         items = [heartbeat(x) for x in (first, *others)]
         now_ms = 10_000.0 + 100.0 * step
-        asked += samples.only(
+        asked += samples.of_type(
             samples.feed(world, now_ms, *items), out.RequestSnapshots
         )
     (ask,) = asked
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -11,28 +11,28 @@
 
 
 def test_a_request_is_sent_and_its_answer_relayed():
-    world = samples.served()
+    world = samples.serving_world()
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     outputs = samples.feed(world, 100.0, samples.attempt_done(sent, SUCCESS))
-    assert samples.only(outputs, out.Relay)
+    assert samples.of_type(outputs, out.Relay)
     assert not world.requests.rows
     assert all(row.in_flight == 0 for row in world.loads.values())
 
 
 @pytest.mark.parametrize('idempotent', [True, False])
 def test_a_lost_request_is_retried_only_if_idempotent(idempotent):
-    world = samples.served(samples.route(idempotent=idempotent))
+    world = samples.serving_world(samples.route(idempotent=idempotent))
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     lost = samples.attempt_done(sent, verdict.Lost('reset'))
     outputs = samples.feed(world, 50.0, lost)
-    assert bool(samples.only(outputs, out.Dispatch)) is idempotent
+    assert bool(samples.of_type(outputs, out.Dispatch)) is idempotent
     if not idempotent:
-        (refused,) = samples.only(outputs, out.Refuse)
+        (refused,) = samples.of_type(outputs, out.Refuse)
         assert refused.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
 def test_a_request_that_is_not_idempotent_is_retried_after_a_shed():
-    world = samples.served(samples.route(idempotent=False))
+    world = samples.serving_world(samples.route(idempotent=False))
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     outputs = samples.feed(
         world, 9.0, samples.attempt_done(sent, verdict.Shed())
@@ -42,7 +42,7 @@
 
 
 def test_a_refusal_after_sheds_alone_says_not_run():
-    world = samples.served(samples.route(idempotent=False))
+    world = samples.serving_world(samples.route(idempotent=False))
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     outputs = samples.feed(
         world, 9.0, samples.attempt_done(sent, verdict.Shed())
@@ -51,20 +51,20 @@
     outputs = samples.feed(
         world, 20.0, samples.attempt_done(retry, verdict.Shed())
     )
-    (refused,) = samples.only(outputs, out.Refuse)
+    (refused,) = samples.of_type(outputs, out.Refuse)
     assert refused.refusal.verdict is verdict.Verdict.NOT_RUN
 
 
 def test_retries_stay_within_the_budget():
     upstreams = [samples.upstream(f'u-{n}') for n in range(30)]
-    world = samples.served(upstreams_=upstreams)
+    world = samples.serving_world(upstreams_=upstreams)
     retries = 0
     for number in range(400):
         arrival = samples.arrival(number, key=str(number))
         sent = samples.single_dispatch(samples.feed(world, 10.0, arrival))
         shed = samples.attempt_done(sent, verdict.Shed())
         outputs = samples.feed(world, 10.0, shed)
-        for retry in samples.only(outputs, out.Dispatch):
+        for retry in samples.of_type(outputs, out.Dispatch):
             retries += 1
             samples.feed(world, 10.0, samples.attempt_done(retry, SUCCESS))
     bounds = samples.BOUNDS
@@ -72,33 +72,37 @@
 
 
 def test_a_request_whose_caller_disconnected_is_cancelled():
-    world = samples.served()
+    world = samples.serving_world()
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     outputs = samples.feed(world, 5.0, inp.CallerDisconnected(1))
-    assert samples.only(outputs, out.CancelAttempt)
+    assert samples.of_type(outputs, out.CancelAttempt)
     cancelled = samples.attempt_done(
         sent, verdict.Lost('cancelled'), cancelled=True
     )
-    assert not samples.only(samples.feed(world, 6.0, cancelled), out.Dispatch)
+    assert not samples.of_type(
+        samples.feed(world, 6.0, cancelled), out.Dispatch
+    )
     assert not world.requests.rows
 
 
 def test_an_unanswered_request_is_refused_at_its_deadline():
-    world = samples.served(samples.route(timeout_ms=800.0))
+    world = samples.serving_world(samples.route(timeout_ms=800.0))
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
     assert sent.deadline_in_ms == 800.0
     outputs = samples.feed(world, 1.0 + 900.0)
-    (refused,) = samples.only(outputs, out.Refuse)
+    (refused,) = samples.of_type(outputs, out.Refuse)
     assert refused.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
-    assert samples.only(outputs, out.CancelAttempt)
+    assert samples.of_type(outputs, out.CancelAttempt)
 
 
 def test_without_capacity_a_request_is_queued_then_refused_as_not_run():
-    world = samples.served(upstreams_=[samples.upstream('u-1', slots=1)])
+    world = samples.serving_world(
+        upstreams_=[samples.upstream('u-1', slots=1)]
+    )
     for number in range(10):
         samples.feed(world, 1.0, samples.arrival(number))
     outputs = samples.feed(world, 2_000.0)
-    refusals = samples.only(outputs, out.Refuse)
+    refusals = samples.of_type(outputs, out.Refuse)
     assert refusals
     verdicts = {x.refusal.verdict for x in refusals}
     assert verdicts == {verdict.Verdict.NOT_RUN}
@@ -108,11 +112,13 @@
     urgent = samples.route('urgent', rank=0)
     later = samples.route('later', rank=1)
     upstreams = [samples.upstream('u-1', slots=1)]
-    world = samples.served(urgent, later, upstreams_=upstreams)
+    world = samples.serving_world(urgent, later, upstreams_=upstreams)
     arrivals = [samples.arrival(n, '/urgent/1') for n in range(3)]
     sent = []
     for arrival in arrivals:
-        sent += samples.only(samples.feed(world, 1.0, arrival), out.Dispatch)
+        sent += samples.of_type(
+            samples.feed(world, 1.0, arrival), out.Dispatch
+        )
     samples.feed(world, 2.0, samples.arrival(10, '/later/1'))
     samples.feed(world, 3.0, samples.arrival(11, '/urgent/1'))
     queue = world.requests.queues['specdesk']
@@ -122,18 +128,18 @@
         outputs = samples.feed(
             world, 40.0, samples.attempt_done(dispatch, SUCCESS)
         )
-        next_sent += samples.only(outputs, out.Dispatch)
+        next_sent += samples.of_type(outputs, out.Dispatch)
     assert next_sent[0].request_id == 11
 
 
 def test_an_unknown_route_is_only_reported_with_an_active_configuration():
-    world = samples.served()
-    (refused,) = samples.only(
+    world = samples.serving_world()
+    (refused,) = samples.of_type(
         samples.feed(world, 1.0, samples.arrival(path='/none/1')), out.Refuse
     )
     assert refused.refusal.reason is verdict.Reason.UNKNOWN_SERVICE
     world.routes.active.clear()
-    (refused,) = samples.only(
+    (refused,) = samples.of_type(
         samples.feed(world, 1.0, samples.arrival(2)), out.Refuse
     )
     assert refused.refusal.reason is verdict.Reason.NOT_READY
@@ -141,7 +147,7 @@
 
 def test_a_failed_connection_does_not_count_towards_attempts_max():
     upstreams = [samples.upstream(f'u-{n}') for n in range(4)]
-    world = samples.served(
+    world = samples.serving_world(
         samples.route(idempotent=False, attempts_max=1), upstreams_=upstreams
     )
     sent = samples.single_dispatch(samples.feed(world, 1.0, samples.arrival()))
@@ -153,7 +159,7 @@
 def test_an_upstream_that_lets_three_requests_time_out_is_avoided():
     """Slow upstreams kept getting requests for seconds (incident inc-588d)."""
     upstreams = [samples.upstream(f'u-{n}') for n in range(4)]
-    world = samples.served(
+    world = samples.serving_world(
         samples.route(timeout_ms=800.0), upstreams_=upstreams
     )
     world.placement.mean_service_ms['lookup'] = 100.0
@@ -178,8 +184,10 @@
 
 def test_an_upstream_may_be_removed_in_the_tick_of_a_queue_timeout():
     """A cached order still named it, and a KeyError ended the entry."""
-    world = samples.served(upstreams_=[samples.upstream('u-1', slots=1)])
+    world = samples.serving_world(
+        upstreams_=[samples.upstream('u-1', slots=1)]
+    )
     for number in range(10):
         samples.feed(world, 1.0, samples.arrival(number))
     outputs = samples.feed(world, 2_000.0, inp.UpstreamDeregistered('u-1'))
-    assert samples.only(outputs, out.Refuse)
+    assert samples.of_type(outputs, out.Refuse)
--- a/tests/core/gateway/test_routes.py
+++ b/tests/core/gateway/test_routes.py
@@ -18,7 +18,7 @@
 
 
 def test_an_older_version_is_never_activated():
-    world = samples.served()
+    world = samples.serving_world()
     for version, expected in ((5, 5), (3, 5), (9, 9)):
         config = samples.configuration(version)
         samples.feed(world, 1.0, inp.ConfigurationRead(config, 'test'))
@@ -31,7 +31,7 @@
         models.WeightedServiceRow('other', 10.0),
     )
     row = samples.route(parts=parts)
-    world = samples.served(row)
+    world = samples.serving_world(row)
     chosen = collections.Counter(
         routes.choose_service(world, row) for _ in range(200)
     )
@@ -44,6 +44,6 @@
         models.WeightedServiceRow('other', 1.0),
     )
     row = samples.route(parts=parts)
-    world = samples.served(row)
+    world = samples.serving_world(row)
     chosen = {routes.choose_service(world, row) for _ in range(50)}
     assert chosen == {'other'}
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -17,7 +17,9 @@
 
 def calls(outputs, kind=UPSTREAMS):
     return [
-        x.call for x in samples.only(outputs, out.CallStore) if x.kind == kind
+        x.call
+        for x in samples.of_type(outputs, out.CallStore)
+        if x.kind == kind
     ]
 
 
@@ -33,14 +35,14 @@
     world, outputs = started()
     listed = {
         x.call.kind
-        for x in samples.only(outputs, out.CallStore)
+        for x in samples.of_type(outputs, out.CallStore)
         if isinstance(x.call, store.ListKind)
     }
     assert listed == set(store.Kind)
     page = store.Listed(
         (inp.UpstreamRegistered(samples.upstream('u-1')),), None, 40
     )
-    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, page))
+    samples.feed(world, 1.0, samples.store_done(world, UPSTREAMS, page))
     call, _ = until_called(world, 1.0)
     assert call == store.WatchKind(UPSTREAMS, 40, call.wait_ms)
     assert 'u-1' in world.upstreams.rows
@@ -51,23 +53,23 @@
     first = store.Listed(
         (inp.UpstreamRegistered(samples.upstream('a')),), 'a', 7
     )
-    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, first))
+    samples.feed(world, 1.0, samples.store_done(world, UPSTREAMS, first))
     assert not world.upstreams.rows
     call, now_ms = until_called(world, 1.0)
     assert call == store.ListKind(UPSTREAMS, 'a')
     last = store.Listed(
         (inp.UpstreamRegistered(samples.upstream('b')),), None, 9
     )
-    samples.feed(world, now_ms, samples.stored(world, UPSTREAMS, last))
+    samples.feed(world, now_ms, samples.store_done(world, UPSTREAMS, last))
     assert set(world.upstreams.rows) == {'a', 'b'}
 
 
 def test_lost_history_is_followed_by_a_list():
     world, _ = started()
     page = store.Listed((), None, 40)
-    samples.feed(world, 1.0, samples.stored(world, UPSTREAMS, page))
+    samples.feed(world, 1.0, samples.store_done(world, UPSTREAMS, page))
     _, now_ms = until_called(world, 1.0)
-    history_gone = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    history_gone = samples.store_done(world, UPSTREAMS, store.HistoryGone())
     samples.feed(world, now_ms, history_gone)
     call, _ = until_called(world, now_ms)
     assert call == store.ListKind(UPSTREAMS, None)
@@ -78,7 +80,7 @@
     now_ms = 1.0
     pauses = []
     for _ in range(6):
-        failed = samples.stored(world, UPSTREAMS, store.Failed('down'))
+        failed = samples.store_done(world, UPSTREAMS, store.Failed('down'))
         samples.feed(world, now_ms, failed)
         _, later_ms = until_called(world, now_ms)
         pauses.append(later_ms - now_ms)
@@ -107,7 +109,7 @@
     world, _ = started()
     rows = (samples.entry_row('entry-2'),)
     page = store.Listed((), None, revision, revision)
-    done = samples.stored(world, UPSTREAMS, page)
+    done = samples.store_done(world, UPSTREAMS, page)
     samples.feed(world, 1.0, inp.EntriesListed(rows), done)
     until_called(world, 1.0)
     return world
@@ -124,7 +126,7 @@
 
 def test_the_result_of_a_replaced_call_is_ignored():
     world = watching()
-    old_result = samples.stored(world, UPSTREAMS, store.HistoryGone())
+    old_result = samples.store_done(world, UPSTREAMS, store.HistoryGone())
     samples.feed(world, 1_000.0, heartbeat(55))
     samples.feed(world, 1_500.0, heartbeat(55))
     until_called(world, 1_500.0)
@@ -135,16 +137,16 @@
 
 def test_an_entry_without_the_store_requests_a_snapshot():
     world = watching()
-    failed = samples.stored(world, UPSTREAMS, store.Failed('cut off'))
+    failed = samples.store_done(world, UPSTREAMS, store.Failed('cut off'))
     samples.feed(world, 900.0, failed)
     outputs = samples.feed(world, 1_000.0, heartbeat(55))
-    (asked,) = samples.only(outputs, out.RequestSnapshots)
+    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
     assert asked == out.RequestSnapshots('entry-2:2', (UPSTREAMS,))
     items = (inp.UpstreamRegistered(samples.upstream('u-9', revision=55)),)
     snapshot = inp.PeerSnapshot(UPSTREAMS, 55, items, 'entry-2')
     samples.feed(world, 1_010.0, snapshot)
     assert 'u-9' in world.upstreams.rows
-    assert not samples.only(
+    assert not samples.of_type(
         samples.feed(world, 2_000.0, heartbeat(55)), out.RequestSnapshots
     )
 
@@ -163,6 +165,6 @@
     world = gateway.new_world(node, seed=1)
     samples.feed(world, 0.0, inp.Started())
     outputs = samples.feed(world, 700.0)
-    (asked,) = samples.only(outputs, out.RequestSnapshots)
+    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
     assert asked.address == '10.0.0.9:1'
     assert set(asked.kinds) == set(store.Kind)
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -12,14 +12,14 @@
 
 
 def test_a_leaving_upstream_is_unusable_at_once():
-    world = samples.served()
+    world = samples.serving_world()
     row = samples.upstream('u-1', leaving=True, revision=2)
     samples.feed(world, 1.0, inp.UpstreamRegistered(row))
     assert usable(world) == {'u-2'}
 
 
 def test_an_older_revision_is_ignored():
-    world = samples.served()
+    world = samples.serving_world()
     newer = samples.upstream('u-1', leaving=True, revision=9)
     older = samples.upstream('u-1', revision=4)
     samples.feed(
@@ -32,7 +32,7 @@
 
 
 def test_a_drained_domain_is_unusable_and_returns_cold():
-    world = samples.served()
+    world = samples.serving_world()
     samples.feed(world, 1.0, inp.DrainAdded('guj-a'))
     assert usable(world) == {'u-2'}
     samples.feed(world, 100.0, inp.DrainRemoved('guj-a'))
@@ -42,7 +42,7 @@
 
 
 def test_a_deregistered_upstream_is_removed_at_once():
-    world = samples.served()
+    world = samples.serving_world()
     samples.feed(world, 5.0, inp.UpstreamDeregistered('u-1'))
     assert usable(world) == {'u-2'}
 
@@ -55,12 +55,12 @@
     )
     for now_ms, result in steps:
         kind = store.Kind.DRAINS
-        done = samples.stored(world, kind, result)
+        done = samples.store_done(world, kind, result)
         samples.feed(world, now_ms, done)
 
 
 def test_an_upstream_that_expired_in_an_outage_is_removed_later():
-    world = samples.served()
+    world = samples.serving_world()
     outage(world, 1_000.0, 8_000.0)
     samples.feed(world, 8_001.0, inp.UpstreamDeregistered('u-1'))
     assert usable(world) == {'u-1', 'u-2'}
@@ -69,7 +69,7 @@
 
 
 def test_an_upstream_that_registers_after_an_outage_stays():
-    world = samples.served()
+    world = samples.serving_world()
     outage(world, 1_000.0, 8_000.0)
     samples.feed(world, 8_001.0, inp.UpstreamDeregistered('u-1'))
     renewed = samples.upstream('u-1', revision=30)
@@ -79,7 +79,7 @@
 
 
 def test_a_short_outage_of_the_store_delays_no_removal():
-    world = samples.served()
+    world = samples.serving_world()
     outage(world, 1_000.0, 1_400.0)
     samples.feed(world, 1_401.0, inp.UpstreamDeregistered('u-1'))
     assert usable(world) == {'u-2'}
