Say when an upstream is ejected and when the remote share jumps

The comments of the placement constants left out that a connection that can't be opened ejects at once, and to what the remote share jumps.

--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -24,8 +24,8 @@
 # An upstream must be less loaded than the best so far by this much.
 LOAD_MARGIN = 0.3
 ORDERS_MAX = 5_000
-# An upstream is ejected after consecutive failures, for twice as long after
-# each further one.
+# An upstream is ejected at once if it can't be reached, or after this many
+# lost requests in a row, and twice as long after each further failure.
 EJECTION_MIN_MS = 300.0
 EJECTION_MAX_MS = 4_000.0
 LOST_BEFORE_EJECTION = 2
@@ -52,10 +52,9 @@
 REMOTE_SHARE_STEP_DOWN = 0.015
 LOCAL_LOAD_HIGH = 0.8
 LOCAL_LOAD_LOW = 0.5
-# Local slots below this share of the last count are a loss of capacity, to
-# which the remote share jumps.
+# Local slots below this share of the last count are a loss of capacity, at
+# which the remote share jumps to the fair one.
 CAPACITY_LOSS_SHARE = 0.8
-# Credit for requests that may leave the region although their objects are
-# not in the remote share.
+# Credit for requests that may leave their object's region while it is full.
 CREDIT_PER_REQUEST = 0.03
 CREDIT_MAX = 3.0
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -63,8 +63,8 @@
 class PlacementTable(typing.NamedTuple):
     """Hold cached orders, remote shares and statistics of upstreams.
 
-    ``orders_generation`` is the number of changes of the upstreams that the
-    orders were derived from.  ``mean_service_ms`` is by route name, and
+    ``orders_generation`` is the generation of the upstreams that the orders
+    were derived from.  ``mean_service_ms`` is by route name, and
     ``cold_sends_ms`` are the times of the requests to each cold upstream in
     the last second.
     """
--- a/packages/core/src/zinnialead_core/gateway/requests/models.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/models.py
@@ -9,7 +9,7 @@
 
 
 class Phase(enum.Enum):
-    """Name what a request waits for: capacity or its upstream's answer."""
+    """Name what a request waits for: capacity, or its upstream's answer."""
 
     WAITING = 'waiting'
     UPSTREAM = 'upstream'
