Name the remaining single-word locals of slots and steering

`here`, `before`, `own`, `free` and `extra` say what they count: `domain_row`, `slots_before`, `own_slots`, `free_slots`, `extra_grants`. The ample time of an upstream is the time from which a timeout counts as its failure: `TIMEOUT_FAILURE_SERVICE_TIMES`, `_timeout_failure_ms`.

--- a/packages/core/src/zinnialead_core/components/slots/availability.py
+++ b/packages/core/src/zinnialead_core/components/slots/availability.py
@@ -24,9 +24,9 @@
     for row in local.upstreams:
         health = world.upstreams.get(row.upstream)
         slots = capacity.usable_slots(health, row.slots, now_ms)
-        free = slots - world.queues.in_use.get(row.upstream, 0)
-        candidate = (row.upstream != avoid, free, row.upstream)
-        if free > 0 and (best is None or candidate > best):
+        free_slots = slots - world.queues.in_use.get(row.upstream, 0)
+        candidate = (row.upstream != avoid, free_slots, row.upstream)
+        if free_slots > 0 and (best is None or candidate > best):
             best = candidate
     return best[2] if best else None
 
--- a/packages/core/src/zinnialead_core/components/slots/const.py
+++ b/packages/core/src/zinnialead_core/components/slots/const.py
@@ -20,7 +20,7 @@
 ARRIVALS_WINDOW_MS = 2_000.0
 # A timeout counts as an upstream failure only after this many mean
 # service times.
-AMPLE_TIME_SERVICE_TIMES = 5.0
+TIMEOUT_FAILURE_SERVICE_TIMES = 5.0
 FLOOR_CREDIT_DUE = 0.5
 # Floors are shares of slot time, including the idle round trip between
 # two uses of a slot.
--- a/packages/core/src/zinnialead_core/components/slots/leases.py
+++ b/packages/core/src/zinnialead_core/components/slots/leases.py
@@ -117,15 +117,17 @@
             admission.record_service_time(world, service, elapsed_ms)
         case models.SlotEnd.TIMED_OUT:
             # Without timeouts the measured time would be biased downwards.
-            ample_ms = _ample_time_ms(world, service)
+            longest_ms = _timeout_failure_ms(world, service)
             admission.record_service_time(
-                world, service, min(elapsed_ms, ample_ms)
+                world, service, min(elapsed_ms, longest_ms)
             )
 
 
-def _ample_time_ms(world: world_module.World, service: ids.ServiceId) -> float:
+def _timeout_failure_ms(
+    world: world_module.World, service: ids.ServiceId
+) -> float:
     service_time_ms = admission.service_time_ms(world, service)
-    return service_time_ms * const.AMPLE_TIME_SERVICE_TIMES
+    return service_time_ms * const.TIMEOUT_FAILURE_SERVICE_TIMES
 
 
 def _end_for_health(
@@ -137,7 +139,7 @@
     """Count a timeout as a failure only if the upstream had enough time."""
     if end is not models.SlotEnd.TIMED_OUT:
         return end
-    if elapsed_ms < _ample_time_ms(world, row.service):
+    if elapsed_ms < _timeout_failure_ms(world, row.service):
         return models.SlotEnd.UNUSED
     return models.SlotEnd.FAILED
 
--- a/packages/core/src/zinnialead_core/components/slots/local_config.py
+++ b/packages/core/src/zinnialead_core/components/slots/local_config.py
@@ -34,7 +34,7 @@
         longest_ms = service_row.deadline_max_ms if service_row else 0.0
         expiring = (_with_expiry(row, now_ms + longest_ms) for row in rows)
         previous_limits[service] = tuple(
-            x for x in expiring if now_ms < x.until_ms
+            previous for previous in expiring if now_ms < previous.until_ms
         )
         if not previous_limits[service]:
             del previous_limits[service]
@@ -57,12 +57,12 @@
 
 def _refresh(world: world_module.World) -> None:
     queues = world.queues
-    number = world.states['in-force'].number
-    if queues.state_numbers[0] == number:
+    state_number = world.states['in-force'].number
+    if queues.state_numbers[0] == state_number:
         return
     _keep_limits(world)
     queues.local_configs.clear()
-    queues.state_numbers[0] = number
+    queues.state_numbers[0] = state_number
 
 
 def _keep_limits(world: world_module.World) -> None:
@@ -98,18 +98,18 @@
     if limit is None:
         return None
     own_domain = world.node.domain
-    before = own = total = 0
+    slots_before = own_slots = total_slots = 0
     for row in _undrained_upstreams(state, service):
         domain = state.domains.get(row.domain)
         if domain is None or domain.region != limit.region:
             continue
-        total += row.slots
-        before += row.slots if row.domain < own_domain else 0
-        own += row.slots if row.domain == own_domain else 0
-    if total == 0:
+        total_slots += row.slots
+        slots_before += row.slots if row.domain < own_domain else 0
+        own_slots += row.slots if row.domain == own_domain else 0
+    if total_slots == 0:
         return 0
-    through_own = limit.in_flight * (before + own) // total
-    return through_own - limit.in_flight * before // total
+    through_own = limit.in_flight * (slots_before + own_slots) // total_slots
+    return through_own - limit.in_flight * slots_before // total_slots
 
 
 def _build_row(
@@ -134,8 +134,8 @@
 def _region_limit(
     world: world_module.World, state: tickets.State, service: ids.ServiceId
 ) -> tickets.RegionLimit | None:
-    here = state.domains.get(world.node.domain)
-    region = here.region if here else world.node.region
+    domain_row = state.domains.get(world.node.domain)
+    region = domain_row.region if domain_row else world.node.region
     for cap in state.caps.values():
         match cap:
             case tickets.RegionLimit(region_id, service_id) if (
--- a/packages/core/src/zinnialead_core/components/slots/scheduling.py
+++ b/packages/core/src/zinnialead_core/components/slots/scheduling.py
@@ -64,16 +64,16 @@
 ) -> None:
     """Correct the credits by the actual use of a slot, in grants."""
     loads = world.queues.rank_loads
-    extra = grants - 1.0
+    extra_grants = grants - 1.0
     for other in rank_queues.by_rank(world, service):
         row = _rank_load(world, service, other)
         share = _credit_share(world, other)
         if share > 0.0:
-            earned = row.credit + share * extra
+            earned = row.credit + share * extra_grants
             loads[service, other] = row._replace(credit=_clamp(earned))
     if rank_queues.floor_share(world, rank) > 0.0:
         row = _rank_load(world, service, rank)
-        credit = _clamp(row.credit - extra)
+        credit = _clamp(row.credit - extra_grants)
         loads[service, rank] = row._replace(credit=credit)
 
 
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -80,10 +80,10 @@
     if row.domain == world.node.domain:
         return
     world.loads[row.service, row.domain] = row._replace(seen_ms=now_ms)
-    free = max(0, row.slots - row.in_use - row.queued)
+    free_slots = max(0, row.slots - row.in_use - row.queued)
     uses = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
     # Each free slot is used several times until the next report.
-    asks_left = free * max(1.0, uses)
+    asks_left = free_slots * max(1.0, uses)
     previous = world.shifts.headrooms.get((row.service, row.domain))
     paused_until_ms = previous.paused_until_ms if previous else -math.inf
     headroom = models.HeadroomRow(asks_left, paused_until_ms)
@@ -153,10 +153,18 @@
     row = models.ServingDomainsRow(
         state.number,
         tuple(
-            sorted(x for x, region in regions.items() if region == own_region)
+            sorted(
+                domain
+                for domain, region in regions.items()
+                if region == own_region
+            )
         ),
         tuple(
-            sorted(x for x, region in regions.items() if region != own_region)
+            sorted(
+                domain
+                for domain, region in regions.items()
+                if region != own_region
+            )
         ),
     )
     world.shifts.serving_domains[service] = row
