--- a/tests/core/components/requests/test_answers.py
+++ b/tests/core/components/requests/test_answers.py
@@ -1,4 +1,4 @@
-"""Stream answers without a retry once they began."""
+"""Test that started answers are streamed and not retried."""
 
 from core import samples
 import zinnialead_core as core
@@ -11,7 +11,7 @@
     return list(core.tick(world, 10.0, inputs))
 
 
-def test_an_answer_that_began_is_relayed_once():
+def test_a_started_answer_is_relayed_once():
     world = samples.world()
     tick(world, samples.request(1))
     assert tick(world, inp.AnswerStarted(1, 1)) == [out.Relay(1, 1)]
@@ -19,7 +19,7 @@
     assert not world.requests.rows
 
 
-def test_an_answer_cut_short_is_not_tried_again():
+def test_an_interrupted_answer_is_not_retried():
     world = samples.world()
     tick(world, samples.request(1))
     tick(world, inp.AnswerStarted(1, 1))
@@ -27,6 +27,6 @@
     assert refuse.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
-def test_an_answer_that_began_too_late_is_cancelled():
+def test_an_answer_that_starts_too_late_is_cancelled():
     world = samples.world()
     assert tick(world, inp.AnswerStarted(9, 1)) == [out.CancelDispatch(9, 1)]
--- a/tests/core/components/requests/test_completion.py
+++ b/tests/core/components/requests/test_completion.py
@@ -1,4 +1,4 @@
-"""End requests truly: callers that leave, deadlines, stops, retries."""
+"""Test how requests end: callers leaving, deadlines, stops, retries."""
 
 import collections
 
@@ -38,7 +38,7 @@
     return [x for x in outputs if isinstance(x, out.Dispatch)]
 
 
-def test_the_slot_of_a_caller_that_left_is_held_until_its_attempt_ends():
+def test_a_slot_is_in_use_until_the_attempt_of_a_departed_caller_ends():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
     outputs = tick(world, 1.0, inp.CallerDisconnected(1))
@@ -49,7 +49,7 @@
     assert 1 not in world.requests.rows
 
 
-def test_a_caller_that_left_is_never_retried_for():
+def test_a_request_is_not_retried_after_its_caller_has_left():
     world = samples.world()
     tick(world, 0.0, samples.request(1))
     tick(world, 1.0, inp.CallerDisconnected(1))
@@ -58,7 +58,7 @@
     assert world.counters['requests.retried'] == 0
 
 
-def test_a_caller_that_leaves_the_queue_costs_no_slot():
+def test_a_queued_request_gets_no_slot_after_its_caller_has_left():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
     tick(world, 1.0, inp.CallerDisconnected(2))
@@ -66,7 +66,7 @@
     assert not world.requests.rows
 
 
-def test_late_keyed_work_has_its_true_end_recorded():
+def test_the_outcome_of_late_keyed_work_is_recorded():
     world = samples.world()
     tick(world, 0.0, booking(1, deadline_ms=100.0))
     [cancel, refuse] = tick(world, 100.0)
@@ -76,7 +76,7 @@
     assert tick(world, 130.0, booking(2)) == [out.Replay(2, 201, b'booked')]
 
 
-def test_keyed_work_heard_out_after_its_caller_left_is_replayed():
+def test_keyed_work_that_ends_after_its_caller_left_is_replayed():
     world = samples.world()
     tick(world, 0.0, booking(1))
     outputs = tick(world, 1.0, inp.CallerDisconnected(1))
@@ -93,7 +93,7 @@
     assert dispatches(tick(world, 3.0, booking(2)))
 
 
-def test_an_attempt_without_an_end_is_given_up():
+def test_an_attempt_that_does_not_end_is_given_up():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1, deadline_ms=100.0))
     tick(world, 100.0)
@@ -126,7 +126,7 @@
     assert refuse.refusal.verdict is verdict.Verdict.NOT_RUN
 
 
-def test_a_stop_admits_nothing_and_ends_what_is_in_hand():
+def test_a_stopping_entry_admits_nothing_and_completes_its_requests():
     world = samples.world(slots=1)
     tick(world, 0.0, samples.request(1), samples.request(2))
     outputs = tick(world, 1.0, inp.StopRequested(), samples.request(3))
@@ -139,7 +139,7 @@
     assert outputs.count(out.Stopped()) == 1
 
 
-def test_the_table_of_requests_is_bounded():
+def test_the_number_of_requests_is_bounded():
     world = samples.world()
     rows = world.requests.rows
     tick(world, 0.0, samples.request(-1))
--- a/tests/core/components/slots/asking.py
+++ b/tests/core/components/slots/asking.py
@@ -1,4 +1,4 @@
-"""Ask a slot owner as another entry does, and pass messages on."""
+"""Helpers that ask a slot owner as another entry and deliver messages."""
 
 from core import samples
 import zinnialead_core as core
@@ -33,7 +33,7 @@
 
 
 def tell(world, now_ms, *messages):
-    """Return what a slot owner answers to messages of the asker."""
+    """Return the answers of a slot owner to messages of the asker."""
     given = [inp.PeerMessage(ASKER, message) for message in messages]
     return [
         output.message
@@ -59,18 +59,18 @@
 
 
 def world_with(now_ms=1.0, slots=3, upstreams=1, queue_max=100, **fields):
-    """Return an owner with a ticket in force that is not the first."""
+    """Return the world of a slot owner with state number 2 in force."""
     world = samples.world(slots=slots)
     state = samples.state(slots=slots, number=2)
-    known = state.upstreams['pricebook-1']
-    more = {
-        f'pricebook-{n}': known._replace(upstream=f'pricebook-{n}')
+    template = state.upstreams['pricebook-1']
+    upstream_rows = {
+        f'pricebook-{n}': template._replace(upstream=f'pricebook-{n}')
         for n in range(1, upstreams + 1)
     }
     service = state.services['pricebook']._replace(queue_max=queue_max)
     state = state._replace(
         services={**state.services, 'pricebook': service},
-        upstreams={**state.upstreams, **more},
+        upstreams={**state.upstreams, **upstream_rows},
         **fields,
     )
     world.upstreams.clear()
@@ -78,8 +78,8 @@
     return world
 
 
-def change(world, now_ms, **fields):
-    """Put the next ticket in force, and return the owner's answers."""
+def put_in_force(world, now_ms, **fields):
+    """Put a state with the next number in force and return the answers."""
     state = world.states['in-force']
     state = state._replace(number=state.number + 1, **fields)
     outputs = list(core.tick(world, now_ms, [inp.StateRead(state)]))
@@ -87,7 +87,7 @@
 
 
 def two_worlds():
-    """Return the worlds of two entries of one domain that share slots."""
+    """Return the worlds of two entries in one domain."""
     worlds = {}
     seen = [inp.PeerSeen(name, samples.DOMAIN, name) for name in ('e1', 'e2')]
     state = samples.state()
@@ -102,7 +102,7 @@
 
 
 def tick(world, now_ms, *inputs):
-    """Run a tick and return what it asks for but reads of the store."""
+    """Run a tick and return its outputs except store calls."""
     return [
         output
         for output in core.tick(world, now_ms, inputs)
@@ -110,17 +110,17 @@
     ]
 
 
-def pump(worlds, now_ms, entry, *inputs):
-    """Run a tick and those that its messages bring about; keep the rest."""
-    kept = []
-    todo = [(entry, list(inputs))]
-    while todo:
-        name, given = todo.pop(0)
+def run_until_idle(worlds, now_ms, entry, *inputs):
+    """Run ticks until no messages are left; return all other outputs."""
+    other_outputs = []
+    pending = [(entry, list(inputs))]
+    while pending:
+        name, given = pending.pop(0)
         for output in tick(worlds[name], now_ms, *given):
             match output:
                 case out.SendPeer(to, message):
                     item = inp.PeerMessage(worlds[name].node.ref, message)
-                    todo += [(to, [item])] if to in worlds else []
+                    pending += [(to, [item])] if to in worlds else []
                 case _:
-                    kept.append(output)
-    return kept
+                    other_outputs.append(output)
+    return other_outputs
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -1,4 +1,4 @@
-"""Pass slots and asks from one owner to the next."""
+"""Test the handover of slots and asks between slot owners."""
 
 from core.components.slots import asking
 from core import samples
@@ -27,13 +27,13 @@
     return samples.request(number, deadline_ms=now_ms + 20_000.0)
 
 
-def lose(worlds, now_ms, seer, lost):
-    """Let an entry take another one for dead."""
-    world = worlds[seer]
+def lose(worlds, now_ms, observer, lost):
+    """Let ``observer`` declare another entry dead."""
+    world = worlds[observer]
     row = world.members[lost]
     world.members[lost] = row._replace(health=members.Health.DEAD)
     ref = ids.EntryRef(lost, 1)
-    return asking.pump(worlds, now_ms, seer, inp.MemberLost(ref))
+    return asking.run_until_idle(worlds, now_ms, observer, inp.MemberLost(ref))
 
 
 def dispatches(outputs):
@@ -44,17 +44,17 @@
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
     held = [request(n, LATER_MS) for n in range(3)]
-    outputs = asking.pump(worlds, LATER_MS, other, *held)
+    outputs = asking.run_until_idle(worlds, LATER_MS, other, *held)
     assert len(dispatches(outputs)) == 3
     waiting = request(9, LATER_MS)
-    assert not asking.pump(worlds, LATER_MS, other, waiting)
+    assert not asking.run_until_idle(worlds, LATER_MS, other, waiting)
     del worlds[owner]
     assert not lose(worlds, 1_000.0, other, owner)
     world = worlds[other]
     assert world.queues.in_use['pricebook-1'] == 3
-    assert not asking.pump(worlds, 1_000.0 + LATER_MS, other)
+    assert not asking.run_until_idle(worlds, 1_000.0 + LATER_MS, other)
     done = inp.DispatchDone(0, 1, verdict.Answered(200))
-    outputs = asking.pump(worlds, 1_400.0, other, done)
+    outputs = asking.run_until_idle(worlds, 1_400.0, other, done)
     assert [x.request_id for x in dispatches(outputs)] == [9]
 
 
@@ -63,30 +63,32 @@
     owner, other = owner_and_other(worlds)
     for number in range(4):
         item = request(number, LATER_MS)
-        asking.pump(worlds, LATER_MS, other, item)
+        asking.run_until_idle(worlds, LATER_MS, other, item)
     assert worlds[owner].queues.queued
-    asking.pump(worlds, 1_000.0, owner, inp.StopRequested())
+    asking.run_until_idle(worlds, 1_000.0, owner, inp.StopRequested())
     assert not worlds[owner].queues.queued
     assert len(worlds[other].queues.grants) == 3
     assert len(worlds[other].queues.queued) == 1
-    assert not asking.pump(worlds, 2_000.0, other)
+    assert not asking.run_until_idle(worlds, 2_000.0, other)
 
 
-def test_a_silent_owner_is_asked_again():
+def test_an_ask_is_repeated_if_the_owner_does_not_respond():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
-    silent = {other: worlds[other]}
-    assert not asking.pump(silent, LATER_MS, other, request(1, LATER_MS))
+    other_only = {other: worlds[other]}
+    assert not asking.run_until_idle(
+        other_only, LATER_MS, other, request(1, LATER_MS)
+    )
     due_ms = LATER_MS + const.ASK_TIMEOUT_MS
-    outputs = asking.pump(worlds, due_ms, other)
+    outputs = asking.run_until_idle(worlds, due_ms, other)
     assert [x.request_id for x in dispatches(outputs)] == [1]
 
 
 def test_two_grants_for_one_attempt_use_one_slot():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
-    alone = {other: worlds[other]}
-    asking.pump(alone, LATER_MS, other, request(1, LATER_MS))
+    other_only = {other: worlds[other]}
+    asking.run_until_idle(other_only, LATER_MS, other, request(1, LATER_MS))
     world = worlds[other]
     [ask_id] = world.asks
     first = slots.SlotAnswer(ask_id, 'pricebook-1')
@@ -99,9 +101,9 @@
     ]
     outputs = list(core.tick(world, LATER_MS + 1.0, given))
     assert len(dispatches(outputs)) == 1
-    back = slots.SlotReturn(ask_id, 'pricebook-1')
-    assert outputs.count(out.SendPeer('e3', back)) == 1
-    assert out.SendPeer(owner, back) not in outputs
+    slot_return = slots.SlotReturn(ask_id, 'pricebook-1')
+    assert outputs.count(out.SendPeer('e3', slot_return)) == 1
+    assert out.SendPeer(owner, slot_return) not in outputs
 
 
 def test_a_late_grant_of_another_domain_is_renewed_there():
@@ -109,20 +111,20 @@
     owner, other = owner_and_other(worlds)
     world = worlds[other]
     state = world.states['in-force']
-    far = state.upstreams['pricebook-1']._replace(
+    far_upstream = state.upstreams['pricebook-1']._replace(
         upstream='far', domain='huye-a'
     )
-    upstreams = {**state.upstreams, 'far': far}
+    upstreams = {**state.upstreams, 'far': far_upstream}
     domains = {
         **state.domains,
         'huye-a': state.domains[samples.DOMAIN]._replace(
             domain='huye-a', region='huye'
         ),
     }
-    asking.change(world, 1.0, upstreams=upstreams, domains=domains)
+    asking.put_in_force(world, 1.0, upstreams=upstreams, domains=domains)
     seen = inp.PeerSeen('far-entry', 'huye-a', 'far-entry')
-    alone = {other: world}
-    asking.pump(alone, 2.0, other, seen, request(1, LATER_MS))
+    other_only = {other: world}
+    asking.run_until_idle(other_only, 2.0, other, seen, request(1, LATER_MS))
     [ask_id] = world.asks
     grant = slots.SlotAnswer(ask_id, 'far')
     given = inp.PeerMessage(ids.EntryRef('far-entry', 1), grant)
@@ -137,13 +139,15 @@
     assert renewed == ['far-entry']
 
 
-def test_a_grant_that_comes_after_the_end_is_given_back():
+def test_a_grant_after_the_end_of_a_request_is_returned():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
-    alone = {other: worlds[other]}
-    asking.pump(alone, LATER_MS, other, request(1, LATER_MS))
+    other_only = {other: worlds[other]}
+    asking.run_until_idle(other_only, LATER_MS, other, request(1, LATER_MS))
     [ask_id] = worlds[other].asks
-    asking.pump(alone, LATER_MS, other, inp.CallerDisconnected(1))
+    asking.run_until_idle(
+        other_only, LATER_MS, other, inp.CallerDisconnected(1)
+    )
     late = slots.SlotAnswer(ask_id, 'pricebook-1')
     given = inp.PeerMessage(ids.EntryRef(owner, 1), late)
     assert list(core.tick(worlds[other], LATER_MS + 1.0, [given])) == [
@@ -151,7 +155,7 @@
     ]
 
 
-def test_an_ask_at_the_wrong_entry_is_sent_on_once():
+def test_an_ask_at_the_wrong_entry_is_forwarded_once():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
     message = inp.PeerMessage(asking.ASKER, asking.ask(1))
@@ -170,7 +174,7 @@
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
     item = request(1, LATER_MS)
-    asking.pump(worlds, LATER_MS, other, item)
+    asking.run_until_idle(worlds, LATER_MS, other, item)
     stop = inp.StopRequested()
     sent = [*core.tick(worlds[owner], 1_000.0, [stop])]
     sent += core.tick(worlds[owner], 1_000.0, [stop])
@@ -183,7 +187,7 @@
     assert len(reports) == 1
 
 
-def test_an_owner_without_a_state_lets_the_asker_ask_again():
+def test_an_owner_without_a_state_does_not_answer():
     worlds = asking.two_worlds()
     owner, _ = owner_and_other(worlds)
     worlds[owner].states['in-force'] = tickets.empty_state()
--- a/tests/core/components/slots/test_leaving.py
+++ b/tests/core/components/slots/test_leaving.py
@@ -1,4 +1,4 @@
-"""Follow an owner that leaves without a word to the others' askers."""
+"""Test slots in use whose owner leaves without handing them over."""
 
 from core.components.slots import asking
 from core.components.slots import test_handover as handover
@@ -14,12 +14,12 @@
     now_ms = handover.LATER_MS
     for number in range(3):
         item = handover.request(number, now_ms)
-        asking.pump(worlds, now_ms, other, item)
+        asking.run_until_idle(worlds, now_ms, other, item)
     world = worlds[other]
     row = world.members[owner]
     world.members[owner] = row._replace(health=members.Health.LEAVING)
     changed = inp.MemberChanged(ids.EntryRef(owner, 1))
-    asking.pump({other: world}, now_ms, other, changed)
+    asking.run_until_idle({other: world}, now_ms, other, changed)
     assert world.queues.in_use['pricebook-1'] == 3
     waiting = handover.request(9, now_ms)
-    assert not asking.pump({other: world}, now_ms, other, waiting)
+    assert not asking.run_until_idle({other: world}, now_ms, other, waiting)
--- a/tests/core/components/slots/test_local_config.py
+++ b/tests/core/components/slots/test_local_config.py
@@ -1,4 +1,4 @@
-"""Keep the share of a region's limit until work under it has ended."""
+"""Test that a domain's previous share of a region limit expires."""
 
 from core import samples
 import zinnialead_core as core
@@ -12,8 +12,8 @@
 
 def limited(number, **changed):
     state = samples.state(slots=3, number=number)
-    here = state.upstreams['pricebook-1']
-    there = here._replace(
+    local_row = state.upstreams['pricebook-1']
+    sibling_row = local_row._replace(
         upstream='pricebook-2', domain=SIBLING, address='127.0.0.1:2'
     )
     return state._replace(
@@ -21,7 +21,7 @@
             **state.domains,
             SIBLING: tickets.DomainRow(SIBLING, 'kigali', 4),
         },
-        upstreams={**state.upstreams, 'pricebook-2': there},
+        upstreams={**state.upstreams, 'pricebook-2': sibling_row},
         caps={'l': tickets.RegionLimit('kigali', 'pricebook', 4)},
         **changed,
     )
@@ -34,7 +34,7 @@
     )
 
 
-def test_a_share_grows_only_when_the_work_of_before_has_ended():
+def test_a_share_grows_only_after_earlier_work_has_ended():
     world = samples.world()
     list(core.tick(world, 1.0, [inp.StateRead(limited(2))]))
     assert limits(world, 2.0) == (2, 2)
@@ -55,7 +55,7 @@
     assert limits(world, 10.0) == (2, 2)
 
 
-def test_a_share_of_long_ago_does_not_come_back_with_a_later_ticket():
+def test_an_expired_limit_is_not_restored_by_a_later_ticket():
     world = samples.world()
     list(core.tick(world, 1.0, [inp.StateRead(limited(2))]))
     assert limits(world, 2.0) == (2, 2)
@@ -64,6 +64,6 @@
     list(core.tick(world, 10.0, [inp.StateRead(drained)]))
     later_ms = 10.0 + drained.services['pricebook'].deadline_max_ms
     assert limits(world, later_ms) == (4, 3)
-    again = limited(4, drains=drains)
-    list(core.tick(world, later_ms + 1.0, [inp.StateRead(again)]))
+    drained_again = limited(4, drains=drains)
+    list(core.tick(world, later_ms + 1.0, [inp.StateRead(drained_again)]))
     assert limits(world, later_ms + 2.0) == (4, 3)
--- a/tests/core/components/slots/test_queueing.py
+++ b/tests/core/components/slots/test_queueing.py
@@ -1,4 +1,4 @@
-"""Grant slots by rank and floor, and refuse what can't be served."""
+"""Test grants by rank and floor, refusals, leases and limits."""
 
 from core.components.slots import asking
 import pytest
@@ -12,7 +12,7 @@
 
 
 def fill(world, count=1):
-    """Take all slots, with asks numbered from 1,001."""
+    """Occupy ``count`` slots with asks numbered from 1,001."""
     numbers = range(1_001, 1_001 + count)
     answers = asking.tell(world, 1.0, *map(asking.ask, numbers))
     assert asking.granted(answers) == list(numbers)
@@ -22,7 +22,7 @@
     return asking.granted(asking.tell(world, now_ms, asking.give_back(number)))
 
 
-def test_a_flood_of_urgent_work_leaves_other_ranks_their_floors():
+def test_other_ranks_get_their_floors_in_an_overload_of_urgent_work():
     world = asking.world_with(slots=1, queue_max=1_000)
     fill(world)
     ranks = ('urgent', 'normal', 'night')
@@ -50,7 +50,7 @@
     assert asking.refused(answers) == {6: 'queue-full'}
 
 
-def test_a_full_queue_keeps_the_places_of_a_floor():
+def test_a_full_queue_reserves_the_places_of_a_floor():
     world = asking.world_with(slots=1, queue_max=20)
     fill(world)
     asking.tell(world, 1.0, *[asking.ask(n) for n in range(20)])
@@ -62,7 +62,7 @@
     assert asking.refused(answers) == {32: 'queue-full'}
 
 
-def test_work_that_would_wait_too_long_is_refused_at_the_door():
+def test_work_that_would_wait_too_long_is_refused_on_arrival():
     world = asking.world_with(slots=1)
     fill(world)
     asking.tell(world, 1.0, *[asking.ask(n) for n in range(5)])
@@ -81,7 +81,7 @@
     assert asking.refused(answers) == {1: 'deadline-too-short'}
 
 
-def test_a_slow_spell_does_not_refuse_work_that_finds_a_slot():
+def test_a_slow_attempt_does_not_refuse_work_that_finds_a_slot():
     world = asking.world_with(slots=1)
     fill(world)
     slow = asking.give_back(1_001, elapsed_ms=60_000.0)
@@ -90,10 +90,10 @@
     assert asking.granted(answers) == [1]
 
 
-def test_a_foreign_ask_gets_an_idle_slot_or_a_refusal_at_once():
+def test_an_ask_of_another_domain_gets_an_idle_slot_or_a_refusal():
     world = asking.world_with(slots=1)
-    foreign = [asking.ask(n, domain='huye-a') for n in (1, 2)]
-    answers = asking.tell(world, 1.0, *foreign)
+    other_domain_asks = [asking.ask(n, domain='huye-a') for n in (1, 2)]
+    answers = asking.tell(world, 1.0, *other_domain_asks)
     assert asking.granted(answers) == [1]
     assert asking.refused(answers) == {2: 'no-headroom'}
 
@@ -119,7 +119,7 @@
         ._replace(upstream='b', domain='kigali-b')
     )
     upstreams = {**world.states['in-force'].upstreams, 'b': other}
-    asking.change(world, 2.0, upstreams=upstreams)
+    asking.put_in_force(world, 2.0, upstreams=upstreams)
     answers = asking.tell(world, 3.0, *map(asking.ask, (1, 2, 3)))
     assert asking.granted(answers) == [1]
 
@@ -140,13 +140,13 @@
     assert world.queues.in_use == {'pricebook-1': 1}
 
 
-def test_a_lease_lapses_unless_its_holder_renews_it():
+def test_a_lease_expires_unless_its_holder_renews_it():
     world = asking.world_with(slots=2)
     fill(world, 2)
-    held = slots.SlotHeldReport(
+    report = slots.SlotHeldReport(
         asking.ask_id(1_002), 'pricebook', 'urgent', 'pricebook-1', 'x'
     )
-    asking.tell(world, 3_000.0, held)
+    asking.tell(world, 3_000.0, report)
     asking.tell(world, 1.0 + const.GRANT_LEASE_MS)
     assert list(world.queues.grants) == [asking.ask_id(1_002)]
     assert world.counters['slots.lease_lapsed'] == 1
@@ -154,15 +154,15 @@
 
 def test_a_reported_slot_is_counted_before_the_next_grant():
     world = asking.world_with(slots=1)
-    held = slots.SlotHeldReport(
+    report = slots.SlotHeldReport(
         asking.ask_id(9), 'pricebook', 'urgent', 'pricebook-1', 'x'
     )
-    answers = asking.tell(world, 1.0, held, asking.ask(1))
+    answers = asking.tell(world, 1.0, report, asking.ask(1))
     assert asking.granted(answers) == []
     assert serve(world, 2.0, 9) == [1]
 
 
-def test_slots_of_a_dead_asker_come_free_after_a_service_time():
+def test_slots_of_a_dead_asker_are_freed_after_a_service_time():
     world = asking.world_with(slots=1)
     fill(world)
     waiting = asking.ask(1, asker=asking.ASKER._replace(entry='other'))
@@ -183,11 +183,11 @@
         tickets.RegionDrain('kigali'),
     ],
 )
-def test_a_drain_ends_grants_from_its_tick_on(drain):
+def test_a_drain_stops_grants_in_its_tick(drain):
     world = asking.world_with(slots=1)
     fill(world)
     asking.tell(world, 1.0, asking.ask(1))
-    answers = asking.change(world, 2.0, drains={'x': drain})
+    answers = asking.put_in_force(world, 2.0, drains={'x': drain})
     assert asking.refused(answers) == {1: 'no-upstream'}
     answers = asking.tell(world, 3.0, asking.ask(2))
     assert asking.refused(answers) == {2: 'no-upstream'}
--- a/tests/core/components/slots/test_queueing_properties.py
+++ b/tests/core/components/slots/test_queueing_properties.py
@@ -1,4 +1,4 @@
-"""Drive a slot owner with any order of messages and changes."""
+"""Test properties of a slot owner under any sequence of events."""
 
 import collections
 
@@ -50,7 +50,7 @@
 
 
 def act(world, now_ms, item):
-    """Return the answers that one act of the outside brings about."""
+    """Apply one generated event and return the owner's answers."""
     match item:
         case slots.SlotAsk() | slots.SlotReturn():
             given = inp.PeerMessage(asking.ASKER, item)
@@ -58,7 +58,7 @@
             given = item
         case list():
             drains = {str(n): drain for n, drain in enumerate(item)}
-            return asking.change(world, now_ms, drains=drains)
+            return asking.put_in_force(world, now_ms, drains=drains)
     outputs = core.tick(world, now_ms, [given])
     return [x.message for x in outputs if isinstance(x, out.SendPeer)]
 
--- a/tests/core/components/steering/test_caps.py
+++ b/tests/core/components/steering/test_caps.py
@@ -1,4 +1,4 @@
-"""Keep shifts under their caps, whoever counts them."""
+"""Test that the shifts that all owners admit stay under their caps."""
 
 import itertools
 
@@ -107,17 +107,17 @@
         assert len(window) <= cap_per_s
 
 
-def test_the_parts_of_a_cap_add_up_to_it():
+def test_the_shares_of_a_cap_add_up_to_it():
     cap = tickets.ShiftCap('huye', 'kigali', 40.0)
-    parts = [
+    shares = [
         caps.owner_share(owner(domain, cap), service, 40.0)
         for domain in ('k-a', 'k-b')
         for service in SERVICES
     ]
-    assert sum(parts) == 40.0
+    assert sum(shares) == 40.0
 
 
-def test_a_cap_comes_free_after_its_window():
+def test_a_cap_is_available_again_after_its_window():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 6.0))
     assert ask(world, 0.0) is None
     refusal = ask(world, const.SHIFT_WINDOW_MS - 1.0)
@@ -125,26 +125,26 @@
     assert ask(world, const.SHIFT_WINDOW_MS) is None
 
 
-def test_less_urgent_work_leaves_room_under_a_cap():
+def test_less_urgent_work_uses_only_a_share_of_a_cap():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
     let_in = [ask(world, 0.0, rank='night') for _ in range(10)].count(None)
     assert let_in == 8
     assert ask(world, 0.0) is None
 
 
-def test_a_link_budget_counts_bodies_and_usual_answers():
+def test_a_link_budget_counts_bodies_and_mean_answers():
     world = owner('k-a', tickets.LinkBudget('huye', 'kigali', 120_000.0))
     world.shifts.answer_bytes['intake'] = 9_900.0
     assert [ask(world, 0.0) for _ in range(3)].count(None) == 2
 
 
-def test_work_of_this_region_is_no_shift():
+def test_work_of_this_region_is_not_a_shift():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 0.0))
     assert ask(world, 0.0, home='kigali') is None
     assert ask(world, 0.0, home='huye') is not None
 
 
-def test_a_shift_counts_from_its_permit_until_its_window_ends():
+def test_a_shift_counts_from_admission_until_its_window_ends():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 6.0))
     first, second = shift(1), shift(2)
     assert caps.admit(world, 0.0, first) is None
@@ -157,7 +157,7 @@
     assert caps.admit(world, 2 * late_ms, shift(3)) is None
 
 
-def test_a_new_owner_lets_in_nothing_for_a_while():
+def test_a_new_owner_admits_no_shifts_at_first():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
     load = slot_models.ServiceLoadRow('intake', None, owned_since_ms=100.0)
     world.queues.service_loads['intake'] = load
@@ -165,7 +165,7 @@
     assert ask(world, 100.0 + const.NEW_OWNER_PAUSE_MS) is None
 
 
-def test_parts_follow_what_each_service_can_serve():
+def test_shares_follow_the_capacity_of_each_service():
     cap = tickets.ShiftCap('huye', 'kigali', 100.0)
     world = owner('k-a', cap)
     state = world.states['in-force']
--- a/tests/core/components/steering/test_redirects.py
+++ b/tests/core/components/steering/test_redirects.py
@@ -1,4 +1,4 @@
-"""Send asks to other domains only where that is worth it."""
+"""Test when asks are redirected to other domains."""
 
 from core.components.steering import test_caps
 from zinnialead_core.components import steering
@@ -26,12 +26,12 @@
     return world
 
 
-def test_a_short_wait_stays_at_home():
+def test_an_ask_with_a_short_wait_is_not_redirected():
     world = world_with(load('k-b'))
     assert choose(world, 0.0, wait_ms=const.SIBLING_COST_MS) is None
 
 
-def test_the_sibling_goes_before_other_regions():
+def test_domains_of_this_region_are_preferred():
     world = world_with(load('k-b'), load('h-a'))
     assert choose(world, 0.0, wait_ms=1_000.0) == 'k-b'
     assert choose(world, 0.0, wait_ms=1_000.0, tried=('k-b',)) == 'h-a'
@@ -39,18 +39,18 @@
     assert choose(world, 0.0, 1_000.0, tried=('k-b', 'h-a')) is None
 
 
-def test_a_report_is_trusted_for_the_room_that_it_leaves():
+def test_a_load_report_allows_a_limited_number_of_asks():
     world = world_with(load('k-b', slots=3, in_use=1))
     sent = [choose(world, 1.0) for _ in range(10)]
     assert sent.count('k-b') == 4
 
 
-def test_a_full_report_sends_nothing():
+def test_a_domain_without_free_slots_gets_no_asks():
     world = world_with(load('k-b', in_use=3))
     assert choose(world, 0.0) is None
 
 
-def test_a_stale_report_is_tried_one_ask_at_a_time():
+def test_a_domain_with_a_stale_report_gets_one_ask_per_period():
     world = world_with(load('k-b'))
     late_ms = const.LOAD_STALE_MS + 1.0
     assert choose(world, late_ms) == 'k-b'
@@ -58,7 +58,7 @@
     assert choose(world, late_ms + const.STALE_ASK_PERIOD_MS) == 'k-b'
 
 
-def test_a_refusal_pauses_a_domain_whatever_it_reports():
+def test_a_refusal_pauses_a_domain_despite_its_reports():
     world = world_with(load('k-b'))
     redirects.pause_domain(world, 0.0, 'intake', 'k-b')
     redirects.apply_load(world, 1.0, load('k-b'))
--- a/tests/core/components/upstreams/test_upstreams.py
+++ b/tests/core/components/upstreams/test_upstreams.py
@@ -155,12 +155,12 @@
     upstreams = world.states['in-force'].upstreams
     new = upstreams[FIRST]._replace(upstream='new')
     drain = {'x': tickets.UpstreamDrain(FIRST)}
-    asking.change(
+    asking.put_in_force(
         world, 2.0, upstreams={**upstreams, 'new': new}, drains=drain
     )
     assert usable(world, 2.0, 'new') == 1
     assert usable(world, 2.0 + const.RAMP_MS, 'new') == 3
-    asking.change(world, 9_000.0, drains={})
+    asking.put_in_force(world, 9_000.0, drains={})
     assert usable(world, 9_000.0) == 1
     assert usable(world, 9_000.0 + const.RAMP_MS) == 3
 
