Reword what an outsider stumbled over in slots, requests and steering

Heads of modules are imperative as elsewhere ("Define the constants of"), `item` is `arrival` or `refused` where one kind is handled, `whole` is `cap_value`, a `trial` row is a `probe`. `take_over` says again why a forwarded ask makes this entry an owner, and the backoff steps count how many times a timeout has doubled.

Run: make check passes; pytest tests/core tests/daemon/operators tests/daemon/components passes.

--- a/packages/core/src/zinnialead_core/components/requests/const.py
+++ b/packages/core/src/zinnialead_core/components/requests/const.py
@@ -1,4 +1,4 @@
-"""Constants of the requests component."""
+"""Define the constants of the requests component."""
 
 # Tokens that each accepted request adds to the retry budget: one retry
 # per ten requests limits the load on upstreams to 1.1 times.
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -68,33 +68,36 @@
 
 
 def _on_arrival(
-    world: world_module.World, now_ms: float, item: inp.RequestArrived
+    world: world_module.World, now_ms: float, arrival: inp.RequestArrived
 ) -> abc.Iterator[out.Output]:
     world.counters['requests.arrived'] += 1
-    decision = admission.admit(world, now_ms, item)
+    decision = admission.admit(world, now_ms, arrival)
     match decision:
         case verdict.Refusal():
             reason = decision.reason.value
             world.counters[f'requests.refused.{reason}'] += 1
-            yield out.Refuse(item.request_id, decision)
+            yield out.Refuse(arrival.request_id, decision)
         case models.RequestRow():
-            yield from _accept(world, item, decision)
+            yield from _accept(world, arrival, decision)
 
 
 def _accept(
     world: world_module.World,
-    item: inp.RequestArrived,
+    arrival: inp.RequestArrived,
     row: models.RequestRow,
 ) -> abc.Iterator[out.Output]:
-    world.requests.rows[item.request_id] = row
-    deadline = timers.RequestDeadline(item.request_id)
+    world.requests.rows[arrival.request_id] = row
+    deadline = timers.RequestDeadline(arrival.request_id)
     timers.start(world.timers, deadline, row.deadline_ms)
-    if item.key is None or row.idempotent:
-        yield from _request_slot(world, item.request_id)
+    if arrival.key is None or row.idempotent:
+        yield from _request_slot(world, arrival.request_id)
         return
     yield out.Notify(
         inp.ClaimRequested(
-            item.request_id, item.key, item.key_created_ms, row.deadline_ms
+            arrival.request_id,
+            arrival.key,
+            arrival.key_created_ms,
+            row.deadline_ms,
         )
     )
 
@@ -113,13 +116,13 @@
 
 
 def _on_slot_refused(
-    world: world_module.World, item: inp.SlotRefused
+    world: world_module.World, refused: inp.SlotRefused
 ) -> abc.Iterator[out.Output]:
-    row = world.requests.rows.get(item.request_id)
-    if row is None or row.attempt != item.attempt:
+    row = world.requests.rows.get(refused.request_id)
+    if row is None or row.attempt != refused.attempt:
         return
     if row.phase is models.Phase.SLOT:
-        yield from completion.refuse(world, row, item.refusal)
+        yield from completion.refuse(world, row, refused.refusal)
 
 
 def _on_claim_denied(
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -1,4 +1,4 @@
-"""Rows and tables of the requests component."""
+"""Define the rows and tables of the requests component."""
 
 import enum
 import typing
@@ -8,7 +8,7 @@
 
 
 class Phase(enum.Enum):
-    """What a request waits for.
+    """Name what a request waits for.
 
     ``CONFIRM`` has a slot and waits for the witness of its key.
     ``ANSWER`` is streaming an answer and is not retried.  ``ENDING`` has
--- a/packages/core/src/zinnialead_core/components/slots/const.py
+++ b/packages/core/src/zinnialead_core/components/slots/const.py
@@ -1,8 +1,8 @@
-"""Constants of the slots component."""
+"""Define the constants of the slots component."""
 
 ASK_TIMEOUT_MS = 250.0
 ASK_TIMEOUT_MAX_MS = 1_000.0
-# How often the ask timeout doubles.
+# How many times the ask timeout doubles.
 ASK_BACKOFF_STEPS_MAX = 2
 # Unanswered asks after which another domain's owner is skipped.
 ASK_MISSES_MAX = 2
--- a/packages/core/src/zinnialead_core/components/slots/local_config.py
+++ b/packages/core/src/zinnialead_core/components/slots/local_config.py
@@ -45,7 +45,7 @@
 ) -> int | None:
     """Return the current in-flight limit of a service in this domain.
 
-    It is the lowest of the new and any previous limits; None is no limit.
+    It is the lowest of the current and previous limits.
     """
     current = get(world, service).in_flight_max
     if current is None:
--- a/packages/core/src/zinnialead_core/components/slots/messages.py
+++ b/packages/core/src/zinnialead_core/components/slots/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the entries that ask for slots and slot owners."""
+"""Define the messages between askers and slot owners."""
 
 import dataclasses
 
@@ -15,11 +15,10 @@
 
     ``avoid`` is the upstream of the previous attempt.  ``forwarded`` is
     set if an entry that does not own the slots, or no longer does, sent
-    the ask on.
-    ``tried`` are the domains that refused it.  ``home_region`` is where
-    the work originates, for shift caps; empty for the owner's region.
-    ``homeless`` is set if the asker's domain has no upstream for it: the
-    ask may then be queued here like an ask of this domain.
+    the ask on.  ``tried`` are the domains that refused it.
+    ``home_region`` is where the work originates, for shift caps; empty
+    for the owner's region.  ``homeless`` is set if the asker's domain has
+    no upstream: the ask may then be queued like one of this domain.
     """
 
     ask_id: ids.AskId
@@ -68,10 +67,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotReturn:
-    """Return a slot, or withdraw an ask from the queue.
-
-    ``end`` is how the attempt that used the slot ended.
-    """
+    """Return a slot, or withdraw an ask from the queue."""
 
     ask_id: ids.AskId
     upstream: ids.UpstreamId | None
--- a/packages/core/src/zinnialead_core/components/slots/models.py
+++ b/packages/core/src/zinnialead_core/components/slots/models.py
@@ -1,4 +1,4 @@
-"""Rows and tables of the slots component."""
+"""Define the rows and tables of the slots component."""
 
 import enum
 import typing
@@ -9,7 +9,7 @@
 
 
 class SlotEnd(enum.Enum):
-    """How the attempt that used a slot ended at its upstream."""
+    """Name how the attempt that used a slot ended at its upstream."""
 
     SERVED = 'served'
     SHED = 'shed'
@@ -24,7 +24,7 @@
     ``upstream`` is set once a slot is granted.  ``tried`` are the domains
     that refused the ask and ``refusal`` is the first refusal.  ``misses``
     counts timeouts in a row without a response of the owner, and
-    ``backoff_steps`` how often the timeout has doubled.
+    ``backoff_steps`` how many times the timeout has doubled.
     """
 
     ask_id: ids.AskId
--- a/packages/core/src/zinnialead_core/components/slots/ownership.py
+++ b/packages/core/src/zinnialead_core/components/slots/ownership.py
@@ -58,7 +58,10 @@
 def take_over(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> None:
-    """Act as the owner because another entry treats this one as it."""
+    """Record this entry as the owner of a service's slots from now on.
+
+    A forwarded ask causes this too: its sender knows this entry as owner.
+    """
     loads = world.queues.service_loads
     row = loads.get(service) or models.ServiceLoadRow(service)
     if row.owned_since_ms is None:
--- a/packages/core/src/zinnialead_core/components/steering/apportionment.py
+++ b/packages/core/src/zinnialead_core/components/steering/apportionment.py
@@ -19,7 +19,7 @@
 
 
 def apportion(
-    state: tickets.State, region: ids.RegionId, whole: int
+    state: tickets.State, region: ids.RegionId, cap_value: int
 ) -> Shares:
     """Return each owner's whole-unit share of a cap; the sum is the cap.
 
@@ -27,17 +27,21 @@
     proportional to what each domain can serve of each service, rounded
     by the largest remainder method.
     """
-    return _apportion(tuple(_owner_capacities(state, region)), whole)
+    return _apportion(tuple(_owner_capacities(state, region)), cap_value)
 
 
 @functools.lru_cache(maxsize=256)
-def _apportion(capacities: tuple[OwnerCapacity, ...], whole: int) -> Shares:
+def _apportion(
+    capacities: tuple[OwnerCapacity, ...], cap_value: int
+) -> Shares:
     total = sum(row.served_per_s for row in capacities)
     if total <= 0.0:
         return {}
-    exact = {row.owner: whole * row.served_per_s / total for row in capacities}
-    shares = {owner: int(exact_share) for owner, exact_share in exact.items()}
-    remainder = whole - sum(shares.values())
+    exact = {
+        row.owner: cap_value * row.served_per_s / total for row in capacities
+    }
+    shares = {owner: int(part) for owner, part in exact.items()}
+    remainder = cap_value - sum(shares.values())
     by_remainder = sorted(
         exact, key=lambda owner: (shares[owner] - exact[owner], owner)
     )
--- a/packages/core/src/zinnialead_core/components/steering/const.py
+++ b/packages/core/src/zinnialead_core/components/steering/const.py
@@ -1,4 +1,4 @@
-"""Constants of the steering component."""
+"""Define the constants of the steering component."""
 
 LOAD_PERIOD_MS = 500.0
 # Older load reports are ignored.
--- a/packages/core/src/zinnialead_core/components/steering/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/steering/coordinator.py
@@ -20,7 +20,7 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Send the loads here to other slot owners and apply theirs.
+    """Report the loads of this domain to other owners and apply theirs.
 
     Reads ``queues``, ``states`` and ``members``; writes ``loads``,
     ``shifts`` and ``timers``.
--- a/packages/core/src/zinnialead_core/components/steering/messages.py
+++ b/packages/core/src/zinnialead_core/components/steering/messages.py
@@ -1,4 +1,4 @@
-"""Messages that exchange loads between slot owners."""
+"""Define the messages that exchange loads between slot owners."""
 
 import dataclasses
 
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -1,4 +1,4 @@
-"""Rows and tables of the steering component."""
+"""Define the rows and tables of the steering component."""
 
 import collections
 import typing
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -100,10 +100,12 @@
     if headroom is not None and now_ms < headroom.paused_until_ms:
         return False
     load = world.loads.get((service, domain))
-    fresh = load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
-    if not fresh or headroom is None:
-        trial = models.HeadroomRow(0.0, now_ms + const.STALE_ASK_PERIOD_MS)
-        world.shifts.headrooms[service, domain] = trial
+    is_fresh = (
+        load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
+    )
+    if not is_fresh or headroom is None:
+        probe = models.HeadroomRow(0.0, now_ms + const.STALE_ASK_PERIOD_MS)
+        world.shifts.headrooms[service, domain] = probe
         return True
     if headroom.asks_left < 1.0:
         return False
