Name the gateway's HTTP server and client by usual terms

The server's rows read as "Asked" and "Answer", a caller's connection had "news", "ahead_bytes" and "left", and the pool's functions were "take", "give_back" and "drop". They are Request and Response, data_received, buffered_bytes and on_disconnect, and acquire, release and close_idle. The module that reads requests is request_reader. What the pool calls "watched" connections are those with TCP keep-alive. Texts that reach a caller's refusal (the protocol errors) are unchanged.

Renamed keywords and fields stay inside the process.

--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -85,14 +85,14 @@
         engine, nursery, settings.peers_bind, settings.asked_binds
     )
     parts = upstreams.Upstreams(
-        engine, dialect, nursery, client.Pool(watched=False)
+        engine, dialect, nursery, client.Pool(tcp_keepalive=False)
     )
     store = stores.Store(
         engine,
         dialect,
         nursery,
         settings.store_address,
-        client.Pool(watched=True),
+        client.Pool(tcp_keepalive=True),
     )
     name = str(settings.node.ref.entry)
     application = Application(
@@ -163,7 +163,7 @@
         case out.CallStore():
             stores.call(application.store, output)
         case out.CloseIdleConnections():
-            client.drop(application.front.parts.pool, output.address)
+            client.close_idle(application.front.parts.pool, output.address)
         case out.Notify():
             raise AssertionError(f'{output} left the tick')
 
@@ -235,7 +235,7 @@
     left_s = max(0.0, end_ms - engines.now_ms()) / const.MS_PER_S
     with trio.move_on_after(left_s):
         for made in application.servers:
-            await server.idle(made)
+            await server.wait_until_idle(made)
 
 
 def _in_hand(application: Application) -> int:
--- a/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
@@ -21,14 +21,16 @@
 
 
 async def handle(
-    directory: Directory, _caller: http_models.Caller, asked: http_models.Asked
-) -> http_models.Answer:
+    directory: Directory,
+    _caller: http_models.Caller,
+    request: http_models.Request,
+) -> http_models.Response:
     """Return which entries a caller should use."""
-    target = asked.target.decode('latin-1')
+    target = request.target.decode('latin-1')
     question = directory.dialect.read_question(target)
     world = directory.engine.world
     if question is None:
-        return http_models.Answer(404, [], b'no such look-up\n')
+        return http_models.Response(404, [], b'no such look-up\n')
     world.counters['directory.look_ups'] += 1
     found = selection.addresses(
         world, engines.now_ms(), question.domain, question.region
@@ -36,15 +38,15 @@
     body = directory.dialect.write_addresses(
         found, world.node.bounds.directory_ttl_ms
     )
-    return http_models.Answer(OK, JSON, body)
+    return http_models.Response(OK, JSON, body)
 
 
 async def handle_ready(
     directory: Directory,
     _caller: http_models.Caller,
-    _asked: http_models.Asked,
-) -> http_models.Answer:
+    _request: http_models.Request,
+) -> http_models.Response:
     """Return whether this entry may be given callers."""
     if members.is_ready(directory.engine.world):
-        return http_models.Answer(OK, [], b'ready\n')
-    return http_models.Answer(503, [], b'not ready\n')
+        return http_models.Response(OK, [], b'ready\n')
+    return http_models.Response(503, [], b'not ready\n')
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -25,7 +25,7 @@
     head: dialects.RequestHead
     done: trio.Event
     began_ms: float
-    answer: http_models.Answer | None = None
+    answer: http_models.Response | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,12 +42,12 @@
 
 
 async def handle(
-    front: Front, caller: http_models.Caller, asked: http_models.Asked
-) -> http_models.Answer | None:
+    front: Front, caller: http_models.Caller, request: http_models.Request
+) -> http_models.Response | None:
     """Return the answer to a caller's request."""
-    target = asked.target.decode('latin-1')
+    target = request.target.decode('latin-1')
     try:
-        head = front.dialect.read_request(target, asked.headers)
+        head = front.dialect.read_request(target, request.headers)
     except ValueError as error:
         front.engine.world.counters['front.bad_requests'] += 1
         return refusal(front, 400, str(error))
@@ -55,11 +55,11 @@
     waiting = Open(head, trio.Event(), engines.now_ms())
     front.open[request_id] = waiting
     front.parts.exchanges[request_id] = upstreams.Exchange(
-        head, asked.method, asked.target, asked.body
+        head, request.method, request.target, request.body
     )
-    caller.left = lambda: _left(front, request_id)
+    caller.on_disconnect = lambda: _left(front, request_id)
     try:
-        engines.feed(front.engine, _arrival(request_id, head, asked))
+        engines.feed(front.engine, _arrival(request_id, head, request))
         if caller.closed and waiting.answer is None:
             _left(front, request_id)
         await waiting.done.wait()
@@ -75,7 +75,7 @@
     got = front.parts.answers.get((output.request_id, output.attempt))
     if waiting is None or got is None:
         return
-    waiting.answer = http_models.Answer(
+    waiting.answer = http_models.Response(
         got.response.status, got.head.headers, got.response.body
     )
     waiting.done.set()
@@ -88,7 +88,7 @@
         return
     head = front.dialect.write_refusal(waiting.head, output.refusal)
     body = f'{output.refusal.reason.value}: {output.refusal.detail}\n'
-    waiting.answer = http_models.Answer(
+    waiting.answer = http_models.Response(
         head.status,
         [*head.headers, (b'Content-Type', b'text/plain; charset=utf-8')],
         body.encode(),
@@ -96,13 +96,13 @@
     waiting.done.set()
 
 
-def refusal(front: Front, status: int, reason: str) -> http_models.Answer:
+def refusal(front: Front, status: int, reason: str) -> http_models.Response:
     """Return the refusal of what is no request; nothing was sent of it."""
     if status == 503:
         told = admission.not_run_refusal(verdict.Reason.QUEUE_FULL, reason)
         headers = front.dialect.write_refusal(None, told).headers
-        return http_models.Answer(status, headers, f'{reason}\n'.encode())
-    return http_models.Answer(status, [], f'{reason}\n'.encode())
+        return http_models.Response(status, headers, f'{reason}\n'.encode())
+    return http_models.Response(status, [], f'{reason}\n'.encode())
 
 
 def limits(front: Front) -> http_models.Limits:
@@ -119,7 +119,7 @@
 def _arrival(
     request_id: ids.RequestId,
     head: dialects.RequestHead,
-    asked: http_models.Asked,
+    request: http_models.Request,
 ) -> inp.RequestArrived:
     return inp.RequestArrived(
         request_id,
@@ -128,7 +128,7 @@
         head.path,
         head.object_key,
         head.deadline_in_ms,
-        len(asked.body),
+        len(request.body),
     )
 
 
--- a/packages/gateway/src/zinnialead_gateway/http/client.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client.py
@@ -1,4 +1,4 @@
-"""Send requests over kept connections, each at most once."""
+"""Send HTTP requests over pooled connections, each at most once."""
 
 import collections
 import dataclasses
@@ -32,82 +32,86 @@
 
 
 class ProtocolError(Exception):
-    """Say that an answer can't be used; the request was sent."""
+    """Raised for an unusable response; the request was sent."""
 
 
 @dataclasses.dataclass(slots=True)
 class Connection:
-    """Hold a connection; ``used_ms`` is when it was last heard from."""
+    """Hold a connection; ``last_used_ms`` is the end of its last exchange."""
 
     address: str
     stream: trio.SocketStream
     parser: h11.Connection
-    used_ms: float
+    last_used_ms: float
     expires_ms: float = float('inf')
     sent: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Pool:
-    """Hold idle connections by address, the last used last."""
+    """Hold idle connections by address, most recently used last."""
 
-    watched: bool
+    tcp_keepalive: bool
     idle: dict[str, collections.deque[Connection]] = dataclasses.field(
         default_factory=dict
     )
-    opened: int = 0
+    opened_count: int = 0
 
 
-async def take(pool: Pool, address: str, idle_max_ms: float) -> Connection:
-    """Return a kept connection that is quiet, or a new one.
+async def acquire(pool: Pool, address: str, idle_max_ms: float) -> Connection:
+    """Return an idle connection from the pool, or open a new one.
 
     Raises OSError or trio.TooSlowError if none can be opened.
     """
-    kept = pool.idle.get(address)
+    idle = pool.idle.get(address)
     now_ms = engines.now_ms()
-    while kept:
-        connection = kept.pop()
-        fresh = now_ms - connection.used_ms <= idle_max_ms
-        if fresh and now_ms < connection.expires_ms and _is_quiet(connection):
+    while idle:
+        connection = idle.pop()
+        is_fresh = now_ms - connection.last_used_ms <= idle_max_ms
+        if (
+            is_fresh
+            and now_ms < connection.expires_ms
+            and _has_no_input(connection)
+        ):
             return connection
         close(connection)
-    stream = await sockets.connect(address, watched=pool.watched)
-    pool.opened += 1
+    stream = await sockets.connect(address, tcp_keepalive=pool.tcp_keepalive)
+    pool.opened_count += 1
     return Connection(address, stream, h11.Connection(h11.CLIENT), now_ms)
 
 
-def give_back(pool: Pool, connection: Connection) -> None:
-    """Keep a connection whose exchange is over, if it can be used again."""
+def release(pool: Pool, connection: Connection) -> None:
+    """Return a connection to the pool; close it if it can't be reused."""
     parser = connection.parser
     if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
         close(connection)
         return
-    left, ended = parser.trailing_data
-    if left or ended:
+    unread, is_closed = parser.trailing_data
+    if unread or is_closed:
         close(connection)
         return
     parser.start_next_cycle()
-    connection.used_ms = engines.now_ms()
+    connection.last_used_ms = engines.now_ms()
     connection.sent = False
-    kept = pool.idle.setdefault(connection.address, collections.deque())
-    kept.append(connection)
-    if len(kept) > const.IDLE_CONNECTIONS_MAX:
-        close(kept.popleft())
+    idle = pool.idle.setdefault(connection.address, collections.deque())
+    idle.append(connection)
+    if len(idle) > const.IDLE_CONNECTIONS_MAX:
+        close(idle.popleft())
 
 
-def drop(pool: Pool, address: str) -> None:
-    """Close what is idle at an address."""
+def close_idle(pool: Pool, address: str) -> None:
+    """Close the idle connections to an address."""
     for connection in pool.idle.pop(address, ()):
         close(connection)
 
 
 def close(connection: Connection) -> None:
-    """Close a connection at once."""
+    """Close a connection immediately."""
     connection.stream.socket.close()
 
 
 async def send(connection: Connection, request: Request) -> None:
-    """Send a whole request; from its first byte on it may run."""
+    """Send a request; it may run as soon as its first byte is sent."""
     parser = connection.parser
     headers = request.headers
     if request.body or request.method not in (b'GET', b'HEAD', b'DELETE'):
@@ -125,10 +129,10 @@
 
 
 async def receive(connection: Connection) -> Response:
-    """Return the next whole response.
+    """Receive the next response and its body.
 
-    Raises ProtocolError for one that is cut short or no response, and
-    trio.BrokenResourceError for a connection that breaks.
+    Raises ProtocolError for a truncated or malformed response, and
+    trio.BrokenResourceError if the connection breaks.
     """
     try:
         return await _receive(connection)
@@ -136,9 +140,9 @@
         raise ProtocolError(str(error)) from error
 
 
-def begin_again(connection: Connection, request: Request) -> None:
-    """Expect one more answer to a request whose answer was a stray one."""
-    left, ended = connection.parser.trailing_data
+def expect_another_response(connection: Connection, request: Request) -> None:
+    """Prepare for another response after one to an earlier request."""
+    unread, is_closed = connection.parser.trailing_data
     parser = h11.Connection(h11.CLIENT)
     headers = [x for x in request.headers if x[0].lower() == b'host']
     parser.send(
@@ -147,9 +151,9 @@
         )
     )
     parser.send(h11.EndOfMessage())
-    if left:
-        parser.receive_data(left)
-    if ended:
+    if unread:
+        parser.receive_data(unread)
+    if is_closed:
         parser.receive_data(b'')
     connection.parser = parser
 
@@ -168,7 +172,7 @@
                 head = event
             case h11.Data(data=data):
                 body += data
-                if len(body) > const.ANSWER_BYTES_MAX:
+                if len(body) > const.RESPONSE_BYTES_MAX:
                     raise ProtocolError('the answer is too large')
             case h11.EndOfMessage():
                 break
@@ -179,21 +183,21 @@
     if head is None:
         raise ProtocolError('an end without an answer')
     headers = list(head.headers.raw_items())
-    _note_keep_alive(connection, headers)
+    _apply_keep_alive(connection, headers)
     return Response(head.status_code, headers, bytes(body))
 
 
-def _note_keep_alive(connection: Connection, headers: Headers) -> None:
+def _apply_keep_alive(connection: Connection, headers: Headers) -> None:
     for name, value in headers:
         if name.lower() != b'keep-alive':
             continue
-        for item in value.split(b','):
-            key, _, number = item.strip().partition(b'=')
-            if key == b'timeout' and number.isdigit():
-                left_ms = int(number) * 1_000.0 - const.KEEP_ALIVE_MARGIN_MS
+        for parameter in value.split(b','):
+            key, _, timeout_s = parameter.strip().partition(b'=')
+            if key == b'timeout' and timeout_s.isdigit():
+                left_ms = int(timeout_s) * 1_000.0 - const.KEEP_ALIVE_MARGIN_MS
                 connection.expires_ms = engines.now_ms() + left_ms
 
 
-def _is_quiet(connection: Connection) -> bool:
-    """Return whether nothing came on an idle connection, not even its end."""
+def _has_no_input(connection: Connection) -> bool:
+    """Return whether no data and no end of stream are waiting to be read."""
     return not connection.stream.socket.is_readable()
--- a/packages/gateway/src/zinnialead_gateway/http/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/models.py
@@ -1,4 +1,4 @@
-"""Define what a server holds of its callers, and what they exchange."""
+"""Define the HTTP server's state, its requests and its responses."""
 
 from collections import abc
 import dataclasses
@@ -11,7 +11,7 @@
 
 
 class Limits(typing.NamedTuple):
-    """Bound what a caller may send, and how slowly."""
+    """Hold the size and time limits of a caller's requests."""
 
     header_bytes_max: int
     body_bytes_max: int
@@ -19,8 +19,8 @@
     idle_timeout_s: float
 
 
-class Asked(typing.NamedTuple):
-    """Hold a caller's whole request."""
+class Request(typing.NamedTuple):
+    """Hold a caller's request and its body."""
 
     method: bytes
     target: bytes
@@ -28,8 +28,8 @@
     body: bytes
 
 
-class Answer(typing.NamedTuple):
-    """Hold a whole answer; None in its place cuts the connection."""
+class Response(typing.NamedTuple):
+    """Hold a response; a handler returns None to abort the connection."""
 
     status: int
     headers: Headers
@@ -38,44 +38,45 @@
 
 @dataclasses.dataclass(slots=True)
 class Caller:
-    """Hold one connection of a caller.
+    """Hold a caller's connection.
 
-    ``left`` is called once if the caller leaves while it is answered.
+    ``on_disconnect`` is called once if the caller disconnects while its
+    request is being handled; ``resume`` is set while reading is paused.
     """
 
     stream: trio.SocketStream
     parser: h11.Connection
-    news: trio.Event
+    data_received: trio.Event
     closed: bool = False
-    ahead_bytes: int = 0
+    buffered_bytes: int = 0
     resume: trio.Event | None = None
-    left: abc.Callable[[], None] | None = None
+    on_disconnect: abc.Callable[[], None] | None = None
 
 
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
-Handle = abc.Callable[[Caller, Asked], abc.Awaitable[Answer | None]]
+Handle = abc.Callable[[Caller, Request], abc.Awaitable[Response | None]]
 
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """Hold what one port serves, and how many connections it has."""
+    """Hold one port's handler, callbacks and usage counts."""
 
     handle: Handle
     limits: abc.Callable[[], Limits]
     connections_max: int
     count: abc.Callable[[str], None]
-    refuse: abc.Callable[[int, str], Answer]
-    failed: abc.Callable[[BaseException], None]
+    refuse: abc.Callable[[int, str], Response]
+    on_failure: abc.Callable[[BaseException], None]
     closing: bool = False
     connections: int = 0
-    busy: int = 0
-    emptied: trio.Event = dataclasses.field(default_factory=trio.Event)
+    active_requests: int = 0
+    became_idle: trio.Event = dataclasses.field(default_factory=trio.Event)
     body_bytes: int = 0
     body_bytes_max: int = 67_108_864
 
 
 class BadRequestError(Exception):
-    """Carry the status and reason of a refusal of what a caller sent."""
+    """Raised for a request that is answered with an error status."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
--- a/packages/gateway/src/zinnialead_gateway/http/reading.py
+++ b/packages/gateway/src/zinnialead_gateway/http/request_reader.py
@@ -6,45 +6,45 @@
 from zinnialead_gateway.http import models
 
 
-async def request(
+async def read_request(
     server: models.Server, caller: models.Caller
-) -> models.Asked | None:
-    """Return the next whole request, None if the caller left before."""
+) -> models.Request | None:
+    """Read the next request; return None if the caller disconnects first."""
     limits = server.limits()
     if not caller.parser.trailing_data[0]:
         with trio.move_on_after(limits.idle_timeout_s):
-            await _more(caller)
+            await _wait_for_data(caller)
     if not caller.parser.trailing_data[0]:
         return None
     head = None
     with trio.move_on_after(limits.header_timeout_s):
-        head = await _event(caller)
+        head = await _next_event(caller)
     match head:
         case h11.Request():
-            return await _whole(server, caller, limits, head)
+            return await _read_body(server, caller, limits, head)
         case None:
             raise models.BadRequestError(408, 'the head came too slowly')
         case _:
             return None
 
 
-async def _whole(
+async def _read_body(
     server: models.Server,
     caller: models.Caller,
     limits: models.Limits,
     head: h11.Request,
-) -> models.Asked | None:
-    """Return a request with its body, None if the caller left before."""
+) -> models.Request | None:
+    """Read a body; return the request, None if the caller disconnects."""
     _check_length(head, limits)
-    await _continue(caller)
+    await _send_continue(caller)
     parts: list[bytes] = []
     size = 0
-    whole = False
+    is_complete = False
     try:
-        while not whole:
+        while not is_complete:
             event = None
             with trio.move_on_after(limits.idle_timeout_s):
-                event = await _event(caller)
+                event = await _next_event(caller)
             match event:
                 case None:
                     raise models.BadRequestError(
@@ -56,18 +56,21 @@
                     server.body_bytes += len(data)
                     _check_size(server, limits, size)
                 case h11.EndOfMessage():
-                    whole = True
+                    is_complete = True
                 case _:
                     return None
     finally:
-        if not whole:
+        if not is_complete:
             server.body_bytes -= size
-    raw = list(head.headers.raw_items())
-    return models.Asked(head.method, head.target, raw, b''.join(parts))
+    headers = list(head.headers.raw_items())
+    return models.Request(head.method, head.target, headers, b''.join(parts))
 
 
-async def _event(caller: models.Caller) -> models.Event:
-    """Return the parser's next event; raises models.BadRequestError."""
+async def _next_event(caller: models.Caller) -> models.Event:
+    """Return the parser's next event.
+
+    Raises models.BadRequestError for malformed input.
+    """
     while True:
         try:
             event = caller.parser.next_event()
@@ -79,20 +82,20 @@
             return event
         if caller.closed:
             return h11.ConnectionClosed()
-        await _more(caller)
+        await _wait_for_data(caller)
 
 
-async def _more(caller: models.Caller) -> None:
-    """Wait until the caller sends more or leaves."""
-    caller.ahead_bytes = 0
+async def _wait_for_data(caller: models.Caller) -> None:
+    """Wait until the caller sends data or disconnects."""
+    caller.buffered_bytes = 0
     if caller.resume is not None:
         caller.resume.set()
-    caller.news = trio.Event()
+    caller.data_received = trio.Event()
     if not caller.closed:
-        await caller.news.wait()
+        await caller.data_received.wait()
 
 
-async def _continue(caller: models.Caller) -> None:
+async def _send_continue(caller: models.Caller) -> None:
     if caller.parser.they_are_waiting_for_100_continue:
         event = h11.InformationalResponse(status_code=100, headers=[])
         await caller.stream.send_all(caller.parser.send(event))
--- a/packages/gateway/src/zinnialead_gateway/http/server.py
+++ b/packages/gateway/src/zinnialead_gateway/http/server.py
@@ -1,15 +1,15 @@
-"""Serve callers' connections, a request at a time on each."""
+"""Serve HTTP connections, one request at a time on each."""
 
 import h11
 import trio
 
 from zinnialead_gateway.http import const
 from zinnialead_gateway.http import models
-from zinnialead_gateway.http import reading
+from zinnialead_gateway.http import request_reader
 
 
 async def serve(server: models.Server, listener: trio.SocketListener) -> None:
-    """Accept connections for good."""
+    """Accept connections until the listener is closed."""
     async with trio.open_nursery() as nursery:
         while True:
             try:
@@ -24,10 +24,10 @@
                 server.count('connections_full')
                 stream.socket.close()
                 continue
-            nursery.start_soon(_connection, server, stream)
+            nursery.start_soon(_serve_connection, server, stream)
 
 
-async def _connection(
+async def _serve_connection(
     server: models.Server, stream: trio.SocketStream
 ) -> None:
     server.connections += 1
@@ -38,21 +38,21 @@
     caller = models.Caller(stream, parser, trio.Event())
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_read, caller)
-            await _exchanges(server, caller)
+            nursery.start_soon(_read_input, caller)
+            await _serve_requests(server, caller)
             nursery.cancel_scope.cancel()
     except* (trio.BrokenResourceError, trio.ClosedResourceError):
         server.count('connections_broken')
     except* Exception as errors:
-        # One caller's connection must not end the others.
-        server.failed(errors)
+        # An error on one connection must not close the others.
+        server.on_failure(errors)
     finally:
         server.connections -= 1
         stream.socket.close()
 
 
-async def _read(caller: models.Caller) -> None:
-    """Bring what the caller sends to the parser until it leaves."""
+async def _read_input(caller: models.Caller) -> None:
+    """Feed received data to the parser until the caller disconnects."""
     while not caller.closed:
         try:
             data = await caller.stream.receive_some(const.READ_BYTES)
@@ -64,27 +64,32 @@
             caller.parser.receive_data(data)
         except RuntimeError:
             caller.closed = True
-        caller.ahead_bytes += len(data)
-        caller.news.set()
-        if caller.closed and caller.left is not None:
-            caller.left()
-        if caller.left and caller.ahead_bytes > const.AHEAD_BYTES_MAX:
+        caller.buffered_bytes += len(data)
+        caller.data_received.set()
+        if caller.closed and caller.on_disconnect is not None:
+            caller.on_disconnect()
+        if (
+            caller.on_disconnect
+            and caller.buffered_bytes > const.BUFFERED_BYTES_MAX
+        ):
             caller.resume = trio.Event()
             await caller.resume.wait()
 
 
-async def _exchanges(server: models.Server, caller: models.Caller) -> None:
+async def _serve_requests(
+    server: models.Server, caller: models.Caller
+) -> None:
     while not caller.closed or caller.parser.trailing_data[0]:
         try:
-            asked = await reading.request(server, caller)
+            request = await request_reader.read_request(server, caller)
         except models.BadRequestError as error:
-            answer = server.refuse(error.status, str(error))
-            await _write(caller, answer, close=True)
+            response = server.refuse(error.status, str(error))
+            await _write(caller, response, close=True)
             await _linger(caller)
             return
-        if asked is None:
+        if request is None:
             return
-        close = await _answer(server, caller, asked)
+        close = await _serve_request(server, caller, request)
         if close is None:
             return
         if close:
@@ -93,59 +98,65 @@
         caller.parser.start_next_cycle()
 
 
-async def _answer(
-    server: models.Server, caller: models.Caller, asked: models.Asked
+async def _serve_request(
+    server: models.Server, caller: models.Caller, request: models.Request
 ) -> bool | None:
-    """models.Answer a request; return whether to close, None if it is cut."""
-    server.busy += 1
+    """Answer a request.
+
+    Returns whether to close the connection, None to abort it.
+    """
+    server.active_requests += 1
     try:
-        answered = await server.handle(caller, asked)
-        caller.left = None
-        if answered is None or caller.closed:
+        response = await server.handle(caller, request)
+        caller.on_disconnect = None
+        if response is None or caller.closed:
             return None
-        close = server.closing or _wants_close(caller)
+        close = server.closing or _requires_close(caller)
         await _write(
-            caller, answered, close=close, without_body=asked.method == b'HEAD'
+            caller,
+            response,
+            close=close,
+            without_body=request.method == b'HEAD',
         )
         return close
     finally:
-        server.busy -= 1
-        server.body_bytes -= len(asked.body)
-        if server.busy == 0:
-            server.emptied.set()
+        server.active_requests -= 1
+        server.body_bytes -= len(request.body)
+        if server.active_requests == 0:
+            server.became_idle.set()
 
 
-async def idle(server: models.Server) -> None:
-    """Wait until no caller waits for an answer."""
-    while server.busy:
-        server.emptied = trio.Event()
-        await server.emptied.wait()
+async def wait_until_idle(server: models.Server) -> None:
+    """Wait until no request is being handled."""
+    while server.active_requests:
+        server.became_idle = trio.Event()
+        await server.became_idle.wait()
 
 
-def _wants_close(caller: models.Caller) -> bool:
+def _requires_close(caller: models.Caller) -> bool:
     return caller.parser.their_state is not h11.DONE
 
 
 async def _write(
     caller: models.Caller,
-    answer: models.Answer,
+    response: models.Response,
     *,
     close: bool,
     without_body: bool = False,
 ) -> None:
     parser = caller.parser
-    headers = list(answer.headers)
+    headers = list(response.headers)
     if close:
         headers.append((b'Connection', b'close'))
-    headers.append((b'Content-Length', str(len(answer.body)).encode()))
-    head = h11.Response(status_code=answer.status, headers=headers)
+    headers.append((b'Content-Length', str(len(response.body)).encode()))
+    head = h11.Response(status_code=response.status, headers=headers)
     try:
         parts = [parser.send(head)]
-        if answer.body and not without_body:
-            parts.append(parser.send(h11.Data(data=answer.body)))
+        if response.body and not without_body:
+            parts.append(parser.send(h11.Data(data=response.body)))
         parts.append(parser.send(h11.EndOfMessage()))
     except h11.LocalProtocolError:
-        # The answer can't be put in a frame: nothing of it was written.
+        # The response is not valid HTTP; nothing was written.
         caller.closed = True
         raise trio.BrokenResourceError from None
     with trio.move_on_after(const.WRITE_TIMEOUT_S):
@@ -153,13 +164,13 @@
 
 
 async def _linger(caller: models.Caller) -> None:
-    """Let the caller read the answer before the connection is closed.
+    """Give the caller time to read the response before closing.
 
-    Closing with bytes unread would reset it.
+    Closing a socket with unread input resets the connection.
     """
     with trio.move_on_after(const.CLOSE_LINGER_S):
         await caller.stream.send_eof()
         while not caller.closed:
-            caller.news = trio.Event()
-            caller.ahead_bytes = 0
-            await caller.news.wait()
+            caller.data_received = trio.Event()
+            caller.buffered_bytes = 0
+            await caller.data_received.wait()
--- a/packages/gateway/src/zinnialead_gateway/http/sockets.py
+++ b/packages/gateway/src/zinnialead_gateway/http/sockets.py
@@ -1,4 +1,4 @@
-"""Open sockets by address."""
+"""Open listening and connected TCP sockets."""
 
 import socket
 
@@ -8,7 +8,9 @@
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address; ValueError if it has none.
+    """Split an address into host and port.
+
+    Raises ValueError if it has no host or no numeric port.
 
     >>> parse_address('10.1.0.18:8381')
     ('10.1.0.18', 8381)
@@ -20,7 +22,7 @@
 
 
 async def listen(address: str) -> trio.SocketListener:
-    """Return a listener that is bound to an address."""
+    """Open a listener on an address."""
     sock = trio.socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     await sock.bind(parse_address(address))
@@ -28,15 +30,15 @@
     return trio.SocketListener(sock)
 
 
-async def connect(address: str, *, watched: bool) -> trio.SocketStream:
-    """Connect within the time-out; a ``watched`` one is probed when idle.
+async def connect(address: str, *, tcp_keepalive: bool) -> trio.SocketStream:
+    """Connect to an address, with TCP keep-alive probes if asked for.
 
     Raises OSError or trio.TooSlowError.
     """
     sock = trio.socket.socket()
     try:
-        if watched:
-            _watch(sock)
+        if tcp_keepalive:
+            _enable_keepalive(sock)
         with trio.fail_after(const.CONNECT_TIMEOUT_MS / 1_000.0):
             await sock.connect(parse_address(address))
     except BaseException:
@@ -45,10 +47,10 @@
     return trio.SocketStream(sock)
 
 
-def _watch(sock: trio.socket.SocketType) -> None:
+def _enable_keepalive(sock: trio.socket.SocketType) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, const.KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, const.KEEPALIVE_PERIOD_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, const.KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, const.USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, const.TCP_USER_TIMEOUT_MS)
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -31,7 +31,7 @@
     metrics.sums_ms[name] = metrics.sums_ms.get(name, 0.0) + elapsed_ms
 
 
-def page(metrics: Metrics) -> http_models.Answer:
+def page(metrics: Metrics) -> http_models.Response:
     """Return the metrics page."""
     # Imported on demand: few processes are ever asked for the page.
     import prometheus_client
@@ -42,7 +42,7 @@
     registry.register(typing.cast('typing.Any', _Collector(metrics)))
     body = exposition.generate_latest(registry)
     kind = prometheus_client.CONTENT_TYPE_LATEST.encode()
-    return http_models.Answer(200, [(b'Content-Type', kind)], body)
+    return http_models.Response(200, [(b'Content-Type', kind)], body)
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
--- a/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
@@ -27,11 +27,11 @@
 async def handle(
     operators: Operators,
     _caller: http_models.Caller,
-    asked: http_models.Asked,
-) -> http_models.Answer:
-    """Return the page that is asked for."""
+    request: http_models.Request,
+) -> http_models.Response:
+    """Return the requested page."""
     world = operators.engine.world
-    match asked.target.partition(b'?')[0]:
+    match request.target.partition(b'?')[0]:
         case b'/metrics':
             return metrics.page(operators.metrics)
         case b'/v1/dump':
@@ -41,13 +41,13 @@
             drained = sorted(world.upstreams.drained)
             return _json({'configuration': known, 'drained': drained})
         case _:
-            return http_models.Answer(404, [], b'no such page\n')
+            return http_models.Response(404, [], b'no such page\n')
 
 
-def _json(document: object) -> http_models.Answer:
+def _json(document: object) -> http_models.Response:
     # Rows stay readable: without this they become lists.
     body = msgspec.json.encode(_plain(document))
-    return http_models.Answer(200, JSON, body)
+    return http_models.Response(200, JSON, body)
 
 
 def _plain(value: object) -> object:
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -110,7 +110,7 @@
 async def _ask(peers: Peers, output: out.RequestSnapshots) -> None:
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
-            stream = await sockets.connect(output.address, watched=False)
+            stream = await sockets.connect(output.address, tcp_keepalive=False)
             async with stream:
                 await _write(stream, codec.encode_ask(output.kinds))
                 heard = codec.decode_answer(await _read(stream))
--- a/packages/gateway/src/zinnialead_gateway/store/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/store/coordinator.py
@@ -72,12 +72,12 @@
 
 
 async def _exchange(store: Store, request: client.Request) -> client.Response:
-    connection = await client.take(store.pool, store.address, IDLE_MAX_MS)
+    connection = await client.acquire(store.pool, store.address, IDLE_MAX_MS)
     try:
         await client.send(connection, request)
         response = await client.receive(connection)
     except BaseException:
         client.close(connection)
         raise
-    client.give_back(store.pool, connection)
+    client.release(store.pool, connection)
     return response
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -119,7 +119,7 @@
     if exchange is None:
         return verdict.NotSent('the caller left'), None
     try:
-        connection = await client.take(
+        connection = await client.acquire(
             parts.pool, dispatch.address, dispatch.idle_max_ms
         )
     except (OSError, ValueError, trio.TooSlowError) as error:
@@ -128,7 +128,7 @@
     spent_ms = engines.now_ms() - attempt.began_ms
     left_ms = int(dispatch.deadline_in_ms - spent_ms)
     if left_ms <= 0:
-        client.give_back(parts.pool, connection)
+        client.release(parts.pool, connection)
         return verdict.NotSent('no time was left'), None
     request = client.Request(
         exchange.method,
@@ -141,7 +141,7 @@
         got = await _answer(parts, exchange, connection, request)
     except BROKEN as error:
         return verdict.Lost(f'{dispatch.address}: {error!r}'), None
-    client.give_back(parts.pool, connection)
+    client.release(parts.pool, connection)
     return _outcome(got), got
 
 
@@ -160,7 +160,7 @@
         if head.name is None and (head.not_run or not head.sealed):
             return Got(response, head)
         parts.engine.world.counters['upstreams.stray_answers'] += 1
-        client.begin_again(connection, request)
+        client.expect_another_response(connection, request)
     raise client.ProtocolError('only answers to other requests came')
 
 
@@ -178,4 +178,4 @@
 async def unload(parts: Upstreams) -> None:
     """Close what is idle."""
     for address in list(parts.pool.idle):
-        client.drop(parts.pool, address)
+        client.close_idle(parts.pool, address)
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -156,8 +156,8 @@
         (b'Zinnialead-Request-Id', name),
         (b'Zinnialead-Deadline-Ms', b'1500'),
     ]
-    pool = client.Pool(watched=False)
-    connection = await client.take(pool, address, 1_000.0)
+    pool = client.Pool(tcp_keepalive=False)
+    connection = await client.acquire(pool, address, 1_000.0)
     try:
         request = client.Request(method, target, headers, b'')
         await client.send(connection, request)
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -21,7 +21,9 @@
         lambda: LIMITS,
         100,
         lambda _: None,
-        lambda status, reason: http_models.Answer(status, [], reason.encode()),
+        lambda status, reason: http_models.Response(
+            status, [], reason.encode()
+        ),
         print,
     )
     nursery.start_soon(server.serve, made, listener)
@@ -39,7 +41,7 @@
     )
     if reply is None:
         return None
-    return http_models.Answer(reply.status, [], reply.body)
+    return http_models.Response(reply.status, [], reply.body)
 
 
 @dataclasses.dataclass
@@ -62,9 +64,9 @@
     name = headers[b'zinnialead-request-id']
     echo = [(b'Zinnialead-Request-Id', name)]
     if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
-        return http_models.Answer(421, echo, b'')
+        return http_models.Response(421, echo, b'')
     if upstream.how == 'sheds':
-        return http_models.Answer(
+        return http_models.Response(
             503, [*echo, (b'Zinnialead-Not-Executed', b'1')], b''
         )
     upstream.ran.append(name.decode())
@@ -73,8 +75,8 @@
         case 'cuts':
             return None
         case 'unsealed':
-            return http_models.Answer(200, echo, b'whose?')
+            return http_models.Response(200, echo, b'whose?')
     load = f'1,0,{upstream.slots}'.encode()
     sealed = [(b'Zinnialead-Response-Seal', b'seal')]
     told = [(b'Zinnialead-Server-Load', load)]
-    return http_models.Answer(200, echo + sealed + told, b'done')
+    return http_models.Response(200, echo + sealed + told, b'done')
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -13,11 +13,11 @@
 
 
 async def echo(caller, asked):
-    return http_models.Answer(200, [], asked.target + b':' + asked.body)
+    return http_models.Response(200, [], asked.target + b':' + asked.body)
 
 
 def refuse(status, reason):
-    return http_models.Answer(status, [], reason.encode())
+    return http_models.Response(status, [], reason.encode())
 
 
 async def served(nursery, handle=echo):
@@ -102,7 +102,7 @@
     left = trio.Event()
 
     async def slow(caller, _asked):
-        caller.left = left.set
+        caller.on_disconnect = left.set
         await trio.sleep(5.0)
 
     _, connect = await served(nursery, slow)
@@ -125,7 +125,7 @@
     async def fail(_caller, asked):
         if asked.target == b'/x':
             raise RuntimeError('broken')
-        return http_models.Answer(200, [], b'well')
+        return http_models.Response(200, [], b'well')
 
     _, connect = await served(nursery, fail)
     assert await ask(connect, GET) == b''
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -44,10 +44,10 @@
     name = headers[b'zinnialead-request-id']
     echo = [(b'Zinnialead-Request-Id', name)]
     if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
-        return http_models.Answer(421, echo, b'')
+        return http_models.Response(421, echo, b'')
     if upstream.running >= upstream.slots:
         refusal = [*echo, (b'Zinnialead-Not-Executed', b'1')]
-        return http_models.Answer(503, refusal, b'')
+        return http_models.Response(503, refusal, b'')
     soak.tables.runs.append(
         models.RunRow(
             name.decode(),
@@ -65,4 +65,4 @@
         upstream.running -= 1
     load = f'{upstream.running},0,{upstream.slots}'.encode()
     told = [(SEAL, b'seal'), (b'Zinnialead-Server-Load', load)]
-    return http_models.Answer(200, echo + told, b'done ' + name)
+    return http_models.Response(200, echo + told, b'done ' + name)
