Rename http.start to http.start_response

`http.start(send, status, headers)` read as if it started a server; it sends the status line and headers of a response, the ASGI message `http.response.start`. The stand-ins and the tests follow.

--- a/packages/daemon/src/zinnialead_daemon/components/front/answers.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/answers.py
@@ -76,7 +76,7 @@
         await http.respond(send, found.status, headers, found.body)
         return
     with found.rest:
-        await http.start(send, found.status, headers)
+        await http.start_response(send, found.status, headers)
         await _send_part(send, models.Chunk(found.body, last=False))
         async for chunk in found.rest:
             await _send_part(send, chunk)
--- a/packages/daemon/src/zinnialead_daemon/http/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/http/__init__.py
@@ -8,7 +8,7 @@
 from zinnialead_daemon.http.asgi import respond
 from zinnialead_daemon.http.asgi import Scope
 from zinnialead_daemon.http.asgi import Send
-from zinnialead_daemon.http.asgi import start
+from zinnialead_daemon.http.asgi import start_response
 from zinnialead_daemon.http.problems import Problem
 from zinnialead_daemon.http.problems import send_problem
 from zinnialead_daemon.http.server import Binding
@@ -27,5 +27,5 @@
     'respond',
     'send_problem',
     'serve',
-    'start',
+    'start_response',
 ]
--- a/packages/daemon/src/zinnialead_daemon/http/asgi.py
+++ b/packages/daemon/src/zinnialead_daemon/http/asgi.py
@@ -16,12 +16,12 @@
     send: Send, status: int, headers: Headers, body: bytes
 ) -> None:
     """Send one whole answer."""
-    await start(send, status, headers)
+    await start_response(send, status, headers)
     await send({'type': 'http.response.body', 'body': body})
 
 
-async def start(send: Send, status: int, headers: Headers) -> None:
-    """Send the head of an answer."""
+async def start_response(send: Send, status: int, headers: Headers) -> None:
+    """Send the status and headers of a response."""
     head = {
         'type': 'http.response.start',
         'status': status,
--- a/packages/standins/src/zinnialead_standins/store/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/store/coordinator.py
@@ -107,7 +107,7 @@
     reply = await answer(store, scope['method'], target, body)
     if reply is None:
         # A body that never comes ends the connection.
-        await http.start(send, 200, [(b'content-length', b'1')])
+        await http.start_response(send, 200, [(b'content-length', b'1')])
         return
     await http.respond(send, reply.status, JSON, reply.body)
 
--- a/packages/standins/src/zinnialead_standins/upstream/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/upstream/coordinator.py
@@ -142,7 +142,7 @@
         (const.HEADER_WORK, work),
     ]
     if isinstance(upstream.behaviour, models.Cutting):
-        await http.start(send, 200, head)
+        await http.start_response(send, 200, head)
         part = {'type': 'http.response.body', 'more_body': True}
         await send({**part, 'body': body[: -const.CUT_BYTES]})
         return
--- a/tests/daemon/front/test_front.py
+++ b/tests/daemon/front/test_front.py
@@ -44,7 +44,7 @@
         case '/large':
             await http.respond(send, 200, length, LARGE)
         case '/cut':
-            await http.start(send, 200, length)
+            await http.start_response(send, 200, length)
             part = {'type': 'http.response.body', 'body': LARGE[:-1]}
             await send({**part, 'more_body': True})
         case '/silent':
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -41,7 +41,7 @@
         self.keys.append(headers.get(b'idempotency-key'))
         status, verdict, body = self.verdicts.pop(0)
         if status is None:
-            await http.start(send, 200, [(b'content-length', b'9')])
+            await http.start_response(send, 200, [(b'content-length', b'9')])
             return
         await http.respond(
             send, status, [(b'zinnialead-verdict', verdict)], body
