--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -82,7 +82,7 @@
     """Return an entry that serves."""
     engine = engines.new_engine(_new_world(settings))
     made_peers = await peers.set_up(
-        engine, nursery, settings.peers_bind, settings.asked_binds
+        engine, nursery, settings.peers_bind, settings.snapshot_binds
     )
     parts = upstreams.Upstreams(
         engine, dialect, nursery, client.Pool(tcp_keepalive=False)
@@ -155,11 +155,11 @@
         case out.LogStateChange():
             logs.belief(application.logs, output)
         case out.SendHeartbeat():
-            peers.send(application.peers, output)
+            peers.send_heartbeat(application.peers, output)
         case out.SendChanges():
-            peers.tell(application.peers, output)
+            peers.send_changes(application.peers, output)
         case out.RequestSnapshots():
-            peers.ask(application.peers, output)
+            peers.request_snapshots(application.peers, output)
         case out.CallStore():
             stores.call(application.store, output)
         case out.CloseIdleConnections():
--- a/packages/gateway/src/zinnialead_gateway/peers/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Exchange heartbeats with other entries."""
+"""Exchange heartbeats and store changes with other entries."""
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -1,4 +1,4 @@
-"""Encode and decode what entries send each other."""
+"""Encode and decode the messages between entries."""
 
 from collections import abc
 import pathlib
@@ -18,28 +18,30 @@
 
 capnp.remove_import_hook()
 
-_PATH = pathlib.Path(__file__).with_name('peers.capnp')
-_SCHEMA: typing.Any = capnp.load(str(_PATH))
-# A quarter of what a datagram may hold; what is larger is asked for.
+_SCHEMA_PATH = pathlib.Path(__file__).with_name('peers.capnp')
+_SCHEMA: typing.Any = capnp.load(str(_SCHEMA_PATH))
+# A quarter of the largest datagram. Peers request a snapshot when changes
+# are larger.
 DATAGRAM_BYTES_MAX = 16_384
-# A state of 10,000 upstreams and some hundred routes fits.
+# Large enough for 10,000 upstreams and a few hundred routes.
 FRAME_BYTES_MAX = 4_194_304
 CHECKSUM = struct.Struct('!I')
-# Rows of each kind travel as one list.
-ROWS: dict[store.Kind, typing.Any] = {
+# Types of the row lists in snapshots, by kind.
+ROW_LISTS: dict[store.Kind, typing.Any] = {
     store.Kind.CONFIGURATION: list[routes.Configuration],
     store.Kind.DRAINS: list[ids.DomainId],
     store.Kind.UPSTREAMS: list[upstreams.UpstreamRow],
     store.Kind.ENTRIES: list[entries.EntryRow],
 }
-# Changes are rows, or names of what is gone.
-CHANGES: dict[store.Kind, typing.Any] = {
+# Types of the change lists, by kind: each item is a removal flag with the
+# removed name, or with the changed row.
+CHANGE_LISTS: dict[store.Kind, typing.Any] = {
     store.Kind.CONFIGURATION: list[tuple[bool, routes.Configuration]],
     store.Kind.DRAINS: list[tuple[bool, ids.DomainId]],
     store.Kind.UPSTREAMS: list[tuple[bool, upstreams.UpstreamRow | str]],
     store.Kind.ENTRIES: list[tuple[bool, entries.EntryRow | str]],
 }
-UNREADABLE = (
+DECODE_ERRORS = (
     TypeError,
     capnp.KjException,
     UnicodeDecodeError,
@@ -49,179 +51,188 @@
 )
 
 
-def encode_beat(beat: entries.Heartbeat) -> bytes:
-    """Return a heartbeat as the bytes of a datagram."""
+def encode_heartbeat(heartbeat: entries.Heartbeat) -> bytes:
+    """Encode a heartbeat as a datagram."""
     message = _SCHEMA.Datagram.new_message()
-    place = message.init('beat')
-    place.entry = str(beat.entry)
-    place.incarnation = beat.incarnation
-    place.leaving = beat.leaving
-    place.ready = beat.ready
-    place.latest = list(beat.latest_revisions)
-    place.mayRead = beat.may_read
-    place.perS = beat.requests_per_s
-    return _checked(message.to_bytes_packed())
-
-
-def encode_told(told: inp.PeerChanges) -> bytes:
-    """Return changes as a datagram; ValueError if they don't fit in one."""
+    builder = message.init('beat')
+    builder.entry = str(heartbeat.entry)
+    builder.incarnation = heartbeat.incarnation
+    builder.leaving = heartbeat.leaving
+    builder.ready = heartbeat.ready
+    builder.latest = list(heartbeat.latest_revisions)
+    builder.mayRead = heartbeat.may_read
+    builder.perS = heartbeat.requests_per_s
+    return _add_checksum(message.to_bytes_packed())
+
+
+def encode_changes(changes: inp.PeerChanges) -> bytes:
+    """Encode changes as a datagram; ValueError if they are too large."""
     message = _SCHEMA.Datagram.new_message()
-    place = message.init('told')
-    place.kind = told.kind.value
-    place.base = told.base_revision
-    place.latest = told.latest_revision
-    place.settleMs = told.removal_delay_ms
-    place.source = told.source
-    place.changes = msgspec.msgpack.encode(list(map(_change, told.items)))
-    data = _checked(message.to_bytes_packed())
+    builder = message.init('told')
+    builder.kind = changes.kind.value
+    builder.base = changes.base_revision
+    builder.latest = changes.latest_revision
+    builder.settleMs = changes.removal_delay_ms
+    builder.source = changes.source
+    builder.changes = msgspec.msgpack.encode(
+        list(map(_to_change, changes.items))
+    )
+    data = _add_checksum(message.to_bytes_packed())
     if len(data) > DATAGRAM_BYTES_MAX:
         raise ValueError(f'{len(data)} bytes of changes')
     return data
 
 
 def decode_datagram(data: bytes) -> inp.HeartbeatReceived | inp.PeerChanges:
-    """Return what a datagram tells; ValueError if it can't be read."""
+    """Decode a datagram; ValueError if it is malformed."""
     if len(data) > DATAGRAM_BYTES_MAX:
         raise ValueError(f'a datagram of {len(data)} bytes')
     try:
-        message = _SCHEMA.Datagram.from_bytes_packed(_opened(data))
+        message = _SCHEMA.Datagram.from_bytes_packed(_strip_checksum(data))
         match message.which():
             case 'beat':
-                return inp.HeartbeatReceived(_beat(message.beat))
+                return inp.HeartbeatReceived(_read_heartbeat(message.beat))
             case _:
-                return _told(message.told)
-    except UNREADABLE as error:
-        raise ValueError(f'no datagram of an entry: {error}') from error
+                return _read_changes(message.told)
+    except DECODE_ERRORS as error:
+        raise ValueError(f'malformed datagram: {error}') from error
 
 
-def encode_ask(kinds: abc.Sequence[store.Kind]) -> bytes:
-    """Return a question for some kinds of objects."""
+def encode_snapshot_request(kinds: abc.Sequence[store.Kind]) -> bytes:
+    """Encode a request for snapshots of some kinds of objects."""
     message = _SCHEMA.Ask.new_message()
     message.kinds = [kind.value for kind in kinds]
-    return _checked(message.to_bytes_packed())
+    return _add_checksum(message.to_bytes_packed())
 
 
-def decode_ask(data: bytes) -> list[store.Kind]:
-    """Return the kinds that are asked for; ValueError if it is no ask."""
+def decode_snapshot_request(data: bytes) -> list[store.Kind]:
+    """Decode the requested kinds; ValueError if they are malformed."""
     try:
-        message = _SCHEMA.Ask.from_bytes_packed(_opened(data))
+        message = _SCHEMA.Ask.from_bytes_packed(_strip_checksum(data))
         return [store.Kind(kind) for kind in message.kinds]
-    except UNREADABLE as error:
-        raise ValueError(f'no question: {error}') from error
+    except DECODE_ERRORS as error:
+        raise ValueError(f'malformed snapshot request: {error}') from error
 
 
-def encode_answer(source: str, known: abc.Sequence[inp.PeerSnapshot]) -> bytes:
-    """Return what an entry knows of some kinds."""
+def encode_snapshots(
+    source: str, snapshots: abc.Sequence[inp.PeerSnapshot]
+) -> bytes:
+    """Encode an entry's snapshots as the answer to a request."""
     message = _SCHEMA.Answer.new_message()
     message.source = source
-    places = message.init('known', len(known))
-    for place, item in zip(places, known, strict=True):
-        place.kind = item.kind.value
-        place.latest = item.latest_revision
-        place.seen = item.synced_revision
-        place.settleMs = item.removal_delay_ms
-        rows = msgspec.msgpack.encode(list(map(_row, item.items)))
-        # A large configuration goes to all entries at once, over links of
-        # a few Mbit/s.
-        place.rows = zlib.compress(rows, level=1)
-    return _checked(message.to_bytes_packed())
-
-
-def decode_answer(data: bytes) -> list[inp.PeerSnapshot]:
-    """Return what an entry told; ValueError if it can't be read."""
+    builders = message.init('known', len(snapshots))
+    for builder, snapshot in zip(builders, snapshots, strict=True):
+        builder.kind = snapshot.kind.value
+        builder.latest = snapshot.latest_revision
+        builder.seen = snapshot.synced_revision
+        builder.settleMs = snapshot.removal_delay_ms
+        rows = msgspec.msgpack.encode(list(map(_to_row, snapshot.items)))
+        # All entries may request a large configuration at once, over links
+        # of a few Mbit/s.
+        builder.rows = zlib.compress(rows, level=1)
+    return _add_checksum(message.to_bytes_packed())
+
+
+def decode_snapshots(data: bytes) -> list[inp.PeerSnapshot]:
+    """Decode an entry's snapshots; ValueError if they are malformed."""
     try:
         message = _SCHEMA.Answer.from_bytes_packed(
-            _opened(data), traversal_limit_in_words=2**24
+            _strip_checksum(data), traversal_limit_in_words=2**24
         )
-        return [_heard(message.source, place) for place in message.known]
-    except UNREADABLE as error:
-        raise ValueError(f'no answer: {error}') from error
+        return [
+            _read_snapshot(message.source, reader) for reader in message.known
+        ]
+    except DECODE_ERRORS as error:
+        raise ValueError(f'malformed snapshots: {error}') from error
 
 
-def _checked(data: bytes) -> bytes:
-    """Return bytes after their checksum."""
+def _add_checksum(data: bytes) -> bytes:
+    """Return data with its checksum in front."""
     return CHECKSUM.pack(zlib.crc32(data)) + data
 
 
-def _opened(data: bytes) -> bytes:
-    """Return what a checksum stands for; ValueError if it does not fit.
+def _strip_checksum(data: bytes) -> bytes:
+    """Return data without its checksum; ValueError if they don't match.
 
-    The codec's library takes 100 ms to report bytes that it can't read,
-    as it resolves a stack trace by another program.
+    Malformed data must not reach the capnp library, which takes 100 ms to
+    report it: it starts another program to resolve a stack trace.
     """
     if len(data) < CHECKSUM.size:
-        raise ValueError('it is too short for a checksum')
+        raise ValueError('too short for a checksum')
     (expected,) = CHECKSUM.unpack_from(data)
     body = data[CHECKSUM.size :]
     if zlib.crc32(body) != expected:
-        raise ValueError('its checksum does not fit')
+        raise ValueError('the checksum does not match')
     return body
 
 
-def _heard(source: str, place: typing.Any) -> inp.PeerSnapshot:  # noqa: ANN401
-    kind = store.Kind(place.kind)
-    data = zlib.decompressobj().decompress(place.rows, FRAME_BYTES_MAX)
-    rows = msgspec.msgpack.decode(data, type=ROWS[kind])
-    items = tuple(_item(kind, row, source) for row in rows)
+def _read_snapshot(
+    source: str,
+    reader: typing.Any,  # noqa: ANN401
+) -> inp.PeerSnapshot:
+    kind = store.Kind(reader.kind)
+    data = zlib.decompressobj().decompress(reader.rows, FRAME_BYTES_MAX)
+    rows = msgspec.msgpack.decode(data, type=ROW_LISTS[kind])
+    items = tuple(_to_input(kind, row, source) for row in rows)
     return inp.PeerSnapshot(
-        kind, place.latest, items, source, place.seen, place.settleMs
+        kind, reader.latest, items, source, reader.seen, reader.settleMs
     )
 
 
-def _beat(place: typing.Any) -> entries.Heartbeat:  # noqa: ANN401
+def _read_heartbeat(reader: typing.Any) -> entries.Heartbeat:  # noqa: ANN401
     return entries.Heartbeat(
-        ids.EntryId(place.entry),
-        place.incarnation,
-        place.leaving,
-        place.ready,
-        tuple(place.latest),
-        place.mayRead,
-        place.perS,
+        ids.EntryId(reader.entry),
+        reader.incarnation,
+        reader.leaving,
+        reader.ready,
+        tuple(reader.latest),
+        reader.mayRead,
+        reader.perS,
     )
 
 
-def _told(place: typing.Any) -> inp.PeerChanges:  # noqa: ANN401
-    kind = store.Kind(place.kind)
-    changes = msgspec.msgpack.decode(place.changes, type=CHANGES[kind])
+def _read_changes(reader: typing.Any) -> inp.PeerChanges:  # noqa: ANN401
+    kind = store.Kind(reader.kind)
+    changes = msgspec.msgpack.decode(reader.changes, type=CHANGE_LISTS[kind])
     items = tuple(
-        _removed(kind, value)
-        if is_gone
-        else _item(kind, _whole(kind, value), place.source)
-        for is_gone, value in changes
+        _to_removal(kind, value)
+        if is_removed
+        else _to_input(kind, _require_row(kind, value), reader.source)
+        for is_removed, value in changes
     )
     return inp.PeerChanges(
-        kind, place.base, place.latest, items, place.source, place.settleMs
+        kind, reader.base, reader.latest, items, reader.source, reader.settleMs
     )
 
 
 class Change(typing.NamedTuple):
-    """Hold the row that changed, or the name of what is gone."""
+    """Hold a changed row, or the name of a removed object."""
 
-    is_gone: bool
+    is_removed: bool
     value: object
 
 
-def _change(item: object) -> Change:
+def _to_change(item: object) -> Change:
     match item:
         case (
             inp.UpstreamDeregistered(name)
             | inp.EntryDeregistered(name)
             | inp.DrainRemoved(name)
         ):
-            return Change(is_gone=True, value=name)
+            return Change(is_removed=True, value=name)
         case _:
-            return Change(is_gone=False, value=_row(item))
+            return Change(is_removed=False, value=_to_row(item))
 
 
-def _whole(kind: store.Kind, row: object) -> object:
+def _require_row(kind: store.Kind, row: object) -> object:
     if isinstance(row, str) and kind is not store.Kind.DRAINS:
-        raise TypeError(f'{row!r} is no row')
+        raise TypeError(f'{row!r} is not a row')
     return row
 
 
-def _removed(kind: store.Kind, name: object) -> inp.Input:
+def _to_removal(kind: store.Kind, name: object) -> inp.Input:
     if not isinstance(name, str):
-        raise TypeError(f'{name!r} names nothing')
+        raise TypeError(f'{name!r} is not a name')
     match kind:
         case store.Kind.UPSTREAMS:
             return inp.UpstreamDeregistered(ids.UpstreamId(name))
@@ -233,7 +244,7 @@
             raise ValueError('configurations are never removed')
 
 
-def _row(item: object) -> object:
+def _to_row(item: object) -> object:
     match item:
         case inp.UpstreamRegistered(row) | inp.EntryRegistered(row):
             return row
@@ -244,7 +255,7 @@
     raise ValueError(f'{item!r} is not a row that entries share')
 
 
-def _item(
+def _to_input(
     kind: store.Kind,
     row: typing.Any,  # noqa: ANN401
     source: str,
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -1,4 +1,4 @@
-"""Exchange heartbeats, and what entries know of the store's objects."""
+"""Send and receive heartbeats, changes and snapshots of stored objects."""
 
 from collections import abc
 import dataclasses
@@ -13,10 +13,10 @@
 from zinnialead_gateway.http import sockets
 from zinnialead_gateway.peers import codec
 
-# The next heartbeat asks another entry.
+# After a timeout, the next heartbeat round queries another entry.
 EXCHANGE_TIMEOUT_S = 0.8
 LENGTH = struct.Struct('!I')
-BROKEN = (
+EXCHANGE_ERRORS = (
     OSError,
     ValueError,
     trio.BrokenResourceError,
@@ -27,7 +27,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Peers:
-    """Hold the socket that heartbeats and changes go through."""
+    """Hold the datagram socket for heartbeats and changes."""
 
     engine: engines.Engine
     nursery: trio.Nursery
@@ -38,44 +38,51 @@
     engine: engines.Engine,
     nursery: trio.Nursery,
     bind: str,
-    asked_at: abc.Sequence[str],
+    snapshot_binds: abc.Sequence[str],
 ) -> Peers:
-    """Return peers that hear beats at ``bind`` and are asked at others."""
+    """Bind the sockets and start receiving.
+
+    Heartbeats and changes arrive at ``bind``, snapshot requests at
+    ``snapshot_binds``.
+    """
     sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
     await sock.bind(sockets.parse_address(bind))
     peers = Peers(engine, nursery, sock)
-    nursery.start_soon(_hear, peers)
-    for address in asked_at:
+    nursery.start_soon(_receive, peers)
+    for address in snapshot_binds:
         listener = await sockets.listen(address)
-        answer = functools.partial(_answer, peers)
+        answer = functools.partial(_serve_snapshots, peers)
         nursery.start_soon(trio.serve_listeners, answer, [listener])
     return peers
 
 
 def unload(peers: Peers) -> None:
-    """Close the socket."""
+    """Close the datagram socket."""
     peers.socket.close()
 
 
-def send(peers: Peers, output: out.SendHeartbeat) -> None:
-    """Send a heartbeat; one that can't be sent is counted."""
-    data = codec.encode_beat(output.heartbeat)
+def send_heartbeat(peers: Peers, output: out.SendHeartbeat) -> None:
+    """Send a heartbeat in the background; count failures."""
+    data = codec.encode_heartbeat(output.heartbeat)
     peers.nursery.start_soon(_send, peers, output.addresses, data)
 
 
-def tell(peers: Peers, output: out.SendChanges) -> None:
-    """Send changes; those too large for a datagram are asked for later."""
+def send_changes(peers: Peers, output: out.SendChanges) -> None:
+    """Send changes, unless they are too large for a datagram.
+
+    Peers notice the gap and request a snapshot.
+    """
     try:
-        data = codec.encode_told(output.changes)
+        data = codec.encode_changes(output.changes)
     except ValueError:
         peers.engine.world.counters['peers.too_large'] += 1
         return
     peers.nursery.start_soon(_send, peers, output.addresses, data)
 
 
-def ask(peers: Peers, output: out.RequestSnapshots) -> None:
-    """Ask another entry what it knows; never wait for it."""
-    peers.nursery.start_soon(_ask, peers, output)
+def request_snapshots(peers: Peers, output: out.RequestSnapshots) -> None:
+    """Request snapshots from another entry in the background."""
+    peers.nursery.start_soon(_fetch_snapshots, peers, output)
 
 
 async def _send(
@@ -88,65 +95,69 @@
             peers.engine.world.counters['peers.unsent'] += 1
 
 
-async def _hear(peers: Peers) -> None:
-    """Feed what other entries send to the core for good."""
+async def _receive(peers: Peers) -> None:
+    """Feed received datagrams to the core until the socket closes."""
     size = codec.DATAGRAM_BYTES_MAX + 1
     while True:
         try:
             data, _ = await peers.socket.recvfrom(size)
-            item = codec.decode_datagram(data)
+            received = codec.decode_datagram(data)
         except trio.ClosedResourceError:
             return
         except ValueError:
             peers.engine.world.counters['peers.malformed'] += 1
             continue
         except OSError:
-            # A peer's port without a listener shows as a refused datagram.
+            # An earlier datagram to a closed port is reported here.
             peers.engine.world.counters['peers.receive_failed'] += 1
             continue
-        engines.feed(peers.engine, item)
+        engines.feed(peers.engine, received)
 
 
-async def _ask(peers: Peers, output: out.RequestSnapshots) -> None:
+async def _fetch_snapshots(peers: Peers, output: out.RequestSnapshots) -> None:
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
             stream = await sockets.connect(output.address, tcp_keepalive=False)
             async with stream:
-                await _write(stream, codec.encode_ask(output.kinds))
-                heard = codec.decode_answer(await _read(stream))
-    except BROKEN:
+                await _write_frame(
+                    stream, codec.encode_snapshot_request(output.kinds)
+                )
+                snapshots = codec.decode_snapshots(await _read_frame(stream))
+    except EXCHANGE_ERRORS:
         peers.engine.world.counters['peers.asks_failed'] += 1
         return
-    engines.feed(peers.engine, *heard)
+    engines.feed(peers.engine, *snapshots)
 
 
-async def _answer(peers: Peers, stream: trio.SocketStream) -> None:
+async def _serve_snapshots(peers: Peers, stream: trio.SocketStream) -> None:
     world = peers.engine.world
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
-            kinds = codec.decode_ask(await _read(stream))
+            kinds = codec.decode_snapshot_request(await _read_frame(stream))
             now_ms = engines.now_ms()
-            known = [peer_sync.snapshot(world, now_ms, kind) for kind in kinds]
-            told = [item for item in known if item is not None]
+            found = [peer_sync.snapshot(world, now_ms, kind) for kind in kinds]
+            snapshots = [item for item in found if item is not None]
             source = str(world.node.ref.entry)
-            await _write(stream, codec.encode_answer(source, told))
+            await _write_frame(
+                stream, codec.encode_snapshots(source, snapshots)
+            )
             world.counters['peers.asks_answered'] += 1
-    except BROKEN:
+    except EXCHANGE_ERRORS:
         world.counters['peers.answers_failed'] += 1
 
 
-async def _write(stream: trio.SocketStream, data: bytes) -> None:
+async def _write_frame(stream: trio.SocketStream, data: bytes) -> None:
     await stream.send_all(LENGTH.pack(len(data)) + data)
 
 
-async def _read(stream: trio.SocketStream) -> bytes:
-    (size,) = LENGTH.unpack(await _exactly(stream, LENGTH.size))
+async def _read_frame(stream: trio.SocketStream) -> bytes:
+    (size,) = LENGTH.unpack(await _read_exactly(stream, LENGTH.size))
     if size > codec.FRAME_BYTES_MAX:
         raise ValueError(f'a frame of {size} bytes')
-    return await _exactly(stream, size)
+    return await _read_exactly(stream, size)
 
 
-async def _exactly(stream: trio.SocketStream, size: int) -> bytes:
+async def _read_exactly(stream: trio.SocketStream, size: int) -> bytes:
     data = bytearray()
     while len(data) < size:
         part = await stream.receive_some(size - len(data))
--- a/packages/gateway/src/zinnialead_gateway/settings.py
+++ b/packages/gateway/src/zinnialead_gateway/settings.py
@@ -17,7 +17,7 @@
     ready_bind: str
     directory_bind: str
     peers_bind: str
-    asked_binds: tuple[str, ...]
+    snapshot_binds: tuple[str, ...]
     metrics_bind: str
     store_address: str
     connections_max: int
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -126,7 +126,7 @@
 async def test_an_entry_starts_without_the_store_from_a_seed(nursery):
     store, _, settings, address = await deployments.deployment(nursery)
     stores.set_condition(store, stores.Silent())
-    seed = settings.asked_binds[1]
+    seed = settings.snapshot_binds[1]
     other = await deployments.entry(nursery, address, 'edge-2', f'"{seed}"')
     await deployments.until_ready(other)
     assert (await deployments.ask(other.front_bind)).status == 200
--- a/tests/gateway/test_codec.py
+++ b/tests/gateway/test_codec.py
@@ -1,4 +1,4 @@
-"""Encode what entries send each other, and refuse what they do not."""
+"""Encode the messages between entries; reject malformed ones."""
 
 import contextlib
 
@@ -12,22 +12,22 @@
 from zinnialead_core.gateway.store import models as store
 from zinnialead_gateway.peers import codec
 
-BEAT = entries.Heartbeat(
+HEARTBEAT = entries.Heartbeat(
     'edge-1', 1_700_000_000_000, False, True, (1, 2, 3, 4), True
 )
 
 
-def test_a_beat_comes_back_as_it_was():
-    decoded = codec.decode_datagram(codec.encode_beat(BEAT))
-    assert decoded == inp.HeartbeatReceived(BEAT)
+def test_a_heartbeat_survives_encoding_and_decoding():
+    decoded = codec.decode_datagram(codec.encode_heartbeat(HEARTBEAT))
+    assert decoded == inp.HeartbeatReceived(HEARTBEAT)
 
 
 @hypothesis.given(st.binary(max_size=600))
-def test_no_bytes_do_more_than_raise_value_error(data):
+def test_malformed_bytes_raise_only_value_errors(data):
     for decode in (
         codec.decode_datagram,
-        codec.decode_ask,
-        codec.decode_answer,
+        codec.decode_snapshot_request,
+        codec.decode_snapshots,
     ):
         with contextlib.suppress(ValueError):
             decode(data)
@@ -51,18 +51,18 @@
         ),
     ],
 )
-def test_what_an_entry_knows_comes_back_as_it_was(kind, item):
-    known = inp.PeerSnapshot(kind, 77, (item,), 'edge-1', 79, 1_200.0)
-    assert codec.decode_answer(codec.encode_answer('edge-1', [known])) == [
-        known
-    ]
+def test_a_snapshot_survives_encoding_and_decoding(kind, item):
+    snapshot = inp.PeerSnapshot(kind, 77, (item,), 'edge-1', 79, 1_200.0)
+    assert codec.decode_snapshots(
+        codec.encode_snapshots('edge-1', [snapshot])
+    ) == [snapshot]
 
 
 @hypothesis.given(st.integers(0, 10_000), st.integers(1, 255))
-def test_a_spoilt_byte_is_found_before_the_library_reads_it(place, change):
-    """The library takes 100 ms to report bytes that it can't read."""
-    data = bytearray(codec.encode_beat(BEAT))
-    data[place % len(data)] ^= change
+def test_a_corrupt_byte_is_rejected_by_its_checksum(position, change):
+    """The capnp library takes 100 ms to report malformed data."""
+    data = bytearray(codec.encode_heartbeat(HEARTBEAT))
+    data[position % len(data)] ^= change
     with pytest.raises(ValueError, match='checksum'):
         codec.decode_datagram(bytes(data))
 
@@ -90,37 +90,37 @@
         ),
     ],
 )
-def test_changes_come_back_as_they_were(kind, items):
-    told = inp.PeerChanges(kind, 3, 9, items, 'edge-1', 250.0)
-    assert codec.decode_datagram(codec.encode_told(told)) == told
+def test_changes_survive_encoding_and_decoding(kind, items):
+    changes = inp.PeerChanges(kind, 3, 9, items, 'edge-1', 250.0)
+    assert codec.decode_datagram(codec.encode_changes(changes)) == changes
 
 
-def test_changes_that_fill_more_than_a_datagram_are_refused():
+def test_changes_too_large_for_a_datagram_are_rejected():
     items = tuple(
         inp.UpstreamRegistered(samples.upstream(f'u-{n}')) for n in range(900)
     )
-    told = inp.PeerChanges(store.Kind.UPSTREAMS, 3, 9, items, 'edge-1')
+    changes = inp.PeerChanges(store.Kind.UPSTREAMS, 3, 9, items, 'edge-1')
     with pytest.raises(ValueError, match='bytes of changes'):
-        codec.encode_told(told)
+        codec.encode_changes(changes)
 
 
-def test_a_name_in_the_place_of_a_row_is_refused():
+def test_a_name_instead_of_a_row_is_rejected():
     items = (inp.UpstreamRegistered('u-1'),)
-    told = inp.PeerChanges(store.Kind.UPSTREAMS, 3, 9, items, 'edge-1')
-    with pytest.raises(ValueError, match='is no row'):
-        codec.decode_datagram(codec.encode_told(told))
+    changes = inp.PeerChanges(store.Kind.UPSTREAMS, 3, 9, items, 'edge-1')
+    with pytest.raises(ValueError, match='is not a row'):
+        codec.decode_datagram(codec.encode_changes(changes))
 
 
 def test_a_large_configuration_is_compressed():
-    """All entries of a region ask for it at once."""
+    """All entries of a region may request it at once."""
     rows = [samples.route(f'route-{n}') for n in range(320)]
-    known = inp.PeerSnapshot(
+    snapshot = inp.PeerSnapshot(
         store.Kind.CONFIGURATION,
         77,
         (inp.ConfigurationRead(samples.configuration(9, *rows), 'edge-1'),),
         'edge-1',
         79,
     )
-    data = codec.encode_answer('edge-1', [known])
+    data = codec.encode_snapshots('edge-1', [snapshot])
     assert len(data) < 16_384
-    assert codec.decode_answer(data) == [known]
+    assert codec.decode_snapshots(data) == [snapshot]
