Name callers' requests and upstreams' responses by what they are

The front's rows were "Open", its fields "parts", "open" and "numbers", an upstream's response was "Got", and the dialect spoke of answers and questions. They are PendingRequest, upstreams, pending, request_numbers, UpstreamResponse, ResponseHead and LookUp. Docstrings say what each function sends, receives or returns.

Details of outcomes go into callers' refusals and are unchanged. No renamed class or field is written out.

--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -84,7 +84,7 @@
     made_peers = await peers.set_up(
         engine, nursery, settings.peers_bind, settings.snapshot_binds
     )
-    parts = upstreams.Upstreams(
+    upstream_attempts = upstreams.Upstreams(
         engine, dialect, nursery, client.Pool(tcp_keepalive=False)
     )
     store = stores.Store(
@@ -102,7 +102,7 @@
         engine=engine,
         logs=logs.set_up(name, engine.world.counters),
         metrics=metrics.Metrics(engine),
-        front=fronts.Front(engine, dialect, parts),
+        front=fronts.Front(engine, dialect, upstream_attempts),
         servers=[],
         listeners=[],
         peers=made_peers,
@@ -142,14 +142,14 @@
     """Hand one output to the part that carries it out."""
     match output:
         case out.Dispatch():
-            upstreams.dispatch(application.front.parts, output)
+            upstreams.dispatch(application.front.upstreams, output)
         case out.Relay():
             metrics.observe(application.metrics, output.route, output.after_ms)
             fronts.relay(application.front, output)
         case out.Refuse():
             fronts.refuse(application.front, output)
         case out.CancelAttempt():
-            upstreams.cancel(application.front.parts, output)
+            upstreams.cancel(application.front.upstreams, output)
         case out.LogDecision():
             logs.decision(application.logs, output)
         case out.LogStateChange():
@@ -163,7 +163,7 @@
         case out.CallStore():
             stores.call(application.store, output)
         case out.CloseIdleConnections():
-            client.close_idle(application.front.parts.pool, output.address)
+            client.close_idle(application.front.upstreams.pool, output.address)
         case out.Notify():
             raise AssertionError(f'{output} left the tick')
 
@@ -207,7 +207,7 @@
         functools.partial(fronts.limits, application.front),
         application.settings.connections_max,
         functools.partial(_count, counters),
-        functools.partial(fronts.refusal, application.front),
+        functools.partial(fronts.refusal_response, application.front),
         functools.partial(_failed, application),
         body_bytes_max=int(memory * BODIES_SHARE),
     )
@@ -239,7 +239,7 @@
 
 
 def _in_hand(application: Application) -> int:
-    return len(application.front.open)
+    return len(application.front.pending)
 
 
 async def _mind(
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -1,7 +1,7 @@
-"""Define what an adapter translates for the process.
+"""Define the functions that translate between a platform and the gateway.
 
-An adapter knows the names of a platform's headers, objects and statuses;
-everything here speaks of rows and of this project's words.
+An adapter implements them with the platform's names of headers, objects and
+statuses. The gateway uses only the types defined here and the core's rows.
 """
 
 from collections import abc
@@ -16,7 +16,11 @@
 
 
 class RequestHead(typing.NamedTuple):
-    """Hold what a caller's head says; ``headers`` are those to forward."""
+    """Hold the decoded head of a caller's request.
+
+    ``name`` is the caller's request id, empty if it sent none; ``headers``
+    are the ones to forward.
+    """
 
     name: str
     host: str
@@ -26,12 +30,12 @@
     headers: Headers
 
 
-class AnswerHead(typing.NamedTuple):
-    """Hold what an upstream's head says.
+class ResponseHead(typing.NamedTuple):
+    """Hold the decoded head of an upstream's response.
 
-    ``name`` is the request that it answers, None where it names none;
-    ``sealed`` says that the upstream vouches for the answer, and
-    ``headers`` are those that the caller gets.
+    ``name`` is the id of the answered request, None if missing; ``sealed``
+    says whether the upstream marked the response as its own; ``headers`` are
+    the ones to return to the caller.
     """
 
     name: str | None
@@ -43,22 +47,22 @@
 
 
 class RefusalHead(typing.NamedTuple):
-    """Hold the status and headers of an answer of the entry's own."""
+    """Hold the status and headers of a refusal by the entry."""
 
     status: int
     headers: Headers
 
 
 class StoreRequest(typing.NamedTuple):
-    """Hold one call to the platform's store."""
+    """Hold an HTTP request to the platform's store."""
 
     method: bytes
     target: bytes
     body: bytes
 
 
-class Question(typing.NamedTuple):
-    """Hold what a caller's look-up says of itself."""
+class LookUp(typing.NamedTuple):
+    """Hold the location that a caller gives in a look-up."""
 
     domain: ids.DomainId | None
     region: ids.RegionId | None
@@ -73,11 +77,11 @@
 
     read_request: abc.Callable[[str, Headers], RequestHead]
     write_request: abc.Callable[[RequestHead, ids.UpstreamId, int], Headers]
-    read_answer: abc.Callable[[int, Headers], AnswerHead]
+    read_response: abc.Callable[[int, Headers], ResponseHead]
     write_refusal: abc.Callable[
         [RequestHead | None, verdict.Refusal], RefusalHead
     ]
     write_store: abc.Callable[[store.Call], StoreRequest]
     read_store: abc.Callable[[store.Call, int, Headers, bytes], store.Result]
-    read_question: abc.Callable[[str], Question | None]
+    read_look_up: abc.Callable[[str], LookUp | None]
     write_addresses: abc.Callable[[list[str], float], bytes]
--- a/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
@@ -27,7 +27,7 @@
 ) -> http_models.Response:
     """Return which entries a caller should use."""
     target = request.target.decode('latin-1')
-    question = directory.dialect.read_question(target)
+    question = directory.dialect.read_look_up(target)
     world = directory.engine.world
     if question is None:
         return http_models.Response(404, [], b'no such look-up\n')
--- a/packages/gateway/src/zinnialead_gateway/front/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/front/__init__.py
@@ -1,1 +1,1 @@
-"""Take callers' requests in, and give them their answers."""
+"""Accept callers' requests and return the responses."""
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -1,4 +1,4 @@
-"""Turn callers' requests into inputs, and outputs into answers."""
+"""Translate callers' requests to inputs and outputs to responses."""
 
 import dataclasses
 import itertools
@@ -19,24 +19,26 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Open:
-    """Hold a request that waits for its answer."""
+class PendingRequest:
+    """Hold a request that waits for its response."""
 
     head: dialects.RequestHead
     done: trio.Event
-    began_ms: float
-    answer: http_models.Response | None = None
+    started_ms: float
+    response: http_models.Response | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Front:
-    """Hold the requests that callers wait for."""
+    """Hold the requests that have no response yet."""
 
     engine: engines.Engine
     dialect: dialects.Dialect
-    parts: upstreams.Upstreams
-    open: dict[ids.RequestId, Open] = dataclasses.field(default_factory=dict)
-    numbers: 'itertools.count[int]' = dataclasses.field(
+    upstreams: upstreams.Upstreams
+    pending: dict[ids.RequestId, PendingRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    request_numbers: 'itertools.count[int]' = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
 
@@ -44,79 +46,83 @@
 async def handle(
     front: Front, caller: http_models.Caller, request: http_models.Request
 ) -> http_models.Response | None:
-    """Return the answer to a caller's request."""
+    """Handle a caller's request; return None if the caller left."""
     target = request.target.decode('latin-1')
     try:
         head = front.dialect.read_request(target, request.headers)
     except ValueError as error:
         front.engine.world.counters['front.bad_requests'] += 1
-        return refusal(front, 400, str(error))
-    request_id = ids.RequestId(next(front.numbers))
-    waiting = Open(head, trio.Event(), engines.now_ms())
-    front.open[request_id] = waiting
-    front.parts.exchanges[request_id] = upstreams.Exchange(
+        return refusal_response(front, 400, str(error))
+    request_id = ids.RequestId(next(front.request_numbers))
+    pending = PendingRequest(head, trio.Event(), engines.now_ms())
+    front.pending[request_id] = pending
+    front.upstreams.exchanges[request_id] = upstreams.Exchange(
         head, request.method, request.target, request.body
     )
-    caller.on_disconnect = lambda: _left(front, request_id)
+    caller.on_disconnect = lambda: _handle_disconnect(front, request_id)
     try:
-        engines.feed(front.engine, _arrival(request_id, head, request))
-        if caller.closed and waiting.answer is None:
-            _left(front, request_id)
-        await waiting.done.wait()
+        engines.feed(front.engine, _to_input(request_id, head, request))
+        if caller.closed and pending.response is None:
+            _handle_disconnect(front, request_id)
+        await pending.done.wait()
     finally:
-        front.open.pop(request_id, None)
-        upstreams.forget(front.parts, request_id)
-    return waiting.answer
+        front.pending.pop(request_id, None)
+        upstreams.discard(front.upstreams, request_id)
+    return pending.response
 
 
 def relay(front: Front, output: out.Relay) -> None:
-    """Give the caller its upstream's answer."""
-    waiting = front.open.get(output.request_id)
-    got = front.parts.answers.get((output.request_id, output.attempt))
-    if waiting is None or got is None:
+    """Send the caller its upstream's response."""
+    pending = front.pending.get(output.request_id)
+    received = front.upstreams.responses.get(
+        (output.request_id, output.attempt)
+    )
+    if pending is None or received is None:
         return
-    waiting.answer = http_models.Response(
-        got.response.status, got.head.headers, got.response.body
+    pending.response = http_models.Response(
+        received.response.status, received.head.headers, received.response.body
     )
-    waiting.done.set()
+    pending.done.set()
 
 
 def refuse(front: Front, output: out.Refuse) -> None:
-    """Give the caller a refusal."""
-    waiting = front.open.get(output.request_id)
-    if waiting is None:
+    """Send the caller a refusal."""
+    pending = front.pending.get(output.request_id)
+    if pending is None:
         return
-    head = front.dialect.write_refusal(waiting.head, output.refusal)
+    head = front.dialect.write_refusal(pending.head, output.refusal)
     body = f'{output.refusal.reason.value}: {output.refusal.detail}\n'
-    waiting.answer = http_models.Response(
+    pending.response = http_models.Response(
         head.status,
         [*head.headers, (b'Content-Type', b'text/plain; charset=utf-8')],
         body.encode(),
     )
-    waiting.done.set()
+    pending.done.set()
 
 
-def refusal(front: Front, status: int, reason: str) -> http_models.Response:
-    """Return the refusal of what is no request; nothing was sent of it."""
+def refusal_response(
+    front: Front, status: int, reason: str
+) -> http_models.Response:
+    """Return the response to a request that was not passed to the core."""
     if status == 503:
-        told = admission.not_run_refusal(verdict.Reason.QUEUE_FULL, reason)
-        headers = front.dialect.write_refusal(None, told).headers
+        not_run = admission.not_run_refusal(verdict.Reason.QUEUE_FULL, reason)
+        headers = front.dialect.write_refusal(None, not_run).headers
         return http_models.Response(status, headers, f'{reason}\n'.encode())
     return http_models.Response(status, [], f'{reason}\n'.encode())
 
 
 def limits(front: Front) -> http_models.Limits:
-    """Return what the configuration in force lets callers send."""
-    known = routes.limits(front.engine.world)
+    """Return the limits of the active configuration."""
+    configured = routes.limits(front.engine.world)
     return http_models.Limits(
-        known.header_bytes_max,
-        known.body_bytes_max,
-        known.header_timeout_ms / const.MS_PER_S,
-        known.idle_timeout_ms / const.MS_PER_S,
+        configured.header_bytes_max,
+        configured.body_bytes_max,
+        configured.header_timeout_ms / const.MS_PER_S,
+        configured.idle_timeout_ms / const.MS_PER_S,
     )
 
 
-def _arrival(
+def _to_input(
     request_id: ids.RequestId,
     head: dialects.RequestHead,
     request: http_models.Request,
@@ -132,10 +138,10 @@
     )
 
 
-def _left(front: Front, request_id: ids.RequestId) -> None:
-    """Tell the core that a caller left, once, and end its wait."""
-    waiting = front.open.get(request_id)
-    if waiting is None or waiting.done.is_set():
+def _handle_disconnect(front: Front, request_id: ids.RequestId) -> None:
+    """Report a disconnected caller to the core once and end its wait."""
+    pending = front.pending.get(request_id)
+    if pending is None or pending.done.is_set():
         return
-    waiting.done.set()
+    pending.done.set()
     engines.feed(front.engine, inp.CallerDisconnected(request_id))
--- a/packages/gateway/src/zinnialead_gateway/upstreams/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/__init__.py
@@ -1,1 +1,1 @@
-"""Carry out attempts at upstreams."""
+"""Send attempts to upstreams."""
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -1,4 +1,4 @@
-"""Make each attempt once, and tell the core how it ended."""
+"""Send each attempt to its upstream once and report its outcome."""
 
 import dataclasses
 import typing
@@ -14,18 +14,18 @@
 from zinnialead_gateway.http import client
 
 AttemptKey = tuple[ids.RequestId, int]
-BROKEN = (
+CONNECTION_ERRORS = (
     OSError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     client.ProtocolError,
 )
-# Stray answers that may come before the one that is waited for.
-STRAYS_MAX = 3
+# Responses to earlier requests that are skipped before giving up.
+STRAY_RESPONSES_MAX = 3
 
 
 class Exchange(typing.NamedTuple):
-    """Hold a caller's request while it is answered."""
+    """Hold a caller's request until it is answered."""
 
     head: dialects.RequestHead
     method: bytes
@@ -33,26 +33,26 @@
     body: bytes
 
 
-class Got(typing.NamedTuple):
-    """Hold an upstream's answer and what its head says."""
+class UpstreamResponse(typing.NamedTuple):
+    """Hold an upstream's response and its decoded head."""
 
     response: client.Response
-    head: dialects.AnswerHead
+    head: dialects.ResponseHead
 
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """Hold an attempt that is under way."""
+    """Hold an attempt in progress."""
 
     dispatch: out.Dispatch
     scope: trio.CancelScope
-    began_ms: float
+    started_ms: float
     connection: client.Connection | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Upstreams:
-    """Hold attempts, the requests they are for, and their answers."""
+    """Hold the attempts, their requests and their responses."""
 
     engine: engines.Engine
     dialect: dialects.Dialect
@@ -64,118 +64,128 @@
     attempts: dict[AttemptKey, Attempt] = dataclasses.field(
         default_factory=dict
     )
-    answers: dict[AttemptKey, Got] = dataclasses.field(default_factory=dict)
+    responses: dict[AttemptKey, UpstreamResponse] = dataclasses.field(
+        default_factory=dict
+    )
 
 
-def dispatch(parts: Upstreams, output: out.Dispatch) -> None:
-    """Begin an attempt."""
+def dispatch(upstreams: Upstreams, output: out.Dispatch) -> None:
+    """Start an attempt."""
     attempt = Attempt(output, trio.CancelScope(), engines.now_ms())
-    parts.attempts[(output.request_id, output.attempt)] = attempt
-    parts.nursery.start_soon(_run, parts, attempt)
+    upstreams.attempts[(output.request_id, output.attempt)] = attempt
+    upstreams.nursery.start_soon(_run_attempt, upstreams, attempt)
 
 
-def cancel(parts: Upstreams, output: out.CancelAttempt) -> None:
-    """Cancel an attempt: its connection is closed."""
-    attempt = parts.attempts.get((output.request_id, output.attempt))
+def cancel(upstreams: Upstreams, output: out.CancelAttempt) -> None:
+    """Cancel an attempt and close its connection."""
+    attempt = upstreams.attempts.get((output.request_id, output.attempt))
     if attempt is not None:
         attempt.scope.cancel()
 
 
-def forget(parts: Upstreams, request_id: ids.RequestId) -> None:
-    """Drop a request that was answered."""
-    parts.exchanges.pop(request_id, None)
+def discard(upstreams: Upstreams, request_id: ids.RequestId) -> None:
+    """Discard an answered request."""
+    upstreams.exchanges.pop(request_id, None)
 
 
-async def _run(parts: Upstreams, attempt: Attempt) -> None:
+async def _run_attempt(upstreams: Upstreams, attempt: Attempt) -> None:
     key = (attempt.dispatch.request_id, attempt.dispatch.attempt)
     outcome: verdict.Outcome = verdict.Lost('cancelled')
-    got: Got | None = None
+    received: UpstreamResponse | None = None
     with attempt.scope:
-        outcome, got = await _attempt(parts, attempt)
-    del parts.attempts[key]
+        outcome, received = await _exchange(upstreams, attempt)
+    del upstreams.attempts[key]
     cancelled = attempt.scope.cancelled_caught
     connection = attempt.connection
-    if connection is not None and (cancelled or got is None):
+    if connection is not None and (cancelled or received is None):
         client.close(connection)
         if cancelled and not connection.sent:
             outcome = verdict.NotSent('cancelled before it was sent')
-    if got is not None:
-        parts.answers[key] = got
-    elapsed_ms = engines.now_ms() - attempt.began_ms
-    misdirected = got is not None and got.head.misdirected
-    load = got.head.load if got is not None else None
+    if received is not None:
+        upstreams.responses[key] = received
+    elapsed_ms = engines.now_ms() - attempt.started_ms
+    misdirected = received is not None and received.head.misdirected
+    load = received.head.load if received is not None else None
     done = inp.AttemptDone(
         *key, outcome, elapsed_ms, load, misdirected, cancelled
     )
-    engines.feed(parts.engine, done)
-    parts.answers.pop(key, None)
+    engines.feed(upstreams.engine, done)
+    upstreams.responses.pop(key, None)
 
 
-async def _attempt(
-    parts: Upstreams, attempt: Attempt
-) -> tuple[verdict.Outcome, Got | None]:
+async def _exchange(
+    upstreams: Upstreams, attempt: Attempt
+) -> tuple[verdict.Outcome, UpstreamResponse | None]:
     dispatch = attempt.dispatch
-    exchange = parts.exchanges.get(dispatch.request_id)
+    exchange = upstreams.exchanges.get(dispatch.request_id)
     if exchange is None:
         return verdict.NotSent('the caller left'), None
     try:
         connection = await client.acquire(
-            parts.pool, dispatch.address, dispatch.idle_max_ms
+            upstreams.pool, dispatch.address, dispatch.idle_max_ms
         )
     except (OSError, ValueError, trio.TooSlowError) as error:
         return verdict.NotSent(f'{dispatch.address}: {error!r}'), None
     attempt.connection = connection
-    spent_ms = engines.now_ms() - attempt.began_ms
+    spent_ms = engines.now_ms() - attempt.started_ms
     left_ms = int(dispatch.deadline_in_ms - spent_ms)
     if left_ms <= 0:
-        client.release(parts.pool, connection)
+        client.release(upstreams.pool, connection)
         return verdict.NotSent('no time was left'), None
     request = client.Request(
         exchange.method,
         exchange.target,
-        parts.dialect.write_request(exchange.head, dispatch.upstream, left_ms),
+        upstreams.dialect.write_request(
+            exchange.head, dispatch.upstream, left_ms
+        ),
         exchange.body,
     )
     try:
         await client.send(connection, request)
-        got = await _answer(parts, exchange, connection, request)
-    except BROKEN as error:
+        received = await _receive_response(
+            upstreams, exchange, connection, request
+        )
+    except CONNECTION_ERRORS as error:
         return verdict.Lost(f'{dispatch.address}: {error!r}'), None
-    client.release(parts.pool, connection)
-    return _outcome(got), got
+    client.release(upstreams.pool, connection)
+    return _to_outcome(received), received
 
 
-async def _answer(
-    parts: Upstreams,
+async def _receive_response(
+    upstreams: Upstreams,
     exchange: Exchange,
     connection: client.Connection,
     request: client.Request,
-) -> Got:
-    """Return the answer to this request, past those to earlier ones."""
-    for _ in range(STRAYS_MAX):
+) -> UpstreamResponse:
+    """Receive the response to a request; skip those to earlier ones."""
+    for _ in range(STRAY_RESPONSES_MAX):
         response = await client.receive(connection)
-        head = parts.dialect.read_answer(response.status, response.headers)
+        head = upstreams.dialect.read_response(
+            response.status, response.headers
+        )
         if head.name == exchange.head.name:
-            return Got(response, head)
+            return UpstreamResponse(response, head)
         if head.name is None and (head.not_run or not head.sealed):
-            return Got(response, head)
-        parts.engine.world.counters['upstreams.stray_answers'] += 1
+            return UpstreamResponse(response, head)
+        upstreams.engine.world.counters['upstreams.stray_answers'] += 1
         client.expect_another_response(connection, request)
     raise client.ProtocolError('only answers to other requests came')
 
 
-def _outcome(got: Got) -> verdict.Outcome:
-    """Return what an answer says of the request's effect."""
-    if got.head.misdirected:
+def _to_outcome(received: UpstreamResponse) -> verdict.Outcome:
+    """Return the outcome that a response reports."""
+    if received.head.misdirected:
         return verdict.NotSent('another upstream has the address')
-    if got.head.not_run:
+    if received.head.not_run:
         return verdict.Shed()
-    if not got.head.sealed:
-        return verdict.Lost(f'status {got.response.status} without a seal')
-    return verdict.Answered(got.response.status)
+    if not received.head.sealed:
+        return verdict.Lost(
+            f'status {received.response.status} without a seal'
+        )
+    return verdict.Answered(received.response.status)
 
 
-async def unload(parts: Upstreams) -> None:
-    """Close what is idle."""
-    for address in list(parts.pool.idle):
-        client.close_idle(parts.pool, address)
+async def unload(upstreams: Upstreams) -> None:
+    """Close all idle connections."""
+    for address in list(upstreams.pool.idle):
+        client.close_idle(upstreams.pool, address)
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -51,7 +51,7 @@
 
 
 def test_an_answer_is_read():
-    head = heads.read_answer(
+    head = heads.read_response(
         200,
         [
             (b'Zinnialead-Response-Seal', b'3e1b'),
@@ -65,8 +65,8 @@
 
 
 def test_a_seal_outweighs_the_status_of_another_instance():
-    assert heads.read_answer(421, []).misdirected
-    sealed = heads.read_answer(421, [(b'Zinnialead-Response-Seal', b'1')])
+    assert heads.read_response(421, []).misdirected
+    sealed = heads.read_response(421, [(b'Zinnialead-Response-Seal', b'1')])
     assert not sealed.misdirected
 
 
@@ -91,6 +91,6 @@
 
 
 def test_a_look_up_is_read():
-    asked = heads.read_question('/resolve?name=a&region=guj&zone=guj-a')
+    asked = heads.read_look_up('/resolve?name=a&region=guj&zone=guj-a')
     assert asked == ('guj-a', 'guj')
-    assert heads.read_question('/other') is None
+    assert heads.read_look_up('/other') is None
