--- a/packages/gateway/src/zinnialead_gateway/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Run an entry: callers' HTTP, upstreams, store, other entries."""
+"""Run an entry: callers, upstreams, the store and other entries."""
--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -1,4 +1,4 @@
-"""Own an entry's parts, from set-up to clean-up."""
+"""Set up, run and shut down an entry."""
 
 import collections
 from collections import abc
@@ -33,13 +33,13 @@
 
 ReadSettings = abc.Callable[[], settings_module.Settings]
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
-# Part of the memory that bodies of callers may take.
-BODIES_SHARE = 0.2
+# Share of the memory for the request bodies on each port.
+BODIES_MEMORY_SHARE = 0.2
 
 
 @dataclasses.dataclass(slots=True)
 class Application:
-    """Hold one entry's parts."""
+    """Hold the components of an entry."""
 
     settings: settings_module.Settings
     read_settings: ReadSettings
@@ -56,15 +56,15 @@
 
 
 async def run(read_settings: ReadSettings, dialect: dialects.Dialect) -> None:
-    """Serve until told to stop."""
+    """Serve until a signal stops the process."""
     settings = read_settings()
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(*SIGNALS) as received:
             application = await set_up(
                 nursery, settings, read_settings, dialect
             )
-            nursery.start_soon(_mind, application, received)
-            nursery.start_soon(_mind_settings, application)
+            nursery.start_soon(_handle_signals, application, received)
+            nursery.start_soon(_poll_settings, application)
             try:
                 await application.stop.wait()
                 await _drain(application)
@@ -79,9 +79,9 @@
     read_settings: ReadSettings,
     dialect: dialects.Dialect,
 ) -> Application:
-    """Return an entry that serves."""
+    """Open an entry's ports and start its tasks."""
     engine = engines.new_engine(_new_world(settings))
-    made_peers = await peers.set_up(
+    peer_sockets = await peers.set_up(
         engine, nursery, settings.peers_bind, settings.snapshot_binds
     )
     upstream_attempts = upstreams.Upstreams(
@@ -105,7 +105,7 @@
         front=fronts.Front(engine, dialect, upstream_attempts),
         servers=[],
         listeners=[],
-        peers=made_peers,
+        peers=peer_sockets,
         store=store,
         stop=trio.Event(),
     )
@@ -115,10 +115,10 @@
 
 
 def _new_world(settings: settings_module.Settings) -> gateway.World:
-    # Entries that start in the same millisecond must not draw alike.
+    # Entries that start in the same millisecond need different seeds.
     ref = settings.node.ref
-    own = zlib.crc32(ref.entry.encode())
-    return gateway.new_world(settings.node, seed=ref.incarnation + own)
+    entry_hash = zlib.crc32(ref.entry.encode())
+    return gateway.new_world(settings.node, seed=ref.incarnation + entry_hash)
 
 
 async def _start(application: Application, nursery: trio.Nursery) -> None:
@@ -127,19 +127,21 @@
     nursery.start_soon(engines.run_timers, engine)
     nursery.start_soon(logs.run, application.logs)
     incarnation = application.settings.node.ref.incarnation
-    logs.life(application.logs, 'started', incarnation=incarnation)
+    logs.life_cycle(application.logs, 'started', incarnation=incarnation)
     engines.feed(engine, inp.Started())
 
 
 def unload(application: Application) -> None:
-    """Close what is open, and write the last lines."""
-    logs.life(application.logs, 'stopped', in_hand=_in_hand(application))
+    """Write the remaining log lines and close the sockets."""
+    logs.life_cycle(
+        application.logs, 'stopped', in_hand=_count_pending(application)
+    )
     logs.flush(application.logs)
     peers.unload(application.peers)
 
 
 def carry_out(application: Application, output: out.Output) -> None:
-    """Hand one output to the part that carries it out."""
+    """Pass an output to the component that carries it out."""
     match output:
         case out.Dispatch():
             upstreams.dispatch(application.front.upstreams, output)
@@ -153,7 +155,7 @@
         case out.LogDecision():
             logs.decision(application.logs, output)
         case out.LogStateChange():
-            logs.belief(application.logs, output)
+            logs.state_change(application.logs, output)
         case out.SendHeartbeat():
             peers.send_heartbeat(application.peers, output)
         case out.SendChanges():
@@ -165,16 +167,19 @@
         case out.CloseIdleConnections():
             client.close_idle(application.front.upstreams.pool, output.address)
         case out.Notify():
-            raise AssertionError(f'{output} left the tick')
+            raise AssertionError(f'{output} must be consumed within the tick')
 
 
 async def _open_ports(application: Application, nursery: trio.Nursery) -> None:
     settings = application.settings
     front = application.front
     directory = directories.Directory(application.engine, application.dialect)
-    view = operators.Operators(application.engine, application.metrics)
-    # Directory and readiness are the last to be turned away.
-    served: tuple[tuple[str, http_models.Handle], ...] = (
+    operators_view = operators.Operators(
+        application.engine, application.metrics
+    )
+    # Each port has its own limits, so that a full front does not block
+    # look-ups and readiness checks.
+    ports: tuple[tuple[str, http_models.Handle], ...] = (
         (settings.front_bind, functools.partial(fronts.handle, front)),
         (
             settings.directory_bind,
@@ -186,37 +191,39 @@
         ),
         (
             settings.metrics_bind,
-            functools.partial(operators.handle, view),
+            functools.partial(operators.handle, operators_view),
         ),
     )
-    for address, handle in served:
-        made = _server(application, handle)
+    for address, handle in ports:
+        http_server = _new_server(application, handle)
         listener = await sockets.listen(address)
-        application.servers.append(made)
+        application.servers.append(http_server)
         application.listeners.append(listener)
-        nursery.start_soon(server.serve, made, listener)
+        nursery.start_soon(server.serve, http_server, listener)
 
 
-def _server(
+def _new_server(
     application: Application, handle: http_models.Handle
 ) -> http_models.Server:
     counters = application.engine.world.counters
-    memory = application.settings.memory_bytes_max
+    memory_bytes = application.settings.memory_bytes_max
     return http_models.Server(
         handle,
         functools.partial(fronts.limits, application.front),
         application.settings.connections_max,
         functools.partial(_count, counters),
         functools.partial(fronts.refusal_response, application.front),
-        functools.partial(_failed, application),
-        body_bytes_max=int(memory * BODIES_SHARE),
+        functools.partial(_log_connection_failure, application),
+        body_bytes_max=int(memory_bytes * BODIES_MEMORY_SHARE),
     )
 
 
-def _failed(application: Application, error: BaseException) -> None:
+def _log_connection_failure(
+    application: Application, error: BaseException
+) -> None:
     trace = ''.join(traceback.format_exception(error, limit=-6))
     application.engine.world.counters['http.failed'] += 1
-    logs.life(application.logs, 'connection-failed', trace=trace)
+    logs.life_cycle(application.logs, 'connection-failed', trace=trace)
 
 
 def _count(counters: 'collections.Counter[str]', name: str) -> None:
@@ -224,25 +231,25 @@
 
 
 async def _drain(application: Application) -> None:
-    """Go on serving while callers learn other addresses, then finish."""
+    """Serve while callers move to other entries, then finish requests."""
     grace_ms = application.settings.node.bounds.grace_ms
-    began_ms = engines.now_ms()
+    started_ms = engines.now_ms()
     serve_s = const.STOP_SERVE_SHARE * grace_ms / const.MS_PER_S
     await trio.sleep(serve_s)
     for listener in application.listeners:
         listener.socket.close()
-    end_ms = began_ms + grace_ms * const.STOP_END_SHARE
+    end_ms = started_ms + grace_ms * const.STOP_END_SHARE
     left_s = max(0.0, end_ms - engines.now_ms()) / const.MS_PER_S
     with trio.move_on_after(left_s):
-        for made in application.servers:
-            await server.wait_until_idle(made)
+        for http_server in application.servers:
+            await server.wait_until_idle(http_server)
 
 
-def _in_hand(application: Application) -> int:
+def _count_pending(application: Application) -> int:
     return len(application.front.pending)
 
 
-async def _mind(
+async def _handle_signals(
     application: Application, received: abc.AsyncIterable[int]
 ) -> None:
     async for number in received:
@@ -251,35 +258,35 @@
                 _reload(application, 'SIGHUP')
             case signal.SIGUSR1:
                 dump = diagnostics.dump(application.engine.world)
-                logs.life(application.logs, 'dump', dump=dump)
+                logs.life_cycle(application.logs, 'dump', dump=dump)
             case _:
-                logs.life(application.logs, 'stopping', signal=number)
-                for made in application.servers:
-                    made.closing = True
+                logs.life_cycle(application.logs, 'stopping', signal=number)
+                for http_server in application.servers:
+                    http_server.closing = True
                 engines.feed(application.engine, inp.StopRequested())
                 application.stop.set()
 
 
-async def _mind_settings(application: Application) -> None:
-    """Take in settings that change without a signal."""
+async def _poll_settings(application: Application) -> None:
+    """Apply changes of the settings that come without a signal."""
     while True:
         await trio.sleep(const.SETTINGS_PERIOD_S)
         _reload(application, 'change')
 
 
 def _reload(application: Application, cause: str) -> None:
-    """Read the settings again; what can't be read changes nothing."""
+    """Read the settings again; keep the current ones if that fails."""
     try:
         settings = application.read_settings()
     except (OSError, ValueError) as error:
-        logs.life(application.logs, 'reload-failed', cause=f'{error}')
+        logs.life_cycle(application.logs, 'reload-failed', cause=f'{error}')
         return
-    known = application.settings
-    node = known.node._replace(
+    current = application.settings
+    node = current.node._replace(
         bounds=settings.node.bounds, regions=settings.node.regions
     )
-    if node == known.node:
+    if node == current.node:
         return
-    application.settings = known._replace(node=node)
+    application.settings = current._replace(node=node)
     application.engine.world = application.engine.world._replace(node=node)
-    logs.life(application.logs, 'reloaded', cause=cause)
+    logs.life_cycle(application.logs, 'reloaded', cause=cause)
--- a/packages/gateway/src/zinnialead_gateway/const.py
+++ b/packages/gateway/src/zinnialead_gateway/const.py
@@ -1,11 +1,11 @@
-"""Hold the constants of the process."""
+"""Define the constants of the process."""
 
 MS_PER_S = 1_000.0
-# A stopping entry goes on serving until callers have other addresses; what
-# is left of the grace covers the last answers.
+# A stopping entry accepts requests for this share of the grace period, until
+# callers have other addresses. The rest covers the last responses.
 STOP_SERVE_SHARE = 0.75
-# The last twelfth of the grace is left to end in.
+# The last twelfth of the grace period is reserved for the shutdown itself.
 STOP_END_SHARE = 11 / 12
 SETTINGS_PERIOD_S = 5.0
-# Descriptors that the platform keeps for files, and ours to upstreams.
-DESCRIPTORS_KEPT = 400
+# File descriptors for the platform's files and connections to upstreams.
+RESERVED_DESCRIPTORS = 400
--- a/packages/gateway/src/zinnialead_gateway/diagnostics.py
+++ b/packages/gateway/src/zinnialead_gateway/diagnostics.py
@@ -1,4 +1,4 @@
-"""Dump a process's state."""
+"""Build the state dump of a process."""
 
 import typing
 
@@ -8,7 +8,7 @@
 
 
 class RequestDump(typing.TypedDict):
-    """Hold where a request stands."""
+    """Hold the state of a request."""
 
     name: str
     route: str
@@ -18,7 +18,7 @@
 
 
 class Dump(typing.TypedDict):
-    """Hold what a process knows and does."""
+    """Hold the state of a process."""
 
     entry: str
     incarnation: int
@@ -35,11 +35,11 @@
 
 def dump(world: gateway.World) -> Dump:
     """Return the state dump of a process."""
-    known = routes.active_configuration(world)
+    configuration = routes.active_configuration(world)
     return Dump(
         entry=world.node.ref.entry,
         incarnation=world.node.ref.incarnation,
-        version=known.version if known else 0,
+        version=configuration.version if configuration else 0,
         upstreams=[row._asdict() for row in world.upstreams.rows.values()],
         drained=sorted(world.upstreams.drained),
         loads={str(k): row._asdict() for k, row in world.loads.items()},
--- a/packages/gateway/src/zinnialead_gateway/directory/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/__init__.py
@@ -1,1 +1,1 @@
-"""Tell callers which entries to use, and the platform that this one runs."""
+"""Serve callers' look-ups and the platform's readiness checks."""
--- a/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/directory/coordinator.py
@@ -1,4 +1,4 @@
-"""Answer look-ups and readiness checks."""
+"""Serve look-ups and readiness checks."""
 
 import dataclasses
 
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Directory:
-    """Hold what look-ups are answered from."""
+    """Hold the sources of look-up responses."""
 
     engine: engines.Engine
     dialect: dialects.Dialect
@@ -25,18 +25,18 @@
     _caller: http_models.Caller,
     request: http_models.Request,
 ) -> http_models.Response:
-    """Return which entries a caller should use."""
+    """Return the addresses of the entries that a caller should use."""
     target = request.target.decode('latin-1')
-    question = directory.dialect.read_look_up(target)
+    look_up = directory.dialect.read_look_up(target)
     world = directory.engine.world
-    if question is None:
+    if look_up is None:
         return http_models.Response(404, [], b'no such look-up\n')
     world.counters['directory.look_ups'] += 1
-    found = selection.addresses(
-        world, engines.now_ms(), question.domain, question.region
+    addresses = selection.addresses(
+        world, engines.now_ms(), look_up.domain, look_up.region
     )
     body = directory.dialect.write_addresses(
-        found, world.node.bounds.directory_ttl_ms
+        addresses, world.node.bounds.directory_ttl_ms
     )
     return http_models.Response(OK, JSON, body)
 
@@ -46,7 +46,7 @@
     _caller: http_models.Caller,
     _request: http_models.Request,
 ) -> http_models.Response:
-    """Return whether this entry may be given callers."""
+    """Return whether this entry is ready for callers."""
     if members.is_ready(directory.engine.world):
         return http_models.Response(OK, [], b'ready\n')
     return http_models.Response(503, [], b'not ready\n')
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -1,4 +1,4 @@
-"""Write one line for each decision and each change of belief."""
+"""Log decisions, state changes and life-cycle events."""
 
 import collections
 import dataclasses
@@ -13,59 +13,59 @@
 from zinnialead_core.gateway import outputs as out
 from zinnialead_gateway import engine as engines
 
-# Lines a second and at once: about 1% of a core of the smallest machine.
+# Rate and burst of lines: about 1% of a core of the smallest machine.
 LINES_PER_S_MAX = 40.0
 LINES_BURST_MAX = 200.0
-# Of what every request sees, a sample is enough under load.
+# Every request has routine decisions; under load a sample is logged.
 ROUTINE_PER_S_MAX = 20.0
-# Changes of belief and life-cycle lines have a budget of their own.
-BELIEFS_PER_S_MAX = 20.0
-KEPT_LINES_MAX = 2_000
+# State changes have their own budget. Life-cycle lines have none.
+STATE_CHANGES_PER_S_MAX = 20.0
+QUEUED_LINES_MAX = 2_000
 FLUSH_PERIOD_S = 0.25
 STDOUT = 1
 
 
 @dataclasses.dataclass(slots=True)
 class Budget:
-    """Hold the lines that one sort of them may write, and how many now."""
+    """Hold the rate limit of one category of lines and its token bucket."""
 
-    per_s: float
-    most: float
+    lines_per_s: float
+    burst_lines: float
     bucket: buckets.BucketRow
 
 
 @dataclasses.dataclass(slots=True)
 class Logs:
-    """Hold lines that wait to be written, and their budgets."""
+    """Hold the queued lines, the unwritten rest and the rate limits."""
 
     entry: str
     counters: 'collections.Counter[str]'
     lines: 'collections.deque[bytes]'
     decisions: Budget
-    beliefs: Budget
+    state_changes: Budget
     routine: Budget
-    rest: bytes = b''
+    unwritten: bytes = b''
 
 
 def set_up(entry: str, counters: 'collections.Counter[str]') -> Logs:
-    """Send every line of this process to standard output."""
+    """Route the log messages of this process to standard output."""
     logs = Logs(
         entry,
         counters,
         collections.deque(),
-        _full(LINES_PER_S_MAX, LINES_BURST_MAX),
-        _full(BELIEFS_PER_S_MAX, LINES_BURST_MAX),
-        _full(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
+        _new_budget(LINES_PER_S_MAX, LINES_BURST_MAX),
+        _new_budget(STATE_CHANGES_PER_S_MAX, LINES_BURST_MAX),
+        _new_budget(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
     )
     os.set_blocking(STDOUT, False)
-    eliot.add_destinations(lambda message: _keep(logs, message))
+    eliot.add_destinations(lambda message: _enqueue(logs, message))
     return logs
 
 
 def decision(logs: Logs, output: out.LogDecision) -> None:
-    """Log a decision that touches a request."""
+    """Log a decision about a request."""
     budget = logs.routine if output.is_routine else logs.decisions
-    if not _allowed(logs, budget):
+    if not _take_token(logs, budget):
         return
     eliot.log_message(
         message_type='decision',
@@ -76,9 +76,9 @@
     )
 
 
-def belief(logs: Logs, output: out.LogStateChange) -> None:
-    """Log a change of what the entry believes."""
-    if not _allowed(logs, logs.beliefs):
+def state_change(logs: Logs, output: out.LogStateChange) -> None:
+    """Log a change of a component's state."""
+    if not _take_token(logs, logs.state_changes):
         return
     eliot.log_message(
         message_type='belief',
@@ -91,25 +91,25 @@
     )
 
 
-def life(logs: Logs, event: str, **fields: object) -> None:
-    """Log a start, stop or reload; such lines are never dropped."""
+def life_cycle(logs: Logs, event: str, **fields: object) -> None:
+    """Log a start, stop or reload, without a rate limit."""
     eliot.log_message(
         message_type='life', entry=logs.entry, event=event, **fields
     )
 
 
 async def run(logs: Logs) -> None:
-    """Write what waits, for good."""
+    """Write the queued lines periodically."""
     while True:
         await trio.sleep(FLUSH_PERIOD_S)
         flush(logs)
 
 
 def flush(logs: Logs) -> None:
-    """Write what standard output takes without blocking."""
-    if not logs.lines and not logs.rest:
+    """Write as much as standard output accepts without blocking."""
+    if not logs.lines and not logs.unwritten:
         return
-    data = logs.rest + b''.join(logs.lines)
+    data = logs.unwritten + b''.join(logs.lines)
     logs.lines.clear()
     try:
         written = os.write(STDOUT, data)
@@ -118,26 +118,30 @@
     except OSError:
         logs.counters['logs.unwritable'] += 1
         written = len(data)
-    logs.rest = data[written:]
+    logs.unwritten = data[written:]
 
 
-def _keep(logs: Logs, message: dict[str, typing.Any]) -> None:
-    if len(logs.lines) >= KEPT_LINES_MAX:
+def _enqueue(logs: Logs, message: dict[str, typing.Any]) -> None:
+    if len(logs.lines) >= QUEUED_LINES_MAX:
         logs.counters['logs.dropped'] += 1
         return
     line = msgspec.json.encode(message, enc_hook=str)
     logs.lines.append(line + b'\n')
 
 
-def _full(per_s: float, most: float) -> Budget:
-    return Budget(per_s, most, buckets.BucketRow(most, engines.now_ms()))
+def _new_budget(lines_per_s: float, burst_lines: float) -> Budget:
+    return Budget(
+        lines_per_s,
+        burst_lines,
+        buckets.BucketRow(burst_lines, engines.now_ms()),
+    )
 
 
-def _allowed(logs: Logs, budget: Budget) -> bool:
-    taken = buckets.take(
-        budget.bucket, engines.now_ms(), budget.per_s, budget.most
+def _take_token(logs: Logs, budget: Budget) -> bool:
+    result = buckets.take(
+        budget.bucket, engines.now_ms(), budget.lines_per_s, budget.burst_lines
     )
-    budget.bucket = taken.row
-    if not taken.is_allowed:
+    budget.bucket = result.row
+    if not result.is_allowed:
         logs.counters['logs.dropped'] += 1
-    return taken.is_allowed
+    return result.is_allowed
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -1,4 +1,4 @@
-"""Render counters and histograms in the usual text format."""
+"""Render counters and histograms in the Prometheus text format."""
 
 import bisect
 from collections import abc
@@ -8,14 +8,14 @@
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import models as http_models
 
-# Upper bounds of the buckets, in ms: targets of the services seen lie
-# between 200 ms and 6 s.
+# Upper bounds of the buckets, in ms. Services have target latencies between
+# 200 ms and 6 s.
 BUCKETS_MS = (5, 20, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800)
 
 
 @dataclasses.dataclass(slots=True)
 class Metrics:
-    """Hold latencies by name, and where the counters are."""
+    """Hold latency histograms by route; the engine holds the counters."""
 
     engine: engines.Engine
     latencies: dict[str, list[int]] = dataclasses.field(default_factory=dict)
@@ -23,7 +23,7 @@
 
 
 def observe(metrics: Metrics, name: str, elapsed_ms: float) -> None:
-    """Count one latency."""
+    """Add a latency to the histogram of a route."""
     counts = metrics.latencies.get(name)
     if counts is None:
         counts = metrics.latencies[name] = [0] * (len(BUCKETS_MS) + 1)
@@ -31,9 +31,9 @@
     metrics.sums_ms[name] = metrics.sums_ms.get(name, 0.0) + elapsed_ms
 
 
-def page(metrics: Metrics) -> http_models.Response:
-    """Return the metrics page."""
-    # Imported on demand: few processes are ever asked for the page.
+def render_page(metrics: Metrics) -> http_models.Response:
+    """Return the metrics page as a response."""
+    # Imported on demand, as few processes ever serve the page.
     import prometheus_client
     from prometheus_client import exposition
     from prometheus_client import registry as registries
@@ -41,23 +41,23 @@
     registry = registries.CollectorRegistry()
     registry.register(typing.cast('typing.Any', _Collector(metrics)))
     body = exposition.generate_latest(registry)
-    kind = prometheus_client.CONTENT_TYPE_LATEST.encode()
-    return http_models.Response(200, [(b'Content-Type', kind)], body)
+    content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+    return http_models.Response(200, [(b'Content-Type', content_type)], body)
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class _Collector:
-    """Give the library the metrics; it calls ``collect``."""
+    """Provide the metrics to prometheus_client, which calls ``collect``."""
 
     metrics: Metrics
 
     def collect(self) -> abc.Iterator[typing.Any]:
-        """Yield every metric."""
+        """Yield all metrics."""
         yield from collect(self.metrics)
 
 
 def collect(metrics: Metrics) -> abc.Iterator[typing.Any]:
-    """Yield counters, tables' sizes and histograms."""
+    """Yield counters, table sizes and histograms."""
     from prometheus_client import metrics_core
 
     world = metrics.engine.world
@@ -74,20 +74,20 @@
     sizes.add_metric(['upstreams'], len(world.upstreams.rows))
     sizes.add_metric(['entries'], len(world.entries.rows))
     yield sizes
-    spans = metrics_core.HistogramMetricFamily(
+    durations = metrics_core.HistogramMetricFamily(
         'zinnialead_request_ms', 'Time to an answer', labels=['route']
     )
     for name, counts in metrics.latencies.items():
-        spans.add_metric([name], _buckets(counts), metrics.sums_ms[name])
-    yield spans
+        durations.add_metric([name], _buckets(counts), metrics.sums_ms[name])
+    yield durations
 
 
 def _buckets(counts: list[int]) -> list[tuple[str, int]]:
     total = 0
     buckets = []
-    for limit_ms, count in zip(
+    for upper_bound_ms, count in zip(
         (*map(str, BUCKETS_MS), '+Inf'), counts, strict=True
     ):
         total += count
-        buckets.append((limit_ms, total))
+        buckets.append((upper_bound_ms, total))
     return buckets
--- a/packages/gateway/src/zinnialead_gateway/operators/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Answer operators: metrics, state dump, what is in force."""
+"""Serve metrics, the state dump and the active configuration."""
--- a/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
@@ -1,6 +1,6 @@
-"""Answer what the operators' command line and the metrics' reader ask.
+"""Serve the operators' command line and the metrics scraper.
 
-The port is an internal one, which callers can't reach.
+The port is internal and not reachable by callers.
 """
 
 import dataclasses
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Operators:
-    """Hold what operators may read."""
+    """Hold the sources of the operators' pages."""
 
     engine: engines.Engine
     metrics: metrics.Metrics
@@ -33,31 +33,31 @@
     world = operators.engine.world
     match request.target.partition(b'?')[0]:
         case b'/metrics':
-            return metrics.page(operators.metrics)
+            return metrics.render_page(operators.metrics)
         case b'/v1/dump':
             return _json(diagnostics.dump(world))
         case b'/v1/state':
-            known = routes.active_configuration(world)
+            configuration = routes.active_configuration(world)
             drained = sorted(world.upstreams.drained)
-            return _json({'configuration': known, 'drained': drained})
+            return _json({'configuration': configuration, 'drained': drained})
         case _:
             return http_models.Response(404, [], b'no such page\n')
 
 
 def _json(document: object) -> http_models.Response:
-    # Rows stay readable: without this they become lists.
-    body = msgspec.json.encode(_plain(document))
+    # Rows would be encoded as lists without field names.
+    body = msgspec.json.encode(_to_plain(document))
     return http_models.Response(200, JSON, body)
 
 
-def _plain(value: object) -> object:
-    """Return rows as tables by field, for people to read."""
+def _to_plain(value: object) -> object:
+    """Convert rows to dictionaries by field name, recursively."""
     match value:
         case tuple() if hasattr(value, '_asdict'):
-            return {k: _plain(v) for k, v in value._asdict().items()}
+            return {k: _to_plain(v) for k, v in value._asdict().items()}
         case dict():
-            return {str(k): _plain(v) for k, v in value.items()}
+            return {str(k): _to_plain(v) for k, v in value.items()}
         case list() | tuple() | frozenset() | set():
-            return [_plain(item) for item in value]
+            return [_to_plain(item) for item in value]
         case _:
             return value
--- a/packages/gateway/src/zinnialead_gateway/settings.py
+++ b/packages/gateway/src/zinnialead_gateway/settings.py
@@ -1,4 +1,4 @@
-"""Hold the settings of an entry's process."""
+"""Define the settings of an entry's process."""
 
 import typing
 
@@ -6,10 +6,11 @@
 
 
 class Settings(typing.NamedTuple):
-    """Hold checked settings; addresses are of the form ip:port.
+    """Hold validated settings; addresses are of the form ip:port.
 
-    ``connections_max`` bounds callers' connections, and
-    ``memory_bytes_max`` is what the platform lets the process use.
+    ``snapshot_binds`` accept other entries' snapshot requests,
+    ``connections_max`` limits callers' connections, and ``memory_bytes_max``
+    is the memory that the platform grants the process.
     """
 
     node: world.NodeRow
--- a/packages/gateway/src/zinnialead_gateway/store/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/store/__init__.py
@@ -1,1 +1,1 @@
-"""Carry out calls to the platform's store."""
+"""Send calls to the platform's store."""
--- a/packages/gateway/src/zinnialead_gateway/store/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/store/coordinator.py
@@ -1,4 +1,4 @@
-"""Make each of the core's calls to the store once."""
+"""Send each of the core's store calls once."""
 
 import dataclasses
 
@@ -13,12 +13,12 @@
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import client
 
-# Ten times the answer of a store that is fifty times slower than usual
-# (4 ms); a call that is not answered by then is made again.
+# Ten times the response time of a store that is fifty times slower than the
+# usual 4 ms. The core repeats calls that time out.
 CALL_TIMEOUT_MS = 2_000.0
 IDLE_MAX_MS = 5_000.0
 JSON = (b'Content-Type', b'application/json')
-BROKEN = (
+EXCHANGE_ERRORS = (
     OSError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Store:
-    """Hold the one client of the platform's store."""
+    """Hold the client of the platform's store."""
 
     engine: engines.Engine
     dialect: dialects.Dialect
@@ -39,28 +39,32 @@
 
 
 def call(store: Store, output: out.CallStore) -> None:
-    """Start a call, whose end is fed to the core; never wait for it."""
+    """Start a call in the background; its result is fed to the core."""
     store.nursery.start_soon(_call, store, output)
 
 
 async def _call(store: Store, output: out.CallStore) -> None:
-    result = await _result(store, output.call)
+    result = await _fetch_result(store, output.call)
     done = inp.StoreDone(output.kind, result, output.call_number)
     engines.feed(store.engine, done)
 
 
-async def _result(store: Store, call: core_models.Call) -> core_models.Result:
-    asked = store.dialect.write_store(call)
+async def _fetch_result(
+    store: Store, call: core_models.Call
+) -> core_models.Result:
+    store_request = store.dialect.write_store(call)
     wait_ms = call.wait_ms if isinstance(call, core_models.WatchKind) else 0
     timeout_ms = CALL_TIMEOUT_MS + wait_ms
     headers = [(b'Host', store.address.encode())]
-    if asked.body:
+    if store_request.body:
         headers.append(JSON)
-    request = client.Request(asked.method, asked.target, headers, asked.body)
+    request = client.Request(
+        store_request.method, store_request.target, headers, store_request.body
+    )
     try:
         with trio.fail_after(timeout_ms / const.MS_PER_S):
             response = await _exchange(store, request)
-    except BROKEN as error:
+    except EXCHANGE_ERRORS as error:
         return core_models.Failed(f'{type(call).__name__}: {error!r}')
     try:
         return store.dialect.read_store(
