--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -14,16 +14,16 @@
 from zinnialead_core import inputs as inp
 from zinnialead_daemon.components import engine as engines
 from zinnialead_daemon.components import front as fronts
-from zinnialead_daemon.components.front import diagnostics as front_part
+from zinnialead_daemon.components.front import diagnostics as front_dump
 from zinnialead_daemon.components import logs
 from zinnialead_daemon.components import metrics
 from zinnialead_daemon.components import operators
 from zinnialead_daemon.components import peers
-from zinnialead_daemon.components.peers import diagnostics as peers_part
+from zinnialead_daemon.components.peers import diagnostics as peers_dump
 from zinnialead_daemon.components import store
-from zinnialead_daemon.components.store import diagnostics as store_part
+from zinnialead_daemon.components.store import diagnostics as store_dump
 from zinnialead_daemon.components import upstreams
-from zinnialead_daemon.components.upstreams import diagnostics as pools_part
+from zinnialead_daemon.components.upstreams import diagnostics as pools_dump
 from zinnialead_daemon import const
 from zinnialead_daemon import http
 
@@ -67,8 +67,8 @@
         settings.callers_address or settings.callers_bind,
     )
     # Entries that start in the same millisecond must not draw alike.
-    own = zlib.crc32(settings.entry.encode())
-    return core.new_world(node, seed=incarnation + own)
+    entry_hash = zlib.crc32(settings.entry.encode())
+    return core.new_world(node, seed=incarnation + entry_hash)
 
 
 def new_application(
@@ -79,10 +79,16 @@
     front = fronts.new_front(engine, settings.bounds)
     pools = upstreams.new_pools(engine, front)
     token = settings.operators_token.encode()
-    view = operators.Operators(engine, token)
-    view.edges['front'] = functools.partial(front_part.dump, front)
-    view.edges['upstreams'] = functools.partial(pools_part.dump, pools)
-    return Application(settings, engine, front, pools, view, [], trio.Event())
+    operators_context = operators.Operators(engine, token)
+    operators_context.edges['front'] = functools.partial(
+        front_dump.dump, front
+    )
+    operators_context.edges['upstreams'] = functools.partial(
+        pools_dump.dump, pools
+    )
+    return Application(
+        settings, engine, front, pools, operators_context, [], trio.Event()
+    )
 
 
 async def run(
@@ -100,12 +106,12 @@
             application.addresses = addresses
             task_status.started(addresses)
             await application.stopped.wait()
-            with trio.move_on_after(const.STOP_ANSWERS_S):
+            with trio.move_on_after(const.STOP_TIMEOUT_S):
                 await application.front.idle.wait()
             # What is still on its way here is refused, not cut.
             await trio.sleep(application.linger_s)
         finally:
-            await _unload(application)
+            await _run_stop_hooks(application)
         nursery.cancel_scope.cancel()
 
 
@@ -114,9 +120,9 @@
     return operators.full_dump(application.operators)
 
 
-async def _unload(application: Application) -> None:
+async def _run_stop_hooks(application: Application) -> None:
     for hook in reversed(application.on_stop):
-        with trio.move_on_after(const.UNLOAD_S, shield=True):
+        with trio.move_on_after(const.STOP_HOOK_TIMEOUT_S, shield=True):
             await hook()
 
 
@@ -136,24 +142,26 @@
 ) -> Hook | None:
     settings = application.settings
     engine = application.engine
-    made = await peers.set_up(
+    transport = await peers.set_up(
         engine, nursery, settings.peers_bind, settings.peer_keys
     )
-    engine.handlers['send_peer'] = functools.partial(peers.send, made)
+    engine.handlers['send_peer'] = functools.partial(peers.send, transport)
     edges = application.operators.edges
-    edges['peers'] = functools.partial(peers_part.dump, made)
-    return functools.partial(peers.unload, made)
+    edges['peers'] = functools.partial(peers_dump.dump, transport)
+    return functools.partial(peers.unload, transport)
 
 
 async def _set_up_store(
     application: Application, nursery: trio.Nursery
 ) -> Hook | None:
     engine = application.engine
-    made = store.set_up(engine, nursery, application.settings.store_addresses)
-    engine.handlers['call_store'] = functools.partial(store.call, made)
+    client = store.set_up(
+        engine, nursery, application.settings.store_addresses
+    )
+    engine.handlers['call_store'] = functools.partial(store.call, client)
     edges = application.operators.edges
-    edges['store'] = functools.partial(store_part.dump, made)
-    return functools.partial(store.unload, made)
+    edges['store'] = functools.partial(store_dump.dump, client)
+    return functools.partial(store.unload, client)
 
 
 async def _set_up_upstreams(
@@ -162,10 +170,10 @@
     pools = application.pools
     handlers = application.engine.handlers
     handlers['dispatch'] = lambda output: nursery.start_soon(
-        upstreams.attempt, pools, output
+        upstreams.run_attempt, pools, output
     )
     handlers['cancel'] = lambda output: nursery.start_soon(
-        upstreams.cancel, pools, output
+        upstreams.cancel_attempt, pools, output
     )
     nursery.start_soon(upstreams.run_polls, pools)
     return functools.partial(upstreams.close, pools)
@@ -185,33 +193,33 @@
     server = application.settings.statsd
     if server is None:
         return None
-    made = metrics.new_metrics(application.engine, application.front, server)
-    nursery.start_soon(metrics.run, made)
+    sender = metrics.new_metrics(application.engine, application.front, server)
+    nursery.start_soon(metrics.run, sender)
 
-    return functools.partial(_flush, made)
+    return functools.partial(_flush, sender)
 
 
-async def _flush(made: metrics.Metrics) -> None:
-    metrics.flush(made)
+async def _flush(sender: metrics.Metrics) -> None:
+    metrics.flush(sender)
 
 
 async def _seed_members(
     application: Application, nursery: trio.Nursery
 ) -> Hook | None:
     node = application.engine.world.node
-    own = inp.PeerSeen(node.ref.entry, node.domain, node.address)
+    own_peer = inp.PeerSeen(node.ref.entry, node.domain, node.address)
     seeds = (
         inp.PeerSeen(
-            ids.EntryId(row.entry), ids.DomainId(row.domain), row.address
+            ids.EntryId(seed.entry), ids.DomainId(seed.domain), seed.address
         )
-        for row in application.settings.seeds
+        for seed in application.settings.seeds
     )
-    engines.feed(application.engine, own, *seeds)
+    engines.feed(application.engine, own_peer, *seeds)
     return None
 
 
-def _binding(
-    application: Application, address: str, part: str
+def _new_binding(
+    application: Application, address: str, server_name: str
 ) -> http.Binding:
     settings = application.settings
     tls = settings.tls
@@ -220,12 +228,16 @@
         tls.certificate_file if tls else None,
         tls.key_file if tls else None,
         settings.bounds.connections_max,
-        functools.partial(_count, application, f'{part}.connections_full'),
-        functools.partial(_count, application, f'{part}.connections_failed'),
+        functools.partial(
+            _increment, application, f'{server_name}.connections_full'
+        ),
+        functools.partial(
+            _increment, application, f'{server_name}.connections_failed'
+        ),
     )
 
 
-def _count(application: Application, name: str) -> None:
+def _increment(application: Application, name: str) -> None:
     application.engine.world.counters[name] += 1
 
 
@@ -236,13 +248,13 @@
     operators_port = await nursery.start(
         http.serve,
         operators.asgi_app(application.operators),
-        _binding(application, settings.operators_bind, 'operators'),
+        _new_binding(application, settings.operators_bind, 'operators'),
         trio.sleep_forever,
     )
     callers_port = await nursery.start(
         http.serve,
         fronts.asgi_app(application.front),
-        _binding(application, settings.callers_bind, 'front'),
+        _new_binding(application, settings.callers_bind, 'front'),
         trio.sleep_forever,
     )
     return Addresses(callers_port, operators_port)
--- a/packages/daemon/src/zinnialead_daemon/components/front/answers.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/answers.py
@@ -8,7 +8,7 @@
 from zinnialead_daemon.components.front import records
 from zinnialead_daemon import http
 
-STATUS_OF: dict[verdict.Reason, int] = {
+STATUS_BY_REASON: dict[verdict.Reason, int] = {
     verdict.Reason.BAD_REQUEST: 400,
     verdict.Reason.KEY_MISSING: 400,
     verdict.Reason.UNKNOWN_RANK: 400,
@@ -21,8 +21,8 @@
     verdict.Reason.UPSTREAM_LOST: 502,
     verdict.Reason.DEADLINE_PASSED: 504,
 }
-UNAVAILABLE = 503
-RAN = (const.HEADER_VERDICT, verdict.Verdict.RAN.encode())
+STATUS_UNAVAILABLE = 503
+RAN_HEADER = (const.HEADER_VERDICT, verdict.Verdict.RAN.encode())
 UNDECIDED = verdict.Refusal(
     verdict.Verdict.MAY_HAVE_RUN,
     verdict.Reason.UPSTREAM_LOST,
@@ -38,7 +38,7 @@
     verdict.Reason.BAD_REQUEST,
     'the body is larger than the service allows',
 )
-NOT_KEPT = http.Problem(
+ANSWER_NOT_KEPT = http.Problem(
     409, 'answer-not-kept', 'the work ran; its answer was too large to keep'
 )
 
@@ -59,7 +59,7 @@
 async def refuse(send: http.Send, refusal: verdict.Refusal) -> None:
     """Send a refusal as a problem document with its verdict."""
     problem = http.Problem(
-        STATUS_OF.get(refusal.reason, UNAVAILABLE),
+        STATUS_BY_REASON.get(refusal.reason, STATUS_UNAVAILABLE),
         refusal.reason.value,
         refusal.detail,
         refusal.retry_after_ms,
@@ -70,35 +70,35 @@
     await http.send_problem(send, problem, headers)
 
 
-async def _relay(send: http.Send, found: models.UpstreamAnswer) -> None:
-    headers = [*parsing.end_to_end(found.headers), RAN]
-    if found.rest is None:
-        await http.respond(send, found.status, headers, found.body)
+async def _relay(send: http.Send, answer: models.UpstreamAnswer) -> None:
+    headers = [*parsing.end_to_end(answer.headers), RAN_HEADER]
+    if answer.rest_receiver is None:
+        await http.respond(send, answer.status, headers, answer.body)
         return
-    with found.rest:
-        await http.start_response(send, found.status, headers)
-        await _send_part(send, models.Chunk(found.body, last=False))
-        async for chunk in found.rest:
-            await _send_part(send, chunk)
+    with answer.rest_receiver:
+        await http.start_response(send, answer.status, headers)
+        await _send_chunk(send, models.Chunk(answer.body, is_last=False))
+        async for chunk in answer.rest_receiver:
+            await _send_chunk(send, chunk)
     # Without a last chunk the server drops the connection, and the
     # framing shows the caller that its answer was cut.
 
 
-async def _send_part(send: http.Send, chunk: models.Chunk) -> None:
+async def _send_chunk(send: http.Send, chunk: models.Chunk) -> None:
     message = {
         'type': 'http.response.body',
         'body': chunk.data,
-        'more_body': not chunk.last,
+        'more_body': not chunk.is_last,
     }
     await send(message)
 
 
 async def _replay(send: http.Send, status: int, record: bytes | None) -> None:
-    kept = None if record is None else records.decode(record)
-    if kept is None:
-        await http.send_problem(send, NOT_KEPT, [RAN])
+    recorded = None if record is None else records.decode(record)
+    if recorded is None:
+        await http.send_problem(send, ANSWER_NOT_KEPT, [RAN_HEADER])
         return
-    headers = [RAN]
-    if kept.content_type:
-        headers.append((const.HEADER_TYPE, kept.content_type))
-    await http.respond(send, status, headers, kept.body)
+    headers = [RAN_HEADER]
+    if recorded.content_type:
+        headers.append((const.HEADER_TYPE, recorded.content_type))
+    await http.respond(send, status, headers, recorded.body)
--- a/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
@@ -16,11 +16,11 @@
 
     It never stops to receive, since the server waits for it.
     """
-    with exchange.rest_in:
+    with exchange.rest_sender:
         await _read_body(exchange, receive)
-    if not exchange.gone:
+    if not exchange.disconnected:
         await http.discard(receive)
-        exchange.gone = True
+        exchange.disconnected = True
     if exchange.decision is None:
         front.engine.world.counters['front.caller_gone'] += 1
         engines.feed(front.engine, inp.CallerDisconnected(exchange.request_id))
@@ -28,31 +28,33 @@
 
 async def _read_body(exchange: models.Exchange, receive: http.Receive) -> None:
     size_bytes = 0
-    more = True
-    while more:
+    has_more = True
+    while has_more:
         message = await receive()
         if message['type'] == 'http.disconnect':
-            exchange.gone = True
+            exchange.disconnected = True
             break
         data = message.get('body', b'')
-        more = message.get('more_body', False)
+        has_more = message.get('more_body', False)
         size_bytes += len(data)
         if size_bytes > exchange.body_max_bytes:
-            exchange.too_large = True
+            exchange.body_too_large = True
             break
-        await _take(exchange, models.Chunk(data, not more))
-    exchange.ready.set()
+        await _accept_chunk(exchange, models.Chunk(data, not has_more))
+    exchange.body_ready.set()
 
 
-async def _take(exchange: models.Exchange, chunk: models.Chunk) -> None:
-    if exchange.ready.is_set():
+async def _accept_chunk(
+    exchange: models.Exchange, chunk: models.Chunk
+) -> None:
+    if exchange.body_ready.is_set():
         # The upstream takes the rest, or nobody once that is decided.
         try:
-            await exchange.rest_in.send(chunk)
+            await exchange.rest_sender.send(chunk)
         except trio.BrokenResourceError:
             return
         return
     exchange.body += chunk.data
-    exchange.whole = chunk.last
-    if chunk.last or len(exchange.body) > const.BODY_BUFFER_BYTES:
-        exchange.ready.set()
+    exchange.is_complete = chunk.is_last
+    if chunk.is_last or len(exchange.body) > const.BODY_BUFFER_BYTES:
+        exchange.body_ready.set()
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -18,8 +18,10 @@
 from zinnialead_daemon.components.front import parsing
 from zinnialead_daemon import http
 
-NOT_RUN = (const.HEADER_VERDICT, verdict.Verdict.NOT_RUN.encode())
-FULL = http.Problem(503, 'exchanges-full', 'too many requests in hand', 1000.0)
+NOT_RUN_HEADER = (const.HEADER_VERDICT, verdict.Verdict.NOT_RUN.encode())
+EXCHANGES_FULL = http.Problem(
+    503, 'exchanges-full', 'too many requests in hand', 1000.0
+)
 
 
 def answer(front: models.Front, decision: models.Decision) -> None:
@@ -47,14 +49,14 @@
         await look_ups.serve(front.engine, scope, receive, send)
         return
     if path.startswith(const.REQUEST_PREFIX):
-        await _request(front, scope, receive, send)
+        await _serve_request(front, scope, receive, send)
         return
     front.engine.world.counters['front.no_such_path'] += 1
     problem = http.Problem(404, 'no-such-path', 'this path is not served')
     await _reject(receive, send, problem)
 
 
-async def _request(
+async def _serve_request(
     front: models.Front,
     scope: http.Scope,
     receive: http.Receive,
@@ -63,22 +65,24 @@
     counters = front.engine.world.counters
     match parsing.request_head(scope, front.bounds):
         case expression.Result(tag='ok', ok=head):
-            full = _full(front, head)
-            if full is not None:
-                counters[f'front.{full.reason.replace("-", "_")}'] += 1
-                await _reject(receive, send, full)
+            limit_problem = _limit_problem(front, head)
+            if limit_problem is not None:
+                counters[
+                    f'front.{limit_problem.reason.replace("-", "_")}'
+                ] += 1
+                await _reject(receive, send, limit_problem)
                 return
-            await _exchange(front, head, receive, send)
+            await _run_exchange(front, head, receive, send)
         case expression.Result(error=problem):
             counters['front.bad_request'] += 1
             await _reject(receive, send, problem)
 
 
-def _full(
+def _limit_problem(
     front: models.Front, head: models.RequestHead
 ) -> http.Problem | None:
     if len(front.exchanges) >= front.bounds.exchanges_max:
-        return FULL
+        return EXCHANGES_FULL
     limit_bytes = _body_max_bytes(front, head)
     if head.length_bytes is not None and head.length_bytes > limit_bytes:
         detail = f'{head.length_bytes} bytes, at most {limit_bytes}'
@@ -99,11 +103,11 @@
     async with trio.open_nursery() as nursery:
         # The server waits for what it received to be taken.
         nursery.start_soon(http.discard, receive)
-        await http.send_problem(send, problem, [NOT_RUN])
+        await http.send_problem(send, problem, [NOT_RUN_HEADER])
         nursery.cancel_scope.cancel()
 
 
-async def _exchange(
+async def _run_exchange(
     front: models.Front,
     head: models.RequestHead,
     receive: http.Receive,
@@ -117,9 +121,9 @@
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(bodies.read, front, exchange, receive)
-            await _decide(front, exchange)
-            exchange.rest.close()
-            await _answer(front, exchange, send)
+            await _await_decision(front, exchange)
+            exchange.rest_receiver.close()
+            await _send_answer(front, exchange, send)
             nursery.cancel_scope.cancel()
     finally:
         del front.exchanges[exchange.request_id]
@@ -133,41 +137,45 @@
 def _new_exchange(
     front: models.Front, head: models.RequestHead
 ) -> models.Exchange:
-    rest_in, rest = trio.open_memory_channel[models.Chunk](const.CHUNKS_MAX)
+    rest_sender, rest_receiver = trio.open_memory_channel[models.Chunk](
+        const.CHUNKS_MAX
+    )
     return models.Exchange(
-        request_id=ids.RequestId(next(front.numbers)),
+        request_id=ids.RequestId(next(front.request_ids)),
         head=head,
-        ready=trio.Event(),
+        body_ready=trio.Event(),
         decided=trio.Event(),
-        rest_in=rest_in,
-        rest=rest,
+        rest_sender=rest_sender,
+        rest_receiver=rest_receiver,
         body_max_bytes=_body_max_bytes(front, head),
     )
 
 
-async def _decide(front: models.Front, exchange: models.Exchange) -> None:
+async def _await_decision(
+    front: models.Front, exchange: models.Exchange
+) -> None:
     started_ms = front.engine.now_ms()
     left_ms = exchange.head.left_ms
     with trio.move_on_after(left_ms / const.MS_PER_S):
-        await exchange.ready.wait()
-    if not exchange.ready.is_set():
+        await exchange.body_ready.wait()
+    if not exchange.body_ready.is_set():
         front.engine.world.counters['front.body_late'] += 1
         answer(front, out.Refuse(exchange.request_id, answers.BODY_LATE))
-    if exchange.too_large:
+    if exchange.body_too_large:
         front.engine.world.counters['front.body_too_large'] += 1
         answer(front, out.Refuse(exchange.request_id, answers.BODY_TOO_LARGE))
-    if exchange.gone or exchange.decision is not None:
+    if exchange.disconnected or exchange.decision is not None:
         return
-    engines.feed(front.engine, _arrived(exchange, started_ms))
+    engines.feed(front.engine, _arrival(exchange, started_ms))
     grace_ms = left_ms + const.UNDECIDED_GRACE_MS
     with trio.move_on_after(grace_ms / const.MS_PER_S):
         await exchange.decided.wait()
 
 
-async def _answer(
+async def _send_answer(
     front: models.Front, exchange: models.Exchange, send: http.Send
 ) -> None:
-    if exchange.gone:
+    if exchange.disconnected:
         return
     if exchange.decision is None:
         front.engine.world.counters['front.undecided'] += 1
@@ -177,7 +185,7 @@
     await answers.send_decision(send, exchange, exchange.decision)
 
 
-def _arrived(
+def _arrival(
     exchange: models.Exchange, started_ms: float
 ) -> inp.RequestArrived:
     head = exchange.head
@@ -192,5 +200,5 @@
         key=head.key,
         key_created_ms=head.key_created_ms,
         body_bytes=length_bytes,
-        replayable=exchange.whole,
+        replayable=exchange.is_complete,
     )
--- a/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
@@ -15,13 +15,13 @@
 
 def dump(front: models.Front) -> FrontDump:
     """Return the front's part of the state dump."""
-    waiting = [
+    without_body = [
         exchange
         for exchange in front.exchanges.values()
-        if not exchange.ready.is_set()
+        if not exchange.body_ready.is_set()
     ]
     return FrontDump(
         exchanges=len(front.exchanges),
         exchanges_max=front.bounds.exchanges_max,
-        without_body=len(waiting),
+        without_body=len(without_body),
     )
--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -45,48 +45,48 @@
     lifetime_ms: float
 
 
-Question = expression.Result[lookup_models.LookUp, str]
-Questions = expression.Result[list[lookup_models.LookUp], str]
+QuestionResult = expression.Result[lookup_models.LookUp, str]
+QuestionsResult = expression.Result[list[lookup_models.LookUp], str]
 FIELDS = {name.encode(): name for name in QuestionDocument.__annotations__}
 USAGE = 'a query gives service, and at most once each of ' + ', '.join(
     FIELDS.values()
 )
-QUESTIONS = msgspec.json.Decoder(QuestionsDocument, strict=True)
+QUESTIONS_DECODER = msgspec.json.Decoder(QuestionsDocument, strict=True)
 ENCODER = msgspec.json.Encoder()
 
 
-def parse_query(query: bytes) -> Question:
+def parse_query(query: bytes) -> QuestionResult:
     """Return the question that a query asks, or what is wrong with it."""
-    named: dict[str, str] = {}
+    values: dict[str, str] = {}
     for part in query.split(b'&', len(FIELDS)):
         name, _, value = part.partition(b'=')
         field = FIELDS.get(name)
-        if field is None or field in named or not value:
+        if field is None or field in values or not value:
             return expression.Error(USAGE)
         try:
-            named[field] = _unquoted(value).decode()
+            values[field] = _unquote(value).decode()
         except UnicodeDecodeError:
             return expression.Error(f'{field} is not UTF-8')
-    if 'service' not in named:
+    if 'service' not in values:
         return expression.Error(USAGE)
-    return _question(typing.cast('QuestionDocument', named))
+    return _check_question(typing.cast('QuestionDocument', values))
 
 
-def parse_document(body: bytes) -> Questions:
+def parse_document(body: bytes) -> QuestionsResult:
     """Return the questions of a document, or what is wrong with it."""
     try:
-        documents = QUESTIONS.decode(body)['questions']
+        documents = QUESTIONS_DECODER.decode(body)['questions']
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return expression.Error(f'the document does not parse: {error}')
     if len(documents) > const.QUESTIONS_MAX:
         return expression.Error(f'more than {const.QUESTIONS_MAX} questions')
     questions = []
     for document in documents:
-        match _question(document):
+        match _check_question(document):
             case expression.Result(tag='ok', ok=question):
                 questions.append(question)
-            case expression.Result(error=wrong):
-                return expression.Error(wrong)
+            case expression.Result(error=detail):
+                return expression.Error(detail)
     return expression.Ok(questions)
 
 
@@ -94,7 +94,7 @@
     engine: engine_models.Engine, question: lookup_models.LookUp
 ) -> AnswerDocument:
     """Return the answer to one question."""
-    found = lookups.look_up(engine.world, engine.now_ms(), question)
+    result = lookups.look_up(engine.world, engine.now_ms(), question)
     return AnswerDocument(
         choices=[
             ChoiceDocument(
@@ -103,9 +103,9 @@
                 address=choice.address,
                 key_prefix=choice.key_prefix,
             )
-            for choice in found.choices
+            for choice in result.choices
         ],
-        lifetime_ms=found.lifetime_ms,
+        lifetime_ms=result.lifetime_ms,
     )
 
 
@@ -119,15 +119,15 @@
     engine.world.counters['front.look_ups'] += 1
     match scope['method']:
         case 'GET':
-            await _serve_one(engine, scope, send)
+            await _serve_query(engine, scope, send)
         case 'POST':
-            await _serve_many(engine, receive, send)
+            await _serve_document(engine, receive, send)
         case method:
             problem = http.Problem(405, 'method', f'{method} asks nothing')
             await http.send_problem(send, problem)
 
 
-async def _serve_one(
+async def _serve_query(
     engine: engine_models.Engine, scope: http.Scope, send: http.Send
 ) -> None:
     match parse_query(scope['query_string']):
@@ -138,7 +138,7 @@
             await _refuse(engine, send, error)
 
 
-async def _serve_many(
+async def _serve_document(
     engine: engine_models.Engine, receive: http.Receive, send: http.Send
 ) -> None:
     body = await http.read_body(receive, const.LOOK_UP_MAX_BYTES)
@@ -167,18 +167,18 @@
 ) -> None:
     engine.world.counters['front.bad_look_up'] += 1
     problem = http.Problem(400, 'bad-request', detail)
-    not_run = [(const.HEADER_VERDICT, b'not-run')]
-    await http.send_problem(send, problem, not_run)
+    headers = [(const.HEADER_VERDICT, b'not-run')]
+    await http.send_problem(send, problem, headers)
 
 
-def _unquoted(value: bytes) -> bytes:
+def _unquote(value: bytes) -> bytes:
     # Nearly all values are plain names, which need no unquoting.
     if b'%' not in value and b'+' not in value:
         return value
     return urllib.parse.unquote_to_bytes(value.replace(b'+', b' '))
 
 
-def _question(document: QuestionDocument) -> Question:
+def _check_question(document: QuestionDocument) -> QuestionResult:
     if any(
         len(str(part)) > const.NAME_MAX_BYTES for part in document.values()
     ):
--- a/packages/daemon/src/zinnialead_daemon/components/front/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/models.py
@@ -36,7 +36,7 @@
     """Hold one part of a body; a body without a ``last`` one was cut."""
 
     data: bytes
-    last: bool
+    is_last: bool
 
 
 class UpstreamAnswer(typing.NamedTuple):
@@ -45,7 +45,7 @@
     status: int
     headers: http.Headers
     body: bytes
-    rest: 'trio.MemoryReceiveChannel[Chunk] | None' = None
+    rest_receiver: 'trio.MemoryReceiveChannel[Chunk] | None' = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,15 +54,15 @@
 
     request_id: ids.RequestId
     head: RequestHead
-    ready: trio.Event
+    body_ready: trio.Event
     decided: trio.Event
-    rest_in: 'trio.MemorySendChannel[Chunk]'
-    rest: 'trio.MemoryReceiveChannel[Chunk]'
+    rest_sender: 'trio.MemorySendChannel[Chunk]'
+    rest_receiver: 'trio.MemoryReceiveChannel[Chunk]'
     body_max_bytes: int
     body: bytes = b''
-    whole: bool = False
-    gone: bool = False
-    too_large: bool = False
+    is_complete: bool = False
+    disconnected: bool = False
+    body_too_large: bool = False
     decision: Decision | None = None
     answers: dict[int, UpstreamAnswer] = dataclasses.field(
         default_factory=dict
@@ -82,7 +82,7 @@
 
     engine: engine_models.Engine
     exchanges: dict[ids.RequestId, Exchange]
-    numbers: 'itertools.count[int]'
+    request_ids: 'itertools.count[int]'
     idle: trio.Event
     bounds: settings.Bounds
     timings: 'collections.deque[TimingRow]'
--- a/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
@@ -14,11 +14,11 @@
 from zinnialead_daemon.components.front import models
 from zinnialead_daemon import http
 
-NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
-KEY = re.compile(r'[!-~]{1,255}')
-NUMBER = re.compile(r'[0-9]{1,15}(\.[0-9]{1,6})?')
-COUNT = re.compile(r'[0-9]{1,15}')
-HOP_BY_HOP = {
+NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,127}')
+KEY_PATTERN = re.compile(r'[!-~]{1,255}')
+NUMBER_PATTERN = re.compile(r'[0-9]{1,15}(\.[0-9]{1,6})?')
+COUNT_PATTERN = re.compile(r'[0-9]{1,15}')
+HOP_BY_HOP_HEADERS = {
     b'connection',
     b'expect',
     b'host',
@@ -31,7 +31,7 @@
     b'transfer-encoding',
     b'upgrade',
 }
-SINGLE = {
+SINGLE_VALUE_HEADERS = {
     const.HEADER_RANK,
     const.HEADER_DEADLINE,
     const.HEADER_KEY,
@@ -39,18 +39,18 @@
     const.HEADER_LENGTH,
 }
 
-Control = dict[bytes, str]
-Checked = expression.Result[models.RequestHead, http.Problem]
+ControlHeaders = dict[bytes, str]
+HeadResult = expression.Result[models.RequestHead, http.Problem]
 
 
 class BadRequestError(Exception):
     """Carry a status and what is wrong, within this module."""
 
 
-def request_head(scope: http.Scope, bounds: settings.Bounds) -> Checked:
+def request_head(scope: http.Scope, bounds: settings.Bounds) -> HeadResult:
     """Return a request's head, or the problem to answer it with."""
     try:
-        _check_size(scope, bounds)
+        _check_limits(scope, bounds)
         return expression.Ok(_head(scope))
     except BadRequestError as error:
         status, detail = error.args
@@ -71,20 +71,20 @@
         if name == b'connection'
         for token in value.split(b',')
     }
-    dropped = HOP_BY_HOP | named
+    dropped = HOP_BY_HOP_HEADERS | named
     return [(name, value) for name, value in lowered if name not in dropped]
 
 
-def number_ms(text: str) -> float | None:
+def parse_ms(text: str) -> float | None:
     """Return a time in ms, or None where the text is no such number.
 
-    >>> number_ms('250'), number_ms('nan'), number_ms('-1'), number_ms('1e9')
+    >>> parse_ms('250'), parse_ms('nan'), parse_ms('-1'), parse_ms('1e9')
     (250.0, None, None, None)
     """
-    return float(text) if NUMBER.fullmatch(text) else None
+    return float(text) if NUMBER_PATTERN.fullmatch(text) else None
 
 
-def _check_size(scope: http.Scope, bounds: settings.Bounds) -> None:
+def _check_limits(scope: http.Scope, bounds: settings.Bounds) -> None:
     if scope['http_version'] != '1.1':
         # Only here does the framing alone show that an answer was cut.
         raise BadRequestError(505, 'only HTTP/1.1 is served')
@@ -102,33 +102,33 @@
 
 
 def _head(scope: http.Scope) -> models.RequestHead:
-    control = _control(scope['headers'])
-    place = _place(scope)
-    rank = _matching(control, const.HEADER_RANK, NAME)
-    key = _matching(control, const.HEADER_KEY, KEY)
-    left_ms = _time(control, const.HEADER_DEADLINE)
+    control = _control_headers(scope['headers'])
+    destination = _destination(scope)
+    rank = _matching(control, const.HEADER_RANK, NAME_PATTERN)
+    key = _matching(control, const.HEADER_KEY, KEY_PATTERN)
+    left_ms = _time_ms(control, const.HEADER_DEADLINE)
     if left_ms is None:
         left_ms = const.DEADLINE_DEFAULT_MS
-    kept = end_to_end(scope['headers'])
+    headers = end_to_end(scope['headers'])
     dropped = (const.HEADER_DEADLINE, const.HEADER_LENGTH)
     return models.RequestHead(
         method=scope['method'].encode(),
-        service=ids.ServiceId(place.service),
-        target=place.target,
+        service=ids.ServiceId(destination.service),
+        target=destination.target,
         rank=None if rank is None else ids.RankId(rank),
         left_ms=min(left_ms, const.DEADLINE_MAX_MS),
         key=None if key is None else ids.Key(key),
-        key_created_ms=_time(control, const.HEADER_KEY_CREATED),
-        length_bytes=_length(control),
-        headers=[item for item in kept if item[0] not in dropped],
+        key_created_ms=_time_ms(control, const.HEADER_KEY_CREATED),
+        length_bytes=_length_bytes(control),
+        headers=[header for header in headers if header[0] not in dropped],
     )
 
 
-def _control(headers: http.Headers) -> Control:
-    found: Control = {}
+def _control_headers(headers: http.Headers) -> ControlHeaders:
+    found: ControlHeaders = {}
     for name, value in headers:
         text = _text(value, f'header {name.decode("latin-1")}')
-        if name not in SINGLE:
+        if name not in SINGLE_VALUE_HEADERS:
             continue
         if name in found:
             raise BadRequestError(400, f'{name.decode()} is given twice')
@@ -136,41 +136,41 @@
     return found
 
 
-class Place(typing.NamedTuple):
+class Destination(typing.NamedTuple):
     """Name the service that a path asks for, and the upstream's path."""
 
     service: str
     target: bytes
 
 
-def _place(scope: http.Scope) -> Place:
-    raw: bytes = scope['raw_path']
-    path = raw[len(const.REQUEST_PREFIX) :]
+def _destination(scope: http.Scope) -> Destination:
+    raw_path: bytes = scope['raw_path']
+    path = raw_path[len(const.REQUEST_PREFIX) :]
     name, _, rest = path.partition(b'/')
     _text(urllib.parse.unquote_to_bytes(rest), 'path')
     query: bytes = scope['query_string']
     _text(urllib.parse.unquote_to_bytes(query), 'query')
     service = _text(urllib.parse.unquote_to_bytes(name), 'service')
-    if not NAME.fullmatch(service):
+    if not NAME_PATTERN.fullmatch(service):
         raise BadRequestError(400, f'{service!r} names no service')
-    return Place(service, b'/' + rest + (b'?' + query if query else b''))
+    return Destination(service, b'/' + rest + (b'?' + query if query else b''))
 
 
 def _target(scope: http.Scope) -> bytes:
-    raw: bytes = scope['raw_path']
+    raw_path: bytes = scope['raw_path']
     query: bytes = scope['query_string']
-    return raw + query
+    return raw_path + query
 
 
-def _text(value: bytes, place: str) -> str:
+def _text(value: bytes, part: str) -> str:
     try:
         return value.decode('utf-8')
     except UnicodeDecodeError as error:
-        raise BadRequestError(400, f'{place} is not UTF-8') from error
+        raise BadRequestError(400, f'{part} is not UTF-8') from error
 
 
 def _matching(
-    control: Control, name: bytes, pattern: re.Pattern[str]
+    control: ControlHeaders, name: bytes, pattern: re.Pattern[str]
 ) -> str | None:
     text = control.get(name)
     if text is not None and not pattern.fullmatch(text):
@@ -178,19 +178,19 @@
     return text
 
 
-def _time(control: Control, name: bytes) -> float | None:
+def _time_ms(control: ControlHeaders, name: bytes) -> float | None:
     text = control.get(name)
     if text is None:
         return None
-    time_ms = number_ms(text)
+    time_ms = parse_ms(text)
     if time_ms is None:
         detail = f'{name.decode()}: {text[:40]!r} is no time in ms'
         raise BadRequestError(400, detail)
     return time_ms
 
 
-def _length(control: Control) -> int | None:
-    text = _matching(control, const.HEADER_LENGTH, COUNT)
+def _length_bytes(control: ControlHeaders) -> int | None:
+    text = _matching(control, const.HEADER_LENGTH, COUNT_PATTERN)
     if text is None:
         return None
     if int(text) > const.BODY_MAX_BYTES:
--- a/packages/daemon/src/zinnialead_daemon/components/front/records.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/records.py
@@ -17,9 +17,9 @@
 
 def encode(headers: http.Headers, body: bytes) -> bytes:
     """Return the record of an answer."""
-    named = {name.lower(): value for name, value in headers}
-    kept = Record(named.get(const.HEADER_TYPE, b''), body)
-    return msgspec.msgpack.encode(kept)
+    values = {name.lower(): value for name, value in headers}
+    record = Record(values.get(const.HEADER_TYPE, b''), body)
+    return msgspec.msgpack.encode(record)
 
 
 def decode(record: bytes) -> Record | None:
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
@@ -11,8 +11,8 @@
 from zinnialead_daemon.components.upstreams import models
 from zinnialead_daemon import http
 
-SENT_EVENT = 'http11.send_request_headers.started'
-BODILESS = {b'GET', b'HEAD', b'DELETE', b'OPTIONS', b'TRACE'}
+SENDING_STARTED_EVENT = 'http11.send_request_headers.started'
+METHODS_WITHOUT_BODY = {b'GET', b'HEAD', b'DELETE', b'OPTIONS', b'TRACE'}
 Extensions = dict[str, object]
 
 
@@ -24,25 +24,25 @@
     attempt: models.Attempt,
     exchange: front_models.Exchange,
     left_ms: float,
-    patience_ms: float,
+    time_limit_ms: float,
 ) -> httpcore.Request:
     """Return the request that one attempt sends."""
     dispatch = attempt.dispatch
     headers = [
         *exchange.head.headers,
         (const.HEADER_DEADLINE, str(int(left_ms)).encode()),
-        (const.HEADER_REQUEST, attempt.name),
+        (const.HEADER_REQUEST, attempt.wire_id),
     ]
-    built = httpcore.Request(
+    outgoing = httpcore.Request(
         exchange.head.method,
         url(dispatch.address, exchange.head.target),
-        headers=[*headers, *_framing(exchange)],
-        content=_content(exchange),
-        extensions=extensions(patience_ms),
+        headers=[*headers, *_framing_headers(exchange)],
+        content=_request_body(exchange),
+        extensions=extensions(time_limit_ms),
     )
-    built.headers.insert(0, (b'Host', dispatch.address.encode()))
-    built.extensions['trace'] = functools.partial(_trace, attempt)
-    return built
+    outgoing.headers.insert(0, (b'Host', dispatch.address.encode()))
+    outgoing.extensions['trace'] = functools.partial(_trace, attempt)
+    return outgoing
 
 
 def url(address: str, target: bytes) -> httpcore.URL:
@@ -70,39 +70,39 @@
     return {'timeout': timeouts}
 
 
-def _framing(exchange: front_models.Exchange) -> http.Headers:
+def _framing_headers(exchange: front_models.Exchange) -> http.Headers:
     length_bytes = exchange.head.length_bytes
-    if exchange.whole:
+    if exchange.is_complete:
         length_bytes = len(exchange.body)
     if length_bytes is None:
         return [(b'Transfer-Encoding', b'chunked')]
-    if length_bytes == 0 and exchange.head.method in BODILESS:
+    if length_bytes == 0 and exchange.head.method in METHODS_WITHOUT_BODY:
         return []
     return [(b'Content-Length', str(length_bytes).encode())]
 
 
-def _content(
+def _request_body(
     exchange: front_models.Exchange,
 ) -> bytes | abc.AsyncIterator[bytes]:
-    if exchange.whole:
+    if exchange.is_complete:
         return exchange.body
-    return _stream(exchange)
+    return _stream_body(exchange)
 
 
-async def _stream(
+async def _stream_body(
     exchange: front_models.Exchange,
 ) -> abc.AsyncIterator[bytes]:
     yield exchange.body
     while True:
         try:
-            chunk = await exchange.rest.receive()
+            chunk = await exchange.rest_receiver.receive()
         except (trio.EndOfChannel, trio.ClosedResourceError) as error:
             raise BodyCutError('the caller left') from error
         yield chunk.data
-        if chunk.last:
+        if chunk.is_last:
             return
 
 
 async def _trace(attempt: models.Attempt, event: str, _: object) -> None:
-    if event == SENT_EVENT:
+    if event == SENDING_STARTED_EVENT:
         attempt.sent = True
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/const.py
@@ -14,7 +14,7 @@
 CANCEL_TIMEOUT_MS = 500.0
 # Started work that must run at most once is heard out for this long after
 # its deadline: its true end is worth more than the connection.
-HEAR_OUT_MS = 5_000.0
+COMPLETION_GRACE_MS = 5_000.0
 CONNECTIONS_DEFAULT = 64
 
 POLL_PERIOD_MS = 2_000.0
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -14,8 +14,8 @@
 from zinnialead_daemon.components.upstreams import models
 from zinnialead_daemon.components.upstreams import results
 
-OK = 200
-FAILURES = (
+STATUS_OK = 200
+TRANSPORT_ERRORS = (
     calls.BodyCutError,
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -27,23 +27,23 @@
     engine: engine_models.Engine, front: front_models.Front
 ) -> models.Pools:
     """Return an entry's pools, none of them open yet."""
-    polls = _new_pool(const.POLL_CONNECTIONS_MAX)
-    return models.Pools(engine, front, {}, polls, {})
+    poll_pool = _new_pool(const.POLL_CONNECTIONS_MAX)
+    return models.Pools(engine, front, {}, poll_pool, {})
 
 
-async def attempt(pools: models.Pools, dispatch: out.Dispatch) -> None:
+async def run_attempt(pools: models.Pools, dispatch: out.Dispatch) -> None:
     """Send one request and tell the core how the attempt ended."""
     started_ms = pools.engine.now_ms()
     ref = pools.engine.world.node.ref
     parts = (*ref, dispatch.request_id, dispatch.attempt)
-    name = '.'.join(map(str, parts)).encode()
-    left_s = _patience_ms(pools, dispatch) / const.MS_PER_S
+    wire_id = '.'.join(map(str, parts)).encode()
+    left_s = _time_limit_ms(pools, dispatch) / const.MS_PER_S
     scope = trio.CancelScope(deadline=trio.current_time() + left_s)
-    made = models.Attempt(dispatch, name, scope)
+    attempt = models.Attempt(dispatch, wire_id, scope)
     attempt_id = models.AttemptId(dispatch.request_id, dispatch.attempt)
-    pools.attempts[attempt_id] = made
+    pools.attempts[attempt_id] = attempt
     try:
-        outcome = await _send(pools, made)
+        outcome = await _send_attempt(pools, attempt)
     finally:
         del pools.attempts[attempt_id]
     done = inp.DispatchDone(
@@ -51,116 +51,129 @@
         dispatch.attempt,
         outcome,
         pools.engine.now_ms() - started_ms,
-        made.answer_bytes,
+        attempt.answer_bytes,
     )
     engines.feed(pools.engine, done)
 
 
-async def cancel(pools: models.Pools, output: out.CancelDispatch) -> None:
+async def cancel_attempt(
+    pools: models.Pools, output: out.CancelDispatch
+) -> None:
     """Cancel an attempt; its task reports what became of it.
 
     Work that must run at most once is cut off only where the upstream
     promises not to start it; else it is heard out.
     """
     attempt_id = models.AttemptId(output.request_id, output.attempt)
-    made = pools.attempts.get(attempt_id)
-    if made is None:
+    attempt = pools.attempts.get(attempt_id)
+    if attempt is None:
         return
-    if made.sent and not made.dispatch.idempotent:
-        made.never_started = await _never_starts(pools, made)
-        if not made.never_started:
+    if attempt.sent and not attempt.dispatch.idempotent:
+        attempt.never_started = await _request_cancellation(pools, attempt)
+        if not attempt.never_started:
             return
-    made.scope.cancel()
+    attempt.scope.cancel()
 
 
 async def close(pools: models.Pools) -> None:
     """Close every connection."""
-    await pools.polls.aclose()
+    await pools.poll_pool.aclose()
     for pool in pools.by_address.values():
         await pool.aclose()
 
 
-def connections(pools: models.Pools, dispatch: out.Dispatch) -> int:
+def connections_max(pools: models.Pools, dispatch: out.Dispatch) -> int:
     """Return how many connections this entry may hold to an upstream."""
     state = pools.engine.world.states['in-force']
     row = state.upstreams.get(dispatch.upstream)
     return row.connections_max if row else const.CONNECTIONS_DEFAULT
 
 
-async def _send(pools: models.Pools, made: models.Attempt) -> verdict.Outcome:
-    dispatch = made.dispatch
+async def _send_attempt(
+    pools: models.Pools, attempt: models.Attempt
+) -> verdict.Outcome:
+    dispatch = attempt.dispatch
     exchange = pools.front.exchanges.get(dispatch.request_id)
     left_ms = dispatch.deadline_ms - pools.engine.now_ms()
     if exchange is None or left_ms <= 0:
         return verdict.NotSent('the caller left or the deadline passed')
-    with made.scope:
+    with attempt.scope:
         try:
-            return await _exchange(pools, made, exchange, left_ms)
-        except FAILURES as error:
+            return await _exchange_messages(pools, attempt, exchange, left_ms)
+        except TRANSPORT_ERRORS as error:
             detail = f'{dispatch.address}: {error!r}'
-            if made.sent:
+            if attempt.sent:
                 return verdict.Lost(detail)
             return verdict.NotSent(detail)
-    return await _cancelled(pools, made)
+    return await _cancelled_outcome(pools, attempt)
 
 
-async def _cancelled(
-    pools: models.Pools, made: models.Attempt
+async def _cancelled_outcome(
+    pools: models.Pools, attempt: models.Attempt
 ) -> verdict.Outcome:
-    if not made.sent:
+    if not attempt.sent:
         return verdict.NotSent('cancelled before it was sent')
-    if made.never_started or await _never_starts(pools, made):
+    if attempt.never_started or await _request_cancellation(pools, attempt):
         return verdict.NeverStarted()
-    address = made.dispatch.address
+    address = attempt.dispatch.address
     return verdict.Lost(f'{address}: cancelled while in flight')
 
 
-async def _exchange(
+async def _exchange_messages(
     pools: models.Pools,
-    made: models.Attempt,
+    attempt: models.Attempt,
     exchange: front_models.Exchange,
     left_ms: float,
 ) -> verdict.Outcome:
     request = calls.request(
-        made, exchange, left_ms, _patience_ms(pools, made.dispatch)
+        attempt, exchange, left_ms, _time_limit_ms(pools, attempt.dispatch)
+    )
+    response = await _pool(pools, attempt.dispatch).handle_async_request(
+        request
     )
-    response = await _pool(pools, made.dispatch).handle_async_request(request)
     try:
-        return await results.outcome(pools, made, exchange, response)
+        return await results.outcome(pools, attempt, exchange, response)
     finally:
         await response.aclose()
 
 
-async def _never_starts(pools: models.Pools, made: models.Attempt) -> bool:
+async def _request_cancellation(
+    pools: models.Pools, attempt: models.Attempt
+) -> bool:
     """Tell the upstream to cancel; return whether it promised to."""
-    address = made.dispatch.address
+    address = attempt.dispatch.address
     with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
         try:
-            answer = await pools.polls.request(
+            response = await pools.poll_pool.request(
                 'POST',
                 calls.url(address, const.CANCEL_PATH),
-                headers=[(const.HEADER_REQUEST, made.name)],
+                headers=[(const.HEADER_REQUEST, attempt.wire_id)],
                 extensions=calls.extensions(const.CANCEL_TIMEOUT_MS),
             )
-        except FAILURES:
+        except TRANSPORT_ERRORS:
             return False
-        return answer.status == OK and answer.content == const.NEVER_STARTED
+        return (
+            response.status == STATUS_OK
+            and response.content == const.NEVER_STARTED
+        )
     return False
 
 
-def _patience_ms(pools: models.Pools, dispatch: out.Dispatch) -> float:
+def _time_limit_ms(pools: models.Pools, dispatch: out.Dispatch) -> float:
     left_ms = dispatch.deadline_ms - pools.engine.now_ms()
-    return left_ms + (0.0 if dispatch.idempotent else const.HEAR_OUT_MS)
+    return left_ms + (
+        0.0 if dispatch.idempotent else const.COMPLETION_GRACE_MS
+    )
 
 
 def _pool(
     pools: models.Pools, dispatch: out.Dispatch
 ) -> httpcore.AsyncConnectionPool:
-    known = pools.by_address.get(dispatch.address)
-    if known is None:
-        known = _new_pool(connections(pools, dispatch))
-        pools.by_address[dispatch.address] = known
-    return known
+    pool = pools.by_address.get(dispatch.address)
+    if pool is None:
+        pool = _new_pool(connections_max(pools, dispatch))
+        pools.by_address[dispatch.address] = pool
+    return pool
 
 
 def _new_pool(connections_max: int) -> httpcore.AsyncConnectionPool:
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
@@ -28,7 +28,7 @@
     """
 
     dispatch: out.Dispatch
-    name: bytes
+    wire_id: bytes
     scope: trio.CancelScope
     sent: bool = False
     never_started: bool = False
@@ -42,7 +42,7 @@
     engine: engine_models.Engine
     front: front_models.Front
     by_address: dict[str, httpcore.AsyncConnectionPool]
-    polls: httpcore.AsyncConnectionPool
+    poll_pool: httpcore.AsyncConnectionPool
     attempts: dict[AttemptId, Attempt]
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
@@ -15,14 +15,14 @@
 from zinnialead_daemon.components.upstreams import coordinator
 from zinnialead_daemon.components.upstreams import models
 
-OK = 200
+STATUS_OK = 200
 
 
 async def run(pools: models.Pools) -> None:
     """Poll the upstreams whose slots this entry owns, for good."""
     async with trio.open_nursery() as nursery:
         while True:
-            rows = list(owned(pools))
+            rows = list(owned_upstreams(pools))
             pause_s = const.POLL_PERIOD_MS / const.MS_PER_S
             for row in rows:
                 nursery.start_soon(poll, pools, row)
@@ -33,19 +33,19 @@
                 await trio.sleep(pause_s)
 
 
-def owned(pools: models.Pools) -> abc.Iterator[tickets.UpstreamRow]:
+def owned_upstreams(pools: models.Pools) -> abc.Iterator[tickets.UpstreamRow]:
     """Yield the upstreams of this domain whose slots this entry owns."""
     world = pools.engine.world
     node = world.node
     rows = world.states['in-force'].upstreams.values()
-    near = [row for row in rows if row.domain == node.domain]
-    own = {
+    local_rows = [row for row in rows if row.domain == node.domain]
+    owned_services = {
         service
-        for service in {row.service for row in near}
+        for service in {row.service for row in local_rows}
         if slot_owners.slot_owner(world, service, node.domain)
         == node.ref.entry
     }
-    return (row for row in near if row.service in own)
+    return (row for row in local_rows if row.service in owned_services)
 
 
 async def poll(pools: models.Pools, row: tickets.UpstreamRow) -> None:
@@ -55,9 +55,9 @@
     with trio.move_on_after(const.POLL_TIMEOUT_MS / const.MS_PER_S):
         try:
             health = await _get(pools, row, const.HEALTH_PATH)
-            healthy = health.status == OK
+            healthy = health.status == STATUS_OK
             load = parse_load(await _get(pools, row, const.LOAD_PATH))
-        except coordinator.FAILURES:
+        except coordinator.TRANSPORT_ERRORS:
             pools.engine.world.counters['upstreams.poll_failed'] += 1
     report = inp.UpstreamReport(
         row.upstream,
@@ -70,7 +70,7 @@
 
 def parse_load(response: httpcore.Response) -> models.LoadDocument:
     """Return the load that an answer tells, empty where it tells none."""
-    if response.status != OK:
+    if response.status != STATUS_OK:
         return models.LoadDocument()
     try:
         load = msgspec.json.decode(response.content, type=models.LoadDocument)
@@ -84,7 +84,7 @@
 async def _get(
     pools: models.Pools, row: tickets.UpstreamRow, path: bytes
 ) -> httpcore.Response:
-    return await pools.polls.request(
+    return await pools.poll_pool.request(
         'GET',
         calls.url(row.address, path),
         extensions=calls.extensions(const.POLL_TIMEOUT_MS),
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
@@ -13,7 +13,7 @@
 from zinnialead_daemon.components.upstreams import const
 from zinnialead_daemon.components.upstreams import models
 
-EMPTY_STATUS = {204, 304}
+STATUSES_WITHOUT_BODY = {204, 304}
 
 
 async def outcome(
@@ -23,21 +23,23 @@
     response: httpcore.Response,
 ) -> verdict.Outcome:
     """Return how the attempt ended, once the answer is whole."""
-    named = {name.lower(): value for name, value in response.headers}
-    if response.status == const.SHED_STATUS and const.HEADER_SHED in named:
-        return verdict.Shed(_retry_after_ms(named))
-    if not _framed(exchange, response.status, named):
+    headers = {name.lower(): value for name, value in response.headers}
+    if response.status == const.SHED_STATUS and const.HEADER_SHED in headers:
+        return verdict.Shed(_retry_after_ms(headers))
+    if not _has_framing(exchange, response.status, headers):
         return verdict.Lost('the answer has no length')
-    parts = response.aiter_stream()
+    chunks = response.aiter_stream()
     body = b''
-    async for part in parts:
-        body += part
-        attempt.answer_bytes += len(part)
+    async for chunk in chunks:
+        body += chunk
+        attempt.answer_bytes += len(chunk)
         if len(body) > const.ANSWER_BUFFER_BYTES:
-            found = front_models.UpstreamAnswer(
+            answer = front_models.UpstreamAnswer(
                 response.status, response.headers, body
             )
-            return await _stream(pools, attempt, exchange, found, parts)
+            return await _stream_answer(
+                pools, attempt, exchange, answer, chunks
+            )
     exchange.answers[attempt.dispatch.attempt] = front_models.UpstreamAnswer(
         response.status, response.headers, body
     )
@@ -47,42 +49,46 @@
     return verdict.Answered(response.status, record)
 
 
-async def _stream(
+async def _stream_answer(
     pools: models.Pools,
     attempt: models.Attempt,
     exchange: front_models.Exchange,
-    found: front_models.UpstreamAnswer,
-    parts: abc.AsyncIterable[bytes],
+    answer: front_models.UpstreamAnswer,
+    chunks: abc.AsyncIterable[bytes],
 ) -> verdict.Outcome:
-    number = attempt.dispatch.attempt
-    if exchange.decision is not None or exchange.gone:
+    attempt_number = attempt.dispatch.attempt
+    if exchange.decision is not None or exchange.disconnected:
         # Nobody waits for the answer; that it is whole still counts.
-        async for part in parts:
-            attempt.answer_bytes += len(part)
-        return verdict.Answered(found.status)
-    send, rest = trio.open_memory_channel[front_models.Chunk](const.CHUNKS_MAX)
-    exchange.answers[number] = found._replace(rest=rest)
-    started = inp.AnswerStarted(attempt.dispatch.request_id, number)
-    engines.feed(pools.engine, started)
-    with send:
+        async for chunk in chunks:
+            attempt.answer_bytes += len(chunk)
+        return verdict.Answered(answer.status)
+    sender, receiver = trio.open_memory_channel[front_models.Chunk](
+        const.CHUNKS_MAX
+    )
+    exchange.answers[attempt_number] = answer._replace(rest_receiver=receiver)
+    answer_started = inp.AnswerStarted(
+        attempt.dispatch.request_id, attempt_number
+    )
+    engines.feed(pools.engine, answer_started)
+    with sender:
         try:
-            async for part in parts:
-                attempt.answer_bytes += len(part)
-                await send.send(front_models.Chunk(part, last=False))
-            await send.send(front_models.Chunk(b'', last=True))
+            async for chunk in chunks:
+                attempt.answer_bytes += len(chunk)
+                await sender.send(front_models.Chunk(chunk, is_last=False))
+            await sender.send(front_models.Chunk(b'', is_last=True))
         except trio.BrokenResourceError:
             return verdict.Lost('the caller left before the answer ended')
-    return verdict.Answered(found.status)
+    return verdict.Answered(answer.status)
 
 
-def _framed(
-    exchange: front_models.Exchange, status: int, named: dict[bytes, bytes]
+def _has_framing(
+    exchange: front_models.Exchange, status: int, headers: dict[bytes, bytes]
 ) -> bool:
-    if exchange.head.method == b'HEAD' or status in EMPTY_STATUS:
+    if exchange.head.method == b'HEAD' or status in STATUSES_WITHOUT_BODY:
         return True
-    return b'content-length' in named or b'transfer-encoding' in named
+    return b'content-length' in headers or b'transfer-encoding' in headers
 
 
-def _retry_after_ms(named: dict[bytes, bytes]) -> float:
-    text = named.get(const.HEADER_RETRY_AFTER, b'0')
+def _retry_after_ms(headers: dict[bytes, bytes]) -> float:
+    text = headers.get(const.HEADER_RETRY_AFTER, b'0')
     return float(text) * const.MS_PER_S if text.isdigit() else 0.0
--- a/packages/daemon/src/zinnialead_daemon/const.py
+++ b/packages/daemon/src/zinnialead_daemon/const.py
@@ -2,10 +2,10 @@
 
 MS_PER_S = 1_000.0
 # Answers still under way after the last request is decided.
-STOP_ANSWERS_S = 30.0
+STOP_TIMEOUT_S = 30.0
 STOP_LINGER_S = 0.5
-UNLOAD_S = 2.0
+STOP_HOOK_TIMEOUT_S = 2.0
 # Files besides the callers' connections: peers, upstreams and the store.
-FILES_SPARE = 4_096
-EXIT_CUT = 1
+FILES_RESERVED = 4_096
+EXIT_FORCED = 1
 EXIT_SETTINGS = 3
--- a/packages/daemon/src/zinnialead_daemon/main.py
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -25,7 +25,7 @@
     help='Steer requests to upstreams, on one entry VM.',
     no_args_is_help=True,
 )
-Flag = typing.Annotated[str | None, typer.Option(show_default=False)]
+TextFlag = typing.Annotated[str | None, typer.Option(show_default=False)]
 SettingsFile = typing.Annotated[
     pathlib.Path,
     typer.Option('--settings', help='Settings in JSON with comments.'),
@@ -35,7 +35,7 @@
 ]
 
 
-def _version(wanted: bool) -> None:
+def _print_version(wanted: bool) -> None:
     if wanted:
         typer.echo(importlib.metadata.version('zinnialead-daemon'))
         raise typer.Exit
@@ -46,7 +46,7 @@
     version: typing.Annotated[
         bool,
         typer.Option(
-            '--version', callback=_version, help='Print the version.'
+            '--version', callback=_print_version, help='Print the version.'
         ),
     ] = False,
 ) -> None:
@@ -57,14 +57,14 @@
 def run(
     settings: SettingsFile,
     check: CheckFlag = False,
-    entry: Flag = None,
-    domain: Flag = None,
-    region: Flag = None,
-    callers_bind: Flag = None,
-    operators_bind: Flag = None,
-    peers_bind: Flag = None,
-    callers_address: Flag = None,
-    peers_address: Flag = None,
+    entry: TextFlag = None,
+    domain: TextFlag = None,
+    region: TextFlag = None,
+    callers_bind: TextFlag = None,
+    operators_bind: TextFlag = None,
+    peers_bind: TextFlag = None,
+    callers_address: TextFlag = None,
+    peers_address: TextFlag = None,
 ) -> None:
     """Serve until told to stop.
 
@@ -94,48 +94,48 @@
 
 def _serve(settings: zinnialead_config.Settings) -> int:
     logs.set_up(sys.stdout)
-    _bound_files(settings.bounds.connections_max)
+    _raise_file_limit(settings.bounds.connections_max)
     incarnation = int(time.time() * const.MS_PER_S)
     world = applications.new_world(settings, incarnation)
     application = applications.new_application(settings, world)
-    return trio.run(run_until_told, application)
+    return trio.run(run_until_stopped, application)
 
 
-async def run_until_told(application: applications.Application) -> int:
+async def run_until_stopped(application: applications.Application) -> int:
     """Run an entry, mind the signals, and return its exit code."""
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
     with trio.open_signal_receiver(*signals) as received:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_mind, application, received, nursery)
+            nursery.start_soon(_handle_signals, application, received, nursery)
             await applications.run(application)
             nursery.cancel_scope.cancel()
-    return 0 if application.stopped.is_set() else const.EXIT_CUT
+    return 0 if application.stopped.is_set() else const.EXIT_FORCED
 
 
-async def _mind(
+async def _handle_signals(
     application: applications.Application,
     received: typing.AsyncIterator[int],
     nursery: trio.Nursery,
 ) -> None:
-    asked = False
-    async for number in received:
-        match number:
+    stop_requested = False
+    async for signal_number in received:
+        match signal_number:
             case signal.SIGUSR1:
                 logs.log_dump(applications.dump(application))
-            case _ if asked:
+            case _ if stop_requested:
                 nursery.cancel_scope.cancel()
             case _:
-                asked = True
+                stop_requested = True
                 engines.feed(application.engine, inp.StopRequested())
 
 
-def _bound_files(connections_max: int) -> None:
+def _raise_file_limit(connections_max: int) -> None:
     # The server waits with new connections while no file is free.
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = connections_max + const.FILES_SPARE
-    if hard != resource.RLIM_INFINITY:
-        wanted = min(wanted, hard)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    file_limit = connections_max + const.FILES_RESERVED
+    if hard_limit != resource.RLIM_INFINITY:
+        file_limit = min(file_limit, hard_limit)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (file_limit, hard_limit))
 
 
 if __name__ == '__main__':
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -18,7 +18,7 @@
 
 
 async def run(application, ended):
-    ended.append(await main.run_until_told(application))
+    ended.append(await main.run_until_stopped(application))
 
 
 def new_entry():
@@ -67,7 +67,7 @@
         await trio.testing.wait_all_tasks_blocked()
         assert application.engine.world.requests.stopping
         os.kill(os.getpid(), signal.SIGTERM)
-    assert ended == [const.EXIT_CUT]
+    assert ended == [const.EXIT_FORCED]
     nursery.cancel_scope.cancel()
 
 
