Rename odd names of the HTTP server

`turned_away`, `failed`, `_secured` and `until` are now `on_rejected`, `on_failed`, `_new_listeners` and `stop_condition`; test_server follows with the keyword of Binding.

--- a/packages/daemon/src/zinnialead_daemon/http/asgi.py
+++ b/packages/daemon/src/zinnialead_daemon/http/asgi.py
@@ -22,12 +22,12 @@
 
 async def start_response(send: Send, status: int, headers: Headers) -> None:
     """Send the status and headers of a response."""
-    head = {
+    message = {
         'type': 'http.response.start',
         'status': status,
         'headers': headers,
     }
-    await send(head)
+    await send(message)
 
 
 async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
--- a/packages/daemon/src/zinnialead_daemon/http/const.py
+++ b/packages/daemon/src/zinnialead_daemon/http/const.py
@@ -1,9 +1,9 @@
 """Hold the bounds of the HTTP server."""
 
 # The server library refuses a larger head before the application sees it.
-HEAD_MAX_BYTES = 32_768
+HEADERS_MAX_BYTES = 32_768
 KEEP_ALIVE_S = 30.0
-GRACEFUL_S = 2.0
+GRACEFUL_TIMEOUT_S = 2.0
 REQUESTS_PER_CONNECTION_MAX = 100_000
 QUEUED_CHUNKS_MAX = 4
 BACKLOG = 1_024
--- a/packages/daemon/src/zinnialead_daemon/http/problems.py
+++ b/packages/daemon/src/zinnialead_daemon/http/problems.py
@@ -32,12 +32,12 @@
     send: asgi.Send, problem: Problem, headers: asgi.Headers | None = None
 ) -> None:
     """Send one problem document, with ``Retry-After`` where it helps."""
-    sent = [(b'content-type', PROBLEM_TYPE), *(headers or [])]
+    all_headers = [(b'content-type', PROBLEM_TYPE), *(headers or [])]
     if problem.retry_after_ms is not None:
         seconds = max(1, round(problem.retry_after_ms / MS_PER_S))
-        sent.append((b'retry-after', str(seconds).encode()))
+        all_headers.append((b'retry-after', str(seconds).encode()))
     body = msgspec.json.encode(document(problem))
-    await asgi.respond(send, problem.status, sent, body)
+    await asgi.respond(send, problem.status, all_headers, body)
 
 
 def document(problem: Problem) -> ProblemDocument:
--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -15,10 +15,10 @@
 from zinnialead_daemon.http import const
 
 Listener = trio.SocketListener | trio.SSLListener[trio.SocketStream]
-Until = abc.Callable[[], abc.Awaitable[None]]
+StopCondition = abc.Callable[[], abc.Awaitable[None]]
 
 
-def ignore() -> None:
+def do_nothing() -> None:
     """Do nothing about a connection that was turned away or failed."""
 
 
@@ -29,8 +29,8 @@
     certificate_file: str | None = None
     key_file: str | None = None
     connections_max: int = const.CONNECTIONS_MAX
-    turned_away: abc.Callable[[], None] = ignore
-    failed: abc.Callable[[], None] = ignore
+    on_rejected: abc.Callable[[], None] = do_nothing
+    on_failed: abc.Callable[[], None] = do_nothing
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,13 +41,13 @@
     config: hypercorn.config.Config
     context: hypercorn.trio.worker_context.WorkerContext
     binding: Binding
-    connections: int = 0
+    open_connections: int = 0
 
 
 async def serve(
     app: asgi.AsgiApp,
     binding: Binding | str,
-    until: Until,
+    stop_condition: StopCondition,
     task_status: 'trio.TaskStatus[str]' = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve HTTP requests at ``binding`` until ``until`` returns.
@@ -56,30 +56,32 @@
     own accept loop has no bound on connections; this one turns away what
     is above it.
     """
-    bound = Binding(binding) if isinstance(binding, str) else binding
-    server = _new_server(app, bound)
-    sockets = await _open(bound.address)
-    address = _address(sockets[0])
+    resolved = Binding(binding) if isinstance(binding, str) else binding
+    server = _new_server(app, resolved)
+    sockets = await _open_sockets(resolved.address)
+    address = _bound_address(sockets[0])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
             trio.serve_listeners,
-            functools.partial(_connection, server),
-            list(_secured(server.config, sockets)),
+            functools.partial(_serve_connection, server),
+            list(_new_listeners(server.config, sockets)),
         )
         task_status.started(address)
-        await until()
+        await stop_condition()
         await server.context.terminated.set()
-        nursery.cancel_scope.deadline = trio.current_time() + const.GRACEFUL_S
+        nursery.cancel_scope.deadline = (
+            trio.current_time() + const.GRACEFUL_TIMEOUT_S
+        )
 
 
-async def _connection(
+async def _serve_connection(
     server: Server, stream: 'trio.SSLStream[trio.SocketStream]'
 ) -> None:
-    if server.connections >= server.binding.connections_max:
-        server.binding.turned_away()
+    if server.open_connections >= server.binding.connections_max:
+        server.binding.on_rejected()
         await trio.aclose_forcefully(stream)
         return
-    server.connections += 1
+    server.open_connections += 1
     connection = hypercorn.trio.tcp_server.TCPServer(
         server.app,
         server.config,
@@ -88,22 +90,22 @@
         stream,
     )
     connection._read_data = functools.partial(  # type: ignore[method-assign]
-        _read_to_end, connection, connection._read_data
+        _read_until_closed, connection, connection._read_data
     )
     try:
         await connection.run()
     except Exception:
         # One connection's fault must not end the others.
-        server.binding.failed()
+        server.binding.on_failed()
     finally:
-        server.connections -= 1
+        server.open_connections -= 1
 
 
-async def _read_to_end(
+async def _read_until_closed(
     connection: hypercorn.trio.tcp_server.TCPServer,
-    read: abc.Callable[[], abc.Awaitable[None]],
+    read_data: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
-    await read()
+    await read_data()
     # The library would hold a connection that its peer has closed until
     # the idle timeout.
     await connection.idle_task.stop()
@@ -129,39 +131,39 @@
         typing.cast('typing.Any', framework)
     )
     context = hypercorn.trio.worker_context.WorkerContext(None)
-    return Server(wrapped, _config(binding), context, binding)
+    return Server(wrapped, _new_config(binding), context, binding)
 
 
-async def _open(address: str) -> list[trio.SocketListener]:
+async def _open_sockets(address: str) -> list[trio.SocketListener]:
     host, _, port = address.rpartition(':')
     return await trio.open_tcp_listeners(
         int(port), host=host.strip('[]'), backlog=const.BACKLOG
     )
 
 
-def _secured(
+def _new_listeners(
     config: hypercorn.config.Config, sockets: list[trio.SocketListener]
 ) -> abc.Iterator[Listener]:
     context = config.create_ssl_context()
-    for item in sockets:
+    for listener in sockets:
         if context is None:
-            yield item
+            yield listener
         else:
-            yield trio.SSLListener(item, context, https_compatible=True)
+            yield trio.SSLListener(listener, context, https_compatible=True)
 
 
-def _address(listener: trio.SocketListener) -> str:
+def _bound_address(listener: trio.SocketListener) -> str:
     host, port, *_ = listener.socket.getsockname()
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
 
-def _config(binding: Binding) -> hypercorn.config.Config:
+def _new_config(binding: Binding) -> hypercorn.config.Config:
     config = hypercorn.config.Config()
     config.certfile = binding.certificate_file
     config.keyfile = binding.key_file
     # Only HTTP/1.1 shows a cut answer by its framing alone.
     config.alpn_protocols = ['http/1.1']
-    config.h11_max_incomplete_size = const.HEAD_MAX_BYTES
+    config.h11_max_incomplete_size = const.HEADERS_MAX_BYTES
     config.keep_alive_timeout = const.KEEP_ALIVE_S
     config.keep_alive_max_requests = const.REQUESTS_PER_CONNECTION_MAX
     config.max_app_queue_size = const.QUEUED_CHUNKS_MAX
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -41,7 +41,7 @@
     address = await start(
         nursery,
         connections_max=1,
-        turned_away=functools.partial(seen.update, ['away']),
+        on_rejected=functools.partial(seen.update, ['away']),
     )
     host, _, port = address.rpartition(':')
     async with await trio.open_tcp_stream(host, int(port)) as held:
