Rename odd names of the engine, the logs and the metrics

`earlier` and `awaited_ms` of the engine are `rescheduled` and `next_due_ms`; `place`, `share` and `grown` of the metrics are `index`, `quantile` and `increments`. Names sent to statsd stay.

--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -25,12 +25,12 @@
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
-        handlers=_before_set_up(),
-        earlier=trio.Event(),
+        handlers=_initial_handlers(),
+        rescheduled=trio.Event(),
     )
 
 
-def _before_set_up() -> models.Handlers:
+def _initial_handlers() -> models.Handlers:
     """Return handlers for what may be asked before the parts are there."""
     return models.Handlers(
         send_peer=lambda _: None,
@@ -43,30 +43,30 @@
     """Run one tick over ``inputs`` and carry out what it asks for."""
     outputs = list(core.tick(engine.world, engine.now_ms(), inputs))
     for output in outputs:
-        carry_out(engine.handlers, output)
+        _execute(engine.handlers, output)
     due_ms = core.next_due_ms(engine.world)
     if due_ms is None:
         return
-    if engine.awaited_ms is None or due_ms < engine.awaited_ms:
-        engine.earlier.set()
+    if engine.next_due_ms is None or due_ms < engine.next_due_ms:
+        engine.rescheduled.set()
 
 
 async def run_timers(engine: models.Engine) -> None:
     """Sleep until the earliest timer is due, and tick, for good."""
     while True:
-        engine.earlier = trio.Event()
-        engine.awaited_ms = core.next_due_ms(engine.world)
-        if engine.awaited_ms is None:
-            await engine.earlier.wait()
+        engine.rescheduled = trio.Event()
+        engine.next_due_ms = core.next_due_ms(engine.world)
+        if engine.next_due_ms is None:
+            await engine.rescheduled.wait()
             continue
-        left_ms = engine.awaited_ms - engine.now_ms()
-        with trio.move_on_after(max(0.0, left_ms) / const.MS_PER_S):
-            await engine.earlier.wait()
+        wait_ms = engine.next_due_ms - engine.now_ms()
+        with trio.move_on_after(max(0.0, wait_ms) / const.MS_PER_S):
+            await engine.rescheduled.wait()
             continue
         feed(engine)
 
 
-def carry_out(handlers: models.Handlers, output: out.Output) -> None:
+def _execute(handlers: models.Handlers, output: out.Output) -> None:
     """Hand one output to the part that carries it out."""
     match output:
         case out.SendPeer():
--- a/packages/daemon/src/zinnialead_daemon/components/engine/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/models.py
@@ -29,5 +29,5 @@
     world: core.World
     now_ms: abc.Callable[[], float]
     handlers: Handlers
-    earlier: trio.Event
-    awaited_ms: float | None = None
+    rescheduled: trio.Event
+    next_due_ms: float | None = None
--- a/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
@@ -18,7 +18,7 @@
 
 def log_change(logs: models.Logs, output: out.LogChange) -> None:
     """Write one change of state, or count it where lines come too fast."""
-    if not _allowed(logs):
+    if not _take_token(logs):
         logs.engine.world.counters['logs.dropped'] += 1
         return
     eliot.log_message(
@@ -36,12 +36,12 @@
     eliot.log_message(message_type=const.DUMP, dump=documents.plain(dump))
 
 
-def _allowed(logs: models.Logs) -> bool:
-    taken = buckets.take(
+def _take_token(logs: models.Logs) -> bool:
+    result = buckets.take(
         logs.bucket,
         logs.engine.now_ms(),
         const.LINES_PER_S_MAX,
         const.LINES_BURST_MAX,
     )
-    logs.bucket = taken.row
-    return taken.is_allowed
+    logs.bucket = result.row
+    return result.is_allowed
--- a/packages/daemon/src/zinnialead_daemon/components/logs/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/models.py
@@ -17,5 +17,5 @@
 
 def new_logs(engine: engine_models.Engine) -> Logs:
     """Return logs with a full burst left."""
-    full = buckets.BucketRow(const.LINES_BURST_MAX, engine.now_ms())
-    return Logs(engine, full)
+    bucket = buckets.BucketRow(const.LINES_BURST_MAX, engine.now_ms())
+    return Logs(engine, bucket)
--- a/packages/daemon/src/zinnialead_daemon/components/metrics/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/coordinator.py
@@ -22,26 +22,26 @@
 def flush(metrics: models.Metrics) -> None:
     """Send the growth of each counter, and quantiles of each timer."""
     counters = metrics.engine.world.counters
-    grown = (
-        (name, count - metrics.sent[name])
+    increments = (
+        (name, count - metrics.sent_counts[name])
         for name, count in list(counters.items())
-        if count != metrics.sent[name]
+        if count != metrics.sent_counts[name]
     )
-    with metrics.client.pipeline() as pipe:
-        kept = itertools.islice(grown, const.COUNTERS_PER_FLUSH_MAX)
-        for name, growth in kept:
-            pipe.incr(name, growth)
-            metrics.sent[name] += growth
-        for name, elapsed_ms in _samples(metrics.front).items():
-            for share in const.QUANTILES:
-                place = int(share * (len(elapsed_ms) - 1))
-                label = f'{name}.p{int(share * 100)}'
-                pipe.timing(label, sorted(elapsed_ms)[place])
-
-
-def _samples(front: front_models.Front) -> Samples:
-    found: Samples = collections.defaultdict(list)
+    with metrics.client.pipeline() as pipeline:
+        batch = itertools.islice(increments, const.COUNTERS_PER_FLUSH_MAX)
+        for name, increment in batch:
+            pipeline.incr(name, increment)
+            metrics.sent_counts[name] += increment
+        for name, elapsed_ms in _take_samples(metrics.front).items():
+            for quantile in const.QUANTILES:
+                index = int(quantile * (len(elapsed_ms) - 1))
+                label = f'{name}.p{int(quantile * 100)}'
+                pipeline.timing(label, sorted(elapsed_ms)[index])
+
+
+def _take_samples(front: front_models.Front) -> Samples:
+    samples: Samples = collections.defaultdict(list)
     while front.timings:
-        row = front.timings.popleft()
-        found[f'requests.elapsed.{row.rank}'].append(row.elapsed_ms)
-    return found
+        timing = front.timings.popleft()
+        samples[f'requests.elapsed.{timing.rank}'].append(timing.elapsed_ms)
+    return samples
--- a/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
@@ -19,7 +19,7 @@
     front: front_models.Front
     client: statsd.StatsClient
     period_ms: float
-    sent: 'collections.Counter[str]'
+    sent_counts: 'collections.Counter[str]'
 
 
 def new_metrics(
@@ -32,5 +32,5 @@
     client = statsd.StatsClient(
         server.host, server.port, prefix=f'{const.PREFIX}.{entry}'
     )
-    sent: collections.Counter[str] = collections.Counter()
-    return Metrics(engine, front, client, server.period_ms, sent)
+    sent_counts: collections.Counter[str] = collections.Counter()
+    return Metrics(engine, front, client, server.period_ms, sent_counts)
