Rename odd names of the peers' connections and codec

Connections without a signed frame were `strangers`; they are `unauthenticated`. `outstanding_s`, `filled`, `drained`, `_hear`, `_watch` and `_introduce` are `unconfirmed_since_s`, `message_queued`, `outboxes_empty`, `_read_confirmations`, `_watch_confirmations` and `_queue_own_row`. The module accepting is acceptor, the error Foreign is InvalidSignature and Coded is EncodedMessage. Counters, the schema and the frames stay; the tests follow.

--- a/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
@@ -18,86 +18,97 @@
 
 async def serve(peers: models.Peers, stream: trio.SocketStream) -> None:
     """Take in one peer's frames until its connection ends."""
-    full = peers.accepted >= const.ACCEPTED_MAX
-    if full or peers.strangers >= const.STRANGERS_MAX:
+    connections_full = peers.accepted >= const.ACCEPTED_MAX
+    if connections_full or peers.unauthenticated >= const.UNAUTHENTICATED_MAX:
         peers.engine.world.counters['peers.accept_refused'] += 1
         await trio.aclose_forcefully(stream)
         return
-    accepted = models.Accepted(stream, trio.Event(), bytearray())
+    connection = models.AcceptedConnection(stream, trio.Event(), bytearray())
     peers.accepted += 1
-    peers.strangers += 1
+    peers.unauthenticated += 1
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_confirm, accepted)
-            await _read(peers, accepted)
+            nursery.start_soon(_confirm, connection)
+            await _read(peers, connection)
             nursery.cancel_scope.cancel()
     finally:
         peers.accepted -= 1
-        peers.strangers -= accepted.stranger
+        peers.unauthenticated -= connection.is_unauthenticated
         await trio.aclose_forcefully(stream)
 
 
-async def _read(peers: models.Peers, accepted: models.Accepted) -> None:
-    give_up_s = trio.current_time() + const.STRANGER_S
-    while accepted.bad_frames <= const.BAD_FRAMES_MAX:
-        if not accepted.stranger:
-            give_up_s = trio.current_time() + const.IDLE_ACCEPTED_S
-        chunk = await _chunk(accepted.stream, give_up_s)
+async def _read(
+    peers: models.Peers, connection: models.AcceptedConnection
+) -> None:
+    deadline_s = trio.current_time() + const.AUTHENTICATION_TIMEOUT_S
+    while connection.bad_frames <= const.BAD_FRAMES_MAX:
+        if not connection.is_unauthenticated:
+            deadline_s = trio.current_time() + const.ACCEPTED_IDLE_TIMEOUT_S
+        chunk = await _receive_chunk(connection.stream, deadline_s)
         if not chunk:
             return
-        accepted.received.set()
-        accepted.buffer += chunk
-        if _oversized(accepted):
+        connection.data_received.set()
+        connection.buffer += chunk
+        if _is_oversized(connection):
             peers.engine.world.counters['peers.frames_oversized'] += 1
             return
-        _take_in(peers, accepted)
+        _process_frames(peers, connection)
 
 
-def _take_in(peers: models.Peers, accepted: models.Accepted) -> None:
+def _process_frames(
+    peers: models.Peers, connection: models.AcceptedConnection
+) -> None:
     """Feed the whole frames of a buffer to the core in one tick."""
-    found = [_open(peers, frame) for frame in _cut(accepted.buffer)]
-    good = [envelope for envelope in found if envelope is not None]
-    accepted.bad_frames += len(found) - len(good)
-    if good and accepted.stranger:
-        accepted.stranger = False
-        peers.strangers -= 1
-    if good:
-        items = (inp.PeerMessage(x.sender, x.message) for x in good)
-        engines.feed(peers.engine, *items)
-
-
-async def _chunk(stream: trio.SocketStream, give_up_s: float) -> bytes:
+    decoded = [
+        _decode_frame(peers, frame)
+        for frame in _take_frames(connection.buffer)
+    ]
+    envelopes = [envelope for envelope in decoded if envelope is not None]
+    connection.bad_frames += len(decoded) - len(envelopes)
+    if envelopes and connection.is_unauthenticated:
+        connection.is_unauthenticated = False
+        peers.unauthenticated -= 1
+    if envelopes:
+        messages = (
+            inp.PeerMessage(valid.sender, valid.message) for valid in envelopes
+        )
+        engines.feed(peers.engine, *messages)
+
+
+async def _receive_chunk(
+    stream: trio.SocketStream, deadline_s: float
+) -> bytes:
     try:
-        with trio.move_on_at(give_up_s):
+        with trio.move_on_at(deadline_s):
             return bytes(await stream.receive_some(const.READ_BYTES))
     except trio.BrokenResourceError:
         pass
     return b''
 
 
-async def _confirm(accepted: models.Accepted) -> None:
+async def _confirm(connection: models.AcceptedConnection) -> None:
     """Confirm what was read, at most once in a period."""
     while True:
-        await accepted.received.wait()
-        accepted.received = trio.Event()
+        await connection.data_received.wait()
+        connection.data_received = trio.Event()
         try:
-            await accepted.stream.send_all(CONFIRMATION)
+            await connection.stream.send_all(CONFIRMATION)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         await trio.sleep(const.CONFIRM_PERIOD_S)
 
 
-def _oversized(accepted: models.Accepted) -> bool:
+def _is_oversized(connection: models.AcceptedConnection) -> bool:
     """Say whether the first frame of a buffer is above the bound."""
-    if len(accepted.buffer) < const.LENGTH_BYTES:
+    if len(connection.buffer) < const.LENGTH_BYTES:
         return False
-    prefix = bytes(accepted.buffer[: const.LENGTH_BYTES])
-    if accepted.stranger:
-        return frames.length(prefix) > const.STRANGER_MAX_BYTES
+    prefix = bytes(connection.buffer[: const.LENGTH_BYTES])
+    if connection.is_unauthenticated:
+        return frames.length(prefix) > const.UNAUTHENTICATED_FRAME_MAX_BYTES
     return frames.length(prefix) > const.FRAME_MAX_BYTES
 
 
-def _cut(buffer: bytearray) -> abc.Iterator[bytes]:
+def _take_frames(buffer: bytearray) -> abc.Iterator[bytes]:
     """Take the whole frames out of a buffer."""
     while len(buffer) >= const.LENGTH_BYTES:
         length = frames.length(bytes(buffer[: const.LENGTH_BYTES]))
@@ -109,17 +120,17 @@
         yield frame
 
 
-def _open(peers: models.Peers, frame: bytes) -> codec.Envelope | None:
+def _decode_frame(peers: models.Peers, frame: bytes) -> codec.Envelope | None:
     engine = peers.engine
-    me = engine.world.node.ref.entry
-    found = codec.decode(peers.keyring, me, engine.now_ms(), frame)
-    if found.is_ok():
-        return found.ok
-    engine.world.counters[_counter(found.error)] += 1
+    recipient = engine.world.node.ref.entry
+    result = codec.decode(peers.keyring, recipient, engine.now_ms(), frame)
+    if result.is_ok():
+        return result.ok
+    engine.world.counters[_counter_name(result.error)] += 1
     return None
 
 
-def _counter(error: codec.FrameError) -> str:
+def _counter_name(error: codec.FrameError) -> str:
     match error:
         case codec.Malformed():
             return 'peers.frames_malformed'
@@ -127,7 +138,7 @@
             return 'peers.frames_unknown_version'
         case codec.UnknownKind():
             return 'peers.frames_unknown_kind'
-        case codec.Foreign():
+        case codec.InvalidSignature():
             return 'peers.frames_foreign'
         case codec.Replayed():
             return 'peers.frames_replayed'
--- a/packages/daemon/src/zinnialead_daemon/components/peers/addresses.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/addresses.py
@@ -20,10 +20,10 @@
     return HostPort(host.strip('[]'), int(port))
 
 
-def show(host: str, port: int) -> str:
+def format_address(host: str, port: int) -> str:
     """Return the address of its parts.
 
-    >>> show('::1', 7000)
+    >>> format_address('::1', 7000)
     '[::1]:7000'
     """
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
@@ -3,8 +3,8 @@
 from zinnialead_daemon.components.peers.codec.envelope import decode_body
 from zinnialead_daemon.components.peers.codec.envelope import encode_body
 from zinnialead_daemon.components.peers.codec.envelope import Envelope
-from zinnialead_daemon.components.peers.codec.errors import Foreign
 from zinnialead_daemon.components.peers.codec.errors import FrameError
+from zinnialead_daemon.components.peers.codec.errors import InvalidSignature
 from zinnialead_daemon.components.peers.codec.errors import Malformed
 from zinnialead_daemon.components.peers.codec.errors import Replayed
 from zinnialead_daemon.components.peers.codec.errors import UnknownKind
@@ -16,8 +16,8 @@
 
 __all__ = [
     'Envelope',
-    'Foreign',
     'FrameError',
+    'InvalidSignature',
     'Keyring',
     'Malformed',
     'Replayed',
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
@@ -7,7 +7,7 @@
 from zinnialead_daemon.components.peers.codec import schema
 
 
-def finite(value: float) -> float:
+def require_finite(value: float) -> float:
     """Return a number that can be compared, or raise ``ValueError``."""
     if not math.isfinite(value):
         raise ValueError(f'{value} is not a finite number')
@@ -24,12 +24,12 @@
     return ids.EntryRef(ids.EntryId(reader.entry), reader.incarnation)
 
 
-def ask_id(found: ids.AskId) -> schema.Fields:
+def ask_id(value: ids.AskId) -> schema.Fields:
     """Return the fields of an ask's id."""
     return {
-        'asker': entry_ref(found.asker),
-        'requestId': found.request_id,
-        'attempt': found.attempt,
+        'asker': entry_ref(value.asker),
+        'requestId': value.request_id,
+        'attempt': value.attempt,
     }
 
 
@@ -42,13 +42,13 @@
     )
 
 
-def refusal(found: verdict.Refusal) -> schema.Fields:
+def refusal(value: verdict.Refusal) -> schema.Fields:
     """Return the fields of a refusal."""
     return {
-        'verdict': found.verdict.value,
-        'reason': found.reason.value,
-        'detail': found.detail,
-        'retryAfterMs': found.retry_after_ms,
+        'verdict': value.verdict.value,
+        'reason': value.reason.value,
+        'detail': value.detail,
+        'retryAfterMs': value.retry_after_ms,
     }
 
 
@@ -58,7 +58,7 @@
         _verdict(reader.verdict),
         _reason(reader.reason),
         reader.detail,
-        finite(reader.retryAfterMs),
+        require_finite(reader.retryAfterMs),
     )
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -31,7 +31,7 @@
     message: messages.Message
 
 
-class Coded(typing.NamedTuple):
+class EncodedMessage(typing.NamedTuple):
     """Name a member of the schema's union, with its fields."""
 
     kind: str
@@ -40,16 +40,16 @@
 
 def encode_body(envelope: Envelope) -> bytes:
     """Return the body of a frame."""
-    coded = _fields(envelope.message)
-    built = schema.Envelope.new_message()
+    encoded = _encode(envelope.message)
+    builder = schema.Envelope.new_message()
     fields = {
         'sender': common.entry_ref(envelope.sender),
         'sequence': envelope.sequence,
         'sentMs': envelope.sent_ms,
-        coded.kind: coded.fields,
+        encoded.kind: encoded.fields,
     }
-    schema.fill(built, fields)
-    return typing.cast('bytes', built.to_bytes_packed())
+    schema.fill(builder, fields)
+    return typing.cast('bytes', builder.to_bytes_packed())
 
 
 def decode_body(
@@ -59,7 +59,7 @@
     try:
         reader = schema.Envelope.from_bytes_packed(body)
         sender = common.read_entry_ref(reader.sender)
-        sent_ms = common.finite(reader.sentMs)
+        sent_ms = common.require_finite(reader.sentMs)
     except (capnp.KjException, ValueError) as error:
         return expression.Error(errors.Malformed(str(error)))
     try:
@@ -73,37 +73,37 @@
     return expression.Ok(Envelope(sender, reader.sequence, sent_ms, message))
 
 
-def _fields(
+def _encode(
     message: messages.Message,
-) -> Coded:
+) -> EncodedMessage:
     match message:
         case key_messages.BarKey():
-            return Coded('barKey', keys.ask(message))
+            return EncodedMessage('barKey', keys.claim_ask(message))
         case key_messages.ClaimAnswer():
-            return Coded('claimAnswer', keys.claim_answer(message))
+            return EncodedMessage('claimAnswer', keys.claim_answer(message))
         case key_messages.ClaimAsk():
-            return Coded('claimAsk', keys.ask(message))
+            return EncodedMessage('claimAsk', keys.claim_ask(message))
         case key_messages.ClaimEnd():
-            return Coded('claimEnd', keys.claim_end(message))
+            return EncodedMessage('claimEnd', keys.claim_end(message))
         case key_messages.ClaimEndAck():
-            return Coded('claimEndAck', keys.claim_end_ack(message))
+            return EncodedMessage('claimEndAck', keys.claim_end_ack(message))
         case slot_messages.SlotAnswer():
-            return Coded('slotAnswer', slots.slot_answer(message))
+            return EncodedMessage('slotAnswer', slots.slot_answer(message))
         case slot_messages.SlotAsk():
-            return Coded('slotAsk', slots.slot_ask(message))
+            return EncodedMessage('slotAsk', slots.slot_ask(message))
         case slot_messages.SlotReturn():
-            return Coded('slotReturn', slots.slot_return(message))
+            return EncodedMessage('slotReturn', slots.slot_return(message))
         case slot_messages.SlotWaiting():
-            return Coded('slotWaiting', slots.slot_waiting(message))
+            return EncodedMessage('slotWaiting', slots.slot_waiting(message))
         case slot_messages.SlotHeldReport():
-            return Coded('slotHeldReport', slots.slot_held(message))
+            return EncodedMessage('slotHeldReport', slots.slot_held(message))
         case load_messages.LoadReport():
-            return Coded('loadReport', steering.load_report(message))
+            return EncodedMessage('loadReport', steering.load_report(message))
         case _:
-            return _control_fields(message)
+            return _encode_control(message)
 
 
-def _control_fields(
+def _encode_control(
     message: member_messages.MembersAsk
     | member_messages.MembersPage
     | member_messages.News
@@ -115,30 +115,32 @@
     | state_messages.StateData
     | state_messages.StateDelta
     | state_messages.StateNumber,
-) -> Coded:
+) -> EncodedMessage:
     match message:
         case member_messages.Probe():
-            return Coded('probe', members.probe(message))
+            return EncodedMessage('probe', members.probe(message))
         case member_messages.ProbeAnswer():
-            return Coded('probeAnswer', members.probe(message))
+            return EncodedMessage('probeAnswer', members.probe(message))
         case member_messages.ProbeFor():
-            return Coded('probeFor', members.probe_for(message))
+            return EncodedMessage('probeFor', members.probe_for(message))
         case member_messages.ProbeRelayed():
-            return Coded('probeRelayed', members.probe_relayed(message))
+            return EncodedMessage(
+                'probeRelayed', members.probe_relayed(message)
+            )
         case member_messages.MembersAsk():
-            return Coded('membersAsk', members.members_ask(message))
+            return EncodedMessage('membersAsk', members.members_ask(message))
         case member_messages.MembersPage():
-            return Coded('membersPage', members.members_page(message))
+            return EncodedMessage('membersPage', members.members_page(message))
         case member_messages.News():
-            return Coded('news', members.news(message))
+            return EncodedMessage('news', members.news(message))
         case state_messages.StateAsk():
-            return Coded('stateAsk', tickets.state_ask(message))
+            return EncodedMessage('stateAsk', tickets.state_ask(message))
         case state_messages.StateData():
-            return Coded('stateData', tickets.state_data(message))
+            return EncodedMessage('stateData', tickets.state_data(message))
         case state_messages.StateDelta():
-            return Coded('stateDelta', tickets.state_delta(message))
+            return EncodedMessage('stateDelta', tickets.state_delta(message))
         case state_messages.StateNumber():
-            return Coded('stateNumber', tickets.state_number(message))
+            return EncodedMessage('stateNumber', tickets.state_number(message))
 
 
 def _read(kind: str, reader: schema.Reader) -> messages.Message:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Foreign:
+class InvalidSignature:
     """Report a frame that none of the keys has signed for this entry."""
 
 
@@ -32,4 +32,6 @@
     """Report a frame that was received before, or is too old to tell."""
 
 
-FrameError = Malformed | UnknownVersion | UnknownKind | Foreign | Replayed
+FrameError = (
+    Malformed | UnknownVersion | UnknownKind | InvalidSignature | Replayed
+)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -21,7 +21,7 @@
 from zinnialead_daemon.components.peers.codec import errors
 from zinnialead_daemon.components.peers import const
 
-_HEAD = struct.Struct(f'<HI{const.MAC_BYTES}s')
+_HEADER = struct.Struct(f'<HI{const.MAC_BYTES}s')
 _LENGTH = struct.Struct('<I')
 
 
@@ -36,9 +36,9 @@
     """Hold which of a sender's last frames were received, as bits."""
 
     incarnation: int
-    highest: int
-    seen_bits: int
-    heard_ms: float
+    highest_sequence: int
+    received_bits: int
+    received_ms: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,30 +63,32 @@
     body = envelopes.encode_body(envelope)
     key = keyring.keys[0]
     mac = _mac(key.secret, const.FRAME_VERSION, recipient, body)
-    head = _HEAD.pack(const.FRAME_VERSION, key.key_id, mac)
-    return _LENGTH.pack(len(head) + len(body)) + head + body
+    header = _HEADER.pack(const.FRAME_VERSION, key.key_id, mac)
+    return _LENGTH.pack(len(header) + len(body)) + header + body
 
 
 def length(prefix: bytes) -> int:
     """Return the length of the frame that follows its length field."""
-    found: int = _LENGTH.unpack(prefix)[0]
-    return found
+    frame_length: int = _LENGTH.unpack(prefix)[0]
+    return frame_length
 
 
 def decode(
-    keyring: Keyring, me: ids.EntryId, now_ms: float, frame: bytes
+    keyring: Keyring, recipient: ids.EntryId, now_ms: float, frame: bytes
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
     """Return what a frame without its length holds, or why it is dropped."""
-    if len(frame) < _HEAD.size:
+    if len(frame) < _HEADER.size:
         return expression.Error(errors.Malformed('the frame is cut short'))
-    version, key_id, mac = _HEAD.unpack_from(frame)
+    version, key_id, mac = _HEADER.unpack_from(frame)
     if version != const.FRAME_VERSION:
         return expression.Error(errors.UnknownVersion(version))
-    body = frame[_HEAD.size :]
-    if not _signed(keyring, key_id, mac, me, body):
-        return expression.Error(errors.Foreign())
-    found = envelopes.decode_body(body)
-    return found.bind(lambda x: _unseen(keyring, now_ms, x))
+    body = frame[_HEADER.size :]
+    if not _is_signed(keyring, key_id, mac, recipient, body):
+        return expression.Error(errors.InvalidSignature())
+    result = envelopes.decode_body(body)
+    return result.bind(
+        lambda envelope: _check_replay(keyring, now_ms, envelope)
+    )
 
 
 def _key_row(key: settings.PeerKey) -> KeyRow:
@@ -96,12 +98,16 @@
     return KeyRow(key.key_id, secret.digest())
 
 
-def _signed(
-    keyring: Keyring, key_id: int, mac: bytes, me: ids.EntryId, body: bytes
+def _is_signed(
+    keyring: Keyring,
+    key_id: int,
+    mac: bytes,
+    recipient: ids.EntryId,
+    body: bytes,
 ) -> bool:
     return any(
         hmac.compare_digest(
-            mac, _mac(key.secret, const.FRAME_VERSION, me, body)
+            mac, _mac(key.secret, const.FRAME_VERSION, recipient, body)
         )
         for key in keyring.keys
         if key.key_id == key_id
@@ -118,7 +124,7 @@
     return digest.digest()
 
 
-def _unseen(
+def _check_replay(
     keyring: Keyring, now_ms: float, envelope: envelopes.Envelope
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
     """Check a frame against its sender's window, and note it there."""
@@ -128,36 +134,42 @@
     row = keyring.windows.get(entry)
     if row is None or row.incarnation < incarnation:
         row = WindowRow(incarnation, envelope.sequence, 0, now_ms)
-    noted = _noted(row, envelope.sequence, now_ms)
-    if row.incarnation > incarnation or noted is None:
+    updated_row = _mark_received(row, envelope.sequence, now_ms)
+    if row.incarnation > incarnation or updated_row is None:
         return expression.Error(errors.Replayed())
     keyring.windows.pop(entry, None)
-    keyring.windows[entry] = noted
-    _drop_oldest(keyring, now_ms)
+    keyring.windows[entry] = updated_row
+    _evict_oldest_sender(keyring, now_ms)
     return expression.Ok(envelope)
 
 
-def _noted(row: WindowRow, sequence: int, now_ms: float) -> WindowRow | None:
+def _mark_received(
+    row: WindowRow, sequence: int, now_ms: float
+) -> WindowRow | None:
     """Return the window with a frame noted, or None for one seen before.
 
-    >>> _noted(WindowRow(1, 7, 1, 0.0), 7, 0.0) is None
+    >>> _mark_received(WindowRow(1, 7, 1, 0.0), 7, 0.0) is None
     True
-    >>> _noted(WindowRow(1, 7, 1, 0.0), 9, 0.0).seen_bits
+    >>> _mark_received(WindowRow(1, 7, 1, 0.0), 9, 0.0).received_bits
     5
     """
-    ahead = sequence - row.highest
-    if ahead > 0:
-        kept = (1 << const.REPLAY_WINDOW_FRAMES) - 1
-        shifted = min(ahead, const.REPLAY_WINDOW_FRAMES)
-        bits = (row.seen_bits << shifted | 1) & kept
-        return row._replace(highest=sequence, seen_bits=bits, heard_ms=now_ms)
-    bit = 1 << -ahead if -ahead < const.REPLAY_WINDOW_FRAMES else 0
-    if not bit or row.seen_bits & bit:
+    offset = sequence - row.highest_sequence
+    if offset > 0:
+        window_mask = (1 << const.REPLAY_WINDOW_FRAMES) - 1
+        shift = min(offset, const.REPLAY_WINDOW_FRAMES)
+        bits = (row.received_bits << shift | 1) & window_mask
+        return row._replace(
+            highest_sequence=sequence, received_bits=bits, received_ms=now_ms
+        )
+    bit = 1 << -offset if -offset < const.REPLAY_WINDOW_FRAMES else 0
+    if not bit or row.received_bits & bit:
         return None
-    return row._replace(seen_bits=row.seen_bits | bit, heard_ms=now_ms)
+    return row._replace(
+        received_bits=row.received_bits | bit, received_ms=now_ms
+    )
 
 
-def _drop_oldest(keyring: Keyring, now_ms: float) -> None:
+def _evict_oldest_sender(keyring: Keyring, now_ms: float) -> None:
     """Forget the sender that was heard longest ago, once it is safe.
 
     Its frames are then older than any that is accepted.
@@ -165,5 +177,8 @@
     if len(keyring.windows) <= const.SENDERS_MAX:
         return
     entry = next(iter(keyring.windows))
-    if now_ms - keyring.windows[entry].heard_ms > 2 * const.FRAME_AGE_MAX_MS:
+    if (
+        now_ms - keyring.windows[entry].received_ms
+        > 2 * const.FRAME_AGE_MAX_MS
+    ):
         del keyring.windows[entry]
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -7,7 +7,7 @@
 from zinnialead_daemon.components.peers.codec import schema
 
 
-def ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
+def claim_ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
     """Return the fields of a claim or of a bar."""
     return {
         'key': message.key,
@@ -38,7 +38,7 @@
         case models.Granted():
             return {**fields, 'granted': None}
         case models.Recorded(status, record):
-            return {**fields, 'recorded': _answer(status, record)}
+            return {**fields, 'recorded': _recorded(status, record)}
         case models.Denied(refusal):
             return {**fields, 'denied': common.refusal(refusal)}
         case models.Waiting():
@@ -54,7 +54,7 @@
     return messages.ClaimAnswer(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        _read_answer_kind(reader),
+        _read_answer(reader),
     )
 
 
@@ -63,7 +63,7 @@
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
-        'state': _state(message.state),
+        'state': _key_end(message.state),
         'sequence': message.sequence,
     }
 
@@ -74,7 +74,7 @@
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
         reader.sequence,
-        _read_state(reader.state),
+        _read_key_end(reader.state),
     )
 
 
@@ -96,10 +96,10 @@
     )
 
 
-def _state(state: models.KeyEnd) -> schema.Fields:
+def _key_end(state: models.KeyEnd) -> schema.Fields:
     match state:
         case models.Ended(status, record):
-            return {'ended': _answer(status, record)}
+            return {'ended': _recorded(status, record)}
         case models.Undecided():
             return {'undecided': None}
         case models.Barred():
@@ -108,11 +108,11 @@
             return {'notRun': None}
 
 
-def _read_state(reader: schema.Reader) -> models.KeyEnd:
+def _read_key_end(reader: schema.Reader) -> models.KeyEnd:
     match str(reader.which()):
         case 'ended':
-            found = _read_answer(reader.ended)
-            return models.Ended(found.status, found.record)
+            recorded = _read_recorded(reader.ended)
+            return models.Ended(recorded.status, recorded.record)
         case 'barred':
             return models.Barred()
         case 'notRun':
@@ -121,14 +121,14 @@
             return models.Undecided()
 
 
-def _read_answer_kind(
+def _read_answer(
     reader: schema.Reader,
 ) -> models.Answer:
     match str(reader.which()):
         case 'granted':
             return models.Granted()
         case 'recorded':
-            return _read_answer(reader.recorded)
+            return _read_recorded(reader.recorded)
         case 'waiting':
             return models.Waiting()
         case 'freed':
@@ -139,12 +139,12 @@
             return models.Denied(common.read_refusal(reader.denied))
 
 
-def _answer(status: int, record: bytes | None) -> schema.Fields:
+def _recorded(status: int, record: bytes | None) -> schema.Fields:
     if record is None:
         return {'status': status}
     return {'status': status, 'record': record}
 
 
-def _read_answer(reader: schema.Reader) -> models.Recorded:
+def _read_recorded(reader: schema.Reader) -> models.Recorded:
     record = bytes(reader.record) if reader._has('record') else None
     return models.Recorded(reader.status, record)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/schema.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/schema.py
@@ -34,9 +34,9 @@
 
 
 def _fill_list(builder: Builder, values: list[typing.Any]) -> None:
-    for place, value in enumerate(values):
+    for index, value in enumerate(values):
         match value:
             case dict():
-                fill(builder[place], value)
+                fill(builder[index], value)
             case _:
-                builder[place] = value
+                builder[index] = value
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
@@ -6,14 +6,14 @@
 from zinnialead_daemon.components.peers.codec import common
 from zinnialead_daemon.components.peers.codec import schema
 
-ENDS = {
+SLOT_ENDS = {
     'served': models.SlotEnd.SERVED,
     'shed': models.SlotEnd.SHED,
     'failed': models.SlotEnd.FAILED,
     'timedOut': models.SlotEnd.TIMED_OUT,
     'unused': models.SlotEnd.UNUSED,
 }
-END_NAMES = {end: name for name, end in ENDS.items()}
+SLOT_END_NAMES = {end: name for name, end in SLOT_ENDS.items()}
 
 
 def slot_ask(message: messages.SlotAsk) -> schema.Fields:
@@ -41,11 +41,11 @@
         common.read_ask_id(reader.askId),
         ids.ServiceId(reader.service),
         ids.RankId(reader.rank),
-        common.finite(reader.deadlineInMs),
+        common.require_finite(reader.deadlineInMs),
         ids.DomainId(reader.fromDomain),
         avoid=(ids.UpstreamId(reader.avoid) if reader._has('avoid') else None),
         forwarded=reader.forwarded,
-        tried=tuple(ids.DomainId(x) for x in reader.tried),
+        tried=tuple(ids.DomainId(domain) for domain in reader.tried),
         home_region=ids.RegionId(reader.homeRegion),
         body_bytes=reader.bodyBytes,
         homeless=reader.homeless,
@@ -117,7 +117,7 @@
     fields: schema.Fields = {
         'askId': common.ask_id(message.ask_id),
         'elapsedMs': message.elapsed_ms,
-        'end': END_NAMES[message.end],
+        'end': SLOT_END_NAMES[message.end],
         'answerBytes': message.answer_bytes,
     }
     if message.upstream is not None:
@@ -130,8 +130,8 @@
     return messages.SlotReturn(
         common.read_ask_id(reader.askId),
         _read_upstream(reader),
-        common.finite(reader.elapsedMs),
-        ENDS[str(reader.end)],
+        common.require_finite(reader.elapsedMs),
+        SLOT_ENDS[str(reader.end)],
         reader.answerBytes,
     )
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/steering.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/steering.py
@@ -33,8 +33,8 @@
                 slots=row.slots,
                 in_use=row.inUse,
                 queued=row.queued,
-                service_time_ms=common.finite(row.serviceTimeMs),
-                seen_ms=common.finite(row.seenMs),
+                service_time_ms=common.require_finite(row.serviceTimeMs),
+                seen_ms=common.require_finite(row.seenMs),
             )
             for row in rows
         )
--- a/packages/daemon/src/zinnialead_daemon/components/peers/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/const.py
@@ -19,9 +19,9 @@
 # An acceptor confirms what it read this often; a link that is not heard
 # from for longer than the silence, with data outstanding, is closed.
 CONFIRM_PERIOD_S = 0.25
-SILENCE_MAX_S = 1.5
-IDLE_LINK_S = 30.0
-IDLE_ACCEPTED_S = 90.0
+UNCONFIRMED_MAX_S = 1.5
+LINK_IDLE_TIMEOUT_S = 30.0
+ACCEPTED_IDLE_TIMEOUT_S = 90.0
 # What waits longer is dropped: times left in it would mislead.
 OUTBOX_AGE_MAX_MS = 1_000.0
 OUTBOX_MAX = 1_024
@@ -29,9 +29,9 @@
 LINKS_MAX = 2_048
 ACCEPTED_MAX = 2_048
 # Bounds on connections that have not sent a signed frame yet.
-STRANGERS_MAX = 256
-STRANGER_S = 5.0
-STRANGER_MAX_BYTES = 32_768
+UNAUTHENTICATED_MAX = 256
+AUTHENTICATION_TIMEOUT_S = 5.0
+UNAUTHENTICATED_FRAME_MAX_BYTES = 32_768
 BAD_FRAMES_MAX = 16
 READ_BYTES = 65_536
-UNLOAD_S = 0.5
+FLUSH_TIMEOUT_S = 0.5
--- a/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
@@ -8,7 +8,7 @@
 from zinnialead_config.settings import models as settings
 from zinnialead_core import outputs as out
 from zinnialead_daemon.components.engine import models as engine_models
-from zinnialead_daemon.components.peers import accepting
+from zinnialead_daemon.components.peers import acceptor
 from zinnialead_daemon.components.peers import addresses
 from zinnialead_daemon.components.peers import codec
 from zinnialead_daemon.components.peers import const
@@ -26,10 +26,10 @@
     peers = models.Peers(engine, codec.new_keyring(keys), nursery, {})
     host, port = addresses.parse(bind)
     listeners = await trio.open_tcp_listeners(port, host=host)
-    bound = listeners[0].socket.getsockname()
-    peers.address = addresses.show(bound[0], bound[1])
+    socket_name = listeners[0].socket.getsockname()
+    peers.address = addresses.format_address(socket_name[0], socket_name[1])
     nursery.start_soon(
-        trio.serve_listeners, accepting.handler(peers), listeners
+        trio.serve_listeners, acceptor.handler(peers), listeners
     )
     return peers
 
@@ -58,16 +58,16 @@
         counters['peers.dropped_full'] += 1
     now_ms = peers.engine.now_ms()
     link.outbox.append(models.OutboxRow(now_ms, output.message))
-    link.filled.set()
+    link.message_queued.set()
 
 
 async def unload(peers: models.Peers) -> None:
     """Give the outboxes a moment to be sent."""
     if not any(link.outbox for link in peers.links.values()):
         return
-    peers.drained = trio.Event()
-    with trio.move_on_after(const.UNLOAD_S):
-        await peers.drained.wait()
+    peers.outboxes_empty = trio.Event()
+    with trio.move_on_after(const.FLUSH_TIMEOUT_S):
+        await peers.outboxes_empty.wait()
 
 
 def _new_link(peers: models.Peers, output: out.SendPeer) -> models.Link | None:
@@ -79,7 +79,7 @@
         # goes back and no link sends a frame each microsecond.
         sequence=int(peers.engine.now_ms() * const.MS_PER_S),
         outbox=collections.deque(maxlen=const.OUTBOX_MAX),
-        filled=trio.Event(),
+        message_queued=trio.Event(),
     )
     peers.links[output.entry] = link
     peers.nursery.start_soon(links.run, peers, link)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/links.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/links.py
@@ -18,30 +18,30 @@
 async def run(peers: models.Peers, link: models.Link) -> None:
     """Keep a link while it is used, and connect again when it breaks."""
     backoff_s = const.BACKOFF_MIN_S
-    while await _filled(link):
+    while await _wait_for_message(link):
         stream = await _connect(peers, link)
         if stream is None:
             await trio.sleep(random.uniform(0.0, backoff_s))
             backoff_s = min(2 * backoff_s, const.BACKOFF_MAX_S)
-            _drop_old(peers, link)
+            _drop_expired(peers, link)
             continue
         backoff_s = const.BACKOFF_MIN_S
         try:
-            await _use(peers, link, stream)
+            await _run_link_tasks(peers, link, stream)
         finally:
             link.connected = False
-            link.outstanding_s = None
+            link.unconfirmed_since_s = None
             await trio.aclose_forcefully(stream)
     del peers.links[link.entry]
 
 
-async def _filled(link: models.Link) -> bool:
+async def _wait_for_message(link: models.Link) -> bool:
     """Wait for something to send; say whether it came in time."""
     if link.outbox:
         return True
-    link.filled = trio.Event()
-    with trio.move_on_after(const.IDLE_LINK_S):
-        await link.filled.wait()
+    link.message_queued = trio.Event()
+    with trio.move_on_after(const.LINK_IDLE_TIMEOUT_S):
+        await link.message_queued.wait()
     return bool(link.outbox)
 
 
@@ -62,78 +62,78 @@
         return None
     peers.engine.world.counters['peers.connected'] += 1
     link.connected = True
-    _introduce(peers, link)
+    _queue_own_row(peers, link)
     return stream
 
 
-def _introduce(peers: models.Peers, link: models.Link) -> None:
+def _queue_own_row(peers: models.Peers, link: models.Link) -> None:
     """Tell the peer first where its answers go, which it may not know."""
     world = peers.engine.world
-    own = world.members.get(world.node.ref.entry)
-    if own is None:
+    own_row = world.members.get(world.node.ref.entry)
+    if own_row is None:
         return
     if len(link.outbox) == const.OUTBOX_MAX:
         link.outbox.popleft()
         world.counters['peers.dropped_full'] += 1
-    news = members.News((own,))
-    row = models.OutboxRow(peers.engine.now_ms(), news)
+    announcement = members.News((own_row,))
+    row = models.OutboxRow(peers.engine.now_ms(), announcement)
     link.outbox.appendleft(row)
 
 
-async def _use(
+async def _run_link_tasks(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
     """Write, hear confirmations and watch for silence, until one ends."""
     async with trio.open_nursery() as nursery:
-        for part in (_write, _hear, _watch):
+        for task in (_write_frames, _read_confirmations, _watch_confirmations):
             nursery.start_soon(
-                _until_broken, part, nursery.cancel_scope, peers, link, stream
+                _until_broken, task, nursery.cancel_scope, peers, link, stream
             )
 
 
-Part = abc.Callable[
+LinkTask = abc.Callable[
     [models.Peers, models.Link, trio.SocketStream], abc.Awaitable[None]
 ]
 
 
 async def _until_broken(
-    part: Part,
+    task: LinkTask,
     scope: trio.CancelScope,
     peers: models.Peers,
     link: models.Link,
     stream: trio.SocketStream,
 ) -> None:
     try:
-        await part(peers, link, stream)
+        await task(peers, link, stream)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         peers.engine.world.counters['peers.links_broken'] += 1
     scope.cancel()
 
 
-async def _write(
+async def _write_frames(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
-    while await _filled(link):
+    while await _wait_for_message(link):
         row = peers.engine.world.members.get(link.entry)
         if row is None or row.address != link.address:
             return
-        frames = b''.join(_frames(peers, link))
+        frames = b''.join(_take_frames(peers, link))
         if not frames:
             continue
-        if link.outstanding_s is None:
-            link.outstanding_s = trio.current_time()
+        if link.unconfirmed_since_s is None:
+            link.unconfirmed_since_s = trio.current_time()
         await stream.send_all(frames)
-        _note_drained(peers)
+        _signal_outboxes_empty(peers)
 
 
-async def _hear(
+async def _read_confirmations(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
     while await stream.receive_some(const.READ_BYTES):
-        link.outstanding_s = None
+        link.unconfirmed_since_s = None
 
 
-async def _watch(
+async def _watch_confirmations(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
     """Return when data was outstanding for too long.
@@ -141,30 +141,32 @@
     It sleeps until the earliest time at which that may be so.
     """
     while True:
-        since_s = link.outstanding_s
+        unconfirmed_since_s = link.unconfirmed_since_s
         now_s = trio.current_time()
-        if since_s is None:
-            await trio.sleep(const.SILENCE_MAX_S)
+        if unconfirmed_since_s is None:
+            await trio.sleep(const.UNCONFIRMED_MAX_S)
             continue
-        left_s = since_s + const.SILENCE_MAX_S - now_s
-        if left_s <= 0:
+        remaining_s = unconfirmed_since_s + const.UNCONFIRMED_MAX_S - now_s
+        if remaining_s <= 0:
             peers.engine.world.counters['peers.links_silent'] += 1
             return
-        await trio.sleep(left_s)
+        await trio.sleep(remaining_s)
 
 
-def _frames(peers: models.Peers, link: models.Link) -> abc.Iterator[bytes]:
+def _take_frames(
+    peers: models.Peers, link: models.Link
+) -> abc.Iterator[bytes]:
     """Take a batch out of the outbox and yield its frames."""
-    _drop_old(peers, link)
+    _drop_expired(peers, link)
     for _ in range(min(len(link.outbox), const.BATCH_MAX)):
-        frame = _frame(peers, link, link.outbox.popleft())
+        frame = _encode_frame(peers, link, link.outbox.popleft())
         if len(frame) <= const.FRAME_MAX_BYTES:
             yield frame
             continue
         peers.engine.world.counters['peers.too_large'] += 1
 
 
-def _frame(
+def _encode_frame(
     peers: models.Peers, link: models.Link, row: models.OutboxRow
 ) -> bytes:
     """Return one message's frame, empty if the schema can't hold it."""
@@ -182,14 +184,14 @@
         return b''
 
 
-def _note_drained(peers: models.Peers) -> None:
-    if peers.drained is None:
+def _signal_outboxes_empty(peers: models.Peers) -> None:
+    if peers.outboxes_empty is None:
         return
     if not any(link.outbox for link in peers.links.values()):
-        peers.drained.set()
+        peers.outboxes_empty.set()
 
 
-def _drop_old(peers: models.Peers, link: models.Link) -> None:
+def _drop_expired(peers: models.Peers, link: models.Link) -> None:
     oldest_ms = peers.engine.now_ms() - const.OUTBOX_AGE_MAX_MS
     while link.outbox and link.outbox[0].queued_ms < oldest_ms:
         link.outbox.popleft()
--- a/packages/daemon/src/zinnialead_daemon/components/peers/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -29,20 +29,20 @@
     entry: ids.EntryId
     sequence: int
     outbox: collections.deque[OutboxRow]
-    filled: trio.Event
+    message_queued: trio.Event
     address: str = ''
     connected: bool = False
-    outstanding_s: float | None = None
+    unconfirmed_since_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
-class Accepted:
+class AcceptedConnection:
     """Hold one accepted connection; ``received`` wakes its confirmations."""
 
     stream: trio.SocketStream
-    received: trio.Event
+    data_received: trio.Event
     buffer: bytearray
-    stranger: bool = True
+    is_unauthenticated: bool = True
     bad_frames: int = 0
 
 
@@ -60,5 +60,5 @@
     links: dict[ids.EntryId, Link]
     address: str = ''
     accepted: int = 0
-    strangers: int = 0
-    drained: trio.Event | None = None
+    unauthenticated: int = 0
+    outboxes_empty: trio.Event | None = None
--- a/tests/daemon/components/peers/test_codec.py
+++ b/tests/daemon/components/peers/test_codec.py
@@ -102,12 +102,14 @@
     probe = members.Probe(1, 1, ())
     assert decode(frame(probe), NEW, OLD).is_ok()
     assert decode(frame(probe, key=NEW), OLD, NEW).is_ok()
-    assert decode(frame(probe, key=OTHER), NEW, OLD).error == (codec.Foreign())
+    assert decode(frame(probe, key=OTHER), NEW, OLD).error == (
+        codec.InvalidSignature()
+    )
 
 
 def test_a_frame_for_another_entry_is_foreign():
     found = frame(members.Probe(1, 1, ()), recipient='e3')
-    assert decode(found).error == codec.Foreign()
+    assert decode(found).error == codec.InvalidSignature()
 
 
 @settings
--- a/tests/daemon/components/peers/test_transport.py
+++ b/tests/daemon/components/peers/test_transport.py
@@ -113,12 +113,12 @@
     host, port = addresses.parse(one.address)
     streams = [
         await trio.open_tcp_stream(host, port)
-        for _ in range(const.STRANGERS_MAX + 3)
+        for _ in range(const.UNAUTHENTICATED_MAX + 3)
     ]
     counters = one.engine.world.counters
     await peer_samples.until(lambda: counters['peers.accept_refused'] == 3)
-    assert one.strangers == const.STRANGERS_MAX
-    await peer_samples.until(lambda: one.strangers == 0)
+    assert one.unauthenticated == const.UNAUTHENTICATED_MAX
+    await peer_samples.until(lambda: one.unauthenticated == 0)
     assert one.accepted == 0
     for stream in streams:
         await stream.aclose()
