Rename odd names of the store client

`Question`, `question`, `turn`, `_take_in` and `_carried` are `Request`, `request`, `address_index`, `_process_answer` and `_carried_inputs`.

--- a/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
@@ -49,31 +49,31 @@
         return
     client.open_calls += 1
     try:
-        answer = await _ask(client, output)
+        answer = await _request(client, output)
     finally:
         client.open_calls -= 1
     match answer:
         case models.Answer():
-            _take_in(client, output, answer)
+            _process_answer(client, output, answer)
         case store.Failed():
             # The next call tries the next address.
-            client.turn += 1
+            client.address_index += 1
             _feed(client, output, answer)
 
 
-async def _ask(
+async def _request(
     client: models.Client, output: out.CallStore
 ) -> models.Answer | store.Failed:
     name = output.call.name
     left_ms = output.deadline_ms - client.engine.now_ms()
-    left_s = max(0.0, left_ms / const.MS_PER_S)
-    asked = documents.question(output.call, left_s)
-    address = client.addresses[client.turn % len(client.addresses)]
+    timeout_s = max(0.0, left_ms / const.MS_PER_S)
+    request = documents.request(output.call, timeout_s)
+    address = client.addresses[client.address_index % len(client.addresses)]
     try:
-        with trio.fail_after(left_s):
-            return await _exchange(client, address, asked)
+        with trio.fail_after(timeout_s):
+            return await _exchange(client, address, request)
     except trio.TooSlowError:
-        return store.Failed(name, f'{address}: no answer in {left_s:.1f} s')
+        return store.Failed(name, f'{address}: no answer in {timeout_s:.1f} s')
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
@@ -84,28 +84,30 @@
 
 
 async def _exchange(
-    client: models.Client, address: str, asked: models.Question
+    client: models.Client, address: str, request: models.Request
 ) -> models.Answer:
-    headers = [(b'content-type', b'application/json')] if asked.body else []
+    headers = [(b'content-type', b'application/json')] if request.body else []
     async with client.pool.stream(
-        asked.method,
-        f'http://{address}{asked.path}',
+        request.method,
+        f'http://{address}{request.path}',
         headers=headers,
-        content=asked.body,
+        content=request.body,
     ) as response:
         body = bytearray()
         async for chunk in response.aiter_stream():
             body += chunk
             if len(body) > const.ANSWER_MAX_BYTES:
                 raise ValueError('the answer is too large')
-        after = dict(response.headers).get(b'retry-after', b'0')
-    return models.Answer(response.status, bytes(body), _seconds(after))
+        retry_after = dict(response.headers).get(b'retry-after', b'0')
+    return models.Answer(
+        response.status, bytes(body), _parse_retry_after_s(retry_after)
+    )
 
 
-def _seconds(value: bytes) -> float:
+def _parse_retry_after_s(value: bytes) -> float:
     """Return the seconds of a ``Retry-After``, 0 if it is a date.
 
-    >>> _seconds(b'7')
+    >>> _parse_retry_after_s(b'7')
     7.0
     """
     if not value.isdigit():
@@ -113,21 +115,21 @@
     return min(float(value), const.RETRY_AFTER_MAX_S)
 
 
-def _take_in(
+def _process_answer(
     client: models.Client, output: out.CallStore, answer: models.Answer
 ) -> None:
     """Feed an answer, with what it carries."""
     try:
         result = documents.result(output.call, answer)
-        seen = _carried(client, result, answer)
+        inputs = _carried_inputs(client, result, answer)
     except (msgspec.MsgspecError, ValueError) as error:
         client.engine.world.counters['store.malformed'] += 1
         result = store.Failed(output.call.name, f'malformed: {error}')
-        seen = []
-    _feed(client, output, result, *seen)
+        inputs = []
+    _feed(client, output, result, *inputs)
 
 
-def _carried(
+def _carried_inputs(
     client: models.Client, result: store.Result, answer: models.Answer
 ) -> list[inp.Input]:
     match result:
@@ -145,7 +147,7 @@
     client: models.Client,
     output: out.CallStore,
     result: store.Result,
-    *seen: inp.Input,
+    *inputs: inp.Input,
 ) -> None:
     done = inp.StoreDone(output.call_id, result)
-    engines.feed(client.engine, *seen, done)
+    engines.feed(client.engine, *inputs, done)
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -12,27 +12,29 @@
 from zinnialead_daemon.components.store import models
 
 
-def question(call: store.Call, left_s: float) -> models.Question:
+def request(call: store.Call, left_s: float) -> models.Request:
     """Return the request that makes a call.
 
-    >>> question(store.Read('state'), 5.0).path
+    >>> request(store.Read('state'), 5.0).path
     '/objects/state/state'
     """
     match call:
         case store.Read(name) | store.ReadBindings(name):
-            return models.Question('GET', objects.path(name))
+            return models.Request('GET', objects.path(name))
         case store.Watch(name, version):
             wait_ms = max(0.0, left_s - const.WATCH_MARGIN_S) * const.MS_PER_S
             path = objects.watch_path(name, version, int(wait_ms))
-            return models.Question('GET', path)
+            return models.Request('GET', path)
         case store.Create(name, value):
-            return _written(name, value, None)
+            return _write_request(name, value, None)
         case store.Update(name, value, version):
-            return _written(name, value, version)
-        case store.WriteBindings(name, rows, known):
-            return _written(name, msgspec.json.encode(rows), known)
+            return _write_request(name, value, version)
+        case store.WriteBindings(name, rows, known_version):
+            return _write_request(
+                name, msgspec.json.encode(rows), known_version
+            )
         case store.ListVms(name, after):
-            return models.Question('GET', objects.page_path(name, after))
+            return models.Request('GET', objects.page_path(name, after))
 
 
 def result(call: store.Call, answer: models.Answer) -> store.Result:
@@ -54,18 +56,18 @@
         case 410, store.Watch():
             return store.TooOld(call.name)
         case ((200 | 201), store.ListVms()):
-            return _listed(objects.read_page(answer.body))
+            return _read_list_result(objects.read_page(answer.body))
         case 200, store.Watch():
             event = objects.read_events(answer.body, call.name)
             if event is None:
                 return store.Unchanged(call.name)
             if event.deleted:
                 return store.Missing(call.name)
-            return _found(call.name, event.object)
+            return _read_found(call.name, event.object)
         case ((200 | 201), (store.ReadBindings() | store.WriteBindings())):
-            return _found_bindings(call.name, objects.read(answer.body))
+            return _read_found_bindings(call.name, objects.read(answer.body))
         case ((200 | 201), _):
-            return _found(call.name, objects.read(answer.body))
+            return _read_found(call.name, objects.read(answer.body))
         case status, _:
             return store.Failed(call.name, f'status {status}')
 
@@ -82,18 +84,18 @@
         )
 
 
-def _listed(page: objects.PageDocument) -> store.Listed:
+def _read_list_result(page: objects.PageDocument) -> store.Listed:
     items = page['items']
     if not items or not page.get('has_more'):
         return store.Listed()
     return store.Listed(next_after=items[-1].metadata['name'])
 
 
-def _found(name: str, document: objects.ObjectDocument) -> store.Result:
+def _read_found(name: str, document: objects.ObjectDocument) -> store.Result:
     return store.Found(name, bytes(document.spec), document.metadata['rev'])
 
 
-def _found_bindings(
+def _read_found_bindings(
     name: str, document: objects.ObjectDocument
 ) -> store.Result:
     rows = msgspec.json.decode(
@@ -102,8 +104,10 @@
     return store.FoundBindings(name, rows, document.metadata['rev'])
 
 
-def _written(name: str, value: bytes, version: int | None) -> models.Question:
+def _write_request(
+    name: str, value: bytes, version: int | None
+) -> models.Request:
     body = objects.body(name, value, version)
     if version is None:
-        return models.Question('POST', objects.kind_path(name), body)
-    return models.Question('PUT', objects.path(name), body)
+        return models.Request('POST', objects.kind_path(name), body)
+    return models.Request('PUT', objects.path(name), body)
--- a/packages/daemon/src/zinnialead_daemon/components/store/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/models.py
@@ -17,7 +17,7 @@
     leaving: typing.NotRequired[bool]
 
 
-class Question(typing.NamedTuple):
+class Request(typing.NamedTuple):
     """Hold one HTTP request."""
 
     method: str
@@ -41,5 +41,5 @@
     nursery: trio.Nursery
     addresses: tuple[str, ...]
     pool: httpcore.AsyncConnectionPool
-    turn: int = 0
+    address_index: int = 0
     open_calls: int = 0
--- a/tests/daemon/components/store/test_bindings.py
+++ b/tests/daemon/components/store/test_bindings.py
@@ -18,7 +18,7 @@
 @pytest.mark.parametrize('version, method', [(None, 'POST'), (3, 'PUT')])
 def test_bindings_are_written_and_read_as_they_were(version, method):
     call = store.WriteBindings('keys-1', ROWS, version)
-    asked = documents.question(call, 1.0)
+    asked = documents.request(call, 1.0)
     assert asked.method == method
     written = msgspec.json.decode(asked.body)
     read = store.ReadBindings('keys-1')
