Rename odd names of the operators' port

`allowed`, `SCHEME`, `WORD`, `line` and `seen` are `is_authorized`, `BEARER_PREFIX`, `WORD_START`, `queue` and `reported`. Keys of documents stay.

--- a/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
@@ -13,7 +13,7 @@
 from zinnialead_daemon.components.operators import models
 from zinnialead_daemon import http
 
-JSON = [(b'content-type', b'application/json')]
+JSON_HEADERS = [(b'content-type', b'application/json')]
 
 
 def asgi_app(operators: models.Operators) -> http.AsgiApp:
@@ -31,15 +31,17 @@
         case http.Problem() as problem:
             await http.send_problem(send, problem)
         case bytes() as document:
-            await http.respond(send, 200, JSON, document)
+            await http.respond(send, 200, JSON_HEADERS, document)
         case answer:
-            await http.respond(send, 200, JSON, documents.encode(answer))
+            await http.respond(
+                send, 200, JSON_HEADERS, documents.encode(answer)
+            )
 
 
 def _answer(
     operators: models.Operators, scope: http.Scope
 ) -> object | http.Problem:
-    if not allowed(operators.token, scope['headers']):
+    if not is_authorized(operators.token, scope['headers']):
         operators.engine.world.counters['operators.denied'] += 1
         return http.Problem(401, 'credential', 'a bearer token is needed')
     engine = operators.engine
@@ -54,8 +56,8 @@
             )
         case 'POST', const.STOP_PATH:
             engines.feed(engine, inp.StopRequested())
-            in_hand = len(engine.world.requests.rows)
-            return models.Stopping(stopping=True, in_hand=in_hand)
+            in_progress = len(engine.world.requests.rows)
+            return models.Stopping(stopping=True, in_hand=in_progress)
         case method, path:
             return http.Problem(
                 404, 'no-such-path', f'{method} {path} is not served'
@@ -66,18 +68,21 @@
     """Return the core's dump and a part for each edge."""
     return models.FullDump(
         core=diagnostics.dump(operators.engine),
-        edges={name: part() for name, part in operators.edges.items()},
+        edges={
+            name: dump_component()
+            for name, dump_component in operators.edges.items()
+        },
     )
 
 
-def allowed(token: bytes, headers: http.Headers) -> bool:
+def is_authorized(token: bytes, headers: http.Headers) -> bool:
     """Return whether the headers carry the operators' token.
 
-    >>> allowed(b's3', [(b'authorization', b'Bearer s3')])
+    >>> is_authorized(b's3', [(b'authorization', b'Bearer s3')])
     True
-    >>> allowed(b'', [(b'authorization', b'Bearer ')])
+    >>> is_authorized(b'', [(b'authorization', b'Bearer ')])
     False
     """
-    given = dict(headers).get(const.HEADER_AUTHORIZATION, b'')
-    expected = const.SCHEME + token
-    return bool(token) and hmac.compare_digest(given, expected)
+    given_value = dict(headers).get(const.HEADER_AUTHORIZATION, b'')
+    expected_value = const.BEARER_PREFIX + token
+    return bool(token) and hmac.compare_digest(given_value, expected_value)
--- a/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
@@ -17,7 +17,7 @@
     | abc.Mapping[str, 'Json']
 )
 
-WORD = re.compile(r'(?<!^)(?=[A-Z])')
+WORD_START = re.compile(r'(?<!^)(?=[A-Z])')
 
 
 def encode(value: object) -> bytes:
@@ -49,6 +49,8 @@
 
 def _variant(value: object) -> Json:
     fields = dataclasses.fields(typing.cast('typing.Any', value))
-    members = {item.name: plain(getattr(value, item.name)) for item in fields}
-    kind = WORD.sub('-', type(value).__name__).lower()
+    members = {
+        field.name: plain(getattr(value, field.name)) for field in fields
+    }
+    kind = WORD_START.sub('-', type(value).__name__).lower()
     return {'kind': kind, **members}
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -25,9 +25,9 @@
         drains=list(_drains(world)),
         shifts=list(_shifts(world, now_ms)),
         refusals={
-            name.removeprefix(const.REFUSED_PREFIX): count
+            name.removeprefix(const.REFUSALS_PREFIX): count
             for name, count in sorted(world.counters.items())
-            if name.startswith(const.REFUSED_PREFIX)
+            if name.startswith(const.REFUSALS_PREFIX)
         },
     )
 
@@ -35,11 +35,11 @@
 def _members(
     world: core.World, now_ms: float
 ) -> abc.Iterator[models.MemberView]:
-    own = world.node.ref.entry
+    own_entry = world.node.ref.entry
     for row in sorted(world.members.values()):
-        number = row.state_number
-        if row.entry == own:
-            number = world.states['in-force'].number
+        state_number = row.state_number
+        if row.entry == own_entry:
+            state_number = world.states['in-force'].number
         yield models.MemberView(
             entry=row.entry,
             domain=row.domain,
@@ -47,7 +47,7 @@
             callers_address=row.callers_address,
             health=row.health.value,
             incarnation=row.incarnation,
-            state_number=number,
+            state_number=state_number,
             heard_ago_ms=max(0.0, now_ms - row.heard_ms),
         )
 
@@ -55,22 +55,22 @@
 def _upstreams(world: core.World) -> abc.Iterator[models.UpstreamView]:
     state = world.states['in-force']
     for row in sorted(state.upstreams.values()):
-        seen = world.upstreams.get(row.upstream)
+        reported = world.upstreams.get(row.upstream)
         yield models.UpstreamView(
             upstream=row.upstream,
             service=row.service,
             domain=row.domain,
             slots=row.slots,
             in_use=world.queues.in_use.get(row.upstream),
-            healthy=seen.healthy if seen else None,
-            leaving=seen.leaving if seen else False,
+            healthy=reported.healthy if reported else None,
+            leaving=reported.leaving if reported else False,
             draining=tickets.is_drained(state, row),
         )
 
 
 def _queues(world: core.World) -> abc.Iterator[models.QueueView]:
-    for (service, rank), line in sorted(world.queues.rank_queues.items()):
-        yield models.QueueView(service=service, rank=rank, queued=len(line))
+    for (service, rank), queue in sorted(world.queues.rank_queues.items()):
+        yield models.QueueView(service=service, rank=rank, queued=len(queue))
 
 
 def _drains(world: core.World) -> abc.Iterator[models.DrainView]:
@@ -96,16 +96,16 @@
 def _shifts(
     world: core.World, now_ms: float
 ) -> abc.Iterator[models.ShiftView]:
-    for name, cap in sorted(world.states['in-force'].caps.items()):
-        match cap:
+    for name, shift_cap in sorted(world.states['in-force'].caps.items()):
+        match shift_cap:
             case tickets.ShiftCap(origin, target, requests_per_s):
-                link = steering.LinkId(origin, target)
+                link_id = steering.LinkId(origin, target)
                 yield models.ShiftView(
                     name=name,
                     from_region=origin,
                     to_region=target,
                     cap_per_s=requests_per_s,
                     shifted_per_s=float(
-                        caps.shifted_per_s(world, now_ms, link)
+                        caps.shifted_per_s(world, now_ms, link_id)
                     ),
                 )
