Reword the comments of the peers' component

Docstrings spoke of news, asks, strangers, silence and windows that note frames. They now name messages, requests, unauthenticated connections, unconfirmed data and the replay window, whose bits are explained. Comments in peers.capnp change, its fields don't.

--- a/packages/daemon/src/zinnialead_daemon/components/peers/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/__init__.py
@@ -1,4 +1,4 @@
-"""Carry the messages between entries over TCP."""
+"""Exchange messages with other entries over TCP."""
 
 from zinnialead_daemon.components.peers.coordinator import rotate_keys
 from zinnialead_daemon.components.peers.coordinator import send
--- a/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
@@ -12,12 +12,12 @@
 from zinnialead_daemon.components.peers import const
 from zinnialead_daemon.components.peers import models
 
-# A frame without content confirms that the acceptor reads.
+# An empty frame confirms that the acceptor has read data.
 CONFIRMATION = bytes(const.LENGTH_BYTES)
 
 
 async def serve(peers: models.Peers, stream: trio.SocketStream) -> None:
-    """Take in one peer's frames until its connection ends."""
+    """Process a peer's frames until its connection ends."""
     connections_full = peers.accepted >= const.ACCEPTED_MAX
     if connections_full or peers.unauthenticated >= const.UNAUTHENTICATED_MAX:
         peers.engine.world.counters['peers.accept_refused'] += 1
@@ -58,7 +58,7 @@
 def _process_frames(
     peers: models.Peers, connection: models.AcceptedConnection
 ) -> None:
-    """Feed the whole frames of a buffer to the core in one tick."""
+    """Feed all complete frames of a buffer to the core in one tick."""
     decoded = [
         _decode_frame(peers, frame)
         for frame in _take_frames(connection.buffer)
@@ -87,7 +87,7 @@
 
 
 async def _confirm(connection: models.AcceptedConnection) -> None:
-    """Confirm what was read, at most once in a period."""
+    """Confirm received data, at most once per period."""
     while True:
         await connection.data_received.wait()
         connection.data_received = trio.Event()
@@ -99,7 +99,7 @@
 
 
 def _is_oversized(connection: models.AcceptedConnection) -> bool:
-    """Say whether the first frame of a buffer is above the bound."""
+    """Return whether the first frame of a buffer exceeds the size limit."""
     if len(connection.buffer) < const.LENGTH_BYTES:
         return False
     prefix = bytes(connection.buffer[: const.LENGTH_BYTES])
@@ -109,7 +109,7 @@
 
 
 def _take_frames(buffer: bytearray) -> abc.Iterator[bytes]:
-    """Take the whole frames out of a buffer."""
+    """Remove and yield the complete frames at the start of a buffer."""
     while len(buffer) >= const.LENGTH_BYTES:
         length = frames.length(bytes(buffer[: const.LENGTH_BYTES]))
         end = const.LENGTH_BYTES + length
@@ -147,5 +147,5 @@
 def handler(
     peers: models.Peers,
 ) -> abc.Callable[[trio.SocketStream], abc.Awaitable[None]]:
-    """Return what serves an accepted connection."""
+    """Return the handler of accepted connections."""
     return functools.partial(serve, peers)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/addresses.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/addresses.py
@@ -1,17 +1,17 @@
-"""Read addresses of the form ``IP:port``."""
+"""Parse and format addresses of the form ``IP:port``."""
 
 import typing
 
 
 class HostPort(typing.NamedTuple):
-    """Hold an IP number and a port."""
+    """Hold an IP address and a port."""
 
     host: str
     port: int
 
 
 def parse(address: str) -> HostPort:
-    """Return the parts of an address.
+    """Return the host and port of an address.
 
     >>> parse('[::1]:7000')
     HostPort(host='::1', port=7000)
@@ -21,7 +21,7 @@
 
 
 def format_address(host: str, port: int) -> str:
-    """Return the address of its parts.
+    """Return the address of a host and port.
 
     >>> format_address('::1', 7000)
     '[::1]:7000'
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/__init__.py
@@ -1,4 +1,4 @@
-"""Encode the messages between entries, and authenticate their frames."""
+"""Encode messages between entries and authenticate their frames."""
 
 from zinnialead_daemon.components.peers.codec.envelope import decode_body
 from zinnialead_daemon.components.peers.codec.envelope import encode_body
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
@@ -1,4 +1,4 @@
-"""Encode what several components' messages have in common."""
+"""Encode the structs shared by several components' messages."""
 
 import math
 
@@ -8,24 +8,24 @@
 
 
 def require_finite(value: float) -> float:
-    """Return a number that can be compared, or raise ``ValueError``."""
+    """Return a finite number, or raise ``ValueError``."""
     if not math.isfinite(value):
         raise ValueError(f'{value} is not a finite number')
     return value
 
 
 def entry_ref(ref: ids.EntryRef) -> schema.Fields:
-    """Return the fields of an entry's run."""
+    """Return the fields of a reference to a run of an entry."""
     return {'entry': ref.entry, 'incarnation': ref.incarnation}
 
 
 def read_entry_ref(reader: schema.Reader) -> ids.EntryRef:
-    """Return an entry's run."""
+    """Return a reference to a run of an entry."""
     return ids.EntryRef(ids.EntryId(reader.entry), reader.incarnation)
 
 
 def ask_id(value: ids.AskId) -> schema.Fields:
-    """Return the fields of an ask's id."""
+    """Return the fields of the id of a slot or claim request."""
     return {
         'asker': entry_ref(value.asker),
         'requestId': value.request_id,
@@ -34,7 +34,7 @@
 
 
 def read_ask_id(reader: schema.Reader) -> ids.AskId:
-    """Return an ask's id."""
+    """Return the id of a slot or claim request."""
     return ids.AskId(
         read_entry_ref(reader.asker),
         ids.RequestId(reader.requestId),
@@ -53,7 +53,7 @@
 
 
 def read_refusal(reader: schema.Reader) -> verdict.Refusal:
-    """Return a refusal; a verdict that is not known may have run."""
+    """Return a refusal; an unknown verdict is read as may-have-run."""
     return verdict.Refusal(
         _verdict(reader.verdict),
         _reason(reader.reason),
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/envelope.py
@@ -1,4 +1,4 @@
-"""Encode one message with its sender as the body of a frame."""
+"""Encode a message and its sender as the body of a frame."""
 
 import typing
 
@@ -23,7 +23,7 @@
 
 
 class Envelope(typing.NamedTuple):
-    """Hold a message, who sent it and when."""
+    """Hold a message with its sender, sequence number and time."""
 
     sender: ids.EntryRef
     sequence: int
@@ -32,7 +32,7 @@
 
 
 class EncodedMessage(typing.NamedTuple):
-    """Name a member of the schema's union, with its fields."""
+    """Hold the name of a member of the schema's union, and its fields."""
 
     kind: str
     fields: typing.Any
@@ -55,7 +55,7 @@
 def decode_body(
     body: bytes,
 ) -> expression.Result[Envelope, errors.FrameError]:
-    """Return what a frame's body holds, or why it is dropped."""
+    """Return the envelope in the body of a frame, or why it is dropped."""
     try:
         reader = schema.Envelope.from_bytes_packed(body)
         sender = common.read_entry_ref(reader.sender)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
@@ -1,35 +1,35 @@
-"""Define why a frame is dropped."""
+"""Define the reasons for which a frame is dropped."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Malformed:
-    """Report a frame that is cut short or holds impossible values."""
+    """Report a frame that is truncated or holds invalid values."""
 
     detail: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownVersion:
-    """Report a frame of another framing version."""
+    """Report a frame with an unsupported version of the framing."""
 
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownKind:
-    """Report a message that only a newer schema knows."""
+    """Report a message kind that only a newer schema defines."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InvalidSignature:
-    """Report a frame that none of the keys has signed for this entry."""
+    """Report a frame that no known key signed for this entry."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replayed:
-    """Report a frame that was received before, or is too old to tell."""
+    """Report a frame that was received before or is too old to check."""
 
 
 FrameError = (
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -1,9 +1,9 @@
-"""Sign frames, and drop those that are foreign, old or seen before.
+"""Sign frames, and reject those that are not signed, old or replayed.
 
-A frame is its length (4 bytes, little endian, of what follows), the version
-of the framing (2), the id of the key (4), the keyed digest (16), the body.
-The digest covers the recipient's name, the version and the body, so that a
-frame is of no use to another entry.
+A frame consists of the length of what follows (4 bytes, little endian), the
+version of the framing (2), the key id (4), the keyed digest (16) and the
+body. The digest covers the recipient's name, the version and the body, so
+that a frame can't be replayed to another entry.
 """
 
 from collections import abc
@@ -26,14 +26,18 @@
 
 
 class KeyRow(typing.NamedTuple):
-    """Hold one key, made from its secret, and the id in the frames."""
+    """Hold a key derived from a secret, and its id in frames."""
 
     key_id: int
     secret: bytes
 
 
 class WindowRow(typing.NamedTuple):
-    """Hold which of a sender's last frames were received, as bits."""
+    """Hold the replay window of a sender.
+
+    Bit n of ``received_bits`` is set if the frame n numbers below
+    ``highest_sequence`` was received.
+    """
 
     incarnation: int
     highest_sequence: int
@@ -43,14 +47,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Keyring:
-    """Hold the keys, the first of which signs, and the senders' windows."""
+    """Hold the keys, of which the first signs, and the replay windows."""
 
     keys: tuple[KeyRow, ...]
     windows: dict[ids.EntryId, WindowRow]
 
 
 def new_keyring(keys: abc.Iterable[settings.PeerKey]) -> Keyring:
-    """Return a keyring that signs with the first key and accepts all."""
+    """Return a keyring that signs with the first key and accepts all keys."""
     return Keyring(tuple(map(_key_row, keys)), {})
 
 
@@ -59,7 +63,7 @@
     recipient: ids.EntryId,
     envelope: envelopes.Envelope,
 ) -> bytes:
-    """Return a frame, with its length, for one recipient."""
+    """Return a signed frame, including its length, for one recipient."""
     body = envelopes.encode_body(envelope)
     key = keyring.keys[0]
     mac = _mac(key.secret, const.FRAME_VERSION, recipient, body)
@@ -68,7 +72,7 @@
 
 
 def length(prefix: bytes) -> int:
-    """Return the length of the frame that follows its length field."""
+    """Return the length that is given in a frame's length field."""
     frame_length: int = _LENGTH.unpack(prefix)[0]
     return frame_length
 
@@ -76,7 +80,7 @@
 def decode(
     keyring: Keyring, recipient: ids.EntryId, now_ms: float, frame: bytes
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
-    """Return what a frame without its length holds, or why it is dropped."""
+    """Return the envelope in a frame without its length, or an error."""
     if len(frame) < _HEADER.size:
         return expression.Error(errors.Malformed('the frame is cut short'))
     version, key_id, mac = _HEADER.unpack_from(frame)
@@ -127,7 +131,7 @@
 def _check_replay(
     keyring: Keyring, now_ms: float, envelope: envelopes.Envelope
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
-    """Check a frame against its sender's window, and note it there."""
+    """Check a frame against its sender's replay window and update it."""
     if abs(now_ms - envelope.sent_ms) > const.FRAME_AGE_MAX_MS:
         return expression.Error(errors.Replayed())
     entry, incarnation = envelope.sender
@@ -146,7 +150,7 @@
 def _mark_received(
     row: WindowRow, sequence: int, now_ms: float
 ) -> WindowRow | None:
-    """Return the window with a frame noted, or None for one seen before.
+    """Return the window with a frame marked, or None for a replay.
 
     >>> _mark_received(WindowRow(1, 7, 1, 0.0), 7, 0.0) is None
     True
@@ -170,9 +174,9 @@
 
 
 def _evict_oldest_sender(keyring: Keyring, now_ms: float) -> None:
-    """Forget the sender that was heard longest ago, once it is safe.
+    """Remove the window of the sender idle for longest, once it is safe.
 
-    Its frames are then older than any that is accepted.
+    That is when its frames are older than any that is accepted.
     """
     if len(keyring.windows) <= const.SENDERS_MAX:
         return
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -8,7 +8,7 @@
 
 
 def claim_ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
-    """Return the fields of a claim or of a bar."""
+    """Return the fields of a request to claim or to bar a key."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -16,7 +16,7 @@
 
 
 def read_claim_ask(reader: schema.Reader) -> messages.ClaimAsk:
-    """Return a claim."""
+    """Return a request to claim a key."""
     return messages.ClaimAsk(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -24,7 +24,7 @@
 
 
 def read_bar_key(reader: schema.Reader) -> messages.BarKey:
-    """Return a bar."""
+    """Return a request to bar a key."""
     return messages.BarKey(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -32,7 +32,7 @@
 
 
 def claim_answer(message: messages.ClaimAnswer) -> schema.Fields:
-    """Return the fields of an answer to a claim."""
+    """Return the fields of the answer to a claim."""
     fields = {'key': message.key, 'askId': common.ask_id(message.ask_id)}
     match message.answer:
         case models.Granted():
@@ -50,7 +50,7 @@
 
 
 def read_claim_answer(reader: schema.Reader) -> messages.ClaimAnswer:
-    """Return an answer to a claim."""
+    """Return the answer to a claim."""
     return messages.ClaimAnswer(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -59,7 +59,7 @@
 
 
 def claim_end(message: messages.ClaimEnd) -> schema.Fields:
-    """Return the fields of the end of a key's work."""
+    """Return the fields of a report that a key's work ended."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -69,7 +69,7 @@
 
 
 def read_claim_end(reader: schema.Reader) -> messages.ClaimEnd:
-    """Return the end of a key's work."""
+    """Return a report that a key's work ended."""
     return messages.ClaimEnd(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -79,7 +79,7 @@
 
 
 def claim_end_ack(message: messages.ClaimEndAck) -> schema.Fields:
-    """Return the fields of the confirmation of an end."""
+    """Return the fields of the confirmation of a claim's end."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -88,7 +88,7 @@
 
 
 def read_claim_end_ack(reader: schema.Reader) -> messages.ClaimEndAck:
-    """Return the confirmation of an end."""
+    """Return the confirmation of a claim's end."""
     return messages.ClaimEndAck(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/members.py
@@ -33,12 +33,12 @@
 
 
 def probe_for(message: messages.ProbeFor) -> schema.Fields:
-    """Return the fields of a probe in another's place."""
+    """Return the fields of a request to probe on the sender's behalf."""
     return {'sequence': message.sequence, 'target': message.target}
 
 
 def read_probe_for(reader: schema.Reader) -> messages.ProbeFor:
-    """Return a probe in another's place."""
+    """Return a request to probe on the sender's behalf."""
     return messages.ProbeFor(reader.sequence, ids.EntryId(reader.target))
 
 
@@ -58,22 +58,22 @@
 
 
 def news(message: messages.News) -> list[schema.Fields]:
-    """Return the fields of news of members."""
+    """Return the fields of an update of member rows."""
     return _rows(message.news)
 
 
 def read_news(rows: schema.Reader) -> messages.News:
-    """Return news of members."""
+    """Return an update of member rows."""
     return messages.News(_read_rows(rows))
 
 
 def members_ask(message: messages.MembersAsk) -> schema.Fields:
-    """Return the fields of an ask for a page of members."""
+    """Return the fields of a request for a page of members."""
     return {'domain': message.domain, 'after': message.after}
 
 
 def read_members_ask(reader: schema.Reader) -> messages.MembersAsk:
-    """Return an ask for a page of members."""
+    """Return a request for a page of members."""
     return messages.MembersAsk(reader.domain, ids.EntryId(reader.after))
 
 
@@ -114,7 +114,7 @@
 
 
 def _read_rows(rows: schema.Reader) -> Rows:
-    """Return members; when they were heard is the reader's to say."""
+    """Return member rows; the recipient sets ``heard_ms``."""
     return tuple(
         models.MemberRow(
             entry=ids.EntryId(row.entry),
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/peers.capnp
@@ -22,7 +22,7 @@
 
 struct Answer {
   status @0 :Int32;
-  record @1 :Data;  # null where it was too large to keep
+  record @1 :Data;  # null if it was too large to store
 }
 
 struct KeyState {
@@ -117,7 +117,7 @@
   rank @2 :Text;
   deadlineInMs @3 :Float64;
   fromDomain @4 :Text;
-  avoid @5 :Text;  # null without an attempt before
+  avoid @5 :Text;  # null for the first attempt
   forwarded @6 :Bool;
   tried @7 :List(Text);
   homeRegion @8 :Text;
@@ -129,7 +129,7 @@
   askId @0 :AskId;
   upstream @1 :Text;    # null without a grant
   refusal @2 :Refusal;  # null with a grant
-  redirect @3 :Text;    # null where no other domain is worth an ask
+  redirect @3 :Text;    # null if no other domain is worth asking
 }
 
 struct SlotHeld {
@@ -178,7 +178,7 @@
   wanted @3 :UInt64;
 }
 
-# A state as in the store: JSON, whose format has a version of its own.
+# A state as in the store: JSON, whose format is versioned separately.
 struct StateDocument {
   format @0 :UInt16;
   digest @1 :Data;
@@ -208,7 +208,7 @@
   sequence @1 :UInt64;
   sentMs @2 :Float64;
   union {
-    empty @3 :Void;  # what zeroes decode to; never sent
+    empty @3 :Void;  # decoded from all zeroes; never sent
     barKey @4 :ClaimAsk;
     claimAnswer @5 :ClaimAnswer;
     claimAsk @6 :ClaimAsk;
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/schema.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/schema.py
@@ -1,4 +1,4 @@
-"""Load the schema of the peers' messages."""
+"""Load the schema of the messages between peers."""
 
 import pathlib
 import typing
@@ -12,14 +12,14 @@
 
 Envelope: typing.Any = _LOADED.Envelope
 Builder = typing.Any
-"""A struct of the schema as pycapnp writes it."""
+"""A pycapnp builder of a struct."""
 Fields = dict[str, typing.Any]
 Reader = typing.Any
-"""A struct of the schema as pycapnp reads it."""
+"""A pycapnp reader of a struct."""
 
 
 def fill(builder: Builder, fields: Fields) -> None:
-    """Write fields one by one, which pycapnp does faster than all at once.
+    """Set fields one by one, which is faster in pycapnp than all at once.
 
     A dict is a struct; a list holds structs or plain values.
     """
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/slots.py
@@ -17,7 +17,7 @@
 
 
 def slot_ask(message: messages.SlotAsk) -> schema.Fields:
-    """Return the fields of an ask for a slot."""
+    """Return the fields of a request for a slot."""
     fields: schema.Fields = {
         'askId': common.ask_id(message.ask_id),
         'service': message.service,
@@ -36,7 +36,7 @@
 
 
 def read_slot_ask(reader: schema.Reader) -> messages.SlotAsk:
-    """Return an ask for a slot."""
+    """Return a request for a slot."""
     return messages.SlotAsk(
         common.read_ask_id(reader.askId),
         ids.ServiceId(reader.service),
@@ -53,7 +53,7 @@
 
 
 def slot_answer(message: messages.SlotAnswer) -> schema.Fields:
-    """Return the fields of the answer to an ask."""
+    """Return the fields of the answer to a slot request."""
     fields: schema.Fields = {'askId': common.ask_id(message.ask_id)}
     if message.upstream is not None:
         fields['upstream'] = message.upstream
@@ -65,7 +65,7 @@
 
 
 def read_slot_answer(reader: schema.Reader) -> messages.SlotAnswer:
-    """Return the answer to an ask."""
+    """Return the answer to a slot request."""
     refusal = None
     if reader._has('refusal'):
         refusal = common.read_refusal(reader.refusal)
@@ -81,17 +81,17 @@
 
 
 def slot_waiting(message: messages.SlotWaiting) -> schema.Fields:
-    """Return the fields that say that an ask still waits."""
+    """Return the fields of a notice that a slot request still waits."""
     return common.ask_id(message.ask_id)
 
 
 def read_slot_waiting(reader: schema.Reader) -> messages.SlotWaiting:
-    """Return the word that an ask still waits."""
+    """Return a notice that a slot request still waits."""
     return messages.SlotWaiting(common.read_ask_id(reader))
 
 
 def slot_held(message: messages.SlotHeldReport) -> schema.Fields:
-    """Return the fields of the report of a slot in use."""
+    """Return the fields of a report of a slot in use."""
     return {
         'askId': common.ask_id(message.ask_id),
         'service': message.service,
@@ -102,7 +102,7 @@
 
 
 def read_slot_held(reader: schema.Reader) -> messages.SlotHeldReport:
-    """Return the report of a slot in use."""
+    """Return a report of a slot in use."""
     return messages.SlotHeldReport(
         common.read_ask_id(reader.askId),
         ids.ServiceId(reader.service),
@@ -113,7 +113,7 @@
 
 
 def slot_return(message: messages.SlotReturn) -> schema.Fields:
-    """Return the fields of a slot that is given back."""
+    """Return the fields of the return of a slot."""
     fields: schema.Fields = {
         'askId': common.ask_id(message.ask_id),
         'elapsedMs': message.elapsed_ms,
@@ -126,7 +126,7 @@
 
 
 def read_slot_return(reader: schema.Reader) -> messages.SlotReturn:
-    """Return a slot that is given back."""
+    """Return the message that returns a slot."""
     return messages.SlotReturn(
         common.read_ask_id(reader.askId),
         _read_upstream(reader),
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/tickets.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/tickets.py
@@ -1,4 +1,4 @@
-"""Encode the messages that spread the state in force."""
+"""Encode the messages that distribute the state in force."""
 
 import hashlib
 
@@ -12,17 +12,17 @@
 
 
 def state_number(message: messages.StateNumber) -> schema.Fields:
-    """Return the fields of the number in force."""
+    """Return the fields of the number of the state in force."""
     return {'number': message.number, 'digest': message.digest}
 
 
 def read_state_number(reader: schema.Reader) -> messages.StateNumber:
-    """Return the number in force."""
+    """Return the number of the state in force."""
     return messages.StateNumber(reader.number, reader.digest)
 
 
 def state_ask(message: messages.StateAsk) -> schema.Fields:
-    """Return the fields of an ask for a state."""
+    """Return the fields of a request for a state."""
     return {
         'number': message.number,
         'digest': message.digest,
@@ -32,7 +32,7 @@
 
 
 def read_state_ask(reader: schema.Reader) -> messages.StateAsk:
-    """Return an ask for a state."""
+    """Return a request for a state."""
     return messages.StateAsk(
         reader.number, reader.digest, reader.part, reader.wanted
     )
@@ -54,7 +54,7 @@
 
 
 def state_delta(message: messages.StateDelta) -> schema.Fields:
-    """Return the fields of the rows that changed."""
+    """Return the fields of the difference between two states."""
     return {
         'baseNumber': message.base_number,
         'baseDigest': message.base_digest,
@@ -66,7 +66,7 @@
 
 
 def read_state_delta(reader: schema.Reader) -> messages.StateDelta:
-    """Return the rows that changed."""
+    """Return the difference between two states."""
     return messages.StateDelta(
         reader.baseNumber,
         reader.baseDigest,
--- a/packages/daemon/src/zinnialead_daemon/components/peers/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/const.py
@@ -1,13 +1,13 @@
-"""Hold the constants of the peers' protocol."""
+"""Define the constants of the peer protocol."""
 
-# The version of the framing; the schema grows without a new version.
+# Version of the framing; additions to the schema don't change it.
 FRAME_VERSION = 1
 LENGTH_BYTES = 4
 MAC_BYTES = 16
 FRAME_MAX_BYTES = 262_144
 KEY_BYTES = 32
 
-# Frames sent longer ago are dropped; covers clocks 2 s apart.
+# Frames sent longer ago are dropped; allows for clocks 2 s apart.
 FRAME_AGE_MAX_MS = 10_000.0
 REPLAY_WINDOW_FRAMES = 1024
 SENDERS_MAX = 4096
@@ -16,19 +16,20 @@
 CONNECT_TIMEOUT_S = 1.0
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
-# An acceptor confirms what it read this often; a link that is not heard
-# from for longer than the silence, with data outstanding, is closed.
+# An acceptor confirms received data this often; a link whose data stays
+# unconfirmed for longer than the maximum is closed.
 CONFIRM_PERIOD_S = 0.25
 UNCONFIRMED_MAX_S = 1.5
 LINK_IDLE_TIMEOUT_S = 30.0
 ACCEPTED_IDLE_TIMEOUT_S = 90.0
-# What waits longer is dropped: times left in it would mislead.
+# Messages queued for longer are dropped: the remaining times that they hold
+# would be wrong.
 OUTBOX_AGE_MAX_MS = 1_000.0
 OUTBOX_MAX = 1_024
 BATCH_MAX = 64
 LINKS_MAX = 2_048
 ACCEPTED_MAX = 2_048
-# Bounds on connections that have not sent a signed frame yet.
+# Limits for connections that have not sent a correctly signed frame yet.
 UNAUTHENTICATED_MAX = 256
 AUTHENTICATION_TIMEOUT_S = 5.0
 UNAUTHENTICATED_FRAME_MAX_BYTES = 32_768
--- a/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
@@ -1,4 +1,4 @@
-"""Carry messages between this entry and its peers."""
+"""Listen for peers and queue messages to them."""
 
 import collections
 from collections import abc
@@ -22,7 +22,7 @@
     bind: str,
     keys: abc.Iterable[settings.PeerKey],
 ) -> models.Peers:
-    """Listen for peers at ``bind`` and return the links, none yet open."""
+    """Listen for peers at ``bind``; open no links yet."""
     peers = models.Peers(engine, codec.new_keyring(keys), nursery, {})
     host, port = addresses.parse(bind)
     listeners = await trio.open_tcp_listeners(port, host=host)
@@ -42,7 +42,7 @@
 
 
 def send(peers: models.Peers, output: out.SendPeer) -> None:
-    """Put a message in its peer's outbox, without waiting.
+    """Queue a message in its peer's outbox, without blocking.
 
     A full outbox drops its oldest message.
     """
@@ -62,7 +62,7 @@
 
 
 async def unload(peers: models.Peers) -> None:
-    """Give the outboxes a moment to be sent."""
+    """Wait up to a time limit for the outboxes to be sent."""
     if not any(link.outbox for link in peers.links.values()):
         return
     peers.outboxes_empty = trio.Event()
@@ -75,8 +75,8 @@
         return None
     link = models.Link(
         entry=output.entry,
-        # Above every number of an earlier link, since the clock never
-        # goes back and no link sends a frame each microsecond.
+        # Higher than every number of an earlier link to this peer: the
+        # clock never goes back and no link sends a frame each microsecond.
         sequence=int(peers.engine.now_ms() * const.MS_PER_S),
         outbox=collections.deque(maxlen=const.OUTBOX_MAX),
         message_queued=trio.Event(),
--- a/packages/daemon/src/zinnialead_daemon/components/peers/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the links for a dump."""
+"""Dump the state of the connections to peers."""
 
 import typing
 
@@ -6,7 +6,7 @@
 
 
 class LinkDump(typing.TypedDict):
-    """Show one link."""
+    """Define the dump of one link."""
 
     address: str
     connected: bool
@@ -14,7 +14,7 @@
 
 
 class PeersDump(typing.TypedDict):
-    """Show the links and count the accepted connections."""
+    """Define the peers' section of the state dump."""
 
     address: str
     accepted: int
@@ -22,7 +22,7 @@
 
 
 def dump(peers: models.Peers) -> PeersDump:
-    """Return the peers' part of the state dump."""
+    """Return the peers' section of the state dump."""
     return PeersDump(
         address=peers.address,
         accepted=peers.accepted,
--- a/packages/daemon/src/zinnialead_daemon/components/peers/links.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/links.py
@@ -1,4 +1,4 @@
-"""Send what waits for a peer over one connection that is watched."""
+"""Send queued messages to a peer over one supervised connection."""
 
 from collections import abc
 import random
@@ -16,7 +16,7 @@
 
 
 async def run(peers: models.Peers, link: models.Link) -> None:
-    """Keep a link while it is used, and connect again when it breaks."""
+    """Run a link until it is idle; reconnect with backoff if it breaks."""
     backoff_s = const.BACKOFF_MIN_S
     while await _wait_for_message(link):
         stream = await _connect(peers, link)
@@ -36,7 +36,7 @@
 
 
 async def _wait_for_message(link: models.Link) -> bool:
-    """Wait for something to send; say whether it came in time."""
+    """Wait for a message to send; return whether there is one in time."""
     if link.outbox:
         return True
     link.message_queued = trio.Event()
@@ -67,7 +67,10 @@
 
 
 def _queue_own_row(peers: models.Peers, link: models.Link) -> None:
-    """Tell the peer first where its answers go, which it may not know."""
+    """Queue this entry's member row first.
+
+    The peer needs the address in it to answer, and may not have it.
+    """
     world = peers.engine.world
     own_row = world.members.get(world.node.ref.entry)
     if own_row is None:
@@ -83,7 +86,7 @@
 async def _run_link_tasks(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
-    """Write, hear confirmations and watch for silence, until one ends."""
+    """Run the tasks of a connected link until one of them ends."""
     async with trio.open_nursery() as nursery:
         for task in (_write_frames, _read_confirmations, _watch_confirmations):
             nursery.start_soon(
@@ -136,9 +139,9 @@
 async def _watch_confirmations(
     peers: models.Peers, link: models.Link, stream: trio.SocketStream
 ) -> None:
-    """Return when data was outstanding for too long.
+    """Return when data has been unconfirmed for too long.
 
-    It sleeps until the earliest time at which that may be so.
+    Sleeps until the earliest time at which that can be the case.
     """
     while True:
         unconfirmed_since_s = link.unconfirmed_since_s
@@ -156,7 +159,7 @@
 def _take_frames(
     peers: models.Peers, link: models.Link
 ) -> abc.Iterator[bytes]:
-    """Take a batch out of the outbox and yield its frames."""
+    """Remove a batch from the outbox and yield its frames."""
     _drop_expired(peers, link)
     for _ in range(min(len(link.outbox), const.BATCH_MAX)):
         frame = _encode_frame(peers, link, link.outbox.popleft())
@@ -169,7 +172,7 @@
 def _encode_frame(
     peers: models.Peers, link: models.Link, row: models.OutboxRow
 ) -> bytes:
-    """Return one message's frame, empty if the schema can't hold it."""
+    """Return the frame of a message, empty if it does not fit the schema."""
     link.sequence += 1
     envelope = codec.Envelope(
         peers.engine.world.node.ref,
--- a/packages/daemon/src/zinnialead_daemon/components/peers/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -1,4 +1,4 @@
-"""Define the links between this entry and its peers."""
+"""Define the connections between this entry and its peers."""
 
 import collections
 import dataclasses
@@ -12,7 +12,7 @@
 
 
 class OutboxRow(typing.NamedTuple):
-    """Hold one message that waits for its link."""
+    """Hold a message queued for a link."""
 
     queued_ms: float
     message: object
@@ -20,10 +20,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Link:
-    """Hold the connection to one peer, and what waits for it.
+    """Hold the outgoing connection to a peer, and its outbox.
 
-    ``outstanding_s`` is when data was first written that the peer has not
-    confirmed, or None.
+    ``unconfirmed_since_s`` is the time of the first write that the peer
+    has not confirmed, or None.
     """
 
     entry: ids.EntryId
@@ -37,7 +37,11 @@
 
 @dataclasses.dataclass(slots=True)
 class AcceptedConnection:
-    """Hold one accepted connection; ``received`` wakes its confirmations."""
+    """Hold an accepted connection.
+
+    ``data_received`` wakes the task that confirms received data.
+    ``is_unauthenticated`` is cleared by the first correctly signed frame.
+    """
 
     stream: trio.SocketStream
     data_received: trio.Event
@@ -48,10 +52,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Peers:
-    """Hold the links by peer, and how many connections are accepted.
+    """Hold the links by peer and count the accepted connections.
 
-    ``strangers`` are those of them without a signed frame so far;
-    ``drained`` is there while a stop waits for empty outboxes.
+    ``unauthenticated`` counts those without a correctly signed frame so
+    far; ``outboxes_empty`` exists while a stop waits for empty outboxes.
     """
 
     engine: engine_models.Engine
