Reword the comments of the front and the upstreams

Callers that go away, answers that are cut or whole and work that is heard out are now callers that disconnect, incomplete or complete responses and a grace period after the deadline. The fields of Exchange, UpstreamAnswer and Attempt are explained.

--- a/packages/daemon/src/zinnialead_daemon/components/front/answers.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/answers.py
@@ -1,4 +1,4 @@
-"""Give callers the decisions of the core."""
+"""Send the core's decisions to callers."""
 
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
@@ -46,7 +46,7 @@
 async def send_decision(
     send: http.Send, exchange: models.Exchange, decision: models.Decision
 ) -> None:
-    """Send the answer that the core decided on."""
+    """Send the response that the core decided on."""
     match decision:
         case out.Relay(_, attempt):
             await _relay(send, exchange.answers[attempt])
@@ -80,8 +80,8 @@
         await _send_chunk(send, models.Chunk(answer.body, is_last=False))
         async for chunk in answer.rest_receiver:
             await _send_chunk(send, chunk)
-    # Without a last chunk the server drops the connection, and the
-    # framing shows the caller that its answer was cut.
+    # Without a last chunk the server closes the connection, and the
+    # framing shows the caller that the response is incomplete.
 
 
 async def _send_chunk(send: http.Send, chunk: models.Chunk) -> None:
--- a/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
@@ -1,4 +1,4 @@
-"""Read callers' bodies, and notice callers that go away."""
+"""Read request bodies and detect callers that disconnect."""
 
 import trio
 
@@ -12,9 +12,10 @@
 async def read(
     front: models.Front, exchange: models.Exchange, receive: http.Receive
 ) -> None:
-    """Read one request's body, and then wait until its caller is gone.
+    """Read the body of a request, then wait for its caller to disconnect.
 
-    It never stops to receive, since the server waits for it.
+    Keeps receiving throughout, since the server blocks until its messages
+    are received.
     """
     with exchange.rest_sender:
         await _read_body(exchange, receive)
@@ -48,7 +49,8 @@
     exchange: models.Exchange, chunk: models.Chunk
 ) -> None:
     if exchange.body_ready.is_set():
-        # The upstream takes the rest, or nobody once that is decided.
+        # An attempt reads the rest of the body; once the request is
+        # decided, nobody does and the channel is closed.
         try:
             await exchange.rest_sender.send(chunk)
         except trio.BrokenResourceError:
--- a/packages/daemon/src/zinnialead_daemon/components/front/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the callers' front."""
+"""Define the constants of the callers' front end."""
 
 REQUEST_PREFIX = b'/v1/services/'
 LOOK_UP_PATH = b'/v1/look-up'
@@ -14,18 +14,19 @@
 TARGET_MAX_BYTES = 4_096
 NAME_MAX_BYTES = 128
 BODY_MAX_BYTES = 67_108_864
-# A body up to this size is held back whole, so that it can be sent again.
+# Bodies up to this size are buffered completely, so that they can be resent.
 BODY_BUFFER_BYTES = 65_536
 CHUNKS_MAX = 4
 LOOK_UP_MAX_BYTES = 1_048_576
 QUESTIONS_MAX = 1_000
 
 DEADLINE_DEFAULT_MS = 10_000.0
-# The longest time that a caller may give; a service's own bound is lower.
+# Upper limit of a caller's deadline; that of a service is lower.
 DEADLINE_MAX_MS = 3_600_000.0
-# The core decides every request by its deadline; this is for a fault.
+# Wait after the deadline, by which the core decides every request, before
+# a request without a decision is treated as an internal fault.
 UNDECIDED_GRACE_MS = 5_000.0
 MS_PER_S = 1_000.0
-# The timers of the last requests, until the metrics take them.
+# Request timings kept until the metrics component collects them.
 TIMINGS_MAX = 10_000
 RANK_NOT_GIVEN = 'default'
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -1,4 +1,4 @@
-"""Turn callers' HTTP requests into inputs and decisions into answers."""
+"""Feed callers' HTTP requests to the core and send its decisions back."""
 
 import functools
 
@@ -25,7 +25,7 @@
 
 
 def answer(front: models.Front, decision: models.Decision) -> None:
-    """Hand the core's decision to the exchange that waits for it."""
+    """Pass a decision of the core to the exchange that waits for it."""
     exchange = front.exchanges.get(decision.request_id)
     if exchange is None or exchange.decision is not None:
         return
@@ -101,7 +101,7 @@
     receive: http.Receive, send: http.Send, problem: http.Problem
 ) -> None:
     async with trio.open_nursery() as nursery:
-        # The server waits for what it received to be taken.
+        # The server blocks until the received body is consumed.
         nursery.start_soon(http.discard, receive)
         await http.send_problem(send, problem, [NOT_RUN_HEADER])
         nursery.cancel_scope.cancel()
--- a/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the callers' front for a dump."""
+"""Dump the state of the callers' front end."""
 
 import typing
 
@@ -6,7 +6,7 @@
 
 
 class FrontDump(typing.TypedDict):
-    """Count the exchanges in hand, and those that wait for a body."""
+    """Count the open exchanges and those that wait for a body."""
 
     exchanges: int
     exchanges_max: int
@@ -14,7 +14,7 @@
 
 
 def dump(front: models.Front) -> FrontDump:
-    """Return the front's part of the state dump."""
+    """Return the front end's section of the state dump."""
     without_body = [
         exchange
         for exchange in front.exchanges.values()
--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -1,4 +1,4 @@
-"""Answer look-ups, one by its query or many in one document."""
+"""Serve look-ups: one in a query or many in a JSON document."""
 
 import typing
 import urllib.parse
@@ -15,7 +15,7 @@
 
 
 class QuestionDocument(typing.TypedDict, total=False):
-    """Hold one question of a look-up."""
+    """Define one question of a look-up."""
 
     service: typing.Required[str]
     rank: str
@@ -24,13 +24,13 @@
 
 
 class QuestionsDocument(typing.TypedDict):
-    """Hold many questions asked in one call."""
+    """Define the document that asks many questions in one call."""
 
     questions: list[QuestionDocument]
 
 
 class ChoiceDocument(typing.TypedDict):
-    """Name one entry that may be used."""
+    """Define one entry that the client may use."""
 
     entry: str
     domain: str
@@ -39,7 +39,7 @@
 
 
 class AnswerDocument(typing.TypedDict):
-    """List the entries to use, best first."""
+    """Define the answer to one question, with the best entry first."""
 
     choices: list[ChoiceDocument]
     lifetime_ms: float
@@ -56,7 +56,7 @@
 
 
 def parse_query(query: bytes) -> QuestionResult:
-    """Return the question that a query asks, or what is wrong with it."""
+    """Return the question in a query string, or why it is invalid."""
     values: dict[str, str] = {}
     for part in query.split(b'&', len(FIELDS)):
         name, _, value = part.partition(b'=')
@@ -73,7 +73,7 @@
 
 
 def parse_document(body: bytes) -> QuestionsResult:
-    """Return the questions of a document, or what is wrong with it."""
+    """Return the questions in a document, or why it is invalid."""
     try:
         documents = QUESTIONS_DECODER.decode(body)['questions']
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -115,7 +115,7 @@
     receive: http.Receive,
     send: http.Send,
 ) -> None:
-    """Answer one call with one question or many."""
+    """Serve one look-up call, with one question or many."""
     engine.world.counters['front.look_ups'] += 1
     match scope['method']:
         case 'GET':
@@ -172,7 +172,7 @@
 
 
 def _unquote(value: bytes) -> bytes:
-    # Nearly all values are plain names, which need no unquoting.
+    # Fast path: nearly all values are plain names without escapes.
     if b'%' not in value and b'+' not in value:
         return value
     return urllib.parse.unquote_to_bytes(value.replace(b'+', b' '))
--- a/packages/daemon/src/zinnialead_daemon/components/front/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/models.py
@@ -1,4 +1,4 @@
-"""Define what the front holds of each caller's request."""
+"""Define the state of callers' requests."""
 
 import collections
 import dataclasses
@@ -19,7 +19,7 @@
 
 
 class RequestHead(typing.NamedTuple):
-    """Hold what a request says before its body."""
+    """Hold the parsed request line and headers."""
 
     method: bytes
     service: ids.ServiceId
@@ -33,14 +33,20 @@
 
 
 class Chunk(typing.NamedTuple):
-    """Hold one part of a body; a body without a ``last`` one was cut."""
+    """Hold one part of a body.
+
+    A body that ends without an ``is_last`` chunk is incomplete.
+    """
 
     data: bytes
     is_last: bool
 
 
 class UpstreamAnswer(typing.NamedTuple):
-    """Hold an upstream's answer; ``rest`` brings what is still to come."""
+    """Hold an upstream's response.
+
+    ``rest_receiver`` delivers the part of a large body after ``body``.
+    """
 
     status: int
     headers: http.Headers
@@ -50,7 +56,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """Hold one caller's request and what becomes of it."""
+    """Hold the state of one caller's request, from its head to its answer.
+
+    ``body_ready`` is set once ``body`` is complete or its buffer is full;
+    the rest then goes through ``rest_sender``. ``answers`` maps attempt
+    numbers to the upstreams' responses.
+    """
 
     request_id: ids.RequestId
     head: RequestHead
@@ -70,7 +81,7 @@
 
 
 class TimingRow(typing.NamedTuple):
-    """Say how long one request took, from its arrival to its answer."""
+    """Hold the time that one request took, from arrival to answer."""
 
     rank: str
     elapsed_ms: float
@@ -78,7 +89,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Front:
-    """Hold the exchanges in hand by request."""
+    """Hold the open exchanges; ``idle`` is set while there are none."""
 
     engine: engine_models.Engine
     exchanges: dict[ids.RequestId, Exchange]
@@ -92,7 +103,7 @@
     engine: engine_models.Engine,
     bounds: settings.Bounds = DEFAULT_BOUNDS,
 ) -> Front:
-    """Return a front without exchanges."""
+    """Return a front end without exchanges."""
     idle = trio.Event()
     idle.set()
     timings: collections.deque[TimingRow] = collections.deque(
--- a/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
@@ -1,4 +1,4 @@
-"""Check what a caller sends before anything acts on it."""
+"""Parse and validate the heads of callers' requests."""
 
 from collections import abc
 import re
@@ -44,11 +44,11 @@
 
 
 class BadRequestError(Exception):
-    """Carry a status and what is wrong, within this module."""
+    """Signal an invalid request, with a status and a detail."""
 
 
 def request_head(scope: http.Scope, bounds: settings.Bounds) -> HeadResult:
-    """Return a request's head, or the problem to answer it with."""
+    """Return the parsed head of a request, or the problem to respond with."""
     try:
         _check_limits(scope, bounds)
         return expression.Ok(_head(scope))
@@ -59,7 +59,7 @@
 
 
 def end_to_end(headers: abc.Iterable[tuple[bytes, bytes]]) -> http.Headers:
-    """Return the headers without those that end at each connection.
+    """Return the headers without the hop-by-hop ones.
 
     >>> end_to_end([(b'Connection', b'x-a'), (b'X-A', b'1'), (b'b', b'2')])
     [(b'b', b'2')]
@@ -76,7 +76,7 @@
 
 
 def parse_ms(text: str) -> float | None:
-    """Return a time in ms, or None where the text is no such number.
+    """Return a time in ms, or None if the text is not a valid number.
 
     >>> parse_ms('250'), parse_ms('nan'), parse_ms('-1'), parse_ms('1e9')
     (250.0, None, None, None)
@@ -86,7 +86,8 @@
 
 def _check_limits(scope: http.Scope, bounds: settings.Bounds) -> None:
     if scope['http_version'] != '1.1':
-        # Only here does the framing alone show that an answer was cut.
+        # Only HTTP/1.1 framing shows by itself that a response is
+        # incomplete.
         raise BadRequestError(505, 'only HTTP/1.1 is served')
     headers = scope['headers']
     if len(headers) > bounds.headers_max:
@@ -137,7 +138,7 @@
 
 
 class Destination(typing.NamedTuple):
-    """Name the service that a path asks for, and the upstream's path."""
+    """Hold the service named in a path, and the target for its upstream."""
 
     service: str
     target: bytes
--- a/packages/daemon/src/zinnialead_daemon/components/front/records.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/records.py
@@ -1,4 +1,4 @@
-"""Encode the answers that are kept for replay under a key."""
+"""Encode answers that are stored for replay under a key."""
 
 import typing
 
@@ -9,7 +9,7 @@
 
 
 class Record(typing.NamedTuple):
-    """Hold what is kept of an answer besides its status."""
+    """Hold the parts of an answer that are stored besides its status."""
 
     content_type: bytes
     body: bytes
@@ -23,7 +23,7 @@
 
 
 def decode(record: bytes) -> Record | None:
-    """Return what a record holds, or None for one that is damaged.
+    """Return the decoded record, or None if it is malformed.
 
     >>> decode(encode([(b'Content-Type', b'text/plain')], b'booked'))
     Record(content_type=b'text/plain', body=b'booked')
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/__init__.py
@@ -1,4 +1,4 @@
-"""Send requests to upstreams over HTTP, and read their health."""
+"""Send requests to upstreams over HTTP and poll their health."""
 
 from zinnialead_daemon.components.upstreams.coordinator import cancel_attempt
 from zinnialead_daemon.components.upstreams.coordinator import close
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
@@ -1,4 +1,4 @@
-"""Build the calls to upstreams."""
+"""Build the HTTP requests to upstreams."""
 
 from collections import abc
 import functools
@@ -17,7 +17,7 @@
 
 
 class BodyCutError(Exception):
-    """Say that the caller's body ended before it was whole."""
+    """Signal that the caller's body ended before it was complete."""
 
 
 def request(
@@ -26,7 +26,7 @@
     left_ms: float,
     time_limit_ms: float,
 ) -> httpcore.Request:
-    """Return the request that one attempt sends."""
+    """Return the HTTP request of an attempt."""
     dispatch = attempt.dispatch
     headers = [
         *exchange.head.headers,
@@ -46,7 +46,7 @@
 
 
 def url(address: str, target: bytes) -> httpcore.URL:
-    """Return the URL of a target at ``host:port``, bytes unchanged.
+    """Return the URL of a target at ``host:port``, with its bytes unchanged.
 
     >>> bytes(url('127.0.0.1:80', b'/a%20b?c'))
     b'http://127.0.0.1:80/a%20b?c'
@@ -58,7 +58,7 @@
 
 
 def extensions(left_ms: float) -> Extensions:
-    """Return the timeouts of a call that has ``left_ms`` in all."""
+    """Return the timeouts of a call that must end within ``left_ms``."""
     left_s = left_ms / const.MS_PER_S
     connect_s = min(left_s, const.CONNECT_TIMEOUT_MS / const.MS_PER_S)
     timeouts = {
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/const.py
@@ -1,19 +1,19 @@
-"""Hold the constants of the upstreams' pools."""
+"""Define the constants of the upstreams' connection pools."""
 
 MS_PER_S = 1_000.0
-# Larger answers are not kept for replay under a key.
+# Larger answers are not stored for replay under a key.
 RECORD_MAX_BYTES = 16_384
-# An answer up to this size is held back until it is whole.
+# Answers up to this size are buffered until they are complete.
 ANSWER_BUFFER_BYTES = 65_536
 CHUNKS_MAX = 4
 
-# A connection not heard from for this long is not used again: something
-# between the two ends may have lost track of it.
+# A connection idle for longer is not reused: a middlebox such as a NAT or
+# firewall may have dropped its state.
 KEEP_ALIVE_S = 2.0
 CONNECT_TIMEOUT_MS = 1_000.0
 CANCEL_TIMEOUT_MS = 500.0
-# Started work that must run at most once is heard out for this long after
-# its deadline: its true end is worth more than the connection.
+# Extra wait after the deadline for started work that must run at most once:
+# knowing its outcome is worth more than the connection.
 COMPLETION_GRACE_MS = 5_000.0
 CONNECTIONS_DEFAULT = 64
 
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -1,4 +1,4 @@
-"""Make one attempt at an upstream and report how it ended."""
+"""Run attempts at upstreams and report their outcomes."""
 
 import httpcore
 import trio
@@ -26,13 +26,13 @@
 def new_pools(
     engine: engine_models.Engine, front: front_models.Front
 ) -> models.Pools:
-    """Return an entry's pools, none of them open yet."""
+    """Return an entry's pools, without open connections."""
     poll_pool = _new_pool(const.POLL_CONNECTIONS_MAX)
     return models.Pools(engine, front, {}, poll_pool, {})
 
 
 async def run_attempt(pools: models.Pools, dispatch: out.Dispatch) -> None:
-    """Send one request and tell the core how the attempt ended."""
+    """Send a request to an upstream and feed the outcome to the core."""
     started_ms = pools.engine.now_ms()
     ref = pools.engine.world.node.ref
     parts = (*ref, dispatch.request_id, dispatch.attempt)
@@ -59,10 +59,10 @@
 async def cancel_attempt(
     pools: models.Pools, output: out.CancelDispatch
 ) -> None:
-    """Cancel an attempt; its task reports what became of it.
+    """Cancel an attempt; its task still reports the outcome.
 
-    Work that must run at most once is cut off only where the upstream
-    promises not to start it; else it is heard out.
+    Work that must run at most once is cancelled only if the upstream
+    promises not to start it; otherwise the attempt waits for its answer.
     """
     attempt_id = models.AttemptId(output.request_id, output.attempt)
     attempt = pools.attempts.get(attempt_id)
@@ -83,7 +83,7 @@
 
 
 def connections_max(pools: models.Pools, dispatch: out.Dispatch) -> int:
-    """Return how many connections this entry may hold to an upstream."""
+    """Return the limit of connections from this entry to an upstream."""
     state = pools.engine.world.states['in-force']
     row = state.upstreams.get(dispatch.upstream)
     return row.connections_max if row else const.CONNECTIONS_DEFAULT
@@ -140,7 +140,7 @@
 async def _request_cancellation(
     pools: models.Pools, attempt: models.Attempt
 ) -> bool:
-    """Tell the upstream to cancel; return whether it promised to."""
+    """Ask the upstream to cancel; return whether it never starts."""
     address = attempt.dispatch.address
     with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
         try:
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the upstreams' pools for a dump."""
+"""Dump the state of the upstreams' connection pools."""
 
 import typing
 
@@ -6,14 +6,14 @@
 
 
 class PoolsDump(typing.TypedDict):
-    """Count the attempts in flight, and the connections by address."""
+    """Count the attempts in flight and the connections per address."""
 
     attempts: int
     connections: dict[str, int]
 
 
 def dump(pools: models.Pools) -> PoolsDump:
-    """Return the pools' part of the state dump."""
+    """Return the pools' section of the state dump."""
     return PoolsDump(
         attempts=len(pools.attempts),
         connections={
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/models.py
@@ -1,4 +1,4 @@
-"""Define the connection pools of an entry."""
+"""Define the connection pools and the attempts in flight."""
 
 import dataclasses
 import typing
@@ -13,7 +13,7 @@
 
 
 class AttemptId(typing.NamedTuple):
-    """Name one attempt of one request."""
+    """Identify one attempt of a request."""
 
     request_id: ids.RequestId
     attempt: int
@@ -23,8 +23,9 @@
 class Attempt:
     """Hold one attempt in flight.
 
-    ``sent`` is set once a byte may have left, and ``never_started`` once
-    the upstream has promised that the work will not run.
+    ``wire_id`` identifies it to the upstream. ``sent`` is set once a byte
+    may have been sent, and ``never_started`` once the upstream has promised
+    not to run the work.
     """
 
     dispatch: out.Dispatch
@@ -37,7 +38,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Pools:
-    """Hold one connection pool for each upstream's address."""
+    """Hold a connection pool per upstream address and one for polls."""
 
     engine: engine_models.Engine
     front: front_models.Front
@@ -47,7 +48,7 @@
 
 
 class LoadDocument(typing.TypedDict, total=False):
-    """Hold what an upstream says of its load."""
+    """Define the load that an upstream reports."""
 
     in_flight: int
     leaving: bool
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/poller.py
@@ -1,4 +1,7 @@
-"""Read what upstreams say of themselves; the core mistrusts it."""
+"""Poll the health and load of upstreams.
+
+The core does not rely on these reports alone.
+"""
 
 from collections import abc
 
@@ -19,7 +22,7 @@
 
 
 async def run(pools: models.Pools) -> None:
-    """Poll the upstreams whose slots this entry owns, for good."""
+    """Poll the upstreams whose slots this entry owns, without end."""
     async with trio.open_nursery() as nursery:
         while True:
             rows = list(owned_upstreams(pools))
@@ -49,7 +52,7 @@
 
 
 async def poll(pools: models.Pools, row: tickets.UpstreamRow) -> None:
-    """Read one upstream's health and load, and report them."""
+    """Poll one upstream and feed its health and load to the core."""
     healthy = False
     load = models.LoadDocument()
     with trio.move_on_after(const.POLL_TIMEOUT_MS / const.MS_PER_S):
@@ -69,7 +72,7 @@
 
 
 def parse_load(response: httpcore.Response) -> models.LoadDocument:
-    """Return the load that an answer tells, empty where it tells none."""
+    """Return the load in a response, or an empty one if it has none."""
     if response.status != STATUS_OK:
         return models.LoadDocument()
     try:
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/results.py
@@ -1,4 +1,4 @@
-"""Read an upstream's answer and say how the attempt ended."""
+"""Read an upstream's response and classify the attempt's outcome."""
 
 from collections import abc
 
@@ -22,7 +22,7 @@
     exchange: front_models.Exchange,
     response: httpcore.Response,
 ) -> verdict.Outcome:
-    """Return how the attempt ended, once the answer is whole."""
+    """Return the outcome of the attempt once the response is complete."""
     headers = {name.lower(): value for name, value in response.headers}
     if response.status == const.SHED_STATUS and const.HEADER_SHED in headers:
         return verdict.Shed(_retry_after_ms(headers))
@@ -58,7 +58,8 @@
 ) -> verdict.Outcome:
     attempt_number = attempt.dispatch.attempt
     if exchange.decision is not None or exchange.disconnected:
-        # Nobody waits for the answer; that it is whole still counts.
+        # Nobody waits for the answer, but the outcome depends on whether
+        # it is complete.
         async for chunk in chunks:
             attempt.answer_bytes += len(chunk)
         return verdict.Answered(answer.status)
