Reword the comments of the store client and the operators' port

Store addresses that take turns, parts and edges are explained as the index of the address in use and the dumps of the daemon's components.

--- a/packages/daemon/src/zinnialead_daemon/components/operators/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/__init__.py
@@ -1,4 +1,4 @@
-"""Serve operators on a port of their own."""
+"""Serve operators on a separate port."""
 
 from zinnialead_daemon.components.operators.coordinator import asgi_app
 from zinnialead_daemon.components.operators.coordinator import full_dump
--- a/packages/daemon/src/zinnialead_daemon/components/operators/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the operators' port."""
+"""Define the constants of the operators' port."""
 
 DUMP_PATH = '/v1/dump'
 FLEET_PATH = '/v1/fleet'
--- a/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/coordinator.py
@@ -1,4 +1,4 @@
-"""Answer operators' calls that carry the credential."""
+"""Serve operators' calls that carry a valid credential."""
 
 import functools
 import hmac
@@ -65,7 +65,7 @@
 
 
 def full_dump(operators: models.Operators) -> models.FullDump:
-    """Return the core's dump and a part for each edge."""
+    """Return the dump of the core and of each component of the daemon."""
     return models.FullDump(
         core=diagnostics.dump(operators.engine),
         edges={
--- a/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
@@ -1,4 +1,4 @@
-"""Turn rows into JSON objects for operators."""
+"""Convert rows to JSON objects for operators."""
 
 from collections import abc
 import dataclasses
@@ -21,14 +21,14 @@
 
 
 def encode(value: object) -> bytes:
-    """Return a JSON document, rows and variants as objects."""
+    """Return a value as JSON, with rows and data classes as objects."""
     return msgspec.json.encode(plain(value))
 
 
 def plain(value: object) -> Json:
-    """Return ``value`` made of objects, lists and scalars.
+    """Return ``value`` converted to dicts, lists and scalars.
 
-    A data class gets its kind as a member, to tell variants apart.
+    A data class gets its class name as ``kind``, to distinguish variants.
 
     >>> from zinnialead_core.components import tickets
     >>> plain(tickets.UpstreamDrain('intake-1'))
--- a/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/fleet.py
@@ -1,4 +1,4 @@
-"""Describe the fleet as one entry sees it."""
+"""Build the fleet view of one entry."""
 
 from collections import abc
 
--- a/packages/daemon/src/zinnialead_daemon/components/operators/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/models.py
@@ -1,4 +1,4 @@
-"""Define what operators read from one entry."""
+"""Define the documents that operators read from an entry."""
 
 from collections import abc
 import dataclasses
@@ -10,7 +10,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Operators:
-    """Hold the entry that operators look at and their credential."""
+    """Hold the state of the operators' port.
+
+    ``edges`` maps each component of the daemon to its dump function.
+    """
 
     engine: engine_models.Engine
     token: bytes = dataclasses.field(repr=False)
@@ -20,7 +23,7 @@
 
 
 class MemberView(typing.TypedDict):
-    """Show one entry and the ticket in force on it."""
+    """Define one entry and the number of the state in force on it."""
 
     entry: str
     domain: str
@@ -33,7 +36,7 @@
 
 
 class UpstreamView(typing.TypedDict):
-    """Show one upstream; ``in_use`` is null where another entry owns it."""
+    """Define one upstream; ``in_use`` is null if another entry owns it."""
 
     upstream: str
     service: str
@@ -46,7 +49,7 @@
 
 
 class QueueView(typing.TypedDict):
-    """Show how many asks wait in a queue that this entry owns."""
+    """Define the length of a queue that this entry owns."""
 
     service: str
     rank: str
@@ -54,7 +57,7 @@
 
 
 class DrainView(typing.TypedDict):
-    """Show a drain and the work still in flight under it, as seen here."""
+    """Define a drain and its requests in flight, as this entry sees them."""
 
     name: str
     kind: str
@@ -63,7 +66,7 @@
 
 
 class ShiftView(typing.TypedDict):
-    """Show this entry's shifts of the last second against the cap."""
+    """Define this entry's shifts of the last second and their cap."""
 
     name: str
     from_region: str
@@ -73,7 +76,7 @@
 
 
 class Fleet(typing.TypedDict):
-    """Show the fleet as one entry sees it."""
+    """Define the fleet as one entry sees it."""
 
     entry: str
     domain: str
@@ -89,7 +92,7 @@
 
 
 class FullDump(typing.TypedDict):
-    """Show an entry's tables and its edges."""
+    """Define the dump of the core and of the daemon's components."""
 
     core: core_dump.Dump
     edges: dict[str, object]
--- a/packages/daemon/src/zinnialead_daemon/components/store/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/const.py
@@ -1,7 +1,7 @@
-"""Hold the constants of the store's client."""
+"""Define the constants of the store client."""
 
 MS_PER_S = 1_000.0
-# A watch ends at the store this long before the call's deadline.
+# The store ends a watch this long before the deadline of the call.
 WATCH_MARGIN_S = 1.0
 ANSWER_MAX_BYTES = 2_097_152
 OPEN_CALLS_MAX = 64
--- a/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
@@ -1,4 +1,4 @@
-"""Make the core's calls to the store, each of them once."""
+"""Make the core's calls to the store, each one without retries."""
 
 import httpcore
 import msgspec
@@ -34,7 +34,7 @@
 
 
 def call(client: models.Client, output: out.CallStore) -> None:
-    """Start a call, whose end is fed to the core; never wait for it."""
+    """Start a call without blocking; its result is fed to the core."""
     client.nursery.start_soon(_call, client, output)
 
 
@@ -105,7 +105,7 @@
 
 
 def _parse_retry_after_s(value: bytes) -> float:
-    """Return the seconds of a ``Retry-After``, 0 if it is a date.
+    """Return the seconds of a ``Retry-After`` header, or 0 for a date.
 
     >>> _parse_retry_after_s(b'7')
     7.0
@@ -118,7 +118,7 @@
 def _process_answer(
     client: models.Client, output: out.CallStore, answer: models.Answer
 ) -> None:
-    """Feed an answer, with what it carries."""
+    """Feed the result of a call and the data in its answer to the core."""
     try:
         result = documents.result(output.call, answer)
         inputs = _carried_inputs(client, result, answer)
--- a/packages/daemon/src/zinnialead_daemon/components/store/diagnostics.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe the store's client for a dump."""
+"""Dump the state of the store client."""
 
 import typing
 
@@ -6,14 +6,14 @@
 
 
 class ClientDump(typing.TypedDict):
-    """Show the store's addresses and count the open calls."""
+    """Define the store client's section of the state dump."""
 
     addresses: list[str]
     open_calls: int
 
 
 def dump(client: models.Client) -> ClientDump:
-    """Return the client's part of the state dump."""
+    """Return the store client's section of the state dump."""
     return ClientDump(
         addresses=list(client.addresses), open_calls=client.open_calls
     )
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -1,4 +1,4 @@
-"""Turn calls into HTTP requests and answers into results."""
+"""Convert calls to HTTP requests and answers to results."""
 
 from collections import abc
 
@@ -13,7 +13,7 @@
 
 
 def request(call: store.Call, left_s: float) -> models.Request:
-    """Return the request that makes a call.
+    """Return the HTTP request for a call.
 
     >>> request(store.Read('state'), 5.0).path
     '/objects/state/state'
@@ -38,7 +38,7 @@
 
 
 def result(call: store.Call, answer: models.Answer) -> store.Result:
-    """Return what an answer means for its call."""
+    """Return the result of a call, given the store's answer."""
     match answer.status, call:
         case ((429 | 503), _):
             wait_ms = answer.retry_after_s * const.MS_PER_S
@@ -73,7 +73,7 @@
 
 
 def listed(body: bytes) -> abc.Iterator[inp.PeerSeen]:
-    """Yield the VMs of the platform's list."""
+    """Yield an input for each VM in a page of the platform's list."""
     for item in objects.read_page(body)['items'][: const.VMS_MAX]:
         vm = msgspec.json.decode(bytes(item.spec), type=models.VmDocument)
         yield inp.PeerSeen(
--- a/packages/daemon/src/zinnialead_daemon/components/store/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/models.py
@@ -1,4 +1,4 @@
-"""Define the store's client, its questions and answers."""
+"""Define the store client, its HTTP requests and answers."""
 
 import dataclasses
 import typing
@@ -10,7 +10,7 @@
 
 
 class VmDocument(typing.TypedDict):
-    """Hold what the platform says of one VM."""
+    """Define what the platform stores about a VM."""
 
     domain: str
     address: str
@@ -18,7 +18,7 @@
 
 
 class Request(typing.NamedTuple):
-    """Hold one HTTP request."""
+    """Hold an HTTP request to the store."""
 
     method: str
     path: str
@@ -26,7 +26,7 @@
 
 
 class Answer(typing.NamedTuple):
-    """Hold one whole HTTP answer."""
+    """Hold a complete HTTP response of the store."""
 
     status: int
     body: bytes
@@ -35,7 +35,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Client:
-    """Hold the connections to the store, whose addresses take turns."""
+    """Hold the connections to the store.
+
+    ``address_index``, modulo the number of addresses, selects the address
+    in use; it grows by one at each failed call.
+    """
 
     engine: engine_models.Engine
     nursery: trio.Nursery
