Reword the comments of the engine, the logs and the metrics

`for good`, `carries out` and `parts that are there` read oddly; the docstrings now speak of handlers, execution and rate limits. The error of an unhandled Notify says what is wrong.

--- a/packages/daemon/src/zinnialead_daemon/components/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/__init__.py
@@ -1,1 +1,1 @@
-"""Group the daemon's components, one folder each."""
+"""Contain the daemon's components, one package each."""
--- a/packages/daemon/src/zinnialead_daemon/components/engine/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/__init__.py
@@ -1,4 +1,4 @@
-"""Drive the core: feed it inputs and carry out its outputs."""
+"""Run the core: feed it inputs and execute its outputs."""
 
 from zinnialead_daemon.components.engine.coordinator import feed
 from zinnialead_daemon.components.engine.coordinator import new_engine
--- a/packages/daemon/src/zinnialead_daemon/components/engine/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/const.py
@@ -1,3 +1,3 @@
-"""Hold the constants of the engine."""
+"""Define the constants of the engine."""
 
 MS_PER_S = 1_000.0
--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -1,4 +1,4 @@
-"""Run a tick for each input and at each due timer."""
+"""Run a tick of the core for each input and each due timer."""
 
 from collections import abc
 import time
@@ -13,7 +13,7 @@
 
 
 def wall_clock() -> abc.Callable[[], float]:
-    """Return a clock in ms since 1970 that never goes back."""
+    """Return a monotonic clock in ms since 1970."""
     offset_s = time.time() - time.monotonic()
     return lambda: (offset_s + time.monotonic()) * const.MS_PER_S
 
@@ -21,7 +21,7 @@
 def new_engine(
     world: core.World, now_ms: abc.Callable[[], float] | None = None
 ) -> models.Engine:
-    """Return an engine that carries out nothing yet."""
+    """Return an engine without a handler for most kinds of output."""
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
@@ -31,7 +31,7 @@
 
 
 def _initial_handlers() -> models.Handlers:
-    """Return handlers for what may be asked before the parts are there."""
+    """Return handlers that ignore outputs made before the set-up ends."""
     return models.Handlers(
         send_peer=lambda _: None,
         call_store=lambda _: None,
@@ -40,7 +40,7 @@
 
 
 def feed(engine: models.Engine, *inputs: inp.Input) -> None:
-    """Run one tick over ``inputs`` and carry out what it asks for."""
+    """Run one tick over ``inputs`` and execute its outputs."""
     outputs = list(core.tick(engine.world, engine.now_ms(), inputs))
     for output in outputs:
         _execute(engine.handlers, output)
@@ -52,7 +52,7 @@
 
 
 async def run_timers(engine: models.Engine) -> None:
-    """Sleep until the earliest timer is due, and tick, for good."""
+    """Run a tick whenever a timer is due, without end."""
     while True:
         engine.rescheduled = trio.Event()
         engine.next_due_ms = core.next_due_ms(engine.world)
@@ -67,7 +67,7 @@
 
 
 def _execute(handlers: models.Handlers, output: out.Output) -> None:
-    """Hand one output to the part that carries it out."""
+    """Pass an output to the handler for its kind."""
     match output:
         case out.SendPeer():
             handlers['send_peer'](output)
@@ -84,4 +84,4 @@
         case out.Stopped():
             handlers['stopped']()
         case out.Notify():
-            raise AssertionError(f'{output} left the tick')
+            raise AssertionError(f'{output} must be handled within the tick')
--- a/packages/daemon/src/zinnialead_daemon/components/engine/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/models.py
@@ -1,4 +1,4 @@
-"""Define what drives one entry's core."""
+"""Define the engine that runs the core of one entry."""
 
 from collections import abc
 import dataclasses
@@ -11,7 +11,7 @@
 
 
 class Handlers(typing.TypedDict, total=False):
-    """Name who carries out each kind of output; none of them waits."""
+    """Hold the handler of each kind of output; handlers never block."""
 
     send_peer: abc.Callable[[out.SendPeer], None]
     dispatch: abc.Callable[[out.Dispatch], None]
@@ -24,7 +24,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Engine:
-    """Hold one entry's world, its clock and who carries out outputs."""
+    """Hold an entry's tables, its clock and the handlers of its outputs.
+
+    ``rescheduled`` wakes the timer task when a timer becomes due before
+    ``next_due_ms``, the time for which that task sleeps.
+    """
 
     world: core.World
     now_ms: abc.Callable[[], float]
--- a/packages/daemon/src/zinnialead_daemon/components/logs/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/__init__.py
@@ -1,4 +1,4 @@
-"""Log changes of state as JSON lines."""
+"""Log state changes as JSON lines."""
 
 from zinnialead_daemon.components.logs.coordinator import log_change
 from zinnialead_daemon.components.logs.coordinator import log_dump
--- a/packages/daemon/src/zinnialead_daemon/components/logs/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the logs."""
+"""Define the constants of the logs."""
 
 LINES_PER_S_MAX = 20.0
 LINES_BURST_MAX = 200.0
--- a/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
@@ -1,4 +1,4 @@
-"""Write one line for each change of state, within a bounded rate."""
+"""Write a log line for each state change, up to a rate limit."""
 
 import typing
 
@@ -12,12 +12,12 @@
 
 
 def set_up(stream: typing.TextIO) -> None:
-    """Send every log line of this process to ``stream``."""
+    """Write all log lines of this process to ``stream``."""
     eliot.to_file(stream)
 
 
 def log_change(logs: models.Logs, output: out.LogChange) -> None:
-    """Write one change of state, or count it where lines come too fast."""
+    """Log a state change, or only count it above the rate limit."""
     if not _take_token(logs):
         logs.engine.world.counters['logs.dropped'] += 1
         return
--- a/packages/daemon/src/zinnialead_daemon/components/logs/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/models.py
@@ -1,4 +1,4 @@
-"""Define what bounds the rate of log lines."""
+"""Define the state of the log's rate limit."""
 
 import dataclasses
 
@@ -9,13 +9,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Logs:
-    """Hold how many lines may be written now."""
+    """Hold the token bucket that limits log lines."""
 
     engine: engine_models.Engine
     bucket: buckets.BucketRow
 
 
 def new_logs(engine: engine_models.Engine) -> Logs:
-    """Return logs with a full burst left."""
+    """Return logs whose token bucket is full."""
     bucket = buckets.BucketRow(const.LINES_BURST_MAX, engine.now_ms())
     return Logs(engine, bucket)
--- a/packages/daemon/src/zinnialead_daemon/components/metrics/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/coordinator.py
@@ -1,4 +1,4 @@
-"""Send what changed since the last time, once a period."""
+"""Send changed counters and request timings once per period."""
 
 import collections
 import itertools
@@ -13,14 +13,14 @@
 
 
 async def run(metrics: models.Metrics) -> None:
-    """Flush once a period, for good."""
+    """Flush once per period, without end."""
     while True:
         await trio.sleep(metrics.period_ms / const.MS_PER_S)
         flush(metrics)
 
 
 def flush(metrics: models.Metrics) -> None:
-    """Send the growth of each counter, and quantiles of each timer."""
+    """Send the increment of each counter and quantiles of each timer."""
     counters = metrics.engine.world.counters
     increments = (
         (name, count - metrics.sent_counts[name])
--- a/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
@@ -1,4 +1,4 @@
-"""Define what is known of the metrics sent."""
+"""Define the state of the metrics sender."""
 
 import collections
 import dataclasses
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Metrics:
-    """Hold the client, and the counters as they were last sent."""
+    """Hold the statsd client and the counter values sent so far."""
 
     engine: engine_models.Engine
     front: front_models.Front
@@ -27,7 +27,7 @@
     front: front_models.Front,
     server: settings.Statsd,
 ) -> Metrics:
-    """Return metrics of which nothing is sent yet."""
+    """Return metrics with nothing sent yet."""
     entry = engine.world.node.ref.entry
     client = statsd.StatsClient(
         server.host, server.port, prefix=f'{const.PREFIX}.{entry}'
