--- a/packages/daemon/src/zinnialead_daemon/__init__.py
+++ b/packages/daemon/src/zinnialead_daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Run the process that stands on every entry VM."""
+"""Implement the daemon that runs on every entry VM."""
--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -1,4 +1,4 @@
-"""Own an entry's parts, from set-up to clean-up."""
+"""Start and stop the components of an entry."""
 
 from collections import abc
 import dataclasses
@@ -31,7 +31,7 @@
 
 
 class Addresses(typing.NamedTuple):
-    """Say where an entry serves callers and operators."""
+    """Hold the bound addresses of the callers' and operators' servers."""
 
     callers: str
     operators: str
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Application:
-    """Hold one entry's parts and the hooks of its life cycle."""
+    """Hold the components of one entry and their stop hooks."""
 
     settings: settings_models.Settings
     engine: engines.Engine
@@ -58,7 +58,7 @@
 def new_world(
     settings: settings_models.Settings, incarnation: int
 ) -> core.World:
-    """Return the tables of a new run of the entry that is set."""
+    """Return empty tables for a new run of the configured entry."""
     node = core.NodeRow(
         ids.EntryRef(ids.EntryId(settings.entry), incarnation),
         ids.DomainId(settings.domain),
@@ -66,7 +66,8 @@
         settings.peers_address or settings.peers_bind,
         settings.callers_address or settings.callers_bind,
     )
-    # Entries that start in the same millisecond must not draw alike.
+    # The entry's hash keeps entries that start in the same millisecond
+    # from drawing the same random numbers.
     entry_hash = zlib.crc32(settings.entry.encode())
     return core.new_world(node, seed=incarnation + entry_hash)
 
@@ -74,7 +75,7 @@
 def new_application(
     settings: settings_models.Settings, world: core.World
 ) -> Application:
-    """Return an entry with its parts joined and nothing running."""
+    """Return an entry whose components are wired but not started."""
     engine = engines.new_engine(world)
     front = fronts.new_front(engine, settings.bounds)
     pools = upstreams.new_pools(engine, front)
@@ -95,7 +96,7 @@
     application: Application,
     task_status: 'trio.TaskStatus[Addresses]' = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until the core says that nothing is in flight any more."""
+    """Serve until a stop is requested and no request is in flight."""
     async with trio.open_nursery() as nursery:
         try:
             for set_up in SET_UPS:
@@ -108,7 +109,8 @@
             await application.stopped.wait()
             with trio.move_on_after(const.STOP_TIMEOUT_S):
                 await application.front.idle.wait()
-            # What is still on its way here is refused, not cut.
+            # Requests already on their way get a refusal instead of a
+            # reset connection.
             await trio.sleep(application.linger_s)
         finally:
             await _run_stop_hooks(application)
@@ -116,7 +118,7 @@
 
 
 def dump(application: Application) -> operators.FullDump:
-    """Return the state dump of the entry and its edges."""
+    """Return the state dump of the core and of each component."""
     return operators.full_dump(application.operators)
 
 
@@ -260,7 +262,7 @@
     return Addresses(callers_port, operators_port)
 
 
-# In this order; what they return runs at the end in the reverse order.
+# Called in this order; the hooks they return run in reverse at the stop.
 SET_UPS: tuple[SetUp, ...] = (
     _set_up_peers,
     _set_up_store,
--- a/packages/daemon/src/zinnialead_daemon/http/asgi.py
+++ b/packages/daemon/src/zinnialead_daemon/http/asgi.py
@@ -1,4 +1,4 @@
-"""Name the types of ASGI, send whole answers and read small bodies."""
+"""Define ASGI types and helpers to send responses and read bodies."""
 
 from collections import abc
 import typing
@@ -15,7 +15,7 @@
 async def respond(
     send: Send, status: int, headers: Headers, body: bytes
 ) -> None:
-    """Send one whole answer."""
+    """Send a complete response."""
     await start_response(send, status, headers)
     await send({'type': 'http.response.body', 'body': body})
 
@@ -31,7 +31,7 @@
 
 
 async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
-    """Return a small body, or None for one too large or cut short."""
+    """Return the body, or None if it is too large or incomplete."""
     body = b''
     while len(body) <= max_bytes:
         message = await receive()
@@ -44,7 +44,7 @@
 
 
 async def discard(receive: Receive) -> None:
-    """Read what the peer still sends until it is done or gone."""
+    """Receive and discard data until the peer disconnects."""
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
--- a/packages/daemon/src/zinnialead_daemon/http/const.py
+++ b/packages/daemon/src/zinnialead_daemon/http/const.py
@@ -1,6 +1,6 @@
-"""Hold the bounds of the HTTP server."""
+"""Define the limits of the HTTP server."""
 
-# The server library refuses a larger head before the application sees it.
+# hypercorn rejects larger request headers before calling the application.
 HEADERS_MAX_BYTES = 32_768
 KEEP_ALIVE_S = 30.0
 GRACEFUL_TIMEOUT_S = 2.0
--- a/packages/daemon/src/zinnialead_daemon/http/problems.py
+++ b/packages/daemon/src/zinnialead_daemon/http/problems.py
@@ -11,7 +11,7 @@
 
 
 class Problem(typing.NamedTuple):
-    """Say why a request got no answer of its own."""
+    """Describe why a request failed; rendered as a problem document."""
 
     status: int
     reason: str
@@ -31,7 +31,7 @@
 async def send_problem(
     send: asgi.Send, problem: Problem, headers: asgi.Headers | None = None
 ) -> None:
-    """Send one problem document, with ``Retry-After`` where it helps."""
+    """Send a problem document, with ``Retry-After`` if the problem has it."""
     all_headers = [(b'content-type', PROBLEM_TYPE), *(headers or [])]
     if problem.retry_after_ms is not None:
         seconds = max(1, round(problem.retry_after_ms / MS_PER_S))
--- a/packages/daemon/src/zinnialead_daemon/http/server.py
+++ b/packages/daemon/src/zinnialead_daemon/http/server.py
@@ -1,4 +1,4 @@
-"""Serve one ASGI application by hypercorn's protocols on trio."""
+"""Serve an ASGI application with hypercorn's protocols on trio."""
 
 from collections import abc
 import dataclasses
@@ -19,11 +19,15 @@
 
 
 def do_nothing() -> None:
-    """Do nothing about a connection that was turned away or failed."""
+    """Ignore a connection that was rejected or failed."""
 
 
 class Binding(typing.NamedTuple):
-    """Say where to serve, with which certificate, and how many peers."""
+    """Configure the address, certificate and connection limit of a server.
+
+    ``on_rejected`` is called for each connection above the limit and
+    ``on_failed`` for each that ends with an exception.
+    """
 
     address: str
     certificate_file: str | None = None
@@ -35,7 +39,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """Hold what every connection needs, and how many there are."""
+    """Hold the state shared by all connections of a server."""
 
     app: hypercorn.app_wrappers.ASGIWrapper
     config: hypercorn.config.Config
@@ -50,11 +54,11 @@
     stop_condition: StopCondition,
     task_status: 'trio.TaskStatus[str]' = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve HTTP requests at ``binding`` until ``until`` returns.
+    """Serve HTTP requests at ``binding`` until ``stop_condition`` returns.
 
-    Reports the bound address as ``host:port`` when started. The library's
-    own accept loop has no bound on connections; this one turns away what
-    is above it.
+    Reports the bound address as ``host:port`` when started. hypercorn's
+    own accept loop does not limit connections; this one closes those
+    above the limit.
     """
     resolved = Binding(binding) if isinstance(binding, str) else binding
     server = _new_server(app, resolved)
@@ -95,7 +99,7 @@
     try:
         await connection.run()
     except Exception:
-        # One connection's fault must not end the others.
+        # An error on one connection must not close the others.
         server.binding.on_failed()
     finally:
         server.open_connections -= 1
@@ -106,8 +110,8 @@
     read_data: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     await read_data()
-    # The library would hold a connection that its peer has closed until
-    # the idle timeout.
+    # hypercorn would keep a connection closed by its peer open until the
+    # idle timeout.
     await connection.idle_task.stop()
 
 
@@ -161,7 +165,7 @@
     config = hypercorn.config.Config()
     config.certfile = binding.certificate_file
     config.keyfile = binding.key_file
-    # Only HTTP/1.1 shows a cut answer by its framing alone.
+    # Only HTTP/1.1 framing shows by itself that a response is incomplete.
     config.alpn_protocols = ['http/1.1']
     config.h11_max_incomplete_size = const.HEADERS_MAX_BYTES
     config.keep_alive_timeout = const.KEEP_ALIVE_S
--- a/packages/daemon/src/zinnialead_daemon/main.py
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -1,4 +1,4 @@
-"""Run ``zinnialeadd``, the process on every entry VM."""
+"""Define the command line of ``zinnialeadd``, the entry's daemon."""
 
 import importlib.metadata
 import os
@@ -31,7 +31,7 @@
     typer.Option('--settings', help='Settings in JSON with comments.'),
 ]
 CheckFlag = typing.Annotated[
-    bool, typer.Option('--check', help='Check the settings and end.')
+    bool, typer.Option('--check', help='Check the settings and exit.')
 ]
 
 
@@ -66,9 +66,9 @@
     callers_address: TextFlag = None,
     peers_address: TextFlag = None,
 ) -> None:
-    """Serve until told to stop.
+    """Run the entry until a signal or an operator stops it.
 
-    Flags go before ZINNIALEAD_* in the environment, and these before the
+    Flags override ZINNIALEAD_* in the environment, which overrides the
     file. Example: zinnialeadd run --settings entry.json --entry guj-a-1
     """
     flags = {
@@ -85,7 +85,9 @@
         case expression.Result(tag='ok', ok=loaded):
             if not check:
                 raise typer.Exit(_serve(loaded))
-            typer.echo(f'{settings}: entry {loaded.entry!r} is well set')
+            typer.echo(
+                f'{settings}: entry {loaded.entry!r} has valid settings'
+            )
         case expression.Result(error=problems):
             for problem in problems:
                 typer.echo(str(problem), err=True)
@@ -102,7 +104,11 @@
 
 
 async def run_until_stopped(application: applications.Application) -> int:
-    """Run an entry, mind the signals, and return its exit code."""
+    """Run an entry, handle signals and return the exit code.
+
+    The first SIGTERM or SIGINT lets requests in flight finish, the second
+    ends the process at once, and SIGUSR1 logs a state dump.
+    """
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
     with trio.open_signal_receiver(*signals) as received:
         async with trio.open_nursery() as nursery:
@@ -130,7 +136,7 @@
 
 
 def _raise_file_limit(connections_max: int) -> None:
-    # The server waits with new connections while no file is free.
+    # Without a free file descriptor the server stops accepting.
     _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     file_limit = connections_max + const.FILES_RESERVED
     if hard_limit != resource.RLIM_INFINITY:
