--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -80,10 +80,10 @@
     if row.domain == world.node.domain:
         return
     world.loads[row.service, row.domain] = row._replace(seen_ms=now_ms)
-    free = max(0, row.slots - row.in_use - row.queued)
+    free_slots = max(0, row.slots - row.in_use - row.queued)
     uses = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
     # Each free slot is used several times until the next report.
-    asks_left = free * max(1.0, uses)
+    asks_left = free_slots * max(1.0, uses)
     previous = world.shifts.headrooms.get((row.service, row.domain))
     paused_until_ms = previous.paused_until_ms if previous else -math.inf
     headroom = models.HeadroomRow(asks_left, paused_until_ms)
@@ -100,10 +100,12 @@
     if headroom is not None and now_ms < headroom.paused_until_ms:
         return False
     load = world.loads.get((service, domain))
-    fresh = load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
-    if not fresh or headroom is None:
-        trial = models.HeadroomRow(0.0, now_ms + const.STALE_ASK_PERIOD_MS)
-        world.shifts.headrooms[service, domain] = trial
+    is_fresh = (
+        load is not None and now_ms - load.seen_ms <= const.LOAD_STALE_MS
+    )
+    if not is_fresh or headroom is None:
+        probe = models.HeadroomRow(0.0, now_ms + const.STALE_ASK_PERIOD_MS)
+        world.shifts.headrooms[service, domain] = probe
         return True
     if headroom.asks_left < 1.0:
         return False
@@ -153,10 +155,18 @@
     row = models.ServingDomainsRow(
         state.number,
         tuple(
-            sorted(x for x, region in regions.items() if region == own_region)
+            sorted(
+                domain
+                for domain, region in regions.items()
+                if region == own_region
+            )
         ),
         tuple(
-            sorted(x for x, region in regions.items() if region != own_region)
+            sorted(
+                domain
+                for domain, region in regions.items()
+                if region != own_region
+            )
         ),
     )
     world.shifts.serving_domains[service] = row
