Reword the names and comments of the daemon's tests

Tests spoke of strangers, nonsense, silent links and what was told; names and docstrings now give the failure that each guards against, and locals such as `made`, `found` and `ended` say what they hold. Bodies under hypothesis.given stay as they are, since their text seeds the draws; the number of tests, their assertions and bounds don't change.

--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -58,8 +58,8 @@
 def parse_query(query: bytes) -> QuestionResult:
     """Return the question in a query string, or why it is invalid."""
     values: dict[str, str] = {}
-    for part in query.split(b'&', len(FIELDS)):
-        name, _, value = part.partition(b'=')
+    for parameter in query.split(b'&', len(FIELDS)):
+        name, _, value = parameter.partition(b'=')
         field = FIELDS.get(name)
         if field is None or field in values or not value:
             return expression.Error(USAGE)
@@ -180,7 +180,7 @@
 
 def _check_question(document: QuestionDocument) -> QuestionResult:
     if any(
-        len(str(part)) > const.NAME_MAX_BYTES for part in document.values()
+        len(str(value)) > const.NAME_MAX_BYTES for value in document.values()
     ):
         return expression.Error('a question holds too long a name')
     rank = document.get('rank')
--- a/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
@@ -126,15 +126,15 @@
 
 
 def _control_headers(headers: http.Headers) -> ControlHeaders:
-    found: ControlHeaders = {}
+    control: ControlHeaders = {}
     for name, value in headers:
         text = _text(value, f'header {name.decode("latin-1")}')
         if name not in SINGLE_VALUE_HEADERS:
             continue
-        if name in found:
+        if name in control:
             raise BadRequestError(400, f'{name.decode()} is given twice')
-        found[name] = text
-    return found
+        control[name] = text
+    return control
 
 
 class Destination(typing.NamedTuple):
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -74,10 +74,10 @@
 
 def listed(body: bytes) -> abc.Iterator[inp.PeerSeen]:
     """Yield an input for each VM in a page of the platform's list."""
-    for item in objects.read_page(body)['items'][: const.VMS_MAX]:
-        vm = msgspec.json.decode(bytes(item.spec), type=models.VmDocument)
+    for vm_object in objects.read_page(body)['items'][: const.VMS_MAX]:
+        vm = msgspec.json.decode(bytes(vm_object.spec), type=models.VmDocument)
         yield inp.PeerSeen(
-            ids.EntryId(item.metadata['name']),
+            ids.EntryId(vm_object.metadata['name']),
             ids.DomainId(vm['domain']),
             vm['address'],
             vm.get('leaving', False),
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -35,8 +35,8 @@
     """Send a request to an upstream and feed the outcome to the core."""
     started_ms = pools.engine.now_ms()
     ref = pools.engine.world.node.ref
-    parts = (*ref, dispatch.request_id, dispatch.attempt)
-    wire_id = '.'.join(map(str, parts)).encode()
+    id_parts = (*ref, dispatch.request_id, dispatch.attempt)
+    wire_id = '.'.join(map(str, id_parts)).encode()
     left_s = _time_limit_ms(pools, dispatch) / const.MS_PER_S
     scope = trio.CancelScope(deadline=trio.current_time() + left_s)
     attempt = models.Attempt(dispatch, wire_id, scope)
--- a/tests/daemon/components/peers/peer_strategies.py
+++ b/tests/daemon/components/peers/peer_strategies.py
@@ -1,4 +1,4 @@
-"""Draw any message of the peers' protocol from its type hints."""
+"""Build strategies for the peer protocol's messages from type hints."""
 
 import dataclasses
 import enum
@@ -11,7 +11,7 @@
 from zinnialead_core.components import members
 from zinnialead_core.components import tickets
 
-PLAIN = {
+PRIMITIVES = {
     str: st.text(st.characters(codec='utf-8'), min_size=1, max_size=12),
     int: st.integers(0, 2**31 - 1),
     float: st.floats(allow_nan=False, allow_infinity=False),
@@ -24,8 +24,8 @@
 def values(hint):
     if hint is tickets.State:
         return st.builds(samples.state, *[st.integers(1, 99)] * 2)
-    if hint in PLAIN:
-        return PLAIN[hint]
+    if hint in PRIMITIVES:
+        return PRIMITIVES[hint]
     if isinstance(hint, typing.NewType):
         return values(hint.__supertype__)
     origin, args = typing.get_origin(hint), typing.get_args(hint)
@@ -47,7 +47,11 @@
     hints = typing.get_type_hints(hint)
     if hint is members.MemberRow:
         hints['heard_ms'] = None
-    drawn = {name: values(x) for name, x in hints.items() if x}
+    strategies = {
+        name: values(field_hint)
+        for name, field_hint in hints.items()
+        if field_hint
+    }
     if hint is members.MemberRow:
-        drawn['heard_ms'] = st.just(0.0)
-    return st.builds(hint, **drawn)
+        strategies['heard_ms'] = st.just(0.0)
+    return st.builds(hint, **strategies)
--- a/tests/daemon/components/peers/test_codec.py
+++ b/tests/daemon/components/peers/test_codec.py
@@ -1,4 +1,4 @@
-"""Encode every message and decode whatever may arrive."""
+"""Encode every kind of message and decode arbitrary bytes."""
 
 import typing
 
@@ -80,7 +80,7 @@
     codec.decode_body(found)
 
 
-def test_a_message_of_a_newer_schema_is_told_apart():
+def test_a_message_of_a_newer_schema_is_an_unknown_kind():
     probe = members.Probe(1, 1, ())
     body = codec.encode_body(codec.Envelope(SENDER, 1, 2.0, probe))
     unknown = bytes([200])
@@ -92,13 +92,13 @@
     assert codec.UnknownKind() in errors
 
 
-def test_a_future_version_of_the_framing_is_told_apart():
+def test_a_newer_version_of_the_framing_is_unknown():
     found = bytearray(frame(members.Probe(1, 1, ())))
     found[0] = 9
     assert decode(bytes(found)).error == codec.UnknownVersion(9)
 
 
-def test_keys_rotate_without_a_stop():
+def test_keys_rotate_without_a_restart():
     probe = members.Probe(1, 1, ())
     assert decode(frame(probe), NEW, OLD).is_ok()
     assert decode(frame(probe, key=NEW), OLD, NEW).is_ok()
@@ -107,7 +107,7 @@
     )
 
 
-def test_a_frame_for_another_entry_is_foreign():
+def test_a_frame_for_another_entry_has_an_invalid_signature():
     found = frame(members.Probe(1, 1, ()), recipient='e3')
     assert decode(found).error == codec.InvalidSignature()
 
@@ -136,7 +136,7 @@
     assert decode(frame(probe, 9), keyring=keyring).error == codec.Replayed()
 
 
-def test_none_and_absent_stay_apart():
+def test_none_is_read_back_as_none():
     ask_id = ids.AskId(SENDER, ids.RequestId(1), 2)
     for message in (
         slots.SlotAnswer(ask_id, None),
--- a/tests/daemon/components/peers/test_transport.py
+++ b/tests/daemon/components/peers/test_transport.py
@@ -1,4 +1,4 @@
-"""Carry messages between entries on loopback."""
+"""Exchange messages between entries on loopback."""
 
 import contextlib
 
@@ -20,11 +20,11 @@
 
 @pytest.fixture
 def mock_clock():
-    # Loopback has this long to deliver before the clock jumps.
+    # Gives loopback this long to deliver data before the clock jumps.
     return trio.testing.MockClock(autojump_threshold=0.005)
 
 
-async def test_entries_meet_and_a_state_spreads(nursery, mock_clock):
+async def test_entries_connect_and_a_state_spreads(nursery, mock_clock):
     one = await peer_samples.entry(nursery, 'e1')
     two = await peer_samples.entry(nursery, 'e2')
     peer_samples.introduce(one, two)
@@ -38,47 +38,51 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_foreign_and_broken_bytes_are_counted(nursery, mock_clock):
+async def test_unsigned_and_malformed_frames_are_counted(nursery, mock_clock):
     one = await peer_samples.entry(nursery, 'e1')
     host, port = addresses.parse(one.address)
     counters = one.engine.world.counters
-    raw = await trio.open_tcp_stream(host, port)
-    await raw.send_all(b'\x04\x00\x00\x00junk' * 3)
+    stream = await trio.open_tcp_stream(host, port)
+    await stream.send_all(b'\x04\x00\x00\x00junk' * 3)
     await peer_samples.until(lambda: counters['peers.frames_malformed'] == 3)
-    await raw.send_all(b'\xff\xff\xff\xff')
+    await stream.send_all(b'\xff\xff\xff\xff')
     with contextlib.suppress(trio.BrokenResourceError):
-        while await raw.receive_some(100):
+        while await stream.receive_some(100):
             pass
     assert counters['peers.frames_oversized'] == 1
-    stranger = await peer_samples.entry(nursery, 'e2', 'another-secret-key')
-    peer_samples.introduce(stranger, one)
+    unknown_peer = await peer_samples.entry(
+        nursery, 'e2', 'another-secret-key'
+    )
+    peer_samples.introduce(unknown_peer, one)
     probe = members.Probe(1, 0, ())
-    peers.send(stranger, out.SendPeer('e1', probe))
-    # The stranger's own row, and the probe.
+    peers.send(unknown_peer, out.SendPeer('e1', probe))
+    # The row of the entry with the other key, and the probe.
     await peer_samples.until(lambda: counters['peers.frames_foreign'] >= 2)
     nursery.cancel_scope.cancel()
 
 
-async def test_a_silent_link_is_closed_and_opened_again(nursery, mock_clock):
+async def test_an_unconfirmed_link_is_closed_and_opened_again(
+    nursery, mock_clock
+):
     accepted = []
 
-    async def swallow(stream):
+    async def accept_silently(stream):
         accepted.append(stream)
         await trio.sleep_forever()
 
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    nursery.start_soon(trio.serve_listeners, swallow, listeners)
+    nursery.start_soon(trio.serve_listeners, accept_silently, listeners)
     one = await peer_samples.entry(nursery, 'e1')
     port = listeners[0].socket.getsockname()[1]
-    seen = inp.PeerSeen('e2', samples.DOMAIN, f'127.0.0.1:{port}')
-    engines.feed(one.engine, seen)
+    peer_seen = inp.PeerSeen('e2', samples.DOMAIN, f'127.0.0.1:{port}')
+    engines.feed(one.engine, peer_seen)
     counters = one.engine.world.counters
     await peer_samples.until(lambda: counters['peers.links_silent'] > 0)
     await peer_samples.until(lambda: len(accepted) > 1)
     nursery.cancel_scope.cancel()
 
 
-async def test_a_full_outbox_drops_the_oldest_and_send_never_waits(
+async def test_a_full_outbox_drops_the_oldest_and_send_never_blocks(
     nursery, mock_clock
 ):
     one = await peer_samples.entry(nursery, 'e1')
@@ -95,7 +99,7 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_message_that_no_field_holds_is_dropped_and_counted(
+async def test_a_message_outside_the_schema_is_dropped_and_counted(
     nursery, mock_clock
 ):
     one = await peer_samples.entry(nursery, 'e1')
@@ -108,7 +112,9 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_strangers_are_few_and_leave_soon(nursery, mock_clock):
+async def test_unauthenticated_connections_are_limited_and_time_out(
+    nursery, mock_clock
+):
     one = await peer_samples.entry(nursery, 'e1')
     host, port = addresses.parse(one.address)
     streams = [
@@ -125,12 +131,12 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_an_entry_nobody_knows_is_answered(nursery, mock_clock):
+async def test_an_entry_unknown_to_its_peer_is_answered(nursery, mock_clock):
     one = await peer_samples.entry(nursery, 'e1')
     two = await peer_samples.entry(nursery, 'e2')
     node = two.engine.world.node
-    seen = inp.PeerSeen('e2', node.domain, node.address)
-    engines.feed(one.engine, seen)
+    peer_seen = inp.PeerSeen('e2', node.domain, node.address)
+    engines.feed(one.engine, peer_seen)
     peers.send(one, out.SendPeer('e2', members.MembersAsk('', '')))
     await peer_samples.until(
         lambda: one.engine.world.members['e2'].incarnation
--- a/tests/daemon/components/store/test_documents.py
+++ b/tests/daemon/components/store/test_documents.py
@@ -1,4 +1,4 @@
-"""Read any answer of the store without a crash."""
+"""Read any answer of the store without an unexpected exception."""
 
 import hypothesis
 from hypothesis import strategies as st
@@ -43,7 +43,7 @@
         assert (found.value, found.version) == (b'{"n":[1]}', 4)
 
 
-def test_what_was_certainly_not_written_is_told_from_what_may_have_been():
+def test_a_failed_update_tells_whether_it_may_have_been_written():
     update = CALLS[3]
     results = {
         status: documents.result(update, models.Answer(status, b'', 2.0))
--- a/tests/daemon/entries.py
+++ b/tests/daemon/entries.py
@@ -1,4 +1,4 @@
-"""Make the entries that the daemon's tests run."""
+"""Create and start entries for the daemon's tests."""
 
 import functools
 
@@ -31,7 +31,7 @@
 
 
 def point_at(entry, address, body_max_bytes=65_536):
-    """Put in force that all upstreams are at ``address``."""
+    """Put a state in force in which all upstreams are at ``address``."""
     state = samples.state(number=2)
     rows = {
         name: row._replace(address=address)
--- a/tests/daemon/front/test_front.py
+++ b/tests/daemon/front/test_front.py
@@ -1,4 +1,4 @@
-"""Take requests through one entry to an upstream over sockets."""
+"""Send requests through an entry to an upstream over sockets."""
 
 import functools
 import time
@@ -95,7 +95,7 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_an_answer_cut_short_never_looks_whole(nursery):
+async def test_an_incomplete_answer_never_looks_complete(nursery):
     entry, address, calls = await serve(nursery)
     with pytest.raises(httpcore.RemoteProtocolError):
         await ask(address, 'pricebook/cut')
@@ -115,7 +115,9 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_large_answer_that_was_not_kept_is_said_to_have_run(nursery):
+async def test_a_repeat_after_an_unrecorded_large_answer_is_reported_as_run(
+    nursery,
+):
     entry, address, calls = await serve(nursery)
     await ask(address, 'intake/large', [KEY])
     again = await ask(address, 'intake/large', [KEY])
@@ -131,7 +133,7 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_the_end_of_abandoned_work_is_learned_and_replayed(nursery):
+async def test_the_result_of_abandoned_work_is_recorded_and_replayed(nursery):
     events = new_events()
     entry, address, calls = await serve(nursery, events)
     async with trio.open_nursery() as callers:
@@ -154,7 +156,7 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_caller_that_leaves_cancels_its_attempt(nursery):
+async def test_a_caller_that_disconnects_cancels_its_attempt(nursery):
     events = new_events()
     entry, address, calls = await serve(nursery, events)
     async with trio.open_nursery() as callers:
--- a/tests/daemon/front/test_parsing.py
+++ b/tests/daemon/front/test_parsing.py
@@ -1,4 +1,4 @@
-"""Give the front's parsers anything at all."""
+"""Parse arbitrary callers' input."""
 
 import urllib.parse
 
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -1,4 +1,4 @@
-"""Serve over sockets what callers send, sense or nonsense."""
+"""Serve valid and malformed requests over sockets."""
 
 import collections
 import functools
@@ -18,13 +18,15 @@
 GET = b'GET /x HTTP/1.1\r\nhost: a\r\n\r\n'
 
 
-async def hello(scope, receive, send):
+async def respond_hello(scope, receive, send):
     await http.respond(send, 200, [], b'hello')
 
 
-async def start(nursery, **parts):
-    binding = http.Binding('127.0.0.1:0', **parts)
-    run = functools.partial(http.serve, hello, binding, trio.sleep_forever)
+async def start(nursery, **options):
+    binding = http.Binding('127.0.0.1:0', **options)
+    run = functools.partial(
+        http.serve, respond_hello, binding, trio.sleep_forever
+    )
     return await nursery.start(run)
 
 
@@ -33,29 +35,29 @@
     async with await trio.open_tcp_stream(host, int(port)) as stream:
         await stream.send_all(data)
         await stream.send_eof()
-        return b''.join([part async for part in stream])
+        return b''.join([chunk async for chunk in stream])
 
 
-async def test_connections_above_the_bound_are_turned_away(nursery):
-    seen = collections.Counter()
+async def test_connections_above_the_limit_are_rejected(nursery):
+    rejections = collections.Counter()
     address = await start(
         nursery,
         connections_max=1,
-        on_rejected=functools.partial(seen.update, ['away']),
+        on_rejected=functools.partial(rejections.update, ['away']),
     )
     host, _, port = address.rpartition(':')
-    async with await trio.open_tcp_stream(host, int(port)) as held:
-        await held.send_all(GET)
-        assert await held.receive_some()
+    async with await trio.open_tcp_stream(host, int(port)) as connection:
+        await connection.send_all(GET)
+        assert await connection.receive_some()
         assert await exchange_or_reset(address) == b''
-        assert seen['away'] == 1
+        assert rejections['away'] == 1
     nursery.cancel_scope.cancel()
 
 
-async def test_a_connection_that_its_peer_closed_makes_room(nursery):
+async def test_a_connection_closed_by_its_peer_is_not_counted(nursery):
     address = await start(nursery, connections_max=1)
     for _ in range(2):
-        # A client that reads the whole answer ends without a reset.
+        # A client that reads the complete response closes without a reset.
         async with httpcore.AsyncConnectionPool() as pool:
             answer = await pool.request('GET', f'http://{address}/x')
         assert answer.content == b'hello'
@@ -72,29 +74,29 @@
 
 async def test_tls_is_served_from_the_settings_files(nursery):
     address = await start(nursery, certificate_file=CERTIFICATE, key_file=KEY)
-    trusting = ssl.create_default_context(cafile=CERTIFICATE)
-    async with httpcore.AsyncConnectionPool(ssl_context=trusting) as pool:
+    context = ssl.create_default_context(cafile=CERTIFICATE)
+    async with httpcore.AsyncConnectionPool(ssl_context=context) as pool:
         answer = await pool.request('GET', f'https://{address}/')
     assert answer.content == b'hello'
     nursery.cancel_scope.cancel()
 
 
-async def test_nonsense_does_not_end_the_server(nursery):
+async def test_malformed_requests_do_not_end_the_server(nursery):
     address = await start(nursery)
-    seeded = random.Random(1)
-    heads = [
+    generator = random.Random(1)
+    requests = [
         GET[:-4],
         GET.replace(b'1.1', b'9.9'),
         b'GET /x HTTP/1.1\r\ncontent-length: -1\r\n\r\n',
         b'GET /x HTTP/1.1\r\nx: ' + b'y' * 70_000 + b'\r\n\r\n',
         b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nshort',
-        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' + seeded.randbytes(64),
+        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' + generator.randbytes(64),
         GET[:-2] + b'connection: upgrade\r\nupgrade: websocket\r\n\r\n',
-        *(seeded.randbytes(200) for _ in range(20)),
+        *(generator.randbytes(200) for _ in range(20)),
     ]
-    for head in heads:
+    for data in requests:
         try:
-            await exchange(address, head)
+            await exchange(address, data)
         except trio.BrokenResourceError:
             continue
     assert b'hello' in await exchange(address, GET)
--- a/tests/daemon/metrics/test_metrics.py
+++ b/tests/daemon/metrics/test_metrics.py
@@ -1,4 +1,4 @@
-"""Send metrics to a server on loopback."""
+"""Send metrics to a statsd server on loopback, and limit log lines."""
 
 import socket
 
@@ -19,25 +19,25 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
         server.bind(('127.0.0.1', 0))
         port = server.getsockname()[1]
-        made = metrics.new_metrics(
+        sender = metrics.new_metrics(
             engine, front, settings.Statsd('127.0.0.1', port)
         )
         engine.world.counters['requests.arrived'] = 5
         front.timings.append(front_models.TimingRow('urgent', 12.0))
-        metrics.flush(made)
+        metrics.flush(sender)
         first = server.recv(65_536).decode()
         engine.world.counters['requests.arrived'] = 7
-        metrics.flush(made)
+        metrics.flush(sender)
         second = server.recv(65_536).decode()
     assert 'zinnialead.entry-1.requests.arrived:5|c' in first
     assert 'requests.elapsed.urgent.p99:12.0' in first
     assert second == 'zinnialead.entry-1.requests.arrived:2|c'
 
 
-def test_log_lines_are_bounded_and_the_rest_counted():
+def test_log_lines_above_the_rate_limit_are_counted():
     engine = engines.new_engine(samples.world(), lambda: 0.0)
-    log = logs.new_logs(engine)
+    limited_logs = logs.new_logs(engine)
     change = out.LogChange('members', 'entry-2', 'alive', 'dead')
     for _ in range(int(logs_const.LINES_BURST_MAX) + 3):
-        logs.log_change(log, change)
+        logs.log_change(limited_logs, change)
     assert engine.world.counters['logs.dropped'] == 3
--- a/tests/daemon/operators/test_operators.py
+++ b/tests/daemon/operators/test_operators.py
@@ -1,4 +1,4 @@
-"""Read an entry through the operators' port."""
+"""Call an entry through its operators' port."""
 
 import functools
 
@@ -14,13 +14,13 @@
 AUTH = [(b'authorization', b'Bearer s3cret')]
 
 
-async def ask(address, method, path, headers=()):
+async def call(address, method, path, headers=()):
     url = f'http://{address}{path}'
     async with httpcore.AsyncConnectionPool() as pool:
         return await pool.request(method, url, headers=list(headers))
 
 
-async def served(nursery, world):
+async def serve(nursery, world):
     engine = engines.new_engine(world, lambda: 0.0)
     app = operators.asgi_app(operators.Operators(engine, b's3cret'))
     run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
@@ -28,10 +28,10 @@
 
 
 async def test_calls_without_the_credential_are_denied(nursery):
-    engine, address = await served(nursery, samples.world())
-    wrong = [(b'authorization', b'Bearer s3cre')]
-    for headers in ((), wrong):
-        answer = await ask(address, 'POST', '/v1/stop', headers)
+    engine, address = await serve(nursery, samples.world())
+    wrong_token = [(b'authorization', b'Bearer s3cre')]
+    for headers in ((), wrong_token):
+        answer = await call(address, 'POST', '/v1/stop', headers)
         assert answer.status == 401
     assert engine.world.counters['operators.denied'] == 2
     assert not engine.world.requests.stopping
@@ -39,10 +39,10 @@
 
 
 async def test_fleet_state_and_dump_are_json(nursery):
-    engine, address = await served(nursery, samples.world())
+    engine, address = await serve(nursery, samples.world())
     answers = {}
     for path in ('/v1/fleet', '/v1/state', '/v1/dump'):
-        answer = await ask(address, 'GET', path, AUTH)
+        answer = await call(address, 'GET', path, AUTH)
         assert b's3cret' not in answer.content
         answers[path] = msgspec.json.decode(answer.content)
     assert answers['/v1/fleet']['members'][0]['state_number'] == 1
@@ -51,10 +51,10 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_stop_is_passed_on(nursery):
-    engine, address = await served(nursery, samples.world())
+async def test_stop_is_passed_to_the_core(nursery):
+    engine, address = await serve(nursery, samples.world())
     engine.handlers['stopped'] = lambda: None
-    answer = await ask(address, 'POST', '/v1/stop', AUTH)
+    answer = await call(address, 'POST', '/v1/stop', AUTH)
     assert msgspec.json.decode(answer.content)['stopping'] is True
     assert engine.world.requests.stopping
     nursery.cancel_scope.cancel()
--- a/tests/daemon/test_application.py
+++ b/tests/daemon/test_application.py
@@ -1,4 +1,4 @@
-"""Take a request through a whole entry on loopback."""
+"""Send requests through a complete entry on loopback."""
 
 import httpcore
 import trio
@@ -14,25 +14,25 @@
     await http.respond(send, 201, [], b'booked')
 
 
-async def test_a_booking_goes_through_sockets_once(nursery):
+async def test_a_request_with_a_key_runs_once(nursery):
     address = await nursery.start(
         http.serve, upstream, '127.0.0.1:0', trio.sleep_forever
     )
-    app, addresses = await entries.start(nursery, address)
-    entry = addresses.callers
+    entry, addresses = await entries.start(nursery, address)
+    callers_address = addresses.callers
     async with httpcore.AsyncConnectionPool() as pool:
-        url = f'http://{entry}/v1/services/intake/book'
-        issued = samples.issued_key('k', app.engine.now_ms())
-        key = [(b'idempotency-key', issued.encode())]
+        url = f'http://{callers_address}/v1/services/intake/book'
+        issued_key = samples.issued_key('k', entry.engine.now_ms())
+        headers = [(b'idempotency-key', issued_key.encode())]
         for _ in range(2):
-            answer = await pool.request('POST', url, headers=key)
+            answer = await pool.request('POST', url, headers=headers)
             assert (answer.status, answer.content) == (201, b'booked')
             assert (b'zinnialead-verdict', b'ran') in answer.headers
-    assert app.engine.world.counters['requests.dispatched'] == 1
+    assert entry.engine.world.counters['requests.dispatched'] == 1
     nursery.cancel_scope.cancel()
 
 
-async def test_a_stop_cuts_no_request_in_flight(nursery):
+async def test_a_stop_lets_a_request_in_flight_finish(nursery):
     reached = trio.Event()
     finish = trio.Event()
 
@@ -49,18 +49,18 @@
     )
     answers = []
 
-    async def ask(callers):
+    async def send_request(callers):
         async with httpcore.AsyncConnectionPool() as pool:
             url = f'http://{callers}/v1/services/pricebook/work'
             answers.append(await pool.request('POST', url))
 
     async with trio.open_nursery() as entry_nursery:
-        app, addresses = await entries.start(entry_nursery, address)
-        entry_nursery.start_soon(ask, addresses.callers)
+        entry, addresses = await entries.start(entry_nursery, address)
+        entry_nursery.start_soon(send_request, addresses.callers)
         await reached.wait()
-        app.linger_s = 0.0
-        engines.feed(app.engine, inp.StopRequested())
+        entry.linger_s = 0.0
+        engines.feed(entry.engine, inp.StopRequested())
         finish.set()
-    assert app.stopped.is_set()
+    assert entry.stopped.is_set()
     assert [answer.content for answer in answers] == [b'whole']
     nursery.cancel_scope.cancel()
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -1,4 +1,4 @@
-"""Start the daemon's binary with settings, right and wrong."""
+"""Run the daemon's command with valid and invalid settings."""
 
 import collections
 import json
@@ -12,8 +12,8 @@
 RUNNER = testing.CliRunner()
 
 
-def settings_file(tmp_path, **changed):
-    fields = entries.SETTINGS._asdict() | changed
+def settings_file(tmp_path, **overrides):
+    fields = entries.SETTINGS._asdict() | overrides
     for name in ('bounds', 'statsd', 'tls'):
         fields.pop(name)
     fields['peer_keys'] = [{'key_id': 1, 'secret': 'a-secret-of-the-peers'}]
@@ -24,31 +24,31 @@
 
 def test_check_accepts_settings_without_serving(tmp_path):
     path = settings_file(tmp_path)
-    done = RUNNER.invoke(main.app, ['run', '--settings', path, '--check'])
-    assert (done.exit_code, 'entry-1' in done.output) == (0, True)
+    result = RUNNER.invoke(main.app, ['run', '--settings', path, '--check'])
+    assert (result.exit_code, 'entry-1' in result.output) == (0, True)
 
 
-def test_flags_go_before_the_environment(tmp_path):
+def test_flags_override_the_environment(tmp_path):
     path = settings_file(tmp_path)
     args = ['run', '--settings', path, '--check']
     environment = {'ZINNIALEAD_ENTRY': 'entry-8'}
-    done = RUNNER.invoke(main.app, args, env=environment)
-    assert 'entry-8' in done.output
-    done = RUNNER.invoke(
+    result = RUNNER.invoke(main.app, args, env=environment)
+    assert 'entry-8' in result.output
+    result = RUNNER.invoke(
         main.app, [*args, '--entry', 'entry-9'], env=environment
     )
-    assert 'entry-9' in done.output
+    assert 'entry-9' in result.output
 
 
-def test_wrong_settings_name_the_field_and_never_the_token(tmp_path):
+def test_errors_in_settings_name_the_field_but_not_the_token(tmp_path):
     path = settings_file(tmp_path, callers_bind='nowhere', surplus=1)
-    done = RUNNER.invoke(main.app, ['run', '--settings', path])
-    assert done.exit_code == const.EXIT_SETTINGS
-    assert 'callers_bind' in done.output
-    assert 'surplus' in done.output
-    assert entries.TOKEN not in done.output
+    result = RUNNER.invoke(main.app, ['run', '--settings', path])
+    assert result.exit_code == const.EXIT_SETTINGS
+    assert 'callers_bind' in result.output
+    assert 'surplus' in result.output
+    assert entries.TOKEN not in result.output
 
 
 def test_the_version_is_printed():
-    done = RUNNER.invoke(main.app, ['--version'])
-    assert collections.Counter(done.output)['.'] == 2
+    result = RUNNER.invoke(main.app, ['--version'])
+    assert collections.Counter(result.output)['.'] == 2
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -1,4 +1,4 @@
-"""Signal a whole entry in this process."""
+"""Send signals to an entry that runs in this process."""
 
 import os
 import signal
@@ -17,14 +17,16 @@
 from zinnialead_daemon import main
 
 
-async def run(application, ended):
-    ended.append(await main.run_until_stopped(application))
+async def run(application, exit_codes):
+    exit_codes.append(await main.run_until_stopped(application))
 
 
 def new_entry():
-    made = applications.new_application(entries.SETTINGS, samples.world())
-    made.linger_s = 0.0
-    return made
+    application = applications.new_application(
+        entries.SETTINGS, samples.world()
+    )
+    application.linger_s = 0.0
+    return application
 
 
 @pytest.fixture
@@ -32,42 +34,42 @@
     return new_entry()
 
 
-async def started(nursery, application, ended):
-    nursery.start_soon(run, application, ended)
+async def start(nursery, application, exit_codes):
+    nursery.start_soon(run, application, exit_codes)
     await trio.testing.wait_all_tasks_blocked()
 
 
-async def test_the_first_term_stops_without_a_cut(application):
-    ended = []
+async def test_the_first_sigterm_stops_gracefully(application):
+    exit_codes = []
     async with trio.open_nursery() as nursery:
-        await started(nursery, application, ended)
+        await start(nursery, application, exit_codes)
         os.kill(os.getpid(), signal.SIGTERM)
-    assert ended == [0]
+    assert exit_codes == [0]
 
 
-async def test_the_second_term_ends_at_once(application, nursery):
+async def test_the_second_sigterm_ends_at_once(application, nursery):
     reached = trio.Event()
 
-    async def silent(scope, receive, send):
+    async def respond(scope, receive, send):
         if scope['path'] == '/work':
             reached.set()
             await trio.sleep_forever()
         await http.respond(send, 200, [], b'{}')
 
     address = await nursery.start(
-        http.serve, silent, '127.0.0.1:0', trio.sleep_forever
+        http.serve, respond, '127.0.0.1:0', trio.sleep_forever
     )
     entries.point_at(application, address)
-    ended = []
+    exit_codes = []
     async with trio.open_nursery() as callers:
-        await started(callers, application, ended)
+        await start(callers, application, exit_codes)
         callers.start_soon(ask, application)
         await reached.wait()
         os.kill(os.getpid(), signal.SIGTERM)
         await trio.testing.wait_all_tasks_blocked()
         assert application.engine.world.requests.stopping
         os.kill(os.getpid(), signal.SIGTERM)
-    assert ended == [const.EXIT_FORCED]
+    assert exit_codes == [const.EXIT_FORCED]
     nursery.cancel_scope.cancel()
 
 
@@ -78,16 +80,20 @@
             await pool.request('POST', url)
 
 
-async def test_usr1_logs_the_dump_without_the_token(application):
+async def test_sigusr1_logs_the_dump_without_the_token(application):
     lines = []
     eliot.add_destinations(lines.append)
-    ended = []
+    exit_codes = []
     async with trio.open_nursery() as nursery:
-        await started(nursery, application, ended)
+        await start(nursery, application, exit_codes)
         os.kill(os.getpid(), signal.SIGUSR1)
         await trio.testing.wait_all_tasks_blocked()
         os.kill(os.getpid(), signal.SIGTERM)
     eliot.remove_destination(lines.append)
-    [line] = [x for x in lines if x['message_type'] == 'zinnialead:dump']
+    [line] = [
+        log_line
+        for log_line in lines
+        if log_line['message_type'] == 'zinnialead:dump'
+    ]
     assert line['dump']['core']['entry'] == 'entry-1'
     assert entries.TOKEN not in str(line)
