--- a/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/logs/coordinator.py
@@ -1,4 +1,4 @@
-"""Write one line for each change of state, within a bounded rate."""
+"""Write a log line for each state change, up to a rate limit."""
 
 import typing
 
@@ -12,13 +12,13 @@
 
 
 def set_up(stream: typing.TextIO) -> None:
-    """Send every log line of this process to ``stream``."""
+    """Write all log lines of this process to ``stream``."""
     eliot.to_file(stream)
 
 
 def log_change(logs: models.Logs, output: out.LogChange) -> None:
-    """Write one change of state, or count it where lines come too fast."""
-    if not _allowed(logs):
+    """Log a state change, or only count it above the rate limit."""
+    if not _take_token(logs):
         logs.engine.world.counters['logs.dropped'] += 1
         return
     eliot.log_message(
@@ -36,12 +36,12 @@
     eliot.log_message(message_type=const.DUMP, dump=documents.plain(dump))
 
 
-def _allowed(logs: models.Logs) -> bool:
-    taken = buckets.take(
+def _take_token(logs: models.Logs) -> bool:
+    result = buckets.take(
         logs.bucket,
         logs.engine.now_ms(),
         const.LINES_PER_S_MAX,
         const.LINES_BURST_MAX,
     )
-    logs.bucket = taken.row
-    return taken.is_allowed
+    logs.bucket = result.row
+    return result.is_allowed
--- a/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/metrics/models.py
@@ -1,4 +1,4 @@
-"""Define what is known of the metrics sent."""
+"""Define the state of the metrics sender."""
 
 import collections
 import dataclasses
@@ -13,13 +13,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Metrics:
-    """Hold the client, and the counters as they were last sent."""
+    """Hold the statsd client and the counter values sent so far."""
 
     engine: engine_models.Engine
     front: front_models.Front
     client: statsd.StatsClient
     period_ms: float
-    sent: 'collections.Counter[str]'
+    sent_counts: 'collections.Counter[str]'
 
 
 def new_metrics(
@@ -27,10 +27,10 @@
     front: front_models.Front,
     server: settings.Statsd,
 ) -> Metrics:
-    """Return metrics of which nothing is sent yet."""
+    """Return metrics with nothing sent yet."""
     entry = engine.world.node.ref.entry
     client = statsd.StatsClient(
         server.host, server.port, prefix=f'{const.PREFIX}.{entry}'
     )
-    sent: collections.Counter[str] = collections.Counter()
-    return Metrics(engine, front, client, server.period_ms, sent)
+    sent_counts: collections.Counter[str] = collections.Counter()
+    return Metrics(engine, front, client, server.period_ms, sent_counts)
--- a/packages/daemon/src/zinnialead_daemon/components/peers/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -1,4 +1,4 @@
-"""Define the links between this entry and its peers."""
+"""Define the connections between this entry and its peers."""
 
 import collections
 import dataclasses
@@ -12,7 +12,7 @@
 
 
 class OutboxRow(typing.NamedTuple):
-    """Hold one message that waits for its link."""
+    """Hold a message queued for a link."""
 
     queued_ms: float
     message: object
@@ -20,38 +20,42 @@
 
 @dataclasses.dataclass(slots=True)
 class Link:
-    """Hold the connection to one peer, and what waits for it.
+    """Hold the outgoing connection to a peer, and its outbox.
 
-    ``outstanding_s`` is when data was first written that the peer has not
-    confirmed, or None.
+    ``unconfirmed_since_s`` is the time of the first write that the peer
+    has not confirmed, or None.
     """
 
     entry: ids.EntryId
     sequence: int
     outbox: collections.deque[OutboxRow]
-    filled: trio.Event
+    message_queued: trio.Event
     address: str = ''
     connected: bool = False
-    outstanding_s: float | None = None
+    unconfirmed_since_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
-class Accepted:
-    """Hold one accepted connection; ``received`` wakes its confirmations."""
+class AcceptedConnection:
+    """Hold an accepted connection.
+
+    ``data_received`` wakes the task that confirms received data.
+    ``is_unauthenticated`` is cleared by the first correctly signed frame.
+    """
 
     stream: trio.SocketStream
-    received: trio.Event
+    data_received: trio.Event
     buffer: bytearray
-    stranger: bool = True
+    is_unauthenticated: bool = True
     bad_frames: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Peers:
-    """Hold the links by peer, and how many connections are accepted.
+    """Hold the links by peer and count the accepted connections.
 
-    ``strangers`` are those of them without a signed frame so far;
-    ``drained`` is there while a stop waits for empty outboxes.
+    ``unauthenticated`` counts those without a correctly signed frame so
+    far; ``outboxes_empty`` exists while a stop waits for empty outboxes.
     """
 
     engine: engine_models.Engine
@@ -60,5 +64,5 @@
     links: dict[ids.EntryId, Link]
     address: str = ''
     accepted: int = 0
-    strangers: int = 0
-    drained: trio.Event | None = None
+    unauthenticated: int = 0
+    outboxes_empty: trio.Event | None = None
