Rename the stand-ins' public names

The caller's Answer (Ran, NotRun, MayHaveRun, Crossed) is now Outcome, as in the counter of outcomes; ask() is send(), choices() is entry_addresses(). The upstream's Plan is WorkProfile, most_in_flight is peak_in_flight, Honest and Frozen reports are TrueLoad and FixedLoad (LoadReport), Cutting is Truncating. The store's condition Deaf is WithholdsEvents. objects.read_events() returns one event and is now last_event(). No class or field among these is written out.

--- a/packages/config/src/zinnialead_config/objects.py
+++ b/packages/config/src/zinnialead_config/objects.py
@@ -107,7 +107,7 @@
     return msgspec.json.decode(data, type=ObjectDocument)
 
 
-def read_events(data: bytes, name: str) -> EventDocument | None:
+def last_event(data: bytes, name: str) -> EventDocument | None:
     """Return the last change of an object among those of its kind.
 
     Raises ``msgspec.MsgspecError`` if they can't be read.
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -56,7 +56,7 @@
         case ((200 | 201), store.ListVms()):
             return _listed(objects.read_page(answer.body))
         case 200, store.Watch():
-            event = objects.read_events(answer.body, call.name)
+            event = objects.last_event(answer.body, call.name)
             if event is None:
                 return store.Unchanged(call.name)
             if event.deleted:
--- a/packages/lab/src/zinnialead_lab/demo/checks.py
+++ b/packages/lab/src/zinnialead_lab/demo/checks.py
@@ -23,7 +23,7 @@
     over = [
         made.name
         for made in demo.upstreams.values()
-        if made.most_in_flight > made.plan.slots
+        if made.peak_in_flight > made.profile.slots
     ]
     yield models.Check('upstreams above their slots', not over, f'{over}')
 
--- a/packages/lab/src/zinnialead_lab/demo/deployment.py
+++ b/packages/lab/src/zinnialead_lab/demo/deployment.py
@@ -73,7 +73,7 @@
     rows = dict(demo.state.upstreams)
     for name, row in rows.items():
         time_ms = demo.state.services[row.service].service_time_ms
-        plan = upstreams.Plan(row.slots, time_ms)
+        plan = upstreams.WorkProfile(row.slots, time_ms)
         made = upstreams.new_upstream(
             name, plan, demo.ledger, demo.options.seed
         )
--- a/packages/lab/src/zinnialead_lab/demo/models.py
+++ b/packages/lab/src/zinnialead_lab/demo/models.py
@@ -38,7 +38,7 @@
 
     work: callers.Work
     part: str
-    answer: callers.Answer
+    answer: callers.Outcome
 
 
 class Check(typing.NamedTuple):
--- a/packages/lab/src/zinnialead_lab/demo/report.py
+++ b/packages/lab/src/zinnialead_lab/demo/report.py
@@ -41,7 +41,7 @@
     return table
 
 
-def _cells(answers: list[callers.Answer]) -> abc.Iterator[str]:
+def _cells(answers: list[callers.Outcome]) -> abc.Iterator[str]:
     kinds = [type(answer) for answer in answers]
     yield str(len(answers))
     for kind in (callers.Ran, callers.NotRun, callers.MayHaveRun):
--- a/packages/lab/src/zinnialead_lab/demo/work.py
+++ b/packages/lab/src/zinnialead_lab/demo/work.py
@@ -65,15 +65,15 @@
 
 async def book_twice(
     demo: models.Demo,
-) -> abc.Sequence[callers.Answer]:
+) -> abc.Sequence[callers.Outcome]:
     """Send one booking twice at once with one key, at two entries."""
     domain = next(iter(demo.callers))
     caller = demo.callers[domain]
     service = _scarce(demo, domain)
-    addresses = await callers.choices(caller, service.service)
+    addresses = await callers.entry_addresses(caller, service.service)
     key = await callers.fresh_key(caller, service.service, addresses[0])
     made = _work(service, 'urgent')._replace(key=key)
-    answers: list[callers.Answer] = []
+    answers: list[callers.Outcome] = []
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_book, caller, made, answers)
         nursery.start_soon(_book, caller, made, answers)
@@ -85,14 +85,14 @@
     demo: models.Demo, domain: str, part: str, work: callers.Work
 ) -> None:
     """Send one piece of work and keep what became of it."""
-    answer = await callers.ask(demo.callers[domain], work)
+    answer = await callers.send(demo.callers[domain], work)
     demo.done.append(models.WorkDone(work, part, answer))
 
 
 async def _book(
-    caller: callers.Caller, work: callers.Work, answers: list[callers.Answer]
+    caller: callers.Caller, work: callers.Work, answers: list[callers.Outcome]
 ) -> None:
-    answers.append(await callers.ask(caller, work))
+    answers.append(await callers.send(caller, work))
 
 
 def _scarce(demo: models.Demo, domain: str) -> tickets.ServiceRow:
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -26,16 +26,16 @@
 DECODER = msgspec.json.Decoder(models.LookUpDocument)
 
 
-async def ask(caller: models.Caller, work: models.Work) -> models.Answer:
+async def send(caller: models.Caller, work: models.Work) -> models.Outcome:
     """Return what became of one piece of work, counted by its kind."""
     started_ms = _now_ms()
-    answer = await _ask(caller, work, started_ms)
+    answer = await _send_until_final(caller, work, started_ms)
     kind = type(answer).__name__
     caller.outcomes[f'{work.rank}/{kind}'] += 1
     return answer
 
 
-async def choices(caller: models.Caller, service: str) -> list[str]:
+async def entry_addresses(caller: models.Caller, service: str) -> list[str]:
     """Return the addresses to use, from the cache while it is fresh."""
     row = await _look_up(caller, service)
     known = [] if row is None else row.document['choices']
@@ -61,9 +61,9 @@
     return f'{prefix}.{nonce}'
 
 
-async def _ask(
+async def _send_until_final(
     caller: models.Caller, work: models.Work, started_ms: float
-) -> models.Answer:
+) -> models.Outcome:
     key = work.key
     broke = False
     last = models.NotRun('no-answer', 0.0)
@@ -71,7 +71,7 @@
         left_ms = work.deadline_ms - (_now_ms() - started_ms)
         if left_ms <= 0.0:
             break
-        addresses = await choices(caller, work.service)
+        addresses = await entry_addresses(caller, work.service)
         address = addresses[number % len(addresses)]
         if work.keyed and key is None:
             key = await fresh_key(caller, work.service, address)
@@ -109,7 +109,7 @@
     key: str | None,
     left_ms: float,
     started_ms: float,
-) -> models.Answer | models.Broken:
+) -> models.Outcome | models.Broken:
     events: list[str] = []
     extensions = {
         'timeout': _timeouts(left_ms),
@@ -151,7 +151,7 @@
 
 def _read(
     work: models.Work, answer: httpcore.Response, elapsed_ms: float
-) -> models.Answer:
+) -> models.Outcome:
     headers = dict(answer.headers)
     match headers.get(const.HEADER_VERDICT):
         case b'ran':
--- a/packages/standins/src/zinnialead_standins/caller/models.py
+++ b/packages/standins/src/zinnialead_standins/caller/models.py
@@ -50,7 +50,7 @@
     sent: bool
 
 
-Answer = Ran | NotRun | MayHaveRun | Crossed
+Outcome = Ran | NotRun | MayHaveRun | Crossed
 
 
 class Work(typing.NamedTuple):
--- a/packages/standins/src/zinnialead_standins/store/__init__.py
+++ b/packages/standins/src/zinnialead_standins/store/__init__.py
@@ -8,7 +8,6 @@
 from zinnialead_standins.store.coordinator import set_condition
 from zinnialead_standins.store.models import Busy
 from zinnialead_standins.store.models import Condition
-from zinnialead_standins.store.models import Deaf
 from zinnialead_standins.store.models import Down
 from zinnialead_standins.store.models import LosesAnswers
 from zinnialead_standins.store.models import new_store
@@ -16,17 +15,18 @@
 from zinnialead_standins.store.models import Slow
 from zinnialead_standins.store.models import Store
 from zinnialead_standins.store.models import Up
+from zinnialead_standins.store.models import WithholdsEvents
 
 __all__ = [
     'Busy',
     'Condition',
-    'Deaf',
     'Down',
     'LosesAnswers',
     'Silent',
     'Slow',
     'Store',
     'Up',
+    'WithholdsEvents',
     'answer',
     'asgi_app',
     'forget_before',
--- a/packages/standins/src/zinnialead_standins/store/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/store/coordinator.py
@@ -162,7 +162,7 @@
 
 
 def _seen(store: models.Store, kind: str, since: int) -> list[models.EventRow]:
-    if isinstance(store.condition, models.Deaf):
+    if isinstance(store.condition, models.WithholdsEvents):
         return []
     return [x for x in store.events if x.revision > since and x.kind == kind]
 
--- a/packages/standins/src/zinnialead_standins/store/models.py
+++ b/packages/standins/src/zinnialead_standins/store/models.py
@@ -42,11 +42,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Deaf:
+class WithholdsEvents:
     """Let no watch see a change."""
 
 
-Condition = Up | Down | Busy | Silent | Slow | LosesAnswers | Deaf
+Condition = Up | Down | Busy | Silent | Slow | LosesAnswers | WithholdsEvents
 
 
 class MetadataDocument(typing.TypedDict):
--- a/packages/standins/src/zinnialead_standins/upstream/__init__.py
+++ b/packages/standins/src/zinnialead_standins/upstream/__init__.py
@@ -2,33 +2,33 @@
 
 from zinnialead_standins.upstream.coordinator import asgi_app
 from zinnialead_standins.upstream.models import Behaviour
-from zinnialead_standins.upstream.models import Cutting
 from zinnialead_standins.upstream.models import Draining
-from zinnialead_standins.upstream.models import Frozen
-from zinnialead_standins.upstream.models import Honest
+from zinnialead_standins.upstream.models import FixedLoad
 from zinnialead_standins.upstream.models import Ledger
+from zinnialead_standins.upstream.models import LoadReport
 from zinnialead_standins.upstream.models import new_ledger
 from zinnialead_standins.upstream.models import new_upstream
-from zinnialead_standins.upstream.models import Plan
-from zinnialead_standins.upstream.models import Report
 from zinnialead_standins.upstream.models import RunRow
 from zinnialead_standins.upstream.models import Serving
 from zinnialead_standins.upstream.models import Silent
+from zinnialead_standins.upstream.models import TrueLoad
+from zinnialead_standins.upstream.models import Truncating
 from zinnialead_standins.upstream.models import Upstream
+from zinnialead_standins.upstream.models import WorkProfile
 
 __all__ = [
     'Behaviour',
-    'Cutting',
     'Draining',
-    'Frozen',
-    'Honest',
+    'FixedLoad',
     'Ledger',
-    'Plan',
-    'Report',
+    'LoadReport',
     'RunRow',
     'Serving',
     'Silent',
+    'TrueLoad',
+    'Truncating',
     'Upstream',
+    'WorkProfile',
     'asgi_app',
     'new_ledger',
     'new_upstream',
--- a/packages/standins/src/zinnialead_standins/upstream/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/upstream/coordinator.py
@@ -46,9 +46,9 @@
 
 def _load(upstream: models.Upstream) -> bytes:
     match upstream.report:
-        case models.Honest():
+        case models.TrueLoad():
             in_flight = upstream.in_flight
-        case models.Frozen(in_flight):
+        case models.FixedLoad(in_flight):
             pass
     leaving = isinstance(upstream.behaviour, models.Draining)
     load = {'in_flight': in_flight, 'leaving': leaving}
@@ -70,11 +70,11 @@
 ) -> None:
     request = headers.get(const.HEADER_REQUEST, b'')
     draining = isinstance(upstream.behaviour, models.Draining)
-    if draining or upstream.in_flight >= upstream.plan.slots:
+    if draining or upstream.in_flight >= upstream.profile.slots:
         await _shed(upstream, send)
         return
     upstream.in_flight += 1
-    upstream.most_in_flight = max(upstream.most_in_flight, upstream.in_flight)
+    upstream.peak_in_flight = max(upstream.peak_in_flight, upstream.in_flight)
     try:
         if not await _may_start(upstream, request, headers):
             await _shed(upstream, send)
@@ -94,7 +94,7 @@
     if upstream.requests.get(request) is models.Phase.CANCELLED:
         return False
     _remember(upstream, request, models.Phase.WAITING)
-    delay_ms = upstream.plan.start_delay_ms
+    delay_ms = upstream.profile.start_delay_ms
     if delay_ms:
         await trio.sleep(delay_ms / const.MS_PER_S)
     left_ms = float(headers.get(const.HEADER_DEADLINE, b'inf'))
@@ -116,12 +116,12 @@
 
 
 def _service_time_ms(upstream: models.Upstream) -> float:
-    plan = upstream.plan
-    if plan.service_time_ms <= 0.0:
+    profile = upstream.profile
+    if profile.service_time_ms <= 0.0:
         return 0.0
-    mean_ms = plan.service_time_ms
-    if upstream.started <= plan.cold_runs:
-        mean_ms *= plan.cold_factor
+    mean_ms = profile.service_time_ms
+    if upstream.started <= profile.cold_runs:
+        mean_ms *= profile.cold_factor
     return upstream.random.expovariate(1.0 / mean_ms)
 
 
@@ -135,13 +135,13 @@
 ) -> None:
     work = headers.get(const.HEADER_WORK, b'')
     body = work + b' ' + upstream.name.encode()
-    body = body.ljust(upstream.plan.answer_bytes, b'.')
+    body = body.ljust(upstream.profile.answer_bytes, b'.')
     head = [
         (b'content-type', b'text/plain'),
         (b'content-length', str(len(body)).encode()),
         (const.HEADER_WORK, work),
     ]
-    if isinstance(upstream.behaviour, models.Cutting):
+    if isinstance(upstream.behaviour, models.Truncating):
         await http.start_response(send, 200, head)
         part = {'type': 'http.response.body', 'more_body': True}
         await send({**part, 'body': body[: -const.CUT_BYTES]})
--- a/packages/standins/src/zinnialead_standins/upstream/models.py
+++ b/packages/standins/src/zinnialead_standins/upstream/models.py
@@ -22,26 +22,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Cutting:
+class Truncating:
     """Run work and cut its answer short."""
 
 
-Behaviour = Serving | Draining | Silent | Cutting
+Behaviour = Serving | Draining | Silent | Truncating
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Honest:
+class TrueLoad:
     """Report the true load."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Frozen:
+class FixedLoad:
     """Report the same load whatever happens."""
 
     in_flight: int
 
 
-Report = Honest | Frozen
+LoadReport = TrueLoad | FixedLoad
 
 
 class Phase(enum.Enum):
@@ -52,7 +52,7 @@
     CANCELLED = 'cancelled'
 
 
-class Plan(typing.NamedTuple):
+class WorkProfile(typing.NamedTuple):
     """Say how long work takes; the first ``cold_runs`` take longer."""
 
     slots: int
@@ -83,13 +83,13 @@
     """Hold one upstream's work in flight and how it behaves."""
 
     name: str
-    plan: Plan
+    profile: WorkProfile
     ledger: Ledger
     random: random.Random
     behaviour: Behaviour = Serving()
-    report: Report = Honest()
+    report: LoadReport = TrueLoad()
     in_flight: int = 0
-    most_in_flight: int = 0
+    peak_in_flight: int = 0
     started: int = 0
     shed: int = 0
     last_start_ms: float = 0.0
@@ -102,7 +102,7 @@
 
 
 def new_upstream(
-    name: str, plan: Plan, ledger: Ledger, seed: int = 1
+    name: str, profile: WorkProfile, ledger: Ledger, seed: int = 1
 ) -> Upstream:
     """Return an idle upstream."""
-    return Upstream(name, plan, ledger, random.Random(f'{seed}/{name}'))
+    return Upstream(name, profile, ledger, random.Random(f'{seed}/{name}'))
--- a/tests/lab/demo/test_checks.py
+++ b/tests/lab/demo/test_checks.py
@@ -17,8 +17,8 @@
 def broken(answer, runs, most=0):
     work = callers.Work('w-1', 'intake', 'urgent', keyed=True)
     ledger = upstreams.Ledger({'w-1': runs} if runs else {})
-    made = upstreams.new_upstream('u-1', upstreams.Plan(1, 0.0), ledger)
-    made.most_in_flight = most
+    made = upstreams.new_upstream('u-1', upstreams.WorkProfile(1, 0.0), ledger)
+    made.peak_in_flight = most
     demo = types.SimpleNamespace(
         done=[models.WorkDone(work, 'calm', answer)],
         ledger=ledger,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,7 +35,7 @@
     'busy': stores.Busy(),
     'silent': stores.Silent(),
     'lost': stores.LosesAnswers(),
-    'deaf': stores.Deaf(),
+    'deaf': stores.WithholdsEvents(),
 }
 ONCE = frozenset(('/book/',))
 
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -68,7 +68,7 @@
 
 async def ask(caller, **parts):
     work = callers.Work('w-1', 'intake', 'urgent', True, **parts)
-    return await callers.ask(caller, work)
+    return await callers.send(caller, work)
 
 
 async def test_a_refusal_is_tried_again_with_a_fresh_key(nursery):
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -126,7 +126,7 @@
 
 async def test_a_deaf_watch_hears_of_changes_later(nursery):
     store, address = await served(nursery)
-    stores.set_condition(store, stores.Deaf())
+    stores.set_condition(store, stores.WithholdsEvents())
     stores.put(store, 'state', 'state', {'n': 1})
     watch = f'{KIND}?watch=1&wait_ms=100'
     assert (await call(address, 'GET', watch))[1]['events'] == []
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -10,8 +10,8 @@
 
 
 async def served(nursery, **parts):
-    plan = upstreams.Plan(1, 0.0, **parts)
-    made = upstreams.new_upstream('u-1', plan, upstreams.new_ledger())
+    profile = upstreams.WorkProfile(1, 0.0, **parts)
+    made = upstreams.new_upstream('u-1', profile, upstreams.new_ledger())
     app = upstreams.asgi_app(made)
     run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
     return made, await nursery.start(run)
