Rename the bench's Row to ComparisonRow

`Row` and `Line` said nothing of what they hold. They are now ComparisonRow (policy, baseline and bound of one measure) and ComparisonLine (the same as a line of JSON). The fields, which are written out, keep their names.

--- a/packages/lab/src/zinnialead_lab/bench/__init__.py
+++ b/packages/lab/src/zinnialead_lab/bench/__init__.py
@@ -2,6 +2,6 @@
 
 from zinnialead_lab.bench.command import main
 from zinnialead_lab.bench.coordinator import run
-from zinnialead_lab.bench.models import Row
+from zinnialead_lab.bench.models import ComparisonRow
 
-__all__ = ['Row', 'main', 'run']
+__all__ = ['ComparisonRow', 'main', 'run']
--- a/packages/lab/src/zinnialead_lab/bench/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/bench/coordinator.py
@@ -21,7 +21,7 @@
     seed: int
 
 
-def run(seed: int, short: bool = False) -> list[models.Row]:
+def run(seed: int, short: bool = False) -> list[models.ComparisonRow]:
     """Return the rows of every comparison, in a fixed order."""
     jobs = list(_jobs(seed, short))
     if short:
@@ -30,7 +30,7 @@
         return [row for rows in pool.map(compare, jobs) for row in rows]
 
 
-def compare(job: Job) -> list[models.Row]:
+def compare(job: Job) -> list[models.ComparisonRow]:
     """Return the rows of one scenario at one deployment."""
     policy = sample(job, plain=False)
     baseline = sample(job, plain=True)
@@ -105,8 +105,8 @@
 
 def _row(
     job: Job, measured: models.Measure, baseline: float | None
-) -> models.Row:
-    return models.Row(
+) -> models.ComparisonRow:
+    return models.ComparisonRow(
         job.scenario.name,
         job.deployment.name,
         measured.name,
--- a/packages/lab/src/zinnialead_lab/bench/models.py
+++ b/packages/lab/src/zinnialead_lab/bench/models.py
@@ -171,7 +171,7 @@
     bound: Bound
 
 
-class Row(typing.NamedTuple):
+class ComparisonRow(typing.NamedTuple):
     """Compare the policy with the baseline and the bound."""
 
     scenario: str
@@ -184,7 +184,7 @@
     holds: bool
 
 
-class Line(typing.TypedDict):
+class ComparisonLine(typing.TypedDict):
     """Write a row as one line of JSON."""
 
     scenario: str
--- a/packages/lab/src/zinnialead_lab/bench/report.py
+++ b/packages/lab/src/zinnialead_lab/bench/report.py
@@ -9,7 +9,7 @@
 from zinnialead_lab.bench import models
 
 
-def table(rows: abc.Iterable[models.Row]) -> None:
+def table(rows: abc.Iterable[models.ComparisonRow]) -> None:
     """Print the rows for people."""
     made = rich.table.Table('scenario', 'deployment', 'measure', 'unit')
     for name in ('policy', 'baseline', 'bound', 'holds'):
@@ -30,16 +30,18 @@
     rich.console.Console(width=130).print(made)
 
 
-def lines(rows: abc.Iterable[models.Row], path: pathlib.Path) -> None:
+def lines(
+    rows: abc.Iterable[models.ComparisonRow], path: pathlib.Path
+) -> None:
     """Write the rows for programs."""
     with path.open('w') as file:
         for row in rows:
             file.write(json.dumps(line(row)) + '\n')
 
 
-def line(row: models.Row) -> models.Line:
+def line(row: models.ComparisonRow) -> models.ComparisonLine:
     """Return one row as a document."""
-    return models.Line(
+    return models.ComparisonLine(
         scenario=row.scenario,
         deployment=row.deployment,
         measure=row.measure,
--- a/packages/lab/src/zinnialead_lab/plots/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/plots/coordinator.py
@@ -15,7 +15,9 @@
 WIDTH = 0.4
 
 
-def bench(rows: abc.Sequence[bench_models.Row], folder: pathlib.Path) -> None:
+def bench(
+    rows: abc.Sequence[bench_models.ComparisonRow], folder: pathlib.Path
+) -> None:
     """Draw each main measure over the scenarios of each deployment."""
     for deployment in sorted({row.deployment for row in rows}):
         for measure in DRAWN:
@@ -42,7 +44,9 @@
         drawing.savefig(folder / f'{name}.svg')
 
 
-def _bars(rows: abc.Sequence[bench_models.Row], path: pathlib.Path) -> None:
+def _bars(
+    rows: abc.Sequence[bench_models.ComparisonRow], path: pathlib.Path
+) -> None:
     drawing = figure.Figure(figsize=(9, 5), layout='constrained')
     axes = drawing.subplots()
     places = np.arange(len(rows))
--- a/tests/lab/bench/test_bench.py
+++ b/tests/lab/bench/test_bench.py
@@ -93,5 +93,7 @@
 
 
 def test_a_row_is_written_as_a_line():
-    row = models.Row('calm', 'umusozi', 'x', 'ms', 1.0, None, '<= 2', True)
+    row = models.ComparisonRow(
+        'calm', 'umusozi', 'x', 'ms', 1.0, None, '<= 2', True
+    )
     assert json.loads(json.dumps(report.line(row))) == row._asdict()
