Name the adapter's functions by what they read and write

Names of the platform's headers, objects, fields and settings are unchanged, as is the body of the refusal for a missing host.

--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -94,13 +94,13 @@
 
 
 def test_an_upstream_is_read_whole():
-    row = objects.upstream('i-1', 3, SPEC)
+    row = objects.read_upstream('i-1', 3, SPEC)
     assert (row.service, row.domain, row.slots) == ('huvo11a', 'guj-sanand', 5)
     assert (row.cold_ms, row.leaving, row.revision) == (1_500.0, False, 3)
 
 
 def test_a_configuration_is_read_whole():
-    found = configurations.configuration(CONFIG)
+    found = configurations.read_configuration(CONFIG)
     assert found.version == 7
     first, second = found.routes['r-1'], found.routes['r-2']
     assert (first.idempotent, second.idempotent) == (False, True)
@@ -216,5 +216,5 @@
         if key not in ('timeout', 'target_latency', 'priority')
     }
     spec = {**CONFIG, 'routes': {'r-1': route}, 'services': {'wuno96b': {}}}
-    (found,) = configurations.configuration(spec).routes.values()
+    (found,) = configurations.read_configuration(spec).routes.values()
     assert found.target_ms == found.timeout_ms == 10_000.0
