--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -27,12 +27,12 @@
 class RemoteShareRow(typing.NamedTuple):
     """Hold the share of a service's objects that other regions serve.
 
-    ``overflow_credit`` is the number of requests that may leave the region
+    ``credit`` is the number of requests that may leave the region
     beyond the share; ``local_slots`` is as of the last rebalancing.
     """
 
     share: float = 0.0
-    overflow_credit: float = 0.0
+    credit: float = 0.0
     local_slots: int = 0
 
 
@@ -63,8 +63,8 @@
 class PlacementTable(typing.NamedTuple):
     """Hold cached orders, remote shares and statistics of upstreams.
 
-    ``orders_generation`` is the number of changes of the upstreams that the
-    orders were derived from.  ``mean_service_ms`` is by route name, and
+    ``orders_generation`` is the generation of the upstreams that the orders
+    were derived from.  ``mean_service_ms`` is by route name, and
     ``cold_sends_ms`` are the times of the requests to each cold upstream in
     the last second.
     """
--- a/tests/core/components/slots/test_queueing_properties.py
+++ b/tests/core/components/slots/test_queueing_properties.py
@@ -1,4 +1,4 @@
-"""Drive a slot owner with any order of messages and changes."""
+"""Test properties of a slot owner under any sequence of events."""
 
 import collections
 
@@ -25,7 +25,7 @@
     st.sampled_from((samples.DOMAIN, 'huye-a')),
 )
 returns = st.builds(
-    asking.slot_return,
+    asking.give_back,
     numbers,
     st.sampled_from(slots.SlotEnd),
     st.floats(0.0, 500.0),
@@ -50,7 +50,7 @@
 
 
 def act(world, now_ms, item):
-    """Return the answers that one act of the outside brings about."""
+    """Apply one generated event and return the owner's answers."""
     match item:
         case slots.SlotAsk() | slots.SlotReturn():
             given = inp.PeerMessage(asking.ASKER, item)
@@ -58,7 +58,7 @@
             given = item
         case list():
             drains = {str(n): drain for n, drain in enumerate(item)}
-            return asking.change(world, now_ms, drains=drains)
+            return asking.put_in_force(world, now_ms, drains=drains)
     outputs = core.tick(world, now_ms, [given])
     return [x.message for x in outputs if isinstance(x, out.SendPeer)]
 
@@ -127,15 +127,15 @@
         for name, row in samples.state().ranks.items()
     }
     world = asking.world_with(slots=1, ranks=flat)
-    asking.send(world, 1.0, asking.ask(1_000))
+    asking.tell(world, 1.0, asking.ask(1_000))
     waiting = [
         asking.ask(number, rank, left_ms=1e9)
         for number, rank in enumerate(ranks)
     ]
-    asking.send(world, 1.0, *waiting)
+    asking.tell(world, 1.0, *waiting)
     last, order = 1_000, []
     for _ in ranks:
-        answers = asking.send(world, 2.0, asking.slot_return(last))
+        answers = asking.tell(world, 2.0, asking.give_back(last))
         [last] = asking.granted(answers)
         order.append((flat[ranks[last]].order, last))
     assert order == sorted(order)
@@ -154,16 +154,16 @@
         'night': base['night']._replace(floor_share=floors[1]),
     }
     world = asking.world_with(slots=1, queue_max=1_000, ranks=ranks)
-    asking.send(world, 1.0, asking.ask(1_000))
+    asking.tell(world, 1.0, asking.ask(1_000))
     names = ('urgent', 'normal', 'night')
     waiting = [
         asking.ask(number, names[number % 3], left_ms=1e9)
         for number in range(3 * count)
     ]
-    asking.send(world, 1.0, *waiting)
+    asking.tell(world, 1.0, *waiting)
     last, kept = 1_000, collections.Counter()
     for _ in range(count):
-        answers = asking.send(world, 2.0, asking.slot_return(last))
+        answers = asking.tell(world, 2.0, asking.give_back(last))
         [last] = asking.granted(answers)
         kept[names[last % 3]] += 1
     assert kept['normal'] >= floors[0] * count - 1.0
--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -33,14 +33,14 @@
     return numbered_state(number, [f'up-{n:04}' for n in range(rows)])
 
 
-def numbers_in_force(bag):
-    return [w.states[const.IN_FORCE].number for w in bag.worlds.values()]
+def numbers_in_force(network):
+    return [w.states[const.IN_FORCE].number for w in network.worlds.values()]
 
 
 def settled_fleet(domains, seed=1):
-    bag = member_network.new_network(domains, seed)
-    member_network.run_until(bag, 5_000.0)
-    return bag
+    network = member_network.new_network(domains, seed)
+    member_network.run_until(network, 5_000.0)
+    return network
 
 
 def deliver(world, message, now_ms=1.0):
@@ -71,51 +71,52 @@
 
 
 def test_a_ticket_reaches_every_entry_in_two_seconds():
-    bag = settled_fleet({'a': 12, 'b': 12, 'c': 12})
+    network = settled_fleet({'a': 12, 'b': 12, 'c': 12})
     for number in (1, 2, 3):
         read = inp.StateRead(numbered_state(number, [f'up-{number}']))
-        member_network.feed(bag, 'a0', read)
-        member_network.run_until(bag, bag.now_ms + 2_000.0)
-        assert set(numbers_in_force(bag)) == {number}
-    assert bag.sent_counts['StateDelta'] >= 2 * 35
+        member_network.feed(network, 'a0', read)
+        member_network.run_until(network, network.now_ms + 2_000.0)
+        assert set(numbers_in_force(network)) == {number}
+    assert network.sent_counts['StateDelta'] >= 2 * 35
 
 
 def test_lost_messages_only_delay_a_ticket():
-    bag = settled_fleet({'a': 6, 'b': 6})
-    bag.drop_share = 0.3
-    member_network.feed(bag, 'a0', inp.StateRead(large_state(1)))
-    member_network.run_until(bag, bag.now_ms + 30_000.0)
-    assert set(numbers_in_force(bag)) == {1}
+    network = settled_fleet({'a': 6, 'b': 6})
+    network.drop_share = 0.3
+    member_network.feed(network, 'a0', inp.StateRead(large_state(1)))
+    member_network.run_until(network, network.now_ms + 30_000.0)
+    assert set(numbers_in_force(network)) == {1}
 
 
 def test_a_new_entry_gets_a_large_state_from_peers_in_ten_seconds():
-    bag = settled_fleet({'a': 6, 'b': 6})
+    network = settled_fleet({'a': 6, 'b': 6})
     state = large_state(5)
-    member_network.feed(bag, 'a0', inp.StateRead(state))
-    member_network.run_until(bag, 30_000.0)
-    assert set(numbers_in_force(bag)) == {5}
-    bag.worlds['a9'] = member_network.new_world('a9', 'a')
-    member_network.feed(bag, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
-    member_network.run_until(bag, bag.now_ms + 10_000.0)
-    assert bag.worlds['a9'].states[const.IN_FORCE] == state
+    member_network.feed(network, 'a0', inp.StateRead(state))
+    member_network.run_until(network, 30_000.0)
+    assert set(numbers_in_force(network)) == {5}
+    network.worlds['a9'] = member_network.new_world('a9', 'a')
+    member_network.feed(network, 'a9', inp.PeerSeen('a1', 'a', 'a1:1'))
+    member_network.run_until(network, network.now_ms + 10_000.0)
+    assert network.worlds['a9'].states[const.IN_FORCE] == state
 
 
 def test_no_entry_goes_back_over_partition_and_heal():
-    bag = settled_fleet({'a': 4, 'b': 4})
-    member_network.feed(bag, 'a0', inp.StateRead(numbered_state(1)))
-    member_network.run_until(bag, 10_000.0)
-    bag.isolated = {entry for entry in bag.worlds if entry[0] == 'a'}
-    member_network.feed(bag, 'a0', inp.StateRead(numbered_state(2)))
-    member_network.run_until(bag, 30_000.0)
-    assert sorted(numbers_in_force(bag)) == [1] * 4 + [2] * 4
-    bag.isolated = set()
-    highest = numbers_in_force(bag)
-    while bag.now_ms < 60_000.0:
-        member_network.run_until(bag, bag.now_ms + 100.0)
+    network = settled_fleet({'a': 4, 'b': 4})
+    member_network.feed(network, 'a0', inp.StateRead(numbered_state(1)))
+    member_network.run_until(network, 10_000.0)
+    network.isolated = {entry for entry in network.worlds if entry[0] == 'a'}
+    member_network.feed(network, 'a0', inp.StateRead(numbered_state(2)))
+    member_network.run_until(network, 30_000.0)
+    assert sorted(numbers_in_force(network)) == [1] * 4 + [2] * 4
+    network.isolated = set()
+    highest = numbers_in_force(network)
+    while network.now_ms < 60_000.0:
+        member_network.run_until(network, network.now_ms + 100.0)
         assert all(
-            x >= y for x, y in zip(numbers_in_force(bag), highest, strict=True)
+            x >= y
+            for x, y in zip(numbers_in_force(network), highest, strict=True)
         )
-        highest = numbers_in_force(bag)
+        highest = numbers_in_force(network)
     assert set(highest) == {2}
 
 
@@ -201,9 +202,9 @@
 
 
 def test_a_large_ticket_reaches_every_entry_in_two_seconds():
-    bag = settled_fleet({'a': 20, 'b': 20})
-    member_network.feed(bag, 'a0', inp.StateRead(numbered_state(1)))
-    member_network.run_until(bag, bag.now_ms + 2_000.0)
-    member_network.feed(bag, 'a0', inp.StateRead(large_state(2)))
-    member_network.run_until(bag, bag.now_ms + 2_000.0)
-    assert set(numbers_in_force(bag)) == {2}
+    network = settled_fleet({'a': 20, 'b': 20})
+    member_network.feed(network, 'a0', inp.StateRead(numbered_state(1)))
+    member_network.run_until(network, network.now_ms + 2_000.0)
+    member_network.feed(network, 'a0', inp.StateRead(large_state(2)))
+    member_network.run_until(network, network.now_ms + 2_000.0)
+    assert set(numbers_in_force(network)) == {2}
