Reword the configuration package

The module checked is validation, told apart from tickets/checks; failed() is failure(), TOP is ROOT_PATH, folding.merged() is merge_section(), filing.Warned is PlanWarning, the steps of filing say what they plan (_update_step, _create_step, _filed_outcome).

Filed keeps its field again, as its repr stands in the demonstration's report. PlanWarning is not written out.

make check: passed. Tests of config, cli, lab/demo and the daemon's store and peers: passed.

--- a/packages/config/src/zinnialead_config/__init__.py
+++ b/packages/config/src/zinnialead_config/__init__.py
@@ -1,4 +1,4 @@
-"""Read settings and tickets, checked on load."""
+"""Load and validate settings and tickets."""
 
 from zinnialead_config.problems import Problem
 from zinnialead_config.problems import Problems
--- a/packages/config/src/zinnialead_config/filing/__init__.py
+++ b/packages/config/src/zinnialead_config/filing/__init__.py
@@ -1,4 +1,4 @@
-"""File tickets in the store, and plan them before."""
+"""Preview tickets and file them in the store."""
 
 from zinnialead_config.filing.coordinator import file_ticket
 from zinnialead_config.filing.models import Filed
@@ -8,7 +8,7 @@
 from zinnialead_config.filing.models import Unknown
 from zinnialead_config.filing.planning import Change
 from zinnialead_config.filing.planning import changes
-from zinnialead_config.filing.planning import Warned
+from zinnialead_config.filing.planning import PlanWarning
 from zinnialead_config.filing.planning import warnings
 
 __all__ = [
@@ -16,9 +16,9 @@
     'Filed',
     'LostRace',
     'Outcome',
+    'PlanWarning',
     'Refused',
     'Unknown',
-    'Warned',
     'changes',
     'file_ticket',
     'warnings',
--- a/packages/config/src/zinnialead_config/filing/const.py
+++ b/packages/config/src/zinnialead_config/filing/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of filing."""
+"""Define the constants of filing."""
 
 STATE_OBJECT = 'state'
-READ_BACKS_MAX = 5
+ATTEMPTS_MAX = 5
--- a/packages/config/src/zinnialead_config/filing/coordinator.py
+++ b/packages/config/src/zinnialead_config/filing/coordinator.py
@@ -1,4 +1,4 @@
-"""File a ticket by a conditional update, without doing I/O itself."""
+"""File a ticket with a conditional update; the caller does the I/O."""
 
 from collections import abc
 
@@ -15,36 +15,38 @@
 
 
 def file_ticket(ticket: ticket_models.Ticket, now_ms: float) -> Filing:
-    """Yield the store calls that file a ticket; return how it ended.
+    """Yield the store calls that file a ticket; return the outcome.
 
-    A write without an answer is resolved by reading back: the history of
-    the state says which ticket has the number.
+    If a write gets no answer, the state is read again: its history shows
+    which ticket was filed under the number.
     """
     detail = 'the store was not asked'
-    for _ in range(const.READ_BACKS_MAX):
-        read = yield store.Read(const.STATE_OBJECT)
-        match read:
+    for _ in range(const.ATTEMPTS_MAX):
+        read_result = yield store.Read(const.STATE_OBJECT)
+        match read_result:
             case store.Found(_, value, version):
-                decided, write = _against(ticket, now_ms, value, version)
+                outcome, write = _update_step(ticket, now_ms, value, version)
             case store.Missing():
-                decided, write = _first(ticket, now_ms)
+                outcome, write = _create_step(ticket, now_ms)
             case _:
-                detail = f'reading {const.STATE_OBJECT!r}: {read}'
+                detail = f'reading {const.STATE_OBJECT!r}: {read_result}'
                 continue
-        if decided is not None:
-            return decided
-        written = yield write
-        if isinstance(written, store.Found):
+        if outcome is not None:
+            return outcome
+        write_result = yield write
+        if isinstance(write_result, store.Found):
             return models.Filed(ticket.number)
-        detail = f'writing {const.STATE_OBJECT!r}: {written}'
+        detail = f'writing {const.STATE_OBJECT!r}: {write_result}'
     return models.Unknown(detail)
 
 
+# The outcome if it is already certain, else None and the write to make.
 Step = tuple[models.Outcome | None, store.Call]
+# Stands in for the write in a step that has an outcome.
 NO_CALL = store.Read(const.STATE_OBJECT)
 
 
-def _first(ticket: ticket_models.Ticket, now_ms: float) -> Step:
+def _create_step(ticket: ticket_models.Ticket, now_ms: float) -> Step:
     folded = folding.fold(tickets.empty_state(), ticket, now_ms)
     if folded.is_error():
         return models.Refused(folded.error), NO_CALL
@@ -52,7 +54,7 @@
     return None, store.Create(const.STATE_OBJECT, encoded)
 
 
-def _against(
+def _update_step(
     ticket: ticket_models.Ticket, now_ms: float, value: bytes, version: int
 ) -> Step:
     decoded = states.decode(value)
@@ -60,7 +62,7 @@
         return models.Refused(decoded.error), NO_CALL
     state = decoded.ok
     if ticket.number <= state.number:
-        return _settled(ticket, state), NO_CALL
+        return _filed_outcome(ticket, state), NO_CALL
     folded = folding.fold(state, ticket, now_ms)
     if folded.is_error():
         return models.Refused(folded.error), NO_CALL
@@ -68,7 +70,7 @@
     return None, store.Update(const.STATE_OBJECT, encoded, version)
 
 
-def _settled(
+def _filed_outcome(
     ticket: ticket_models.Ticket, state: tickets.State
 ) -> models.Outcome:
     for note in state.history:
--- a/packages/config/src/zinnialead_config/filing/models.py
+++ b/packages/config/src/zinnialead_config/filing/models.py
@@ -1,4 +1,4 @@
-"""Define how the filing of a ticket can end."""
+"""Define the outcomes of filing a ticket."""
 
 import dataclasses
 
@@ -8,7 +8,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Filed:
-    """Say that the ticket is in force in the store."""
+    """Report a ticket in force; ``again`` if an earlier call filed it."""
 
     number: int
     again: bool = False
@@ -16,21 +16,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Say that nothing of the ticket is in force, and why."""
+    """Report that no part of the ticket is in force, and why."""
 
     problems: problems.Problems
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostRace:
-    """Say that another ticket has the number, and whose it is."""
+    """Report that another ticket was filed under the same number."""
 
     winner: tickets.TicketNote
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unknown:
-    """Say that the store gave no answer: the ticket may be in force."""
+    """Report that the store gave no answer: the ticket may be in force."""
 
     detail: str
 
--- a/packages/config/src/zinnialead_config/filing/planning.py
+++ b/packages/config/src/zinnialead_config/filing/planning.py
@@ -1,4 +1,4 @@
-"""Say what a ticket would change, and warn of what it would break."""
+"""Preview the changes of a ticket and warn of their effects."""
 
 from collections import abc
 import typing
@@ -17,15 +17,15 @@
 
 
 class Change(typing.NamedTuple):
-    """Show one item before and after; None where it does not exist."""
+    """Hold one item before and after; None where it does not exist."""
 
     path: str
     before: str | None
     after: str | None
 
 
-class Warned(typing.NamedTuple):
-    """Warn of what a ticket would do to the service."""
+class PlanWarning(typing.NamedTuple):
+    """Describe an effect that operators need to know of before filing."""
 
     path: str
     reason: str
@@ -42,22 +42,22 @@
             if old.get(name) != new.get(name):
                 yield Change(
                     f'{section}.{name}',
-                    _shown(old.get(name)),
-                    _shown(new.get(name)),
+                    _as_text(old.get(name)),
+                    _as_text(new.get(name)),
                 )
 
 
 def warnings(
     before: tickets.State, after: tickets.State
-) -> abc.Iterator[Warned]:
-    """Yield what operators should know before they file."""
+) -> abc.Iterator[PlanWarning]:
+    """Yield warnings about capacity and regions that a ticket drains."""
     yield from _services_without_upstreams(after)
-    yield from _regions_drained(before, after)
-    yield from _capacity_lost(before, after)
+    yield from _newly_drained_regions(before, after)
+    yield from _lost_capacity(before, after)
 
 
 def slots_in_service(state: tickets.State, service: str) -> int:
-    """Return the slots of a service that no drain takes away."""
+    """Return the number of slots of a service on undrained upstreams."""
     return sum(
         row.slots
         for row in state.upstreams.values()
@@ -65,48 +65,50 @@
     )
 
 
-def _shown(item: object) -> str | None:
+def _as_text(item: object) -> str | None:
     return None if item is None else str(item)
 
 
 def _services_without_upstreams(
     after: tickets.State,
-) -> abc.Iterator[Warned]:
+) -> abc.Iterator[PlanWarning]:
     for name in after.services:
         if slots_in_service(after, name) == 0:
             reason = 'no upstream would be left in service'
-            yield Warned(f'services.{name}', reason)
+            yield PlanWarning(f'services.{name}', reason)
 
 
-def _regions_drained(
+def _newly_drained_regions(
     before: tickets.State, after: tickets.State
-) -> abc.Iterator[Warned]:
+) -> abc.Iterator[PlanWarning]:
     for name, drain in after.drains.items():
         if name in before.drains:
             continue
         match drain:
             case tickets.RegionDrain(region):
-                yield from _shift_room(after, name, region)
+                yield from _shift_cap_sum(after, name, region)
 
 
-def _shift_room(
+def _shift_cap_sum(
     after: tickets.State, name: str, region: str
-) -> abc.Iterator[Warned]:
-    room = sum(
+) -> abc.Iterator[PlanWarning]:
+    cap_per_s = sum(
         cap.requests_per_s
         for cap in after.caps.values()
         if isinstance(cap, tickets.ShiftCap) and cap.from_region == region
     )
-    reason = f'caps let {room:g} requests/s leave region {region!r}'
-    yield Warned(f'drains.{name}', reason)
+    reason = f'caps let {cap_per_s:g} requests/s leave region {region!r}'
+    yield PlanWarning(f'drains.{name}', reason)
 
 
-def _capacity_lost(
+def _lost_capacity(
     before: tickets.State, after: tickets.State
-) -> abc.Iterator[Warned]:
+) -> abc.Iterator[PlanWarning]:
     for name in after.services:
-        had = slots_in_service(before, name) if name in before.services else 0
-        left = slots_in_service(after, name)
-        if 0 < left < had:
-            reason = f'{left} of {had} slots would be left in service'
-            yield Warned(f'services.{name}', reason)
+        initial = (
+            slots_in_service(before, name) if name in before.services else 0
+        )
+        remaining = slots_in_service(after, name)
+        if 0 < remaining < initial:
+            reason = f'{remaining} of {initial} slots would be left in service'
+            yield PlanWarning(f'services.{name}', reason)
--- a/packages/config/src/zinnialead_config/objects.py
+++ b/packages/config/src/zinnialead_config/objects.py
@@ -1,8 +1,8 @@
-"""Write and read objects of the store the way it keeps them.
+"""Encode and decode the objects of the platform's store.
 
-An object has a kind and a name; its revision counts the changes of all
-objects together.  The state is an object, and so are shards of bindings and
-the VMs that the platform lists.
+An object has a kind and a name.  Its revision comes from one counter, which
+goes up with each change of any object.  The state in force, each shard of
+key bindings and each VM that the platform lists is an object.
 """
 
 import dataclasses
@@ -23,9 +23,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectDocument:
-    """Hold an object as the store answers it.
+    """Hold an object as the store returns it.
 
-    msgspec keeps a value as it was sent in data classes only.
+    It is a data class because msgspec keeps values in their encoded form
+    in data classes only.
     """
 
     metadata: MetadataDocument
@@ -41,14 +42,14 @@
 
 
 class EventsDocument(typing.TypedDict):
-    """Hold the changes that end a watch, and where to go on."""
+    """Hold the changes that end a watch, and the revision to resume from."""
 
     events: list[EventDocument]
     current_rev: int
 
 
 class PageDocument(typing.TypedDict):
-    """Hold a page of a kind's objects."""
+    """Hold one page of the objects of a kind."""
 
     items: list[ObjectDocument]
     has_more: typing.NotRequired[bool]
@@ -56,7 +57,7 @@
 
 
 def kind_of(name: str) -> str:
-    """Return the kind of an object, by its name.
+    """Return the kind of an object, which is the prefix of its name.
 
     >>> kind_of('state'), kind_of('keys-12')
     ('state', 'keys')
@@ -65,7 +66,7 @@
 
 
 def path(name: str) -> str:
-    """Return where an object is read and changed.
+    """Return the URL path to read and change an object.
 
     >>> path('keys-12')
     '/objects/keys/keys-12'
@@ -74,12 +75,12 @@
 
 
 def kind_path(name: str) -> str:
-    """Return where objects of a name's kind are created and watched."""
+    """Return the URL path to create and watch objects of a name's kind."""
     return f'{OBJECTS_PATH}/{kind_of(name)}'
 
 
 def page_path(name: str, after: str) -> str:
-    """Return where objects of a name's kind are listed, after a name.
+    """Return the URL path to list a name's kind from after another name.
 
     >>> page_path('vms', ''), page_path('vms', 'e7')
     ('/objects/vms', '/objects/vms?after=e7')
@@ -89,12 +90,12 @@
 
 
 def watch_path(name: str, revision: int, wait_ms: int) -> str:
-    """Return where changes after a revision are waited for."""
+    """Return the URL path to wait for changes after a revision."""
     return f'{kind_path(name)}?watch={revision}&wait_ms={wait_ms}'
 
 
 def body(name: str, value: bytes, revision: int | None) -> bytes:
-    """Return an object to write, at the revision that it must be at."""
+    """Encode an object for a write that is conditional on its revision."""
     metadata: dict[str, str | int] = {'name': name}
     if revision is not None:
         metadata['rev'] = revision
@@ -103,24 +104,24 @@
 
 
 def read(data: bytes) -> ObjectDocument:
-    """Return an object; raises ``msgspec.MsgspecError`` if it is none."""
+    """Decode an object; raises ``msgspec.MsgspecError`` if invalid."""
     return msgspec.json.decode(data, type=ObjectDocument)
 
 
 def last_event(data: bytes, name: str) -> EventDocument | None:
-    """Return the last change of an object among those of its kind.
+    """Return the last change of one object from the answer of a watch.
 
-    Raises ``msgspec.MsgspecError`` if they can't be read.
+    Raises ``msgspec.MsgspecError`` if the answer is invalid.
     """
     document = msgspec.json.decode(data, type=EventsDocument)
-    own = (
+    object_events = (
         event
         for event in reversed(document['events'])
         if event.object.metadata.get('name') == name
     )
-    return next(own, None)
+    return next(object_events, None)
 
 
 def read_page(data: bytes) -> PageDocument:
-    """Return a page; raises ``msgspec.MsgspecError`` if it is none."""
+    """Decode a page; raises ``msgspec.MsgspecError`` if invalid."""
     return msgspec.json.decode(data, type=PageDocument)
--- a/packages/config/src/zinnialead_config/problems.py
+++ b/packages/config/src/zinnialead_config/problems.py
@@ -1,10 +1,10 @@
-"""Say what is wrong with a file, and where."""
+"""Define the problems that the check of a file finds."""
 
 import typing
 
 
 class Problem(typing.NamedTuple):
-    """Name the file, the field's path and the reason."""
+    """Locate a problem by file and field path, and give its reason."""
 
     file: str
     path: str
--- a/packages/config/src/zinnialead_config/settings/__init__.py
+++ b/packages/config/src/zinnialead_config/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Read the settings of one entry."""
+"""Load the settings of one entry."""
--- a/packages/config/src/zinnialead_config/settings/const.py
+++ b/packages/config/src/zinnialead_config/settings/const.py
@@ -1,4 +1,4 @@
-"""Hold the defaults and bounds of the settings."""
+"""Define the defaults and bounds of the settings."""
 
 ENVIRONMENT_PREFIX = 'ZINNIALEAD_'
 TOKEN_MIN_CHARS = 16
--- a/packages/config/src/zinnialead_config/settings/coordinator.py
+++ b/packages/config/src/zinnialead_config/settings/coordinator.py
@@ -1,4 +1,4 @@
-"""Load settings from a file, the environment and flags."""
+"""Load settings from a file, environment variables and flags."""
 
 from collections import abc
 import functools
@@ -8,14 +8,14 @@
 import expression
 import pydantic
 
-from zinnialead_config import checked
 from zinnialead_config import problems
 from zinnialead_config.settings import const
 from zinnialead_config.settings import models
+from zinnialead_config import validation
 
 Overrides = dict[str, str]
 
-# What the environment and flags may set in place of the file.
+# Fields that environment variables and flags may override.
 OVERRIDABLE = (
     'entry',
     'domain',
@@ -29,12 +29,12 @@
 
 
 @functools.cache
-def _raw_adapter() -> 'pydantic.TypeAdapter[dict[str, typing.Any]]':
+def _object_adapter() -> 'pydantic.TypeAdapter[dict[str, typing.Any]]':
     return pydantic.TypeAdapter(dict[str, typing.Any])
 
 
 @functools.cache
-def _adapter() -> 'pydantic.TypeAdapter[models.Settings]':
+def _settings_adapter() -> 'pydantic.TypeAdapter[models.Settings]':
     return pydantic.TypeAdapter(models.Settings)
 
 
@@ -43,11 +43,12 @@
     environment: abc.Mapping[str, str],
     flags: abc.Mapping[str, str | None] | None = None,
 ) -> expression.Result[models.Settings, problems.Problems]:
-    """Return the settings of ``path``, with flags before environment.
+    """Load the settings from the file at ``path``.
 
-    Every problem names the file and the field; unknown fields are refused.
+    Flags override environment variables, which override the file.  Each
+    problem names the file and the field; unknown fields are problems too.
     """
-    return checked.read_text(path).bind(
+    return validation.read_text(path).bind(
         lambda text: parse(text, str(path), environment, flags)
     )
 
@@ -58,10 +59,12 @@
     environment: abc.Mapping[str, str],
     flags: abc.Mapping[str, str | None] | None = None,
 ) -> expression.Result[models.Settings, problems.Problems]:
-    """Return the settings of a text, checked."""
-    return checked.parse(text, file, _raw_adapter()).bind(
-        lambda raw: checked.check(
-            raw | _overrides(environment, flags or {}), file, _adapter()
+    """Parse and validate the text of a settings file, with overrides."""
+    return validation.parse(text, file, _object_adapter()).bind(
+        lambda raw: validation.check(
+            raw | _overrides(environment, flags or {}),
+            file,
+            _settings_adapter(),
         )
     )
 
@@ -70,10 +73,10 @@
     environment: abc.Mapping[str, str],
     flags: abc.Mapping[str, str | None],
 ) -> Overrides:
-    found = {}
+    overrides = {}
     for name in OVERRIDABLE:
         variable = const.ENVIRONMENT_PREFIX + name.upper()
         value = flags.get(name) or environment.get(variable)
         if value:
-            found[name] = value
-    return found
+            overrides[name] = value
+    return overrides
--- a/packages/config/src/zinnialead_config/settings/models.py
+++ b/packages/config/src/zinnialead_config/settings/models.py
@@ -20,21 +20,21 @@
 
 
 class PeerKey(typing.NamedTuple):
-    """Hold one key that entries sign their messages with."""
+    """Hold a key that entries sign and verify their messages with."""
 
     key_id: typing.Annotated[int, pydantic.Field(ge=0, le=255)]
     secret: Secret
 
 
 class Tls(typing.NamedTuple):
-    """Name the files that HTTP over TLS is served with."""
+    """Name the certificate and key files for HTTPS."""
 
     certificate_file: str
     key_file: str
 
 
 class Seed(typing.NamedTuple):
-    """Name an entry to start from while the store is down."""
+    """Name an entry to join through while the store is unavailable."""
 
     entry: Name
     domain: Name
@@ -42,7 +42,7 @@
 
 
 class Bounds(typing.NamedTuple):
-    """Bound what one entry takes in."""
+    """Limit the connections, exchanges and headers of one entry."""
 
     connections_max: pydantic.PositiveInt = const.CONNECTIONS_MAX
     exchanges_max: pydantic.PositiveInt = const.EXCHANGES_MAX
@@ -51,7 +51,7 @@
 
 
 class Statsd(typing.NamedTuple):
-    """Say where the metrics go."""
+    """Address the statsd server and set how often metrics are sent."""
 
     host: str
     port: Port = const.STATSD_PORT
@@ -62,8 +62,9 @@
     """Hold the settings of one entry.
 
     ``callers_bind``, ``operators_bind`` and ``peers_bind`` are ``IP:port``;
-    ``callers_address`` and ``peers_address`` are what others are told where
-    it differs from the bind.  The first of ``peer_keys`` signs, all verify.
+    ``callers_address`` and ``peers_address`` are the advertised addresses,
+    where they differ from the bind.  The first of ``peer_keys`` signs
+    messages; all of them verify.
     """
 
     entry: Name
--- a/packages/config/src/zinnialead_config/tickets/__init__.py
+++ b/packages/config/src/zinnialead_config/tickets/__init__.py
@@ -1,1 +1,1 @@
-"""Read, check and fold tickets."""
+"""Load and validate tickets, and apply them to the state."""
--- a/packages/config/src/zinnialead_config/tickets/const.py
+++ b/packages/config/src/zinnialead_config/tickets/const.py
@@ -1,5 +1,5 @@
-"""Hold the bounds of tickets."""
+"""Define the bounds of tickets and the format of the state."""
 
 HISTORY_MAX = 64
-SHARES_MAX = 1.0
+FLOOR_SHARES_SUM_MAX = 1.0
 STATE_FORMAT = 1
--- a/packages/config/src/zinnialead_config/tickets/documents.py
+++ b/packages/config/src/zinnialead_config/tickets/documents.py
@@ -10,6 +10,7 @@
 Name = typing.Annotated[
     str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}$')
 ]
+# A service and a failure domain, as in ``intake/kigali-a``.
 PlaceName = typing.Annotated[
     str,
     pydantic.Field(pattern=r'^[a-z0-9][a-z0-9-]{0,62}/[a-z0-9-]{1,63}$'),
@@ -56,7 +57,7 @@
 
 @STRICT
 class UpstreamDocument(typing_extensions.TypedDict):
-    """Describe an upstream of a place."""
+    """Describe an upstream of a service in a failure domain."""
 
     address: Address
     slots: Count
@@ -65,7 +66,7 @@
 
 @STRICT
 class PlaceDocument(typing_extensions.TypedDict):
-    """List all upstreams of a service in a failure domain."""
+    """Hold all upstreams of a service in a failure domain, by name."""
 
     upstreams: dict[Name, UpstreamDocument]
 
@@ -138,13 +139,13 @@
 
 @STRICT
 class BlockDocument(typing_extensions.TypedDict):
-    """Give the failure domain that a block of clients is nearest to."""
+    """Assign a block of client addresses to its nearest failure domain."""
 
     domain: Name
 
 
 class Sections(typing_extensions.TypedDict, total=False):
-    """Hold what a ticket touches, each item whole; null removes it."""
+    """Hold items to replace, each given in full; null removes an item."""
 
     services: dict[Name, ServiceDocument | None]
     domains: dict[Name, DomainDocument | None]
@@ -157,7 +158,7 @@
 
 @STRICT
 class TicketDocument(Sections, typing_extensions.TypedDict):
-    """Hold one ticket."""
+    """Hold a numbered set of changes to the state in force."""
 
     number: Count
     operator: typing.Annotated[str, pydantic.Field(min_length=1)]
@@ -166,7 +167,7 @@
 
 @STRICT
 class NoteDocument(typing_extensions.TypedDict):
-    """Name who filed one of the last tickets."""
+    """Record who filed a recent ticket, and when."""
 
     number: int
     digest: str
--- a/packages/config/src/zinnialead_config/tickets/folding.py
+++ b/packages/config/src/zinnialead_config/tickets/folding.py
@@ -1,4 +1,4 @@
-"""Fold a ticket into the state in force."""
+"""Apply a ticket to the state in force."""
 
 from collections import abc
 import typing
@@ -20,7 +20,7 @@
 def fold(
     state: tickets.State, ticket: models.Ticket, filed_ms: float = 0.0
 ) -> expression.Result[tickets.State, problems.Problems]:
-    """Return the state after a ticket, or why it is refused whole."""
+    """Return the state with the whole ticket applied, or its problems."""
     if ticket.number != state.number + 1:
         reason = (
             f'ticket {ticket.number} can not follow ticket {state.number},'
@@ -29,14 +29,14 @@
         return expression.Error(
             (problems.Problem(ticket.file, 'number', reason),)
         )
-    folded = _folded(state, ticket, filed_ms)
-    found = tuple(checks.check(folded, ticket.file))
-    if found:
-        return expression.Error(found)
+    folded = _apply(state, ticket, filed_ms)
+    inconsistencies = tuple(checks.check(folded, ticket.file))
+    if inconsistencies:
+        return expression.Error(inconsistencies)
     return expression.Ok(folded)
 
 
-def _folded(
+def _apply(
     state: tickets.State, ticket: models.Ticket, filed_ms: float
 ) -> tickets.State:
     document = ticket.document
@@ -46,32 +46,36 @@
     history = (*state.history, note)[-const.HISTORY_MAX :]
     return tickets.State(
         number=ticket.number,
-        services=merged(
+        services=merge_section(
             state.services, document.get('services', {}), rows.service
         ),
         upstreams=rows.upstreams(state.upstreams, document.get('places', {})),
-        domains=merged(
+        domains=merge_section(
             state.domains, document.get('domains', {}), rows.domain
         ),
-        ranks=merged(state.ranks, document.get('ranks', {}), rows.rank),
-        drains=merged(state.drains, document.get('drains', {}), rows.drain),
-        caps=merged(state.caps, document.get('caps', {}), rows.cap),
-        blocks=merged(state.blocks, document.get('blocks', {}), rows.block),
+        ranks=merge_section(state.ranks, document.get('ranks', {}), rows.rank),
+        drains=merge_section(
+            state.drains, document.get('drains', {}), rows.drain
+        ),
+        caps=merge_section(state.caps, document.get('caps', {}), rows.cap),
+        blocks=merge_section(
+            state.blocks, document.get('blocks', {}), rows.block
+        ),
         history=history,
     )
 
 
-def merged(
-    known: abc.Mapping[K, V],
-    touched: abc.Mapping[str, typing.Any],
-    row_of: abc.Callable[[str, typing.Any], V],
+def merge_section(
+    current: abc.Mapping[K, V],
+    items: abc.Mapping[str, typing.Any],
+    make_row: abc.Callable[[str, typing.Any], V],
 ) -> Table[K, V]:
-    """Return a table with what a ticket touches replaced or removed."""
-    result: Table[K, V] = dict(known)
-    for name, item in touched.items():
+    """Return a section with a ticket's items replaced or removed."""
+    result: Table[K, V] = dict(current)
+    for name, item in items.items():
         key = typing.cast('K', name)
         if item is None:
             result.pop(key, None)
             continue
-        result[key] = row_of(name, item)
+        result[key] = make_row(name, item)
     return result
--- a/packages/config/src/zinnialead_config/tickets/models.py
+++ b/packages/config/src/zinnialead_config/tickets/models.py
@@ -1,4 +1,4 @@
-"""Define a ticket that was read and checked by itself."""
+"""Define a validated ticket."""
 
 import typing
 
@@ -14,5 +14,5 @@
 
     @property
     def number(self) -> int:
-        """Return the ticket's number."""
+        """Return the position of the ticket in the sequence, from 1."""
         return self.document['number']
--- a/packages/config/src/zinnialead_config/tickets/rows.py
+++ b/packages/config/src/zinnialead_config/tickets/rows.py
@@ -1,4 +1,4 @@
-"""Turn the items of tickets into the rows of the core, and back."""
+"""Convert the items of tickets to the rows of the core, and back."""
 
 from collections import abc
 
@@ -41,27 +41,27 @@
 
 
 def block(prefix: str, item: documents.BlockDocument) -> tickets.BlockRow:
-    """Return the row of a block of clients."""
+    """Return the row of a block of client addresses."""
     return tickets.BlockRow(prefix, ids.DomainId(item['domain']))
 
 
 def upstreams(
-    known: abc.Mapping[ids.UpstreamId, tickets.UpstreamRow],
+    current: abc.Mapping[ids.UpstreamId, tickets.UpstreamRow],
     places: abc.Mapping[str, documents.PlaceDocument | None],
 ) -> UpstreamTable:
-    """Return the upstreams with those of the touched places replaced."""
+    """Return the upstreams, replaced for each given service and domain."""
     result = {
         name: row
-        for name, row in known.items()
+        for name, row in current.items()
         if f'{row.service}/{row.domain}' not in places
     }
     for place, item in places.items():
-        for row in _upstreams_of(place, item):
+        for row in _place_upstreams(place, item):
             result[row.upstream] = row
     return result
 
 
-def _upstreams_of(
+def _place_upstreams(
     place: str, item: documents.PlaceDocument | None
 ) -> abc.Iterator[tickets.UpstreamRow]:
     if item is None:
--- a/packages/config/src/zinnialead_config/tickets/states.py
+++ b/packages/config/src/zinnialead_config/tickets/states.py
@@ -7,37 +7,38 @@
 import msgspec
 import pydantic
 
-from zinnialead_config import checked
 from zinnialead_config import problems
 from zinnialead_config.tickets import const
 from zinnialead_config.tickets import documents
 from zinnialead_config.tickets import folding
 from zinnialead_config.tickets import rows
+from zinnialead_config import validation
 from zinnialead_core.components import tickets
 
+# Takes the place of the file's name in problems.
 FILE = 'state'
-Documents = dict[str, typing.Any]
+Section = dict[str, typing.Any]
 
 
 @functools.cache
-def _adapter() -> 'pydantic.TypeAdapter[documents.StateDocument]':
+def _state_adapter() -> 'pydantic.TypeAdapter[documents.StateDocument]':
     return pydantic.TypeAdapter(documents.StateDocument)
 
 
 def encode(state: tickets.State) -> bytes:
-    """Return the state as JSON, in the form of one ticket's sections."""
+    """Encode the state as JSON, with the sections of a ticket."""
     return msgspec.json.encode(document(state), order='deterministic')
 
 
 def decode(
     encoded: bytes,
 ) -> expression.Result[tickets.State, problems.Problems]:
-    """Return the state of JSON bytes, with every field checked."""
+    """Decode and validate a state, or return every invalid field."""
     try:
         raw = msgspec.json.decode(encoded)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return checked.failed(FILE, checked.TOP, str(error))
-    return checked.check(raw, FILE, _adapter()).bind(_state)
+        return validation.failure(FILE, validation.ROOT_PATH, str(error))
+    return validation.check(raw, FILE, _state_adapter()).bind(_from_document)
 
 
 def document(state: tickets.State) -> documents.StateDocument:
@@ -55,9 +56,9 @@
     return {
         'format': const.STATE_FORMAT,
         'number': state.number,
-        'services': _documents(state.services, 'service'),
-        'domains': _documents(state.domains, 'domain'),
-        'ranks': _documents(state.ranks, 'rank'),
+        'services': _section(state.services, 'service'),
+        'domains': _section(state.domains, 'domain'),
+        'ranks': _section(state.ranks, 'rank'),
         'places': places,
         'drains': {
             name: rows.drain_document(item)
@@ -66,7 +67,7 @@
         'caps': {
             name: rows.cap_document(item) for name, item in state.caps.items()
         },
-        'blocks': _documents(state.blocks, 'prefix'),
+        'blocks': _section(state.blocks, 'prefix'),
         'history': [
             typing.cast('documents.NoteDocument', note._asdict())
             for note in state.history
@@ -74,43 +75,43 @@
     }
 
 
-def _documents(
-    table: typing.Mapping[typing.Any, typing.NamedTuple], key: str
-) -> Documents:
+def _section(
+    table: typing.Mapping[typing.Any, typing.NamedTuple], name_field: str
+) -> Section:
     return {
         str(name): {
             field: value
             for field, value in row._asdict().items()
-            if field != key
+            if field != name_field
         }
         for name, row in table.items()
     }
 
 
-def _state(
-    found: documents.StateDocument,
+def _from_document(
+    checked: documents.StateDocument,
 ) -> expression.Result[tickets.State, problems.Problems]:
-    if found['format'] != const.STATE_FORMAT:
-        reason = f'format {found["format"]} is unknown'
-        return checked.failed(FILE, 'format', reason)
+    if checked['format'] != const.STATE_FORMAT:
+        reason = f'format {checked["format"]} is unknown'
+        return validation.failure(FILE, 'format', reason)
     empty = tickets.empty_state()
-    merged = folding.merged
+    merge = folding.merge_section
     return expression.Ok(
         tickets.State(
-            number=found['number'],
-            services=merged(
-                empty.services, found.get('services', {}), rows.service
+            number=checked['number'],
+            services=merge(
+                empty.services, checked.get('services', {}), rows.service
             ),
-            upstreams=rows.upstreams({}, found.get('places', {})),
-            domains=merged(
-                empty.domains, found.get('domains', {}), rows.domain
+            upstreams=rows.upstreams({}, checked.get('places', {})),
+            domains=merge(
+                empty.domains, checked.get('domains', {}), rows.domain
             ),
-            ranks=merged(empty.ranks, found.get('ranks', {}), rows.rank),
-            drains=merged(empty.drains, found.get('drains', {}), rows.drain),
-            caps=merged(empty.caps, found.get('caps', {}), rows.cap),
-            blocks=merged(empty.blocks, found.get('blocks', {}), rows.block),
+            ranks=merge(empty.ranks, checked.get('ranks', {}), rows.rank),
+            drains=merge(empty.drains, checked.get('drains', {}), rows.drain),
+            caps=merge(empty.caps, checked.get('caps', {}), rows.cap),
+            blocks=merge(empty.blocks, checked.get('blocks', {}), rows.block),
             history=tuple(
-                tickets.TicketNote(**note) for note in found['history']
+                tickets.TicketNote(**note) for note in checked['history']
             ),
         )
     )
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -1,4 +1,4 @@
-"""Load settings from file, environment and flags."""
+"""Load settings from a file, environment variables and flags."""
 
 import pathlib
 
@@ -7,7 +7,7 @@
 EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples/umusozi/entry.json'
 
 
-def test_flags_go_before_environment_before_file():
+def test_flags_override_environment_and_file():
     environment = {'ZINNIALEAD_ENTRY': 'e-1', 'ZINNIALEAD_DOMAIN': 'd-1'}
     found = settings.load(EXAMPLE, environment, {'entry': 'e-2'}).ok
     assert (found.entry, found.domain) == ('e-2', 'd-1')
@@ -17,8 +17,8 @@
 
 def test_problems_name_the_field():
     text = EXAMPLE.read_text().replace('"region"', '"regoin"')
-    found = {item.path for item in settings.parse(text, 'x', {}).error}
-    assert found == {'region', 'regoin'}
+    paths = {item.path for item in settings.parse(text, 'x', {}).error}
+    assert paths == {'region', 'regoin'}
     text = EXAMPLE.read_text().replace('replace-this-peers-secret', 'short')
     [problem] = settings.parse(text, 'x', {}).error
     assert problem.path == 'peer_keys.0.secret'
--- a/tests/config/test_tickets.py
+++ b/tests/config/test_tickets.py
@@ -1,4 +1,4 @@
-"""Read, check and fold tickets."""
+"""Parse and validate tickets, and apply them to a state."""
 
 import pathlib
 
@@ -14,7 +14,7 @@
 DEPLOYMENTS = ('sabarmati', 'umusozi')
 
 
-def in_force(deployment: str) -> core_tickets.State:
+def example_state(deployment: str) -> core_tickets.State:
     state = core_tickets.empty_state()
     for path in sorted((EXAMPLES / deployment).glob('0*.json')):
         state = config.fold(state, config.load_ticket(path).ok).ok
@@ -29,8 +29,8 @@
 
 
 @pytest.mark.parametrize('deployment', DEPLOYMENTS)
-def test_the_examples_fold_and_survive_encoding(deployment):
-    state = in_force(deployment)
+def test_the_examples_apply_and_survive_encoding(deployment):
+    state = example_state(deployment)
     assert state.number == 2
     assert len(state.upstreams) in (36, 42)
     assert config.decode_state(config.encode_state(state)).ok == state
@@ -49,7 +49,7 @@
         '{"number": 1, "operator": "x", "drains":'
         ' {"d": {"kind": "region", "region": "kigali"}}}'
     )
-    assert found == {'drains.d': "no domain stands in region 'kigali'"}
+    assert found == {'drains.d': "no domain is in region 'kigali'"}
 
 
 def test_a_ticket_out_of_sequence_is_refused():
@@ -58,7 +58,7 @@
 
 
 def test_null_removes_and_a_place_is_replaced_whole():
-    state = in_force('umusozi')
+    state = example_state('umusozi')
     text = (
         '{"number": 3, "operator": "x", "drains": {"pricebook-1": null},'
         ' "places": {"pricebook/kigali-a": {"upstreams": {"new":'
@@ -66,12 +66,12 @@
     )
     folded = config.fold(state, tickets.parse(text, 't').ok).ok
     assert folded.drains == {}
-    here = [
+    upstream_names = [
         row.upstream
         for row in folded.upstreams.values()
         if (row.service, row.domain) == ('pricebook', 'kigali-a')
     ]
-    assert here == ['new']
+    assert upstream_names == ['new']
 
 
 @hypothesis.settings(derandomize=True, max_examples=200)
