Reword the command line

Views of the fleet were "seen" and "item"; they are views, fetched by _fetch_views(). reading.ticket(), state(), folded() and refuse() are read_ticket(), read_state(), apply_files() and fail_with_problems(). The HTTP client's Answer is Response. Help texts are plainer; commands, flags, exit codes and the keys of JSON stay. "tickets fit" reads "tickets are valid", "nothing of yours is in force" reads "your ticket is not in force"; no test matches these.

--- a/packages/cli/src/zinnialead_cli/__init__.py
+++ b/packages/cli/src/zinnialead_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Give operators a command line."""
+"""Provide the command line for operators."""
--- a/packages/cli/src/zinnialead_cli/clients/__init__.py
+++ b/packages/cli/src/zinnialead_cli/clients/__init__.py
@@ -1,4 +1,4 @@
-"""Call the platform's store and the entries' operators' ports."""
+"""Call the platform's store and the operators' ports of entries."""
 
 from zinnialead_cli.clients.entries import Entry
 from zinnialead_cli.clients.entries import get
--- a/packages/cli/src/zinnialead_cli/clients/entries.py
+++ b/packages/cli/src/zinnialead_cli/clients/entries.py
@@ -11,48 +11,48 @@
 
 
 class Entry(typing.NamedTuple):
-    """Name one entry's operators' port and the credential for it."""
+    """Hold the address and token of an entry's operators' port."""
 
     address: str
     token: str
 
 
 class Unreachable(typing.NamedTuple):
-    """Say which entry gave no useful answer, and why."""
+    """Report an entry that gave no valid response, and why."""
 
     address: str
     reason: str
 
 
 def get(
-    entry: Entry, path: str, kind: type[T]
+    entry: Entry, path: str, document_type: type[T]
 ) -> expression.Result[T, Unreachable]:
-    """Return the decoded answer of an operators' call."""
-    return _call(entry, 'GET', path, kind)
+    """Return the decoded response to a GET of the operators' port."""
+    return _call(entry, 'GET', path, document_type)
 
 
 def post(
-    entry: Entry, path: str, kind: type[T]
+    entry: Entry, path: str, document_type: type[T]
 ) -> expression.Result[T, Unreachable]:
-    """Return the decoded answer of an operators' command."""
-    return _call(entry, 'POST', path, kind)
+    """Return the decoded response to a POST to the operators' port."""
+    return _call(entry, 'POST', path, document_type)
 
 
 def _call(
-    entry: Entry, method: str, path: str, kind: type[T]
+    entry: Entry, method: str, path: str, document_type: type[T]
 ) -> expression.Result[T, Unreachable]:
     headers: dict[bytes | str, bytes | str] = {
         'authorization': f'Bearer {entry.token}'
     }
-    found = http.call(method, f'http://{entry.address}{path}', headers)
-    if found.is_error():
-        return expression.Error(Unreachable(entry.address, found.error))
-    answer = found.ok
-    if answer.status != 200:
-        reason = f'{method} {path}: status {answer.status}'
+    result = http.call(method, f'http://{entry.address}{path}', headers)
+    if result.is_error():
+        return expression.Error(Unreachable(entry.address, result.error))
+    response = result.ok
+    if response.status != 200:
+        reason = f'{method} {path}: status {response.status}'
         return expression.Error(Unreachable(entry.address, reason))
     try:
-        decoded = msgspec.json.decode(answer.body, type=kind)
+        decoded = msgspec.json.decode(response.body, type=document_type)
     except msgspec.MsgspecError as error:
         reason = f'{method} {path}: {error}'
         return expression.Error(Unreachable(entry.address, reason))
--- a/packages/cli/src/zinnialead_cli/clients/http.py
+++ b/packages/cli/src/zinnialead_cli/clients/http.py
@@ -1,4 +1,4 @@
-"""Make one bounded HTTP call."""
+"""Make an HTTP call with a timeout."""
 
 import typing
 
@@ -7,7 +7,7 @@
 
 from zinnialead_cli import const
 
-FAULTS = (
+CALL_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
@@ -15,8 +15,8 @@
 )
 
 
-class Answer(typing.NamedTuple):
-    """Hold the status and body of an answer."""
+class Response(typing.NamedTuple):
+    """Hold the status and body of a response."""
 
     status: int
     body: bytes
@@ -27,18 +27,18 @@
     url: str,
     headers: dict[bytes | str, bytes | str] | None = None,
     content: bytes | None = None,
-) -> expression.Result[Answer, str]:
-    """Return the answer, or why there is none."""
-    seconds = const.CALL_TIMEOUT_MS / const.MS_PER_S
-    timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), seconds)
+) -> expression.Result[Response, str]:
+    """Return the response, or the reason why there is none."""
+    timeout_s = const.CALL_TIMEOUT_MS / const.MS_PER_S
+    timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), timeout_s)
     try:
-        answer = httpcore.request(
+        response = httpcore.request(
             method,
             url,
             headers=headers,
             content=content,
             extensions={'timeout': timeouts},
         )
-    except FAULTS as error:
+    except CALL_ERRORS as error:
         return expression.Error(f'{method} {url}: {error!r}')
-    return expression.Ok(Answer(answer.status, answer.content))
+    return expression.Ok(Response(response.status, response.content))
--- a/packages/cli/src/zinnialead_cli/clients/store.py
+++ b/packages/cli/src/zinnialead_cli/clients/store.py
@@ -1,4 +1,4 @@
-"""Carry out calls to the platform's store."""
+"""Make calls to the platform's store over HTTP."""
 
 import msgspec
 
@@ -7,32 +7,34 @@
 from zinnialead_core.components import store
 
 
-def call(address: str, wanted: store.Call) -> store.Result:
-    """Make one call; a write without an answer may have taken effect."""
+def call(address: str, operation: store.Call) -> store.Result:
+    """Make one call; a write without a response may have taken effect."""
     root = f'http://{address}'
-    name = wanted.name
-    match wanted:
+    name = operation.name
+    match operation:
         case store.Read():
-            found = http.call('GET', root + objects.path(name))
+            result = http.call('GET', root + objects.path(name))
         case store.Create(_, value):
             body = objects.body(name, value, None)
-            found = http.call(
+            result = http.call(
                 'POST', root + objects.kind_path(name), content=body
             )
         case store.Update(_, value, version):
             body = objects.body(name, value, version)
-            found = http.call('PUT', root + objects.path(name), content=body)
+            result = http.call('PUT', root + objects.path(name), content=body)
         case _:
-            return store.Failed(wanted.name, f'{wanted} is not for operators')
-    if found.is_error():
-        return store.Failed(wanted.name, found.error)
-    return _result(wanted.name, found.ok)
+            return store.Failed(
+                operation.name, f'{operation} is not for operators'
+            )
+    if result.is_error():
+        return store.Failed(operation.name, result.error)
+    return _store_result(operation.name, result.ok)
 
 
-def _result(name: str, answer: http.Answer) -> store.Result:
-    match answer.status:
+def _store_result(name: str, response: http.Response) -> store.Result:
+    match response.status:
         case 200 | 201:
-            return _found(name, answer.body)
+            return _found(name, response.body)
         case 404:
             return store.Missing(name)
         case 409:
--- a/packages/cli/src/zinnialead_cli/const.py
+++ b/packages/cli/src/zinnialead_cli/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the command line."""
+"""Define the constants of the command line."""
 
 import enum
 
@@ -12,7 +12,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Say how a command ended."""
+    """Define the exit status of commands."""
 
     DONE = 0
     DIFFERENT = 1
--- a/packages/cli/src/zinnialead_cli/fleet/__init__.py
+++ b/packages/cli/src/zinnialead_cli/fleet/__init__.py
@@ -1,4 +1,4 @@
-"""Show the fleet at a glance."""
+"""Show the status of the fleet."""
 
 from zinnialead_cli.fleet.documents import FleetDocument
 from zinnialead_cli.fleet.merging import merge
--- a/packages/cli/src/zinnialead_cli/fleet/commands.py
+++ b/packages/cli/src/zinnialead_cli/fleet/commands.py
@@ -1,4 +1,4 @@
-"""Offer the commands that read and stop entries."""
+"""Define the commands that query and stop entries."""
 
 import time
 import typing
@@ -26,7 +26,7 @@
     str,
     typer.Option(
         envvar=const.TOKEN_VARIABLE,
-        help='The credential; better set in the environment.',
+        help='The credential; preferably set in the environment.',
         show_default=False,
     ),
 ]
@@ -41,7 +41,7 @@
     token: Token,
     as_json: Json = False,
     watch: typing.Annotated[
-        bool, typer.Option(help='Show it again every two seconds.')
+        bool, typer.Option(help='Refresh every two seconds.')
     ] = False,
 ) -> None:
     """Show entries, upstreams, queues, drains, shifts and refusals.
@@ -49,7 +49,7 @@
     Example: zinnialead fleet --entry 10.0.0.1:8081 --watch
     """
     while True:
-        _show_fleet(_seen(entry, token), as_json)
+        _show_fleet(_fetch_views(entry, token), as_json)
         if not watch:
             return
         time.sleep(const.WATCH_PERIOD_MS / const.MS_PER_S)
@@ -60,60 +60,62 @@
 
     Example: zinnialead dump --entry 10.0.0.1:8081
     """
-    _print_answers(entry, token, '/v1/dump')
+    _print_responses(entry, token, '/v1/dump')
 
 
 def in_force(entry: Entries, token: Token) -> None:
     """Print what is in force on entries, in the form of a ticket.
 
-    It needs no store.
+    Works without the store.
     Example: zinnialead in-force --entry 10.0.0.1:8081
     """
-    _print_answers(entry, token, '/v1/state')
+    _print_responses(entry, token, '/v1/state')
 
 
 def stop(entry: Entries, token: Token) -> None:
-    """Stop entries without cutting a request in flight.
+    """Stop entries gracefully, without interrupting requests in flight.
 
     Example: zinnialead stop --entry 10.0.0.1:8081
     """
     for address in entry:
-        found = clients.post(
+        result = clients.post(
             clients.Entry(address, token), '/v1/stop', Document
         )
-        if found.is_error():
-            output.fail(found.error.reason, const.ExitCode.UNREACHABLE)
-        output.print_json(found.ok)
+        if result.is_error():
+            output.fail(result.error.reason, const.ExitCode.UNREACHABLE)
+        output.print_json(result.ok)
 
 
-def _print_answers(addresses: list[str], token: str, path: str) -> None:
+def _print_responses(addresses: list[str], token: str, path: str) -> None:
     for address in addresses:
         entry = clients.Entry(address, token)
-        found = clients.get(entry, path, Document)
-        if found.is_error():
-            output.fail(found.error.reason, const.ExitCode.UNREACHABLE)
-        output.print_json(found.ok)
+        result = clients.get(entry, path, Document)
+        if result.is_error():
+            output.fail(result.error.reason, const.ExitCode.UNREACHABLE)
+        output.print_json(result.ok)
 
 
-def _seen(addresses: list[str], token: str) -> list[documents.FleetDocument]:
-    seen = []
+def _fetch_views(
+    addresses: list[str], token: str
+) -> list[documents.FleetDocument]:
+    views = []
     for address in addresses:
-        found = clients.get(
+        result = clients.get(
             clients.Entry(address, token),
             '/v1/fleet',
             documents.FleetDocument,
         )
-        if found.is_error():
-            output.warn(f'{address}: {found.error.reason}')
+        if result.is_error():
+            output.warn(f'{address}: {result.error.reason}')
             continue
-        seen.append(found.ok)
-    if not seen:
+        views.append(result.ok)
+    if not views:
         output.fail('no entry answered', const.ExitCode.UNREACHABLE)
-    return seen
+    return views
 
 
-def _show_fleet(seen: list[documents.FleetDocument], as_json: bool) -> None:
-    merged = merging.merge(seen)
+def _show_fleet(views: list[documents.FleetDocument], as_json: bool) -> None:
+    merged = merging.merge(views)
     if as_json:
         typer.echo(msgspec.json.encode(merged).decode())
         return
--- a/packages/cli/src/zinnialead_cli/fleet/documents.py
+++ b/packages/cli/src/zinnialead_cli/fleet/documents.py
@@ -1,4 +1,4 @@
-"""Define what an entry's operators' port says of the fleet."""
+"""Define the view of the fleet that an entry's operators' port gives."""
 
 import typing
 
@@ -16,7 +16,7 @@
 
 
 class UpstreamDocument(typing.TypedDict):
-    """Show one upstream; ``in_use`` is null off its slot owner."""
+    """Show one upstream; ``in_use`` is null except on its slot owner."""
 
     upstream: str
     service: str
@@ -29,7 +29,7 @@
 
 
 class QueueDocument(typing.TypedDict):
-    """Show the asks of one rank that wait at a slot owner."""
+    """Count the slot requests of one rank queued at a slot owner."""
 
     service: str
     rank: str
@@ -37,7 +37,7 @@
 
 
 class DrainDocument(typing.TypedDict):
-    """Show a drain and the work it still waits for."""
+    """Show a drain and the requests in flight on what it drains."""
 
     name: str
     kind: str
@@ -46,7 +46,7 @@
 
 
 class ShiftDocument(typing.TypedDict):
-    """Show a cap and what one entry shifts under it."""
+    """Show a shift cap and the rate that one entry shifts under it."""
 
     name: str
     from_region: str
--- a/packages/cli/src/zinnialead_cli/fleet/merging.py
+++ b/packages/cli/src/zinnialead_cli/fleet/merging.py
@@ -1,4 +1,4 @@
-"""Join what several entries say of the fleet into one view."""
+"""Merge the views that several entries have of the fleet."""
 
 import collections
 from collections import abc
@@ -10,30 +10,38 @@
 Refusals = dict[str, int]
 
 
-def merge(seen: abc.Sequence[Fleet]) -> Fleet:
-    """Return one view: the newest of members, sums over slot owners."""
-    first = seen[0]
+def merge(views: abc.Sequence[Fleet]) -> Fleet:
+    """Return one view from those of several entries.
+
+    It has the highest ticket number, the latest row of each member, the row
+    with the most slots in use of each upstream, and sums of the queues, the
+    drains' requests in flight, the shifts and the refusals.
+    """
+    first = views[0]
     return Fleet(
-        entry=', '.join(item['entry'] for item in seen),
+        entry=', '.join(view['entry'] for view in views),
         domain=first['domain'],
         region=first['region'],
         incarnation=first['incarnation'],
-        state_number=max(item['state_number'] for item in seen),
-        members=_members(seen),
-        upstreams=_upstreams(seen),
-        queues=_queues(seen),
-        drains=_drains(seen),
-        shifts=_shifts(seen),
-        refusals=_refusals(seen),
+        state_number=max(view['state_number'] for view in views),
+        members=_members(views),
+        upstreams=_upstreams(views),
+        queues=_queues(views),
+        drains=_drains(views),
+        shifts=_shifts(views),
+        refusals=_refusals(views),
     )
 
 
-def _members(seen: abc.Sequence[Fleet]) -> list[documents.MemberDocument]:
+def _members(views: abc.Sequence[Fleet]) -> list[documents.MemberDocument]:
     newest: dict[str, documents.MemberDocument] = {}
-    for item in seen:
-        for row in item['members']:
-            known = newest.get(row['entry'])
-            if known is None or row['heard_ago_ms'] < known['heard_ago_ms']:
+    for view in views:
+        for row in view['members']:
+            current = newest.get(row['entry'])
+            if (
+                current is None
+                or row['heard_ago_ms'] < current['heard_ago_ms']
+            ):
                 newest[row['entry']] = row
     return sorted(
         newest.values(), key=lambda row: (row['domain'], row['entry'])
@@ -41,13 +49,15 @@
 
 
 def _upstreams(
-    seen: abc.Sequence[Fleet],
+    views: abc.Sequence[Fleet],
 ) -> list[documents.UpstreamDocument]:
     merged: dict[str, documents.UpstreamDocument] = {}
-    for item in seen:
-        for row in item['upstreams']:
-            known = merged.get(row['upstream'])
-            if known is None or (row['in_use'] or 0) > (known['in_use'] or 0):
+    for view in views:
+        for row in view['upstreams']:
+            current = merged.get(row['upstream'])
+            if current is None or (row['in_use'] or 0) > (
+                current['in_use'] or 0
+            ):
                 merged[row['upstream']] = row
     return sorted(
         merged.values(),
@@ -55,39 +65,39 @@
     )
 
 
-def _queues(seen: abc.Sequence[Fleet]) -> list[documents.QueueDocument]:
-    waiting: collections.Counter[tuple[str, str]] = collections.Counter()
-    for item in seen:
-        for row in item['queues']:
-            waiting[row['service'], row['rank']] += row['queued']
+def _queues(views: abc.Sequence[Fleet]) -> list[documents.QueueDocument]:
+    queued_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    for view in views:
+        for row in view['queues']:
+            queued_counts[row['service'], row['rank']] += row['queued']
     return [
         documents.QueueDocument(service=service, rank=rank, queued=queued)
-        for (service, rank), queued in sorted(waiting.items())
+        for (service, rank), queued in sorted(queued_counts.items())
     ]
 
 
-def _drains(seen: abc.Sequence[Fleet]) -> list[documents.DrainDocument]:
+def _drains(views: abc.Sequence[Fleet]) -> list[documents.DrainDocument]:
     merged: dict[str, documents.DrainDocument] = {}
-    for item in seen:
-        for row in item['drains']:
-            known = merged.setdefault(row['name'], {**row, 'in_flight': 0})
-            known['in_flight'] += row['in_flight']
+    for view in views:
+        for row in view['drains']:
+            current = merged.setdefault(row['name'], {**row, 'in_flight': 0})
+            current['in_flight'] += row['in_flight']
     return sorted(merged.values(), key=operator.itemgetter('name'))
 
 
-def _shifts(seen: abc.Sequence[Fleet]) -> list[documents.ShiftDocument]:
+def _shifts(views: abc.Sequence[Fleet]) -> list[documents.ShiftDocument]:
     merged: dict[str, documents.ShiftDocument] = {}
-    for item in seen:
-        for row in item['shifts']:
-            known = merged.setdefault(
+    for view in views:
+        for row in view['shifts']:
+            current = merged.setdefault(
                 row['name'], {**row, 'shifted_per_s': 0.0}
             )
-            known['shifted_per_s'] += row['shifted_per_s']
+            current['shifted_per_s'] += row['shifted_per_s']
     return sorted(merged.values(), key=operator.itemgetter('name'))
 
 
-def _refusals(seen: abc.Sequence[Fleet]) -> Refusals:
-    total: collections.Counter[str] = collections.Counter()
-    for item in seen:
-        total.update(item['refusals'])
-    return dict(sorted(total.items()))
+def _refusals(views: abc.Sequence[Fleet]) -> Refusals:
+    totals: collections.Counter[str] = collections.Counter()
+    for view in views:
+        totals.update(view['refusals'])
+    return dict(sorted(totals.items()))
--- a/packages/cli/src/zinnialead_cli/fleet/tables.py
+++ b/packages/cli/src/zinnialead_cli/fleet/tables.py
@@ -1,4 +1,4 @@
-"""Lay out the fleet as tables for people."""
+"""Render the fleet as tables for a terminal."""
 
 from collections import abc
 
@@ -44,7 +44,7 @@
             row['upstream'],
             row['slots'],
             '-' if row['in_use'] is None else row['in_use'],
-            _state(row),
+            _upstream_state(row),
         )
         for row in fleet['upstreams']
     )
@@ -82,7 +82,7 @@
     return _table('Shifts', headings, rows)
 
 
-def _state(row: documents.UpstreamDocument) -> str:
+def _upstream_state(row: documents.UpstreamDocument) -> str:
     if row['draining']:
         return 'draining'
     if row['leaving']:
--- a/packages/cli/src/zinnialead_cli/main.py
+++ b/packages/cli/src/zinnialead_cli/main.py
@@ -1,4 +1,4 @@
-"""Join the operators' commands into one binary."""
+"""Assemble the operators' commands into one program."""
 
 import importlib.metadata
 import typing
@@ -10,7 +10,7 @@
 
 app = typer.Typer(
     name='zinnialead',
-    help='Drive zinnialead by tickets, and read back what is in force.',
+    help='Configure zinnialead by tickets, and show what is in force.',
     no_args_is_help=True,
 )
 app.command('check')(tickets.check)
@@ -24,8 +24,8 @@
 app.command('stop')(fleet.stop)
 
 
-def _version(wanted: bool) -> None:
-    if wanted:
+def _print_version(is_requested: bool) -> None:
+    if is_requested:
         typer.echo(importlib.metadata.version('zinnialead-cli'))
         raise typer.Exit
 
@@ -35,8 +35,8 @@
     version: typing.Annotated[
         bool,
         typer.Option(
-            '--version', callback=_version, help='Print the version.'
+            '--version', callback=_print_version, help='Print the version.'
         ),
     ] = False,
 ) -> None:
-    """Drive zinnialead by tickets, and read back what is in force."""
+    """Configure zinnialead by tickets, and show what is in force."""
--- a/packages/cli/src/zinnialead_cli/output.py
+++ b/packages/cli/src/zinnialead_cli/output.py
@@ -1,4 +1,4 @@
-"""Write for people and programs."""
+"""Print results, warnings and errors."""
 
 import typing
 
@@ -20,6 +20,6 @@
 
 
 def fail(text: str, code: const.ExitCode) -> typing.NoReturn:
-    """Print an error to standard error and end the command."""
+    """Print an error to standard error and exit with ``code``."""
     typer.echo(f'error: {text}', err=True)
     raise typer.Exit(code)
--- a/packages/cli/src/zinnialead_cli/tickets/__init__.py
+++ b/packages/cli/src/zinnialead_cli/tickets/__init__.py
@@ -1,1 +1,1 @@
-"""Check, plan, file and read back tickets."""
+"""Check, plan and file tickets, and show the state in force."""
--- a/packages/cli/src/zinnialead_cli/tickets/commands.py
+++ b/packages/cli/src/zinnialead_cli/tickets/commands.py
@@ -1,4 +1,4 @@
-"""Offer the commands on tickets."""
+"""Define the commands on tickets."""
 
 import pathlib
 import time
@@ -34,42 +34,42 @@
         typer.Argument(help='Tickets in sequence, from number 1.'),
     ],
 ) -> None:
-    """Check tickets by themselves, without the store.
+    """Check tickets without the store.
 
     Example: zinnialead check examples/umusozi/0001-deployment.json
     """
-    after = reading.folded(tickets.empty_state(), files)
-    typer.echo(f'{len(files)} tickets fit, up to number {after.number}')
+    after = reading.apply_files(tickets.empty_state(), files)
+    typer.echo(f'{len(files)} tickets are valid, up to number {after.number}')
 
 
 def plan(file: File, store: Store) -> None:
-    """Show what a ticket would change, and warn of what it would break.
+    """Show the changes of a ticket, and warn of their effects.
 
     Example: zinnialead plan drain.json --store 10.0.0.9:8090
     """
-    before = reading.state(store)
-    after = reading.folded(before, [file])
+    before = reading.read_state(store)
+    after = reading.apply_files(before, [file])
     _show_changes(before, after)
-    for warned in filing.warnings(before, after):
-        output.warn(f'{warned.path}: {warned.reason}')
+    for warning in filing.warnings(before, after):
+        output.warn(f'{warning.path}: {warning.reason}')
 
 
 def file_ticket(file: File, store: Store) -> None:
-    """File a ticket; it is in force whole, or refused whole.
+    """File a ticket, which takes effect as a whole or not at all.
 
     Example: zinnialead file drain.json --store 10.0.0.9:8090
     """
-    outcome = _file(reading.ticket(file), store)
+    outcome = _run_filing(reading.read_ticket(file), store)
     match outcome:
         case filing.Filed(number, again):
-            how = 'was filed before' if again else 'is in force'
-            typer.echo(f'ticket {number} {how}')
+            status = 'was filed before' if again else 'is in force'
+            typer.echo(f'ticket {number} {status}')
         case filing.Refused(problems):
-            reading.refuse(problems)
+            reading.fail_with_problems(problems)
         case filing.LostRace(winner):
             output.fail(
                 f'ticket {winner.number} was filed by {winner.operator}'
-                f' (digest {winner.digest}); nothing of yours is in force',
+                f' (digest {winner.digest}); your ticket is not in force',
                 const.ExitCode.LOST_RACE,
             )
         case filing.Unknown(detail):
@@ -85,7 +85,7 @@
 
     Example: zinnialead state --store 10.0.0.9:8090
     """
-    output.print_json(states.document(reading.state(store)))
+    output.print_json(states.document(reading.read_state(store)))
 
 
 def diff(
@@ -101,8 +101,8 @@
     Example: zinnialead diff deployment/ --store 10.0.0.9:8090
     """
     paths = sorted(directory.glob('[0-9]*.json'))
-    declared = reading.folded(tickets.empty_state(), paths)
-    in_force = reading.state(store)
+    declared = reading.apply_files(tickets.empty_state(), paths)
+    in_force = reading.read_state(store)
     if in_force.number != declared.number:
         typer.echo(
             f'in force: ticket {in_force.number};'
@@ -112,7 +112,7 @@
         raise typer.Exit(const.ExitCode.DIFFERENT)
 
 
-def _file(ticket: config.Ticket, address: str) -> filing.Outcome:
+def _run_filing(ticket: config.Ticket, address: str) -> filing.Outcome:
     steps = filing.file_ticket(ticket, time.time() * const.MS_PER_S)
     call = next(steps)
     try:
--- a/packages/cli/src/zinnialead_cli/tickets/reading.py
+++ b/packages/cli/src/zinnialead_cli/tickets/reading.py
@@ -11,43 +11,43 @@
 from zinnialead_core.components import tickets
 
 
-def ticket(path: pathlib.Path) -> config.Ticket:
-    """Return the ticket of a file, or end the command."""
-    found = config.load_ticket(path)
-    if found.is_error():
-        refuse(found.error)
-    return found.ok
-
-
-def state(address: str) -> tickets.State:
-    """Return the state in force in the store, or end the command."""
-    found = clients.call_store(address, store.Read(const.STATE_OBJECT))
-    match found:
+def read_ticket(path: pathlib.Path) -> config.Ticket:
+    """Return the ticket in a file, or exit with its problems."""
+    result = config.load_ticket(path)
+    if result.is_error():
+        fail_with_problems(result.error)
+    return result.ok
+
+
+def read_state(address: str) -> tickets.State:
+    """Return the state in force in the store, or exit with an error."""
+    result = clients.call_store(address, store.Read(const.STATE_OBJECT))
+    match result:
         case store.Found(_, value, _):
             decoded = config.decode_state(value)
         case store.Missing():
             return tickets.empty_state()
         case _:
-            output.fail(f'store: {found}', const.ExitCode.UNREACHABLE)
+            output.fail(f'store: {result}', const.ExitCode.UNREACHABLE)
     if decoded.is_error():
-        refuse(decoded.error)
+        fail_with_problems(decoded.error)
     return decoded.ok
 
 
-def folded(
+def apply_files(
     before: tickets.State, paths: abc.Iterable[pathlib.Path]
 ) -> tickets.State:
-    """Return the state after the tickets of files, or end the command."""
+    """Return the state after the tickets in files, or exit with problems."""
     after = before
     for path in paths:
-        found = config.fold(after, ticket(path))
-        if found.is_error():
-            refuse(found.error)
-        after = found.ok
+        result = config.fold(after, read_ticket(path))
+        if result.is_error():
+            fail_with_problems(result.error)
+        after = result.ok
     return after
 
 
-def refuse(found: config.Problems) -> None:
-    """End the command with what is wrong, a line for each field."""
-    lines = '\n'.join(map(str, found))
+def fail_with_problems(problems: config.Problems) -> None:
+    """Print the problems, one per line, and exit."""
+    lines = '\n'.join(map(str, problems))
     output.fail(f'refused:\n{lines}', const.ExitCode.REFUSED)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,4 +1,4 @@
-"""Run the operators' commands against a store kept in a list."""
+"""Run the operators' commands against an in-memory store."""
 
 import pathlib
 
@@ -17,22 +17,22 @@
 
 
 @pytest.fixture
-def held(monkeypatch):
-    versions = []
+def stored_versions(monkeypatch):
+    state_versions = []
     monkeypatch.setattr(
         clients,
         'call_store',
-        lambda _, call: test_filing.answer(call, versions),
+        lambda _, call: test_filing.answer(call, state_versions),
     )
     monkeypatch.setenv(const.STORE_VARIABLE, '127.0.0.1:1')
-    return versions
+    return state_versions
 
 
 def run(*arguments):
     return typer.testing.CliRunner().invoke(main.app, arguments)
 
 
-def test_a_ticket_is_planned_filed_and_read_back(held):
+def test_a_ticket_is_planned_filed_and_read_back(stored_versions):
     assert run('file', FIRST).output == 'ticket 1 is in force\n'
     planned = run('plan', SECOND)
     assert '+ drains.pricebook-1' in planned.output
@@ -43,20 +43,22 @@
     assert '"number": 2' in run('state').output
 
 
-def test_a_directory_that_differs_exits_with_one(held):
+def test_a_directory_that_differs_exits_with_status_one(stored_versions):
     run('file', FIRST)
     result = run('diff', str(EXAMPLES))
     assert result.exit_code == const.ExitCode.DIFFERENT
     assert 'in force: ticket 1' in result.output
 
 
-def test_a_bad_ticket_names_file_and_field(held, tmp_path):
+def test_the_problems_of_a_ticket_name_file_and_field(
+    stored_versions, tmp_path
+):
     path = tmp_path / 'bad.json'
     path.write_text('{"number": 1, "operator": "x", "ranks": {"r": 1}}')
     result = run('file', str(path))
     assert result.exit_code == const.ExitCode.REFUSED
     assert f'{path}: ranks.r' in result.output
-    assert held == []
+    assert stored_versions == []
 
 
 def test_a_store_without_answers_is_not_a_success(monkeypatch):
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -1,4 +1,4 @@
-"""Join what several entries say of the fleet."""
+"""Merge and show the views that entries have of the fleet."""
 
 import expression
 import typer.testing
@@ -8,7 +8,7 @@
 from zinnialead_cli import main
 
 
-def seen(entry: str, in_use: int | None, heard_ago_ms: float):
+def view(entry: str, in_use: int | None, heard_ago_ms: float):
     member = {
         'entry': 'e-1',
         'domain': 'd',
@@ -50,8 +50,8 @@
     }
 
 
-def test_views_are_joined():
-    merged = fleet.merge([seen('e-1', None, 9.0), seen('e-2', 4, 5.0)])
+def test_views_of_entries_are_merged():
+    merged = fleet.merge([view('e-1', None, 9.0), view('e-2', 4, 5.0)])
     assert merged['members'][0]['heard_ago_ms'] == 5.0
     assert merged['upstreams'][0]['in_use'] == 4
     assert merged['queues'][0]['queued'] == 2
@@ -61,11 +61,11 @@
     assert titles[0] == 'Entries (ticket 3 in force)'
 
 
-def test_what_is_in_force_is_read_without_the_store(monkeypatch):
-    asked = []
+def test_in_force_is_read_from_entries_without_the_store(monkeypatch):
+    calls = []
 
     def get(entry, path, kind):
-        asked.append((entry.address, entry.token, path))
+        calls.append((entry.address, entry.token, path))
         return expression.Ok({'number': 7})
 
     monkeypatch.setattr(clients, 'get', get)
@@ -73,4 +73,4 @@
         main.app, ['in-force', '--entry', 'a:1', '--token', 't']
     )
     assert '"number": 7' in result.output
-    assert asked == [('a:1', 't', '/v1/state')]
+    assert calls == [('a:1', 't', '/v1/state')]
