Reword the stand-ins

The caller's broke, last, number and dead are is_uncertain, last_refusal, attempt and unavailable; FINAL, SETTLED and BROKEN are PERMANENT_REFUSALS, KEY_UNDECIDED and CONNECTION_ERRORS; CachedRow is LookUpRow. The store's Asked is Request, EventRow.item and is_gone are document and is_removed, known is current, told is event_documents. The upstream's said, head and part are reply, response_headers and message. None of these fields is written out: the events of a watch are built key by key. Tests keep their assertions; names and heads are plainer.

--- a/packages/standins/src/zinnialead_standins/__init__.py
+++ b/packages/standins/src/zinnialead_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand in for the store, the upstreams and the callers."""
+"""Simulate the store, the upstreams and the callers for tests."""
--- a/packages/standins/src/zinnialead_standins/caller/__init__.py
+++ b/packages/standins/src/zinnialead_standins/caller/__init__.py
@@ -1,4 +1,4 @@
-"""Stand in for a caller that caches look-ups."""
+"""Simulate a caller that caches look-ups and repeats requests."""
 
 from zinnialead_standins.caller.coordinator import entry_addresses
 from zinnialead_standins.caller.coordinator import fresh_key
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -1,4 +1,4 @@
-"""Ask the system the way a well-behaved caller does."""
+"""Send work to entries the way a well-behaved caller does."""
 
 from collections import abc
 import functools
@@ -10,54 +10,56 @@
 from zinnialead_standins.caller import const
 from zinnialead_standins.caller import models
 
-BROKEN = (
+CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-BARRED = 'key-barred'
-REGISTRAR_DOWN = 'key-registrar-down'
-# Refusals that asking again does not change.
-FINAL = frozenset({'bad-request', 'unknown-service', 'unknown-rank'})
-# No later answer under this key says more.
-SETTLED = 'key-undecided'
+KEY_BARRED = 'key-barred'
+KEY_REGISTRAR_DOWN = 'key-registrar-down'
+# Refusals that a repeated request can not change.
+PERMANENT_REFUSALS = frozenset(
+    {'bad-request', 'unknown-service', 'unknown-rank'}
+)
+# The outcome stays unknown however often the key is repeated.
+KEY_UNDECIDED = 'key-undecided'
 STOPPING = 'stopping'
 SENT_EVENT = 'http11.send_request_headers.started'
-DECODER = msgspec.json.Decoder(models.LookUpDocument)
+LOOK_UP_DECODER = msgspec.json.Decoder(models.LookUpDocument)
 
 
 async def send(caller: models.Caller, work: models.Work) -> models.Outcome:
-    """Return what became of one piece of work, counted by its kind."""
+    """Send one piece of work; count and return its outcome."""
     started_ms = _now_ms()
-    answer = await _send_until_final(caller, work, started_ms)
-    kind = type(answer).__name__
+    outcome = await _send_until_final(caller, work, started_ms)
+    kind = type(outcome).__name__
     caller.outcomes[f'{work.rank}/{kind}'] += 1
-    return answer
+    return outcome
 
 
 async def entry_addresses(caller: models.Caller, service: str) -> list[str]:
-    """Return the addresses to use, from the cache while it is fresh."""
+    """Return the addresses of live entries, cached until they expire."""
     row = await _look_up(caller, service)
-    known = [] if row is None else row.document['choices']
-    alive = [
+    choices = [] if row is None else row.document['choices']
+    live = [
         choice['address']
-        for choice in known
-        if choice['address'] not in caller.dead
+        for choice in choices
+        if choice['address'] not in caller.unavailable
     ]
-    return alive or caller.seeds
+    return live or caller.seeds
 
 
 async def fresh_key(
     caller: models.Caller, service: str, address: str
 ) -> str | None:
-    """Return a new key with the prefix of the choice at an address."""
+    """Return a new key with the key prefix of the entry at an address."""
     row = await _look_up(caller, service)
-    known = [] if row is None else row.document['choices']
-    prefixes = {x['address']: x['key_prefix'] for x in known}
+    choices = [] if row is None else row.document['choices']
+    prefixes = {x['address']: x['key_prefix'] for x in choices}
     prefix = prefixes.get(address)
     if prefix is None:
         return None
-    nonce = f'{caller.random.getrandbits(48):x}-{next(caller.numbers)}'
+    nonce = f'{caller.random.getrandbits(48):x}-{next(caller.nonce_numbers)}'
     return f'{prefix}.{nonce}'
 
 
@@ -65,153 +67,163 @@
     caller: models.Caller, work: models.Work, started_ms: float
 ) -> models.Outcome:
     key = work.key
-    broke = False
-    last = models.NotRun('no-answer', 0.0)
-    for number in range(const.TRIES_MAX):
-        left_ms = work.deadline_ms - (_now_ms() - started_ms)
-        if left_ms <= 0.0:
+    is_uncertain = False
+    last_refusal = models.NotRun('no-answer', 0.0)
+    for attempt in range(const.ATTEMPTS_MAX):
+        remaining_ms = work.deadline_ms - (_now_ms() - started_ms)
+        if remaining_ms <= 0.0:
             break
         addresses = await entry_addresses(caller, work.service)
-        address = addresses[number % len(addresses)]
+        address = addresses[attempt % len(addresses)]
         if work.keyed and key is None:
             key = await fresh_key(caller, work.service, address)
-        match await _try(caller, work, address, key, left_ms, started_ms):
+        match await _attempt(
+            caller, work, address, key, remaining_ms, started_ms
+        ):
             case models.Broken(_, sent):
-                caller.dead.add(address)
-                # Only the same key, asked again, can tell what ran.
-                broke = broke or (sent and work.keyed)
-                key = key if broke else work.key
-            case models.NotRun(reason) as last if reason not in FINAL:
+                caller.unavailable.add(address)
+                # Only a repeat with the same key can tell whether it ran.
+                is_uncertain = is_uncertain or (sent and work.keyed)
+                key = key if is_uncertain else work.key
+            case models.NotRun(reason) as last_refusal if (
+                reason not in PERMANENT_REFUSALS
+            ):
                 if reason == STOPPING:
-                    caller.dead.add(address)
-                if not broke or reason == BARRED:
-                    key, broke = work.key, False
-                if reason in {BARRED, REGISTRAR_DOWN}:
-                    # A new look-up names registrars that are alive.
-                    caller.cached.pop(work.service, None)
+                    caller.unavailable.add(address)
+                if not is_uncertain or reason == KEY_BARRED:
+                    key, is_uncertain = work.key, False
+                if reason in {KEY_BARRED, KEY_REGISTRAR_DOWN}:
+                    # A new look-up returns the registrars that are up.
+                    caller.look_ups.pop(work.service, None)
                 await _pause(caller)
-            case models.MayHaveRun(reason) if work.keyed and reason != SETTLED:
-                broke = True
+            case models.MayHaveRun(reason) if (
+                work.keyed and reason != KEY_UNDECIDED
+            ):
+                is_uncertain = True
                 if reason == STOPPING:
-                    caller.dead.add(address)
+                    caller.unavailable.add(address)
                 await _pause(caller)
-            case answer:
-                return answer
-    if broke:
+            case outcome:
+                return outcome
+    if is_uncertain:
         return models.MayHaveRun('no-end-heard', _now_ms() - started_ms)
-    return last
+    return last_refusal
 
 
-async def _try(
+async def _attempt(
     caller: models.Caller,
     work: models.Work,
     address: str,
     key: str | None,
-    left_ms: float,
+    remaining_ms: float,
     started_ms: float,
 ) -> models.Outcome | models.Broken:
     events: list[str] = []
     extensions = {
-        'timeout': _timeouts(left_ms),
-        'trace': functools.partial(_trace, events),
+        'timeout': _timeouts(remaining_ms),
+        'trace': functools.partial(_record_event, events),
     }
     try:
-        answer = await caller.pool.request(
+        response = await caller.pool.request(
             'POST',
             f'http://{address}/v1/services/{work.service}/{work.name}',
-            headers=list(_headers(work, key, left_ms)),
+            headers=list(_headers(work, key, remaining_ms)),
             content=work.body,
             extensions=extensions,
         )
-    except BROKEN:
+    except CONNECTION_ERRORS:
         return models.Broken(address, SENT_EVENT in events)
-    return _read(work, answer, _now_ms() - started_ms)
+    return _classify(work, response, _now_ms() - started_ms)
 
 
-async def _trace(events: list[str], event: str, _: object) -> None:
+async def _record_event(events: list[str], event: str, _: object) -> None:
     events.append(event)
 
 
-def _timeouts(left_ms: float) -> models.Timeouts:
-    wait_s = (left_ms + const.GRACE_MS) / const.MS_PER_S
+def _timeouts(remaining_ms: float) -> models.Timeouts:
+    wait_s = (remaining_ms + const.DEADLINE_GRACE_MS) / const.MS_PER_S
     return models.Timeouts(
         connect=const.CONNECT_TIMEOUT_S, read=wait_s, write=wait_s
     )
 
 
 def _headers(
-    work: models.Work, key: str | None, left_ms: float
+    work: models.Work, key: str | None, remaining_ms: float
 ) -> abc.Iterator[tuple[bytes, bytes]]:
     yield const.HEADER_WORK, work.name.encode()
     yield b'zinnialead-rank', work.rank.encode()
-    yield b'zinnialead-deadline-ms', str(max(1, int(left_ms))).encode()
+    yield b'zinnialead-deadline-ms', str(max(1, int(remaining_ms))).encode()
     if key is not None:
         yield b'idempotency-key', key.encode()
 
 
-def _read(
-    work: models.Work, answer: httpcore.Response, elapsed_ms: float
+def _classify(
+    work: models.Work, response: httpcore.Response, elapsed_ms: float
 ) -> models.Outcome:
-    headers = dict(answer.headers)
+    headers = dict(response.headers)
     match headers.get(const.HEADER_VERDICT):
         case b'ran':
-            own = answer.content.split(b' ')[0] == work.name.encode()
-            if own or not answer.content:
-                return models.Ran(answer.status, elapsed_ms, answer.content)
-            return models.Crossed(answer.content, elapsed_ms)
+            is_own = response.content.split(b' ')[0] == work.name.encode()
+            if is_own or not response.content:
+                return models.Ran(
+                    response.status, elapsed_ms, response.content
+                )
+            return models.Crossed(response.content, elapsed_ms)
         case b'may-have-run':
-            return models.MayHaveRun(_reason(answer), elapsed_ms)
+            return models.MayHaveRun(_reason(response), elapsed_ms)
         case _:
-            return models.NotRun(_reason(answer), elapsed_ms)
+            return models.NotRun(_reason(response), elapsed_ms)
 
 
-def _reason(answer: httpcore.Response) -> str:
+def _reason(response: httpcore.Response) -> str:
     try:
-        document = msgspec.json.decode(answer.content, type=dict[str, object])
+        document = msgspec.json.decode(
+            response.content, type=dict[str, object]
+        )
     except msgspec.MsgspecError:
-        return str(answer.status)
-    return str(document.get('title', answer.status))
+        return str(response.status)
+    return str(document.get('title', response.status))
 
 
 async def _look_up(
     caller: models.Caller, service: str
-) -> models.CachedRow | None:
-    row = caller.cached.get(service)
+) -> models.LookUpRow | None:
+    row = caller.look_ups.get(service)
     if row is not None and row.expires_ms > _now_ms():
         return row
-    known = [] if row is None else row.document['choices']
-    addresses = [choice['address'] for choice in known] + caller.seeds
+    choices = [] if row is None else row.document['choices']
+    addresses = [choice['address'] for choice in choices] + caller.seeds
     for address in addresses:
         document = await _look_up_at(caller, service, address)
         if document is not None:
             expires_ms = _now_ms() + document['lifetime_ms']
-            caller.cached[service] = models.CachedRow(document, expires_ms)
-            return caller.cached[service]
+            caller.look_ups[service] = models.LookUpRow(document, expires_ms)
+            return caller.look_ups[service]
     return row
 
 
 async def _look_up_at(
     caller: models.Caller, service: str, address: str
 ) -> models.LookUpDocument | None:
-    if address in caller.dead:
+    if address in caller.unavailable:
         return None
     query = f'service={service}&domain={caller.domain}'
     wait_s = const.LOOK_UP_TIMEOUT_S
     timeout = models.Timeouts(connect=wait_s, read=wait_s, write=wait_s)
     try:
-        answer = await caller.pool.request(
+        response = await caller.pool.request(
             'GET',
             f'http://{address}/v1/look-up?{query}',
             extensions={'timeout': timeout},
         )
-        return DECODER.decode(answer.content)
-    except (*BROKEN, msgspec.MsgspecError):
-        caller.dead.add(address)
+        return LOOK_UP_DECODER.decode(response.content)
+    except (*CONNECTION_ERRORS, msgspec.MsgspecError):
+        caller.unavailable.add(address)
         return None
 
 
 async def _pause(caller: models.Caller) -> None:
-    pause_ms = caller.random.uniform(1.0, 2.0) * const.PAUSE_MIN_MS
+    pause_ms = caller.random.uniform(1.0, 2.0) * const.RETRY_PAUSE_MIN_MS
     await trio.sleep(pause_ms / const.MS_PER_S)
 
 
--- a/packages/standins/src/zinnialead_standins/caller/models.py
+++ b/packages/standins/src/zinnialead_standins/caller/models.py
@@ -1,4 +1,4 @@
-"""Define what a caller holds."""
+"""Define the work, outcomes and state of a caller."""
 
 import collections
 import dataclasses
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ran:
-    """Report a whole answer to the caller's own work."""
+    """Report a complete answer to the caller's own work."""
 
     status: int
     elapsed_ms: float
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
-    """Report a refusal that says that the work did not run."""
+    """Report a refusal; the work did not run."""
 
     reason: str
     elapsed_ms: float
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """Report that nobody can say whether the work ran."""
+    """Report that it is unknown whether the work ran."""
 
     reason: str
     elapsed_ms: float
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crossed:
-    """Report an answer to somebody else's work, or only part of one."""
+    """Report an answer to other work than the caller's, or part of one."""
 
     body: bytes
     elapsed_ms: float
@@ -44,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """Report a connection that ended before the answer did."""
+    """Report a connection that failed before the answer was complete."""
 
     address: str
     sent: bool
@@ -54,7 +54,10 @@
 
 
 class Work(typing.NamedTuple):
-    """Describe one piece of work; ``name`` is unique."""
+    """Describe one piece of work by a unique ``name``.
+
+    Keyed work carries an idempotency key: ``key``, or else a new one.
+    """
 
     name: str
     service: str
@@ -66,7 +69,7 @@
 
 
 class ChoiceDocument(typing.TypedDict):
-    """Name one entry that may be used."""
+    """Describe an entry that the caller may use."""
 
     entry: str
     domain: str
@@ -75,22 +78,22 @@
 
 
 class LookUpDocument(typing.TypedDict):
-    """Hold the answer of a look-up."""
+    """Hold the answer to a look-up."""
 
     choices: list[ChoiceDocument]
     lifetime_ms: float
 
 
 class Timeouts(typing.TypedDict):
-    """Bound the steps of one call in seconds."""
+    """Limit the steps of one call, in seconds."""
 
     connect: float
     read: float
     write: float
 
 
-class CachedRow(typing.NamedTuple):
-    """Hold a look-up's answer until it expires."""
+class LookUpRow(typing.NamedTuple):
+    """Hold the answer to a look-up and when it expires."""
 
     document: LookUpDocument
     expires_ms: float
@@ -98,15 +101,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Caller:
-    """Hold a caller's cached answers, and what it saw."""
+    """Hold a caller's cached look-ups and the counts of its outcomes."""
 
     domain: str
     seeds: list[str]
     pool: httpcore.AsyncConnectionPool
     random: random.Random
-    cached: dict[str, CachedRow]
-    dead: set[str]
-    numbers: 'itertools.count[int]'
+    look_ups: dict[str, LookUpRow]
+    unavailable: set[str]
+    nonce_numbers: 'itertools.count[int]'
     outcomes: 'collections.Counter[str]'
 
 
@@ -116,14 +119,14 @@
     pool: httpcore.AsyncConnectionPool,
     seed: int = 1,
 ) -> Caller:
-    """Return a caller that knows some entries' addresses."""
+    """Return a caller that starts from the addresses of some entries."""
     return Caller(
         domain=domain,
         seeds=list(seeds),
         pool=pool,
         random=random.Random(f'{seed}/{domain}'),
-        cached={},
-        dead=set(),
-        numbers=itertools.count(1),
+        look_ups={},
+        unavailable=set(),
+        nonce_numbers=itertools.count(1),
         outcomes=collections.Counter(),
     )
--- a/packages/standins/src/zinnialead_standins/store/__init__.py
+++ b/packages/standins/src/zinnialead_standins/store/__init__.py
@@ -1,4 +1,4 @@
-"""Stand in for the platform's store."""
+"""Simulate the platform's store."""
 
 from zinnialead_standins.store.coordinator import answer
 from zinnialead_standins.store.coordinator import asgi_app
--- a/packages/standins/src/zinnialead_standins/store/const.py
+++ b/packages/standins/src/zinnialead_standins/store/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the store stand-in."""
+"""Define the constants of the store stand-in."""
 
 OBJECTS_PREFIX = '/objects/'
 VALUE_MAX_BYTES = 1_048_576
--- a/packages/standins/src/zinnialead_standins/store/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/store/coordinator.py
@@ -14,8 +14,8 @@
 JSON = [(b'content-type', b'application/json')]
 
 
-class Asked(typing.NamedTuple):
-    """Hold one call; ``name`` is empty for a whole kind."""
+class Request(typing.NamedTuple):
+    """Hold one request; ``name`` is empty for all objects of a kind."""
 
     method: str
     kind: str
@@ -30,47 +30,47 @@
 
 
 def forget_before(store: models.Store, revision: int) -> None:
-    """Answer watches from an older revision with 410."""
+    """Drop the older history: watches from before ``revision`` get 410."""
     store.oldest_revision = revision
-    _wake(store)
+    _wake_watches(store)
 
 
 def set_condition(store: models.Store, condition: models.Condition) -> None:
-    """Let the store fail, or work, in another way from now on."""
+    """Set the way the store works or fails from now on."""
     store.condition = condition
-    _wake(store)
+    _wake_watches(store)
 
 
 def put(store: models.Store, kind: str, name: str, spec: object) -> int:
     """Write an object; return its revision."""
-    known = store.objects[kind].get(name)
-    if known is not None and known['spec'] == spec:
-        return known['metadata']['rev']
+    current = store.objects[kind].get(name)
+    if current is not None and current['spec'] == spec:
+        return current['metadata']['rev']
     store.revision += 1
-    item: models.ObjectDocument = {
+    document: models.ObjectDocument = {
         'metadata': {'name': name, 'rev': store.revision},
         'spec': spec,
     }
-    store.objects[kind][name] = item
-    row = models.EventRow(store.revision, kind, item, is_gone=False)
+    store.objects[kind][name] = document
+    row = models.EventRow(store.revision, kind, document, is_removed=False)
     store.events.append(row)
-    _wake(store)
+    _wake_watches(store)
     return store.revision
 
 
 def remove(store: models.Store, kind: str, name: str) -> None:
     """Remove an object."""
     store.revision += 1
-    item = store.objects[kind].pop(name)
-    row = models.EventRow(store.revision, kind, item, is_gone=True)
+    document = store.objects[kind].pop(name)
+    row = models.EventRow(store.revision, kind, document, is_removed=True)
     store.events.append(row)
-    _wake(store)
+    _wake_watches(store)
 
 
 async def answer(
     store: models.Store, method: str, target: str, body: bytes
 ) -> models.Reply | None:
-    """Return the answer of a call, None where it is lost."""
+    """Return the reply to a call, or None if the reply is lost."""
     url = urllib.parse.urlsplit(target)
     if not url.path.startswith(const.OBJECTS_PREFIX):
         return models.Reply(404)
@@ -86,7 +86,7 @@
             await trio.sleep_forever()
         case models.Slow(delay_ms):
             await trio.sleep(delay_ms / const.MS_PER_S)
-    reply = await _act(store, Asked(method, kind, name, query, body))
+    reply = await _dispatch(store, Request(method, kind, name, query, body))
     if isinstance(store.condition, models.LosesAnswers) and method != 'GET':
         store.calls['lost'] += 1
         return None
@@ -106,25 +106,25 @@
     target = f'{scope["path"]}?{scope["query_string"].decode()}'
     reply = await answer(store, scope['method'], target, body)
     if reply is None:
-        # A body that never comes ends the connection.
+        # A missing body makes the server close the connection.
         await http.start_response(send, 200, [(b'content-length', b'1')])
         return
     await http.respond(send, reply.status, JSON, reply.body)
 
 
-async def _act(store: models.Store, asked: Asked) -> models.Reply:
-    match asked.method:
-        case 'GET' if 'watch' in asked.query:
-            return await _watch(store, asked)
-        case 'GET' if asked.name:
-            found = store.objects[asked.kind].get(asked.name)
+async def _dispatch(store: models.Store, request: Request) -> models.Reply:
+    match request.method:
+        case 'GET' if 'watch' in request.query:
+            return await _watch(store, request)
+        case 'GET' if request.name:
+            found = store.objects[request.kind].get(request.name)
             return _reply(200, found) if found else models.Reply(404)
         case 'GET':
-            return _page(store, asked)
+            return _page(store, request)
         case 'POST' | 'PUT':
-            return _write(store, asked)
+            return _write(store, request)
         case 'DELETE':
-            return _delete(store, asked)
+            return _delete(store, request)
     return models.Reply(405)
 
 
@@ -132,76 +132,85 @@
     return models.Reply(status, msgspec.json.encode(document))
 
 
-def _page(store: models.Store, asked: Asked) -> models.Reply:
-    after = asked.query.get('after', '')
-    known = store.objects[asked.kind]
-    names = sorted(name for name in known if name > after)
+def _page(store: models.Store, request: Request) -> models.Reply:
+    after = request.query.get('after', '')
+    objects = store.objects[request.kind]
+    names = sorted(name for name in objects if name > after)
     page = {
-        'items': [known[name] for name in names[: const.PAGE_ITEMS_MAX]],
+        'items': [objects[name] for name in names[: const.PAGE_ITEMS_MAX]],
         'has_more': len(names) > const.PAGE_ITEMS_MAX,
         'current_rev': store.revision,
     }
     return _reply(200, page)
 
 
-async def _watch(store: models.Store, asked: Asked) -> models.Reply:
-    since = int(asked.query['watch'])
-    wait_ms = int(asked.query.get('wait_ms', const.WATCH_MAX_MS))
+async def _watch(store: models.Store, request: Request) -> models.Reply:
+    since_revision = int(request.query['watch'])
+    wait_ms = int(request.query.get('wait_ms', const.WATCH_MAX_MS))
     wait_s = min(wait_ms, const.WATCH_MAX_MS) / const.MS_PER_S
     events: list[models.EventRow] = []
     with trio.move_on_after(wait_s):
         while not events:
-            if since < store.oldest_revision:
+            if since_revision < store.oldest_revision:
                 return models.Reply(410)
-            events = _seen(store, asked.kind, since)
+            events = _events_after(store, request.kind, since_revision)
             if not events:
                 await store.changed.wait()
-    told = [{'object': x.item, 'deleted': x.is_gone} for x in events]
-    revision = store.revision if events else since
-    return _reply(200, {'events': told, 'current_rev': revision})
+    event_documents = [
+        {'object': event.document, 'deleted': event.is_removed}
+        for event in events
+    ]
+    revision = store.revision if events else since_revision
+    return _reply(200, {'events': event_documents, 'current_rev': revision})
 
 
-def _seen(store: models.Store, kind: str, since: int) -> list[models.EventRow]:
+def _events_after(
+    store: models.Store, kind: str, since_revision: int
+) -> list[models.EventRow]:
     if isinstance(store.condition, models.WithholdsEvents):
         return []
-    return [x for x in store.events if x.revision > since and x.kind == kind]
+    return [
+        event
+        for event in store.events
+        if event.revision > since_revision and event.kind == kind
+    ]
 
 
-def _write(store: models.Store, asked: Asked) -> models.Reply:
+def _write(store: models.Store, request: Request) -> models.Reply:
     try:
-        document = msgspec.json.decode(asked.body)
+        document = msgspec.json.decode(request.body)
         metadata = document['metadata']
         name = metadata['name']
         spec = document['spec']
     except (msgspec.MsgspecError, KeyError, TypeError):
         return models.Reply(400)
-    known = store.objects[asked.kind].get(name)
-    is_new = asked.method == 'POST'
-    if known is None and not is_new:
+    current = store.objects[request.kind].get(name)
+    is_new = request.method == 'POST'
+    if current is None and not is_new:
         return models.Reply(404)
-    if known is not None and (
-        is_new or not _is_at(known, metadata.get('rev'))
+    if current is not None and (
+        is_new or not _is_at(current, metadata.get('rev'))
     ):
-        return _reply(409, known)
-    put(store, asked.kind, name, spec)
-    return _reply(201 if is_new else 200, store.objects[asked.kind][name])
+        return _reply(409, current)
+    put(store, request.kind, name, spec)
+    return _reply(201 if is_new else 200, store.objects[request.kind][name])
 
 
-def _delete(store: models.Store, asked: Asked) -> models.Reply:
-    known = store.objects[asked.kind].get(asked.name)
-    if known is None:
+def _delete(store: models.Store, request: Request) -> models.Reply:
+    current = store.objects[request.kind].get(request.name)
+    if current is None:
         return models.Reply(404)
-    if not _is_at(known, asked.query.get('rev')):
-        return _reply(409, known)
-    remove(store, asked.kind, asked.name)
-    return _reply(200, known)
+    if not _is_at(current, request.query.get('rev')):
+        return _reply(409, current)
+    remove(store, request.kind, request.name)
+    return _reply(200, current)
 
 
-def _is_at(known: models.ObjectDocument, revision: object) -> bool:
-    """Return whether an object is at the revision that a call names."""
-    return revision is None or str(known['metadata']['rev']) == str(revision)
+def _is_at(current: models.ObjectDocument, revision: object) -> bool:
+    """Return whether an object is at the revision of a request, if any."""
+    return revision is None or str(current['metadata']['rev']) == str(revision)
 
 
-def _wake(store: models.Store) -> None:
+def _wake_watches(store: models.Store) -> None:
     store.changed.set()
     store.changed = trio.Event()
--- a/packages/standins/src/zinnialead_standins/store/models.py
+++ b/packages/standins/src/zinnialead_standins/store/models.py
@@ -1,4 +1,4 @@
-"""Define what the store stand-in holds."""
+"""Define the objects and conditions of the store stand-in."""
 
 import collections
 import dataclasses
@@ -11,39 +11,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Up:
-    """Answer each call."""
+    """Answer every call."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Down:
-    """Answer no call but with 503."""
+    """Answer every call with 503."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Busy:
-    """Answer no call but with 429."""
+    """Answer every call with 429."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """Answer no call."""
+    """Leave every call without an answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slow:
-    """Answer each call late."""
+    """Answer every call after a delay."""
 
     delay_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LosesAnswers:
-    """Take each write into effect and lose its answer."""
+    """Apply every write and lose the reply."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WithholdsEvents:
-    """Let no watch see a change."""
+    """Withhold changes from watches until the condition ends."""
 
 
 Condition = Up | Down | Busy | Silent | Slow | LosesAnswers | WithholdsEvents
@@ -57,7 +57,7 @@
 
 
 class ObjectDocument(typing.TypedDict):
-    """Hold an object as it is read."""
+    """Hold an object in the form of the API."""
 
     metadata: MetadataDocument
     spec: object
@@ -68,12 +68,12 @@
 
     revision: int
     kind: str
-    item: ObjectDocument
-    is_gone: bool
+    document: ObjectDocument
+    is_removed: bool
 
 
 class Reply(typing.NamedTuple):
-    """Hold one answer."""
+    """Hold the status and body of one reply."""
 
     status: int
     body: bytes = b''
--- a/packages/standins/src/zinnialead_standins/upstream/__init__.py
+++ b/packages/standins/src/zinnialead_standins/upstream/__init__.py
@@ -1,4 +1,4 @@
-"""Stand in for an upstream."""
+"""Simulate an upstream."""
 
 from zinnialead_standins.upstream.coordinator import asgi_app
 from zinnialead_standins.upstream.models import Behaviour
--- a/packages/standins/src/zinnialead_standins/upstream/const.py
+++ b/packages/standins/src/zinnialead_standins/upstream/const.py
@@ -1,4 +1,4 @@
-"""Hold the constants of the upstream stand-in."""
+"""Define the constants of the upstream stand-in."""
 
 MS_PER_S = 1_000.0
 BODY_MAX_BYTES = 67_108_864
@@ -12,6 +12,6 @@
 HEADER_SHED = b'zinnialead-shed'
 NEVER_STARTED = b'never-started'
 STARTED = b'started'
-# A cut answer shows this many bytes fewer than it announced.
-CUT_BYTES = 1
+# How much shorter a truncated answer is than its content-length.
+TRUNCATED_BYTES = 1
 REQUESTS_REMEMBERED_MAX = 100_000
--- a/packages/standins/src/zinnialead_standins/upstream/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/upstream/coordinator.py
@@ -1,4 +1,4 @@
-"""Serve work the way upstreams do, with their faults."""
+"""Serve work the way upstreams do, with injected faults."""
 
 import functools
 
@@ -18,7 +18,7 @@
 
 
 def now_ms() -> float:
-    """Return the time of this run of trio, under a mock clock too."""
+    """Return the current time of trio, whose clock may be simulated."""
     return trio.current_time() * const.MS_PER_S
 
 
@@ -34,17 +34,17 @@
             leaving = isinstance(upstream.behaviour, models.Draining)
             await http.respond(send, 503 if leaving else 200, [], b'')
         case const.LOAD_PATH:
-            await http.respond(send, 200, [], _load(upstream))
+            await http.respond(send, 200, [], _load_report(upstream))
         case const.CANCEL_PATH:
-            said = _cancel(upstream, headers.get(const.HEADER_REQUEST, b''))
-            await http.respond(send, 200, [], said)
+            reply = _cancel(upstream, headers.get(const.HEADER_REQUEST, b''))
+            await http.respond(send, 200, [], reply)
         case _:
             body = await http.read_body(receive, const.BODY_MAX_BYTES)
             if body is not None:
-                await _work(upstream, headers, send)
+                await _serve_work(upstream, headers, send)
 
 
-def _load(upstream: models.Upstream) -> bytes:
+def _load_report(upstream: models.Upstream) -> bytes:
     match upstream.report:
         case models.TrueLoad():
             in_flight = upstream.in_flight
@@ -58,12 +58,12 @@
 def _cancel(upstream: models.Upstream, request: bytes) -> bytes:
     if upstream.requests.get(request) is models.Phase.STARTED:
         return const.STARTED
-    # Also a request that has not come yet will not start any more.
+    # A request that has not arrived yet is also kept from starting.
     _remember(upstream, request, models.Phase.CANCELLED)
     return const.NEVER_STARTED
 
 
-async def _work(
+async def _serve_work(
     upstream: models.Upstream,
     headers: dict[bytes, bytes],
     send: http.Send,
@@ -85,7 +85,7 @@
             await trio.sleep_forever()
     finally:
         upstream.in_flight -= 1
-    await _answer(upstream, headers, send)
+    await _send_answer(upstream, headers, send)
 
 
 async def _may_start(
@@ -97,9 +97,9 @@
     delay_ms = upstream.profile.start_delay_ms
     if delay_ms:
         await trio.sleep(delay_ms / const.MS_PER_S)
-    left_ms = float(headers.get(const.HEADER_DEADLINE, b'inf'))
+    remaining_ms = float(headers.get(const.HEADER_DEADLINE, b'inf'))
     cancelled = upstream.requests.get(request) is models.Phase.CANCELLED
-    return left_ms > delay_ms and not cancelled
+    return remaining_ms > delay_ms and not cancelled
 
 
 def _start(
@@ -130,23 +130,23 @@
     await http.respond(send, 503, [SHED], b'')
 
 
-async def _answer(
+async def _send_answer(
     upstream: models.Upstream, headers: dict[bytes, bytes], send: http.Send
 ) -> None:
     work = headers.get(const.HEADER_WORK, b'')
     body = work + b' ' + upstream.name.encode()
     body = body.ljust(upstream.profile.answer_bytes, b'.')
-    head = [
+    response_headers = [
         (b'content-type', b'text/plain'),
         (b'content-length', str(len(body)).encode()),
         (const.HEADER_WORK, work),
     ]
     if isinstance(upstream.behaviour, models.Truncating):
-        await http.start_response(send, 200, head)
-        part = {'type': 'http.response.body', 'more_body': True}
-        await send({**part, 'body': body[: -const.CUT_BYTES]})
+        await http.start_response(send, 200, response_headers)
+        message = {'type': 'http.response.body', 'more_body': True}
+        await send({**message, 'body': body[: -const.TRUNCATED_BYTES]})
         return
-    await http.respond(send, 200, head, body)
+    await http.respond(send, 200, response_headers, body)
 
 
 def _remember(
--- a/packages/standins/src/zinnialead_standins/upstream/models.py
+++ b/packages/standins/src/zinnialead_standins/upstream/models.py
@@ -1,4 +1,4 @@
-"""Define what an upstream stand-in holds."""
+"""Define the behaviour and state of an upstream stand-in."""
 
 import dataclasses
 import enum
@@ -18,12 +18,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """Take work, run it, and never answer."""
+    """Run work and never answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Truncating:
-    """Run work and cut its answer short."""
+    """Run work and truncate the answer."""
 
 
 Behaviour = Serving | Draining | Silent | Truncating
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FixedLoad:
-    """Report the same load whatever happens."""
+    """Report the same load at all times."""
 
     in_flight: int
 
@@ -45,7 +45,7 @@
 
 
 class Phase(enum.Enum):
-    """Say how far a request came."""
+    """Define the progress of a request."""
 
     WAITING = 'waiting'
     STARTED = 'started'
@@ -53,7 +53,10 @@
 
 
 class WorkProfile(typing.NamedTuple):
-    """Say how long work takes; the first ``cold_runs`` take longer."""
+    """Describe the slots, run times and answer size of an upstream.
+
+    The first ``cold_runs`` take ``cold_factor`` times as long on average.
+    """
 
     slots: int
     service_time_ms: float
@@ -73,14 +76,14 @@
 
 
 class Ledger(typing.NamedTuple):
-    """Hold every run by its work, over all upstreams."""
+    """Hold the runs of each piece of work on all upstreams."""
 
     runs: dict[str, list[RunRow]]
 
 
 @dataclasses.dataclass(slots=True)
 class Upstream:
-    """Hold one upstream's work in flight and how it behaves."""
+    """Hold the behaviour, counts and requests of one upstream."""
 
     name: str
     profile: WorkProfile
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -1,4 +1,4 @@
-"""Let the caller stand-in ask entries that fail in their ways."""
+"""Send work with the caller stand-in to entries that fail."""
 
 import functools
 import random
@@ -10,11 +10,11 @@
 from zinnialead_daemon import http
 from zinnialead_standins import caller as callers
 
-NOBODY = '127.0.0.1:1'
+UNUSED_ADDRESS = '127.0.0.1:1'
 
 
 class Entry:
-    """Answer look-ups with ``choices``, and work by ``verdicts``."""
+    """Answer look-ups with ``choices``, and work with ``verdicts``."""
 
     def __init__(self):
         self.choices = []
@@ -48,7 +48,7 @@
         )
 
 
-async def started(nursery):
+async def start_entry(nursery):
     entry = Entry()
     run = functools.partial(
         http.serve, entry.serve, '127.0.0.1:0', trio.sleep_forever
@@ -63,59 +63,59 @@
 
 REFUSED = (503, b'not-run', b'{"title": "queue-full"}')
 RAN = (200, b'ran', b'w-1 done')
-CUT = (None, None, None)
+TRUNCATED = (None, None, None)
 
 
-async def ask(caller, **parts):
+async def send_work(caller, **parts):
     work = callers.Work('w-1', 'intake', 'urgent', True, **parts)
     return await callers.send(caller, work)
 
 
-async def test_a_refusal_is_tried_again_with_a_fresh_key(nursery):
-    entry, caller = await started(nursery)
+async def test_a_refused_request_is_repeated_with_a_new_key(nursery):
+    entry, caller = await start_entry(nursery)
     entry.verdicts = [REFUSED, RAN]
-    assert isinstance(await ask(caller), callers.Ran)
+    assert isinstance(await send_work(caller), callers.Ran)
     assert len(set(entry.keys)) == 2
     assert all(key.startswith(b'z1.e.') for key in entry.keys)
     nursery.cancel_scope.cancel()
 
 
-async def test_a_broken_answer_is_asked_for_with_the_same_key(nursery):
-    entry, caller = await started(nursery)
-    entry.verdicts = [CUT, REFUSED, RAN]
-    assert isinstance(await ask(caller), callers.Ran)
+async def test_a_truncated_answer_is_requested_with_the_same_key(nursery):
+    entry, caller = await start_entry(nursery)
+    entry.verdicts = [TRUNCATED, REFUSED, RAN]
+    assert isinstance(await send_work(caller), callers.Ran)
     assert len(set(entry.keys)) == 1
     nursery.cancel_scope.cancel()
 
 
-async def test_work_whose_end_is_unknown_is_not_sent_again(nursery):
-    entry, caller = await started(nursery)
+async def test_work_with_an_undecided_key_is_not_sent_again(nursery):
+    entry, caller = await start_entry(nursery)
     entry.verdicts = [(409, b'may-have-run', b'{"title": "key-undecided"}')]
-    assert isinstance(await ask(caller), callers.MayHaveRun)
+    assert isinstance(await send_work(caller), callers.MayHaveRun)
     assert len(entry.keys) == 1
     nursery.cancel_scope.cancel()
 
 
 async def test_work_that_may_have_run_keeps_its_key(nursery):
-    entry, caller = await started(nursery)
+    entry, caller = await start_entry(nursery)
     lost = (502, b'may-have-run', b'{"title": "upstream-lost"}')
     entry.verdicts = [lost, REFUSED, RAN]
-    assert isinstance(await ask(caller), callers.Ran)
+    assert isinstance(await send_work(caller), callers.Ran)
     assert len(set(entry.keys)) == 1
     nursery.cancel_scope.cancel()
 
 
-async def test_a_dead_entry_is_left_at_once(nursery):
-    entry, caller = await started(nursery)
-    entry.choices.insert(0, NOBODY)
+async def test_an_unavailable_entry_is_skipped_at_once(nursery):
+    entry, caller = await start_entry(nursery)
+    entry.choices.insert(0, UNUSED_ADDRESS)
     entry.verdicts = [RAN]
-    assert isinstance(await ask(caller), callers.Ran)
-    assert caller.dead == {NOBODY}
+    assert isinstance(await send_work(caller), callers.Ran)
+    assert caller.unavailable == {UNUSED_ADDRESS}
     nursery.cancel_scope.cancel()
 
 
-async def test_an_answer_to_other_work_is_seen(nursery):
-    entry, caller = await started(nursery)
+async def test_an_answer_to_other_work_is_detected(nursery):
+    entry, caller = await start_entry(nursery)
     entry.verdicts = [(200, b'ran', b'w-2 done')]
-    assert isinstance(await ask(caller), callers.Crossed)
+    assert isinstance(await send_work(caller), callers.Crossed)
     nursery.cancel_scope.cancel()
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -1,4 +1,4 @@
-"""Write to the store stand-in the way the store's clients do."""
+"""Call the store stand-in the way the store's clients do."""
 
 import functools
 
@@ -15,7 +15,7 @@
 KIND = '/objects/state'
 
 
-async def served(nursery):
+async def start_store(nursery):
     store = stores.new_store()
     app = stores.asgi_app(store)
     run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
@@ -28,22 +28,24 @@
         metadata['rev'] = revision
     document = {'metadata': metadata, 'spec': spec}
     async with httpcore.AsyncConnectionPool() as pool:
-        answer = await pool.request(
+        response = await pool.request(
             method,
             f'http://{address}{path}',
             content=msgspec.json.encode(document) if spec else None,
         )
-    read = msgspec.json.decode(answer.content) if answer.content else None
-    return answer.status, read
+    decoded = (
+        msgspec.json.decode(response.content) if response.content else None
+    )
+    return response.status, decoded
 
 
 async def test_updates_are_conditional(nursery):
-    store, address = await served(nursery)
+    store, address = await start_store(nursery)
     assert (await call(address, 'GET', STATE))[0] == 404
     assert (await call(address, 'PUT', STATE, {'n': 1}))[0] == 404
-    status, made = await call(address, 'POST', KIND, {'n': 1})
-    assert (status, made['spec']) == (201, {'n': 1})
-    first = made['metadata']['rev']
+    status, created = await call(address, 'POST', KIND, {'n': 1})
+    assert (status, created['spec']) == (201, {'n': 1})
+    first = created['metadata']['rev']
     status, found = await call(address, 'POST', KIND, {'n': 2})
     assert (status, found['metadata']['rev']) == (409, first)
     assert (await call(address, 'PUT', STATE, {'n': 2}, 99))[0] == 409
@@ -55,8 +57,8 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_write_that_changes_nothing_is_no_change(nursery):
-    store, address = await served(nursery)
+async def test_a_write_of_the_same_value_keeps_the_revision(nursery):
+    store, address = await start_store(nursery)
     await call(address, 'POST', KIND, {'n': 1})
     revision = store.revision
     assert (await call(address, 'PUT', STATE, {'n': 1}))[0] == 200
@@ -65,34 +67,34 @@
 
 
 async def test_a_watch_waits_for_a_newer_revision(nursery):
-    store, address = await served(nursery)
-    seen = []
+    store, address = await start_store(nursery)
+    responses = []
 
     async def watch(revision, wait_ms=5_000):
         query = f'?watch={revision}&wait_ms={wait_ms}'
-        seen.append(await call(address, 'GET', KIND + query))
+        responses.append(await call(address, 'GET', KIND + query))
 
     async with trio.open_nursery() as watches:
         watches.start_soon(watch, store.revision)
         await trio.sleep(0.1)
         stores.put(store, 'other', 'x', 1)
         await call(address, 'POST', KIND, {'n': 1})
-    (event,) = seen[0][1]['events']
+    (event,) = responses[0][1]['events']
     assert event['object']['metadata']['rev'] == store.revision
     assert not event['deleted']
     await watch(store.revision, 50)
-    assert seen[1][1] == {'events': [], 'current_rev': store.revision}
+    assert responses[1][1] == {'events': [], 'current_rev': store.revision}
     stores.remove(store, 'state', 'state')
     await watch(store.revision - 1)
-    assert seen[2][1]['events'][0]['deleted']
+    assert responses[2][1]['events'][0]['deleted']
     stores.forget_before(store, 9)
     await watch(1)
-    assert seen[3][0] == 410
+    assert responses[3][0] == 410
     nursery.cancel_scope.cancel()
 
 
 async def test_a_kind_is_listed_in_pages(nursery):
-    store, address = await served(nursery)
+    store, address = await start_store(nursery)
     names = [f'e{n:04}' for n in range(const.PAGE_ITEMS_MAX + 3)]
     for name in names:
         stores.put(store, 'vms', name, {})
@@ -106,8 +108,8 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_the_store_fails_in_the_ways_it_is_told(nursery):
-    store, address = await served(nursery)
+async def test_the_store_fails_as_its_condition_says(nursery):
+    store, address = await start_store(nursery)
     stores.set_condition(store, stores.Down())
     assert (await call(address, 'POST', KIND, {'n': 1}))[0] == 503
     stores.set_condition(store, stores.Busy())
@@ -124,8 +126,8 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_deaf_watch_hears_of_changes_later(nursery):
-    store, address = await served(nursery)
+async def test_withheld_events_are_delivered_later(nursery):
+    store, address = await start_store(nursery)
     stores.set_condition(store, stores.WithholdsEvents())
     stores.put(store, 'state', 'state', {'n': 1})
     watch = f'{KIND}?watch=1&wait_ms=100'
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -1,4 +1,4 @@
-"""Ask the upstream stand-in for work."""
+"""Send work to the upstream stand-in."""
 
 import functools
 
@@ -9,12 +9,12 @@
 from zinnialead_standins import upstream as upstreams
 
 
-async def served(nursery, **parts):
+async def start_upstream(nursery, **parts):
     profile = upstreams.WorkProfile(1, 0.0, **parts)
-    made = upstreams.new_upstream('u-1', profile, upstreams.new_ledger())
-    app = upstreams.asgi_app(made)
+    upstream = upstreams.new_upstream('u-1', profile, upstreams.new_ledger())
+    app = upstreams.asgi_app(upstream)
     run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
-    return made, await nursery.start(run)
+    return upstream, await nursery.start(run)
 
 
 async def call(address, path, *headers):
@@ -25,40 +25,40 @@
 
 
 async def test_every_run_is_recorded_by_its_work(nursery):
-    made, address = await served(nursery)
+    upstream, address = await start_upstream(nursery)
     for _ in range(2):
-        answer = await call(address, '/book', (b'x-work-id', b'w-1'))
-        assert answer.content.startswith(b'w-1 u-1')
-    assert len(made.ledger.runs['w-1']) == 2
+        response = await call(address, '/book', (b'x-work-id', b'w-1'))
+        assert response.content.startswith(b'w-1 u-1')
+    assert len(upstream.ledger.runs['w-1']) == 2
     nursery.cancel_scope.cancel()
 
 
-async def test_a_draining_upstream_sheds_and_says_so(nursery):
-    made, address = await served(nursery)
-    made.behaviour = upstreams.Draining()
-    answer = await call(address, '/book', (b'x-work-id', b'w-1'))
-    assert (b'zinnialead-shed', b'1') in answer.headers
+async def test_a_draining_upstream_sheds_and_reports_that_it_leaves(nursery):
+    upstream, address = await start_upstream(nursery)
+    upstream.behaviour = upstreams.Draining()
+    response = await call(address, '/book', (b'x-work-id', b'w-1'))
+    assert (b'zinnialead-shed', b'1') in response.headers
     assert b'"leaving":true' in (await call(address, '/load')).content
-    assert not made.ledger.runs
+    assert not upstream.ledger.runs
     nursery.cancel_scope.cancel()
 
 
 async def test_a_cancelled_request_never_starts(nursery):
-    made, address = await served(nursery)
+    upstream, address = await start_upstream(nursery)
     name = (b'zinnialead-request-id', b'e.1.1.1')
-    said = await call(address, '/zinnialead/cancel', name)
-    assert said.content == b'never-started'
+    response = await call(address, '/zinnialead/cancel', name)
+    assert response.content == b'never-started'
     assert (await call(address, '/book', name)).status == 503
     other = (b'zinnialead-request-id', b'e.1.2.1')
     await call(address, '/book', other)
-    said = await call(address, '/zinnialead/cancel', other)
-    assert said.content == b'started'
+    response = await call(address, '/zinnialead/cancel', other)
+    assert response.content == b'started'
     nursery.cancel_scope.cancel()
 
 
 async def test_work_past_its_deadline_is_shed(nursery):
-    made, address = await served(nursery, start_delay_ms=5.0)
+    upstream, address = await start_upstream(nursery, start_delay_ms=5.0)
     late = (b'zinnialead-deadline-ms', b'1')
     assert (await call(address, '/book', late)).status == 503
-    assert made.started == 0
+    assert upstream.started == 0
     nursery.cancel_scope.cancel()
