Name the fleet's injections, states and results plainly

The names that the benches and the capacity measurements share with the fleet read oddly: Life, Lie, Cut, File, Silence, EndRow, Fleet.ends, whole, lost, Broken, part_answers. They are now ProcessState, LoadFault, Partition, FileTicket, SilenceConnections, CompletionRow, completions, is_own_answer, may_have_run, Violations and mismatched_answers.

None of these names leaves the process: measures keep their names. The argument lie of a fuzzing rule is load_fault now; Hypothesis draws the arguments in sorted order, which this keeps (condition, load_fault, pick).

--- a/packages/lab/src/zinnialead_lab/bench/fault_measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/fault_measures.py
@@ -64,7 +64,7 @@
 ) -> float:
     ended = {
         row.work.work_id
-        for row in sample.fleet.ends
+        for row in sample.fleet.completions
         if row.verdict is verdict.Verdict.RAN
         and row.ended_ms <= row.work.deadline_ms + const.RETURN_MS
     }
@@ -103,8 +103,8 @@
     unsure = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN
         and row.work.keyed
-        and (row.lost or row.reason != OVERDUE)
-        for row in sample.fleet.ends
+        and (row.may_have_run or row.reason != OVERDUE)
+        for row in sample.fleet.completions
     )
     bound = models.AtMost(float(killed.in_flight))
     name = 'may-have-run after a death'
@@ -160,7 +160,8 @@
         taken_ms = [
             _adopted_ms(found, row.ref, number) - filed_ms
             for row in found.entries.values()
-            if row.life is fleet.Life.RUNNING and row.started_ms <= filed_ms
+            if row.process_state is fleet.ProcessState.RUNNING
+            and row.started_ms <= filed_ms
         ]
         name = f'ticket {number} in force everywhere'
         most_ms = max(taken_ms, default=0.0)
@@ -172,7 +173,8 @@
     taken_ms = [
         _adopted_ms(found, row.ref, 1) - row.started_ms
         for row in found.entries.values()
-        if row.life is fleet.Life.RUNNING and row.started_ms > 0.0
+        if row.process_state is fleet.ProcessState.RUNNING
+        and row.started_ms > 0.0
     ]
     bound = models.AtMost(const.JOIN_MAX_MS)
     most_ms = max(taken_ms, default=0.0)
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -34,7 +34,7 @@
     counters = sample.fleet.counters
     yield models.Measure('double runs', '1', broken.double_runs, NONE)
     yield models.Measure('false not-run', '1', broken.false_not_run, NONE)
-    yield models.Measure('part answers', '1', broken.part_answers, NONE)
+    yield models.Measure('part answers', '1', broken.mismatched_answers, NONE)
     reverted = broken.reverted_tickets
     yield models.Measure('reverted tickets', '1', reverted, NONE)
     cut = counters['stop.cut']
@@ -46,7 +46,7 @@
     found = hdrh.HdrHistogram(
         1, const.HISTOGRAM_MAX_US, const.HISTOGRAM_DIGITS
     )
-    for row in sample.fleet.ends:
+    for row in sample.fleet.completions:
         if row.work.rank == rank and row.verdict is verdict.Verdict.RAN:
             taken_ms = row.ended_ms - row.work.arrived_ms
             found.record_value(int(taken_ms * const.US_PER_MS))
@@ -59,12 +59,12 @@
     return float(value_us / const.US_PER_MS)
 
 
-def served(sample: models.Sample) -> abc.Iterator[fleet.EndRow]:
+def served(sample: models.Sample) -> abc.Iterator[fleet.CompletionRow]:
     """Yield the work that was answered by its deadline."""
-    for row in sample.fleet.ends:
+    for row in sample.fleet.completions:
         due_ms = row.work.deadline_ms + const.RETURN_MS
         ran = row.verdict is verdict.Verdict.RAN
-        if ran and row.whole and row.ended_ms <= due_ms:
+        if ran and row.is_own_answer and row.ended_ms <= due_ms:
             yield row
 
 
@@ -91,7 +91,7 @@
         yield models.Measure(f'{rank} served', 'share', share, UNBOUND)
     unsure = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN and row.work.keyed
-        for row in sample.fleet.ends
+        for row in sample.fleet.completions
     )
     yield models.Measure('may-have-run answers', '1', unsure, UNBOUND)
     yield models.Measure('mean wait', 'ms', mean_wait_ms(sample), UNBOUND)
--- a/packages/lab/src/zinnialead_lab/bench/scenarios.py
+++ b/packages/lab/src/zinnialead_lab/bench/scenarios.py
@@ -11,7 +11,7 @@
 ROLLING_STEP_MS = 350.0
 LONG = models.Times(*const.LONG_MS)
 SHORT = models.Times(*const.SHORT_MS)
-LIES = (fleet.Lie.ZERO, fleet.Lie.FROZEN, fleet.Lie.ABSENT)
+LIES = (fleet.LoadFault.ZERO, fleet.LoadFault.FROZEN, fleet.LoadFault.ABSENT)
 
 
 def full() -> abc.Iterator[models.Scenario]:
@@ -120,16 +120,16 @@
             yield from _store_outage(deployment, times)
         case models.Partition():
             part = frozenset({last_domain(deployment)})
-            yield _at(times.fault_ms, fleet.Cut((part,)))
-            yield _at(times.repair_ms, fleet.Cut(()))
+            yield _at(times.fault_ms, fleet.Partition((part,)))
+            yield _at(times.repair_ms, fleet.Partition(()))
         case models.LyingLoads():
             for number, upstream in enumerate(deployment.state.upstreams):
                 lie = LIES[number % len(LIES)]
-                lying = fleet.SetUpstream(upstream, lie=lie)
+                lying = fleet.SetUpstream(upstream, load_fault=lie)
                 yield _at(times.fault_ms, lying)
         case models.SilentConnections():
             for upstream in list(deployment.state.upstreams)[::4]:
-                yield _at(times.fault_ms, fleet.Silence(upstream))
+                yield _at(times.fault_ms, fleet.SilenceConnections(upstream))
         case models.Rolling():
             yield from _rolling(deployment)
 
@@ -140,10 +140,10 @@
 
 def _file(
     deployment: models.Deployment, number: int, *drains: tickets.Drain
-) -> fleet.File:
+) -> fleet.FileTicket:
     named = {f'drain-{n}': drain for n, drain in enumerate(drains)}
     state = deployment.state._replace(number=number, drains=named)
-    return fleet.File(state)
+    return fleet.FileTicket(state)
 
 
 def _brown_out(
--- a/packages/lab/src/zinnialead_lab/capacity/bad_day.py
+++ b/packages/lab/src/zinnialead_lab/capacity/bad_day.py
@@ -65,15 +65,15 @@
         for name, row in made.state.domains.items()
         if row.region == region
     )
-    fleet.inject(made, fleet.Cut((part,)))
+    fleet.inject(made, fleet.Partition((part,)))
     fleet.run_until(made, made.now_ms + const.SETTLE_MS)
     filed = states.state(const.SITES, made.state.number + 1)
-    fleet.inject(made, fleet.File(filed))
+    fleet.inject(made, fleet.FileTicket(filed))
     fleet.run_until(made, made.now_ms + outage_ms)
     made.meter = states.new_meter()
     made.counters.clear()
     healed_ms = made.now_ms
-    fleet.inject(made, fleet.Cut(()))
+    fleet.inject(made, fleet.Partition(()))
     fleet.run_until(made, healed_ms + const.RECOVERY_MS)
     event = f'a region heals after {outage_ms / const.MS_PER_S:.0f} s'
     yield from _found(made, event, healed_ms, filed.number)
--- a/packages/lab/src/zinnialead_lab/capacity/nodes.py
+++ b/packages/lab/src/zinnialead_lab/capacity/nodes.py
@@ -70,7 +70,7 @@
     first = made.state.number + 1
     for number in range(first, first + const.TICKETS_MEASURED):
         filed = states.state(const.SITES, number)
-        fleet.inject(made, fleet.File(filed))
+        fleet.inject(made, fleet.FileTicket(filed))
         fleet.run_until(made, made.now_ms + const.TICKET_PERIOD_MS)
     fleet.run_until(made, made.now_ms + const.SETTLE_MS)
     spread = [
@@ -93,7 +93,7 @@
     filed_ms = made.filed_ms[number]
     taken_ms = 0.0
     for row in made.entries.values():
-        if row.life is not fleet.Life.RUNNING:
+        if row.process_state is not fleet.ProcessState.RUNNING:
             continue
         times_ms = [
             at_ms
--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -40,7 +40,10 @@
     entry = fleet.entries[event.entry]
     if row is None:
         return None
-    if entry.life in (models.Life.DEAD, models.Life.STOPPED):
+    if entry.process_state in (
+        models.ProcessState.DEAD,
+        models.ProcessState.STOPPED,
+    ):
         failed = events.CallFails(event.work_id, event.attempt, sent=False)
         network.after(fleet, const.CALLER_LATENCY_MS, failed)
         return None
@@ -68,16 +71,18 @@
     """Send an entry's answer or refusal to the caller."""
     call = models.CallId(entry.ref, output.request_id)
     known = fleet.calls.pop(call)
-    said, reason, whole = verdict.Verdict.RAN, '', True
+    said, reason, is_own_answer = verdict.Verdict.RAN, '', True
     match output:
         case out.Relay(_, attempt):
             name = models.DispatchId(call, attempt)
-            whole = fleet.answers.pop(name, None) == known.work_id
+            is_own_answer = fleet.answers.pop(name, None) == known.work_id
         case out.Replay(_, _, record):
-            whole = record == str(known.work_id).encode()
+            is_own_answer = record == str(known.work_id).encode()
         case out.Refuse(_, refusal):
             said, reason = refusal.verdict, refusal.reason.value
-    end = events.CallEnds(known.work_id, known.attempt, said, reason, whole)
+    end = events.CallEnds(
+        known.work_id, known.attempt, said, reason, is_own_answer
+    )
     work = fleet.works[known.work_id]
     if network.connected(fleet, work.domain, entry.domain):
         network.after(fleet, _latency_ms(fleet, work, entry), end)
@@ -114,7 +119,7 @@
         return
     if event.verdict is verdict.Verdict.NOT_RUN:
         row = row._replace(may_have_run=False)
-    _end(fleet, row, event.verdict, event.reason, event.whole)
+    _end(fleet, row, event.verdict, event.reason, event.is_own_answer)
 
 
 def leave(fleet: models.Fleet, work_id: models.WorkId) -> None:
@@ -149,7 +154,7 @@
     usable = [
         row
         for row in fleet.entries.values()
-        if row.life is models.Life.RUNNING
+        if row.process_state is models.ProcessState.RUNNING
         and network.connected(fleet, work.domain, row.domain)
     ]
     near = [row for row in usable if row.domain == work.domain]
@@ -242,7 +247,7 @@
 ) -> None:
     if reason == 'no connection' and not row.may_have_run:
         said = verdict.Verdict.NOT_RUN
-    _end(fleet, row, said, reason, whole=True)
+    _end(fleet, row, said, reason, is_own_answer=True)
 
 
 def _end(
@@ -250,11 +255,16 @@
     row: models.CallerRow,
     said: verdict.Verdict,
     reason: str,
-    whole: bool,
+    is_own_answer: bool,
 ) -> None:
     del fleet.callers[row.work.work_id]
-    fleet.ends.append(
-        models.EndRow(
-            row.work, said, reason, fleet.now_ms, whole, row.may_have_run
+    fleet.completions.append(
+        models.CompletionRow(
+            row.work,
+            said,
+            reason,
+            fleet.now_ms,
+            is_own_answer,
+            row.may_have_run,
         )
     )
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -40,7 +40,7 @@
         domain,
         region,
         policy,
-        models.Life.RUNNING,
+        models.ProcessState.RUNNING,
         fleet.now_ms,
         0.0,
         [],
@@ -58,7 +58,10 @@
     """Yield the platform's list of VMs, which lags behind the dead."""
     for row in fleet.entries.values():
         gone_ms = fleet.now_ms - row.ended_ms
-        dead = row.life in (models.Life.DEAD, models.Life.STOPPED)
+        dead = row.process_state in (
+            models.ProcessState.DEAD,
+            models.ProcessState.STOPPED,
+        )
         if dead and gone_ms > const.LIST_LAG_MS:
             continue
         yield inp.PeerSeen(row.ref.entry, row.domain, address(row.ref.entry))
@@ -78,10 +81,10 @@
 def feed(fleet: models.Fleet, entry: ids.EntryId, *inputs: inp.Input) -> None:
     """Run one tick of an entry; a paused one holds its inputs back."""
     row = fleet.entries[entry]
-    if row.life is models.Life.PAUSED:
+    if row.process_state is models.ProcessState.PAUSED:
         row.held.extend(inputs)
         return
-    if row.life is not models.Life.RUNNING:
+    if row.process_state is not models.ProcessState.RUNNING:
         return
     for output in _timed_tick(fleet, row, inputs):
         _carry_out(fleet, row, output)
@@ -226,14 +229,18 @@
 
 def stop(fleet: models.Fleet, entry: ids.EntryId) -> None:
     """End an entry's process after a planned stop."""
-    cut = end(fleet, entry, models.Life.STOPPED)
+    cut = end(fleet, entry, models.ProcessState.STOPPED)
     fleet.counters['stop.cut'] += cut
 
 
-def end(fleet: models.Fleet, entry: ids.EntryId, life: models.Life) -> int:
+def end(
+    fleet: models.Fleet, entry: ids.EntryId, process_state: models.ProcessState
+) -> int:
     """End an entry's process; return how many calls that cuts."""
     row = fleet.entries[entry]
-    fleet.entries[entry] = row._replace(life=life, ended_ms=fleet.now_ms)
+    fleet.entries[entry] = row._replace(
+        process_state=process_state, ended_ms=fleet.now_ms
+    )
     fleet.wakes_ms.pop(entry, None)
     cut = [call for call in fleet.calls if call.ref == row.ref]
     for call in cut:
--- a/packages/lab/src/zinnialead_lab/fleet/events.py
+++ b/packages/lab/src/zinnialead_lab/fleet/events.py
@@ -70,7 +70,7 @@
     attempt: int
     verdict: verdict.Verdict
     reason: str
-    whole: bool
+    is_own_answer: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -50,7 +50,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Cut:
+class Partition:
     """Partition each of these sets of domains from all the others."""
 
     parts: tuple[frozenset[ids.DomainId], ...]
@@ -73,7 +73,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class File:
+class FileTicket:
     """File a ticket whose folded state is ``state``."""
 
     state: tickets.State
@@ -85,7 +85,7 @@
 
     upstream: ids.UpstreamId
     condition: models.Condition = models.Condition.WELL
-    lie: models.Lie = models.Lie.NONE
+    load_fault: models.LoadFault = models.LoadFault.NONE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +96,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Silence:
+class SilenceConnections:
     """Make the open connections to an upstream silent for good."""
 
     upstream: ids.UpstreamId
@@ -116,13 +116,13 @@
     | Pause
     | Resume
     | Stop
-    | Cut
+    | Partition
     | SetNetwork
     | SetStore
-    | File
+    | FileTicket
     | SetUpstream
     | StartCold
-    | Silence
+    | SilenceConnections
 )
 
 
@@ -136,7 +136,7 @@
         case Replace(entry):
             _replace(fleet, injection)
         case Pause(entry):
-            _live(fleet, entry, models.Life.PAUSED)
+            _live(fleet, entry, models.ProcessState.PAUSED)
         case Resume(entry):
             _resume(fleet, entry)
         case Stop(entry):
@@ -147,7 +147,7 @@
 
 def _inject_around(fleet: models.Fleet, injection: Injection) -> None:
     match injection:
-        case Cut(parts):
+        case Partition(parts):
             fleet.network = fleet.network._replace(cut=parts)
         case SetNetwork(row):
             fleet.network = row
@@ -155,25 +155,27 @@
             fleet.store = models.StoreRow(
                 fleet.store.domain, down, slow_ms, share
             )
-        case File(state):
+        case FileTicket(state):
             _file(fleet, state)
-        case SetUpstream(upstream, condition, lie):
-            _set_upstream(fleet, upstream, condition, lie)
+        case SetUpstream(upstream, condition, load_fault):
+            _set_upstream(fleet, upstream, condition, load_fault)
         case StartCold(upstream):
             cold = fleet.upstreams[upstream]
             fleet.upstreams[upstream] = cold._replace(
                 condition=models.Condition.WELL,
                 cold_until_ms=fleet.now_ms + const.COLD_MS,
             )
-        case Silence(upstream):
+        case SilenceConnections(upstream):
             for entry in fleet.entries:
                 fleet.silent.add((entry, upstream))
 
 
 def _live(
-    fleet: models.Fleet, entry: ids.EntryId, life: models.Life
+    fleet: models.Fleet, entry: ids.EntryId, process_state: models.ProcessState
 ) -> models.EntryRow:
-    row = fleet.entries[entry]._replace(life=life, ended_ms=fleet.now_ms)
+    row = fleet.entries[entry]._replace(
+        process_state=process_state, ended_ms=fleet.now_ms
+    )
     fleet.entries[entry] = row
     fleet.wakes_ms.pop(entry, None)
     return row
@@ -186,19 +188,25 @@
         for row in fleet.dispatches.values()
     )
     fleet.kills.append(models.KillRow(ref, fleet.now_ms, in_flight))
-    entries.end(fleet, entry, models.Life.DEAD)
+    entries.end(fleet, entry, models.ProcessState.DEAD)
 
 
 def _restart(fleet: models.Fleet, entry: ids.EntryId) -> None:
     row = fleet.entries[entry]
-    if row.life in (models.Life.RUNNING, models.Life.PAUSED):
+    if row.process_state in (
+        models.ProcessState.RUNNING,
+        models.ProcessState.PAUSED,
+    ):
         _kill(fleet, entry)
     entries.start(fleet, entry, row.domain, row.ref.incarnation + 1)
     entries.feed(fleet, entry, *entries.seeds(fleet, entry))
 
 
 def _replace(fleet: models.Fleet, injection: Replace) -> None:
-    if fleet.entries[injection.entry].life is models.Life.STOPPED:
+    if (
+        fleet.entries[injection.entry].process_state
+        is models.ProcessState.STOPPED
+    ):
         _restart(fleet, injection.entry)
         return
     again = events.Inject(injection)
@@ -207,9 +215,9 @@
 
 def _resume(fleet: models.Fleet, entry: ids.EntryId) -> None:
     row = fleet.entries[entry]
-    if row.life is not models.Life.PAUSED:
+    if row.process_state is not models.ProcessState.PAUSED:
         return
-    row = _live(fleet, entry, models.Life.RUNNING)
+    row = _live(fleet, entry, models.ProcessState.RUNNING)
     held = list(row.held)
     row.held.clear()
     entries.feed(fleet, entry, *held)
@@ -230,9 +238,11 @@
     fleet: models.Fleet,
     upstream: ids.UpstreamId,
     condition: models.Condition,
-    lie: models.Lie,
+    load_fault: models.LoadFault,
 ) -> None:
     if condition is models.Condition.DEAD:
         upstreams.die(fleet, upstream)
     row = fleet.upstreams[upstream]
-    fleet.upstreams[upstream] = row._replace(condition=condition, lie=lie)
+    fleet.upstreams[upstream] = row._replace(
+        condition=condition, load_fault=load_fault
+    )
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -17,7 +17,7 @@
 WorkId = typing.NewType('WorkId', int)
 
 
-class Life(enum.Enum):
+class ProcessState(enum.Enum):
     """Say whether an entry's process runs."""
 
     RUNNING = 'running'
@@ -68,7 +68,7 @@
     domain: ids.DomainId
     region: ids.RegionId
     policy: Policy
-    life: Life
+    process_state: ProcessState
     started_ms: float
     ended_ms: float
     held: list[inp.Input]
@@ -134,15 +134,15 @@
     key: ids.Key | None
 
 
-class EndRow(typing.NamedTuple):
+class CompletionRow(typing.NamedTuple):
     """Hold how a piece of work ended for its caller."""
 
     work: Work
     verdict: verdict.Verdict
     reason: str
     ended_ms: float
-    whole: bool
-    lost: bool
+    is_own_answer: bool
+    may_have_run: bool
 
 
 class DispatchId(typing.NamedTuple):
@@ -190,7 +190,7 @@
     DEAD = 'dead'
 
 
-class Lie(enum.Enum):
+class LoadFault(enum.Enum):
     """Say how an upstream misreports its load."""
 
     NONE = 'none'
@@ -205,7 +205,7 @@
     known: tickets.UpstreamRow
     region: ids.RegionId
     condition: Condition
-    lie: Lie
+    load_fault: LoadFault
     cold_until_ms: float
     running: dict[DispatchId, int]
     waiting: dict[DispatchId, DispatchRow]
@@ -268,7 +268,7 @@
     works: dict[WorkId, Work]
     callers: dict[WorkId, CallerRow]
     calls: dict[CallId, CallRow]
-    ends: list[EndRow]
+    completions: list[CompletionRow]
     dispatches: dict[DispatchId, DispatchRow]
     answers: dict[DispatchId, WorkId]
     runs: list[RunRow]
--- a/packages/lab/src/zinnialead_lab/fleet/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fleet/oracle.py
@@ -7,27 +7,29 @@
 from zinnialead_lab.fleet import models
 
 
-class Broken(typing.NamedTuple):
+class Violations(typing.NamedTuple):
     """Count the promises that a run of a fleet broke."""
 
     double_runs: int
     false_not_run: int
-    part_answers: int
+    mismatched_answers: int
     reverted_tickets: int
 
 
-def check(fleet: models.Fleet) -> Broken:
+def check(fleet: models.Fleet) -> Violations:
     """Return how often each promise was broken."""
     ran = collections.Counter(
         row.work_id for row in fleet.runs if fleet.works[row.work_id].keyed
     )
     false_not_run = sum(
         row.verdict is verdict.Verdict.NOT_RUN and ran[row.work.work_id] > 0
-        for row in fleet.ends
+        for row in fleet.completions
     )
-    return Broken(
+    return Violations(
         double_runs=sum(count > 1 for count in ran.values()),
         false_not_run=false_not_run,
-        part_answers=sum(not row.whole for row in fleet.ends),
+        mismatched_answers=sum(
+            not row.is_own_answer for row in fleet.completions
+        ),
         reverted_tickets=fleet.counters['tickets.reverted'],
     )
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -133,12 +133,12 @@
 
 def _report(row: models.UpstreamRow) -> inp.UpstreamReport | None:
     count = len(row.running) + len(row.waiting)
-    match row.lie:
-        case models.Lie.ABSENT:
+    match row.load_fault:
+        case models.LoadFault.ABSENT:
             return None
-        case models.Lie.ZERO:
+        case models.LoadFault.ZERO:
             count = 0
-        case models.Lie.FROZEN:
+        case models.LoadFault.FROZEN:
             count = row.told_in_flight[0]
     row.told_in_flight[0] = count
     healthy = row.condition is not models.Condition.DEAD
--- a/packages/lab/src/zinnialead_lab/fuzz/acts.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/acts.py
@@ -99,7 +99,7 @@
     state = run.states[last]._replace(
         number=last + 1, drains=deployment.drains(picked)
     )
-    fleets.inject(fleet, fleets.File(state))
+    fleets.inject(fleet, fleets.FileTicket(state))
     if last + 1 not in fleet.filed_ms:
         return last
     run.states[last + 1] = state
@@ -110,13 +110,16 @@
     run: models.Run,
     name: ids.UpstreamId,
     condition: fleets.Condition,
-    lie: fleets.Lie,
+    load_fault: fleets.LoadFault,
 ) -> None:
     """Set what is wrong with an upstream."""
     run.leaving.pop(name, None)
-    if condition is fleets.Condition.LEAVING and lie is not fleets.Lie.ABSENT:
+    if (
+        condition is fleets.Condition.LEAVING
+        and load_fault is not fleets.LoadFault.ABSENT
+    ):
         run.leaving[name] = run.fleet.now_ms
-    fleets.inject(run.fleet, fleets.SetUpstream(name, condition, lie))
+    fleets.inject(run.fleet, fleets.SetUpstream(name, condition, load_fault))
 
 
 def heal(run: models.Run) -> None:
@@ -125,12 +128,12 @@
     fleets.inject(fleet, fleets.SetNetwork(fleets.NetworkRow()))
     fleets.inject(fleet, fleets.SetStore())
     for name in fleet.upstreams:
-        set_upstream(run, name, fleets.Condition.WELL, fleets.Lie.NONE)
+        set_upstream(run, name, fleets.Condition.WELL, fleets.LoadFault.NONE)
     for row in list(fleet.entries.values()):
-        match row.life:
-            case fleets.Life.PAUSED:
+        match row.process_state:
+            case fleets.ProcessState.PAUSED:
                 fleets.inject(fleet, fleets.Resume(row.ref.entry))
-            case fleets.Life.DEAD | fleets.Life.STOPPED:
+            case fleets.ProcessState.DEAD | fleets.ProcessState.STOPPED:
                 fleets.inject(fleet, fleets.Restart(row.ref.entry))
-            case fleets.Life.RUNNING:
+            case fleets.ProcessState.RUNNING:
                 pass
--- a/packages/lab/src/zinnialead_lab/fuzz/machine.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/machine.py
@@ -86,17 +86,20 @@
     ) -> None:
         """Kill, restart or pause an entry."""
         name = acts.entry(self.run, pick)
-        if self.run.fleet.entries[name].life is fleets.Life.RUNNING:
+        if (
+            self.run.fleet.entries[name].process_state
+            is fleets.ProcessState.RUNNING
+        ):
             fleets.inject(self.run.fleet, kind(name))
 
     @stateful.rule(pick=PICK)
     def mend_entry(self, pick: int) -> None:
         """Bring an entry back, if it is away."""
         name = acts.entry(self.run, pick)
-        match self.run.fleet.entries[name].life:
-            case fleets.Life.PAUSED:
+        match self.run.fleet.entries[name].process_state:
+            case fleets.ProcessState.PAUSED:
                 fleets.inject(self.run.fleet, fleets.Resume(name))
-            case fleets.Life.DEAD | fleets.Life.STOPPED:
+            case fleets.ProcessState.DEAD | fleets.ProcessState.STOPPED:
                 fleets.inject(self.run.fleet, fleets.Restart(name))
 
     @stateful.rule(pick=PICK)
@@ -126,20 +129,23 @@
     @stateful.rule(
         pick=PICK,
         condition=st.sampled_from(fleets.Condition),
-        lie=st.sampled_from(fleets.Lie),
+        load_fault=st.sampled_from(fleets.LoadFault),
     )
     def set_upstream(
-        self, pick: int, condition: fleets.Condition, lie: fleets.Lie
+        self,
+        pick: int,
+        condition: fleets.Condition,
+        load_fault: fleets.LoadFault,
     ) -> None:
         """Let an upstream leave, die, fall silent or lie."""
         name = acts.upstream(self.run, pick)
-        acts.set_upstream(self.run, name, condition, lie)
+        acts.set_upstream(self.run, name, condition, load_fault)
 
     @stateful.rule(pick=PICK)
     def silence(self, pick: int) -> None:
         """Let open connections to an upstream go silent."""
         name = acts.upstream(self.run, pick)
-        fleets.inject(self.run.fleet, fleets.Silence(name))
+        fleets.inject(self.run.fleet, fleets.SilenceConnections(name))
 
     @stateful.rule(picked=st.frozensets(st.integers(0, 6), max_size=3))
     def file(self, picked: frozenset[int]) -> None:
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -29,7 +29,7 @@
 def not_whole(run: models.Run, number: int) -> abc.Iterator[str]:
     """Yield what is still wrong after every fault has ended."""
     for row in run.fleet.entries.values():
-        if row.life is not fleets.Life.RUNNING:
+        if row.process_state is not fleets.ProcessState.RUNNING:
             continue
         if run.fleet.highest.get(row.ref, 0) < number:
             yield f'ticket {number} is not in force on {row.ref}'
@@ -50,9 +50,9 @@
 
 def _answers(run: models.Run) -> abc.Iterator[str]:
     ran = {x.work_id: x.started_ms for x in reversed(run.fleet.runs)}
-    for end in run.fleet.ends:
+    for end in run.fleet.completions:
         work_id = end.work.work_id
-        if not end.whole:
+        if not end.is_own_answer:
             yield f'work {work_id} got an answer that is not its own'
         if end.verdict is not verdict.Verdict.NOT_RUN or not end.work.keyed:
             continue
--- a/tests/lab/bench/test_bench.py
+++ b/tests/lab/bench/test_bench.py
@@ -51,7 +51,7 @@
     first, second = (
         coordinator.sample(calm, plain=False).fleet for _ in range(2)
     )
-    assert first.ends == second.ends
+    assert first.completions == second.completions
     assert first.counters == second.counters
 
 
--- a/tests/lab/fleet/test_fleet.py
+++ b/tests/lab/fleet/test_fleet.py
@@ -8,14 +8,14 @@
 from zinnialead_lab.fleet import events
 from zinnialead_lab.fleet import oracle
 
-NOTHING_BROKEN = oracle.Broken(0, 0, 0, 0)
+NOTHING_BROKEN = oracle.Violations(0, 0, 0, 0)
 
 
 @pytest.mark.parametrize('plain', [False, True])
 def test_a_calm_fleet_answers_everything_once(plain):
     made = samples.busy(seed=1, plain=plain)
     fleet.run_until(made, 5_000.0)
-    assert [x.verdict for x in made.ends] == [verdict.Verdict.RAN] * 100
+    assert [x.verdict for x in made.completions] == [verdict.Verdict.RAN] * 100
     assert oracle.check(made) == NOTHING_BROKEN
 
 
@@ -24,7 +24,7 @@
     for made in (first, second):
         fleet.inject(made, fleet.SetNetwork(fleet.NetworkRow(0.1, 0.1, 0.1)))
         fleet.run_until(made, 5_000.0)
-    assert first.ends == second.ends
+    assert first.completions == second.completions
     assert first.counters == second.counters
 
 
@@ -33,7 +33,7 @@
     fleet.run_until(made, 500.0)
     fleet.inject(made, fleet.Kill('kigali-a-entry-1'))
     fleet.run_until(made, 5_000.0)
-    assert len(made.ends) == 100
+    assert len(made.completions) == 100
     assert made.callers == {}
 
 
@@ -45,7 +45,7 @@
     assert made.entries['kigali-a-entry-1'].held
     fleet.inject(made, fleet.Resume('kigali-a-entry-1'))
     fleet.run_until(made, 5_000.0)
-    assert len(made.ends) == 100
+    assert len(made.completions) == 100
     assert oracle.check(made) == NOTHING_BROKEN
 
 
@@ -67,7 +67,7 @@
 def test_a_ticket_is_not_accepted_while_the_store_is_down():
     made = samples.busy(seed=1)
     fleet.inject(made, fleet.SetStore(down=True))
-    fleet.inject(made, fleet.File(samples.state(number=2)))
+    fleet.inject(made, fleet.FileTicket(samples.state(number=2)))
     assert made.objects['state'].value == b'state 1'
 
 
