Describe the tests of the gateway's process and of the adapter

Names and docstrings now give the behaviour under test, or the failure and how it came about. Five parameters of pytest have other names; the parameter values, assertions, time limits and the number of tests are the same.

--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -1,4 +1,4 @@
-"""Start entries against the fakes, over loopback."""
+"""Start entries against a fake platform over loopback."""
 
 import contextlib
 import functools
@@ -96,9 +96,9 @@
 
 
 def free_ports(count):
-    """Return ports in a row, below those that the system gives out.
+    """Return consecutive free ports below the ephemeral range.
 
-    Ports that it gives out may be taken again before an entry binds them.
+    Another process could take an ephemeral port before an entry binds it.
     """
     while True:
         first = random.randrange(10_000, 32_000)
@@ -122,7 +122,7 @@
     domains=DOMAINS,
     grace_ms=1_000.0,
 ):
-    """Return a settings file, with ports that are free if none are given."""
+    """Return the text of a settings file, with free ports by default."""
     front, ready, control, directory, port, _ = ports or free_ports(6)
     return SETTINGS.format(
         name=name,
@@ -183,14 +183,14 @@
 
 
 async def deployment(nursery, count=2, **fields):
-    """Start a store, upstreams and an entry that is ready."""
+    """Start a store, upstreams and an entry; wait until it is ready."""
     store = stores.new_store()
-    made = [fakes.FakeUpstream(f'i-{n}') for n in range(count)]
+    upstreams = [fakes.FakeUpstream(f'i-{n}') for n in range(count)]
     stores.put(store, 'config', 'main', configuration(**fields))
-    for upstream in made:
+    for upstream in upstreams:
         address = await fakes.serve_upstream(nursery, upstream)
         stores.put(store, 'servers', upstream.instance, registration(address))
     address = await fakes.serve_store(nursery, store)
     settings = await entry(nursery, address)
     await until_ready(settings)
-    return store, made, settings, address
+    return store, upstreams, settings, address
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -1,4 +1,4 @@
-"""Play the users' platform over loopback: its store and its upstreams."""
+"""Fake the users' platform over loopback: its store and upstreams."""
 
 import dataclasses
 import functools
@@ -14,9 +14,9 @@
 
 
 async def serve(nursery, handle):
-    """Serve a handler; return its address."""
+    """Serve a handler and return its address."""
     listener = await sockets.listen('127.0.0.1:0')
-    made = http_models.Server(
+    http_server = http_models.Server(
         handle,
         lambda: LIMITS,
         100,
@@ -26,18 +26,18 @@
         ),
         print,
     )
-    nursery.start_soon(server.serve, made, listener)
+    nursery.start_soon(server.serve, http_server, listener)
     return f'127.0.0.1:{listener.socket.getsockname()[1]}'
 
 
 async def serve_store(nursery, store):
-    """Serve the store stand-in; return its address."""
+    """Serve the store stand-in and return its address."""
     return await serve(nursery, functools.partial(_store, store))
 
 
-async def _store(store, _caller, asked):
+async def _store(store, _caller, request):
     reply = await stores.answer(
-        store, asked.method.decode(), asked.target.decode(), asked.body
+        store, request.method.decode(), request.target.decode(), request.body
     )
     if reply is None:
         return None
@@ -46,12 +46,12 @@
 
 @dataclasses.dataclass
 class FakeUpstream:
-    """Hold an upstream, what it ran, and how it answers."""
+    """Hold an upstream, the requests it ran and how it behaves."""
 
     instance: str
     slots: int = 4
     ran: list = dataclasses.field(default_factory=list)
-    how: str = 'well'
+    behaviour: str = 'well'
     work_s: float = 0.0
 
 
@@ -59,24 +59,24 @@
     return await serve(nursery, functools.partial(_upstream, upstream))
 
 
-async def _upstream(upstream, _caller, asked):
-    headers = {k.lower(): v for k, v in asked.headers}
+async def _upstream(upstream, _caller, request):
+    headers = {k.lower(): v for k, v in request.headers}
     name = headers[b'zinnialead-request-id']
     echo = [(b'Zinnialead-Request-Id', name)]
     if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
         return http_models.Response(421, echo, b'')
-    if upstream.how == 'sheds':
+    if upstream.behaviour == 'sheds':
         return http_models.Response(
             503, [*echo, (b'Zinnialead-Not-Executed', b'1')], b''
         )
     upstream.ran.append(name.decode())
     await trio.sleep(upstream.work_s)
-    match upstream.how:
+    match upstream.behaviour:
         case 'cuts':
             return None
         case 'unsealed':
             return http_models.Response(200, echo, b'whose?')
-    load = f'1,0,{upstream.slots}'.encode()
-    sealed = [(b'Zinnialead-Response-Seal', b'seal')]
-    told = [(b'Zinnialead-Server-Load', load)]
-    return http_models.Response(200, echo + sealed + told, b'done')
+    load_value = f'1,0,{upstream.slots}'.encode()
+    seal_header = [(b'Zinnialead-Response-Seal', b'seal')]
+    load_header = [(b'Zinnialead-Server-Load', load_value)]
+    return http_models.Response(200, echo + seal_header + load_header, b'done')
--- a/tests/adapter/test_boot.py
+++ b/tests/adapter/test_boot.py
@@ -1,4 +1,4 @@
-"""Read the settings file of the platform."""
+"""Test reading the platform's settings file."""
 
 import pytest
 
@@ -40,14 +40,14 @@
 
 
 def test_settings_are_read():
-    found = boot.parse(TEXT, 5)
-    assert found.node.ref == ('edge-guj-sanand-1', 5)
-    assert found.node.regions == {'guj-sanand': 'guj', 'tn-hosur': 'tn'}
-    assert found.node.bounds.retry_extra == 133.0
-    assert found.node.bounds.directory_ttl_ms == 1_000.0
-    assert found.node.seeds == ('10.2.0.34:8382',)
-    assert found.peers_bind == '10.1.0.18:7200'
-    assert found.store_address == '10.200.1.7:8384'
+    settings = boot.parse(TEXT, 5)
+    assert settings.node.ref == ('edge-guj-sanand-1', 5)
+    assert settings.node.regions == {'guj-sanand': 'guj', 'tn-hosur': 'tn'}
+    assert settings.node.bounds.retry_extra == 133.0
+    assert settings.node.bounds.directory_ttl_ms == 1_000.0
+    assert settings.node.seeds == ('10.2.0.34:8382',)
+    assert settings.peers_bind == '10.1.0.18:7200'
+    assert settings.store_address == '10.200.1.7:8384'
 
 
 @pytest.mark.parametrize('field', ['front', 'zone', 'ip', 'addr'])
@@ -62,13 +62,13 @@
 @pytest.mark.parametrize(
     'bound', ['retry_budget_ratio', 'grace', 'ttl_max', 'budget_window']
 )
-def test_a_bound_that_is_not_in_force_has_a_safe_default(bound):
-    """Which bounds a deployment sets depends on its contracts."""
+def test_a_missing_bound_has_a_safe_default(bound):
+    """The bounds that a deployment sets depend on its contracts."""
     text = '\n'.join(
         line for line in TEXT.splitlines() if not line.startswith(f'{bound} ')
     )
-    found = boot.parse(text, 5).node.bounds
-    whole = boot.parse(TEXT, 5).node.bounds
-    assert found.retry_share <= whole.retry_share
-    assert 0.0 < found.grace_ms <= whole.grace_ms
-    assert 0.0 < found.directory_ttl_ms <= 2_000.0
+    bounds = boot.parse(text, 5).node.bounds
+    all_set = boot.parse(TEXT, 5).node.bounds
+    assert bounds.retry_share <= all_set.retry_share
+    assert 0.0 < bounds.grace_ms <= all_set.grace_ms
+    assert 0.0 < bounds.directory_ttl_ms <= 2_000.0
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -1,4 +1,4 @@
-"""Translate heads of requests and answers."""
+"""Test the translation of request and response heads."""
 
 import pytest
 
@@ -27,7 +27,7 @@
     assert (head.object_key, head.deadline_in_ms) == ('17', 1200.0)
 
 
-def test_headers_of_one_connection_are_not_forwarded():
+def test_hop_by_hop_headers_are_not_forwarded():
     head = heads.read_request('/', REQUEST)
     sent = dict(heads.write_request(head, 'i-7', 900))
     assert b'X-Kept' in sent
@@ -38,7 +38,7 @@
     assert sent[b'Zinnialead-Request-Id'] == b'9c41'
 
 
-def test_a_deadline_that_is_no_number_is_none():
+def test_a_malformed_deadline_is_ignored():
     head = heads.read_request(
         '/', [(b'Host', b'a'), (b'Zinnialead-Deadline-Ms', b'soon')]
     )
@@ -64,14 +64,14 @@
     assert not head.not_run
 
 
-def test_a_seal_outweighs_the_status_of_another_instance():
+def test_a_sealed_response_is_not_misdirected():
     assert heads.read_response(421, []).misdirected
     sealed = heads.read_response(421, [(b'Zinnialead-Response-Seal', b'1')])
     assert not sealed.misdirected
 
 
 @pytest.mark.parametrize(
-    ('known', 'reason', 'status'),
+    ('sent_verdict', 'reason', 'status'),
     [
         (verdict.Verdict.NOT_RUN, verdict.Reason.NO_HEADROOM, 503),
         (verdict.Verdict.NOT_RUN, verdict.Reason.DEADLINE_PASSED, 503),
@@ -80,17 +80,17 @@
         (verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.UPSTREAM_LOST, 502),
     ],
 )
-def test_only_a_true_not_run_gets_a_status_that_promises_it(
-    known, reason, status
+def test_only_requests_that_have_not_run_get_503_or_404(
+    sent_verdict, reason, status
 ):
-    refusal = verdict.Refusal(known, reason, 'why', 300.0)
+    refusal = verdict.Refusal(sent_verdict, reason, 'why', 300.0)
     head = heads.write_refusal(None, refusal)
     assert head.status == status
-    told = dict(head.headers).get(b'Retry-After')
-    assert told == (b'0.30' if status == 503 else None)
+    retry_after = dict(head.headers).get(b'Retry-After')
+    assert retry_after == (b'0.30' if status == 503 else None)
 
 
 def test_a_look_up_is_read():
-    asked = heads.read_look_up('/resolve?name=a&region=guj&zone=guj-a')
-    assert asked == ('guj-a', 'guj')
+    look_up = heads.read_look_up('/resolve?name=a&region=guj&zone=guj-a')
+    assert look_up == ('guj-a', 'guj')
     assert heads.read_look_up('/other') is None
--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -1,4 +1,4 @@
-"""Keep the platform's names out of the product."""
+"""Test that only the adapter contains the platform's names."""
 
 import pathlib
 
@@ -17,7 +17,7 @@
 )
 
 
-def test_no_name_of_the_platform_stands_in_the_gateway():
+def test_the_gateway_contains_no_name_of_the_platform():
     gateway = pathlib.Path(zinnialead_gateway.__file__).parent
     core = pathlib.Path(zinnialead_core.__file__).parent / 'gateway'
     found = [
--- a/tests/adapter/test_objects.py
+++ b/tests/adapter/test_objects.py
@@ -1,4 +1,4 @@
-"""Read the platform's objects, also those that other writers spoil."""
+"""Test reading the platform's objects, including malformed ones."""
 
 import hypothesis
 from hypothesis import strategies as st
@@ -93,21 +93,21 @@
     return objects.read_store(call, status, list(headers), body)
 
 
-def test_an_upstream_is_read_whole():
+def test_an_upstream_is_read():
     row = objects.read_upstream('i-1', 3, SPEC)
     assert (row.service, row.domain, row.slots) == ('huvo11a', 'guj-sanand', 5)
     assert (row.cold_ms, row.leaving, row.revision) == (1_500.0, False, 3)
 
 
-def test_a_configuration_is_read_whole():
-    found = configurations.read_configuration(CONFIG)
-    assert found.version == 7
-    first, second = found.routes['r-1'], found.routes['r-2']
+def test_a_configuration_is_read():
+    configuration = configurations.read_configuration(CONFIG)
+    assert configuration.version == 7
+    first, second = configuration.routes['r-1'], configuration.routes['r-2']
     assert (first.idempotent, second.idempotent) == (False, True)
     assert first.host == 'hulo84.example'
     assert first.home_regions == {'guj'}
     assert [x.weight for x in second.parts] == [90.0, 10.0]
-    assert found.limits.idle_timeout_ms == 15_000.0
+    assert configuration.limits.idle_timeout_ms == 15_000.0
 
 
 @pytest.mark.parametrize(
@@ -122,26 +122,26 @@
         {'service': None},
     ],
 )
-def test_a_spoilt_entry_is_passed_over_and_the_others_hold(change):
+def test_a_malformed_object_is_skipped(change):
     body = listing(entry('bad', {**SPEC, **change}), entry('i-1', SPEC))
     result = read(LIST, body)
     assert [x.row.upstream for x in result.items] == ['i-1']
 
 
 @pytest.mark.parametrize('field', ['service', 'addr', 'zone', 'slots'])
-def test_an_entry_that_lacks_a_field_is_passed_over(field):
+def test_an_object_without_a_required_field_is_skipped(field):
     spec = {key: value for key, value in SPEC.items() if key != field}
     assert read(LIST, listing(entry('bad', spec))).items == ()
 
 
 @hypothesis.given(JUNK)
-def test_no_spec_ends_the_reading_of_a_list(spec):
+def test_a_malformed_spec_does_not_stop_the_list(spec):
     result = read(LIST, listing(entry('junk', spec), entry('i-1', SPEC)))
     assert result.items[-1].row.upstream == 'i-1'
 
 
 @hypothesis.given(JUNK)
-def test_no_configuration_ends_the_reading(spec):
+def test_a_malformed_configuration_is_skipped(spec):
     call = store.ListKind(store.Kind.CONFIGURATION, None)
     assert read(call, listing(entry('main', spec))).items == ()
 
@@ -156,7 +156,7 @@
     assert [x.row.upstream for x in read(LIST, body).items] == ['i-1']
 
 
-def test_a_page_says_where_to_go_on():
+def test_a_partial_page_names_where_to_continue():
     body = listing(entry('i-1', SPEC), entry('i-2', SPEC), has_more=True)
     assert read(LIST, body).next_after == 'i-2'
 
@@ -181,7 +181,7 @@
         (503, store.Refused(250.0)),
     ],
 )
-def test_statuses_have_their_results(status, expected):
+def test_statuses_map_to_results(status, expected):
     headers = [(b'Retry-After', b'0.25')]
     assert read(WATCH, b'', status, headers) == expected
 
@@ -191,30 +191,30 @@
 )
 
 
-def test_a_conflict_tells_what_is_registered():
+def test_a_conflict_returns_the_registration():
     row = REGISTER.row._replace(revision=31)
     spec = msgspec.json.decode(objects.write_store(REGISTER).body)['spec']
     body = msgspec.json.encode(entry('edge-1', spec, 31))
-    found = objects.read_store(REGISTER, 409, [], body)
-    assert found == store.Conflict(row)
+    result = objects.read_store(REGISTER, 409, [], body)
+    assert result == store.Conflict(row)
 
 
 @pytest.mark.parametrize('body', [b'', b'x', b'{}', b'[]', b'{"spec": 3}'])
-def test_a_conflict_that_cannot_be_read_tells_nothing(body):
-    found = objects.read_store(REGISTER, 409, [], body)
-    assert found == store.Conflict()
+def test_a_malformed_conflict_returns_no_registration(body):
+    result = objects.read_store(REGISTER, 409, [], body)
+    assert result == store.Conflict()
 
 
 def test_any_other_status_is_a_failure():
     assert isinstance(read(WATCH, b'x', 500), store.Failed)
 
 
-def test_a_route_without_times_and_a_service_without_bounds_are_read():
+def test_routes_and_services_have_defaults():
     route = {
         key: value
         for key, value in CONFIG['routes']['r-1'].items()
         if key not in ('timeout', 'target_latency', 'priority')
     }
     spec = {**CONFIG, 'routes': {'r-1': route}, 'services': {'wuno96b': {}}}
-    (found,) = configurations.read_configuration(spec).routes.values()
-    assert found.target_ms == found.timeout_ms == 10_000.0
+    (route_row,) = configurations.read_configuration(spec).routes.values()
+    assert route_row.target_ms == route_row.timeout_ms == 10_000.0
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -1,4 +1,4 @@
-"""Serve requests through a whole entry over loopback."""
+"""Test a complete entry over loopback."""
 
 import functools
 
@@ -14,10 +14,10 @@
 
 
 async def test_a_request_is_served(nursery):
-    _, made, settings, _ = await deployments.deployment(nursery)
+    _, upstreams, settings, _ = await deployments.deployment(nursery)
     answer = await deployments.ask(settings.front_bind)
     assert (answer.status, answer.body) == (200, b'done')
-    assert [x for one in made for x in one.ran] == ['r-1']
+    assert [x for fake in upstreams for x in fake.ran] == ['r-1']
 
 
 async def test_an_unknown_route_is_not_found(nursery):
@@ -34,40 +34,40 @@
     assert settings.front_bind.encode() in answer.body
 
 
-@pytest.mark.parametrize('how', ['cuts', 'unsealed'])
-async def test_work_that_runs_once_is_not_sent_again(nursery, how):
-    _, made, settings, _ = await deployments.deployment(
+@pytest.mark.parametrize('behaviour', ['cuts', 'unsealed'])
+async def test_a_non_idempotent_request_is_not_retried(nursery, behaviour):
+    _, upstreams, settings, _ = await deployments.deployment(
         nursery, kind='non_idempotent'
     )
-    for upstream in made:
-        upstream.how = how
+    for upstream in upstreams:
+        upstream.behaviour = behaviour
     answer = await deployments.ask(settings.front_bind, method=b'POST')
     assert answer.status == 502
-    assert len([x for one in made for x in one.ran]) == 1
+    assert len([x for fake in upstreams for x in fake.ran]) == 1
 
 
-async def test_work_that_every_upstream_sheds_has_not_run(nursery):
-    _, made, settings, _ = await deployments.deployment(
+async def test_a_request_that_every_upstream_sheds_is_refused(nursery):
+    _, upstreams, settings, _ = await deployments.deployment(
         nursery, kind='non_idempotent'
     )
-    for upstream in made:
-        upstream.how = 'sheds'
+    for upstream in upstreams:
+        upstream.behaviour = 'sheds'
     answer = await deployments.ask(settings.front_bind, method=b'POST')
     assert answer.status == 503
     assert b'retry-after' in {k.lower() for k, _ in answer.headers}
-    assert not [x for one in made for x in one.ran]
+    assert not [x for fake in upstreams for x in fake.ran]
 
 
-async def test_idempotent_work_is_sent_again(nursery):
-    _, made, settings, _ = await deployments.deployment(nursery)
-    made[0].how = made[1].how = 'cuts'
+async def test_an_idempotent_request_is_retried(nursery):
+    _, upstreams, settings, _ = await deployments.deployment(nursery)
+    upstreams[0].behaviour = upstreams[1].behaviour = 'cuts'
     assert (await deployments.ask(settings.front_bind)).status == 502
-    assert len([x for one in made for x in one.ran]) == 2
+    assert len([x for fake in upstreams for x in fake.ran]) == 2
 
 
-async def test_an_address_that_another_upstream_has_runs_nothing(nursery):
-    _, made, settings, _ = await deployments.deployment(nursery)
-    made[0].instance = 'i-other'
+async def test_a_reused_address_runs_no_request_for_the_old_upstream(nursery):
+    _, upstreams, settings, _ = await deployments.deployment(nursery)
+    upstreams[0].instance = 'i-other'
     for number in range(8):
         name = f'r-{number}'.encode()
         target = f'/desk/{number}'.encode()
@@ -75,27 +75,27 @@
             settings.front_bind, name=name, target=target
         )
         assert answer.status == 200
-    assert not made[0].ran
+    assert not upstreams[0].ran
 
 
-async def test_a_draining_upstream_gets_nothing_after_its_change(nursery):
-    store, made, settings, _ = await deployments.deployment(nursery)
+async def test_a_draining_upstream_gets_no_requests(nursery):
+    store, upstreams, settings, _ = await deployments.deployment(nursery)
     spec = store.objects['servers']['i-0']['spec']
     stores.put(store, 'servers', 'i-0', {**spec, 'state': 'draining'})
     await trio.sleep(0.6)
-    made[0].ran.clear()
+    upstreams[0].ran.clear()
     for number in range(8):
         target = f'/desk/{number}'.encode()
         await deployments.ask(settings.front_bind, target=target)
-    assert not made[0].ran
+    assert not upstreams[0].ran
 
 
 @pytest.mark.parametrize(
-    'trouble', [stores.Down(), stores.Busy(), stores.Silent()]
+    'condition', [stores.Down(), stores.Busy(), stores.Silent()]
 )
-async def test_the_store_may_be_away(nursery, trouble):
+async def test_requests_are_served_while_the_store_fails(nursery, condition):
     store, _, settings, _ = await deployments.deployment(nursery)
-    stores.set_condition(store, trouble)
+    stores.set_condition(store, condition)
     await trio.sleep(0.3)
     assert (await deployments.ask(settings.front_bind)).status == 200
     stores.set_condition(store, stores.Up())
@@ -108,7 +108,7 @@
     await deployments.until_served(settings, b'/new/1')
 
 
-async def test_a_registration_whose_answer_was_lost_is_made_once(nursery):
+async def test_a_registration_with_a_lost_response_is_made_once(nursery):
     store = stores.new_store()
     store.condition = stores.LosesAnswers()
     stores.put(store, 'config', 'main', deployments.configuration())
@@ -142,27 +142,27 @@
     assert b'zinnialead_request_ms_bucket' in page.body
 
 
-async def test_a_caller_that_leaves_frees_its_upstream(nursery):
-    _, made, settings, _ = await deployments.deployment(nursery, count=1)
-    made[0].work_s = 5.0
+async def test_a_disconnected_caller_frees_its_upstream(nursery):
+    _, upstreams, settings, _ = await deployments.deployment(nursery, count=1)
+    upstreams[0].work_s = 5.0
     with trio.move_on_after(0.2):
         await deployments.ask(settings.front_bind)
-    made[0].work_s = 0.0
+    upstreams[0].work_s = 0.0
     await trio.sleep(0.2)
     answer = await deployments.ask(settings.front_bind, name=b'r-2')
     assert answer.status == 200
 
 
-async def test_a_request_is_answered_when_its_time_is_over(nursery):
-    _, made, settings, _ = await deployments.deployment(
+async def test_a_request_is_refused_at_its_deadline(nursery):
+    _, upstreams, settings, _ = await deployments.deployment(
         nursery, count=1, timeout='300ms'
     )
-    made[0].work_s = 5.0
+    upstreams[0].work_s = 5.0
     with trio.fail_after(1.0):
         assert (await deployments.ask(settings.front_bind)).status == 504
 
 
-async def test_operators_read_what_is_in_force(nursery):
+async def test_operators_read_the_active_configuration(nursery):
     store, _, settings, _ = await deployments.deployment(nursery)
     stores.put(store, 'evacuations', 'tn-a', {})
     await trio.sleep(0.5)
@@ -170,11 +170,11 @@
     run = functools.partial(
         typer.testing.CliRunner().invoke, main.app, catch_exceptions=False
     )
-    asked = ['--entry', address, '--token', 'none']
-    found = await trio.to_thread.run_sync(run, ['in-force', *asked])
-    document = msgspec.json.decode(found.stdout)
+    options = ['--entry', address, '--token', 'none']
+    result = await trio.to_thread.run_sync(run, ['in-force', *options])
+    document = msgspec.json.decode(result.stdout)
     assert document['configuration']['version'] == 1
     assert document['drained'] == ['tn-a']
-    found = await trio.to_thread.run_sync(run, ['dump', *asked])
-    document = msgspec.json.decode(found.stdout)
+    result = await trio.to_thread.run_sync(run, ['dump', *options])
+    document = msgspec.json.decode(result.stdout)
     assert {x['upstream'] for x in document['upstreams']} == {'i-0', 'i-1'}
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -1,4 +1,4 @@
-"""Run the program itself, and stop it as the platform does."""
+"""Test the program as a process, with the platform's signals."""
 
 import os
 import pathlib
@@ -29,8 +29,8 @@
     )
 
 
-async def running(nursery, tmp_path):
-    """Start the program against the fakes; return it when it is ready."""
+async def start_ready(nursery, tmp_path):
+    """Start the program against a fake platform; wait until it is ready."""
     store = stores.new_store()
     upstream = fakes.FakeUpstream('i-1')
     address = await fakes.serve_upstream(nursery, upstream)
@@ -59,13 +59,13 @@
         time.sleep(0.02)
 
 
-async def ended(process):
+async def wait_for_exit(process):
     with trio.fail_after(10.0):
         return await trio.to_thread.run_sync(process.communicate)
 
 
-async def test_a_stop_answers_what_was_read(nursery, tmp_path):
-    process, settings, upstream = await running(nursery, tmp_path)
+async def test_a_stopping_program_answers_open_requests(nursery, tmp_path):
+    process, settings, upstream = await start_ready(nursery, tmp_path)
     upstream.work_s = 0.5
     answers = []
 
@@ -78,7 +78,7 @@
     await trio.sleep(0.1)
     ready = await deployments.ask(settings.ready_bind, target=b'/ready')
     assert ready.status == 503
-    out, _ = await ended(process)
+    out, _ = await wait_for_exit(process)
     assert process.returncode == 0
     (answer,) = answers
     assert (answer.status, answer.body) == (200, b'done')
@@ -87,11 +87,11 @@
         assert event in out
 
 
-async def test_a_short_grace_leaves_time_to_end_the_last_requests(
+async def test_a_short_grace_period_covers_the_last_requests(
     nursery, tmp_path
 ):
-    """Soak, seed 2: a request late in a grace of 2 s was cut at work."""
-    process, settings, upstream = await running(nursery, tmp_path)
+    """A request late in a grace period of 2 s was aborted (soak, seed 2)."""
+    process, settings, upstream = await start_ready(nursery, tmp_path)
     upstream.work_s = 0.15
     answers = []
 
@@ -101,42 +101,42 @@
     process.send_signal(signal.SIGTERM)
     await trio.sleep(0.7)
     nursery.start_soon(ask)
-    await ended(process)
+    await wait_for_exit(process)
     (answer,) = answers
     assert (answer.status, answer.body) == (200, b'done')
 
 
 async def test_a_state_dump_is_written_on_request(nursery, tmp_path):
-    process, _, _ = await running(nursery, tmp_path)
+    process, _, _ = await start_ready(nursery, tmp_path)
     process.send_signal(signal.SIGUSR1)
     await trio.sleep(0.5)
     process.send_signal(signal.SIGTERM)
-    out, _ = await ended(process)
+    out, _ = await wait_for_exit(process)
     assert b'"dump"' in out
     assert b'"i-1"' in out
 
 
-def test_settings_that_lack_a_field_end_the_program(tmp_path):
+def test_settings_without_a_required_field_end_the_program(tmp_path):
     path = tmp_path / 'boot.toml'
     path.write_text('[self]\n')
     process = start(path)
-    _, told = process.communicate(timeout=20)
+    _, errors = process.communicate(timeout=20)
     assert process.returncode == 2
-    assert b'network' in told
+    assert b'network' in errors
 
 
-def printed_by(code):
-    """Return the words that code which loads the program prints."""
-    done = subprocess.run(
+def run_code(code):
+    """Run code that loads the program; return the words it prints."""
+    result = subprocess.run(
         [sys.executable, '-c', code.format(program=PROGRAM)],
         env=ENVIRONMENT,
         capture_output=True,
         check=True,
     )
-    return done.stdout.split()
+    return result.stdout.split()
 
 
-LOADED = """
+PRINT_IGNORED_SIGNALS = """
 import runpy, signal, sys
 runpy.run_path({program!r}, run_name='loaded')
 assert 'trio' not in sys.modules
@@ -145,12 +145,12 @@
 """
 
 
-def test_a_reload_during_the_start_does_not_end_the_program():
-    """Soak, seed 1: a program that had just been started ended by SIGHUP."""
-    assert printed_by(LOADED) == [b'True', b'True']
+def test_a_reload_signal_during_the_start_is_ignored():
+    """SIGHUP ended a program that had just started (soak, seed 1)."""
+    assert run_code(PRINT_IGNORED_SIGNALS) == [b'True', b'True']
 
 
-UNUSED = """
+PRINT_COMPONENT_MODULES = """
 import runpy, sys
 runpy.run_path({program!r}, run_name='loaded')
 from zinnialead_gateway import application
@@ -159,6 +159,6 @@
 """
 
 
-def test_an_entry_loads_nothing_of_the_world_that_tickets_drive():
-    """Its start took a third of its processor time for that."""
-    assert printed_by(UNUSED) == []
+def test_an_entry_does_not_load_the_ticket_driven_components():
+    """Loading them took a third of the processor time of the start."""
+    assert run_code(PRINT_COMPONENT_MODULES) == []
--- a/tests/gateway/test_client.py
+++ b/tests/gateway/test_client.py
@@ -1,4 +1,4 @@
-"""Exchange with upstreams that misbehave, over loopback."""
+"""Test the HTTP client against misbehaving servers over loopback."""
 
 import functools
 
@@ -8,15 +8,15 @@
 from zinnialead_gateway.http import client
 
 REQUEST = client.Request(b'GET', b'/x', [(b'Host', b'a')], b'')
-WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
-async def served(nursery, *scripts):
-    """Serve each connection by the next script of what to write."""
-    left = list(scripts)
+async def serve(nursery, *scripts):
+    """Serve each connection with the next script of responses."""
+    remaining = list(scripts)
 
     async def handle(stream):
-        script = left.pop(0)
+        script = remaining.pop(0)
         for part in script:
             await stream.receive_some(65_536)
             if part is not None:
@@ -37,16 +37,16 @@
     return response
 
 
-async def test_a_kept_connection_serves_again(nursery):
-    address = await served(nursery, [WHOLE, WHOLE])
+async def test_an_idle_connection_is_reused(nursery):
+    address = await serve(nursery, [RESPONSE, RESPONSE])
     pool = client.Pool(tcp_keepalive=False)
     assert (await exchange(pool, address)).body == b'ok'
     assert (await exchange(pool, address)).body == b'ok'
     assert pool.opened_count == 1
 
 
-async def test_a_connection_that_was_closed_is_not_used_again(nursery):
-    address = await served(nursery, [WHOLE], [WHOLE])
+async def test_a_closed_connection_is_not_reused(nursery):
+    address = await serve(nursery, [RESPONSE], [RESPONSE])
     pool = client.Pool(tcp_keepalive=False)
     await exchange(pool, address)
     await trio.sleep(0.05)
@@ -55,10 +55,12 @@
 
 
 @pytest.mark.parametrize(
-    'extra', [b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n', b'rubbish']
+    'trailing', [b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n', b'rubbish']
 )
-async def test_bytes_after_an_answer_belong_to_no_request(nursery, extra):
-    address = await served(nursery, [WHOLE + extra], [WHOLE])
+async def test_a_connection_with_trailing_bytes_is_not_reused(
+    nursery, trailing
+):
+    address = await serve(nursery, [RESPONSE + trailing], [RESPONSE])
     pool = client.Pool(tcp_keepalive=False)
     assert (await exchange(pool, address)).body == b'ok'
     assert (await exchange(pool, address)).body == b'ok'
@@ -66,7 +68,7 @@
 
 
 @pytest.mark.parametrize(
-    'spoilt',
+    'malformed',
     [
         b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab',
@@ -74,29 +76,31 @@
         b'',
     ],
 )
-async def test_an_answer_that_is_cut_or_spoilt_is_no_answer(nursery, spoilt):
-    address = await served(nursery, [spoilt or None])
+async def test_a_malformed_response_is_a_protocol_error(nursery, malformed):
+    address = await serve(nursery, [malformed or None])
     pool = client.Pool(tcp_keepalive=False)
     with pytest.raises(client.ProtocolError):
         await exchange(pool, address)
 
 
-async def test_an_answer_without_a_length_ends_with_its_connection(nursery):
-    address = await served(nursery, [b'HTTP/1.1 200 OK\r\n\r\nwhole'])
+async def test_a_response_without_a_length_ends_at_close(nursery):
+    address = await serve(nursery, [b'HTTP/1.1 200 OK\r\n\r\nwhole'])
     pool = client.Pool(tcp_keepalive=False)
     assert (await exchange(pool, address)).body == b'whole'
     assert not pool.idle.get(address)
 
 
-async def test_nobody_who_listens_is_not_sent_to():
+async def test_a_refused_connection_raises_os_error():
     pool = client.Pool(tcp_keepalive=False)
     with pytest.raises(OSError):
         await client.acquire(pool, '127.0.0.1:1', 5_000.0)
 
 
-async def test_what_an_upstream_says_of_idle_connections_is_kept_to(nursery):
-    told = WHOLE.replace(b'OK\r\n', b'OK\r\nKeep-Alive: timeout=1\r\n')
-    address = await served(nursery, [told], [WHOLE])
+async def test_the_keep_alive_timeout_is_respected(nursery):
+    keep_alive = RESPONSE.replace(
+        b'OK\r\n', b'OK\r\nKeep-Alive: timeout=1\r\n'
+    )
+    address = await serve(nursery, [keep_alive], [RESPONSE])
     pool = client.Pool(tcp_keepalive=False)
     await exchange(pool, address)
     await exchange(pool, address)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -1,4 +1,4 @@
-"""Serve callers that are slow, large, early or gone, over loopback."""
+"""Test the HTTP server with misbehaving callers over loopback."""
 
 import functools
 
@@ -12,23 +12,25 @@
 GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
-async def echo(caller, asked):
-    return http_models.Response(200, [], asked.target + b':' + asked.body)
+async def echo(caller, request):
+    return http_models.Response(200, [], request.target + b':' + request.body)
 
 
 def refuse(status, reason):
     return http_models.Response(status, [], reason.encode())
 
 
-async def served(nursery, handle=echo):
+async def serve(nursery, handle=echo):
     listener = await sockets.listen('127.0.0.1:0')
-    counted = []
-    made = http_models.Server(
-        handle, lambda: LIMITS, 10, counted.append, refuse, counted.append
+    events = []
+    http_server = http_models.Server(
+        handle, lambda: LIMITS, 10, events.append, refuse, events.append
     )
-    nursery.start_soon(server.serve, made, listener)
+    nursery.start_soon(server.serve, http_server, listener)
     port = listener.socket.getsockname()[1]
-    return made, functools.partial(trio.open_tcp_stream, '127.0.0.1', port)
+    return http_server, functools.partial(
+        trio.open_tcp_stream, '127.0.0.1', port
+    )
 
 
 async def read_all(stream):
@@ -50,84 +52,84 @@
 
 
 async def test_requests_are_answered_in_turn(nursery):
-    _, connect = await served(nursery)
+    _, connect = await serve(nursery)
     close = b'GET /y HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
     data = await ask(connect, GET + close)
     assert data.count(b'HTTP/1.1 200') == 2
     assert data.index(b'/x:') < data.index(b'/y:')
 
 
-async def test_a_body_comes_in_chunks(nursery):
-    _, connect = await served(nursery)
+async def test_a_chunked_body_is_read(nursery):
+    _, connect = await serve(nursery)
     head = b'POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
     head += b'Transfer-Encoding: chunked\r\n\r\n'
     data = await ask(connect, head, b'3\r\nabc\r\n', b'0\r\n\r\n')
     assert data.endswith(b'/x:abc')
 
 
-async def test_a_head_that_never_ends_is_refused(nursery):
-    _, connect = await served(nursery)
+async def test_an_incomplete_head_is_refused(nursery):
+    _, connect = await serve(nursery)
     data = await ask(connect, b'GET /x HTTP/1.1\r\nHost:')
     assert b' 408 ' in data.split(b'\r\n')[0]
 
 
-async def test_a_head_that_is_too_large_is_refused(nursery):
-    _, connect = await served(nursery)
+async def test_a_too_large_head_is_refused(nursery):
+    _, connect = await serve(nursery)
     data = await ask(connect, GET[:-2] + b'X: ' + b'a' * 3_000)
     assert b' 431 ' in data.split(b'\r\n')[0]
 
 
-async def test_a_body_that_is_too_large_is_refused(nursery):
-    made, connect = await served(nursery)
+async def test_a_too_large_body_is_refused(nursery):
+    http_server, connect = await serve(nursery)
     head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 6000\r\n\r\n'
     assert b' 413 ' in (await ask(connect, head)).split(b'\r\n')[0]
-    assert made.body_bytes == 0
+    assert http_server.body_bytes == 0
 
 
-async def test_an_idle_connection_is_closed_in_time(nursery):
-    _, connect = await served(nursery)
+async def test_an_idle_connection_is_closed(nursery):
+    _, connect = await serve(nursery)
     with trio.fail_after(1.5):
         assert await ask(connect) == b''
 
 
-async def test_a_closing_server_answers_and_says_so(nursery):
-    made, connect = await served(nursery)
-    made.closing = True
+async def test_a_closing_server_answers_and_closes(nursery):
+    http_server, connect = await serve(nursery)
+    http_server.closing = True
     data = await ask(connect, GET)
     assert b'connection: close' in data.lower()
     assert data.endswith(b'/x:')
 
 
-async def test_a_caller_that_leaves_is_noticed_while_it_is_answered(nursery):
-    left = trio.Event()
+async def test_a_caller_that_disconnects_is_noticed(nursery):
+    disconnected = trio.Event()
 
-    async def slow(caller, _asked):
-        caller.on_disconnect = left.set
+    async def slow(caller, _request):
+        caller.on_disconnect = disconnected.set
         await trio.sleep(5.0)
 
-    _, connect = await served(nursery, slow)
+    _, connect = await serve(nursery, slow)
     stream = await connect()
     await stream.send_all(GET)
     await trio.sleep(0.05)
     await stream.aclose()
     with trio.fail_after(1.0):
-        await left.wait()
+        await disconnected.wait()
 
 
-async def test_smuggled_lengths_are_refused(nursery):
-    _, connect = await served(nursery)
+async def test_conflicting_lengths_are_refused(nursery):
+    _, connect = await serve(nursery)
     head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n'
     head += b'Content-Length: 9\r\n\r\nabc'
     assert b' 400 ' in (await ask(connect, head)).split(b'\r\n')[0]
 
 
-async def test_a_handler_that_fails_ends_its_own_connection_only(nursery):
-    async def fail(_caller, asked):
-        if asked.target == b'/x':
+async def test_a_failing_handler_closes_only_its_connection(nursery):
+    async def fail(_caller, request):
+        if request.target == b'/x':
             raise RuntimeError('broken')
         return http_models.Response(200, [], b'well')
 
-    _, connect = await served(nursery, fail)
+    _, connect = await serve(nursery, fail)
     assert await ask(connect, GET) == b''
     close = b'GET /y HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
     assert (await ask(connect, close)).endswith(b'well')
