Call the gateway's copy of a caller's request CallerRequest

"Exchange" named both the caller's request and the sending of an attempt. The row is CallerRequest, the table requests, and the function _send_and_receive; received signals are called signals.

Checks pass; 110 tests of the gateway and the adapter pass.

--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -59,11 +59,11 @@
     """Serve until a signal stops the process."""
     settings = read_settings()
     async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(*SIGNALS) as received:
+        with trio.open_signal_receiver(*SIGNALS) as signals:
             application = await set_up(
                 nursery, settings, read_settings, dialect
             )
-            nursery.start_soon(_handle_signals, application, received)
+            nursery.start_soon(_handle_signals, application, signals)
             nursery.start_soon(_poll_settings, application)
             try:
                 await application.stop.wait()
@@ -250,9 +250,9 @@
 
 
 async def _handle_signals(
-    application: Application, received: abc.AsyncIterable[int]
+    application: Application, signals: abc.AsyncIterable[int]
 ) -> None:
-    async for number in received:
+    async for number in signals:
         match number:
             case signal.SIGHUP:
                 _reload(application, 'SIGHUP')
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -56,7 +56,7 @@
     request_id = ids.RequestId(next(front.request_numbers))
     pending = PendingRequest(head, trio.Event(), engines.now_ms())
     front.pending[request_id] = pending
-    front.upstreams.exchanges[request_id] = upstreams.Exchange(
+    front.upstreams.requests[request_id] = upstreams.CallerRequest(
         head, request.method, request.target, request.body
     )
     caller.on_disconnect = lambda: _handle_disconnect(front, request_id)
--- a/packages/gateway/src/zinnialead_gateway/http/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/models.py
@@ -41,7 +41,7 @@
     """Hold a caller's connection.
 
     ``on_disconnect`` is called once if the caller disconnects while its
-    request is being handled; ``resume`` is set while reading is paused.
+    request is being handled; ``resume`` wakes a paused reader.
     """
 
     stream: trio.SocketStream
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -13,7 +13,7 @@
 from zinnialead_core.gateway import outputs as out
 from zinnialead_gateway import engine as engines
 
-# Rate and burst of lines: about 1% of a core of the smallest machine.
+# Rate limit and burst of lines: about 1% of a core of the smallest machine.
 LINES_PER_S_MAX = 40.0
 LINES_BURST_MAX = 200.0
 # Every request has routine decisions; under load a sample is logged.
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -24,7 +24,7 @@
 STRAY_RESPONSES_MAX = 3
 
 
-class Exchange(typing.NamedTuple):
+class CallerRequest(typing.NamedTuple):
     """Hold a caller's request until it is answered."""
 
     head: dialects.RequestHead
@@ -58,7 +58,7 @@
     dialect: dialects.Dialect
     nursery: trio.Nursery
     pool: client.Pool
-    exchanges: dict[ids.RequestId, Exchange] = dataclasses.field(
+    requests: dict[ids.RequestId, CallerRequest] = dataclasses.field(
         default_factory=dict
     )
     attempts: dict[AttemptKey, Attempt] = dataclasses.field(
@@ -85,7 +85,7 @@
 
 def discard(upstreams: Upstreams, request_id: ids.RequestId) -> None:
     """Discard an answered request."""
-    upstreams.exchanges.pop(request_id, None)
+    upstreams.requests.pop(request_id, None)
 
 
 async def _run_attempt(upstreams: Upstreams, attempt: Attempt) -> None:
@@ -93,7 +93,7 @@
     outcome: verdict.Outcome = verdict.Lost('cancelled')
     received: UpstreamResponse | None = None
     with attempt.scope:
-        outcome, received = await _exchange(upstreams, attempt)
+        outcome, received = await _send_and_receive(upstreams, attempt)
     del upstreams.attempts[key]
     cancelled = attempt.scope.cancelled_caught
     connection = attempt.connection
@@ -113,12 +113,12 @@
     upstreams.responses.pop(key, None)
 
 
-async def _exchange(
+async def _send_and_receive(
     upstreams: Upstreams, attempt: Attempt
 ) -> tuple[verdict.Outcome, UpstreamResponse | None]:
     dispatch = attempt.dispatch
-    exchange = upstreams.exchanges.get(dispatch.request_id)
-    if exchange is None:
+    caller_request = upstreams.requests.get(dispatch.request_id)
+    if caller_request is None:
         return verdict.NotSent('the caller left'), None
     try:
         connection = await client.acquire(
@@ -133,17 +133,17 @@
         client.release(upstreams.pool, connection)
         return verdict.NotSent('no time was left'), None
     request = client.Request(
-        exchange.method,
-        exchange.target,
+        caller_request.method,
+        caller_request.target,
         upstreams.dialect.write_request(
-            exchange.head, dispatch.upstream, left_ms
+            caller_request.head, dispatch.upstream, left_ms
         ),
-        exchange.body,
+        caller_request.body,
     )
     try:
         await client.send(connection, request)
         received = await _receive_response(
-            upstreams, exchange, connection, request
+            upstreams, caller_request, connection, request
         )
     except CONNECTION_ERRORS as error:
         return verdict.Lost(f'{dispatch.address}: {error!r}'), None
@@ -153,7 +153,7 @@
 
 async def _receive_response(
     upstreams: Upstreams,
-    exchange: Exchange,
+    caller_request: CallerRequest,
     connection: client.Connection,
     request: client.Request,
 ) -> UpstreamResponse:
@@ -163,7 +163,7 @@
         head = upstreams.dialect.read_response(
             response.status, response.headers
         )
-        if head.name == exchange.head.name:
+        if head.name == caller_request.head.name:
             return UpstreamResponse(response, head)
         if head.name is None and (head.not_run or not head.sealed):
             return UpstreamResponse(response, head)
