Reword a few docstrings of the stand-ins and of planning

entry_addresses() says that it falls back to the seeds; the warnings of a plan come from _drained_region_warnings() and _shift_cap_warning(), which read like changes of regions and caps before.

make check: passed.

--- a/packages/config/src/zinnialead_config/filing/planning.py
+++ b/packages/config/src/zinnialead_config/filing/planning.py
@@ -52,7 +52,7 @@
 ) -> abc.Iterator[PlanWarning]:
     """Yield warnings about capacity and regions that a ticket drains."""
     yield from _services_without_upstreams(after)
-    yield from _newly_drained_regions(before, after)
+    yield from _drained_region_warnings(before, after)
     yield from _lost_capacity(before, after)
 
 
@@ -78,7 +78,7 @@
             yield PlanWarning(f'services.{name}', reason)
 
 
-def _newly_drained_regions(
+def _drained_region_warnings(
     before: tickets.State, after: tickets.State
 ) -> abc.Iterator[PlanWarning]:
     for name, drain in after.drains.items():
@@ -86,10 +86,10 @@
             continue
         match drain:
             case tickets.RegionDrain(region):
-                yield from _shift_cap_sum(after, name, region)
+                yield from _shift_cap_warning(after, name, region)
 
 
-def _shift_cap_sum(
+def _shift_cap_warning(
     after: tickets.State, name: str, region: str
 ) -> abc.Iterator[PlanWarning]:
     cap_per_s = sum(
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -38,7 +38,7 @@
 
 
 async def entry_addresses(caller: models.Caller, service: str) -> list[str]:
-    """Return the addresses of live entries, cached until they expire."""
+    """Return the addresses of live entries, or the seeds if none is live."""
     row = await _look_up(caller, service)
     choices = [] if row is None else row.document['choices']
     live = [
@@ -55,7 +55,7 @@
     """Return a new key with the key prefix of the entry at an address."""
     row = await _look_up(caller, service)
     choices = [] if row is None else row.document['choices']
-    prefixes = {x['address']: x['key_prefix'] for x in choices}
+    prefixes = {choice['address']: choice['key_prefix'] for choice in choices}
     prefix = prefixes.get(address)
     if prefix is None:
         return None
--- a/packages/standins/src/zinnialead_standins/caller/models.py
+++ b/packages/standins/src/zinnialead_standins/caller/models.py
@@ -54,7 +54,7 @@
 
 
 class Work(typing.NamedTuple):
-    """Describe one piece of work by a unique ``name``.
+    """Describe one piece of work; ``name`` is unique.
 
     Keyed work carries an idempotency key: ``key``, or else a new one.
     """
