Name the bench's runs, measures, bounds and streams plainly

A finished run was a Sample and its fleet `made` or `found`; it is now a ScenarioRun with a simulation. Docstrings say what each part does in the terms of load tests. Names of scenarios, measures and of the keys in the report are unchanged, and so is the order of the random draws.

--- a/packages/lab/src/zinnialead_lab/bench/__init__.py
+++ b/packages/lab/src/zinnialead_lab/bench/__init__.py
@@ -1,4 +1,4 @@
-"""Compare the policy with the plain way under load and faults."""
+"""Compare the policy with a simple baseline under load and faults."""
 
 from zinnialead_lab.bench.command import main
 from zinnialead_lab.bench.coordinator import run
--- a/packages/lab/src/zinnialead_lab/bench/arrivals.py
+++ b/packages/lab/src/zinnialead_lab/bench/arrivals.py
@@ -1,4 +1,4 @@
-"""Draw the work of a scenario: the same list for policy and baseline."""
+"""Draw the work of a scenario; policy and baseline get the same list."""
 
 from collections import abc
 import itertools
@@ -24,30 +24,30 @@
     deadline_ms: float
 
 
-def draw(
+def draw_works(
     scenario: models.Scenario, deployment: models.Deployment, seed: int
 ) -> list[fleet.Work]:
     """Return all work of a scenario, in order of arrival."""
     generator = np.random.default_rng(seed)
-    drawn = [
+    works = [
         work
-        for stream in _streams(scenario, deployment)
-        for work in _poisson(stream, deployment, generator)
+        for stream in _arrival_streams(scenario, deployment)
+        for work in _poisson_works(stream, deployment, generator)
     ]
-    drawn.sort(key=lambda work: work.arrived_ms)
+    works.sort(key=lambda work: work.arrived_ms)
     return [
         work._replace(work_id=fleet.WorkId(number))
-        for number, work in enumerate(drawn)
+        for number, work in enumerate(works)
     ]
 
 
-def _streams(
+def _arrival_streams(
     scenario: models.Scenario, deployment: models.Deployment
 ) -> abc.Iterator[Stream]:
     state = deployment.state
     match scenario.faults:
         case (models.OnePool(duration_ms),):
-            yield from _pool(scenario, deployment, duration_ms)
+            yield from _one_pool_streams(scenario, deployment, duration_ms)
             return
     for service, domain in itertools.product(state.services, state.domains):
         capacity = deployments.capacity_per_s(state, service, domain)
@@ -61,14 +61,15 @@
                 scenario.times.end_ms,
                 const.DEADLINES_MS[rank],
             )
-    # Floods are drawn last, so that the rest is the same without them.
+    # Floods are drawn last, so that the other streams draw the same random
+    # numbers with and without a flood.
     for fault in scenario.faults:
         match fault:
             case models.Flood():
-                yield from _flood(scenario, deployment, fault)
+                yield from _flood_streams(scenario, deployment, fault)
 
 
-def _pool(
+def _one_pool_streams(
     scenario: models.Scenario,
     deployment: models.Deployment,
     duration_ms: float,
@@ -87,7 +88,7 @@
         )
 
 
-def _flood(
+def _flood_streams(
     scenario: models.Scenario,
     deployment: models.Deployment,
     flood: models.Flood,
@@ -106,24 +107,24 @@
         )
 
 
-def _poisson(
+def _poisson_works(
     stream: Stream,
     deployment: models.Deployment,
     generator: np.random.Generator,
 ) -> abc.Iterator[fleet.Work]:
-    row = deployment.state.services[stream.service]
+    service = deployment.state.services[stream.service]
     span_ms = stream.to_ms - stream.from_ms
     count = generator.poisson(stream.rate_per_s * span_ms / const.MS_PER_S)
     times_ms = generator.uniform(stream.from_ms, stream.to_ms, count)
-    demands_ms = generator.exponential(row.service_time_ms, count)
-    for at_ms, demand_ms in zip(times_ms, demands_ms, strict=True):
+    demands_ms = generator.exponential(service.service_time_ms, count)
+    for arrived_ms, demand_ms in zip(times_ms, demands_ms, strict=True):
         yield fleet.Work(
             work_id=fleet.WorkId(0),
-            arrived_ms=float(at_ms),
+            arrived_ms=float(arrived_ms),
             service=stream.service,
             rank=stream.rank,
             domain=stream.domain,
             demand_ms=float(demand_ms),
-            deadline_ms=float(at_ms) + stream.deadline_ms,
-            keyed=not row.idempotent,
+            deadline_ms=float(arrived_ms) + stream.deadline_ms,
+            keyed=not service.idempotent,
         )
--- a/packages/lab/src/zinnialead_lab/bench/command.py
+++ b/packages/lab/src/zinnialead_lab/bench/command.py
@@ -13,12 +13,12 @@
     out_dir: str | pathlib.Path = 'out/bench',
 ) -> int:
     """Run the bench, write its files and return the exit code."""
-    folder = pathlib.Path(out_dir)
-    folder.mkdir(parents=True, exist_ok=True)
+    out_folder = pathlib.Path(out_dir)
+    out_folder.mkdir(parents=True, exist_ok=True)
     rows = coordinator.run(seed, short)
-    report.table(rows)
-    report.lines(rows, folder / f'bench-{seed}.jsonl')
-    plots.bench(rows, folder)
-    broken = [row for row in rows if not row.holds]
-    print(f'{len(rows)} measures, {len(broken)} out of bounds')
-    return 1 if broken else 0
+    report.print_table(rows)
+    report.write_lines(rows, out_folder / f'bench-{seed}.jsonl')
+    plots.bench(rows, out_folder)
+    failed = [row for row in rows if not row.holds]
+    print(f'{len(rows)} measures, {len(failed)} out of bounds')
+    return 1 if failed else 0
--- a/packages/lab/src/zinnialead_lab/bench/deployments.py
+++ b/packages/lab/src/zinnialead_lab/bench/deployments.py
@@ -1,4 +1,4 @@
-"""Describe the two deployments at the sizes of the brief."""
+"""Build the states of the bench's deployments, at their full sizes."""
 
 from collections import abc
 import typing
@@ -10,7 +10,7 @@
 
 
 class ServiceSize(typing.NamedTuple):
-    """Hold how many upstreams and slots a service has."""
+    """Hold a service's upstreams, and the limits of each upstream."""
 
     service: ids.ServiceId
     upstreams: int
@@ -47,17 +47,17 @@
 
 
 def one_pool() -> models.Deployment:
-    """Return one domain with the six slots of a scarce service."""
+    """Return one domain with one service of six slots in all."""
     size = ServiceSize(ids.ServiceId('intake'), 2, 3, 700, False)
-    made = _deployment('one-pool', ('kigali',), (size,))
-    domain = next(iter(made.state.domains))
+    deployment = _deployment('one-pool', ('kigali',), (size,))
+    domain = next(iter(deployment.state.domains))
     upstreams = {
         name: row._replace(domain=domain)
-        for name, row in made.state.upstreams.items()
+        for name, row in deployment.state.upstreams.items()
     }
-    domains = {domain: made.state.domains[domain]}
-    state = made.state._replace(domains=domains, upstreams=upstreams)
-    return made._replace(state=state)
+    domains = {domain: deployment.state.domains[domain]}
+    state = deployment.state._replace(domains=domains, upstreams=upstreams)
+    return deployment._replace(state=state)
 
 
 def capacity_per_s(
@@ -89,44 +89,44 @@
 ) -> models.Deployment:
     domains = [
         tickets.DomainRow(
-            ids.DomainId(f'{region}-{half}'),
+            ids.DomainId(f'{region}-{suffix}'),
             ids.RegionId(region),
             const.ENTRIES_PER_DOMAIN,
         )
         for region in regions
-        for half in ('a', 'b')
+        for suffix in ('a', 'b')
     ]
     state = tickets.empty_state()._replace(
         number=1,
-        services={size.service: _service(size) for size in sizes},
+        services={size.service: _service_row(size) for size in sizes},
         upstreams={
             row.upstream: row
             for size in sizes
-            for row in _upstreams(size, domains)
+            for row in _upstream_rows(size, domains)
         },
         domains={row.domain: row for row in domains},
         ranks={row.rank: row for row in RANKS},
     )
-    state = state._replace(caps=dict(_caps(state, regions)))
+    state = state._replace(caps=dict(_shift_caps_and_limits(state, regions)))
     return models.Deployment(name, state, const.ENTRIES_PER_DOMAIN)
 
 
-def _service(size: ServiceSize) -> tickets.ServiceRow:
-    time_ms = const.NON_IDEMPOTENT_MS
+def _service_row(size: ServiceSize) -> tickets.ServiceRow:
+    service_time_ms = const.NON_IDEMPOTENT_SERVICE_TIME_MS
     if size.idempotent:
-        time_ms = const.IDEMPOTENT_MS
+        service_time_ms = const.IDEMPOTENT_SERVICE_TIME_MS
     return tickets.ServiceRow(
         service=size.service,
         idempotent=size.idempotent,
         default_rank=ids.RankId('normal'),
         deadline_max_ms=const.ERLANG_DEADLINE_MS,
-        service_time_ms=time_ms,
+        service_time_ms=service_time_ms,
         body_max_bytes=65_536,
         queue_max=1_000,
     )
 
 
-def _upstreams(
+def _upstream_rows(
     size: ServiceSize, domains: list[tickets.DomainRow]
 ) -> abc.Iterator[tickets.UpstreamRow]:
     for number in range(size.upstreams):
@@ -141,28 +141,28 @@
         )
 
 
-def _caps(
+def _shift_caps_and_limits(
     state: tickets.State, regions: tuple[str, ...]
 ) -> abc.Iterator[tuple[str, tickets.Cap]]:
-    whole = sum(capacity_per_s(state, name) for name in state.services)
-    cap_per_s = whole * const.SHIFT_CAP_SHARE / len(regions)
-    for one in regions:
-        for other in regions:
-            if one != other:
+    total_per_s = sum(capacity_per_s(state, name) for name in state.services)
+    cap_per_s = total_per_s * const.SHIFT_CAP_SHARE / len(regions)
+    for source in regions:
+        for target in regions:
+            if source != target:
                 cap = tickets.ShiftCap(
-                    ids.RegionId(one),
-                    ids.RegionId(other),
+                    ids.RegionId(source),
+                    ids.RegionId(target),
                     cap_per_s,
                 )
-                yield f'shift {one} {other}', cap
+                yield f'shift {source} {target}', cap
         for service in state.services:
             limit = sum(
                 slots(state, service, domain)
                 for domain, row in state.domains.items()
-                if row.region == one
+                if row.region == source
             )
-            region = ids.RegionId(one)
+            region = ids.RegionId(source)
             yield (
-                f'limit {one} {service}',
+                f'limit {source} {service}',
                 tickets.RegionLimit(region, service, limit),
             )
--- a/packages/lab/src/zinnialead_lab/bench/erlang.py
+++ b/packages/lab/src/zinnialead_lab/bench/erlang.py
@@ -1,4 +1,4 @@
-"""Work out the waits of pooled slots by Erlang's formula."""
+"""Compute the mean wait for pooled slots by Erlang's C formula."""
 
 
 def wait_factor(slots: int, load: float) -> float:
@@ -7,9 +7,9 @@
     >>> round(wait_factor(6, 0.9), 3)
     1.234
     """
-    offered = slots * load
+    offered_load = slots * load
     blocking = 1.0
     for number in range(1, slots + 1):
-        blocking = offered * blocking / (number + offered * blocking)
+        blocking = offered_load * blocking / (number + offered_load * blocking)
     waiting = blocking / (1.0 - load * (1.0 - blocking))
     return waiting / (slots * (1.0 - load))
--- a/packages/lab/src/zinnialead_lab/bench/fault_measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/fault_measures.py
@@ -1,4 +1,4 @@
-"""Measure what a scenario's faults are meant to show."""
+"""Measure how well a run withstood the faults of its scenario."""
 
 from collections import abc
 
@@ -10,110 +10,110 @@
 from zinnialead_lab.bench import spans
 from zinnialead_lab import fleet
 
-# A run that outlasts its deadline may have run without any fault.
-OVERDUE = verdict.Reason.DEADLINE_PASSED.value
+# Work that outlasts its deadline may have run, even without a fault.
+DEADLINE_PASSED = verdict.Reason.DEADLINE_PASSED.value
 
 
 def measure(
-    sample: models.Sample, fault: models.Fault
+    run: models.ScenarioRun, fault: models.Fault
 ) -> abc.Iterator[models.Measure]:
     """Yield the measures that belong to one fault."""
     match fault:
         case models.Flood(rank):
-            yield from _flood(sample, rank)
+            yield from _flood_measures(run, rank)
         case models.BrownOut():
-            yield _sends(sample)
+            yield _sends_per_accepted(run)
         case models.EntryDeath():
-            yield _unsure(sample)
-            yield from _joins(sample)
-        case models.RegionDeath() | models.Rolling():
-            yield from _joins(sample)
+            yield _uncertain_after_kill(run)
+            yield from _longest_join(run)
+        case models.RegionDeath() | models.RollingReplacement():
+            yield from _longest_join(run)
         case models.UpstreamDrain():
-            upstream = scenarios.drained(sample.deployment)
-            yield from _drain(sample, frozenset({upstream}))
-            yield from _in_force(sample)
+            upstream = scenarios.drained_upstream(run.deployment)
+            yield from _drain_measures(run, frozenset({upstream}))
+            yield from _ticket_spread(run)
         case models.RegionDrain():
-            yield from _drain(sample, _region_upstreams(sample))
-            yield from _in_force(sample)
+            yield from _drain_measures(run, _region_upstreams(run))
+            yield from _ticket_spread(run)
         case models.StoreOutage():
-            yield from _in_force(sample)
+            yield from _ticket_spread(run)
         case _:
             return
 
 
-def _flood(
-    sample: models.Sample, flooding: ids.RankId
+def _flood_measures(
+    run: models.ScenarioRun, flooding_rank: ids.RankId
 ) -> abc.Iterator[models.Measure]:
-    times = sample.scenario.times
+    times = run.scenario.times
     window = spans.Span(times.fault_ms + const.WARM_UP_MS, times.repair_ms)
-    total = _useful_share(sample, window, None)
+    goodput = _useful_share(run, window, None)
     yield models.Measure(
-        'goodput in flood', 'share', total, models.AtLeast(const.GOODPUT_MIN)
+        'goodput in flood', 'share', goodput, models.AtLeast(const.GOODPUT_MIN)
     )
-    for row in sample.deployment.state.ranks.values():
-        if row.rank == flooding or not row.floor_share:
+    for row in run.deployment.state.ranks.values():
+        if row.rank == flooding_rank or not row.floor_share:
             continue
-        kept = _useful_share(sample, window, row.rank) / row.floor_share
-        bound = models.AtLeast(const.FLOOR_KEPT_MIN)
+        floor_ratio = _useful_share(run, window, row.rank) / row.floor_share
+        bound = models.AtLeast(const.FLOOR_RATIO_MIN)
         name = f'{row.rank} kept over floor'
-        yield models.Measure(name, 'ratio', kept, bound)
+        yield models.Measure(name, 'ratio', floor_ratio, bound)
 
 
 def _useful_share(
-    sample: models.Sample, window: spans.Span, rank: ids.RankId | None
+    run: models.ScenarioRun, window: spans.Span, rank: ids.RankId | None
 ) -> float:
-    ended = {
+    answered = {
         row.work.work_id
-        for row in sample.fleet.ends
+        for row in run.fleet.ends
         if row.verdict is verdict.Verdict.RAN
-        and row.ended_ms <= row.work.deadline_ms + const.RETURN_MS
+        and row.ended_ms <= row.work.deadline_ms + const.RESPONSE_TRAVEL_MAX_MS
     }
-    works = sample.fleet.works
-    useful = (
-        spans.Span(row.started_ms, row.ended_ms or sample.fleet.now_ms)
-        for row in sample.fleet.runs
-        if row.work_id in ended and rank in (None, works[row.work_id].rank)
+    works = run.fleet.works
+    useful_spans = (
+        spans.Span(row.started_ms, row.ended_ms or run.fleet.now_ms)
+        for row in run.fleet.runs
+        if row.work_id in answered and rank in (None, works[row.work_id].rank)
     )
-    slots = _usable_slots(sample)
+    slots = _usable_slots(run)
     width_ms = window.to_ms - window.from_ms
-    return spans.overlap_ms(useful, window) / (slots * width_ms)
+    return spans.overlap_ms(useful_spans, window) / (slots * width_ms)
 
 
-def _usable_slots(sample: models.Sample) -> int:
-    # A dead region's slots are not part of the capacity in its absence.
-    dead: frozenset[ids.UpstreamId] = frozenset()
-    if models.RegionDeath() in sample.scenario.faults:
-        dead = _region_upstreams(sample)
+def _usable_slots(run: models.ScenarioRun) -> int:
+    # The slots of a dead region don't count as capacity.
+    dead_upstreams: frozenset[ids.UpstreamId] = frozenset()
+    if models.RegionDeath() in run.scenario.faults:
+        dead_upstreams = _region_upstreams(run)
     return sum(
         row.slots
-        for name, row in sample.deployment.state.upstreams.items()
-        if name not in dead
+        for name, row in run.deployment.state.upstreams.items()
+        if name not in dead_upstreams
     )
 
 
-def _sends(sample: models.Sample) -> models.Measure:
-    sent = sample.fleet.counters['upstream.sent']
-    ratio = sent / max(1, len(sample.fleet.sent_works))
+def _sends_per_accepted(run: models.ScenarioRun) -> models.Measure:
+    sends = run.fleet.counters['upstream.sent']
+    ratio = sends / max(1, len(run.fleet.sent_works))
     bound = models.AtMost(const.SENDS_PER_ACCEPTED_MAX)
     return models.Measure('sends per accepted', 'ratio', ratio, bound)
 
 
-def _unsure(sample: models.Sample) -> models.Measure:
-    killed = sample.fleet.kills[0]
-    unsure = sum(
+def _uncertain_after_kill(run: models.ScenarioRun) -> models.Measure:
+    kill = run.fleet.kills[0]
+    uncertain = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN
         and row.work.keyed
-        and (row.lost or row.reason != OVERDUE)
-        for row in sample.fleet.ends
+        and (row.lost or row.reason != DEADLINE_PASSED)
+        for row in run.fleet.ends
     )
-    bound = models.AtMost(float(killed.in_flight))
+    bound = models.AtMost(float(kill.in_flight))
     name = 'may-have-run after a death'
-    return models.Measure(name, '1', unsure, bound)
+    return models.Measure(name, '1', uncertain, bound)
 
 
-def _region_upstreams(sample: models.Sample) -> frozenset[ids.UpstreamId]:
-    state = sample.deployment.state
-    region = scenarios.last_region(sample.deployment)
+def _region_upstreams(run: models.ScenarioRun) -> frozenset[ids.UpstreamId]:
+    state = run.deployment.state
+    region = scenarios.affected_region(run.deployment)
     return frozenset(
         name
         for name, row in state.upstreams.items()
@@ -121,14 +121,16 @@
     )
 
 
-def _drain(
-    sample: models.Sample, upstreams: frozenset[ids.UpstreamId]
+def _drain_measures(
+    run: models.ScenarioRun, upstreams: frozenset[ids.UpstreamId]
 ) -> abc.Iterator[models.Measure]:
-    filed_ms = sample.fleet.filed_ms[2]
-    runs = [row for row in sample.fleet.runs if row.upstream in upstreams]
-    now_ms = sample.fleet.now_ms
-    last_ms = max((row.started_ms for row in runs), default=filed_ms)
-    ended_ms = max((row.ended_ms or now_ms for row in runs), default=filed_ms)
+    filed_ms = run.fleet.filed_ms[2]
+    runs = [row for row in run.fleet.runs if row.upstream in upstreams]
+    now_ms = run.fleet.now_ms
+    last_start_ms = max((row.started_ms for row in runs), default=filed_ms)
+    last_end_ms = max(
+        (row.ended_ms or now_ms for row in runs), default=filed_ms
+    )
     in_flight_ms = max(
         (
             (row.ended_ms or now_ms) - filed_ms
@@ -140,49 +142,54 @@
     yield models.Measure(
         'last new work after drain',
         'ms',
-        max(0.0, last_ms - filed_ms),
-        models.AtMost(const.LAST_WORK_MAX_MS),
+        max(0.0, last_start_ms - filed_ms),
+        models.AtMost(const.LAST_START_MAX_MS),
     )
-    longest_ms = max(0.0, in_flight_ms) + const.DRAIN_MARGIN_MS
+    drain_max_ms = max(0.0, in_flight_ms) + const.DRAIN_MARGIN_MS
     yield models.Measure(
         'drain time',
         'ms',
-        max(0.0, ended_ms - filed_ms),
-        models.AtMost(longest_ms),
+        max(0.0, last_end_ms - filed_ms),
+        models.AtMost(drain_max_ms),
     )
 
 
-def _in_force(sample: models.Sample) -> abc.Iterator[models.Measure]:
-    bound = models.AtMost(const.TICKET_MAX_MS)
-    found = sample.fleet
-    for number, filed_ms in found.filed_ms.items():
-        # An entry that starts later learns the ticket as it joins.
-        taken_ms = [
-            _adopted_ms(found, row.ref, number) - filed_ms
-            for row in found.entries.values()
+def _ticket_spread(run: models.ScenarioRun) -> abc.Iterator[models.Measure]:
+    bound = models.AtMost(const.TICKET_SPREAD_MAX_MS)
+    simulation = run.fleet
+    for number, filed_ms in simulation.filed_ms.items():
+        # An entry that starts after the filing gets the ticket as it joins.
+        delays_ms = [
+            _adopted_ms(simulation, row.ref, number) - filed_ms
+            for row in simulation.entries.values()
             if row.life is fleet.Life.RUNNING and row.started_ms <= filed_ms
         ]
         name = f'ticket {number} in force everywhere'
-        most_ms = max(taken_ms, default=0.0)
-        yield models.Measure(name, 'ms', max(0.0, most_ms), bound)
+        longest_ms = max(delays_ms, default=0.0)
+        yield models.Measure(name, 'ms', max(0.0, longest_ms), bound)
 
 
-def _joins(sample: models.Sample) -> abc.Iterator[models.Measure]:
-    found = sample.fleet
-    taken_ms = [
-        _adopted_ms(found, row.ref, 1) - row.started_ms
-        for row in found.entries.values()
+def _longest_join(run: models.ScenarioRun) -> abc.Iterator[models.Measure]:
+    simulation = run.fleet
+    delays_ms = [
+        _adopted_ms(simulation, row.ref, 1) - row.started_ms
+        for row in simulation.entries.values()
         if row.life is fleet.Life.RUNNING and row.started_ms > 0.0
     ]
     bound = models.AtMost(const.JOIN_MAX_MS)
-    most_ms = max(taken_ms, default=0.0)
-    yield models.Measure('longest join', 'ms', most_ms, bound)
+    longest_ms = max(delays_ms, default=0.0)
+    yield models.Measure('longest join', 'ms', longest_ms, bound)
 
 
-def _adopted_ms(found: fleet.Fleet, ref: ids.EntryRef, number: int) -> float:
+def _adopted_ms(
+    simulation: fleet.Fleet, ref: ids.EntryRef, number: int
+) -> float:
     times_ms = [
         adopted_ms
-        for (holder, adopted), adopted_ms in found.adopted_ms.items()
-        if holder == ref and adopted >= number
+        for (
+            entry,
+            adopted_number,
+        ), adopted_ms in simulation.adopted_ms.items()
+        if entry == ref and adopted_number >= number
     ]
     return min(times_ms, default=float('inf'))
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -1,4 +1,4 @@
-"""Measure a finished run against the promises and the bounds."""
+"""Measure a finished run: guarantees, caps, served work and latency."""
 
 import collections
 from collections import abc
@@ -15,151 +15,161 @@
 from zinnialead_lab import fleet
 from zinnialead_lab.fleet import oracle
 
-UNBOUND = models.Unbound()
-NONE = models.AtMost(0.0)
+UNBOUNDED = models.Unbounded()
+ZERO = models.AtMost(0.0)
 
 
-def measure(sample: models.Sample) -> abc.Iterator[models.Measure]:
+def measure(run: models.ScenarioRun) -> abc.Iterator[models.Measure]:
     """Yield every measure of a run."""
-    yield from promises(sample)
-    yield from _caps(sample)
-    yield from _service(sample)
-    for fault in sample.scenario.faults:
-        yield from fault_measures.measure(sample, fault)
-
-
-def promises(sample: models.Sample) -> abc.Iterator[models.Measure]:
-    """Yield how often each promise was broken."""
-    broken = oracle.check(sample.fleet)
-    counters = sample.fleet.counters
-    yield models.Measure('double runs', '1', broken.double_runs, NONE)
-    yield models.Measure('false not-run', '1', broken.false_not_run, NONE)
-    yield models.Measure('part answers', '1', broken.part_answers, NONE)
-    reverted = broken.reverted_tickets
-    yield models.Measure('reverted tickets', '1', reverted, NONE)
+    yield from guarantee_violations(run)
+    yield from _cap_measures(run)
+    yield from _service_measures(run)
+    for fault in run.scenario.faults:
+        yield from fault_measures.measure(run, fault)
+
+
+def guarantee_violations(
+    run: models.ScenarioRun,
+) -> abc.Iterator[models.Measure]:
+    """Yield how often each guarantee was violated."""
+    violations = oracle.check(run.fleet)
+    counters = run.fleet.counters
+    yield models.Measure('double runs', '1', violations.double_runs, ZERO)
+    yield models.Measure('false not-run', '1', violations.false_not_run, ZERO)
+    yield models.Measure('part answers', '1', violations.part_answers, ZERO)
+    reverted = violations.reverted_tickets
+    yield models.Measure('reverted tickets', '1', reverted, ZERO)
     cut = counters['stop.cut']
-    yield models.Measure('cut by planned stops', '1', cut, NONE)
+    yield models.Measure('cut by planned stops', '1', cut, ZERO)
 
 
-def latencies(sample: models.Sample, rank: str) -> hdrh.HdrHistogram:
-    """Return the latencies of a rank's answered work in us."""
-    found = hdrh.HdrHistogram(
+def latencies(run: models.ScenarioRun, rank: str) -> hdrh.HdrHistogram:
+    """Return a histogram, in microseconds, of a rank's answered work."""
+    histogram = hdrh.HdrHistogram(
         1, const.HISTOGRAM_MAX_US, const.HISTOGRAM_DIGITS
     )
-    for row in sample.fleet.ends:
+    for row in run.fleet.ends:
         if row.work.rank == rank and row.verdict is verdict.Verdict.RAN:
-            taken_ms = row.ended_ms - row.work.arrived_ms
-            found.record_value(int(taken_ms * const.US_PER_MS))
-    return found
+            latency_ms = row.ended_ms - row.work.arrived_ms
+            histogram.record_value(int(latency_ms * const.US_PER_MS))
+    return histogram
 
 
-def p99_ms(sample: models.Sample, rank: str) -> float:
+def p99_ms(run: models.ScenarioRun, rank: str) -> float:
     """Return the 99th percentile of a rank's latency."""
-    value_us = latencies(sample, rank).get_value_at_percentile(99.0)
+    value_us = latencies(run, rank).get_value_at_percentile(99.0)
     return float(value_us / const.US_PER_MS)
 
 
-def served(sample: models.Sample) -> abc.Iterator[fleet.EndRow]:
-    """Yield the work that was answered by its deadline."""
-    for row in sample.fleet.ends:
-        due_ms = row.work.deadline_ms + const.RETURN_MS
+def answered_in_time(run: models.ScenarioRun) -> abc.Iterator[fleet.EndRow]:
+    """Yield the ends of the work that was answered by its deadline."""
+    for row in run.fleet.ends:
+        due_ms = row.work.deadline_ms + const.RESPONSE_TRAVEL_MAX_MS
         ran = row.verdict is verdict.Verdict.RAN
         if ran and row.whole and row.ended_ms <= due_ms:
             yield row
 
 
-def _service(sample: models.Sample) -> abc.Iterator[models.Measure]:
-    ranks = sample.deployment.state.ranks
-    asked = collections.Counter(
-        work.rank for work in sample.fleet.works.values()
+def _service_measures(run: models.ScenarioRun) -> abc.Iterator[models.Measure]:
+    ranks = run.deployment.state.ranks
+    arrived = collections.Counter(
+        work.rank for work in run.fleet.works.values()
+    )
+    answered = collections.Counter(
+        row.work.rank for row in answered_in_time(run)
     )
-    answered = collections.Counter(row.work.rank for row in served(sample))
     worth = sum(ranks[rank].worth * n for rank, n in answered.items())
-    bound = _worth_bound(sample.scenario)
+    bound = _worth_bound(run.scenario)
     yield models.Measure('worth served', 'worth', worth, bound)
     for rank in ranks:
-        if not asked[rank]:
+        if not arrived[rank]:
             continue
-        found = latencies(sample, rank)
+        histogram = latencies(run, rank)
         for percentile in (50.0, 99.0):
-            taken_ms = (
-                found.get_value_at_percentile(percentile) / const.US_PER_MS
+            latency_ms = (
+                histogram.get_value_at_percentile(percentile) / const.US_PER_MS
             )
             name = f'{rank} p{percentile:.0f}'
-            yield models.Measure(name, 'ms', taken_ms, UNBOUND)
-        share = answered[rank] / asked[rank]
-        yield models.Measure(f'{rank} served', 'share', share, UNBOUND)
-    unsure = sum(
+            yield models.Measure(name, 'ms', latency_ms, UNBOUNDED)
+        served_share = answered[rank] / arrived[rank]
+        yield models.Measure(
+            f'{rank} served', 'share', served_share, UNBOUNDED
+        )
+    uncertain = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN and row.work.keyed
-        for row in sample.fleet.ends
+        for row in run.fleet.ends
     )
-    yield models.Measure('may-have-run answers', '1', unsure, UNBOUND)
-    yield models.Measure('mean wait', 'ms', mean_wait_ms(sample), UNBOUND)
+    yield models.Measure('may-have-run answers', '1', uncertain, UNBOUNDED)
+    yield models.Measure('mean wait', 'ms', mean_wait_ms(run), UNBOUNDED)
 
 
 def _worth_bound(scenario: models.Scenario) -> models.Bound:
     match scenario.faults:
         case (models.Calm() | models.OnePool(),):
-            return UNBOUND
+            return UNBOUNDED
         case _:
             return models.AboveBaseline()
 
 
-def mean_wait_ms(sample: models.Sample) -> float:
-    """Return the mean time between the arrival and the start of a run."""
-    works = sample.fleet.works
+def mean_wait_ms(run: models.ScenarioRun) -> float:
+    """Return the mean time from a work's arrival to its start."""
+    works = run.fleet.works
     waits = [
         row.started_ms - works[row.work_id].arrived_ms
-        for row in sample.fleet.runs
+        for row in run.fleet.runs
     ]
     return sum(waits) / max(1, len(waits))
 
 
-def erlang_ratio(sample: models.Sample) -> float:
-    """Return the mean wait over Erlang's value for one pool."""
-    state = sample.deployment.state
+def wait_over_erlang(run: models.ScenarioRun) -> float:
+    """Return the mean wait divided by the wait that Erlang C predicts."""
+    state = run.deployment.state
     [service] = state.services
-    count = deployments.slots(state, service)
-    factor = erlang.wait_factor(count, sample.scenario.load)
+    slots = deployments.slots(state, service)
+    factor = erlang.wait_factor(slots, run.scenario.load)
     expected_ms = factor * state.services[service].service_time_ms
-    return mean_wait_ms(sample) / expected_ms
+    return mean_wait_ms(run) / expected_ms
 
 
-def _caps(sample: models.Sample) -> abc.Iterator[models.Measure]:
-    state = sample.deployment.state
-    most_shift = most_load = 0.0
+def _cap_measures(run: models.ScenarioRun) -> abc.Iterator[models.Measure]:
+    state = run.deployment.state
+    largest_shift = largest_load = 0.0
     for cap in state.caps.values():
         match cap:
             case tickets.ShiftCap():
-                share = _shift_share(sample, cap)
-                most_shift = max(most_shift, share)
+                ratio = _shift_ratio(run, cap)
+                largest_shift = max(largest_shift, ratio)
             case tickets.RegionLimit():
-                most_load = max(most_load, _load_share(sample, cap))
+                largest_load = max(largest_load, _load_ratio(run, cap))
     bound = models.AtMost(1.0)
-    yield models.Measure('largest shift over cap', 'ratio', most_shift, bound)
-    yield models.Measure('region load over limit', 'ratio', most_load, bound)
+    yield models.Measure(
+        'largest shift over cap', 'ratio', largest_shift, bound
+    )
+    yield models.Measure(
+        'region load over limit', 'ratio', largest_load, bound
+    )
 
 
-def _shift_share(sample: models.Sample, cap: tickets.ShiftCap) -> float:
-    domains = sample.deployment.state.domains
-    upstreams = sample.deployment.state.upstreams
+def _shift_ratio(run: models.ScenarioRun, cap: tickets.ShiftCap) -> float:
+    domains = run.deployment.state.domains
+    upstreams = run.deployment.state.upstreams
     times_ms = [
         row.started_ms
-        for row in sample.fleet.runs
-        if sample.fleet.entries[row.entry].region == cap.from_region
+        for row in run.fleet.runs
+        if run.fleet.entries[row.entry].region == cap.from_region
         and domains[upstreams[row.upstream].domain].region == cap.to_region
     ]
-    most = spans.most_in_window(times_ms, const.MS_PER_S)
-    return most / cap.requests_per_s
+    most_per_s = spans.max_in_window(times_ms, const.MS_PER_S)
+    return most_per_s / cap.requests_per_s
 
 
-def _load_share(sample: models.Sample, limit: tickets.RegionLimit) -> float:
-    domains = sample.deployment.state.domains
-    upstreams = sample.deployment.state.upstreams
-    standing = (
-        spans.Span(row.started_ms, row.ended_ms or sample.fleet.now_ms)
-        for row in sample.fleet.runs
+def _load_ratio(run: models.ScenarioRun, limit: tickets.RegionLimit) -> float:
+    domains = run.deployment.state.domains
+    upstreams = run.deployment.state.upstreams
+    running = (
+        spans.Span(row.started_ms, row.ended_ms or run.fleet.now_ms)
+        for row in run.fleet.runs
         if upstreams[row.upstream].service == limit.service
         and domains[upstreams[row.upstream].domain].region == limit.region
     )
-    return spans.most_at_once(standing) / limit.in_flight
+    return spans.max_concurrent(running) / limit.in_flight
--- a/packages/lab/src/zinnialead_lab/bench/models.py
+++ b/packages/lab/src/zinnialead_lab/bench/models.py
@@ -1,4 +1,4 @@
-"""Define the rows of the benches: deployments, scenarios, results."""
+"""Define the deployments, scenarios, faults and results of the bench."""
 
 import dataclasses
 import typing
@@ -9,7 +9,7 @@
 
 
 class Deployment(typing.NamedTuple):
-    """Name a deployment and what its first ticket puts in force."""
+    """Hold a deployment and the state that its first ticket sets."""
 
     name: str
     state: tickets.State
@@ -18,19 +18,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Calm:
-    """Bring about no fault."""
+    """Inject no fault."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OnePool:
-    """Run one service in one domain long enough to compare with Erlang."""
+    """Run one service in one domain, to compare its wait with Erlang C."""
 
     duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Flood:
-    """Add work of one rank until the whole is a multiple of capacity."""
+    """Add work of one rank until all work is ``factor`` times capacity."""
 
     rank: ids.RankId
     factor: float
@@ -38,17 +38,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrownOut:
-    """Slow half of all upstreams down, as with cold caches."""
+    """Restart half of all upstreams with cold caches."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegionDeath:
-    """Kill a region's entries and upstreams, and bring them back cold."""
+    """Kill a region's entries and upstreams; restart them with cold caches."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryDeath:
-    """Kill one entry."""
+    """Kill one entry, and restart it later."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,27 +63,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreOutage:
-    """Take the store away, with tickets before and after."""
+    """Stop the store for a while, with a ticket before and after."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Partition:
-    """Cut one domain off from everything else."""
+    """Partition one domain from all others."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LyingLoads:
-    """Let upstreams report no load, an old load or nothing."""
+    """Make upstreams report zero load, a stale load or none at all."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilentConnections:
-    """Let open connections to upstreams go silent for good."""
+    """Make open connections to some upstreams go silent for good."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Rolling:
-    """Replace every entry in turn by planned stops."""
+class RollingReplacement:
+    """Stop every entry gracefully in turn, and start its successor."""
 
 
 Fault = (
@@ -99,12 +99,12 @@
     | Partition
     | LyingLoads
     | SilentConnections
-    | Rolling
+    | RollingReplacement
 )
 
 
 class Times(typing.NamedTuple):
-    """Say when faults begin and are repaired, and when work ends."""
+    """Hold when faults begin, when they are repaired, and work's end."""
 
     fault_ms: float
     repair_ms: float
@@ -112,7 +112,7 @@
 
 
 class Scenario(typing.NamedTuple):
-    """Name a scenario: its load and the faults that it brings about."""
+    """Describe a scenario: its load (share of capacity) and its faults."""
 
     name: str
     load: float
@@ -121,13 +121,13 @@
 
 
 class TimedInjection(typing.NamedTuple):
-    """Set when an injection is brought about."""
+    """Hold an injection and when it is due."""
 
     due_ms: float
     injection: fleet.Injection
 
 
-class Sample(typing.NamedTuple):
+class ScenarioRun(typing.NamedTuple):
     """Hold one finished run of a scenario."""
 
     scenario: Scenario
@@ -137,33 +137,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AtMost:
-    """Bound a measure from above."""
+    """Require at most this value."""
 
     value: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AtLeast:
-    """Bound a measure from below."""
+    """Require at least this value."""
 
     value: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AboveBaseline:
-    """Ask for more than the baseline has."""
+    """Require more than the baseline's value."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Unbound:
-    """Only report a measure."""
+class Unbounded:
+    """Require nothing; the measure is only reported."""
 
 
-Bound = AtMost | AtLeast | AboveBaseline | Unbound
+Bound = AtMost | AtLeast | AboveBaseline | Unbounded
 
 
 class Measure(typing.NamedTuple):
-    """Hold one measure of one run."""
+    """Hold one measured value of one run, and its bound."""
 
     name: str
     unit: str
@@ -172,7 +172,7 @@
 
 
 class ComparisonRow(typing.NamedTuple):
-    """Compare the policy with the baseline and the bound."""
+    """Hold the values of policy and baseline for one measure."""
 
     scenario: str
     deployment: str
@@ -185,7 +185,7 @@
 
 
 class ComparisonLine(typing.TypedDict):
-    """Write a row as one line of JSON."""
+    """Describe a row as one line of JSON."""
 
     scenario: str
     deployment: str
--- a/packages/lab/src/zinnialead_lab/bench/report.py
+++ b/packages/lab/src/zinnialead_lab/bench/report.py
@@ -1,4 +1,4 @@
-"""Write the rows of a bench as a table and as lines of JSON."""
+"""Print the rows of a bench as a table; write them as lines of JSON."""
 
 from collections import abc
 import json
@@ -9,15 +9,15 @@
 from zinnialead_lab.bench import models
 
 
-def table(rows: abc.Iterable[models.ComparisonRow]) -> None:
-    """Print the rows for people."""
-    made = rich.table.Table('scenario', 'deployment', 'measure', 'unit')
+def print_table(rows: abc.Iterable[models.ComparisonRow]) -> None:
+    """Print the rows as a table."""
+    table = rich.table.Table('scenario', 'deployment', 'measure', 'unit')
     for name in ('policy', 'baseline', 'bound', 'holds'):
-        made.add_column(name, justify='right')
+        table.add_column(name, justify='right')
     for row in rows:
         baseline = '' if row.baseline is None else f'{row.baseline:.4g}'
         holds = 'yes' if row.holds else '[bold red]NO[/]'
-        made.add_row(
+        table.add_row(
             row.scenario,
             row.deployment,
             row.measure,
@@ -27,20 +27,20 @@
             row.bound,
             holds if row.bound else '',
         )
-    rich.console.Console(width=130).print(made)
+    rich.console.Console(width=130).print(table)
 
 
-def lines(
+def write_lines(
     rows: abc.Iterable[models.ComparisonRow], path: pathlib.Path
 ) -> None:
-    """Write the rows for programs."""
+    """Write the rows to a file, one JSON object a line."""
     with path.open('w') as file:
         for row in rows:
-            file.write(json.dumps(line(row)) + '\n')
+            file.write(json.dumps(to_line(row)) + '\n')
 
 
-def line(row: models.ComparisonRow) -> models.ComparisonLine:
-    """Return one row as a document."""
+def to_line(row: models.ComparisonRow) -> models.ComparisonLine:
+    """Return a row as a JSON document."""
     return models.ComparisonLine(
         scenario=row.scenario,
         deployment=row.deployment,
--- a/packages/lab/src/zinnialead_lab/bench/scenarios.py
+++ b/packages/lab/src/zinnialead_lab/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""List the scenarios, and time the faults that each brings about."""
+"""List the scenarios, and schedule the injections of their faults."""
 
 from collections import abc
 
@@ -9,8 +9,8 @@
 from zinnialead_lab import fleet
 
 ROLLING_STEP_MS = 350.0
-LONG = models.Times(*const.LONG_MS)
-SHORT = models.Times(*const.SHORT_MS)
+LONG_TIMES = models.Times(*const.LONG_TIMES_MS)
+SHORT_TIMES = models.Times(*const.SHORT_TIMES_MS)
 LIES = (fleet.Lie.ZERO, fleet.Lie.FROZEN, fleet.Lie.ABSENT)
 
 
@@ -18,29 +18,33 @@
     """Yield every scenario of the bench."""
     for load in const.LOADS:
         calm = (models.Calm(),)
-        yield models.Scenario(f'calm {load}', load, calm, LONG)
+        yield models.Scenario(f'calm {load}', load, calm, LONG_TIMES)
     night = models.Flood(ids.RankId('night'), const.FLOOD_FACTOR)
     urgent = models.Flood(ids.RankId('urgent'), const.FLOOD_FACTOR)
-    yield _faulty('flood of night', night)
-    yield _faulty('flood of urgent', urgent)
-    yield _faulty('brown-out', models.BrownOut())
-    yield _faulty('region death', models.RegionDeath())
-    yield _faulty('entry death', models.EntryDeath())
-    yield _faulty('upstream drain', models.UpstreamDrain())
-    yield _faulty('region drain', models.RegionDrain())
-    yield _faulty('store outage', models.StoreOutage())
-    yield _faulty('partition', models.Partition())
-    yield _faulty('lying loads', models.LyingLoads())
-    yield _faulty('silent connections', models.SilentConnections())
-    yield _faulty('rolling', models.Rolling())
-    yield _faulty('flood and region death', night, models.RegionDeath())
-    yield _faulty('outage and rolling', models.StoreOutage(), models.Rolling())
+    yield _fault_scenario('flood of night', night)
+    yield _fault_scenario('flood of urgent', urgent)
+    yield _fault_scenario('brown-out', models.BrownOut())
+    yield _fault_scenario('region death', models.RegionDeath())
+    yield _fault_scenario('entry death', models.EntryDeath())
+    yield _fault_scenario('upstream drain', models.UpstreamDrain())
+    yield _fault_scenario('region drain', models.RegionDrain())
+    yield _fault_scenario('store outage', models.StoreOutage())
+    yield _fault_scenario('partition', models.Partition())
+    yield _fault_scenario('lying loads', models.LyingLoads())
+    yield _fault_scenario('silent connections', models.SilentConnections())
+    yield _fault_scenario('rolling', models.RollingReplacement())
+    yield _fault_scenario(
+        'flood and region death', night, models.RegionDeath()
+    )
+    yield _fault_scenario(
+        'outage and rolling', models.StoreOutage(), models.RollingReplacement()
+    )
 
 
 def short() -> abc.Iterator[models.Scenario]:
-    """Yield the few scenarios that run in seconds."""
+    """Yield the few scenarios of the short form."""
     calm = (models.Calm(),)
-    yield models.Scenario('calm 0.7', const.FAULT_LOAD, calm, SHORT)
+    yield models.Scenario('calm 0.7', const.FAULT_LOAD, calm, SHORT_TIMES)
     night = models.Flood(ids.RankId('night'), const.FLOOD_FACTOR)
     faults: dict[str, models.Fault] = {
         'entry death': models.EntryDeath(),
@@ -48,35 +52,38 @@
         'upstream drain': models.UpstreamDrain(),
     }
     for name, fault in faults.items():
-        yield _faulty(name, fault)._replace(times=SHORT)
+        yield _fault_scenario(name, fault)._replace(times=SHORT_TIMES)
 
 
 def one_pool(duration_ms: float) -> models.Scenario:
     """Return the scenario that is compared with Erlang's formula."""
-    pool = (models.OnePool(duration_ms),)
-    return models.Scenario('one pool', const.ERLANG_LOAD, pool, LONG)
+    faults = (models.OnePool(duration_ms),)
+    return models.Scenario('one pool', const.ERLANG_LOAD, faults, LONG_TIMES)
 
 
-def timed(
+def injections(
     scenario: models.Scenario, deployment: models.Deployment
 ) -> abc.Iterator[models.TimedInjection]:
-    """Yield the injections of a scenario's faults."""
+    """Yield the injections of a scenario's faults, with their times."""
     for fault in scenario.faults:
-        yield from _timed(fault, deployment, scenario.times)
+        yield from _fault_injections(fault, deployment, scenario.times)
 
 
-def drained(deployment: models.Deployment) -> ids.UpstreamId:
-    """Return the upstream that the drain scenario drains."""
+def drained_upstream(deployment: models.Deployment) -> ids.UpstreamId:
+    """Return the upstream that the drain scenarios drain."""
     return next(iter(deployment.state.upstreams))
 
 
-def last_region(deployment: models.Deployment) -> ids.RegionId:
-    """Return the region that dies or drains: not that of the store."""
+def affected_region(deployment: models.Deployment) -> ids.RegionId:
+    """Return the region that dies or drains.
+
+    It is the last one, as the store is in the first.
+    """
     return list(deployment.state.domains.values())[-1].region
 
 
-def last_domain(deployment: models.Deployment) -> ids.DomainId:
-    """Return the domain that a partition cuts off."""
+def isolated_domain(deployment: models.Deployment) -> ids.DomainId:
+    """Return the domain that a partition isolates."""
     return list(deployment.state.domains)[-1]
 
 
@@ -85,16 +92,16 @@
 ) -> list[ids.EntryId]:
     """Return the names that a fleet gives the entries of a domain."""
     return [
-        ids.EntryId(f'{domain}-entry-{number + 1}')
-        for number in range(deployment.entries_per_domain)
+        ids.EntryId(f'{domain}-entry-{index + 1}')
+        for index in range(deployment.entries_per_domain)
     ]
 
 
-def _faulty(name: str, *faults: models.Fault) -> models.Scenario:
-    return models.Scenario(name, const.FAULT_LOAD, faults, LONG)
+def _fault_scenario(name: str, *faults: models.Fault) -> models.Scenario:
+    return models.Scenario(name, const.FAULT_LOAD, faults, LONG_TIMES)
 
 
-def _timed(
+def _fault_injections(
     fault: models.Fault, deployment: models.Deployment, times: models.Times
 ) -> abc.Iterator[models.TimedInjection]:
     match fault:
@@ -110,27 +117,29 @@
             yield _at(times.fault_ms, fleet.Kill(entry))
             yield _at(times.repair_ms, fleet.Restart(entry))
         case models.UpstreamDrain():
-            upstream = drained(deployment)
+            upstream = drained_upstream(deployment)
             drain = tickets.UpstreamDrain(upstream)
-            yield _at(times.fault_ms, _file(deployment, 2, drain))
+            yield _at(times.fault_ms, _file_ticket(deployment, 2, drain))
         case models.RegionDrain():
-            gone = tickets.RegionDrain(last_region(deployment))
-            yield _at(times.fault_ms, _file(deployment, 2, gone))
+            region_drain = tickets.RegionDrain(affected_region(deployment))
+            yield _at(
+                times.fault_ms, _file_ticket(deployment, 2, region_drain)
+            )
         case models.StoreOutage():
             yield from _store_outage(deployment, times)
         case models.Partition():
-            part = frozenset({last_domain(deployment)})
-            yield _at(times.fault_ms, fleet.Cut((part,)))
+            isolated = frozenset({isolated_domain(deployment)})
+            yield _at(times.fault_ms, fleet.Cut((isolated,)))
             yield _at(times.repair_ms, fleet.Cut(()))
         case models.LyingLoads():
-            for number, upstream in enumerate(deployment.state.upstreams):
-                lie = LIES[number % len(LIES)]
-                lying = fleet.SetUpstream(upstream, lie=lie)
-                yield _at(times.fault_ms, lying)
+            for index, upstream in enumerate(deployment.state.upstreams):
+                lie = LIES[index % len(LIES)]
+                misreport = fleet.SetUpstream(upstream, lie=lie)
+                yield _at(times.fault_ms, misreport)
         case models.SilentConnections():
             for upstream in list(deployment.state.upstreams)[::4]:
                 yield _at(times.fault_ms, fleet.Silence(upstream))
-        case models.Rolling():
+        case models.RollingReplacement():
             yield from _rolling(deployment)
 
 
@@ -138,11 +147,13 @@
     return models.TimedInjection(due_ms, injection)
 
 
-def _file(
-    deployment: models.Deployment, number: int, *drains: tickets.Drain
+def _file_ticket(
+    deployment: models.Deployment, ticket_number: int, *drains: tickets.Drain
 ) -> fleet.File:
-    named = {f'drain-{n}': drain for n, drain in enumerate(drains)}
-    state = deployment.state._replace(number=number, drains=named)
+    drains_by_name = {f'drain-{n}': drain for n, drain in enumerate(drains)}
+    state = deployment.state._replace(
+        number=ticket_number, drains=drains_by_name
+    )
     return fleet.File(state)
 
 
@@ -157,27 +168,27 @@
     deployment: models.Deployment, times: models.Times
 ) -> abc.Iterator[models.TimedInjection]:
     state = deployment.state
-    region = last_region(deployment)
+    region = affected_region(deployment)
     for domain, row in state.domains.items():
         if row.region == region:
             for entry in entry_names(deployment, domain):
                 yield _at(times.fault_ms, fleet.Kill(entry))
                 yield _at(times.repair_ms, fleet.Restart(entry))
-    for upstream, known in state.upstreams.items():
-        if state.domains[known.domain].region == region:
-            dead = fleet.SetUpstream(upstream, fleet.Condition.DEAD)
-            yield _at(times.fault_ms, dead)
+    for upstream, upstream_row in state.upstreams.items():
+        if state.domains[upstream_row.domain].region == region:
+            failure = fleet.SetUpstream(upstream, fleet.Condition.DEAD)
+            yield _at(times.fault_ms, failure)
             yield _at(times.repair_ms, fleet.StartCold(upstream))
 
 
 def _store_outage(
     deployment: models.Deployment, times: models.Times
 ) -> abc.Iterator[models.TimedInjection]:
-    drain = tickets.UpstreamDrain(drained(deployment))
-    yield _at(times.fault_ms - 1_000.0, _file(deployment, 2, drain))
+    drain = tickets.UpstreamDrain(drained_upstream(deployment))
+    yield _at(times.fault_ms - 1_000.0, _file_ticket(deployment, 2, drain))
     yield _at(times.fault_ms, fleet.SetStore(down=True))
     yield _at(times.repair_ms, fleet.SetStore())
-    yield _at(times.repair_ms + 100.0, _file(deployment, 3))
+    yield _at(times.repair_ms + 100.0, _file_ticket(deployment, 3))
 
 
 def _rolling(
@@ -189,7 +200,7 @@
     in_turn = [
         entry for batch in zip(*by_domain, strict=True) for entry in batch
     ]
-    for number, entry in enumerate(in_turn):
-        due_ms = const.WARM_UP_MS + number * ROLLING_STEP_MS
+    for index, entry in enumerate(in_turn):
+        due_ms = const.WARM_UP_MS + index * ROLLING_STEP_MS
         yield _at(due_ms, fleet.Stop(entry))
         yield _at(due_ms, fleet.Replace(entry))
--- a/packages/lab/src/zinnialead_lab/capacity/requests.py
+++ b/packages/lab/src/zinnialead_lab/capacity/requests.py
@@ -18,7 +18,7 @@
     """Yield messages, bytes and processor time for each request."""
     calm = next(scenarios.short())
     job = bench.Job(calm, deployments.umusozi(), seed)
-    made = bench.prepare(job, plain=False)
+    made = bench.prepare_fleet(job, is_baseline=False)
     made.meter = meter = states.new_meter()
     bench.run_to_end(job, made)
     count = len(made.works)
