--- a/packages/lab/src/zinnialead_lab/bench/fault_measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/fault_measures.py
@@ -64,7 +64,7 @@
 ) -> float:
     answered = {
         row.work.work_id
-        for row in run.fleet.ends
+        for row in run.fleet.completions
         if row.verdict is verdict.Verdict.RAN
         and row.ended_ms <= row.work.deadline_ms + const.RESPONSE_TRAVEL_MAX_MS
     }
@@ -103,8 +103,8 @@
     uncertain = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN
         and row.work.keyed
-        and (row.lost or row.reason != DEADLINE_PASSED)
-        for row in run.fleet.ends
+        and (row.may_have_run or row.reason != DEADLINE_PASSED)
+        for row in run.fleet.completions
     )
     bound = models.AtMost(float(kill.in_flight))
     name = 'may-have-run after a death'
@@ -162,7 +162,8 @@
         delays_ms = [
             _adopted_ms(simulation, row.ref, number) - filed_ms
             for row in simulation.entries.values()
-            if row.life is fleet.Life.RUNNING and row.started_ms <= filed_ms
+            if row.process_state is fleet.ProcessState.RUNNING
+            and row.started_ms <= filed_ms
         ]
         name = f'ticket {number} in force everywhere'
         longest_ms = max(delays_ms, default=0.0)
@@ -174,7 +175,8 @@
     delays_ms = [
         _adopted_ms(simulation, row.ref, 1) - row.started_ms
         for row in simulation.entries.values()
-        if row.life is fleet.Life.RUNNING and row.started_ms > 0.0
+        if row.process_state is fleet.ProcessState.RUNNING
+        and row.started_ms > 0.0
     ]
     bound = models.AtMost(const.JOIN_MAX_MS)
     longest_ms = max(delays_ms, default=0.0)
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -36,7 +36,9 @@
     counters = run.fleet.counters
     yield models.Measure('double runs', '1', violations.double_runs, ZERO)
     yield models.Measure('false not-run', '1', violations.false_not_run, ZERO)
-    yield models.Measure('part answers', '1', violations.part_answers, ZERO)
+    yield models.Measure(
+        'part answers', '1', violations.mismatched_answers, ZERO
+    )
     reverted = violations.reverted_tickets
     yield models.Measure('reverted tickets', '1', reverted, ZERO)
     cut = counters['stop.cut']
@@ -48,7 +50,7 @@
     histogram = hdrh.HdrHistogram(
         1, const.HISTOGRAM_MAX_US, const.HISTOGRAM_DIGITS
     )
-    for row in run.fleet.ends:
+    for row in run.fleet.completions:
         if row.work.rank == rank and row.verdict is verdict.Verdict.RAN:
             latency_ms = row.ended_ms - row.work.arrived_ms
             histogram.record_value(int(latency_ms * const.US_PER_MS))
@@ -61,12 +63,14 @@
     return float(value_us / const.US_PER_MS)
 
 
-def answered_in_time(run: models.ScenarioRun) -> abc.Iterator[fleet.EndRow]:
+def answered_in_time(
+    run: models.ScenarioRun,
+) -> abc.Iterator[fleet.CompletionRow]:
     """Yield the ends of the work that was answered by its deadline."""
-    for row in run.fleet.ends:
+    for row in run.fleet.completions:
         due_ms = row.work.deadline_ms + const.RESPONSE_TRAVEL_MAX_MS
         ran = row.verdict is verdict.Verdict.RAN
-        if ran and row.whole and row.ended_ms <= due_ms:
+        if ran and row.is_own_answer and row.ended_ms <= due_ms:
             yield row
 
 
@@ -97,7 +101,7 @@
         )
     uncertain = sum(
         row.verdict is verdict.Verdict.MAY_HAVE_RUN and row.work.keyed
-        for row in run.fleet.ends
+        for row in run.fleet.completions
     )
     yield models.Measure('may-have-run answers', '1', uncertain, UNBOUNDED)
     yield models.Measure('mean wait', 'ms', mean_wait_ms(run), UNBOUNDED)
--- a/packages/lab/src/zinnialead_lab/bench/scenarios.py
+++ b/packages/lab/src/zinnialead_lab/bench/scenarios.py
@@ -11,7 +11,11 @@
 ROLLING_STEP_MS = 350.0
 LONG_TIMES = models.Times(*const.LONG_TIMES_MS)
 SHORT_TIMES = models.Times(*const.SHORT_TIMES_MS)
-LIES = (fleet.Lie.ZERO, fleet.Lie.FROZEN, fleet.Lie.ABSENT)
+LOAD_FAULTS = (
+    fleet.LoadFault.ZERO,
+    fleet.LoadFault.FROZEN,
+    fleet.LoadFault.ABSENT,
+)
 
 
 def full() -> abc.Iterator[models.Scenario]:
@@ -129,16 +133,16 @@
             yield from _store_outage(deployment, times)
         case models.Partition():
             isolated = frozenset({isolated_domain(deployment)})
-            yield _at(times.fault_ms, fleet.Cut((isolated,)))
-            yield _at(times.repair_ms, fleet.Cut(()))
+            yield _at(times.fault_ms, fleet.Partition((isolated,)))
+            yield _at(times.repair_ms, fleet.Partition(()))
         case models.LyingLoads():
             for index, upstream in enumerate(deployment.state.upstreams):
-                lie = LIES[index % len(LIES)]
-                misreport = fleet.SetUpstream(upstream, lie=lie)
+                load_fault = LOAD_FAULTS[index % len(LOAD_FAULTS)]
+                misreport = fleet.SetUpstream(upstream, load_fault=load_fault)
                 yield _at(times.fault_ms, misreport)
         case models.SilentConnections():
             for upstream in list(deployment.state.upstreams)[::4]:
-                yield _at(times.fault_ms, fleet.Silence(upstream))
+                yield _at(times.fault_ms, fleet.SilenceConnections(upstream))
         case models.RollingReplacement():
             yield from _rolling(deployment)
 
@@ -149,12 +153,12 @@
 
 def _file_ticket(
     deployment: models.Deployment, ticket_number: int, *drains: tickets.Drain
-) -> fleet.File:
+) -> fleet.FileTicket:
     drains_by_name = {f'drain-{n}': drain for n, drain in enumerate(drains)}
     state = deployment.state._replace(
         number=ticket_number, drains=drains_by_name
     )
-    return fleet.File(state)
+    return fleet.FileTicket(state)
 
 
 def _brown_out(
--- a/tests/lab/bench/test_bench.py
+++ b/tests/lab/bench/test_bench.py
@@ -55,7 +55,7 @@
         coordinator.run_scenario(calm, is_baseline=False).fleet
         for _ in range(2)
     )
-    assert first.ends == second.ends
+    assert first.completions == second.completions
     assert first.counters == second.counters
 
 
