Reword what a second reading of the daemon stumbled over

`is_complete` of an exchange is `body_complete`, since it speaks of the body; `on_stop`, `handler` and `_until_broken` are `stop_hooks`, `connection_handler` and `_run_until_broken`; the bound addresses in _open_ports are no longer called ports.

--- a/packages/daemon/src/zinnialead_daemon/application.py
+++ b/packages/daemon/src/zinnialead_daemon/application.py
@@ -27,7 +27,7 @@
 from zinnialead_daemon import const
 from zinnialead_daemon import http
 
-Hook = abc.Callable[[], abc.Awaitable[None]]
+StopHook = abc.Callable[[], abc.Awaitable[None]]
 
 
 class Addresses(typing.NamedTuple):
@@ -46,13 +46,15 @@
     front: fronts.Front
     pools: upstreams.Pools
     operators: operators.Operators
-    on_stop: list[Hook]
+    stop_hooks: list[StopHook]
     stopped: trio.Event
     addresses: Addresses | None = None
     linger_s: float = const.STOP_LINGER_S
 
 
-SetUp = abc.Callable[[Application, trio.Nursery], abc.Awaitable[Hook | None]]
+SetUp = abc.Callable[
+    [Application, trio.Nursery], abc.Awaitable[StopHook | None]
+]
 
 
 def new_world(
@@ -102,7 +104,7 @@
             for set_up in SET_UPS:
                 hook = await set_up(application, nursery)
                 if hook is not None:
-                    application.on_stop.append(hook)
+                    application.stop_hooks.append(hook)
             addresses = await _open_ports(application, nursery)
             application.addresses = addresses
             task_status.started(addresses)
@@ -123,14 +125,14 @@
 
 
 async def _run_stop_hooks(application: Application) -> None:
-    for hook in reversed(application.on_stop):
+    for hook in reversed(application.stop_hooks):
         with trio.move_on_after(const.STOP_HOOK_TIMEOUT_S, shield=True):
             await hook()
 
 
 async def _set_up_engine(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     engine = application.engine
     log = logs.new_logs(engine)
     engine.handlers['log_change'] = functools.partial(logs.log_change, log)
@@ -141,7 +143,7 @@
 
 async def _set_up_peers(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     settings = application.settings
     engine = application.engine
     transport = await peers.set_up(
@@ -155,7 +157,7 @@
 
 async def _set_up_store(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     engine = application.engine
     client = store.set_up(
         engine, nursery, application.settings.store_addresses
@@ -168,7 +170,7 @@
 
 async def _set_up_upstreams(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     pools = application.pools
     handlers = application.engine.handlers
     handlers['dispatch'] = lambda output: nursery.start_soon(
@@ -183,7 +185,7 @@
 
 async def _set_up_front(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     handlers = application.engine.handlers
     handlers['answer'] = functools.partial(fronts.answer, application.front)
     return None
@@ -191,7 +193,7 @@
 
 async def _set_up_metrics(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     server = application.settings.statsd
     if server is None:
         return None
@@ -207,7 +209,7 @@
 
 async def _seed_members(
     application: Application, nursery: trio.Nursery
-) -> Hook | None:
+) -> StopHook | None:
     node = application.engine.world.node
     own_peer = inp.PeerSeen(node.ref.entry, node.domain, node.address)
     seeds = (
@@ -247,19 +249,19 @@
     application: Application, nursery: trio.Nursery
 ) -> Addresses:
     settings = application.settings
-    operators_port = await nursery.start(
+    operators_address = await nursery.start(
         http.serve,
         operators.asgi_app(application.operators),
         _new_binding(application, settings.operators_bind, 'operators'),
         trio.sleep_forever,
     )
-    callers_port = await nursery.start(
+    callers_address = await nursery.start(
         http.serve,
         fronts.asgi_app(application.front),
         _new_binding(application, settings.callers_bind, 'front'),
         trio.sleep_forever,
     )
-    return Addresses(callers_port, operators_port)
+    return Addresses(callers_address, operators_address)
 
 
 # Called in this order; the hooks they return run in reverse at the stop.
--- a/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/bodies.py
@@ -57,6 +57,6 @@
             return
         return
     exchange.body += chunk.data
-    exchange.is_complete = chunk.is_last
+    exchange.body_complete = chunk.is_last
     if chunk.is_last or len(exchange.body) > const.BODY_BUFFER_BYTES:
         exchange.body_ready.set()
--- a/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/coordinator.py
@@ -200,5 +200,5 @@
         key=head.key,
         key_created_ms=head.key_created_ms,
         body_bytes=length_bytes,
-        replayable=exchange.is_complete,
+        replayable=exchange.body_complete,
     )
--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -47,9 +47,11 @@
 
 QuestionResult = expression.Result[lookup_models.LookUp, str]
 QuestionsResult = expression.Result[list[lookup_models.LookUp], str]
-FIELDS = {name.encode(): name for name in QuestionDocument.__annotations__}
+QUERY_FIELDS = {
+    name.encode(): name for name in QuestionDocument.__annotations__
+}
 USAGE = 'a query gives service, and at most once each of ' + ', '.join(
-    FIELDS.values()
+    QUERY_FIELDS.values()
 )
 QUESTIONS_DECODER = msgspec.json.Decoder(QuestionsDocument, strict=True)
 ENCODER = msgspec.json.Encoder()
@@ -58,9 +60,9 @@
 def parse_query(query: bytes) -> QuestionResult:
     """Return the question in a query string, or why it is invalid."""
     values: dict[str, str] = {}
-    for parameter in query.split(b'&', len(FIELDS)):
+    for parameter in query.split(b'&', len(QUERY_FIELDS)):
         name, _, value = parameter.partition(b'=')
-        field = FIELDS.get(name)
+        field = QUERY_FIELDS.get(name)
         if field is None or field in values or not value:
             return expression.Error(USAGE)
         try:
--- a/packages/daemon/src/zinnialead_daemon/components/front/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/models.py
@@ -59,8 +59,8 @@
     """Hold the state of one caller's request, from its head to its answer.
 
     ``body_ready`` is set once ``body`` is complete or its buffer is full;
-    the rest then goes through ``rest_sender``. ``answers`` maps attempt
-    numbers to the upstreams' responses.
+    in the latter case ``rest_sender`` passes on the rest. ``answers`` maps
+    attempt numbers to the upstreams' responses.
     """
 
     request_id: ids.RequestId
@@ -71,7 +71,7 @@
     rest_receiver: 'trio.MemoryReceiveChannel[Chunk]'
     body_max_bytes: int
     body: bytes = b''
-    is_complete: bool = False
+    body_complete: bool = False
     disconnected: bool = False
     body_too_large: bool = False
     decision: Decision | None = None
--- a/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
@@ -65,13 +65,13 @@
     [(b'b', b'2')]
     """
     lowered = [(name.lower(), value) for name, value in headers]
-    named = {
+    connection_options = {
         token.strip().lower()
         for name, value in lowered
         if name == b'connection'
         for token in value.split(b',')
     }
-    dropped = HOP_BY_HOP_HEADERS | named
+    dropped = HOP_BY_HOP_HEADERS | connection_options
     return [(name, value) for name, value in lowered if name not in dropped]
 
 
@@ -105,8 +105,8 @@
 def _head(scope: http.Scope) -> models.RequestHead:
     control = _control_headers(scope['headers'])
     destination = _destination(scope)
-    rank = _matching(control, const.HEADER_RANK, NAME_PATTERN)
-    key = _matching(control, const.HEADER_KEY, KEY_PATTERN)
+    rank = _matching_header(control, const.HEADER_RANK, NAME_PATTERN)
+    key = _matching_header(control, const.HEADER_KEY, KEY_PATTERN)
     left_ms = _time_ms(control, const.HEADER_DEADLINE)
     if left_ms is None:
         left_ms = const.DEADLINE_DEFAULT_MS
@@ -170,7 +170,7 @@
         raise BadRequestError(400, f'{part} is not UTF-8') from error
 
 
-def _matching(
+def _matching_header(
     control: ControlHeaders, name: bytes, pattern: re.Pattern[str]
 ) -> str | None:
     text = control.get(name)
@@ -191,7 +191,7 @@
 
 
 def _length_bytes(control: ControlHeaders) -> int | None:
-    text = _matching(control, const.HEADER_LENGTH, COUNT_PATTERN)
+    text = _matching_header(control, const.HEADER_LENGTH, COUNT_PATTERN)
     if text is None:
         return None
     if int(text) > const.BODY_MAX_BYTES:
--- a/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/acceptor.py
@@ -144,7 +144,7 @@
             return 'peers.frames_replayed'
 
 
-def handler(
+def connection_handler(
     peers: models.Peers,
 ) -> abc.Callable[[trio.SocketStream], abc.Awaitable[None]]:
     """Return the handler of accepted connections."""
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -1,4 +1,4 @@
-"""Sign frames, and reject those that are not signed, old or replayed.
+"""Sign frames, and reject wrongly signed, old and replayed ones.
 
 A frame consists of the length of what follows (4 bytes, little endian), the
 version of the framing (2), the key id (4), the keyed digest (16) and the
--- a/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/coordinator.py
@@ -29,7 +29,7 @@
     socket_name = listeners[0].socket.getsockname()
     peers.address = addresses.format_address(socket_name[0], socket_name[1])
     nursery.start_soon(
-        trio.serve_listeners, acceptor.handler(peers), listeners
+        trio.serve_listeners, acceptor.connection_handler(peers), listeners
     )
     return peers
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/links.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/links.py
@@ -90,7 +90,12 @@
     async with trio.open_nursery() as nursery:
         for task in (_write_frames, _read_confirmations, _watch_confirmations):
             nursery.start_soon(
-                _until_broken, task, nursery.cancel_scope, peers, link, stream
+                _run_until_broken,
+                task,
+                nursery.cancel_scope,
+                peers,
+                link,
+                stream,
             )
 
 
@@ -99,7 +104,7 @@
 ]
 
 
-async def _until_broken(
+async def _run_until_broken(
     task: LinkTask,
     scope: trio.CancelScope,
     peers: models.Peers,
--- a/packages/daemon/src/zinnialead_daemon/components/store/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/documents.py
@@ -56,18 +56,18 @@
         case 410, store.Watch():
             return store.TooOld(call.name)
         case ((200 | 201), store.ListVms()):
-            return _read_list_result(objects.read_page(answer.body))
+            return _list_result(objects.read_page(answer.body))
         case 200, store.Watch():
             event = objects.read_events(answer.body, call.name)
             if event is None:
                 return store.Unchanged(call.name)
             if event.deleted:
                 return store.Missing(call.name)
-            return _read_found(call.name, event.object)
+            return _found_result(call.name, event.object)
         case ((200 | 201), (store.ReadBindings() | store.WriteBindings())):
-            return _read_found_bindings(call.name, objects.read(answer.body))
+            return _bindings_result(call.name, objects.read(answer.body))
         case ((200 | 201), _):
-            return _read_found(call.name, objects.read(answer.body))
+            return _found_result(call.name, objects.read(answer.body))
         case status, _:
             return store.Failed(call.name, f'status {status}')
 
@@ -84,18 +84,18 @@
         )
 
 
-def _read_list_result(page: objects.PageDocument) -> store.Listed:
+def _list_result(page: objects.PageDocument) -> store.Listed:
     items = page['items']
     if not items or not page.get('has_more'):
         return store.Listed()
     return store.Listed(next_after=items[-1].metadata['name'])
 
 
-def _read_found(name: str, document: objects.ObjectDocument) -> store.Result:
+def _found_result(name: str, document: objects.ObjectDocument) -> store.Result:
     return store.Found(name, bytes(document.spec), document.metadata['rev'])
 
 
-def _read_found_bindings(
+def _bindings_result(
     name: str, document: objects.ObjectDocument
 ) -> store.Result:
     rows = msgspec.json.decode(
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/calls.py
@@ -72,7 +72,7 @@
 
 def _framing_headers(exchange: front_models.Exchange) -> http.Headers:
     length_bytes = exchange.head.length_bytes
-    if exchange.is_complete:
+    if exchange.body_complete:
         length_bytes = len(exchange.body)
     if length_bytes is None:
         return [(b'Transfer-Encoding', b'chunked')]
@@ -84,7 +84,7 @@
 def _request_body(
     exchange: front_models.Exchange,
 ) -> bytes | abc.AsyncIterator[bytes]:
-    if exchange.is_complete:
+    if exchange.body_complete:
         return exchange.body
     return _stream_body(exchange)
 
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -62,7 +62,8 @@
     """Cancel an attempt; its task still reports the outcome.
 
     Work that must run at most once is cancelled only if the upstream
-    promises not to start it; otherwise the attempt waits for its answer.
+    promises not to start it; otherwise the attempt still waits for its
+    answer.
     """
     attempt_id = models.AttemptId(output.request_id, output.attempt)
     attempt = pools.attempts.get(attempt_id)
