--- a/packages/standins/src/zinnialead_standins/upstream/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/upstream/coordinator.py
@@ -1,4 +1,4 @@
-"""Serve work the way upstreams do, with their faults."""
+"""Serve work the way upstreams do, with injected faults."""
 
 import functools
 
@@ -18,7 +18,7 @@
 
 
 def now_ms() -> float:
-    """Return the time of this run of trio, under a mock clock too."""
+    """Return the current time of trio, whose clock may be simulated."""
     return trio.current_time() * const.MS_PER_S
 
 
@@ -34,21 +34,21 @@
             leaving = isinstance(upstream.behaviour, models.Draining)
             await http.respond(send, 503 if leaving else 200, [], b'')
         case const.LOAD_PATH:
-            await http.respond(send, 200, [], _load(upstream))
+            await http.respond(send, 200, [], _load_report(upstream))
         case const.CANCEL_PATH:
-            said = _cancel(upstream, headers.get(const.HEADER_REQUEST, b''))
-            await http.respond(send, 200, [], said)
+            reply = _cancel(upstream, headers.get(const.HEADER_REQUEST, b''))
+            await http.respond(send, 200, [], reply)
         case _:
             body = await http.read_body(receive, const.BODY_MAX_BYTES)
             if body is not None:
-                await _work(upstream, headers, send)
+                await _serve_work(upstream, headers, send)
 
 
-def _load(upstream: models.Upstream) -> bytes:
+def _load_report(upstream: models.Upstream) -> bytes:
     match upstream.report:
-        case models.Honest():
+        case models.TrueLoad():
             in_flight = upstream.in_flight
-        case models.Frozen(in_flight):
+        case models.FixedLoad(in_flight):
             pass
     leaving = isinstance(upstream.behaviour, models.Draining)
     load = {'in_flight': in_flight, 'leaving': leaving}
@@ -58,23 +58,23 @@
 def _cancel(upstream: models.Upstream, request: bytes) -> bytes:
     if upstream.requests.get(request) is models.Phase.STARTED:
         return const.STARTED
-    # Also a request that has not come yet will not start any more.
+    # A request that has not arrived yet is also kept from starting.
     _remember(upstream, request, models.Phase.CANCELLED)
     return const.NEVER_STARTED
 
 
-async def _work(
+async def _serve_work(
     upstream: models.Upstream,
     headers: dict[bytes, bytes],
     send: http.Send,
 ) -> None:
     request = headers.get(const.HEADER_REQUEST, b'')
     draining = isinstance(upstream.behaviour, models.Draining)
-    if draining or upstream.in_flight >= upstream.plan.slots:
+    if draining or upstream.in_flight >= upstream.profile.slots:
         await _shed(upstream, send)
         return
     upstream.in_flight += 1
-    upstream.most_in_flight = max(upstream.most_in_flight, upstream.in_flight)
+    upstream.peak_in_flight = max(upstream.peak_in_flight, upstream.in_flight)
     try:
         if not await _may_start(upstream, request, headers):
             await _shed(upstream, send)
@@ -85,7 +85,7 @@
             await trio.sleep_forever()
     finally:
         upstream.in_flight -= 1
-    await _answer(upstream, headers, send)
+    await _send_answer(upstream, headers, send)
 
 
 async def _may_start(
@@ -94,12 +94,12 @@
     if upstream.requests.get(request) is models.Phase.CANCELLED:
         return False
     _remember(upstream, request, models.Phase.WAITING)
-    delay_ms = upstream.plan.start_delay_ms
+    delay_ms = upstream.profile.start_delay_ms
     if delay_ms:
         await trio.sleep(delay_ms / const.MS_PER_S)
-    left_ms = float(headers.get(const.HEADER_DEADLINE, b'inf'))
+    remaining_ms = float(headers.get(const.HEADER_DEADLINE, b'inf'))
     cancelled = upstream.requests.get(request) is models.Phase.CANCELLED
-    return left_ms > delay_ms and not cancelled
+    return remaining_ms > delay_ms and not cancelled
 
 
 def _start(
@@ -116,12 +116,12 @@
 
 
 def _service_time_ms(upstream: models.Upstream) -> float:
-    plan = upstream.plan
-    if plan.service_time_ms <= 0.0:
+    profile = upstream.profile
+    if profile.service_time_ms <= 0.0:
         return 0.0
-    mean_ms = plan.service_time_ms
-    if upstream.started <= plan.cold_runs:
-        mean_ms *= plan.cold_factor
+    mean_ms = profile.service_time_ms
+    if upstream.started <= profile.cold_runs:
+        mean_ms *= profile.cold_factor
     return upstream.random.expovariate(1.0 / mean_ms)
 
 
@@ -130,23 +130,23 @@
     await http.respond(send, 503, [SHED], b'')
 
 
-async def _answer(
+async def _send_answer(
     upstream: models.Upstream, headers: dict[bytes, bytes], send: http.Send
 ) -> None:
     work = headers.get(const.HEADER_WORK, b'')
     body = work + b' ' + upstream.name.encode()
-    body = body.ljust(upstream.plan.answer_bytes, b'.')
-    head = [
+    body = body.ljust(upstream.profile.answer_bytes, b'.')
+    response_headers = [
         (b'content-type', b'text/plain'),
         (b'content-length', str(len(body)).encode()),
         (const.HEADER_WORK, work),
     ]
-    if isinstance(upstream.behaviour, models.Cutting):
-        await http.start_response(send, 200, head)
-        part = {'type': 'http.response.body', 'more_body': True}
-        await send({**part, 'body': body[: -const.CUT_BYTES]})
+    if isinstance(upstream.behaviour, models.Truncating):
+        await http.start_response(send, 200, response_headers)
+        message = {'type': 'http.response.body', 'more_body': True}
+        await send({**message, 'body': body[: -const.TRUNCATED_BYTES]})
         return
-    await http.respond(send, 200, head, body)
+    await http.respond(send, 200, response_headers, body)
 
 
 def _remember(
