--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -141,7 +141,7 @@
 async def _request_cancellation(
     pools: models.Pools, attempt: models.Attempt
 ) -> bool:
-    """Ask the upstream to cancel; return whether it never starts."""
+    """Ask the upstream not to start; return whether it promises that."""
     address = attempt.dispatch.address
     with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
         try:
