Reword the plots

DRAWN, WIDTH, drawing and places are PLOTTED_MEASURES, BAR_WIDTH, chart and positions; docstrings say that charts are written.

--- a/packages/lab/src/zinnialead_lab/plots/__init__.py
+++ b/packages/lab/src/zinnialead_lab/plots/__init__.py
@@ -1,4 +1,4 @@
-"""Draw what the measurements found."""
+"""Draw charts of the measurements."""
 
 from zinnialead_lab.plots.coordinator import bench
 from zinnialead_lab.plots.coordinator import slopes
--- a/packages/lab/src/zinnialead_lab/plots/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/plots/coordinator.py
@@ -1,4 +1,4 @@
-"""Draw bars of policy and baseline, and fitted slopes."""
+"""Draw bar charts of policy and baseline, and fitted slopes."""
 
 from collections import abc
 import pathlib
@@ -11,14 +11,19 @@
 
 matplotlib.use('agg')
 
-DRAWN = ('worth served', 'urgent p99', 'normal p99', 'urgent served')
-WIDTH = 0.4
+PLOTTED_MEASURES = (
+    'worth served',
+    'urgent p99',
+    'normal p99',
+    'urgent served',
+)
+BAR_WIDTH = 0.4
 
 
 def bench(rows: abc.Sequence[bench_models.Row], folder: pathlib.Path) -> None:
-    """Draw each main measure over the scenarios of each deployment."""
+    """Write a bar chart of each main measure for each deployment."""
     for deployment in sorted({row.deployment for row in rows}):
-        for measure in DRAWN:
+        for measure in PLOTTED_MEASURES:
             chosen = [
                 row
                 for row in rows
@@ -30,28 +35,28 @@
 
 
 def slopes(series: abc.Iterable[models.Series], folder: pathlib.Path) -> None:
-    """Draw the points and the fitted line of each series."""
+    """Write a chart of the points and the fitted line of each series."""
     for row in series:
-        drawing = figure.Figure(figsize=(6, 4), layout='constrained')
-        axes = drawing.subplots()
+        chart = figure.Figure(figsize=(6, 4), layout='constrained')
+        axes = chart.subplots()
         axes.plot(row.x, row.y, 'o', label='measured')
         axes.plot(row.x, row.fitted, '-', label='fitted')
         axes.set(title=row.name, xlabel=row.x_label, ylabel=row.y_label)
         axes.legend()
         name = row.name.replace(' ', '-')
-        drawing.savefig(folder / f'{name}.svg')
+        chart.savefig(folder / f'{name}.svg')
 
 
 def _bars(rows: abc.Sequence[bench_models.Row], path: pathlib.Path) -> None:
-    drawing = figure.Figure(figsize=(9, 5), layout='constrained')
-    axes = drawing.subplots()
-    places = np.arange(len(rows))
+    chart = figure.Figure(figsize=(9, 5), layout='constrained')
+    axes = chart.subplots()
+    positions = np.arange(len(rows))
     policy = [row.policy for row in rows]
     baseline = [row.baseline or 0.0 for row in rows]
-    axes.bar(places - WIDTH / 2, policy, WIDTH, label='policy')
-    axes.bar(places + WIDTH / 2, baseline, WIDTH, label='baseline')
-    axes.set_xticks(places, [row.scenario for row in rows], rotation=90)
+    axes.bar(positions - BAR_WIDTH / 2, policy, BAR_WIDTH, label='policy')
+    axes.bar(positions + BAR_WIDTH / 2, baseline, BAR_WIDTH, label='baseline')
+    axes.set_xticks(positions, [row.scenario for row in rows], rotation=90)
     axes.set_ylabel(f'{rows[0].measure} ({rows[0].unit})')
     axes.set_title(rows[0].deployment)
     axes.legend()
-    drawing.savefig(path)
+    chart.savefig(path)
--- a/packages/lab/src/zinnialead_lab/plots/models.py
+++ b/packages/lab/src/zinnialead_lab/plots/models.py
@@ -1,4 +1,4 @@
-"""Define what is drawn."""
+"""Define the data of a chart."""
 
 import typing
 
