--- a/packages/lab/src/zinnialead_lab/fleet/__init__.py
+++ b/packages/lab/src/zinnialead_lab/fleet/__init__.py
@@ -1,4 +1,4 @@
-"""Run the cores of several entries on one mock clock, among fakes."""
+"""Simulate several entries with callers, upstreams and a store."""
 
 from zinnialead_lab.fleet.coordinator import add_injections
 from zinnialead_lab.fleet.coordinator import add_work
--- a/packages/lab/src/zinnialead_lab/fleet/baseline.py
+++ b/packages/lab/src/zinnialead_lab/fleet/baseline.py
@@ -1,4 +1,7 @@
-"""Decide the plain way: the baseline that benches compare with."""
+"""Implement the baseline policy that the benches compare with.
+
+Each attempt goes to a random upstream and has a timeout of its own.
+"""
 
 from collections import abc
 import heapq
@@ -13,57 +16,61 @@
 from zinnialead_lab.fleet import models
 
 
-def new_table(seed: int) -> models.PlainTable:
-    """Return the table of an entry that has no state yet."""
-    return models.PlainTable({}, {}, [], random.Random(seed))
+def new_table(seed: int) -> models.BaselineTable:
+    """Return the table of a baseline entry without a state."""
+    return models.BaselineTable({}, {}, [], random.Random(seed))
 
 
 def tick(
-    table: models.PlainTable, now_ms: float, inputs: abc.Iterable[inp.Input]
+    table: models.BaselineTable, now_ms: float, inputs: abc.Iterable[inp.Input]
 ) -> abc.Iterator[out.Output]:
-    """Yield what the plain way does about inputs and timeouts."""
+    """Yield the outputs for due timeouts and new inputs."""
     while table.due and table.due[0][0] <= now_ms:
         _, request_id, attempt = heapq.heappop(table.due)
-        yield from _timeout(table, now_ms, request_id, attempt)
-    for item in inputs:
-        match item:
+        yield from _time_out_attempt(table, now_ms, request_id, attempt)
+    for entry_input in inputs:
+        match entry_input:
             case inp.StateRead(state):
                 table.states['in-force'] = state
             case inp.RequestArrived(request_id):
-                left_ms = item.deadline_ms - now_ms
-                timeout_ms = left_ms / const.PLAIN_ATTEMPTS_MAX
-                row = models.PlainRow(item, 0, timeout_ms, False)
+                remaining_ms = entry_input.deadline_ms - now_ms
+                timeout_ms = remaining_ms / const.BASELINE_ATTEMPTS_MAX
+                row = models.BaselineRequestRow(
+                    entry_input, 0, timeout_ms, False
+                )
                 table.rows[request_id] = row
-                yield from _try(table, now_ms, row)
+                yield from _send_attempt(table, now_ms, row)
             case inp.DispatchDone(request_id, attempt, outcome):
-                yield from _done(table, now_ms, request_id, attempt, outcome)
+                yield from _finish_attempt(
+                    table, now_ms, request_id, attempt, outcome
+                )
             case inp.StopRequested():
                 yield out.Stopped()
 
 
-def next_due_ms(table: models.PlainTable) -> float | None:
-    """Return when the next timeout is due."""
+def next_due_ms(table: models.BaselineTable) -> float | None:
+    """Return when the next timeout is due, or None without one."""
     return table.due[0][0] if table.due else None
 
 
-def _try(
-    table: models.PlainTable, now_ms: float, row: models.PlainRow
+def _send_attempt(
+    table: models.BaselineTable, now_ms: float, row: models.BaselineRequestRow
 ) -> abc.Iterator[out.Output]:
-    item = row.item
+    request = row.request
     state = table.states['in-force']
-    service = state.services[item.service]
+    service = state.services[request.service]
     usable = [
         x
         for x in state.upstreams.values()
-        if x.service == item.service and not _drained(state, x)
+        if x.service == request.service and not _drained(state, x)
     ]
     chosen = table.random.choice(usable)
     row = row._replace(attempt=row.attempt + 1)
-    table.rows[item.request_id] = row
+    table.rows[request.request_id] = row
     due_ms = now_ms + row.timeout_ms
-    heapq.heappush(table.due, (due_ms, item.request_id, row.attempt))
+    heapq.heappush(table.due, (due_ms, request.request_id, row.attempt))
     yield out.Dispatch(
-        item.request_id,
+        request.request_id,
         row.attempt,
         chosen.upstream,
         chosen.address,
@@ -82,8 +89,8 @@
     return any(drain in drained for drain in state.drains.values())
 
 
-def _timeout(
-    table: models.PlainTable,
+def _time_out_attempt(
+    table: models.BaselineTable,
     now_ms: float,
     request_id: ids.RequestId,
     attempt: int,
@@ -92,11 +99,11 @@
     if row is None or row.attempt != attempt:
         return
     yield out.CancelDispatch(request_id, attempt)
-    yield from _again(table, now_ms, row._replace(may_have_run=True))
+    yield from _retry(table, now_ms, row._replace(may_have_run=True))
 
 
-def _done(
-    table: models.PlainTable,
+def _finish_attempt(
+    table: models.BaselineTable,
     now_ms: float,
     request_id: ids.RequestId,
     attempt: int,
@@ -111,22 +118,22 @@
             yield out.Relay(request_id, attempt)
         case verdict.Lost():
             lost = row._replace(may_have_run=True)
-            yield from _again(table, now_ms, lost)
+            yield from _retry(table, now_ms, lost)
         case _:
-            yield from _again(table, now_ms, row)
+            yield from _retry(table, now_ms, row)
 
 
-def _again(
-    table: models.PlainTable, now_ms: float, row: models.PlainRow
+def _retry(
+    table: models.BaselineTable, now_ms: float, row: models.BaselineRequestRow
 ) -> abc.Iterator[out.Output]:
-    if row.attempt < const.PLAIN_ATTEMPTS_MAX:
-        yield from _try(table, now_ms, row)
+    if row.attempt < const.BASELINE_ATTEMPTS_MAX:
+        yield from _send_attempt(table, now_ms, row)
         return
-    del table.rows[row.item.request_id]
-    known = verdict.Verdict.NOT_RUN
+    del table.rows[row.request.request_id]
+    final_verdict = verdict.Verdict.NOT_RUN
     if row.may_have_run:
-        known = verdict.Verdict.MAY_HAVE_RUN
+        final_verdict = verdict.Verdict.MAY_HAVE_RUN
     refusal = verdict.Refusal(
-        known, verdict.Reason.UPSTREAM_LOST, 'no attempt was answered'
+        final_verdict, verdict.Reason.UPSTREAM_LOST, 'no attempt was answered'
     )
-    yield out.Refuse(row.item.request_id, refusal)
+    yield out.Refuse(row.request.request_id, refusal)
--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -1,4 +1,4 @@
-"""Play the callers: look up, keep the answer, ask, move on."""
+"""Simulate the callers: look-ups, calls and retries at other entries."""
 
 from zinnialead_core.components import lookups
 from zinnialead_core.components.lookups import coordinator as look_ups
@@ -11,8 +11,8 @@
 from zinnialead_lab.fleet import models
 from zinnialead_lab.fleet import network
 
-# The entry, or the key, can't take work; the next choice may.
-ELSEWHERE = frozenset(
+# The entry can't accept the work or the key; another entry may.
+RETRY_ELSEWHERE_REASONS = frozenset(
     {
         verdict.Reason.STOPPING,
         verdict.Reason.NOT_READY,
@@ -22,20 +22,22 @@
 )
 
 
-def start(fleet: models.Fleet, work: models.Work) -> None:
-    """Begin one piece of work: use the kept answer or look up."""
-    answer, delay_ms = _choices(fleet, work)
+def start_work(fleet: models.Fleet, work: models.Work) -> None:
+    """Start a piece of work with a cached or a new look-up."""
+    answer, delay_ms = _look_up(fleet, work)
     row = models.CallerRow(work, answer, 0, None, False)
     fleet.works[work.work_id] = work
     fleet.callers[work.work_id] = row
-    leave_ms = work.deadline_ms + const.CALLER_PATIENCE_MS
-    network.at(fleet, leave_ms, events.CallerLeaves(work.work_id))
-    _new_key(fleet, work.work_id)
+    timeout_ms = work.deadline_ms + const.CALLER_GRACE_MS
+    network.schedule_at(fleet, timeout_ms, events.CallerTimeout(work.work_id))
+    _assign_key(fleet, work.work_id)
     _call(fleet, work.work_id, delay_ms)
 
 
-def arrive(fleet: models.Fleet, event: events.CallArrives) -> inp.Input | None:
-    """Return the request that a call brings to its entry."""
+def accept_call(
+    fleet: models.Fleet, event: events.CallArrives
+) -> inp.Input | None:
+    """Return the request input of a call, or None if it is not accepted."""
     row = fleet.callers.get(event.work_id)
     entry = fleet.entries[event.entry]
     if row is None:
@@ -45,7 +47,7 @@
         models.ProcessState.STOPPED,
     ):
         failed = events.CallFails(event.work_id, event.attempt, sent=False)
-        network.after(fleet, const.CALLER_LATENCY_MS, failed)
+        network.schedule_after(fleet, const.CALLER_LATENCY_MS, failed)
         return None
     fleet.sequence += 1
     request_id = ids.RequestId(fleet.sequence)
@@ -63,116 +65,126 @@
     )
 
 
-def answer(
+def send_answer(
     fleet: models.Fleet,
     entry: models.EntryRow,
     output: out.Relay | out.Replay | out.Refuse,
 ) -> None:
-    """Send an entry's answer or refusal to the caller."""
+    """Send an entry's answer or refusal to its caller."""
     call = models.CallId(entry.ref, output.request_id)
-    known = fleet.calls.pop(call)
-    said, reason, is_own_answer = verdict.Verdict.RAN, '', True
+    call_row = fleet.calls.pop(call)
+    reported_verdict, reason, is_own_answer = verdict.Verdict.RAN, '', True
     match output:
         case out.Relay(_, attempt):
-            name = models.DispatchId(call, attempt)
-            is_own_answer = fleet.answers.pop(name, None) == known.work_id
+            dispatch_id = models.DispatchId(call, attempt)
+            is_own_answer = (
+                fleet.answered_work_ids.pop(dispatch_id, None)
+                == call_row.work_id
+            )
         case out.Replay(_, _, record):
-            is_own_answer = record == str(known.work_id).encode()
+            is_own_answer = record == str(call_row.work_id).encode()
         case out.Refuse(_, refusal):
-            said, reason = refusal.verdict, refusal.reason.value
+            reported_verdict, reason = refusal.verdict, refusal.reason.value
     end = events.CallEnds(
-        known.work_id, known.attempt, said, reason, is_own_answer
+        call_row.work_id,
+        call_row.attempt,
+        reported_verdict,
+        reason,
+        is_own_answer,
     )
-    work = fleet.works[known.work_id]
+    work = fleet.works[call_row.work_id]
     if network.connected(fleet, work.domain, entry.domain):
-        network.after(fleet, _latency_ms(fleet, work, entry), end)
+        network.schedule_after(fleet, _latency_ms(fleet, work, entry), end)
+
 
+def handle_failure(fleet: models.Fleet, event: events.CallFails) -> None:
+    """Retry at another entry after a failed connection.
 
-def failed(fleet: models.Fleet, event: events.CallFails) -> None:
-    """Move on from a dead entry; the same key asks about sent work."""
+    Work that may have been sent keeps its key.
+    """
     row = fleet.callers.get(event.work_id)
     if row is None or row.attempt != event.attempt:
         return
-    fleet.look_ups.pop(_name(row.work), None)
+    fleet.cached_look_ups.pop(_caller_name(row.work), None)
     if event.sent:
         fleet.callers[event.work_id] = row._replace(may_have_run=True)
         fleet.counters['caller.connection_lost'] += 1
     reason = 'connection lost' if event.sent else 'no connection'
-    _move_on(fleet, row.work.work_id, verdict.Verdict.MAY_HAVE_RUN, reason)
+    _retry(fleet, row.work.work_id, verdict.Verdict.MAY_HAVE_RUN, reason)
 
 
-def ended(fleet: models.Fleet, event: events.CallEnds) -> None:
-    """Take an entry's answer, or try another entry after a not-run."""
+def handle_end(fleet: models.Fleet, event: events.CallEnds) -> None:
+    """Complete the work, or retry it elsewhere if the entry refused it."""
     row = fleet.callers.get(event.work_id)
     if row is None or row.attempt != event.attempt:
         return
     if event.reason == verdict.Reason.KEY_BARRED:
-        # Nothing ran under the key, whatever call was lost before.
+        # Nothing ran under a barred key, even if an earlier call was lost.
         row = row._replace(may_have_run=False)
         fleet.callers[event.work_id] = row
-    if event.reason in ELSEWHERE:
+    if event.reason in RETRY_ELSEWHERE_REASONS:
         if event.verdict is verdict.Verdict.MAY_HAVE_RUN:
-            # Only the same key may be asked for from here on.
+            # From here on the caller must retry with the same key.
             row = row._replace(may_have_run=True)
             fleet.callers[event.work_id] = row
-        _elsewhere(fleet, row, event)
+        _retry_elsewhere(fleet, row, event)
         return
     if event.verdict is verdict.Verdict.NOT_RUN:
         row = row._replace(may_have_run=False)
-    _end(fleet, row, event.verdict, event.reason, event.is_own_answer)
+    _complete(fleet, row, event.verdict, event.reason, event.is_own_answer)
 
 
-def leave(fleet: models.Fleet, work_id: models.WorkId) -> None:
-    """End the patience of a caller that has no answer."""
+def time_out(fleet: models.Fleet, work_id: models.WorkId) -> None:
+    """Complete the work of a caller that got no answer in time."""
     row = fleet.callers.get(work_id)
     if row is not None:
         _give_up(fleet, row, verdict.Verdict.MAY_HAVE_RUN, 'no answer')
 
 
-def _elsewhere(
+def _retry_elsewhere(
     fleet: models.Fleet, row: models.CallerRow, event: events.CallEnds
 ) -> None:
-    # Such an entry did not look at the key: an earlier call whose
-    # connection was lost stays open, and so does its key.
-    said = event.verdict
+    # Such an entry did not check the key, so an earlier call whose
+    # connection was lost, and its key, stay unresolved.
+    reported_verdict = event.verdict
     if row.may_have_run:
-        said = verdict.Verdict.MAY_HAVE_RUN
-    fleet.look_ups.pop(_name(row.work), None)
-    _move_on(fleet, event.work_id, said, event.reason)
+        reported_verdict = verdict.Verdict.MAY_HAVE_RUN
+    fleet.cached_look_ups.pop(_caller_name(row.work), None)
+    _retry(fleet, event.work_id, reported_verdict, event.reason)
 
 
-def _name(work: models.Work) -> models.CallerName:
+def _caller_name(work: models.Work) -> models.CallerName:
     number = work.work_id % const.CALLERS_PER_DOMAIN
     return models.CallerName(work.domain, number)
 
 
-def _choices(fleet: models.Fleet, work: models.Work) -> models.LookedUp:
-    name = _name(work)
-    kept = fleet.look_ups.get(name)
-    if kept is not None and kept.expires_ms > fleet.now_ms:
-        return models.LookedUp(kept.answer, 0.0)
+def _look_up(fleet: models.Fleet, work: models.Work) -> models.LookUpResult:
+    caller_name = _caller_name(work)
+    cached = fleet.cached_look_ups.get(caller_name)
+    if cached is not None and cached.expires_ms > fleet.now_ms:
+        return models.LookUpResult(cached.answer, 0.0)
     usable = [
         row
         for row in fleet.entries.values()
         if row.process_state is models.ProcessState.RUNNING
         and network.connected(fleet, work.domain, row.domain)
     ]
-    near = [row for row in usable if row.domain == work.domain]
+    same_domain = [row for row in usable if row.domain == work.domain]
     answer = lookups.LookUpAnswer((), 0.0)
     if not usable:
-        return models.LookedUp(answer, 0.0)
-    chosen = fleet.random.choice(near or usable)
+        return models.LookUpResult(answer, 0.0)
+    chosen = fleet.random.choice(same_domain or usable)
     match chosen.policy:
-        case models.Core(world):
-            question = lookups.LookUp(
-                work.service, work.rank, work.domain, None
-            )
-            answer = look_ups.look_up(world, fleet.now_ms, question)
-        case models.Plain():
+        case models.CorePolicy(world):
+            query = lookups.LookUp(work.service, work.rank, work.domain, None)
+            answer = look_ups.look_up(world, fleet.now_ms, query)
+        case models.BaselinePolicy():
             answer = _random_choices(fleet)
     expires_ms = fleet.now_ms + answer.lifetime_ms
-    fleet.look_ups[name] = models.CachedLookUp(answer, expires_ms)
-    return models.LookedUp(answer, 2 * _latency_ms(fleet, work, chosen))
+    fleet.cached_look_ups[caller_name] = models.CachedLookUp(
+        answer, expires_ms
+    )
+    return models.LookUpResult(answer, 2 * _latency_ms(fleet, work, chosen))
 
 
 def _random_choices(fleet: models.Fleet) -> lookups.LookUpAnswer:
@@ -191,7 +203,7 @@
     return const.CALLER_LATENCY_MS + between_ms - const.DOMAIN_LATENCY_MS
 
 
-def _new_key(fleet: models.Fleet, work_id: models.WorkId) -> None:
+def _assign_key(fleet: models.Fleet, work_id: models.WorkId) -> None:
     row = fleet.callers[work_id]
     choices = row.answer.choices
     if not row.work.keyed or not choices:
@@ -215,45 +227,45 @@
     entry = fleet.entries[chosen.entry]
     if not network.connected(fleet, row.work.domain, entry.domain):
         failed = events.CallFails(work_id, row.attempt, sent=False)
-        network.after(fleet, const.CONNECT_TIMEOUT_MS, failed)
+        network.schedule_after(fleet, const.CONNECT_TIMEOUT_MS, failed)
         return
     arrival = events.CallArrives(work_id, row.attempt, chosen.entry)
     delay_ms += _latency_ms(fleet, row.work, entry)
-    network.after(fleet, delay_ms, arrival)
+    network.schedule_after(fleet, delay_ms, arrival)
 
 
-def _move_on(
+def _retry(
     fleet: models.Fleet,
     work_id: models.WorkId,
-    said: verdict.Verdict,
+    reported_verdict: verdict.Verdict,
     reason: str,
 ) -> None:
     row = fleet.callers[work_id]
-    over = fleet.now_ms >= row.work.deadline_ms
-    if over or row.attempt + 1 >= const.CALLER_ATTEMPTS_MAX:
-        _give_up(fleet, row, said, reason)
+    deadline_passed = fleet.now_ms >= row.work.deadline_ms
+    if deadline_passed or row.attempt + 1 >= const.CALLER_ATTEMPTS_MAX:
+        _give_up(fleet, row, reported_verdict, reason)
         return
     fleet.callers[work_id] = row._replace(attempt=row.attempt + 1)
     if not row.may_have_run:
-        _new_key(fleet, work_id)
+        _assign_key(fleet, work_id)
     _call(fleet, work_id)
 
 
 def _give_up(
     fleet: models.Fleet,
     row: models.CallerRow,
-    said: verdict.Verdict,
+    reported_verdict: verdict.Verdict,
     reason: str,
 ) -> None:
     if reason == 'no connection' and not row.may_have_run:
-        said = verdict.Verdict.NOT_RUN
-    _end(fleet, row, said, reason, is_own_answer=True)
+        reported_verdict = verdict.Verdict.NOT_RUN
+    _complete(fleet, row, reported_verdict, reason, is_own_answer=True)
 
 
-def _end(
+def _complete(
     fleet: models.Fleet,
     row: models.CallerRow,
-    said: verdict.Verdict,
+    reported_verdict: verdict.Verdict,
     reason: str,
     is_own_answer: bool,
 ) -> None:
@@ -261,7 +273,7 @@
     fleet.completions.append(
         models.CompletionRow(
             row.work,
-            said,
+            reported_verdict,
             reason,
             fleet.now_ms,
             is_own_answer,
--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -1,11 +1,11 @@
-"""Set a fleet up and run its events in order of their time."""
+"""Set up a fleet and run its events in order of time."""
 
 import collections
 from collections import abc
 import heapq
 import random
 
-from zinnialead_core.components import store as calls
+from zinnialead_core.components import store as store_calls
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -24,13 +24,13 @@
     state: tickets.State,
     entries_per_domain: int,
     seed: int,
-    plain: bool = False,
+    is_baseline: bool = False,
 ) -> models.Fleet:
     """Return a fleet in which every entry has ``state`` in force.
 
-    The store stands in the first domain of the state.
+    The store is in the first domain of the state.
     """
-    fleet = _empty(state, seed, plain)
+    fleet = _empty_fleet(state, seed, is_baseline)
     for domain in state.domains:
         for number in range(1, entries_per_domain + 1):
             entry = ids.EntryId(f'{domain}-entry-{number}')
@@ -47,27 +47,27 @@
             {},
             [0],
         )
-    store.file(fleet, state)
-    seen = tuple(entries.listing(fleet))
+    store.file_ticket(fleet, state)
+    peers = tuple(entries.listed_peers(fleet))
     for entry in fleet.entries:
-        entries.feed(fleet, entry, *seen, inp.StateRead(state))
-    network.after(fleet, 0.0, events.ReportRound())
+        entries.feed(fleet, entry, *peers, inp.StateRead(state))
+    network.schedule_after(fleet, 0.0, events.ReportRound())
     return fleet
 
 
 def add_work(fleet: models.Fleet, works: abc.Iterable[models.Work]) -> None:
-    """Let callers start this work at its times."""
+    """Schedule the arrival of each piece of work."""
     for work in works:
-        network.at(fleet, work.arrived_ms, events.WorkArrives(work))
+        network.schedule_at(fleet, work.arrived_ms, events.WorkArrives(work))
 
 
 def add_injections(
     fleet: models.Fleet,
     timed: abc.Iterable[tuple[float, injections.Injection]],
 ) -> None:
-    """Bring about these faults and acts at their times."""
+    """Schedule faults and operator actions."""
     for due_ms, injection in timed:
-        network.at(fleet, due_ms, events.Inject(injection))
+        network.schedule_at(fleet, due_ms, events.Inject(injection))
 
 
 def step(fleet: models.Fleet) -> bool:
@@ -76,7 +76,7 @@
         return False
     due_ms, _, event = heapq.heappop(fleet.heap)
     fleet.now_ms = max(fleet.now_ms, due_ms)
-    _run(fleet, event)
+    _run_event(fleet, event)
     return True
 
 
@@ -87,83 +87,87 @@
     fleet.now_ms = now_ms
 
 
-def _run(fleet: models.Fleet, event: object) -> None:
+def _run_event(fleet: models.Fleet, event: object) -> None:
     match event:
         case events.Wake(ref):
-            entries.wake(fleet, ref)
-        case events.Deliver(entry, item):
-            entries.feed(fleet, entry, item)
-        case events.DeliverTo(ref, item):
-            entries.feed_run(fleet, ref, item)
+            entries.run_due_timers(fleet, ref)
+        case events.Deliver(entry, entry_input):
+            entries.feed(fleet, entry, entry_input)
+        case events.DeliverToIncarnation(ref, entry_input):
+            entries.feed_incarnation(fleet, ref, entry_input)
         case events.OutcomeArrives():
-            entries.outcome(fleet, event)
+            entries.deliver_outcome(fleet, event)
         case events.StoreCallArrives(ref, output):
-            store.serve(fleet, ref, output)
+            store.serve_call(fleet, ref, output)
         case events.StoreCallEnds():
-            _store_done(fleet, event)
+            _finish_store_call(fleet, event)
         case events.ReportRound():
-            upstreams.report(fleet)
-            network.after(fleet, const.REPORT_PERIOD_MS, event)
+            upstreams.send_reports(fleet)
+            network.schedule_after(fleet, const.REPORT_PERIOD_MS, event)
         case events.Inject(injection):
             injections.inject(fleet, injection)
         case _:
-            _run_upstream(fleet, event)
+            _run_upstream_event(fleet, event)
 
 
-def _run_upstream(fleet: models.Fleet, event: object) -> None:
+def _run_upstream_event(fleet: models.Fleet, event: object) -> None:
     match event:
         case events.DispatchArrives(row):
-            upstreams.serve(fleet, row)
+            upstreams.receive_attempt(fleet, row)
         case events.RunEnds(row):
-            upstreams.end_run(fleet, row)
-        case events.CancelArrives(name, upstream):
-            upstreams.withdraw(fleet, name, upstream)
-        case events.CancelTimeout(name):
-            entries.cancel_timeout(fleet, name)
+            upstreams.finish_run(fleet, row)
+        case events.CancelArrives(dispatch, upstream):
+            upstreams.receive_cancel(fleet, dispatch, upstream)
+        case events.CancelTimeout(dispatch):
+            entries.cancel_timeout(fleet, dispatch)
         case _:
-            _run_caller(fleet, event)
+            _run_caller_event(fleet, event)
 
 
-def _run_caller(fleet: models.Fleet, event: object) -> None:
+def _run_caller_event(fleet: models.Fleet, event: object) -> None:
     match event:
         case events.WorkArrives(work):
-            callers.start(fleet, work)
+            callers.start_work(fleet, work)
         case events.CallArrives():
-            item = callers.arrive(fleet, event)
-            if item is not None:
-                entries.feed(fleet, event.entry, item)
+            entry_input = callers.accept_call(fleet, event)
+            if entry_input is not None:
+                entries.feed(fleet, event.entry, entry_input)
         case events.CallEnds():
-            callers.ended(fleet, event)
+            callers.handle_end(fleet, event)
         case events.CallFails():
-            callers.failed(fleet, event)
-        case events.CallerLeaves(work_id):
-            callers.leave(fleet, work_id)
+            callers.handle_failure(fleet, event)
+        case events.CallerTimeout(work_id):
+            callers.time_out(fleet, work_id)
         case _:
             raise AssertionError(f'unknown event {event}')
 
 
-def _store_done(fleet: models.Fleet, event: events.StoreCallEnds) -> None:
-    name = (event.ref, event.call_id)
-    fleet.watches.pop(name, None)
-    if name in fleet.store_done:
+def _finish_store_call(
+    fleet: models.Fleet, event: events.StoreCallEnds
+) -> None:
+    call_ref = (event.ref, event.call_id)
+    fleet.watches.pop(call_ref, None)
+    if call_ref in fleet.store_done:
         return
-    fleet.store_done.add(name)
+    fleet.store_done.add(call_ref)
     done = inp.StoreDone(event.call_id, event.result)
-    told = _told(fleet, event.result)
-    entries.feed_run(fleet, event.ref, done, *told)
+    follow_ups = _follow_up_inputs(fleet, event.result)
+    entries.feed_incarnation(fleet, event.ref, done, *follow_ups)
 
 
-def _told(
-    fleet: models.Fleet, result: calls.Result
+def _follow_up_inputs(
+    fleet: models.Fleet, result: store_calls.Result
 ) -> abc.Iterator[inp.Input]:
     match result:
-        case calls.Listed():
-            yield from entries.listing(fleet)
-        case calls.Found(const.STATE_OBJECT, value):
+        case store_calls.Listed():
+            yield from entries.listed_peers(fleet)
+        case store_calls.Found(const.STATE_OBJECT, value):
             yield inp.StateRead(fleet.states[value])
 
 
-def _empty(state: tickets.State, seed: int, plain: bool) -> models.Fleet:
+def _empty_fleet(
+    state: tickets.State, seed: int, is_baseline: bool
+) -> models.Fleet:
     return models.Fleet(
         now_ms=0.0,
         sequence=0,
@@ -178,22 +182,22 @@
         watches={},
         store_done=set(),
         states={},
-        look_ups={},
+        cached_look_ups={},
         works={},
         callers={},
         calls={},
         completions=[],
         dispatches={},
-        answers={},
+        answered_work_ids={},
         runs=[],
-        silent=set(),
-        heard_ms={},
+        silent_connections=set(),
+        last_outcome_ms={},
         adopted_ms={},
-        highest={},
+        highest_tickets={},
         filed_ms={},
         kills=[],
         sent_works=set(),
         counters=collections.Counter(),
         random=random.Random(seed),
-        plain=plain,
+        is_baseline=is_baseline,
     )
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -1,4 +1,4 @@
-"""Run the entries' ticks and carry out what they ask for."""
+"""Run the ticks of the entries and execute their outputs."""
 
 import collections
 from collections import abc
@@ -9,12 +9,12 @@
 from zinnialead_core import outputs as out
 from zinnialead_core import verdict
 from zinnialead_core import world as world_module
+from zinnialead_lab.fleet import baseline
 from zinnialead_lab.fleet import callers
 from zinnialead_lab.fleet import const
 from zinnialead_lab.fleet import events
 from zinnialead_lab.fleet import models
 from zinnialead_lab.fleet import network
-from zinnialead_lab.fleet import plain
 from zinnialead_lab.fleet import store
 from zinnialead_lab.fleet import upstreams
 
@@ -25,16 +25,16 @@
     domain: ids.DomainId,
     incarnation: int,
 ) -> None:
-    """Start a run of an entry with nothing in memory."""
+    """Start an entry process with an empty memory."""
     region = fleet.state.domains[domain].region
     ref = ids.EntryRef(entry, incarnation)
     seed = fleet.random.getrandbits(32)
     policy: models.Policy
-    if fleet.plain:
-        policy = models.Plain(plain.new_table(seed))
+    if fleet.is_baseline:
+        policy = models.BaselinePolicy(baseline.new_table(seed))
     else:
         node = world_module.NodeRow(ref, domain, region, address(entry))
-        policy = models.Core(core.new_world(node, seed))
+        policy = models.CorePolicy(core.new_world(node, seed))
     fleet.entries[entry] = models.EntryRow(
         ref,
         domain,
@@ -45,97 +45,104 @@
         0.0,
         [],
     )
-    if fleet.plain:
+    if fleet.is_baseline:
         feed(fleet, entry, inp.StateRead(fleet.state))
 
 
 def address(entry: ids.EntryId) -> str:
-    """Return the address that stands for an entry."""
+    """Return the simulated address of an entry."""
     return f'{entry}:7000'
 
 
-def listing(fleet: models.Fleet) -> abc.Iterator[inp.PeerSeen]:
-    """Yield the platform's list of VMs, which lags behind the dead."""
+def listed_peers(fleet: models.Fleet) -> abc.Iterator[inp.PeerSeen]:
+    """Yield the platform's list of VMs; ended ones stay for a while."""
     for row in fleet.entries.values():
-        gone_ms = fleet.now_ms - row.ended_ms
-        dead = row.process_state in (
+        since_end_ms = fleet.now_ms - row.ended_ms
+        has_ended = row.process_state in (
             models.ProcessState.DEAD,
             models.ProcessState.STOPPED,
         )
-        if dead and gone_ms > const.LIST_LAG_MS:
+        if has_ended and since_end_ms > const.LIST_LAG_MS:
             continue
         yield inp.PeerSeen(row.ref.entry, row.domain, address(row.ref.entry))
 
 
-def seeds(
+def seed_peers(
     fleet: models.Fleet, entry: ids.EntryId
 ) -> abc.Iterator[inp.PeerSeen]:
-    """Yield what an entry's settings name: itself and a few peers."""
-    named: collections.Counter[ids.DomainId] = collections.Counter()
+    """Yield an entry's configured seeds: itself and a few peers."""
+    domain_counts: collections.Counter[ids.DomainId] = collections.Counter()
     for name, row in fleet.entries.items():
-        named[row.domain] += 1
-        if name == entry or named[row.domain] <= const.SEEDS_PER_DOMAIN:
+        domain_counts[row.domain] += 1
+        if (
+            name == entry
+            or domain_counts[row.domain] <= const.SEEDS_PER_DOMAIN
+        ):
             yield inp.PeerSeen(name, row.domain, address(name))
 
 
 def feed(fleet: models.Fleet, entry: ids.EntryId, *inputs: inp.Input) -> None:
-    """Run one tick of an entry; a paused one holds its inputs back."""
+    """Run one tick of an entry, or hold the inputs while it is paused."""
     row = fleet.entries[entry]
     if row.process_state is models.ProcessState.PAUSED:
-        row.held.extend(inputs)
+        row.held_inputs.extend(inputs)
         return
     if row.process_state is not models.ProcessState.RUNNING:
         return
     for output in _timed_tick(fleet, row, inputs):
-        _carry_out(fleet, row, output)
-    _note_state(fleet, row)
-    _wake(fleet, row)
+        _execute_output(fleet, row, output)
+    _record_ticket_number(fleet, row)
+    _schedule_wake(fleet, row)
 
 
-def feed_run(
+def feed_incarnation(
     fleet: models.Fleet, ref: ids.EntryRef, *inputs: inp.Input
 ) -> None:
-    """Run one tick of an entry if ``ref`` still names its run."""
+    """Run one tick of an entry if its incarnation is still ``ref``."""
     if fleet.entries[ref.entry].ref == ref:
         feed(fleet, ref.entry, *inputs)
 
 
-def wake(fleet: models.Fleet, ref: ids.EntryRef) -> None:
-    """Run an entry's due timers."""
+def run_due_timers(fleet: models.Fleet, ref: ids.EntryRef) -> None:
+    """Run the due timers of an entry."""
     if fleet.wakes_ms.get(ref.entry) == fleet.now_ms:
         del fleet.wakes_ms[ref.entry]
-        feed_run(fleet, ref)
+        feed_incarnation(fleet, ref)
 
 
-def outcome(fleet: models.Fleet, event: events.OutcomeArrives) -> None:
-    """Bring the outcome of an attempt to the entry that waits for it."""
+def deliver_outcome(fleet: models.Fleet, event: events.OutcomeArrives) -> None:
+    """Deliver the outcome of an attempt to the entry that sent it."""
     row = fleet.dispatches.pop(event.dispatch, None)
     if row is None:
         return
     call, attempt = event.dispatch
-    pair = (call.ref.entry, row.upstream)
+    connection = (call.ref.entry, row.upstream)
     match event.outcome:
         case verdict.NotSent():
             pass
         case verdict.Answered():
-            fleet.answers[event.dispatch] = event.work_id
-            fleet.heard_ms[pair] = fleet.now_ms
+            fleet.answered_work_ids[event.dispatch] = event.work_id
+            fleet.last_outcome_ms[connection] = fleet.now_ms
         case _:
-            fleet.heard_ms[pair] = fleet.now_ms
+            fleet.last_outcome_ms[connection] = fleet.now_ms
     done = inp.DispatchDone(call.request_id, attempt, event.outcome)
-    feed_run(fleet, call.ref, done)
+    feed_incarnation(fleet, call.ref, done)
 
 
-def cancel_timeout(fleet: models.Fleet, name: models.DispatchId) -> None:
-    """Close the connection of a cancellation that got no answer."""
-    row = fleet.dispatches.get(name)
+def cancel_timeout(
+    fleet: models.Fleet, dispatch_id: models.DispatchId
+) -> None:
+    """Close the connection of a cancellation that timed out."""
+    row = fleet.dispatches.get(dispatch_id)
     if row is None:
         return
-    pair = (name.call.ref.entry, row.upstream)
-    fleet.silent.discard(pair)
-    fleet.heard_ms.pop(pair, None)
+    connection = (dispatch_id.call.ref.entry, row.upstream)
+    fleet.silent_connections.discard(connection)
+    fleet.last_outcome_ms.pop(connection, None)
     lost = verdict.Lost('no answer to the cancellation')
-    outcome(fleet, events.OutcomeArrives(name, lost, row.work.work_id))
+    deliver_outcome(
+        fleet, events.OutcomeArrives(dispatch_id, lost, row.work.work_id)
+    )
 
 
 def _timed_tick(
@@ -145,16 +152,16 @@
 ) -> list[out.Output]:
     if fleet.meter is None:
         return list(_tick(fleet, row.policy, inputs))
-    kind = _kind(inputs)
+    meter_key = _meter_key(inputs)
     started_s = fleet.meter.clock_s()
     outputs = list(_tick(fleet, row.policy, inputs))
-    spent_s = fleet.meter.clock_s() - started_s
-    fleet.meter.tick_s[kind] += spent_s
-    fleet.meter.entry_s[row.ref.entry] += spent_s
+    tick_s = fleet.meter.clock_s() - started_s
+    fleet.meter.tick_s[meter_key] += tick_s
+    fleet.meter.entry_s[row.ref.entry] += tick_s
     return outputs
 
 
-def _kind(inputs: abc.Sequence[inp.Input]) -> str:
+def _meter_key(inputs: abc.Sequence[inp.Input]) -> str:
     match inputs:
         case [inp.PeerMessage(_, message), *_]:
             return type(message).__name__
@@ -170,55 +177,55 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     match policy:
-        case models.Core(world):
+        case models.CorePolicy(world):
             return core.tick(world, fleet.now_ms, inputs)
-        case models.Plain(table):
-            return plain.tick(table, fleet.now_ms, inputs)
+        case models.BaselinePolicy(table):
+            return baseline.tick(table, fleet.now_ms, inputs)
 
 
-def _wake(fleet: models.Fleet, row: models.EntryRow) -> None:
+def _schedule_wake(fleet: models.Fleet, row: models.EntryRow) -> None:
     match row.policy:
-        case models.Core(world):
+        case models.CorePolicy(world):
             due_ms = core.next_due_ms(world)
-        case models.Plain(table):
-            due_ms = plain.next_due_ms(table)
+        case models.BaselinePolicy(table):
+            due_ms = baseline.next_due_ms(table)
     if due_ms is None:
         return
     due_ms = max(due_ms, fleet.now_ms)
-    known_ms = fleet.wakes_ms.get(row.ref.entry)
-    if known_ms is None or due_ms < known_ms:
+    scheduled_ms = fleet.wakes_ms.get(row.ref.entry)
+    if scheduled_ms is None or due_ms < scheduled_ms:
         fleet.wakes_ms[row.ref.entry] = due_ms
-        network.at(fleet, due_ms, events.Wake(row.ref))
+        network.schedule_at(fleet, due_ms, events.Wake(row.ref))
 
 
-def _note_state(fleet: models.Fleet, row: models.EntryRow) -> None:
+def _record_ticket_number(fleet: models.Fleet, row: models.EntryRow) -> None:
     match row.policy:
-        case models.Core(world):
-            number = world.states['in-force'].number
-        case models.Plain():
+        case models.CorePolicy(world):
+            ticket_number = world.states['in-force'].number
+        case models.BaselinePolicy():
             return
-    highest = fleet.highest.get(row.ref, 0)
-    if number > highest:
-        fleet.adopted_ms[row.ref, number] = fleet.now_ms
-        fleet.highest[row.ref] = number
-    if number < highest:
+    highest = fleet.highest_tickets.get(row.ref, 0)
+    if ticket_number > highest:
+        fleet.adopted_ms[row.ref, ticket_number] = fleet.now_ms
+        fleet.highest_tickets[row.ref] = ticket_number
+    if ticket_number < highest:
         fleet.counters['tickets.reverted'] += 1
 
 
-def _carry_out(
+def _execute_output(
     fleet: models.Fleet, row: models.EntryRow, output: out.Output
 ) -> None:
     match output:
         case out.SendPeer():
             network.send_peer(fleet, row, output)
         case out.Dispatch():
-            upstreams.dispatch(fleet, row, output)
+            upstreams.send_attempt(fleet, row, output)
         case out.CancelDispatch():
-            upstreams.cancel(fleet, row, output)
+            upstreams.send_cancel(fleet, row, output)
         case out.Relay() | out.Replay() | out.Refuse():
-            callers.answer(fleet, row, output)
+            callers.send_answer(fleet, row, output)
         case out.CallStore():
-            store.call(fleet, row, output)
+            store.send_call(fleet, row, output)
         case out.Stopped():
             stop(fleet, row.ref.entry)
         case out.LogChange():
@@ -228,23 +235,25 @@
 
 
 def stop(fleet: models.Fleet, entry: ids.EntryId) -> None:
-    """End an entry's process after a planned stop."""
-    cut = end(fleet, entry, models.ProcessState.STOPPED)
-    fleet.counters['stop.cut'] += cut
+    """End an entry's process after a graceful stop."""
+    interrupted = end_process(fleet, entry, models.ProcessState.STOPPED)
+    fleet.counters['stop.cut'] += interrupted
 
 
-def end(
+def end_process(
     fleet: models.Fleet, entry: ids.EntryId, process_state: models.ProcessState
 ) -> int:
-    """End an entry's process; return how many calls that cuts."""
+    """End an entry's process; return how many calls it interrupts."""
     row = fleet.entries[entry]
     fleet.entries[entry] = row._replace(
         process_state=process_state, ended_ms=fleet.now_ms
     )
     fleet.wakes_ms.pop(entry, None)
-    cut = [call for call in fleet.calls if call.ref == row.ref]
-    for call in cut:
-        known = fleet.calls.pop(call)
-        failed = events.CallFails(known.work_id, known.attempt, sent=True)
-        network.after(fleet, const.CALLER_LATENCY_MS, failed)
-    return len(cut)
+    interrupted = [call for call in fleet.calls if call.ref == row.ref]
+    for call in interrupted:
+        call_row = fleet.calls.pop(call)
+        failed = events.CallFails(
+            call_row.work_id, call_row.attempt, sent=True
+        )
+        network.schedule_after(fleet, const.CALLER_LATENCY_MS, failed)
+    return len(interrupted)
--- a/packages/lab/src/zinnialead_lab/fleet/events.py
+++ b/packages/lab/src/zinnialead_lab/fleet/events.py
@@ -1,4 +1,4 @@
-"""Define the events that wait on the fleet's heap."""
+"""Define the scheduled events of a fleet."""
 
 import dataclasses
 import typing
@@ -16,37 +16,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wake:
-    """Run an entry's due timers."""
+    """Run the due timers of an entry."""
 
     ref: ids.EntryRef
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deliver:
-    """Give an entry an input, whichever run of it is there by then."""
+    """Deliver an input to the current incarnation of an entry."""
 
     entry: ids.EntryId
-    item: inp.Input
+    entry_input: inp.Input
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeliverTo:
-    """Give one run of an entry an input; a later run does not get it."""
+class DeliverToIncarnation:
+    """Deliver an input unless the entry has restarted since."""
 
     ref: ids.EntryRef
-    item: inp.Input
+    entry_input: inp.Input
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkArrives:
-    """Start one piece of work at its caller."""
+    """Start a piece of work at its caller."""
 
     work: models.Work
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallArrives:
-    """Bring a caller's request to an entry."""
+    """Deliver a caller's request to an entry."""
 
     work_id: models.WorkId
     attempt: int
@@ -55,7 +55,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallFails:
-    """Tell a caller that its connection failed; ``sent`` if in use."""
+    """Notify a caller that its connection failed.
+
+    ``sent`` says that its request may have reached the entry.
+    """
 
     work_id: models.WorkId
     attempt: int
@@ -64,7 +67,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEnds:
-    """Bring a caller the answer or refusal of an entry."""
+    """Deliver the answer or refusal of an entry to its caller.
+
+    ``is_own_answer`` says that the answer is that of the caller's work.
+    """
 
     work_id: models.WorkId
     attempt: int
@@ -74,22 +80,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CallerLeaves:
-    """End the patience of a caller."""
+class CallerTimeout:
+    """End the wait of a caller for an answer."""
 
     work_id: models.WorkId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatchArrives:
-    """Bring one attempt to its upstream."""
+    """Deliver an attempt to its upstream."""
 
     row: models.DispatchRow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelArrives:
-    """Bring a cancellation to an upstream."""
+    """Deliver a cancellation to an upstream."""
 
     dispatch: models.DispatchId
     upstream: ids.UpstreamId
@@ -97,21 +103,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelTimeout:
-    """Give up waiting for the answer to a cancellation."""
+    """End the wait for the answer to a cancellation."""
 
     dispatch: models.DispatchId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnds:
-    """End the run of an attempt at an upstream."""
+    """Finish the run of an attempt at an upstream."""
 
     row: models.DispatchRow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeArrives:
-    """Bring the outcome of an attempt to the entry that made it."""
+    """Deliver the outcome of an attempt to the entry that sent it."""
 
     dispatch: models.DispatchId
     outcome: verdict.Outcome
@@ -120,7 +126,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreCallArrives:
-    """Bring a call to the store."""
+    """Deliver a call to the store."""
 
     ref: ids.EntryRef
     output: out.CallStore
@@ -128,7 +134,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreCallEnds:
-    """Bring the store's result, or the lack of one, to an entry."""
+    """Deliver the result or the timeout of a store call to an entry."""
 
     ref: ids.EntryRef
     call_id: int
@@ -137,12 +143,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportRound:
-    """Let the upstreams report to the entries of their domain."""
+    """Send the load reports of the upstreams."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Inject:
-    """Bring about a fault or an operator's act."""
+    """Inject a fault or an operator action."""
 
     injection: 'injections.Injection'
 
@@ -150,12 +156,12 @@
 Event = (
     Wake
     | Deliver
-    | DeliverTo
+    | DeliverToIncarnation
     | WorkArrives
     | CallArrives
     | CallFails
     | CallEnds
-    | CallerLeaves
+    | CallerTimeout
     | DispatchArrives
     | CancelArrives
     | CancelTimeout
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -1,4 +1,4 @@
-"""Bring about the faults and the operators' acts of a scenario."""
+"""Inject the faults and operator actions of a scenario."""
 
 import dataclasses
 
@@ -23,42 +23,42 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Restart:
-    """Start a new run of an entry with nothing in memory."""
+    """Start a new incarnation of an entry with an empty memory."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause:
-    """Stop an entry's process for a while; its inputs wait."""
+    """Pause an entry's process and hold its inputs."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resume:
-    """Let a paused entry go on, with all that waited for it."""
+    """Resume a paused entry and deliver the held inputs."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """Ask an entry for a graceful stop."""
+    """Request a graceful stop of an entry."""
 
     entry: ids.EntryId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Partition:
-    """Partition each of these sets of domains from all the others."""
+    """Partition each group of domains from all other domains."""
 
-    parts: tuple[frozenset[ids.DomainId], ...]
+    groups: tuple[frozenset[ids.DomainId], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetNetwork:
-    """Set what the network does to messages between entries."""
+    """Set the network faults between entries."""
 
     network: models.NetworkRow
 
@@ -74,14 +74,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FileTicket:
-    """File a ticket whose folded state is ``state``."""
+    """File a ticket that results in ``state``."""
 
     state: tickets.State
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetUpstream:
-    """Set what is wrong with an upstream, and how it lies."""
+    """Set the condition of an upstream and the fault of its load reports."""
 
     upstream: ids.UpstreamId
     condition: models.Condition = models.Condition.WELL
@@ -90,21 +90,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartCold:
-    """Bring an upstream back with a cold cache."""
+    """Restore an upstream with a cold cache."""
 
     upstream: ids.UpstreamId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceConnections:
-    """Make the open connections to an upstream silent for good."""
+    """Drop all traffic on the open connections to an upstream."""
 
     upstream: ids.UpstreamId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replace:
-    """Start a new run of an entry once its planned stop has ended."""
+    """Restart an entry once its graceful stop has ended."""
 
     entry: ids.EntryId
 
@@ -127,7 +127,7 @@
 
 
 def inject(fleet: models.Fleet, injection: Injection) -> None:
-    """Bring about one fault or act now."""
+    """Apply one fault or operator action now."""
     match injection:
         case Kill(entry):
             _kill(fleet, entry)
@@ -136,19 +136,19 @@
         case Replace(entry):
             _replace(fleet, injection)
         case Pause(entry):
-            _live(fleet, entry, models.ProcessState.PAUSED)
+            _set_process_state(fleet, entry, models.ProcessState.PAUSED)
         case Resume(entry):
             _resume(fleet, entry)
         case Stop(entry):
             entries.feed(fleet, entry, inp.StopRequested())
         case _:
-            _inject_around(fleet, injection)
+            _inject_environment(fleet, injection)
 
 
-def _inject_around(fleet: models.Fleet, injection: Injection) -> None:
+def _inject_environment(fleet: models.Fleet, injection: Injection) -> None:
     match injection:
-        case Partition(parts):
-            fleet.network = fleet.network._replace(cut=parts)
+        case Partition(groups):
+            fleet.network = fleet.network._replace(isolated_groups=groups)
         case SetNetwork(row):
             fleet.network = row
         case SetStore(down, slow_ms, share):
@@ -156,21 +156,21 @@
                 fleet.store.domain, down, slow_ms, share
             )
         case FileTicket(state):
-            _file(fleet, state)
+            _file_ticket(fleet, state)
         case SetUpstream(upstream, condition, load_fault):
             _set_upstream(fleet, upstream, condition, load_fault)
         case StartCold(upstream):
-            cold = fleet.upstreams[upstream]
-            fleet.upstreams[upstream] = cold._replace(
+            upstream_row = fleet.upstreams[upstream]
+            fleet.upstreams[upstream] = upstream_row._replace(
                 condition=models.Condition.WELL,
-                cold_until_ms=fleet.now_ms + const.COLD_MS,
+                cold_until_ms=fleet.now_ms + const.COLD_CACHE_MS,
             )
         case SilenceConnections(upstream):
             for entry in fleet.entries:
-                fleet.silent.add((entry, upstream))
+                fleet.silent_connections.add((entry, upstream))
 
 
-def _live(
+def _set_process_state(
     fleet: models.Fleet, entry: ids.EntryId, process_state: models.ProcessState
 ) -> models.EntryRow:
     row = fleet.entries[entry]._replace(
@@ -188,7 +188,7 @@
         for row in fleet.dispatches.values()
     )
     fleet.kills.append(models.KillRow(ref, fleet.now_ms, in_flight))
-    entries.end(fleet, entry, models.ProcessState.DEAD)
+    entries.end_process(fleet, entry, models.ProcessState.DEAD)
 
 
 def _restart(fleet: models.Fleet, entry: ids.EntryId) -> None:
@@ -199,7 +199,7 @@
     ):
         _kill(fleet, entry)
     entries.start(fleet, entry, row.domain, row.ref.incarnation + 1)
-    entries.feed(fleet, entry, *entries.seeds(fleet, entry))
+    entries.feed(fleet, entry, *entries.seed_peers(fleet, entry))
 
 
 def _replace(fleet: models.Fleet, injection: Replace) -> None:
@@ -209,26 +209,26 @@
     ):
         _restart(fleet, injection.entry)
         return
-    again = events.Inject(injection)
-    network.after(fleet, const.REPLACE_POLL_MS, again)
+    retry = events.Inject(injection)
+    network.schedule_after(fleet, const.REPLACE_POLL_MS, retry)
 
 
 def _resume(fleet: models.Fleet, entry: ids.EntryId) -> None:
     row = fleet.entries[entry]
     if row.process_state is not models.ProcessState.PAUSED:
         return
-    row = _live(fleet, entry, models.ProcessState.RUNNING)
-    held = list(row.held)
-    row.held.clear()
-    entries.feed(fleet, entry, *held)
+    row = _set_process_state(fleet, entry, models.ProcessState.RUNNING)
+    held_inputs = list(row.held_inputs)
+    row.held_inputs.clear()
+    entries.feed(fleet, entry, *held_inputs)
 
 
-def _file(fleet: models.Fleet, state: tickets.State) -> None:
-    if not store.file(fleet, state):
+def _file_ticket(fleet: models.Fleet, state: tickets.State) -> None:
+    if not store.file_ticket(fleet, state):
         fleet.counters['tickets.not_accepted'] += 1
         return
     fleet.filed_ms[state.number] = fleet.now_ms
-    if fleet.plain:
+    if fleet.is_baseline:
         fleet.state = state
         for entry in fleet.entries:
             entries.feed(fleet, entry, inp.StateRead(state))
@@ -241,7 +241,7 @@
     load_fault: models.LoadFault,
 ) -> None:
     if condition is models.Condition.DEAD:
-        upstreams.die(fleet, upstream)
+        upstreams.kill(fleet, upstream)
     row = fleet.upstreams[upstream]
     fleet.upstreams[upstream] = row._replace(
         condition=condition, load_fault=load_fault
--- a/packages/lab/src/zinnialead_lab/fleet/meters.py
+++ b/packages/lab/src/zinnialead_lab/fleet/meters.py
@@ -1,4 +1,4 @@
-"""Define what measures the messages and ticks of a fleet."""
+"""Define the meter of a fleet: messages, bytes and tick times."""
 
 import collections
 from collections import abc
@@ -9,10 +9,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Meter:
-    """Measure the messages between entries and the time of ticks.
+    """Count the messages between entries and time their ticks.
 
-    ``frame_bytes`` encodes a message for real; ``clock_s`` reads the
-    processor time. Bytes received are kept by entry and second.
+    ``frame_bytes`` encodes a message with the peers' codec and returns
+    its size; ``clock_s`` reads the processor time. ``messages`` and
+    ``bytes`` are by message type, ``tick_s`` by type of the first input,
+    ``received_bytes`` by entry and second.
     """
 
     frame_bytes: abc.Callable[[ids.EntryRef, ids.EntryId, object], int]
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -1,4 +1,4 @@
-"""Define the tables of a fleet: entries, callers, upstreams, the store."""
+"""Define the tables of a fleet: entries, callers, upstreams and store."""
 
 import collections
 import dataclasses
@@ -18,7 +18,7 @@
 
 
 class ProcessState(enum.Enum):
-    """Say whether an entry's process runs."""
+    """List the states of an entry's process."""
 
     RUNNING = 'running'
     PAUSED = 'paused'
@@ -27,42 +27,42 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Core:
-    """Decide by the core's systems."""
+class CorePolicy:
+    """Decide with the systems of the core."""
 
     world: core.World
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plain:
-    """Decide the plain way: random upstreams, timeouts, three retries."""
+class BaselinePolicy:
+    """Decide with random upstreams, timeouts and three retries."""
 
-    table: 'PlainTable'
+    table: 'BaselineTable'
 
 
-Policy = Core | Plain
+Policy = CorePolicy | BaselinePolicy
 
 
-class PlainRow(typing.NamedTuple):
-    """Hold one request that the plain way has in hand."""
+class BaselineRequestRow(typing.NamedTuple):
+    """Hold one request in progress under the baseline policy."""
 
-    item: inp.RequestArrived
+    request: inp.RequestArrived
     attempt: int
     timeout_ms: float
     may_have_run: bool
 
 
-class PlainTable(typing.NamedTuple):
-    """Hold what an entry of the plain way knows."""
+class BaselineTable(typing.NamedTuple):
+    """Hold the state and the requests of a baseline entry."""
 
     states: dict[str, tickets.State]
-    rows: dict[ids.RequestId, PlainRow]
+    rows: dict[ids.RequestId, BaselineRequestRow]
     due: list[tuple[float, ids.RequestId, int]]
     random: random.Random
 
 
 class EntryRow(typing.NamedTuple):
-    """Hold one entry VM: its process, and the inputs held in a pause."""
+    """Hold one entry VM, its process and the inputs held during a pause."""
 
     ref: ids.EntryRef
     domain: ids.DomainId
@@ -71,11 +71,15 @@
     process_state: ProcessState
     started_ms: float
     ended_ms: float
-    held: list[inp.Input]
+    held_inputs: list[inp.Input]
 
 
 class Work(typing.NamedTuple):
-    """Ask for one piece of work; ``demand_ms`` is its service time."""
+    """Describe one piece of work; ``demand_ms`` is its service time.
+
+    ``keyed`` work may run only once; with ``free_key`` its key lacks the
+    prefix that names an entry.
+    """
 
     work_id: WorkId
     arrived_ms: float
@@ -89,28 +93,28 @@
 
 
 class CallerName(typing.NamedTuple):
-    """Name one caller of a failure domain."""
+    """Identify one caller of a failure domain."""
 
     domain: ids.DomainId
     number: int
 
 
-class LookedUp(typing.NamedTuple):
-    """Hold an answer, and how long the caller waited for it."""
+class LookUpResult(typing.NamedTuple):
+    """Hold a look-up answer and how long the caller waited for it."""
 
     answer: lookups.LookUpAnswer
     waited_ms: float
 
 
 class CachedLookUp(typing.NamedTuple):
-    """Hold an answer that a caller may use until it expires."""
+    """Hold a look-up answer that a caller uses until it expires."""
 
     answer: lookups.LookUpAnswer
     expires_ms: float
 
 
 class CallerRow(typing.NamedTuple):
-    """Hold one piece of work between its arrival and its end."""
+    """Hold a caller's work from its arrival to its completion."""
 
     work: Work
     answer: lookups.LookUpAnswer
@@ -120,14 +124,14 @@
 
 
 class CallId(typing.NamedTuple):
-    """Name one request as one run of one entry knows it."""
+    """Identify one request at one incarnation of an entry."""
 
     ref: ids.EntryRef
     request_id: ids.RequestId
 
 
 class CallRow(typing.NamedTuple):
-    """Hold whose work a request at an entry is."""
+    """Map a request at an entry to the work and attempt of its caller."""
 
     work_id: WorkId
     attempt: int
@@ -135,7 +139,10 @@
 
 
 class CompletionRow(typing.NamedTuple):
-    """Hold how a piece of work ended for its caller."""
+    """Record the result of a piece of work for its caller.
+
+    ``may_have_run`` says that an earlier call may still have run it.
+    """
 
     work: Work
     verdict: verdict.Verdict
@@ -146,14 +153,14 @@
 
 
 class DispatchId(typing.NamedTuple):
-    """Name one attempt of a request at an upstream."""
+    """Identify one attempt of a request at an upstream."""
 
     call: CallId
     attempt: int
 
 
 class DispatchRow(typing.NamedTuple):
-    """Hold one attempt as its upstream knows it."""
+    """Hold one attempt sent to an upstream."""
 
     dispatch: DispatchId
     upstream: ids.UpstreamId
@@ -163,7 +170,7 @@
 
 
 class RunRow(typing.NamedTuple):
-    """Record that an upstream ran a piece of work."""
+    """Record one run of a piece of work at an upstream."""
 
     work_id: WorkId
     key: ids.Key | None
@@ -174,7 +181,7 @@
 
 
 class KillRow(typing.NamedTuple):
-    """Record the death of an entry, and its keyed work at upstreams."""
+    """Record a killed entry and how many keyed attempts it had in flight."""
 
     ref: ids.EntryRef
     killed_ms: float
@@ -182,7 +189,7 @@
 
 
 class Condition(enum.Enum):
-    """Say what is wrong with an upstream."""
+    """List the conditions of an upstream; a silent one never answers."""
 
     WELL = 'well'
     LEAVING = 'leaving'
@@ -191,7 +198,7 @@
 
 
 class LoadFault(enum.Enum):
-    """Say how an upstream misreports its load."""
+    """List the ways in which an upstream misreports its load."""
 
     NONE = 'none'
     ZERO = 'zero'
@@ -200,37 +207,44 @@
 
 
 class UpstreamRow(typing.NamedTuple):
-    """Hold one upstream: what runs, what waits, what it says of itself."""
+    """Hold one upstream with its running and queued attempts.
+
+    ``running`` maps an attempt to the index of its run; the one element
+    of ``last_reported`` is the number in flight last reported.
+    """
 
-    known: tickets.UpstreamRow
+    config: tickets.UpstreamRow
     region: ids.RegionId
     condition: Condition
     load_fault: LoadFault
     cold_until_ms: float
     running: dict[DispatchId, int]
-    waiting: dict[DispatchId, DispatchRow]
-    told_in_flight: list[int]
+    queue: dict[DispatchId, DispatchRow]
+    last_reported: list[int]
 
 
 class NetworkRow(typing.NamedTuple):
-    """Hold what the network does to messages between entries."""
+    """Hold the network faults between entries.
+
+    Each of ``isolated_groups`` is partitioned from all other domains.
+    """
 
     drop_share: float = 0.0
     duplicate_share: float = 0.0
     reorder_share: float = 0.0
     reorder_max_ms: float = 20.0
-    cut: tuple[frozenset[ids.DomainId], ...] = ()
+    isolated_groups: tuple[frozenset[ids.DomainId], ...] = ()
 
 
-class Object(typing.NamedTuple):
-    """Hold one object of the store."""
+class StoredObject(typing.NamedTuple):
+    """Hold a value of the store and its version."""
 
     value: bytes
     version: int
 
 
 class WatchRow(typing.NamedTuple):
-    """Hold a watch that waits at the store."""
+    """Hold a pending watch at the store."""
 
     ref: ids.EntryRef
     call_id: int
@@ -249,7 +263,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
-    """Hold every table of the fleet, its clock and its pending events."""
+    """Hold every table of the fleet, its clock and its pending events.
+
+    ``adopted_ms`` is when an incarnation put a ticket into force,
+    ``highest_tickets`` the highest number it had in force, ``filed_ms``
+    when a ticket was filed, and ``states`` are by value in the store.
+    """
 
     now_ms: float
     sequence: int
@@ -260,26 +279,26 @@
     upstreams: dict[ids.UpstreamId, UpstreamRow]
     network: NetworkRow
     store: StoreRow
-    objects: dict[str, Object]
+    objects: dict[str, StoredObject]
     watches: dict[tuple[ids.EntryRef, int], WatchRow]
     store_done: set[tuple[ids.EntryRef, int]]
     states: dict[bytes, tickets.State]
-    look_ups: dict[CallerName, CachedLookUp]
+    cached_look_ups: dict[CallerName, CachedLookUp]
     works: dict[WorkId, Work]
     callers: dict[WorkId, CallerRow]
     calls: dict[CallId, CallRow]
     completions: list[CompletionRow]
     dispatches: dict[DispatchId, DispatchRow]
-    answers: dict[DispatchId, WorkId]
+    answered_work_ids: dict[DispatchId, WorkId]
     runs: list[RunRow]
-    silent: set[tuple[ids.EntryId, ids.UpstreamId]]
-    heard_ms: dict[tuple[ids.EntryId, ids.UpstreamId], float]
+    silent_connections: set[tuple[ids.EntryId, ids.UpstreamId]]
+    last_outcome_ms: dict[tuple[ids.EntryId, ids.UpstreamId], float]
     adopted_ms: dict[tuple[ids.EntryRef, int], float]
-    highest: dict[ids.EntryRef, int]
+    highest_tickets: dict[ids.EntryRef, int]
     filed_ms: dict[int, float]
     kills: list[KillRow]
     sent_works: set[WorkId]
     counters: collections.Counter[str]
     random: random.Random
-    plain: bool = False
+    is_baseline: bool = False
     meter: meters.Meter | None = None
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -1,4 +1,4 @@
-"""Carry what the parts of a fleet send each other."""
+"""Schedule events and simulate the network of a fleet."""
 
 import heapq
 
@@ -11,21 +11,25 @@
 from zinnialead_lab.fleet import models
 
 
-def at(fleet: models.Fleet, due_ms: float, event: events.Event) -> None:
-    """Put an event on the heap."""
+def schedule_at(
+    fleet: models.Fleet, due_ms: float, event: events.Event
+) -> None:
+    """Schedule an event at a time."""
     fleet.sequence += 1
     heapq.heappush(fleet.heap, (due_ms, fleet.sequence, event))
 
 
-def after(fleet: models.Fleet, delay_ms: float, event: events.Event) -> None:
-    """Put an event on the heap, some time from now."""
-    at(fleet, fleet.now_ms + delay_ms, event)
+def schedule_after(
+    fleet: models.Fleet, delay_ms: float, event: events.Event
+) -> None:
+    """Schedule an event after a delay."""
+    schedule_at(fleet, fleet.now_ms + delay_ms, event)
 
 
 def latency_ms(
     fleet: models.Fleet, one: ids.DomainId, other: ids.DomainId
 ) -> float:
-    """Return the latency one way between two failure domains."""
+    """Return the one-way latency between two failure domains."""
     domains = fleet.state.domains
     if domains[one].region == domains[other].region:
         return const.DOMAIN_LATENCY_MS
@@ -35,17 +39,20 @@
 def connected(
     fleet: models.Fleet, one: ids.DomainId, other: ids.DomainId
 ) -> bool:
-    """Return whether no partition stands between two domains."""
-    return all((one in part) == (other in part) for part in fleet.network.cut)
+    """Return whether no partition separates two domains."""
+    return all(
+        (one in group) == (other in group)
+        for group in fleet.network.isolated_groups
+    )
 
 
 def send_peer(
     fleet: models.Fleet, sender: models.EntryRow, output: out.SendPeer
 ) -> None:
-    """Carry a message between entries, or lose, copy or delay it."""
+    """Deliver a message between entries, or drop, duplicate or delay it."""
     fleet.counters[f'peer.{type(output.message).__name__}'] += 1
     if fleet.meter is not None:
-        _meter(fleet, fleet.meter, sender, output)
+        _record_message(fleet, fleet.meter, sender, output)
     target = fleet.entries.get(output.entry)
     if target is None or not connected(fleet, sender.domain, target.domain):
         return
@@ -55,25 +62,27 @@
     copies = 1
     if network.duplicate_share:
         copies += fleet.random.random() < network.duplicate_share
-    item = inp.PeerMessage(sender.ref, output.message)
+    peer_message = inp.PeerMessage(sender.ref, output.message)
     for _ in range(copies):
         delay_ms = latency_ms(fleet, sender.domain, target.domain)
         share = network.reorder_share
         if share and fleet.random.random() < share:
             delay_ms += fleet.random.uniform(0, network.reorder_max_ms)
-        after(fleet, delay_ms, events.Deliver(output.entry, item))
+        schedule_after(
+            fleet, delay_ms, events.Deliver(output.entry, peer_message)
+        )
 
 
-def _meter(
+def _record_message(
     fleet: models.Fleet,
     meter: meters.Meter,
     sender: models.EntryRow,
     output: out.SendPeer,
 ) -> None:
-    kind = type(output.message).__name__
-    size = meter.frame_bytes(sender.ref, output.entry, output.message)
-    meter.messages[kind] += 1
-    meter.bytes[kind] += size
-    meter.sent_bytes[sender.ref.entry] += size
+    message_type = type(output.message).__name__
+    size_bytes = meter.frame_bytes(sender.ref, output.entry, output.message)
+    meter.messages[message_type] += 1
+    meter.bytes[message_type] += size_bytes
+    meter.sent_bytes[sender.ref.entry] += size_bytes
     second = int(fleet.now_ms / 1_000)
-    meter.received_bytes[output.entry, second] += size
+    meter.received_bytes[output.entry, second] += size_bytes
--- a/packages/lab/src/zinnialead_lab/fleet/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fleet/oracle.py
@@ -1,4 +1,4 @@
-"""Check what a fleet did against the promises, from the runs recorded."""
+"""Check the recorded runs of a fleet against the promises."""
 
 import collections
 import typing
@@ -8,7 +8,10 @@
 
 
 class Violations(typing.NamedTuple):
-    """Count the promises that a run of a fleet broke."""
+    """Count the violations of each promise.
+
+    ``mismatched_answers`` are answers that belong to other work.
+    """
 
     double_runs: int
     false_not_run: int
@@ -17,7 +20,7 @@
 
 
 def check(fleet: models.Fleet) -> Violations:
-    """Return how often each promise was broken."""
+    """Return the number of violations of each promise."""
     ran = collections.Counter(
         row.work_id for row in fleet.runs if fleet.works[row.work_id].keyed
     )
--- a/packages/lab/src/zinnialead_lab/fleet/store.py
+++ b/packages/lab/src/zinnialead_lab/fleet/store.py
@@ -1,4 +1,4 @@
-"""Play the platform's store: versions, conditions, watches, outages."""
+"""Simulate the platform's store: versions, watches and outages."""
 
 import msgspec
 
@@ -12,79 +12,81 @@
 from zinnialead_lab.fleet import network
 
 
-def call(
+def send_call(
     fleet: models.Fleet, row: models.EntryRow, output: out.CallStore
 ) -> None:
-    """Send a call to the store, and bound the wait for its result."""
+    """Send a call to the store and schedule its timeout."""
     fleet.counters[f'store.{type(output.call).__name__}'] += 1
     failed = store.Failed(output.call.name, 'timeout')
     end = events.StoreCallEnds(row.ref, output.call_id, failed)
-    network.at(fleet, output.deadline_ms, end)
+    network.schedule_at(fleet, output.deadline_ms, end)
     if not network.connected(fleet, row.domain, fleet.store.domain):
         return
     delay_ms = network.latency_ms(fleet, row.domain, fleet.store.domain)
     delay_ms += const.STORE_SERVICE_MS + fleet.store.slow_ms
     arrival = events.StoreCallArrives(row.ref, output)
-    network.after(fleet, delay_ms, arrival)
+    network.schedule_after(fleet, delay_ms, arrival)
 
 
-def serve(
+def serve_call(
     fleet: models.Fleet, ref: ids.EntryRef, output: out.CallStore
 ) -> None:
-    """Carry out a call at the store and send its result."""
+    """Execute a call at the store and send its result."""
     if fleet.store.down:
         return
-    found = fleet.objects.get(output.call.name)
+    stored = fleet.objects.get(output.call.name)
     match output.call:
         case store.Watch(name, version) if (
-            found is None or found.version <= version
+            stored is None or stored.version <= version
         ):
             row = models.WatchRow(ref, output.call_id, name, version)
             fleet.watches[ref, output.call_id] = row
-            left_ms = output.deadline_ms - fleet.now_ms
-            quiet = store.Unchanged(name)
-            end = events.StoreCallEnds(ref, output.call_id, quiet)
-            network.after(fleet, left_ms - const.WATCH_MARGIN_MS, end)
+            remaining_ms = output.deadline_ms - fleet.now_ms
+            unchanged = store.Unchanged(name)
+            end = events.StoreCallEnds(ref, output.call_id, unchanged)
+            network.schedule_after(
+                fleet, remaining_ms - const.WATCH_MARGIN_MS, end
+            )
             return
         case store.Create(name, value):
             result = _write(fleet, name, value, None)
         case store.Update(name, value, version):
             result = _write(fleet, name, value, version)
         case store.Read(name) | store.Watch(name):
-            result = _result(fleet, name)
+            result = _read(fleet, name)
         case store.ListVms():
             result = store.Listed()
         case store.ReadBindings(name):
-            result = _bindings(_result(fleet, name))
+            result = _decode_bindings(_read(fleet, name))
         case store.WriteBindings(name, rows, version):
             value = msgspec.json.encode(rows)
-            result = _bindings(_write(fleet, name, value, version))
-    lost = fleet.store.lost_answer_share
-    if lost and fleet.random.random() < lost:
+            result = _decode_bindings(_write(fleet, name, value, version))
+    lost_share = fleet.store.lost_answer_share
+    if lost_share and fleet.random.random() < lost_share:
         return
     _reply(fleet, ref, output.call_id, result)
 
 
-def file(fleet: models.Fleet, state: tickets.State) -> bool:
-    """Put a ticket's state into the store, as the command line would."""
+def file_ticket(fleet: models.Fleet, state: tickets.State) -> bool:
+    """Write a ticket's state; return False while the store is down."""
     if fleet.store.down:
         return False
     value = f'state {state.number}'.encode()
     fleet.states[value] = state
-    found = fleet.objects.get(const.STATE_OBJECT)
-    version = found.version if found else None
+    stored = fleet.objects.get(const.STATE_OBJECT)
+    version = stored.version if stored else None
     _write(fleet, const.STATE_OBJECT, value, version)
     return True
 
 
-def _result(fleet: models.Fleet, name: str) -> store.Result:
-    found = fleet.objects.get(name)
-    if found is None:
+def _read(fleet: models.Fleet, name: str) -> store.Result:
+    stored = fleet.objects.get(name)
+    if stored is None:
         return store.Missing(name)
-    return store.Found(name, found.value, found.version)
+    return store.Found(name, stored.value, stored.version)
 
 
-def _bindings(result: store.Result) -> store.Result:
+def _decode_bindings(result: store.Result) -> store.Result:
     match result:
         case store.Found(name, value, version):
             rows = msgspec.json.decode(
@@ -98,15 +100,15 @@
 def _write(
     fleet: models.Fleet, name: str, value: bytes, version: int | None
 ) -> store.Result:
-    found = fleet.objects.get(name)
-    if (found.version if found else None) != version:
+    stored = fleet.objects.get(name)
+    if (stored.version if stored else None) != version:
         return store.Conflict(name)
-    written = models.Object(value, (version or 0) + 1)
+    written = models.StoredObject(value, (version or 0) + 1)
     fleet.objects[name] = written
-    waiting = [row for row in fleet.watches.values() if row.name == name]
-    for row in waiting:
+    watch_rows = [row for row in fleet.watches.values() if row.name == name]
+    for row in watch_rows:
         del fleet.watches[row.ref, row.call_id]
-        _reply(fleet, row.ref, row.call_id, _result(fleet, name))
+        _reply(fleet, row.ref, row.call_id, _read(fleet, name))
     return store.Found(name, value, written.version)
 
 
@@ -121,4 +123,4 @@
         return
     delay_ms = network.latency_ms(fleet, row.domain, fleet.store.domain)
     end = events.StoreCallEnds(ref, call_id, result)
-    network.after(fleet, delay_ms + fleet.store.slow_ms, end)
+    network.schedule_after(fleet, delay_ms + fleet.store.slow_ms, end)
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -1,4 +1,4 @@
-"""Play the upstreams: slots, short queues, shedding, cancellation."""
+"""Simulate the upstreams: slots, queues, shedding and cancellation."""
 
 from zinnialead_core import ids
 from zinnialead_core import inputs as inp
@@ -10,143 +10,153 @@
 from zinnialead_lab.fleet import network
 
 
-def dispatch(
+def send_attempt(
     fleet: models.Fleet, entry: models.EntryRow, output: out.Dispatch
 ) -> None:
-    """Send an attempt from an entry to an upstream."""
+    """Send an attempt from an entry to its upstream."""
     call = models.CallId(entry.ref, output.request_id)
-    known = fleet.calls[call]
-    name = models.DispatchId(call, output.attempt)
-    work = fleet.works[known.work_id]
+    call_row = fleet.calls[call]
+    dispatch_id = models.DispatchId(call, output.attempt)
+    work = fleet.works[call_row.work_id]
     row = models.DispatchRow(
-        name, output.upstream, work, known.key, output.deadline_ms
+        dispatch_id, output.upstream, work, call_row.key, output.deadline_ms
     )
-    fleet.dispatches[name] = row
+    fleet.dispatches[dispatch_id] = row
     fleet.counters['upstream.sent'] += 1
     fleet.sent_works.add(work.work_id)
     target = fleet.upstreams[output.upstream]
-    away = not network.connected(fleet, entry.domain, target.known.domain)
-    if away or target.condition is models.Condition.DEAD:
-        failed = events.OutcomeArrives(name, verdict.NotSent(), work.work_id)
-        pause_ms = const.CONNECT_TIMEOUT_MS if away else 1.0
-        network.after(fleet, pause_ms, failed)
+    unreachable = not network.connected(
+        fleet, entry.domain, target.config.domain
+    )
+    if unreachable or target.condition is models.Condition.DEAD:
+        outcome_arrival = events.OutcomeArrives(
+            dispatch_id, verdict.NotSent(), work.work_id
+        )
+        failure_delay_ms = const.CONNECT_TIMEOUT_MS if unreachable else 1.0
+        network.schedule_after(fleet, failure_delay_ms, outcome_arrival)
         return
-    delay_ms = network.latency_ms(fleet, entry.domain, target.known.domain)
-    pair = (entry.ref.entry, output.upstream)
-    heard_ms = fleet.heard_ms.get(pair, float('-inf'))
-    if fleet.now_ms - heard_ms > const.CONNECTION_TRUST_MS:
-        fleet.silent.discard(pair)
+    delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
+    connection = (entry.ref.entry, output.upstream)
+    last_outcome_ms = fleet.last_outcome_ms.get(connection, float('-inf'))
+    if fleet.now_ms - last_outcome_ms > const.CONNECTION_IDLE_MAX_MS:
+        fleet.silent_connections.discard(connection)
         delay_ms += const.NEW_CONNECTION_MS
-    if pair not in fleet.silent:
-        network.after(fleet, delay_ms, events.DispatchArrives(row))
+    if connection not in fleet.silent_connections:
+        network.schedule_after(fleet, delay_ms, events.DispatchArrives(row))
 
 
-def cancel(
+def send_cancel(
     fleet: models.Fleet, entry: models.EntryRow, output: out.CancelDispatch
 ) -> None:
     """Send a cancellation to the upstream of an attempt."""
     call = models.CallId(entry.ref, output.request_id)
-    name = models.DispatchId(call, output.attempt)
-    row = fleet.dispatches.get(name)
+    dispatch_id = models.DispatchId(call, output.attempt)
+    row = fleet.dispatches.get(dispatch_id)
     if row is None:
         return
-    network.after(fleet, const.CANCEL_TIMEOUT_MS, events.CancelTimeout(name))
+    network.schedule_after(
+        fleet, const.CANCEL_TIMEOUT_MS, events.CancelTimeout(dispatch_id)
+    )
     target = fleet.upstreams[row.upstream]
-    pair = (entry.ref.entry, row.upstream)
-    away = not network.connected(fleet, entry.domain, target.known.domain)
-    if away or pair in fleet.silent:
+    connection = (entry.ref.entry, row.upstream)
+    unreachable = not network.connected(
+        fleet, entry.domain, target.config.domain
+    )
+    if unreachable or connection in fleet.silent_connections:
         return
-    delay_ms = network.latency_ms(fleet, entry.domain, target.known.domain)
-    arrival = events.CancelArrives(name, row.upstream)
-    network.after(fleet, delay_ms, arrival)
+    delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
+    arrival = events.CancelArrives(dispatch_id, row.upstream)
+    network.schedule_after(fleet, delay_ms, arrival)
 
 
-def serve(fleet: models.Fleet, row: models.DispatchRow) -> None:
-    """Run an attempt, let it wait, or shed it."""
+def receive_attempt(fleet: models.Fleet, row: models.DispatchRow) -> None:
+    """Run an attempt, queue it, or shed it if the queue is full."""
     target = fleet.upstreams[row.upstream]
     if target.condition is models.Condition.DEAD:
         return
-    if len(target.running) < target.known.slots:
-        _start(fleet, target, row)
+    if len(target.running) < target.config.slots:
+        _start_run(fleet, target, row)
         return
-    if len(target.waiting) < const.UPSTREAM_QUEUE_MAX:
-        target.waiting[row.dispatch] = row
+    if len(target.queue) < const.UPSTREAM_QUEUE_MAX:
+        target.queue[row.dispatch] = row
         return
     fleet.counters['upstream.shed'] += 1
     _reply(fleet, row, verdict.Shed())
 
 
-def withdraw(
-    fleet: models.Fleet, name: models.DispatchId, upstream: ids.UpstreamId
+def receive_cancel(
+    fleet: models.Fleet,
+    dispatch_id: models.DispatchId,
+    upstream: ids.UpstreamId,
 ) -> None:
-    """Take a cancelled attempt out of the queue, or stop its run."""
+    """Remove a cancelled attempt from the queue, or stop its run."""
     target = fleet.upstreams[upstream]
-    row = fleet.dispatches.get(name)
+    row = fleet.dispatches.get(dispatch_id)
     if row is None or target.condition is models.Condition.SILENT:
         return
-    if target.waiting.pop(name, None) is not None:
+    if target.queue.pop(dispatch_id, None) is not None:
         _reply(fleet, row, verdict.NeverStarted())
         return
-    if name in target.running:
-        _finish(fleet, target, row)
+    if dispatch_id in target.running:
+        _release_slot(fleet, target, row)
         _reply(fleet, row, verdict.Lost('cancelled'))
 
 
-def end_run(fleet: models.Fleet, row: models.DispatchRow) -> None:
-    """Answer a run that came to its end, and start the next one."""
+def finish_run(fleet: models.Fleet, row: models.DispatchRow) -> None:
+    """Answer a finished run and start the next attempt in the queue."""
     target = fleet.upstreams[row.upstream]
     if row.dispatch not in target.running:
         return
-    _finish(fleet, target, row)
+    _release_slot(fleet, target, row)
     if target.condition is models.Condition.SILENT:
         return
     record = str(row.work.work_id).encode()
     _reply(fleet, row, verdict.Answered(200, record))
 
 
-def die(fleet: models.Fleet, upstream: ids.UpstreamId) -> None:
-    """Kill an upstream: what it had is lost."""
+def kill(fleet: models.Fleet, upstream: ids.UpstreamId) -> None:
+    """Kill an upstream, which loses its running and queued attempts."""
     target = fleet.upstreams[upstream]
-    lost = [*target.running, *target.waiting]
-    for number in target.running.values():
-        ended = fleet.runs[number]._replace(ended_ms=fleet.now_ms)
-        fleet.runs[number] = ended
+    lost_dispatches = [*target.running, *target.queue]
+    for run_index in target.running.values():
+        ended_run = fleet.runs[run_index]._replace(ended_ms=fleet.now_ms)
+        fleet.runs[run_index] = ended_run
     target.running.clear()
-    target.waiting.clear()
-    for name in lost:
-        row = fleet.dispatches.get(name)
+    target.queue.clear()
+    for dispatch_id in lost_dispatches:
+        row = fleet.dispatches.get(dispatch_id)
         if row is not None:
             _reply(fleet, row, verdict.Lost('connection reset'))
 
 
-def report(fleet: models.Fleet) -> None:
-    """Let every upstream tell the entries of its domain its load."""
+def send_reports(fleet: models.Fleet) -> None:
+    """Send the load of each upstream to the entries of its domain."""
     for row in fleet.upstreams.values():
-        item = _report(row)
-        if item is None:
+        load_report = _load_report(row)
+        if load_report is None:
             continue
         for entry in fleet.entries.values():
-            if entry.domain == row.known.domain:
-                deliver = events.Deliver(entry.ref.entry, item)
-                network.after(fleet, const.REPORT_LAG_MS, deliver)
+            if entry.domain == row.config.domain:
+                deliver = events.Deliver(entry.ref.entry, load_report)
+                network.schedule_after(fleet, const.REPORT_LAG_MS, deliver)
 
 
-def _report(row: models.UpstreamRow) -> inp.UpstreamReport | None:
-    count = len(row.running) + len(row.waiting)
+def _load_report(row: models.UpstreamRow) -> inp.UpstreamReport | None:
+    count = len(row.running) + len(row.queue)
     match row.load_fault:
         case models.LoadFault.ABSENT:
             return None
         case models.LoadFault.ZERO:
             count = 0
         case models.LoadFault.FROZEN:
-            count = row.told_in_flight[0]
-    row.told_in_flight[0] = count
+            count = row.last_reported[0]
+    row.last_reported[0] = count
     healthy = row.condition is not models.Condition.DEAD
     leaving = row.condition is models.Condition.LEAVING
-    return inp.UpstreamReport(row.known.upstream, healthy, count, leaving)
+    return inp.UpstreamReport(row.config.upstream, healthy, count, leaving)
 
 
-def _start(
+def _start_run(
     fleet: models.Fleet, target: models.UpstreamRow, row: models.DispatchRow
 ) -> None:
     if row.deadline_ms <= fleet.now_ms:
@@ -166,18 +176,18 @@
     demand_ms = row.work.demand_ms
     if fleet.now_ms < target.cold_until_ms:
         demand_ms *= const.COLD_FACTOR
-    network.after(fleet, demand_ms, events.RunEnds(row))
+    network.schedule_after(fleet, demand_ms, events.RunEnds(row))
 
 
-def _finish(
+def _release_slot(
     fleet: models.Fleet, target: models.UpstreamRow, row: models.DispatchRow
 ) -> None:
-    number = target.running.pop(row.dispatch)
-    ended = fleet.runs[number]._replace(ended_ms=fleet.now_ms)
-    fleet.runs[number] = ended
-    while target.waiting and len(target.running) < target.known.slots:
-        name = next(iter(target.waiting))
-        _start(fleet, target, target.waiting.pop(name))
+    run_index = target.running.pop(row.dispatch)
+    ended_run = fleet.runs[run_index]._replace(ended_ms=fleet.now_ms)
+    fleet.runs[run_index] = ended_run
+    while target.queue and len(target.running) < target.config.slots:
+        dispatch_id = next(iter(target.queue))
+        _start_run(fleet, target, target.queue.pop(dispatch_id))
 
 
 def _reply(
@@ -185,10 +195,12 @@
 ) -> None:
     entry = fleet.entries[row.dispatch.call.ref.entry]
     target = fleet.upstreams[row.upstream]
-    pair = (entry.ref.entry, row.upstream)
-    away = not network.connected(fleet, entry.domain, target.known.domain)
-    if away or pair in fleet.silent:
+    connection = (entry.ref.entry, row.upstream)
+    unreachable = not network.connected(
+        fleet, entry.domain, target.config.domain
+    )
+    if unreachable or connection in fleet.silent_connections:
         return
-    delay_ms = network.latency_ms(fleet, entry.domain, target.known.domain)
+    delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
     arrival = events.OutcomeArrives(row.dispatch, outcome, row.work.work_id)
-    network.after(fleet, delay_ms, arrival)
+    network.schedule_after(fleet, delay_ms, arrival)
--- a/packages/lab/src/zinnialead_lab/fuzz/__init__.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/__init__.py
@@ -1,4 +1,4 @@
-"""Fuzz a fleet of cores against an oracle of the promises."""
+"""Fuzz a simulated fleet against an oracle of the promises."""
 
 from zinnialead_lab.fuzz.coordinator import main
 from zinnialead_lab.fuzz.coordinator import run
--- a/packages/lab/src/zinnialead_lab/fuzz/actions.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/actions.py
@@ -1,4 +1,4 @@
-"""Do to a fleet what the world may do to it."""
+"""Apply the actions of the fuzzing rules to a fleet."""
 
 from zinnialead_core import ids
 from zinnialead_lab import fleet as fleets
@@ -10,29 +10,29 @@
 
 
 def start(seed: int) -> models.Run:
-    """Return a run over a fleet whose members know each other."""
-    state = deployment.state()
+    """Return a run over a fleet whose membership has converged."""
+    state = deployment.initial_state()
     fleet = fleets.new_fleet(state, const.ENTRIES_PER_DOMAIN, seed)
     fleets.run_until(fleet, 3_000.0)
     return models.new_run(fleet)
 
 
-def entry(run: models.Run, pick: int) -> ids.EntryId:
-    """Return one of the entries."""
+def select_entry(run: models.Run, pick: int) -> ids.EntryId:
+    """Return the entry that a drawn number selects."""
     names = list(run.fleet.entries)
     return names[pick % len(names)]
 
 
-def upstream(run: models.Run, pick: int) -> ids.UpstreamId:
-    """Return one of the upstreams."""
+def select_upstream(run: models.Run, pick: int) -> ids.UpstreamId:
+    """Return the upstream that a drawn number selects."""
     names = list(run.fleet.upstreams)
     return names[pick % len(names)]
 
 
-def work(
+def start_work(
     run: models.Run, pick: int, demand_ms: float, deadline_ms: float
 ) -> fleets.WorkId:
-    """Let a caller start one piece of work now."""
+    """Start a piece of work at a caller now."""
     fleet = run.fleet
     fleet.sequence += 1
     work_id = fleets.WorkId(fleet.sequence)
@@ -52,28 +52,30 @@
     return work_id
 
 
-def copy(run: models.Run, pick: int) -> None:
-    """Send a caller's request to another entry as well, with its key."""
+def duplicate_call(run: models.Run, pick: int) -> None:
+    """Send a caller's request, with its key, to a second entry."""
     callers = [x for x in run.fleet.callers.values() if x.key is not None]
     if not callers:
         return
     caller = callers[pick % len(callers)]
-    # The caller knows of the copy, so it stays with the key.
+    # The copy may run, so the caller has to keep the key.
     caller = caller._replace(may_have_run=True)
     run.fleet.callers[caller.work.work_id] = caller
-    run.copied.add(caller.work.work_id)
-    run.asked.append(caller)
+    run.duplicated.add(caller.work.work_id)
+    run.duplicated_calls.append(caller)
     arrival = events.CallArrives(
-        caller.work.work_id, caller.attempt, entry(run, pick // 7)
+        caller.work.work_id, caller.attempt, select_entry(run, pick // 7)
     )
-    network.after(run.fleet, float(pick % 5), arrival)
+    network.schedule_after(run.fleet, float(pick % 5), arrival)
 
 
-def ask_again(run: models.Run, pick: int, deadline_ms: float) -> None:
-    """Let a caller whose work is over ask for it again, with its key."""
-    if not run.asked:
+def retry_call(run: models.Run, pick: int, deadline_ms: float) -> None:
+    """Retry a duplicated call with its key once its work is complete."""
+    if not run.duplicated_calls:
         return
-    caller = run.asked[-1 - pick % min(4, len(run.asked))]
+    caller = run.duplicated_calls[
+        -1 - pick % min(4, len(run.duplicated_calls))
+    ]
     work = caller.work._replace(deadline_ms=run.fleet.now_ms + deadline_ms)
     if work.work_id in run.fleet.callers:
         return
@@ -81,29 +83,31 @@
         work=work, may_have_run=True
     )
     arrival = events.CallArrives(
-        work.work_id, caller.attempt, entry(run, pick // 7)
+        work.work_id, caller.attempt, select_entry(run, pick // 7)
+    )
+    network.schedule_after(run.fleet, 1.0, arrival)
+    network.schedule_at(
+        run.fleet, work.deadline_ms, events.CallerTimeout(work.work_id)
     )
-    network.after(run.fleet, 1.0, arrival)
-    network.at(run.fleet, work.deadline_ms, events.CallerLeaves(work.work_id))
 
 
 def advance(run: models.Run, elapsed_ms: float) -> None:
-    """Let time pass."""
+    """Advance the clock of the fleet."""
     fleets.run_until(run.fleet, run.fleet.now_ms + elapsed_ms)
 
 
-def file(run: models.Run, picked: frozenset[int]) -> int:
-    """File the next ticket, and return its number if the store took it."""
+def file_ticket(run: models.Run, drain_picks: frozenset[int]) -> int:
+    """File the next ticket and return the number of the latest one."""
     fleet = run.fleet
-    last = max(run.states)
-    state = run.states[last]._replace(
-        number=last + 1, drains=deployment.drains(picked)
+    last_number = max(run.states)
+    state = run.states[last_number]._replace(
+        number=last_number + 1, drains=deployment.select_drains(drain_picks)
     )
     fleets.inject(fleet, fleets.FileTicket(state))
-    if last + 1 not in fleet.filed_ms:
-        return last
-    run.states[last + 1] = state
-    return last + 1
+    if last_number + 1 not in fleet.filed_ms:
+        return last_number
+    run.states[last_number + 1] = state
+    return last_number + 1
 
 
 def set_upstream(
@@ -112,18 +116,18 @@
     condition: fleets.Condition,
     load_fault: fleets.LoadFault,
 ) -> None:
-    """Set what is wrong with an upstream."""
-    run.leaving.pop(name, None)
+    """Set the condition and the load fault of an upstream."""
+    run.leaving_since_ms.pop(name, None)
     if (
         condition is fleets.Condition.LEAVING
         and load_fault is not fleets.LoadFault.ABSENT
     ):
-        run.leaving[name] = run.fleet.now_ms
+        run.leaving_since_ms[name] = run.fleet.now_ms
     fleets.inject(run.fleet, fleets.SetUpstream(name, condition, load_fault))
 
 
-def heal(run: models.Run) -> None:
-    """End every fault, and restart what is dead or stopped."""
+def clear_faults(run: models.Run) -> None:
+    """Clear every fault and restart dead and stopped entries."""
     fleet = run.fleet
     fleets.inject(fleet, fleets.SetNetwork(fleets.NetworkRow()))
     fleets.inject(fleet, fleets.SetStore())
--- a/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
@@ -1,4 +1,4 @@
-"""Run the fuzzing from a seed."""
+"""Run the fuzzing with a seed."""
 
 import hypothesis
 from hypothesis import stateful
@@ -8,7 +8,11 @@
 
 
 def run(seed: int, steps: int, examples: int = const.EXAMPLES) -> None:
-    """Raise the shortest sequence found that breaks a promise."""
+    """Fuzz the fleet.
+
+    :raises AssertionError: with the shortest sequence found that breaks
+        a promise
+    """
     settings = hypothesis.settings(
         max_examples=examples,
         stateful_step_count=steps,
@@ -24,8 +28,8 @@
     """Run the fuzzing as a command and return the exit code."""
     try:
         run(seed, steps)
-    except AssertionError as broken:
-        print(f'seed {seed}: {broken}')
+    except AssertionError as violation:
+        print(f'seed {seed}: {violation}')
         return 1
     print(
         f'seed {seed}: {const.EXAMPLES} runs of up to {steps} steps,'
--- a/packages/lab/src/zinnialead_lab/fuzz/deployment.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/deployment.py
@@ -1,4 +1,4 @@
-"""Describe the small deployment that the fuzzing runs."""
+"""Define the small deployment of the fuzzing."""
 
 from zinnialead_core.components import tickets
 from zinnialead_core import ids
@@ -14,7 +14,7 @@
 Caps = dict[str, tickets.Cap]
 
 
-def state() -> tickets.State:
+def initial_state() -> tickets.State:
     """Return the state of the first ticket."""
     upstreams = [
         _upstream(service, domain, number)
@@ -27,24 +27,26 @@
         services={x: _service(x) for x in SERVICES},
         upstreams={x.upstream: x for x in upstreams},
         domains={x: _domain(x) for x in DOMAINS},
-        ranks={x: _rank(x, place) for place, x in enumerate(RANKS)},
+        ranks={x: _rank(x, position) for position, x in enumerate(RANKS)},
         caps=_caps(),
     )
 
 
-def drains(picked: frozenset[int]) -> Drains:
-    """Return some of the drains that a ticket may hold."""
+def select_drains(picks: frozenset[int]) -> Drains:
+    """Return the drains of a ticket that drawn numbers select."""
     payouts = [f'{PAYOUTS}-{domain}-1' for domain in DOMAINS]
-    known: list[tickets.Drain] = [
+    available: list[tickets.Drain] = [
         *map(tickets.UpstreamDrain, map(ids.UpstreamId, payouts)),
         *map(tickets.DomainDrain, DOMAINS[:2]),
         tickets.RegionDrain(ids.RegionId('huye')),
     ]
-    return {f'drain-{place}': known[place % len(known)] for place in picked}
+    return {
+        f'drain-{pick}': available[pick % len(available)] for pick in picks
+    }
 
 
-def drained(state: tickets.State) -> frozenset[ids.UpstreamId]:
-    """Return the upstreams that a state takes out of service."""
+def drained_upstreams(state: tickets.State) -> frozenset[ids.UpstreamId]:
+    """Return the upstreams that a state drains."""
     return frozenset(
         row.upstream
         for row in state.upstreams.values()
@@ -88,14 +90,14 @@
     return tickets.DomainRow(domain, region, const.ENTRIES_PER_DOMAIN)
 
 
-def _rank(rank: ids.RankId, place: int) -> tickets.RankRow:
-    floor = 0.1 if place else 0.0
-    return tickets.RankRow(rank, place, 10.0**-place, floor, 1_000.0)
+def _rank(rank: ids.RankId, position: int) -> tickets.RankRow:
+    floor = 0.1 if position else 0.0
+    return tickets.RankRow(rank, position, 10.0**-position, floor, 1_000.0)
 
 
 def _caps() -> Caps:
     kigali, huye = ids.RegionId('kigali'), ids.RegionId('huye')
     return {
-        'shift': tickets.ShiftCap(kigali, huye, const.SHIFTS_PER_S),
-        'back': tickets.ShiftCap(huye, kigali, const.SHIFTS_PER_S),
+        'shift': tickets.ShiftCap(kigali, huye, const.SHIFT_CAP_PER_S),
+        'back': tickets.ShiftCap(huye, kigali, const.SHIFT_CAP_PER_S),
     }
--- a/packages/lab/src/zinnialead_lab/fuzz/machine.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/machine.py
@@ -1,7 +1,8 @@
-"""Let hypothesis choose what happens to a fleet.
+"""Define the Hypothesis state machine that drives a fleet.
 
-Hypothesis asks for a class with rules as methods; each rule hands over to
-a function in ``acts``, and each check to one in ``oracle``.
+Each rule method calls a function of ``actions``, and each check one of
+``oracle``. Hypothesis draws the rules, and the arguments of a rule, in
+an order that depends on their names.
 """
 
 import hypothesis
@@ -10,7 +11,7 @@
 
 from zinnialead_core import ids
 from zinnialead_lab import fleet as fleets
-from zinnialead_lab.fuzz import acts
+from zinnialead_lab.fuzz import actions
 from zinnialead_lab.fuzz import const
 from zinnialead_lab.fuzz import deployment
 from zinnialead_lab.fuzz import models
@@ -18,7 +19,7 @@
 
 PICK = st.integers(0, 1_000)
 SHARE = st.sampled_from([0.0, 0.0, 0.1, 0.3])
-PARTS = st.sampled_from(
+ISOLATED_GROUPS = st.sampled_from(
     [
         (),
         (frozenset(deployment.DOMAINS[:1]),),
@@ -30,14 +31,14 @@
 
 
 class PromiseMachine(stateful.RuleBasedStateMachine):
-    """Drive one fleet by rules and check the promises after each."""
+    """Drive a fleet by rules and check the promises after each rule."""
 
     run: models.Run
 
     @stateful.initialize(seed=st.integers(0, 2**16))
     def start(self, seed: int) -> None:
         """Start a fleet."""
-        self.run = acts.start(seed)
+        self.run = actions.start(seed)
 
     @stateful.rule(
         picks=st.lists(PICK, min_size=1, max_size=const.BURST_MAX),
@@ -52,28 +53,28 @@
         deadline_ms: float,
         elapsed_ms: float,
     ) -> None:
-        """Let callers start work."""
+        """Start a burst of work."""
         for pick in picks:
-            acts.work(self.run, pick, demand_ms, deadline_ms)
-        acts.advance(self.run, elapsed_ms)
+            actions.start_work(self.run, pick, demand_ms, deadline_ms)
+        actions.advance(self.run, elapsed_ms)
 
     @stateful.rule(pick=PICK)
     def copy(self, pick: int) -> None:
-        """Send a key to two entries at once."""
-        acts.copy(self.run, pick)
+        """Send a request with a key to two entries."""
+        actions.duplicate_call(self.run, pick)
 
     @stateful.rule(
         pick=PICK,
         deadline_ms=st.floats(const.DEADLINE_MIN_MS, const.DEADLINE_MAX_MS),
     )
     def ask_again(self, pick: int, deadline_ms: float) -> None:
-        """Ask for work that is over once more."""
-        acts.ask_again(self.run, pick, deadline_ms)
+        """Retry completed work."""
+        actions.retry_call(self.run, pick, deadline_ms)
 
     @stateful.rule(elapsed_ms=st.floats(1.0, const.ADVANCE_MAX_MS))
     def advance(self, elapsed_ms: float) -> None:
-        """Let time pass."""
-        acts.advance(self.run, elapsed_ms)
+        """Advance the clock."""
+        actions.advance(self.run, elapsed_ms)
 
     @stateful.rule(
         pick=PICK,
@@ -85,7 +86,7 @@
         kind: type[fleets.Kill | fleets.Restart | fleets.Pause],
     ) -> None:
         """Kill, restart or pause an entry."""
-        name = acts.entry(self.run, pick)
+        name = actions.select_entry(self.run, pick)
         if (
             self.run.fleet.entries[name].process_state
             is fleets.ProcessState.RUNNING
@@ -94,8 +95,8 @@
 
     @stateful.rule(pick=PICK)
     def mend_entry(self, pick: int) -> None:
-        """Bring an entry back, if it is away."""
-        name = acts.entry(self.run, pick)
+        """Resume or restart an entry that does not run."""
+        name = actions.select_entry(self.run, pick)
         match self.run.fleet.entries[name].process_state:
             case fleets.ProcessState.PAUSED:
                 fleets.inject(self.run.fleet, fleets.Resume(name))
@@ -104,26 +105,30 @@
 
     @stateful.rule(pick=PICK)
     def stop_entry(self, pick: int) -> None:
-        """Ask an entry for a graceful stop."""
-        fleets.inject(self.run.fleet, fleets.Stop(acts.entry(self.run, pick)))
+        """Request a graceful stop of an entry."""
+        fleets.inject(
+            self.run.fleet, fleets.Stop(actions.select_entry(self.run, pick))
+        )
 
-    @stateful.rule(drop=SHARE, duplicate=SHARE, reorder=SHARE, parts=PARTS)
+    @stateful.rule(
+        drop=SHARE, duplicate=SHARE, reorder=SHARE, groups=ISOLATED_GROUPS
+    )
     def set_network(
         self,
         drop: float,
         duplicate: float,
         reorder: float,
-        parts: tuple[frozenset[ids.DomainId], ...],
+        groups: tuple[frozenset[ids.DomainId], ...],
     ) -> None:
-        """Lose, copy and delay messages, and cut domains off."""
-        row = fleets.NetworkRow(drop, duplicate, reorder, 300.0, parts)
+        """Drop, duplicate and delay messages, and partition domains."""
+        row = fleets.NetworkRow(drop, duplicate, reorder, 300.0, groups)
         fleets.inject(self.run.fleet, fleets.SetNetwork(row))
 
     @stateful.rule(
         down=st.booleans(), slow_ms=st.sampled_from([0.0, 800.0]), lost=SHARE
     )
     def set_store(self, down: bool, slow_ms: float, lost: float) -> None:
-        """Take the store down, slow it, or lose its answers."""
+        """Stop the store, slow it down, or drop its answers."""
         fleets.inject(self.run.fleet, fleets.SetStore(down, slow_ms, lost))
 
     @stateful.rule(
@@ -137,38 +142,38 @@
         condition: fleets.Condition,
         load_fault: fleets.LoadFault,
     ) -> None:
-        """Let an upstream leave, die, fall silent or lie."""
-        name = acts.upstream(self.run, pick)
-        acts.set_upstream(self.run, name, condition, load_fault)
+        """Set the condition and the load fault of an upstream."""
+        name = actions.select_upstream(self.run, pick)
+        actions.set_upstream(self.run, name, condition, load_fault)
 
     @stateful.rule(pick=PICK)
     def silence(self, pick: int) -> None:
-        """Let open connections to an upstream go silent."""
-        name = acts.upstream(self.run, pick)
+        """Drop all traffic on the open connections to an upstream."""
+        name = actions.select_upstream(self.run, pick)
         fleets.inject(self.run.fleet, fleets.SilenceConnections(name))
 
-    @stateful.rule(picked=st.frozensets(st.integers(0, 6), max_size=3))
-    def file(self, picked: frozenset[int]) -> None:
-        """File a ticket that drains something, or nothing."""
-        acts.file(self.run, picked)
+    @stateful.rule(drain_picks=st.frozensets(st.integers(0, 6), max_size=3))
+    def file(self, drain_picks: frozenset[int]) -> None:
+        """File a ticket with up to three drains."""
+        actions.file_ticket(self.run, drain_picks)
 
     @stateful.invariant()
     def promises_hold(self) -> None:
-        """Check the promises so far."""
-        found = list(oracle.broken(self.run))
-        assert not found, found
+        """Check that no promise is violated so far."""
+        violations = list(oracle.violations(self.run))
+        assert not violations, violations
 
     def teardown(self) -> None:
-        """End the faults, and check that the fleet is whole again."""
+        """Clear the faults and check that the fleet recovers."""
         if not hasattr(self, 'run'):
             return
-        acts.heal(self.run)
-        acts.advance(self.run, const.HEALED_MS)
-        number = acts.file(self.run, frozenset())
-        acts.advance(self.run, const.TICKET_SPREAD_MS)
-        found = [
-            *oracle.not_whole(self.run, number),
-            *oracle.broken(self.run),
+        actions.clear_faults(self.run)
+        actions.advance(self.run, const.RECOVERY_MS)
+        number = actions.file_ticket(self.run, frozenset())
+        actions.advance(self.run, const.TICKET_SPREAD_MS)
+        violations = [
+            *oracle.recovery_violations(self.run, number),
+            *oracle.violations(self.run),
         ]
         hypothesis.note(f'at {self.run.fleet.now_ms} ms')
-        assert not found, found
+        assert not violations, violations
--- a/packages/lab/src/zinnialead_lab/fuzz/models.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/models.py
@@ -1,4 +1,4 @@
-"""Define what a run of the fuzzing knows beside its fleet."""
+"""Define the record of a fuzzing run."""
 
 import typing
 
@@ -9,22 +9,23 @@
 
 
 class Run(typing.NamedTuple):
-    """Hold a fleet, and what the oracle has to remember of the rules.
+    """Hold a fleet and what the oracle needs to know of past actions.
 
-    ``copied`` names work whose key went to more than one entry;
-    ``asked`` are the callers of such work, who may ask again;
-    ``checked`` counts the runs that the oracle has looked at.
+    ``duplicated`` is the work whose key went to more than one entry;
+    ``duplicated_calls`` are the calls of such work, for retries;
+    ``states`` are by ticket number; the one element of
+    ``checked_run_count`` is how many runs the oracle has checked.
     """
 
     fleet: fleets.Fleet
-    copied: set[fleets.WorkId]
-    asked: list[fleet_models.CallerRow]
+    duplicated: set[fleets.WorkId]
+    duplicated_calls: list[fleet_models.CallerRow]
     states: dict[int, tickets.State]
-    leaving: dict[ids.UpstreamId, float]
-    checked: list[int]
+    leaving_since_ms: dict[ids.UpstreamId, float]
+    checked_run_count: list[int]
 
 
 def new_run(fleet: fleets.Fleet) -> Run:
-    """Return a run in which nothing has happened yet."""
+    """Return a new run over a fleet."""
     states = {fleet.state.number: fleet.state}
     return Run(fleet, set(), [], states, {}, [0])
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -1,4 +1,4 @@
-"""Hold a fleet's runs and answers against every promise."""
+"""Check the runs and answers of a fleet against every promise."""
 
 import collections
 from collections import abc
@@ -13,76 +13,79 @@
 from zinnialead_lab.fuzz import models
 
 
-def broken(run: models.Run) -> abc.Iterator[str]:
-    """Yield each promise that the fleet broke, and where."""
-    yield from _keys(run)
-    yield from _answers(run)
-    yield from _shifts(run)
-    for row in run.fleet.runs[run.checked[0] :]:
-        yield from _drains(run, row)
-    run.checked[0] = len(run.fleet.runs)
+def violations(run: models.Run) -> abc.Iterator[str]:
+    """Yield a description of each violated promise."""
+    yield from _duplicate_runs(run)
+    yield from _wrong_answers(run)
+    yield from _cap_excesses(run)
+    for row in run.fleet.runs[run.checked_run_count[0] :]:
+        yield from _runs_after_drain(run, row)
+    run.checked_run_count[0] = len(run.fleet.runs)
     for name in ('tickets.reverted', 'stop.cut'):
         if run.fleet.counters[name]:
             yield f'{name}: {run.fleet.counters[name]}'
 
 
-def not_whole(run: models.Run, number: int) -> abc.Iterator[str]:
-    """Yield what is still wrong after every fault has ended."""
+def recovery_violations(run: models.Run, number: int) -> abc.Iterator[str]:
+    """Yield what has not recovered after every fault has ended."""
     for row in run.fleet.entries.values():
         if row.process_state is not fleets.ProcessState.RUNNING:
             continue
-        if run.fleet.highest.get(row.ref, 0) < number:
+        if run.fleet.highest_tickets.get(row.ref, 0) < number:
             yield f'ticket {number} is not in force on {row.ref}'
 
 
-def _keys(run: models.Run) -> abc.Iterator[str]:
+def _duplicate_runs(run: models.Run) -> abc.Iterator[str]:
     keyed = [row for row in run.fleet.runs if row.key is not None]
     for key, count in collections.Counter(x.key for x in keyed).items():
         if count > 1:
             yield f'key {key} ran {count} times'
     works = collections.Counter(
-        row.work_id for row in keyed if row.work_id not in run.copied
+        row.work_id for row in keyed if row.work_id not in run.duplicated
     )
     for work_id, count in works.items():
         if count > 1:
             yield f'work {work_id} ran {count} times'
 
 
-def _answers(run: models.Run) -> abc.Iterator[str]:
+def _wrong_answers(run: models.Run) -> abc.Iterator[str]:
     ran = {x.work_id: x.started_ms for x in reversed(run.fleet.runs)}
-    for end in run.fleet.completions:
-        work_id = end.work.work_id
-        if not end.is_own_answer:
+    for row in run.fleet.completions:
+        work_id = row.work.work_id
+        if not row.is_own_answer:
             yield f'work {work_id} got an answer that is not its own'
-        if end.verdict is not verdict.Verdict.NOT_RUN or not end.work.keyed:
+        if row.verdict is not verdict.Verdict.NOT_RUN or not row.work.keyed:
             continue
-        # Another copy may run after one was refused, unless by a bar.
-        until_ms = end.ended_ms - const.ANSWER_MAX_MS
-        if work_id not in run.copied or end.reason == 'key-barred':
+        # After one copy is refused another may run, unless the key is barred.
+        until_ms = row.ended_ms - const.ANSWER_DELAY_MAX_MS
+        if work_id not in run.duplicated or row.reason == 'key-barred':
             until_ms = math.inf
         if ran.get(work_id, math.inf) < until_ms:
-            yield f'work {work_id} ran, and was told {end.reason}: not run'
+            yield f'work {work_id} ran, and was told {row.reason}: not run'
 
 
-def _drains(run: models.Run, row: fleet_models.RunRow) -> abc.Iterator[str]:
-    """Check that no work went where its entry knew of a drain."""
-    latest_ms = row.started_ms - const.UPSTREAM_WAIT_MS
+def _runs_after_drain(
+    run: models.Run, row: fleet_models.RunRow
+) -> abc.Iterator[str]:
+    """Check that no entry sent work to an upstream it knew as drained."""
+    earliest_sent_ms = row.started_ms - const.UPSTREAM_WAIT_MS
     grace_ms = const.DRAIN_GRACE_MS
     adopted = sorted(_adopted(run, row))
-    before = [n for n, at_ms in adopted if at_ms < latest_ms - grace_ms]
-    since = [
+    before = [n for n, at_ms in adopted if at_ms < earliest_sent_ms - grace_ms]
+    during_grace = [
         n
         for n, at_ms in adopted
-        if latest_ms - grace_ms <= at_ms <= row.started_ms
+        if earliest_sent_ms - grace_ms <= at_ms <= row.started_ms
     ]
-    known = [run.states[n] for n in [*before[-1:], *since]]
+    possible_states = [run.states[n] for n in [*before[-1:], *during_grace]]
     if before and all(
-        row.upstream in deployment.drained(state) for state in known
+        row.upstream in deployment.drained_upstreams(state)
+        for state in possible_states
     ):
         yield f'{row.upstream} is drained, and got work: {row}'
-    left_ms = run.leaving.get(row.upstream)
-    if left_ms is not None:
-        late_ms = latest_ms - left_ms - const.REPORT_LAG_MS
+    leaving_ms = run.leaving_since_ms.get(row.upstream)
+    if leaving_ms is not None:
+        late_ms = earliest_sent_ms - leaving_ms - const.REPORT_LAG_MS
         if late_ms > const.DRAIN_GRACE_MS:
             yield f'{row.upstream} leaves, and got work: {row}'
 
@@ -90,29 +93,31 @@
 def _adopted(
     run: models.Run, row: fleet_models.RunRow
 ) -> abc.Iterator[tuple[int, float]]:
-    found = [
+    adoptions = [
         (ref.incarnation, number, at_ms)
         for (ref, number), at_ms in run.fleet.adopted_ms.items()
         if ref.entry == row.entry and at_ms <= row.started_ms
     ]
-    newest = max((x[0] for x in found), default=0)
-    for incarnation, number, at_ms in found:
-        if incarnation == newest:
+    latest_incarnation = max((x[0] for x in adoptions), default=0)
+    for incarnation, number, at_ms in adoptions:
+        if incarnation == latest_incarnation:
             yield number, at_ms
 
 
-def _shifts(run: models.Run) -> abc.Iterator[str]:
-    """Check the caps, but for what upstreams' own queues held back."""
+def _cap_excesses(run: models.Run) -> abc.Iterator[str]:
+    """Check the shift caps, less the time in the upstreams' queues."""
     window_ms = 1_000.0 - const.UPSTREAM_WAIT_MS
     starts: dict[tuple[ids.RegionId, ids.RegionId], list[float]] = {}
     for row in run.fleet.runs:
-        home = run.fleet.entries[row.entry].region
-        away = run.fleet.upstreams[row.upstream].region
-        if home != away:
-            starts.setdefault((home, away), []).append(row.started_ms)
+        from_region = run.fleet.entries[row.entry].region
+        to_region = run.fleet.upstreams[row.upstream].region
+        if from_region != to_region:
+            starts.setdefault((from_region, to_region), []).append(
+                row.started_ms
+            )
     for link, times in starts.items():
         times.sort()
-        most = int(const.SHIFTS_PER_S)
-        for first, last in zip(times, times[most:], strict=False):
+        cap = int(const.SHIFT_CAP_PER_S)
+        for first, last in zip(times, times[cap:], strict=False):
             if last - first < window_ms:
-                yield f'more than {most} shifts in a second on {link}'
+                yield f'more than {cap} shifts in a second on {link}'
--- a/tests/lab/fleet/samples_fleet.py
+++ b/tests/lab/fleet/samples_fleet.py
@@ -1,4 +1,4 @@
-"""Give the fleet's tests a small deployment and its work."""
+"""Provide a small deployment and its work for the fleet tests."""
 
 from core import samples
 from zinnialead_core.components import tickets
@@ -8,13 +8,13 @@
 
 
 def state(number: int = 1, slots: int = 2) -> tickets.State:
-    made = samples.state(slots, number)
+    base_state = samples.state(slots, number)
     upstreams = [
         row._replace(upstream=f'{row.upstream}-{domain}', domain=domain)
-        for row in made.upstreams.values()
+        for row in base_state.upstreams.values()
         for domain in DOMAINS
     ]
-    return made._replace(
+    return base_state._replace(
         domains={x: tickets.DomainRow(x, x.split('-')[0], 2) for x in DOMAINS},
         upstreams={x.upstream: x for x in upstreams},
     )
@@ -33,10 +33,10 @@
     )
 
 
-def busy(seed: int, plain: bool = False) -> fleet.Fleet:
-    """Return a fleet of six entries with a second's work ahead of it."""
-    made = fleet.new_fleet(state(), 2, seed, plain)
+def busy_fleet(seed: int, is_baseline: bool = False) -> fleet.Fleet:
+    """Return a fleet of six entries with one second of scheduled work."""
+    small_fleet = fleet.new_fleet(state(), 2, seed, is_baseline)
     services = ('intake', 'pricebook')
     works = [work(n, 10.0 * n, services[n % 2]) for n in range(100)]
-    fleet.add_work(made, works)
-    return made
+    fleet.add_work(small_fleet, works)
+    return small_fleet
