--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -1,9 +1,9 @@
-"""Sign frames, and drop those that are foreign, old or seen before.
+"""Sign frames, and reject those that are not signed, old or replayed.
 
-A frame is its length (4 bytes, little endian, of what follows), the version
-of the framing (2), the id of the key (4), the keyed digest (16), the body.
-The digest covers the recipient's name, the version and the body, so that a
-frame is of no use to another entry.
+A frame consists of the length of what follows (4 bytes, little endian), the
+version of the framing (2), the key id (4), the keyed digest (16) and the
+body. The digest covers the recipient's name, the version and the body, so
+that a frame can't be replayed to another entry.
 """
 
 from collections import abc
@@ -21,36 +21,40 @@
 from zinnialead_daemon.components.peers.codec import errors
 from zinnialead_daemon.components.peers import const
 
-_HEAD = struct.Struct(f'<HI{const.MAC_BYTES}s')
+_HEADER = struct.Struct(f'<HI{const.MAC_BYTES}s')
 _LENGTH = struct.Struct('<I')
 
 
 class KeyRow(typing.NamedTuple):
-    """Hold one key, made from its secret, and the id in the frames."""
+    """Hold a key derived from a secret, and its id in frames."""
 
     key_id: int
     secret: bytes
 
 
 class WindowRow(typing.NamedTuple):
-    """Hold which of a sender's last frames were received, as bits."""
+    """Hold the replay window of a sender.
+
+    Bit n of ``received_bits`` is set if the frame n numbers below
+    ``highest_sequence`` was received.
+    """
 
     incarnation: int
-    highest: int
-    seen_bits: int
-    heard_ms: float
+    highest_sequence: int
+    received_bits: int
+    received_ms: float
 
 
 @dataclasses.dataclass(slots=True)
 class Keyring:
-    """Hold the keys, the first of which signs, and the senders' windows."""
+    """Hold the keys, of which the first signs, and the replay windows."""
 
     keys: tuple[KeyRow, ...]
     windows: dict[ids.EntryId, WindowRow]
 
 
 def new_keyring(keys: abc.Iterable[settings.PeerKey]) -> Keyring:
-    """Return a keyring that signs with the first key and accepts all."""
+    """Return a keyring that signs with the first key and accepts all keys."""
     return Keyring(tuple(map(_key_row, keys)), {})
 
 
@@ -59,34 +63,36 @@
     recipient: ids.EntryId,
     envelope: envelopes.Envelope,
 ) -> bytes:
-    """Return a frame, with its length, for one recipient."""
+    """Return a signed frame, including its length, for one recipient."""
     body = envelopes.encode_body(envelope)
     key = keyring.keys[0]
     mac = _mac(key.secret, const.FRAME_VERSION, recipient, body)
-    head = _HEAD.pack(const.FRAME_VERSION, key.key_id, mac)
-    return _LENGTH.pack(len(head) + len(body)) + head + body
+    header = _HEADER.pack(const.FRAME_VERSION, key.key_id, mac)
+    return _LENGTH.pack(len(header) + len(body)) + header + body
 
 
 def length(prefix: bytes) -> int:
-    """Return the length of the frame that follows its length field."""
-    found: int = _LENGTH.unpack(prefix)[0]
-    return found
+    """Return the length that is given in a frame's length field."""
+    frame_length: int = _LENGTH.unpack(prefix)[0]
+    return frame_length
 
 
 def decode(
-    keyring: Keyring, me: ids.EntryId, now_ms: float, frame: bytes
+    keyring: Keyring, recipient: ids.EntryId, now_ms: float, frame: bytes
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
-    """Return what a frame without its length holds, or why it is dropped."""
-    if len(frame) < _HEAD.size:
+    """Return the envelope in a frame without its length, or an error."""
+    if len(frame) < _HEADER.size:
         return expression.Error(errors.Malformed('the frame is cut short'))
-    version, key_id, mac = _HEAD.unpack_from(frame)
+    version, key_id, mac = _HEADER.unpack_from(frame)
     if version != const.FRAME_VERSION:
         return expression.Error(errors.UnknownVersion(version))
-    body = frame[_HEAD.size :]
-    if not _signed(keyring, key_id, mac, me, body):
-        return expression.Error(errors.Foreign())
-    found = envelopes.decode_body(body)
-    return found.bind(lambda x: _unseen(keyring, now_ms, x))
+    body = frame[_HEADER.size :]
+    if not _is_signed(keyring, key_id, mac, recipient, body):
+        return expression.Error(errors.InvalidSignature())
+    result = envelopes.decode_body(body)
+    return result.bind(
+        lambda envelope: _check_replay(keyring, now_ms, envelope)
+    )
 
 
 def _key_row(key: settings.PeerKey) -> KeyRow:
@@ -96,12 +102,16 @@
     return KeyRow(key.key_id, secret.digest())
 
 
-def _signed(
-    keyring: Keyring, key_id: int, mac: bytes, me: ids.EntryId, body: bytes
+def _is_signed(
+    keyring: Keyring,
+    key_id: int,
+    mac: bytes,
+    recipient: ids.EntryId,
+    body: bytes,
 ) -> bool:
     return any(
         hmac.compare_digest(
-            mac, _mac(key.secret, const.FRAME_VERSION, me, body)
+            mac, _mac(key.secret, const.FRAME_VERSION, recipient, body)
         )
         for key in keyring.keys
         if key.key_id == key_id
@@ -118,52 +128,61 @@
     return digest.digest()
 
 
-def _unseen(
+def _check_replay(
     keyring: Keyring, now_ms: float, envelope: envelopes.Envelope
 ) -> expression.Result[envelopes.Envelope, errors.FrameError]:
-    """Check a frame against its sender's window, and note it there."""
+    """Check a frame against its sender's replay window and update it."""
     if abs(now_ms - envelope.sent_ms) > const.FRAME_AGE_MAX_MS:
         return expression.Error(errors.Replayed())
     entry, incarnation = envelope.sender
     row = keyring.windows.get(entry)
     if row is None or row.incarnation < incarnation:
         row = WindowRow(incarnation, envelope.sequence, 0, now_ms)
-    noted = _noted(row, envelope.sequence, now_ms)
-    if row.incarnation > incarnation or noted is None:
+    updated_row = _mark_received(row, envelope.sequence, now_ms)
+    if row.incarnation > incarnation or updated_row is None:
         return expression.Error(errors.Replayed())
     keyring.windows.pop(entry, None)
-    keyring.windows[entry] = noted
-    _drop_oldest(keyring, now_ms)
+    keyring.windows[entry] = updated_row
+    _evict_oldest_sender(keyring, now_ms)
     return expression.Ok(envelope)
 
 
-def _noted(row: WindowRow, sequence: int, now_ms: float) -> WindowRow | None:
-    """Return the window with a frame noted, or None for one seen before.
+def _mark_received(
+    row: WindowRow, sequence: int, now_ms: float
+) -> WindowRow | None:
+    """Return the window with a frame marked, or None for a replay.
 
-    >>> _noted(WindowRow(1, 7, 1, 0.0), 7, 0.0) is None
+    >>> _mark_received(WindowRow(1, 7, 1, 0.0), 7, 0.0) is None
     True
-    >>> _noted(WindowRow(1, 7, 1, 0.0), 9, 0.0).seen_bits
+    >>> _mark_received(WindowRow(1, 7, 1, 0.0), 9, 0.0).received_bits
     5
     """
-    ahead = sequence - row.highest
-    if ahead > 0:
-        kept = (1 << const.REPLAY_WINDOW_FRAMES) - 1
-        shifted = min(ahead, const.REPLAY_WINDOW_FRAMES)
-        bits = (row.seen_bits << shifted | 1) & kept
-        return row._replace(highest=sequence, seen_bits=bits, heard_ms=now_ms)
-    bit = 1 << -ahead if -ahead < const.REPLAY_WINDOW_FRAMES else 0
-    if not bit or row.seen_bits & bit:
+    offset = sequence - row.highest_sequence
+    if offset > 0:
+        window_mask = (1 << const.REPLAY_WINDOW_FRAMES) - 1
+        shift = min(offset, const.REPLAY_WINDOW_FRAMES)
+        bits = (row.received_bits << shift | 1) & window_mask
+        return row._replace(
+            highest_sequence=sequence, received_bits=bits, received_ms=now_ms
+        )
+    bit = 1 << -offset if -offset < const.REPLAY_WINDOW_FRAMES else 0
+    if not bit or row.received_bits & bit:
         return None
-    return row._replace(seen_bits=row.seen_bits | bit, heard_ms=now_ms)
+    return row._replace(
+        received_bits=row.received_bits | bit, received_ms=now_ms
+    )
 
 
-def _drop_oldest(keyring: Keyring, now_ms: float) -> None:
-    """Forget the sender that was heard longest ago, once it is safe.
+def _evict_oldest_sender(keyring: Keyring, now_ms: float) -> None:
+    """Remove the window of the sender idle for longest, once it is safe.
 
-    Its frames are then older than any that is accepted.
+    That is when its frames are older than any that is accepted.
     """
     if len(keyring.windows) <= const.SENDERS_MAX:
         return
     entry = next(iter(keyring.windows))
-    if now_ms - keyring.windows[entry].heard_ms > 2 * const.FRAME_AGE_MAX_MS:
+    if (
+        now_ms - keyring.windows[entry].received_ms
+        > 2 * const.FRAME_AGE_MAX_MS
+    ):
         del keyring.windows[entry]
--- a/packages/lab/src/zinnialead_lab/plots/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/plots/coordinator.py
@@ -20,7 +20,9 @@
 BAR_WIDTH = 0.4
 
 
-def bench(rows: abc.Sequence[bench_models.Row], folder: pathlib.Path) -> None:
+def bench(
+    rows: abc.Sequence[bench_models.ComparisonRow], folder: pathlib.Path
+) -> None:
     """Write a bar chart of each main measure for each deployment."""
     for deployment in sorted({row.deployment for row in rows}):
         for measure in PLOTTED_MEASURES:
@@ -47,7 +49,9 @@
         chart.savefig(folder / f'{name}.svg')
 
 
-def _bars(rows: abc.Sequence[bench_models.Row], path: pathlib.Path) -> None:
+def _bars(
+    rows: abc.Sequence[bench_models.ComparisonRow], path: pathlib.Path
+) -> None:
     chart = figure.Figure(figsize=(9, 5), layout='constrained')
     axes = chart.subplots()
     positions = np.arange(len(rows))
--- a/packages/standins/src/zinnialead_standins/upstream/models.py
+++ b/packages/standins/src/zinnialead_standins/upstream/models.py
@@ -1,4 +1,4 @@
-"""Define what an upstream stand-in holds."""
+"""Define the behaviour and state of an upstream stand-in."""
 
 import dataclasses
 import enum
@@ -18,42 +18,45 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """Take work, run it, and never answer."""
+    """Run work and never answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Cutting:
-    """Run work and cut its answer short."""
+class Truncating:
+    """Run work and truncate the answer."""
 
 
-Behaviour = Serving | Draining | Silent | Cutting
+Behaviour = Serving | Draining | Silent | Truncating
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Honest:
+class TrueLoad:
     """Report the true load."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Frozen:
-    """Report the same load whatever happens."""
+class FixedLoad:
+    """Report the same load at all times."""
 
     in_flight: int
 
 
-Report = Honest | Frozen
+LoadReport = TrueLoad | FixedLoad
 
 
 class Phase(enum.Enum):
-    """Say how far a request came."""
+    """Define the progress of a request."""
 
     WAITING = 'waiting'
     STARTED = 'started'
     CANCELLED = 'cancelled'
 
 
-class Plan(typing.NamedTuple):
-    """Say how long work takes; the first ``cold_runs`` take longer."""
+class WorkProfile(typing.NamedTuple):
+    """Describe the slots, run times and answer size of an upstream.
+
+    The first ``cold_runs`` take ``cold_factor`` times as long on average.
+    """
 
     slots: int
     service_time_ms: float
@@ -73,23 +76,23 @@
 
 
 class Ledger(typing.NamedTuple):
-    """Hold every run by its work, over all upstreams."""
+    """Hold the runs of each piece of work on all upstreams."""
 
     runs: dict[str, list[RunRow]]
 
 
 @dataclasses.dataclass(slots=True)
 class Upstream:
-    """Hold one upstream's work in flight and how it behaves."""
+    """Hold the behaviour, counts and requests of one upstream."""
 
     name: str
-    plan: Plan
+    profile: WorkProfile
     ledger: Ledger
     random: random.Random
     behaviour: Behaviour = Serving()
-    report: Report = Honest()
+    report: LoadReport = TrueLoad()
     in_flight: int = 0
-    most_in_flight: int = 0
+    peak_in_flight: int = 0
     started: int = 0
     shed: int = 0
     last_start_ms: float = 0.0
@@ -102,7 +105,7 @@
 
 
 def new_upstream(
-    name: str, plan: Plan, ledger: Ledger, seed: int = 1
+    name: str, profile: WorkProfile, ledger: Ledger, seed: int = 1
 ) -> Upstream:
     """Return an idle upstream."""
-    return Upstream(name, plan, ledger, random.Random(f'{seed}/{name}'))
+    return Upstream(name, profile, ledger, random.Random(f'{seed}/{name}'))
