Say exactly when entries list or request a kind

"After this time from any entry, and last it lists the kind itself" left open which entry does what after which of the three times. The comment now goes through them in order. "Only entries with a recent heartbeat which the store answers count" reads as a plain clause, the health row no longer promises a "since when" that it doesn't hold, and two connectives are mended. Comments and docstrings only.

make check: clean. tests/core/gateway: 87 passed.

--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -27,7 +27,7 @@
 ENTRIES_PAUSE_MS = 5_000.0
 ENTRIES_PERIOD_MS = 30_000.0
 # At the first start of a deployment, upstreams register over some seconds, and
-# no caller sends requests before.
+# no caller sends requests until then.
 FIRST_START_MS = 7_000.0
 FIRST_START_PAUSE_MS = 1_500.0
 RETRY_MIN_MS = 100.0
@@ -41,9 +41,10 @@
 # How long a change that another entry has may be missing: a watch reports it
 # within its pause.
 BEHIND_MIN_MS = 450.0
-# A reader then lists the kind again, and another entry requests a snapshot
-# from one of its region; after this time from any entry, and last it lists
-# the kind itself.
+# After that time a reader lists the kind again, and an entry that does not
+# read requests a snapshot from an entry of its region.  After the next time
+# both request it from any entry, and after the last one an entry that does
+# not read lists the kind itself.
 BEHIND_REQUEST_MS = 900.0
 BEHIND_READ_MS = 1_600.0
 # How long a starting entry waits for the store before it queries the seeds.
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -24,7 +24,7 @@
     ``latest_revision`` is that of the last known change.  Every change up
     to ``synced_revision`` is known; it is None until a complete list was
     read or received.  Results of calls other than ``call_number`` are
-    ignored.  ``must_list`` forces a list, also if other entries read.
+    ignored.  ``must_list`` forces a list, even if other entries read.
     """
 
     kind: Kind
@@ -58,7 +58,7 @@
 
 
 class HealthRow(typing.NamedTuple):
-    """Hold whether the store is available, and since when.
+    """Hold whether the store is available, and when it failed.
 
     Registrations that disappear before ``hold_until_ms`` may have expired
     in an outage and are kept for a while.  The store became unavailable at
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -12,8 +12,8 @@
 def rank(world: world_module.World, now_ms: float) -> int:
     """Return how many entries of the region rank before this one as readers.
 
-    Only entries with a recent heartbeat which the store answers count, so
-    that an entry that hears from none of them reads itself.
+    It counts only entries that sent a heartbeat lately and that the store
+    answers, so that an entry that hears from none of them reads itself.
     """
     rows = _reading_peers(world, now_ms)
     if not may_read(world, now_ms):
