Mend comments of the gateway's placement and requests

"After this many lost requests" stood three lines above its constant, which it names now; "beyond those" names the spread. A region's weight is not in proportion to its slots: its share of the objects is, and the docstring says so. The reason for ejecting an upstream whose address was taken over (it is gone) is back. "None without one" reads "None if none has capacity". Comments and docstrings only.

--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -17,15 +17,16 @@
 # caches, and the longer uncached work would keep a full service full.
 SPREAD_SHARE = 0.5
 SPREAD_MAX = 2
-# Beyond those, only a nearly idle upstream makes up for the longer uncached
-# work, and only for urgent requests.
+# Outside this spread, only a nearly idle upstream makes up for the longer
+# uncached work, and only for urgent requests.
 IDLE_LOAD_MAX = 0.4
 IDLE_RANK_MAX = 1
 # An upstream must be less loaded than the best so far by this much.
 LOAD_MARGIN = 0.3
 ORDERS_MAX = 5_000
-# An upstream is ejected at once if it can't be reached, or after this many
-# lost requests in a row, and twice as long after each further failure.
+# An upstream is ejected at once if it can't be reached, or after
+# ``LOST_BEFORE_EJECTION`` lost requests in a row, and twice as long after
+# each further failure.
 EJECTION_MIN_MS = 300.0
 EJECTION_MAX_MS = 4_000.0
 LOST_BEFORE_EJECTION = 2
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -57,7 +57,7 @@
         case verdict.Shed():
             load = _record_shed(now_ms, load)
         case verdict.NotSent() if result.misdirected:
-            # Another upstream has taken over the address.
+            # Another upstream has taken over the address: this one is gone.
             load = load._replace(out_until_ms=now_ms + const.EJECTION_MAX_MS)
         case verdict.NotSent():
             load = _record_failure(now_ms, load, 1)
--- a/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
@@ -83,9 +83,10 @@
 
 
 def _region_weight(key: str, region: ids.RegionId, slots: int) -> float:
-    """Return a region's weight for an object, in proportion to its slots.
+    """Return a region's weight for an object.
 
-    Weighted rendezvous hashing.
+    Weighted rendezvous hashing: a region has the highest weight for a share
+    of the objects in proportion to its slots.
     """
     fraction = max(hash_fraction(f'region|{key}|{region}'), 1.0 / HASH_RANGE)
     return -slots / math.log(min(fraction, 1.0 - 1e-12))
--- a/packages/core/src/zinnialead_core/gateway/requests/__init__.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/__init__.py
@@ -1,1 +1,1 @@
-"""Take each request from admission over its attempts to one answer."""
+"""Take each request from admission through its attempts to one answer."""
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -36,7 +36,7 @@
 def choose(
     world: world_module.World, now_ms: float, row: models.RequestRow
 ) -> ids.UpstreamId | None:
-    """Return the upstream of a request's next attempt, None without one."""
+    """Return the upstream of the next attempt, None if none has capacity."""
     request = placement_models.PlacementRequest(
         row.service,
         row.object_key,
