Correct comments of the gateway's upstreams, routes and entries

COLD_AFTER_DRAIN_MS applies if the configuration lacks the service, not if the service has no warm-up time, and warm_up_ms is also used after failures, not only after a drain. cold_ms is what the upstream expected when it wrote its registration. The route table says what its two dictionaries are keyed by. Comments and docstrings only.

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -97,7 +97,7 @@
         # A later run has a lower incarnation if the clock was set back.
         table.heartbeats.pop(row.entry, None)
     table.seen_ms[row.entry] = now_ms
-    # Tell an entry that has just started at once that this one is live,
+    # An entry that has just started learns at once that this one is live,
     # and its address.
     addresses = (row.peer_address,)
     yield out.SendHeartbeat(addresses, members.own_heartbeat(world, now_ms))
--- a/packages/core/src/zinnialead_core/gateway/routes/models.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/models.py
@@ -68,7 +68,11 @@
 
 
 class RouteTable(typing.NamedTuple):
-    """Hold the active configuration and the credits of weighted services."""
+    """Hold the active configuration and the credits of weighted services.
+
+    ``active`` has no key but ``ACTIVE``, and none before the first
+    configuration; ``credits`` are by route name and service.
+    """
 
     active: dict[str, Configuration]
     credits: dict[tuple[str, ids.ServiceId], float]
--- a/packages/core/src/zinnialead_core/gateway/upstreams/const.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/const.py
@@ -3,6 +3,7 @@
 # Registrations that expired in an outage of the store are renewed within
 # about two seconds after its return.
 EXPIRY_DELAY_MS = 2_300.0
-# How long an upstream counts as cold after a drain of its domain, if its
-# service has no warm-up time: it reports being cold only in health checks.
+# How long an upstream counts as cold after a drain of its domain if the
+# configuration lacks its service.  Only answers to health checks tell that an
+# upstream is cold, so it is assumed here.
 COLD_AFTER_DRAIN_MS = 3_000.0
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -218,7 +218,7 @@
 
 
 def warm_up_ms(world: world_module.World, service: ids.ServiceId) -> float:
-    """Return how long an upstream of a service stays cold after a drain."""
+    """Return how long an upstream of a service is assumed to stay cold."""
     configuration = routes.active_configuration(world)
     service_row = (
         configuration.services.get(service) if configuration else None
--- a/packages/core/src/zinnialead_core/gateway/upstreams/models.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/models.py
@@ -9,7 +9,7 @@
     """Hold the registration of one run of an upstream.
 
     ``born_ms`` is its start time on the wall clock, and ``cold_ms`` how
-    long it still stayed cold when its registration was written.
+    long it expected to stay cold when it wrote the registration.
     """
 
     upstream: ids.UpstreamId
