--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -89,7 +89,7 @@
 
 
 def test_an_entry_leaves_reading_to_others_after_a_failure():
-    """Nine entries whose calls failed once made 270 calls in 9 s."""
+    """Nine entries made 270 calls in 9 s after one failed call each."""
     first, *others = names_by_rank()
     world = fleet(first)
     failed = samples.store_done(world, UPSTREAMS, store.Failed('reset'))
@@ -154,8 +154,8 @@
     assert 'u-9' not in world.upstreams.rows
     samples.feed(world, 10_100.0, heartbeat(others[0], 55))
     outputs = samples.feed(world, 10_600.0, heartbeat(others[0], 55))
-    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
-    assert asked.kinds == (UPSTREAMS,)
+    (requested,) = samples.of_type(outputs, out.RequestSnapshots)
+    assert requested.kinds == (UPSTREAMS,)
 
 
 def test_an_older_change_that_arrives_late_is_ignored():
@@ -177,8 +177,8 @@
     outputs = samples.feed(
         world, 10_100.0, heartbeat(others[0], 55, kind=CONFIGURATION)
     )
-    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
-    assert asked.kinds == (CONFIGURATION,)
+    (requested,) = samples.of_type(outputs, out.RequestSnapshots)
+    assert requested.kinds == (CONFIGURATION,)
 
 
 def test_changes_that_no_entry_sends_are_read_from_the_store():
@@ -219,7 +219,7 @@
 
 
 def test_a_removal_that_only_a_list_shows_raises_the_revision():
-    """A removal while no entry read has no revision that shows later."""
+    """A removal while no entry reads has no revision that shows it later."""
     first, *_ = names_by_rank()
     world = fleet(first)
     samples.feed(
@@ -231,8 +231,8 @@
             inp.UpstreamRegistered(samples.upstream('u-9', revision=42)),
         ),
     )
-    broken = samples.store_done(world, UPSTREAMS, store.HistoryGone())
-    samples.feed(world, 10_002.0, broken)
+    history_gone = samples.store_done(world, UPSTREAMS, store.HistoryGone())
+    samples.feed(world, 10_002.0, history_gone)
     run_for(world, 10_003.0, 300.0)
     page = samples.store_done(world, UPSTREAMS, store.Listed((), None, 70, 0))
     samples.feed(world, 10_400.0, page)
@@ -243,16 +243,16 @@
 def test_an_entry_compares_all_its_objects_with_a_reader():
     first, *others, last = names_by_rank()
     world = fleet(last)
-    asked = []
+    requested = []
     for step in range(120):
         items = [heartbeat(x) for x in (first, *others)]
         now_ms = 10_000.0 + 100.0 * step
-        asked += samples.of_type(
+        requested += samples.of_type(
             samples.feed(world, now_ms, *items), out.RequestSnapshots
         )
-    (ask,) = asked
-    assert ask.address == f'{first}:2'
-    assert UPSTREAMS in ask.kinds
+    (request,) = requested
+    assert request.address == f'{first}:2'
+    assert UPSTREAMS in request.kinds
 
 
 def test_the_fast_entries_of_a_region_read():
--- a/tests/core/gateway/test_requests.py
+++ b/tests/core/gateway/test_requests.py
@@ -183,7 +183,7 @@
 
 
 def test_an_upstream_may_be_removed_in_the_tick_of_a_queue_timeout():
-    """A cached order still named it, and a KeyError ended the entry."""
+    """A cached order still held it, and a KeyError stopped the entry."""
     world = samples.serving_world(
         upstreams_=[samples.upstream('u-1', slots=1)]
     )
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -140,8 +140,8 @@
     failed = samples.store_done(world, UPSTREAMS, store.Failed('cut off'))
     samples.feed(world, 900.0, failed)
     outputs = samples.feed(world, 1_000.0, heartbeat(55))
-    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
-    assert asked == out.RequestSnapshots('entry-2:2', (UPSTREAMS,))
+    (requested,) = samples.of_type(outputs, out.RequestSnapshots)
+    assert requested == out.RequestSnapshots('entry-2:2', (UPSTREAMS,))
     items = (inp.UpstreamRegistered(samples.upstream('u-9', revision=55)),)
     snapshot = inp.PeerSnapshot(UPSTREAMS, 55, items, 'entry-2')
     samples.feed(world, 1_010.0, snapshot)
@@ -165,6 +165,6 @@
     world = gateway.new_world(node, seed=1)
     samples.feed(world, 0.0, inp.Started())
     outputs = samples.feed(world, 700.0)
-    (asked,) = samples.of_type(outputs, out.RequestSnapshots)
-    assert asked.address == '10.0.0.9:1'
-    assert set(asked.kinds) == set(store.Kind)
+    (requested,) = samples.of_type(outputs, out.RequestSnapshots)
+    assert requested.address == '10.0.0.9:1'
+    assert set(requested.kinds) == set(store.Kind)
