Restore four details of refusals and lost attempts

The texts of a late slot, a departed caller, an attempt without an end and a cap go out to callers and operators: they read again as before their rewording.

--- a/packages/core/src/zinnialead_core/components/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/components/requests/attempts.py
@@ -157,5 +157,5 @@
     return verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.DEADLINE_PASSED,
-        f'the slot at {upstream!r} arrived too late for attempt {row.attempt}',
+        f'the slot at {upstream!r} came too late for attempt {row.attempt}',
     )
--- a/packages/core/src/zinnialead_core/components/requests/completion.py
+++ b/packages/core/src/zinnialead_core/components/requests/completion.py
@@ -34,7 +34,7 @@
     refusal = verdict.Refusal(
         verdict.Verdict.NOT_RUN,
         verdict.Reason.CALLER_GONE,
-        'the caller has left',
+        'caller left',
     )
     yield from _abandon(world, now_ms, row, refusal)
 
@@ -49,7 +49,7 @@
     if row.phase is models.Phase.ENDING:
         world.counters['requests.ending_dropped'] += 1
         yield out.Notify(inp.SlotReleased(request_id, row.attempt))
-        lost = verdict.Lost(f'attempt {row.attempt} has not ended')
+        lost = verdict.Lost(f'no end of attempt {row.attempt}')
         yield from record_end(world, row, lost)
         return
     refusal = verdict.Refusal(
--- a/packages/core/src/zinnialead_core/components/steering/caps.py
+++ b/packages/core/src/zinnialead_core/components/steering/caps.py
@@ -49,7 +49,7 @@
             return verdict.Refusal(
                 verdict.Verdict.NOT_RUN,
                 verdict.Reason.CAP_REACHED,
-                f'cap {name!r} admits no more work into domain'
+                f'cap {name!r} lets no more work into domain'
                 f' {world.node.domain!r} now',
             )
     size_bytes = shift.body_bytes + _answer_bytes(world, shift.service)
