Say more plainly how requests end and retry

An undefined "edge" cancelled work: it is the application, as in the outputs module. The comment on open claims gave no subject, the retry budget's limit no base (1.1 times what), and the docstrings of remove() and delay_ms() hid a second effect. RequestRow now explains keyed and replayable.

--- a/packages/core/src/zinnialead_core/components/requests/completion.py
+++ b/packages/core/src/zinnialead_core/components/requests/completion.py
@@ -2,8 +2,8 @@
 
 A request with an attempt at an upstream keeps its row and slot until the
 attempt ends.  The upstream is busy until then, and only the end of the
-attempt shows whether keyed work has run: the edge cancels such work if
-the upstream guarantees not to start it, else waits for it to finish.
+attempt shows whether keyed work has run: the application cancels such
+work if the upstream guarantees not to start it, else waits for its end.
 """
 
 from collections import abc
@@ -103,7 +103,7 @@
 def remove(
     world: world_module.World, request_id: ids.RequestId
 ) -> abc.Iterator[out.Output]:
-    """Remove a request's row and its timers."""
+    """Remove a request's row and timers, and report a completed stop."""
     world.requests.rows.pop(request_id, None)
     timers.stop(world.timers, timers.RequestDeadline(request_id))
     timers.stop(world.timers, timers.RetryDue(request_id))
@@ -116,7 +116,8 @@
     """Report a stopping entry as stopped once nothing is in flight."""
     if not world.requests.stopping or world.requests.rows:
         return
-    # Without the recorded end, registrars could answer only may-have-run.
+    # An open claim has an end to report.  Without it, registrars could only
+    # answer may-have-run.
     if not any(map(keys.is_open, world.claims.values())):
         yield out.Stopped()
 
--- a/packages/core/src/zinnialead_core/components/requests/const.py
+++ b/packages/core/src/zinnialead_core/components/requests/const.py
@@ -1,7 +1,7 @@
 """Define the constants of the requests component."""
 
 # Tokens that each accepted request adds to the retry budget: one retry
-# per ten requests limits the load on upstreams to 1.1 times.
+# per ten requests limits the attempts at upstreams to 1.1 per request.
 RETRY_TOKENS_PER_REQUEST = 0.1
 RETRY_TOKENS_START = 0.0
 RETRY_TOKENS_MAX = 10.0
--- a/packages/core/src/zinnialead_core/components/requests/models.py
+++ b/packages/core/src/zinnialead_core/components/requests/models.py
@@ -32,7 +32,9 @@
 class RequestRow(typing.NamedTuple):
     """Hold one request from its arrival until it has ended.
 
-    ``worst_verdict`` covers all attempts made so far.
+    ``keyed`` work needs a claim on its key.  ``replayable`` work has its
+    whole body here and can be sent again.  ``worst_verdict`` covers all
+    attempts made so far.
     """
 
     request_id: ids.RequestId
--- a/packages/core/src/zinnialead_core/components/requests/retries.py
+++ b/packages/core/src/zinnialead_core/components/requests/retries.py
@@ -27,7 +27,7 @@
     row: models.RequestRow,
     outcome: verdict.Outcome,
 ) -> float | None:
-    """Return the delay before a retry, which takes a token, else None."""
+    """Take a token and return the retry's delay, None for no retry."""
     may_repeat = row.idempotent or row.worst_verdict is verdict.Verdict.NOT_RUN
     if not may_repeat or not row.replayable or row.caller_gone:
         return None
