Describe queue waits, constants and credits of slots exactly

expected_wait_ms() named the arrivals of the wrong ranks: only those of more urgent ranks slow an ask down. The recheck period and the number of deviations had no reason. The local "earned" held a new credit and is new_credit; in tests "held", "line" and "ranks" are granted, rank_queue and service_queues, and "held" requests are served ones. Bodies of derandomised properties are unchanged.

--- a/packages/core/src/zinnialead_core/components/slots/admission.py
+++ b/packages/core/src/zinnialead_core/components/slots/admission.py
@@ -78,9 +78,10 @@
 ) -> float:
     """Estimate how long a new ask of a rank would wait for a slot.
 
-    The ask waits behind its own and more urgent ranks, at the rate that
-    arrivals of those ranks and floors of the less urgent ranks leave.
-    If sooner, it waits behind its own rank only, at its floor's rate.
+    The ask waits behind the queues of its own and of more urgent ranks,
+    at the rate that new arrivals of more urgent ranks and the floors of
+    less urgent ranks leave; or, if that is sooner, behind its own rank's
+    queue only, at the rate of its floor.
     """
     slots = availability.usable_slots(world, now_ms, service)
     slots = slots or availability.configured_slots(world, service)
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -88,7 +88,7 @@
     tried: tuple[ids.DomainId, ...] = (),
     first_refusal: verdict.Refusal | None = None,
 ) -> abc.Iterator[out.Output]:
-    """Open an ask at a target, once the ``tried`` domains refused it."""
+    """Open an ask at a target, after the ``tried`` domains refused it."""
     ask_row = models.AskRow(
         ask_id=ask_id,
         service=request.service,
--- a/packages/core/src/zinnialead_core/components/slots/const.py
+++ b/packages/core/src/zinnialead_core/components/slots/const.py
@@ -13,8 +13,10 @@
 TAKEOVER_PAUSE_MS = 300.0
 # How long an owner computed from the members is cached.
 OWNER_CACHE_MS = 50.0
+# Usable slots also grow with time alone, without an event.
 RECHECK_PERIOD_MS = 100.0
 SERVICE_TIME_WEIGHT = 0.05
+# Nearly all work ends within the mean and this many mean deviations.
 SERVICE_TIME_DEVIATIONS = 5.0
 RESERVED_SPARE_SHARE = 0.5
 ARRIVALS_WINDOW_MS = 2_000.0
--- a/packages/core/src/zinnialead_core/components/slots/diagnostics.py
+++ b/packages/core/src/zinnialead_core/components/slots/diagnostics.py
@@ -1,4 +1,4 @@
-"""Describe queues and slots for a dump."""
+"""Describe queues and slots for the state dump."""
 
 import typing
 
@@ -27,7 +27,7 @@
 
 
 def dump(world: world_module.World) -> SlotsDump:
-    """Return the slots' part of the state dump."""
+    """Return the slots section of the state dump."""
     queues = world.queues
     return SlotsDump(
         asks=len(world.asks),
--- a/packages/core/src/zinnialead_core/components/slots/granting.py
+++ b/packages/core/src/zinnialead_core/components/slots/granting.py
@@ -69,7 +69,7 @@
     refusal: verdict.Refusal,
     redirect: ids.DomainId | None = None,
 ) -> abc.Iterator[out.Output]:
-    """Refuse an ask, and name a domain that may serve it."""
+    """Refuse an ask; ``redirect`` is a domain that may serve it."""
     world.counters[f'slots.refused.{refusal.reason.value}'] += 1
     answer = messages.SlotAnswer(row.ask_id, None, refusal, redirect)
     yield out.SendPeer(row.ask_id.asker.entry, answer)
--- a/packages/core/src/zinnialead_core/components/slots/queueing.py
+++ b/packages/core/src/zinnialead_core/components/slots/queueing.py
@@ -32,7 +32,7 @@
         yield from _answer_duplicate(world, ask.ask_id)
         return
     if world.states['in-force'].number == 0:
-        # The asker repeats the ask; by then a peer has sent the state.
+        # The asker repeats the ask; by then a peer will have sent a state.
         world.counters['slots.not_ready'] += 1
         return
     if ask.service not in world.states['in-force'].services:
--- a/packages/core/src/zinnialead_core/components/slots/rank_queues.py
+++ b/packages/core/src/zinnialead_core/components/slots/rank_queues.py
@@ -46,7 +46,7 @@
 
 
 def rank_order(world: world_module.World, rank: ids.RankId) -> float:
-    """Return a rank's sort key; a rank not in force sorts last."""
+    """Return a rank's sort key, most urgent first; unknown ranks last."""
     row = world.states['in-force'].ranks.get(rank)
     return row.order if row else math.inf
 
--- a/packages/core/src/zinnialead_core/components/slots/scheduling.py
+++ b/packages/core/src/zinnialead_core/components/slots/scheduling.py
@@ -47,13 +47,13 @@
     in_order = rank == _most_urgent(world, waiting)
     for other in waiting:
         row = _rank_load(world, service, other)
-        earned = row.credit + _credit_share(world, other)
+        new_credit = row.credit + _credit_share(world, other)
         if other == rank and in_order:
             # A grant in order of urgency settles the credit of its rank.
-            earned = 0.0
+            new_credit = 0.0
         elif other == rank:
-            earned -= 1.0
-        loads[service, other] = row._replace(credit=_clamp(earned))
+            new_credit -= 1.0
+        loads[service, other] = row._replace(credit=_clamp(new_credit))
 
 
 def correct_credits(
@@ -69,8 +69,8 @@
         row = _rank_load(world, service, other)
         share = _credit_share(world, other)
         if share > 0.0:
-            earned = row.credit + share * extra_grants
-            loads[service, other] = row._replace(credit=_clamp(earned))
+            new_credit = row.credit + share * extra_grants
+            loads[service, other] = row._replace(credit=_clamp(new_credit))
     if rank_queues.floor_share(world, rank) > 0.0:
         row = _rank_load(world, service, rank)
         credit = _clamp(row.credit - extra_grants)
--- a/tests/core/components/slots/asking.py
+++ b/tests/core/components/slots/asking.py
@@ -33,7 +33,7 @@
 
 
 def tell(world, now_ms, *messages):
-    """Return the answers of a slot owner to messages of the asker."""
+    """Deliver messages of the asker and return the owner's answers."""
     given = [inp.PeerMessage(ASKER, message) for message in messages]
     return [
         output.message
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -43,8 +43,8 @@
 def test_a_new_owner_counts_the_slots_in_use_before_it_grants():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
-    held = [request(n, LATER_MS) for n in range(3)]
-    outputs = asking.run_until_idle(worlds, LATER_MS, other, *held)
+    served = [request(n, LATER_MS) for n in range(3)]
+    outputs = asking.run_until_idle(worlds, LATER_MS, other, *served)
     assert len(dispatches(outputs)) == 3
     waiting = request(9, LATER_MS)
     assert not asking.run_until_idle(worlds, LATER_MS, other, waiting)
--- a/tests/core/components/slots/test_queueing_properties.py
+++ b/tests/core/components/slots/test_queueing_properties.py
@@ -64,17 +64,17 @@
 
 
 def check_counts(world):
-    held = collections.Counter(
+    granted = collections.Counter(
         grant.upstream for grant in world.queues.grants.values()
     )
     for upstream in UPSTREAMS:
-        assert world.queues.in_use.get(upstream, 0) == held[upstream]
-        assert held[upstream] <= SLOTS
+        assert world.queues.in_use.get(upstream, 0) == granted[upstream]
+        assert granted[upstream] <= SLOTS
     waiting = [
         ask_id
-        for ranks in world.queues.rank_queues.values()
-        for line in ranks.values()
-        for ask_id in line
+        for service_queues in world.queues.rank_queues.values()
+        for rank_queue in service_queues.values()
+        for ask_id in rank_queue
     ]
     assert sorted(waiting) == sorted(world.queues.queued)
     assert not world.queues.queued.keys() & world.queues.grants.keys()
