Say whose shifts and whose clock steering rows hold

shifted_per_s() did not say that it counts one owner's shifts, and LoadRow not that seen_ms is set on arrival. "uses" is uses_per_slot. In the tests in_force() built a state and is state_with(); let_in counts admitted shifts, except in the derandomised property, which is unchanged.

--- a/packages/core/src/zinnialead_core/components/steering/caps.py
+++ b/packages/core/src/zinnialead_core/components/steering/caps.py
@@ -99,7 +99,7 @@
 def shifted_per_s(
     world: world_module.World, now_ms: float, link: models.LinkId
 ) -> int:
-    """Return the number of shifts on a link sent in the last second."""
+    """Return this owner's number of shifts on a link in the last second."""
     since_ms = now_ms - const.MS_PER_S
     return sum(
         sum(row.sent_ms > since_ms for row in sent)
--- a/packages/core/src/zinnialead_core/components/steering/models.py
+++ b/packages/core/src/zinnialead_core/components/steering/models.py
@@ -7,7 +7,10 @@
 
 
 class LoadRow(typing.NamedTuple):
-    """Hold the load of a service in a domain, as its slot owner saw it."""
+    """Hold the load of a service in a domain, as its slot owner saw it.
+
+    ``seen_ms`` is when the report arrived, on the clock of its receiver.
+    """
 
     service: ids.ServiceId
     domain: ids.DomainId
--- a/packages/core/src/zinnialead_core/components/steering/redirects.py
+++ b/packages/core/src/zinnialead_core/components/steering/redirects.py
@@ -81,9 +81,9 @@
         return
     world.loads[row.service, row.domain] = row._replace(seen_ms=now_ms)
     free_slots = max(0, row.slots - row.in_use - row.queued)
-    uses = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
+    uses_per_slot = const.LOAD_PERIOD_MS / max(1.0, row.service_time_ms)
     # Each free slot is used several times until the next report.
-    asks_left = free_slots * max(1.0, uses)
+    asks_left = free_slots * max(1.0, uses_per_slot)
     previous = world.shifts.headrooms.get((row.service, row.domain))
     paused_until_ms = previous.paused_until_ms if previous else -math.inf
     headroom = models.HeadroomRow(asks_left, paused_until_ms)
--- a/tests/core/components/steering/test_caps.py
+++ b/tests/core/components/steering/test_caps.py
@@ -25,7 +25,7 @@
 }
 
 
-def in_force(cap: tickets.Cap) -> tickets.State:
+def state_with(cap: tickets.Cap) -> tickets.State:
     services = {x: samples.service(x, True) for x in SERVICES}
     rows = {
         f'{service}/{domain}': tickets.UpstreamRow(
@@ -48,7 +48,7 @@
     ref = ids.EntryRef(f'{domain}-0', 1)
     node = world_module.NodeRow(ref, domain, DOMAINS[domain], 'x')
     world = core.new_world(node, seed=1)
-    world.states['in-force'] = in_force(cap)
+    world.states['in-force'] = state_with(cap)
     for number in range(alive):
         row = members.MemberRow(
             entry=f'{domain}-{number}',
@@ -127,8 +127,8 @@
 
 def test_less_urgent_work_uses_only_a_share_of_a_cap():
     world = owner('k-a', tickets.ShiftCap('huye', 'kigali', 60.0))
-    let_in = [ask(world, 0.0, rank='night') for _ in range(10)].count(None)
-    assert let_in == 8
+    admitted = [ask(world, 0.0, rank='night') for _ in range(10)].count(None)
+    assert admitted == 8
     assert ask(world, 0.0) is None
 
 
