Explain copies of a request and name keys' locals

The package's docstring used "copy" without saying where copies come from: callers retry, so several entries may get one request. The deadline's refusal was described as that of an unclaimed request, yet it also covers claims that are confirmed. _bar_end read like the end of a bar; it is _end_after_denial and says why a bar is reported. A comment tells why a store call for a loaded shard was a write, and another why a joined member counts as lost with its older incarnations. Locals: wanted is request, latest and number are current_bucket and bucket; in the tests state and known are by_verdict and state, and FakeShard's list of versions is versions.

--- a/packages/core/src/zinnialead_core/components/keys/__init__.py
+++ b/packages/core/src/zinnialead_core/components/keys/__init__.py
@@ -1,9 +1,10 @@
 """Run the work under an idempotency key at most once.
 
-An issued key names one or two entries as its registrars: the home and the
-witness.  The entry that wants to run the work claims the key at the home,
-then at the witness, and is its holder once both have granted it.  A bar
-ensures that nothing runs under a key that nobody holds.
+Callers retry, so several entries may get copies of a request, all with its
+key.  An issued key names one or two entries as its registrars: the home and
+the witness.  The entry that wants to run the work claims the key at the
+home, then at the witness, and is its holder once both have granted it.  A
+bar ensures that nothing runs under a key that nobody holds.
 """
 
 from zinnialead_core.components.keys.issued_keys import prefix
--- a/packages/core/src/zinnialead_core/components/keys/binding.py
+++ b/packages/core/src/zinnialead_core/components/keys/binding.py
@@ -99,6 +99,7 @@
     result: store.Result,
 ) -> abc.Iterator[out.Output]:
     shard = world.bindings[number]
+    # A store call for a loaded shard is always a write.
     was_write = shard.is_loaded
     shard = shard._replace(call_id=None)
     match result:
--- a/packages/core/src/zinnialead_core/components/keys/claims.py
+++ b/packages/core/src/zinnialead_core/components/keys/claims.py
@@ -93,7 +93,7 @@
 def deadline_refusal(
     world: world_module.World, request_id: ids.RequestId
 ) -> verdict.Refusal:
-    """Return the refusal of a request that reached its deadline unclaimed."""
+    """Return the refusal of a request whose deadline passed in its claim."""
     claim = world.claims.get(request_id)
     reason = verdict.Reason.KEY_REGISTRAR_DOWN
     run_verdict = verdict.Verdict.MAY_HAVE_RUN
@@ -203,12 +203,13 @@
     # A home that denied its only ask has no claim to release.
     if claim.step is not Step.HOME or claim.tries > 1:
         yield from end_reports.end_claim(
-            world, now_ms, claim, _bar_end(denial)
+            world, now_ms, claim, _end_after_denial(denial)
         )
     yield from _deny_claim(world, claim, denial)
 
 
-def _bar_end(denial: models.Denial) -> models.Barred | None:
+def _end_after_denial(denial: models.Denial) -> models.Barred | None:
+    """Return the end to report; the home must learn of the witness's bar."""
     match denial:
         case models.Denied(refusal) if (
             refusal.reason is verdict.Reason.KEY_BARRED
--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -46,6 +46,7 @@
             case inp.MemberLost(ref):
                 yield from _on_member_lost(world, now_ms, ref)
             case inp.MemberJoined(ref):
+                # The older incarnations have ended.
                 older = ref._replace(incarnation=ref.incarnation - 1)
                 yield from _on_member_lost(world, now_ms, older)
             case inp.StoreDone(call_id, result):
@@ -57,12 +58,15 @@
 
 
 def _start_claim(
-    world: world_module.World, now_ms: float, wanted: inp.ClaimRequested
+    world: world_module.World, now_ms: float, request: inp.ClaimRequested
 ) -> abc.Iterator[out.Output]:
     claim = models.ClaimRow(
-        wanted.request_id, wanted.key, wanted.created_ms, wanted.deadline_ms
+        request.request_id,
+        request.key,
+        request.created_ms,
+        request.deadline_ms,
     )
-    if issued_keys.is_issued(wanted.key):
+    if issued_keys.is_issued(request.key):
         yield from claims.start(world, now_ms, claim)
         return
     yield from binding.start_claim(world, now_ms, claim)
--- a/packages/core/src/zinnialead_core/components/keys/registrations.py
+++ b/packages/core/src/zinnialead_core/components/keys/registrations.py
@@ -40,16 +40,18 @@
 def drop_expired(world: world_module.World, now_ms: float) -> None:
     """Drop a batch of expired registrations."""
     table = world.registrations
-    latest = int(now_ms // const.EXPIRY_BUCKET_MS)
+    current_bucket = int(now_ms // const.EXPIRY_BUCKET_MS)
     remaining = const.EXPIRY_BATCH_ROWS
-    for number in sorted(n for n in table.expiry_buckets if n < latest):
-        keys = table.expiry_buckets[number]
+    for bucket in sorted(
+        n for n in table.expiry_buckets if n < current_bucket
+    ):
+        keys = table.expiry_buckets[bucket]
         while keys and remaining > 0:
             _drop(table, keys.pop())
             remaining -= 1
         if keys:
             break
-        del table.expiry_buckets[number]
+        del table.expiry_buckets[bucket]
     if table.expiry_buckets:
         due_ms = (min(table.expiry_buckets) + 1) * const.EXPIRY_BUCKET_MS
         timers.start(
@@ -77,12 +79,12 @@
 def _schedule_expiry(
     world: world_module.World, row: models.RegistrationRow
 ) -> None:
-    number = int(row.expires_ms // const.EXPIRY_BUCKET_MS)
+    bucket = int(row.expires_ms // const.EXPIRY_BUCKET_MS)
     buckets = world.registrations.expiry_buckets
-    if not buckets or number < min(buckets):
-        due_ms = (number + 1) * const.EXPIRY_BUCKET_MS
+    if not buckets or bucket < min(buckets):
+        due_ms = (bucket + 1) * const.EXPIRY_BUCKET_MS
         timers.start(world.timers, timers.KeysExpiry(), due_ms)
-    buckets.setdefault(number, []).append(row.key)
+    buckets.setdefault(bucket, []).append(row.key)
 
 
 def _track_record(
--- a/tests/core/components/keys/key_network.py
+++ b/tests/core/components/keys/key_network.py
@@ -161,9 +161,9 @@
 
 
 def end_work(network: Network, copy: Copy, outcome: verdict.Outcome) -> None:
-    state = {'ran': 'ran', 'not-run': 'free', 'may-have-run': 'lost'}
-    known = state[verdict.verdict_of(outcome)]
-    set_state(network, copy.request_id, known)
+    by_verdict = {'ran': 'ran', 'not-run': 'free', 'may-have-run': 'lost'}
+    state = by_verdict[verdict.verdict_of(outcome)]
+    set_state(network, copy.request_id, state)
     ended = inp.ClaimEnded(copy.request_id, outcome)
     feed(network, copy.holder.entry, ended)
 
--- a/tests/core/components/keys/test_binding.py
+++ b/tests/core/components/keys/test_binding.py
@@ -16,22 +16,24 @@
 
 
 class FakeShard(typing.NamedTuple):
-    """A shard of the store; ``version`` has every version written."""
+    """A shard of the store; ``versions`` has all that were written."""
 
     rows: list
-    version: list
+    versions: list
 
 
 def serve(shard: FakeShard, call: store.Call) -> store.Result:
     match call:
         case store.WriteBindings(name, rows, version):
-            if version != (shard.version[-1] if shard.version else None):
+            if version != (shard.versions[-1] if shard.versions else None):
                 return store.Conflict(name)
             shard.rows[:] = rows
-            shard.version.append(len(shard.version) + 1)
-    if not shard.version:
+            shard.versions.append(len(shard.versions) + 1)
+    if not shard.versions:
         return store.Missing(call.name)
-    return store.FoundBindings(call.name, tuple(shard.rows), shard.version[-1])
+    return store.FoundBindings(
+        call.name, tuple(shard.rows), shard.versions[-1]
+    )
 
 
 def feed(world, now_ms, *inputs):
@@ -39,8 +41,8 @@
 
 
 def start_claim(world, request_id=1, now_ms=NOW_MS, created_ms=None):
-    wanted = inp.ClaimRequested(request_id, KEY, created_ms, now_ms + 3_000.0)
-    return feed(world, now_ms, wanted)
+    claim = inp.ClaimRequested(request_id, KEY, created_ms, now_ms + 3_000.0)
+    return feed(world, now_ms, claim)
 
 
 def complete_call(shard, world, call, now_ms=NOW_MS):
