Name state numbers and own entry in members

The local number was a state's number beside sequences and incarnations; it is state_number. me is own_entry, names (which are entry ids) is entries, same is same_incarnation. "Refute a claim" used the word that means a key's claim elsewhere; an update is refuted. In the simulated network item is packet, and feed takes inputs as in the keys' network.

The syntax trees differ by names alone.

--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -38,8 +38,10 @@
                 yield from _on_timer(world, now_ms, timer)
             case inp.StopRequested():
                 yield from _announce_leaving(world)
-            case inp.StateChanged(number):
-                row = queries.own_row(world)._replace(state_number=number)
+            case inp.StateChanged(state_number):
+                row = queries.own_row(world)._replace(
+                    state_number=state_number
+                )
                 world.members[row.entry] = row
 
 
@@ -76,14 +78,14 @@
 ) -> abc.Iterator[out.Output]:
     updates.record_contact(world, now_ms, sender)
     match message:
-        case messages.Probe(_, number, news):
+        case messages.Probe(_, state_number, news):
             yield from _apply_news(world, now_ms, news)
             yield from probing.answer(world, sender, message)
-            _update_state_number(world, sender, number)
-        case messages.ProbeAnswer(sequence, number, news):
+            _update_state_number(world, sender, state_number)
+        case messages.ProbeAnswer(sequence, state_number, news):
             yield from _apply_news(world, now_ms, news)
             yield from probing.on_answer(world, sender, sequence)
-            _update_state_number(world, sender, number)
+            _update_state_number(world, sender, state_number)
         case messages.ProbeFor(sequence, target):
             yield from probing.probe(
                 world, now_ms, target, sender.entry, sequence
@@ -128,11 +130,11 @@
 
 
 def _update_state_number(
-    world: world_module.World, sender: ids.EntryRef, number: int
+    world: world_module.World, sender: ids.EntryRef, state_number: int
 ) -> None:
     row = world.members.get(sender.entry)
-    if row is not None and number > row.state_number:
-        world.members[row.entry] = row._replace(state_number=number)
+    if row is not None and state_number > row.state_number:
+        world.members[row.entry] = row._replace(state_number=state_number)
 
 
 def _announce_leaving(world: world_module.World) -> abc.Iterator[out.Output]:
--- a/packages/core/src/zinnialead_core/components/members/probing.py
+++ b/packages/core/src/zinnialead_core/components/members/probing.py
@@ -54,9 +54,9 @@
     probes.open[sequence] = row
     timeout = timers.ProbeTimeout(target, sequence)
     timers.start(world.timers, timeout, now_ms + const.PROBE_TIMEOUT_MS)
-    number = _state_number(world)
+    state_number = _state_number(world)
     news = gossip.piggybacked_rows(world, target)
-    yield out.SendPeer(target, messages.Probe(sequence, number, news))
+    yield out.SendPeer(target, messages.Probe(sequence, state_number, news))
 
 
 def answer(
@@ -64,9 +64,10 @@
 ) -> abc.Iterator[out.Output]:
     """Answer a probe."""
     news = gossip.piggybacked_rows(world, sender.entry)
-    number = _state_number(world)
+    state_number = _state_number(world)
     yield out.SendPeer(
-        sender.entry, messages.ProbeAnswer(message.sequence, number, news)
+        sender.entry,
+        messages.ProbeAnswer(message.sequence, state_number, news),
     )
 
 
--- a/packages/core/src/zinnialead_core/components/members/queries.py
+++ b/packages/core/src/zinnialead_core/components/members/queries.py
@@ -20,9 +20,9 @@
     world: 'world_module.World',
 ) -> abc.Iterator[models.MemberRow]:
     """Yield the rows of the other entries that are not dead."""
-    me = world.node.ref.entry
+    own_entry = world.node.ref.entry
     for row in world.members.values():
-        if row.health is not models.Health.DEAD and row.entry != me:
+        if row.health is not models.Health.DEAD and row.entry != own_entry:
             yield row
 
 
@@ -50,8 +50,8 @@
     count: int,
 ) -> abc.Sequence[ids.EntryId]:
     """Return a random sample of up to ``count`` of the rows' entries."""
-    names = [row.entry for row in rows]
-    return world.random.sample(names, min(count, len(names)))
+    entries = [row.entry for row in rows]
+    return world.random.sample(entries, min(count, len(entries)))
 
 
 def random_peer(world: 'world_module.World') -> ids.EntryId | None:
@@ -59,9 +59,9 @@
 
     This samples instead of filtering all rows, to stay cheap per round.
     """
-    names = list(world.members)
+    entries = list(world.members)
     for _ in range(const.RANDOM_PEER_TRIES):
-        row = world.members[world.random.choice(names)]
+        row = world.members[world.random.choice(entries)]
         dead = row.health is models.Health.DEAD
         if not dead and row.entry != world.node.ref.entry:
             return row.entry
--- a/packages/core/src/zinnialead_core/components/members/updates.py
+++ b/packages/core/src/zinnialead_core/components/members/updates.py
@@ -162,7 +162,7 @@
 def _refute(
     world: world_module.World, now_ms: float, update: models.MemberRow
 ) -> None:
-    """Refute a claim about this entry with a newer version of its row."""
+    """Refute an update about this entry by a newer version of its row."""
     row = queries.own_row(world)
     if update.incarnation > row.incarnation:
         world.counters['members.newer_run_of_me'] += 1
@@ -179,8 +179,8 @@
     current: models.MemberRow,
     update: models.MemberRow,
 ) -> None:
-    same = update.incarnation == current.incarnation
-    if same and update.state_number > current.state_number:
+    same_incarnation = update.incarnation == current.incarnation
+    if same_incarnation and update.state_number > current.state_number:
         row = current._replace(state_number=update.state_number)
         world.members[row.entry] = row
 
--- a/tests/core/components/members/member_network.py
+++ b/tests/core/components/members/member_network.py
@@ -20,7 +20,7 @@
     due_ms: float
     sequence: int
     entry: str
-    item: object
+    packet: object
 
 
 @dataclasses.dataclass
@@ -63,9 +63,9 @@
     return [inp.PeerSeen(e, d, f'{e}:1') for e, d in domains_by_entry.items()]
 
 
-def feed(network, entry, *items):
+def feed(network, entry, *inputs):
     world = network.worlds[entry]
-    outputs = list(core.tick(world, network.now_ms, items))
+    outputs = list(core.tick(world, network.now_ms, inputs))
     network.due_ms[entry] = core.next_due_ms(world)
     for output in outputs:
         match output:
@@ -92,9 +92,9 @@
         return
     ref = network.worlds[entry].node.ref
     delay_ms = LATENCY_MS + network.random.uniform(0.0, network.delay_max_ms)
-    item = inp.PeerMessage(ref, message)
+    packet = inp.PeerMessage(ref, message)
     delivery = Delivery(
-        network.now_ms + delay_ms, next(network.sequences), target, item
+        network.now_ms + delay_ms, next(network.sequences), target, packet
     )
     heapq.heappush(network.deliveries, delivery)
 
@@ -116,7 +116,7 @@
             continue
         delivery = heapq.heappop(network.deliveries)
         if delivery.entry not in network.stopped:
-            feed(network, delivery.entry, delivery.item)
+            feed(network, delivery.entry, delivery.packet)
     network.now_ms = end_ms
 
 
