Say how witnesses are ordered and clients are found

The order of witnesses was explained by domains that "survive at low latency"; the region's other domains are near and survive the loss of the home's. "The lookup" meant a search in the ranges, while a look-up is a caller's question. In the tests made is world, built by new_world, and asked is question or questions.

--- a/packages/core/src/zinnialead_core/components/lookups/blocks.py
+++ b/packages/core/src/zinnialead_core/components/lookups/blocks.py
@@ -23,7 +23,7 @@
 
 
 def build(rows: abc.Iterable[tickets.BlockRow]) -> models.BlockTable:
-    """Build the lookup table; the longest matching prefix wins.
+    """Build the table of address ranges; the longest matching prefix wins.
 
     >>> row = tickets.BlockRow
     >>> table = build([row('10.0.0.0/8', 'a'), row('10.1.0.0/16', 'b')])
@@ -57,7 +57,7 @@
 def find(table: models.BlockTable, client: str) -> ids.DomainId | None:
     """Return the domain of a client's address, None if no block has it.
 
-    The lookup is a binary search.
+    This is a binary search over the ranges.
     """
     address = _parse_ipv4(client)
     if address is not None:
--- a/packages/core/src/zinnialead_core/components/lookups/orders.py
+++ b/packages/core/src/zinnialead_core/components/lookups/orders.py
@@ -38,8 +38,8 @@
 ) -> models.OrderRow:
     """Group the entries that may be the witness of a key, best first.
 
-    Domains of the same region come first: they survive the loss of the
-    home's domain at low latency.  Other regions are too far for a claim.
+    The region's other domains come first: they are near, and survive the
+    loss of the home's domain.  Other regions are too far for a claim.
     """
     cached = world.lookups.witnesses.get(home)
     if cached is not None:
--- a/tests/core/components/lookups/test_selection.py
+++ b/tests/core/components/lookups/test_selection.py
@@ -17,7 +17,7 @@
 QUESTION = models.LookUp('intake', None, 'kigali-a', '10.0.0.1')
 
 
-def state(**changed):
+def new_state(**changed):
     sample = samples.state(number=2)
     upstream = sample.upstreams['intake-1']
     upstreams = {
@@ -32,16 +32,16 @@
     return state._replace(**changed)
 
 
-def world(**changed):
-    made = samples.world()
+def new_world(**changed):
+    world = samples.world()
     for domain in DOMAINS:
         for number in range(1, 5):
             entry = f'{domain}-{number}'
-            made.members[entry] = members.MemberRow(
+            world.members[entry] = members.MemberRow(
                 entry, 7, domain, entry, members.Health.ALIVE, 0.0, 0
             )
-    list(core.tick(made, 1.0, [inp.StateRead(state(**changed))]))
-    return made
+    list(core.tick(world, 1.0, [inp.StateRead(new_state(**changed))]))
+    return world
 
 
 def domains_of(answer):
@@ -49,14 +49,16 @@
 
 
 def test_choices_add_the_sibling_domain_and_another_region():
-    answer = coordinator.look_up(world(), 5.0, QUESTION)
+    answer = coordinator.look_up(new_world(), 5.0, QUESTION)
     assert domains_of(answer) == [*['kigali-a'] * 2, 'kigali-b', 'huye-a']
 
 
 def test_clients_are_spread_over_the_entries():
-    made = world()
+    world = new_world()
     first = {
-        coordinator.look_up(made, 5.0, QUESTION._replace(client=f'10.0.0.{x}'))
+        coordinator.look_up(
+            world, 5.0, QUESTION._replace(client=f'10.0.0.{x}')
+        )
         .choices[0]
         .entry
         for x in range(100)
@@ -66,22 +68,22 @@
 
 def test_drained_domains_and_those_without_upstreams_go_last():
     drains = {'d': tickets.DomainDrain('kigali-a')}
-    answer = coordinator.look_up(world(drains=drains), 5.0, QUESTION)
+    answer = coordinator.look_up(new_world(drains=drains), 5.0, QUESTION)
     assert domains_of(answer) == ['kigali-b', 'kigali-b', 'huye-a', 'kigali-b']
     drains = {x: tickets.UpstreamDrain(x) for x in ('kigali-a', 'kigali-b')}
-    answer = coordinator.look_up(world(drains=drains), 5.0, QUESTION)
+    answer = coordinator.look_up(new_world(drains=drains), 5.0, QUESTION)
     assert domains_of(answer) == ['huye-a', 'huye-a', 'kigali-a', 'huye-a']
 
 
 def test_dead_and_leaving_entries_are_not_returned():
-    made = world()
-    coordinator.look_up(made, 5.0, QUESTION)
+    world = new_world()
+    coordinator.look_up(world, 5.0, QUESTION)
     for health in (members.Health.DEAD, members.Health.LEAVING):
         for number in (1, 2, 3, 4):
             entry = f'kigali-a-{number}'
-            row = made.members[entry]
-            made.members[entry] = row._replace(health=health)
-        answer = coordinator.look_up(made, 6.0, QUESTION)
+            row = world.members[entry]
+            world.members[entry] = row._replace(health=health)
+        answer = coordinator.look_up(world, 6.0, QUESTION)
         assert domains_of(answer) == [
             'kigali-a',
             'kigali-b',
@@ -92,7 +94,7 @@
 
 
 def test_key_prefixes_name_the_choice_and_a_witness_in_its_region():
-    answer = coordinator.look_up(world(), 12.0, QUESTION)
+    answer = coordinator.look_up(new_world(), 12.0, QUESTION)
     for choice in answer.choices:
         key = issued_keys.parse(f'{choice.key_prefix}.n')
         home, witness = key.registrars
@@ -105,12 +107,12 @@
 
 
 def test_an_answer_without_witnesses_has_a_short_lifetime():
-    made = world()
-    assert coordinator.look_up(made, 5.0, QUESTION).lifetime_ms == 10_000.0
-    for entry in list(made.members):
+    world = new_world()
+    assert coordinator.look_up(world, 5.0, QUESTION).lifetime_ms == 10_000.0
+    for entry in list(world.members):
         if entry != samples.REF.entry:
-            del made.members[entry]
-    answer = coordinator.look_up(made, 6_000.0, QUESTION)
+            del world.members[entry]
+    answer = coordinator.look_up(world, 6_000.0, QUESTION)
     assert issued_keys.parse(
         f'{answer.choices[0].key_prefix}.n'
     ).registrars == (samples.REF,)
@@ -118,15 +120,15 @@
 
 
 def test_many_questions_are_answered_in_order():
-    made = world()
-    asked = [QUESTION, QUESTION._replace(domain='huye-a')]
-    answers = list(coordinator.look_up_many(made, 5.0, asked))
+    world = new_world()
+    questions = [QUESTION, QUESTION._replace(domain='huye-a')]
+    answers = list(coordinator.look_up_many(world, 5.0, questions))
     assert [domains_of(x)[0] for x in answers] == ['kigali-a', 'huye-a']
 
 
 def test_a_client_address_selects_its_domain_by_block():
     blocks = {'b': tickets.BlockRow('10.0.0.0/24', 'huye-a')}
-    made = world(blocks=blocks)
-    asked = QUESTION._replace(domain=None)
-    assert domains_of(coordinator.look_up(made, 5.0, asked))[0] == 'huye-a'
-    assert made.lookups.block_rows[0] == blocks
+    world = new_world(blocks=blocks)
+    question = QUESTION._replace(domain=None)
+    assert domains_of(coordinator.look_up(world, 5.0, question))[0] == 'huye-a'
+    assert world.lookups.block_rows[0] == blocks
