Name what the capacity measurement measures

The modules bad_day, states and worlds are now recovery (from restarts, a healed partition, a slow store), fixtures (states, fleets and meters) and member_memory. A measured Step is a Point, a Finding an EventRow, `shared` is_node_mean; constants say DESIGN_ for the size that is extrapolated to and BUDGET_ for the budgets. Locals such as made, held, asked and each say what they hold (simulation, used_bytes, clients, mean). Roles, quantities, units and events in the report are unchanged.

The changed classes, fields and keywords don't leave the process. make check passes; tests/lab/bench, tests/lab/capacity and the doctests of the lab pass.

--- a/packages/lab/src/zinnialead_lab/capacity/__init__.py
+++ b/packages/lab/src/zinnialead_lab/capacity/__init__.py
@@ -1,4 +1,4 @@
-"""Measure what each role costs at the size to design for."""
+"""Measure what each role costs, extrapolated to the design size."""
 
 from zinnialead_lab.capacity.command import main
 
--- a/packages/lab/src/zinnialead_lab/capacity/blocks.py
+++ b/packages/lab/src/zinnialead_lab/capacity/blocks.py
@@ -1,4 +1,4 @@
-"""Measure look-ups over 10^4 to 1.9 million blocks of clients."""
+"""Measure look-ups by the number of blocks of client addresses."""
 
 from collections import abc
 import random
@@ -14,11 +14,11 @@
 from zinnialead_core import inputs as inp
 from zinnialead_core import world as world_module
 from zinnialead_lab.capacity import const
+from zinnialead_lab.capacity import fixtures
 from zinnialead_lab.capacity import models
-from zinnialead_lab.capacity import states
 
-FIRST_BLOCK = 1 << 24
-BLOCK_ADDRESSES = 1 << 11
+FIRST_ADDRESS = 1 << 24  # 1.0.0.0
+ADDRESSES_PER_BLOCK = 1 << 11  # a /21
 DOMAIN = ids.DomainId('region-0-0')
 SERVICE = ids.ServiceId('service-0')
 ROLE = 'look-up'
@@ -27,55 +27,59 @@
 BlockRows = dict[str, tickets.BlockRow]
 
 
-def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Step]:
-    """Yield memory and time for each number of blocks."""
+def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Point]:
+    """Yield the memory and the look-up times for each number of blocks."""
     for count in counts:
         tracemalloc.start()
-        rows = _rows(count, list(states.state(0).domains))
-        held, _ = tracemalloc.get_traced_memory()
+        rows = _block_rows(count, list(fixtures.state(0).domains))
+        used_bytes, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
-        mb = held / const.BYTES_PER_MB
-        yield models.Step(ROLE, 'rows of the state', 'MB', count, mb)
-        yield from _table(rows, count)
-        yield from _look_ups(rows, count)
+        used_mb = used_bytes / const.BYTES_PER_MB
+        yield models.Point(ROLE, 'rows of the state', 'MB', count, used_mb)
+        yield from _table_points(rows, count)
+        yield from _look_up_points(rows, count)
 
 
-def _table(rows: BlockRows, count: int) -> abc.Iterator[models.Step]:
+def _table_points(rows: BlockRows, count: int) -> abc.Iterator[models.Point]:
     started_s = time.process_time()
     table = blocks.build(rows.values())
     built_s = time.process_time() - started_s
-    yield models.Step(ROLE, 'build of the table', 's', count, built_s)
-    starts, sites = table.ipv4_starts, table.ipv4_indexes
-    held = len(starts) * starts.itemsize + len(sites) * sites.itemsize
-    mb = held / const.BYTES_PER_MB
-    yield models.Step(ROLE, 'table in use', 'MB', count, mb)
-    asked = _clients(count)
+    yield models.Point(ROLE, 'build of the table', 's', count, built_s)
+    starts, indexes = table.ipv4_starts, table.ipv4_indexes
+    used_bytes = (
+        len(starts) * starts.itemsize + len(indexes) * indexes.itemsize
+    )
+    used_mb = used_bytes / const.BYTES_PER_MB
+    yield models.Point(ROLE, 'table in use', 'MB', count, used_mb)
+    clients = _random_clients(count)
     started_s = time.process_time()
-    for client in asked:
+    for client in clients:
         blocks.find(table, client)
     spent_s = time.process_time() - started_s
-    us = spent_s * US_PER_S / len(asked)
-    yield models.Step(ROLE, 'domain of a client', 'us', count, us)
+    each_us = spent_s * US_PER_S / len(clients)
+    yield models.Point(ROLE, 'domain of a client', 'us', count, each_us)
 
 
-def _look_ups(rows: BlockRows, count: int) -> abc.Iterator[models.Step]:
+def _look_up_points(rows: BlockRows, count: int) -> abc.Iterator[models.Point]:
     world = _world(rows)
-    asked = _clients(count)
+    clients = _random_clients(count)
     started_s = time.process_time()
-    for client in asked:
-        question = lookups.LookUp(SERVICE, None, None, client)
-        coordinator.look_up(world, 0.0, question)
+    for client in clients:
+        look_up = lookups.LookUp(SERVICE, None, None, client)
+        coordinator.look_up(world, 0.0, look_up)
     spent_s = time.process_time() - started_s
-    us = spent_s * US_PER_S / len(asked)
-    yield models.Step(ROLE, 'whole decision', 'us', count, us)
-    # The share of a core that the fleet's look-ups take on each node.
-    per_s = const.LOOK_UPS_PER_S / const.NODES
-    ms = us * per_s / const.MS_PER_S
-    yield models.Step(ROLE, 'decisions of a node', 'ms/s', count, ms)
+    each_us = spent_s * US_PER_S / len(clients)
+    yield models.Point(ROLE, 'whole decision', 'us', count, each_us)
+    # Processor time a second on each node for the whole fleet's look-ups.
+    per_s = const.DESIGN_LOOK_UPS_PER_S / const.DESIGN_NODES
+    node_ms_per_s = each_us * per_s / const.MS_PER_S
+    yield models.Point(
+        ROLE, 'decisions of a node', 'ms/s', count, node_ms_per_s
+    )
 
 
 def _world(rows: BlockRows) -> core.World:
-    made = states.state(const.SITES)._replace(blocks=rows)
+    state = fixtures.state(const.DESIGN_SITES)._replace(blocks=rows)
     node = world_module.NodeRow(
         ids.EntryRef(ids.EntryId('entry'), 1),
         DOMAIN,
@@ -83,39 +87,39 @@
         'entry:7000',
     )
     world = core.new_world(node, seed=1)
-    domains = list(made.domains)
-    seen = [
+    domains = list(state.domains)
+    peers = [
         inp.PeerSeen(
             ids.EntryId(f'entry-{n}'),
             domains[n % len(domains)],
             f'entry-{n}:7000',
         )
-        for n in range(const.NODES)
+        for n in range(const.DESIGN_NODES)
     ]
-    for _ in core.tick(world, 0.0, [*seen, inp.StateRead(made)]):
+    for _ in core.tick(world, 0.0, [*peers, inp.StateRead(state)]):
         pass
     return world
 
 
-def _rows(count: int, domains: list[ids.DomainId]) -> BlockRows:
+def _block_rows(count: int, domains: list[ids.DomainId]) -> BlockRows:
     rows = {}
-    for number in range(count):
-        start = FIRST_BLOCK + number * BLOCK_ADDRESSES
-        prefix = f'{_text(start)}/21'
-        domain = domains[number % len(domains)]
+    for index in range(count):
+        first_address = FIRST_ADDRESS + index * ADDRESSES_PER_BLOCK
+        prefix = f'{_dotted_quad(first_address)}/21'
+        domain = domains[index % len(domains)]
         rows[prefix] = tickets.BlockRow(prefix, domain)
     return rows
 
 
-def _clients(count: int) -> list[str]:
+def _random_clients(count: int) -> list[str]:
     generator = random.Random(count)
-    last = FIRST_BLOCK + count * BLOCK_ADDRESSES
+    end_address = FIRST_ADDRESS + count * ADDRESSES_PER_BLOCK
     return [
-        _text(generator.randrange(FIRST_BLOCK, last))
-        for _ in range(const.LOOK_UPS_TIMED)
+        _dotted_quad(generator.randrange(FIRST_ADDRESS, end_address))
+        for _ in range(const.TIMED_LOOK_UPS)
     ]
 
 
-def _text(address: int) -> str:
+def _dotted_quad(address: int) -> str:
     parts = (address >> shift & 255 for shift in (24, 16, 8, 0))
     return '.'.join(map(str, parts))
--- a/packages/lab/src/zinnialead_lab/capacity/command.py
+++ b/packages/lab/src/zinnialead_lab/capacity/command.py
@@ -1,4 +1,4 @@
-"""Run the capacity measurement as a command."""
+"""Run the capacity event_row as a command."""
 
 import pathlib
 
@@ -12,13 +12,13 @@
     short: bool = False,
     out_dir: str | pathlib.Path = 'out/capacity',
 ) -> int:
-    """Measure, print and write; return 1 where a budget is exceeded."""
-    folder = pathlib.Path(out_dir)
-    folder.mkdir(parents=True, exist_ok=True)
+    """Measure, print and write; return 1 if a budget is exceeded."""
+    out_folder = pathlib.Path(out_dir)
+    out_folder.mkdir(parents=True, exist_ok=True)
     slopes = list(coordinator.slopes(seed, short))
-    findings = list(coordinator.findings(seed, short))
-    report.tables(slopes, findings)
-    report.lines(slopes, findings, folder / 'capacity.jsonl')
-    plots.slopes(report.series(slopes), folder)
+    event_rows = list(coordinator.event_rows(seed, short))
+    report.print_tables(slopes, event_rows)
+    report.write_lines(slopes, event_rows, out_folder / 'capacity.jsonl')
+    plots.slopes(report.plot_series(slopes), out_folder)
     within = [row.within_budget for row in coordinator.checks(slopes)]
     return 0 if all(within) else 1
--- a/packages/lab/src/zinnialead_lab/capacity/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/capacity/coordinator.py
@@ -1,56 +1,70 @@
-"""Measure every slope, and compare it at full size with its budget."""
+"""Measure how each cost grows, and compare it with its budget."""
 
 from collections import abc
 
-from zinnialead_lab.capacity import bad_day
 from zinnialead_lab.capacity import blocks
 from zinnialead_lab.capacity import const
 from zinnialead_lab.capacity import fit
+from zinnialead_lab.capacity import member_memory
 from zinnialead_lab.capacity import models
 from zinnialead_lab.capacity import nodes
+from zinnialead_lab.capacity import recovery
 from zinnialead_lab.capacity import requests
 from zinnialead_lab.capacity import sites
-from zinnialead_lab.capacity import worlds
 
 BUDGETS = {
-    ('control', 'processor'): const.PROCESSOR_MS_PER_S,
-    ('control', 'bytes sent'): const.BYTES_PER_S,
-    ('busiest node', 'processor'): const.PROCESSOR_MS_PER_S,
-    ('busiest node', 'bytes sent'): const.BYTES_PER_S,
-    ('busiest node', 'most bytes received in a second'): const.BYTES_PER_S,
-    ('look-up', 'table in use'): const.MEMORY_MB,
-    ('look-up', 'rows of the state'): const.MEMORY_MB,
-    ('membership', 'tables in memory'): const.MEMORY_MB,
-    ('store client', 'calls'): const.STORE_READS_PER_S,
-    ('spread of tickets', 'in force everywhere'): const.TICKET_S,
+    ('control', 'processor'): const.BUDGET_PROCESSOR_MS_PER_S,
+    ('control', 'bytes sent'): const.BUDGET_BYTES_PER_S,
+    ('busiest node', 'processor'): const.BUDGET_PROCESSOR_MS_PER_S,
+    ('busiest node', 'bytes sent'): const.BUDGET_BYTES_PER_S,
+    (
+        'busiest node',
+        'most bytes received in a second',
+    ): const.BUDGET_BYTES_PER_S,
+    ('look-up', 'table in use'): const.BUDGET_MEMORY_MB,
+    ('look-up', 'rows of the state'): const.BUDGET_MEMORY_MB,
+    ('membership', 'tables in memory'): const.BUDGET_MEMORY_MB,
+    ('store client', 'calls'): const.BUDGET_STORE_READS_PER_S,
+    ('spread of tickets', 'in force everywhere'): const.BUDGET_TICKET_SPREAD_S,
 }
 
 
 def slopes(seed: int, short: bool) -> abc.Iterator[models.Slope]:
-    """Yield the slopes over blocks, nodes and sites."""
-    block_steps = const.SHORT_BLOCK_STEPS if short else const.BLOCK_STEPS
-    measured = blocks.measure(block_steps)
-    yield from fit.slopes(measured, 'block', const.BLOCKS)
-    node_steps = const.SHORT_NODE_STEPS if short else const.NODE_STEPS
-    yield from fit.slopes(nodes.measure(node_steps, seed), 'node', const.NODES)
-    yield from fit.slopes(worlds.measure(node_steps), 'node', const.NODES)
-    site_steps = const.SHORT_SITE_STEPS if short else const.SITE_STEPS
-    yield from fit.slopes(sites.measure(site_steps), 'site', const.SITES)
+    """Yield the costs over the numbers of blocks, nodes and sites."""
+    block_counts = const.SHORT_BLOCK_COUNTS if short else const.BLOCK_COUNTS
+    points = blocks.measure(block_counts)
+    yield from fit.fit_slopes(points, 'block', const.DESIGN_BLOCKS)
+    node_counts = const.SHORT_NODE_COUNTS if short else const.NODE_COUNTS
+    yield from fit.fit_slopes(
+        nodes.measure(node_counts, seed), 'node', const.DESIGN_NODES
+    )
+    yield from fit.fit_slopes(
+        member_memory.measure(node_counts), 'node', const.DESIGN_NODES
+    )
+    site_counts = const.SHORT_SITE_COUNTS if short else const.SITE_COUNTS
+    yield from fit.fit_slopes(
+        sites.measure(site_counts), 'site', const.DESIGN_SITES
+    )
 
 
-def findings(seed: int, short: bool) -> abc.Iterator[models.Finding]:
-    """Yield what a request and the events of the bad day cost."""
+def event_rows(seed: int, short: bool) -> abc.Iterator[models.EventRow]:
+    """Yield what one request costs, and what recovery from faults costs."""
     if short:
-        count, outage_ms = const.BAD_DAY_SHORT_NODES, const.SHORT_OUTAGE_MS
+        count, partition_ms = (
+            const.SHORT_RECOVERY_NODES,
+            const.SHORT_PARTITION_MS,
+        )
     else:
-        count, outage_ms = const.BAD_DAY_NODES, const.OUTAGE_MS
+        count, partition_ms = const.RECOVERY_NODES, const.PARTITION_MS
     yield from requests.measure(seed)
-    yield from bad_day.measure(count, outage_ms, seed)
+    yield from recovery.measure(count, partition_ms, seed)
 
 
-def checks(found: abc.Iterable[models.Slope]) -> abc.Iterator[models.Check]:
-    """Yield the comparison with its budget for each slope that has one."""
-    for row in found:
+def checks(
+    measured: abc.Iterable[models.Slope],
+) -> abc.Iterator[models.Check]:
+    """Yield the check of each slope that has a budget."""
+    for row in measured:
         budget = BUDGETS.get((row.role, row.quantity))
         if budget is None:
             continue
--- a/packages/lab/src/zinnialead_lab/capacity/fit.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fit.py
@@ -1,4 +1,4 @@
-"""Fit curves through what was measured, and read them at full size."""
+"""Fit curves to measured points, and extrapolate to full size."""
 
 from collections import abc
 import itertools
@@ -7,35 +7,35 @@
 from zinnialead_lab.capacity import models
 
 
-def slopes(
-    steps: abc.Iterable[models.Step], per: str, full_size: float
+def fit_slopes(
+    points: abc.Iterable[models.Point], per: str, full_size: float
 ) -> abc.Iterator[models.Slope]:
-    """Yield one fitted curve for each quantity of each role."""
-    by_name = sorted(steps, key=_name)
-    for _, group in itertools.groupby(by_name, key=_name):
-        yield _slope(sorted(group, key=lambda x: x.x), per, full_size)
+    """Yield the fitted slope of each quantity of each role."""
+    sorted_points = sorted(points, key=_series_name)
+    for _, group in itertools.groupby(sorted_points, key=_series_name):
+        yield _fit_slope(sorted(group, key=lambda x: x.x), per, full_size)
 
 
 def value_at(curve: models.Curve, x: float) -> float:
-    """Return what a curve comes to.
+    """Return the value of a curve at ``x``.
 
     >>> value_at(models.Curve(0.0, 2.0, 10.0, False), 3.0)
     16.0
     >>> value_at(models.Curve(0.5, 2.0, 12.0, True), 3.0)
     7.5
     """
-    if curve.shared:
+    if curve.is_node_mean:
         return curve.square * x + curve.linear + curve.constant / x
     return curve.linear * x + curve.constant
 
 
 def formula(curve: models.Curve) -> str:
-    """Return a curve as text.
+    """Return the formula of a curve as text.
 
     >>> formula(models.Curve(0.0, 2.0, 10.0, False))
     '2 x + 10'
     """
-    if curve.shared:
+    if curve.is_node_mean:
         return (
             f'{curve.square:.3g} x + {curve.linear:.3g}'
             f' + {curve.constant:.3g} / x'
@@ -43,38 +43,38 @@
     return f'{curve.linear:.3g} x + {curve.constant:.3g}'
 
 
-def _name(step: models.Step) -> str:
-    return f'{step.role}/{step.quantity}/{step.unit}'
+def _series_name(point: models.Point) -> str:
+    return f'{point.role}/{point.quantity}/{point.unit}'
 
 
-def _slope(
-    steps: abc.Sequence[models.Step], per: str, full_size: float
+def _fit_slope(
+    points: abc.Sequence[models.Point], per: str, full_size: float
 ) -> models.Slope:
-    first = steps[0]
-    curve = _shared(steps) if first.shared else _line(steps)
+    first = points[0]
+    curve = _fit_node_mean(points) if first.is_node_mean else _fit_line(points)
     return models.Slope(
         first.role,
         first.quantity,
         first.unit,
         per,
-        tuple(step.x for step in steps),
-        tuple(step.y for step in steps),
+        tuple(point.x for point in points),
+        tuple(point.y for point in points),
         curve,
         value_at(curve, full_size),
     )
 
 
-def _line(steps: abc.Sequence[models.Step]) -> models.Curve:
-    x, y = [step.x for step in steps], [step.y for step in steps]
+def _fit_line(points: abc.Sequence[models.Point]) -> models.Curve:
+    x, y = [point.x for point in points], [point.y for point in points]
     linear, constant = np.polyfit(x, y, 1)
     return models.Curve(0.0, float(linear), float(constant), False)
 
 
-def _shared(steps: abc.Sequence[models.Step]) -> models.Curve:
-    x = [step.x for step in steps]
-    totals = [step.y * step.x for step in steps]
-    # Two points carry a line only.
-    degree = min(2, len(steps) - 1)
-    found = [float(value) for value in np.polyfit(x, totals, degree)]
-    square, linear, constant = [0.0] * (3 - len(found)) + found
+def _fit_node_mean(points: abc.Sequence[models.Point]) -> models.Curve:
+    x = [point.x for point in points]
+    totals = [point.y * point.x for point in points]
+    # Two points determine only a line.
+    degree = min(2, len(points) - 1)
+    coefficients = [float(value) for value in np.polyfit(x, totals, degree)]
+    square, linear, constant = [0.0] * (3 - len(coefficients)) + coefficients
     return models.Curve(square, linear, constant, True)
--- a/packages/lab/src/zinnialead_lab/capacity/states.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fixtures.py
@@ -1,4 +1,4 @@
-"""Make states of any number of sites, and fleets of any size."""
+"""Build the states, fleets and meters that are measured."""
 
 import collections
 import functools
@@ -16,7 +16,7 @@
 
 
 def state(sites: int, number: int = 1) -> tickets.State:
-    """Return a state of 8 domains with ``sites`` upstreams."""
+    """Return a state with one upstream for each of ``sites`` sites."""
     services = [
         tickets.ServiceRow(
             service=ids.ServiceId(f'service-{n}'),
@@ -33,7 +33,7 @@
         tickets.DomainRow(
             ids.DomainId(f'region-{n // 2}-{n % 2}'),
             ids.RegionId(f'region-{n // 2}'),
-            const.NODES,
+            const.DESIGN_NODES,
         )
         for n in range(const.DOMAINS)
     ]
@@ -49,18 +49,18 @@
 
 
 def settled_fleet(nodes: int, sites: int, seed: int) -> fleet.Fleet:
-    """Return a fleet whose members know each other, not yet metered."""
+    """Return a fleet, not yet metered, whose members know each other."""
     per_domain = nodes // const.DOMAINS
-    made = fleet.new_fleet(state(sites), per_domain, seed)
-    fleet.run_until(made, const.SETTLE_MS)
-    made.counters.clear()
-    return made
+    simulation = fleet.new_fleet(state(sites), per_domain, seed)
+    fleet.run_until(simulation, const.SETTLE_MS)
+    simulation.counters.clear()
+    return simulation
 
 
 def new_meter() -> meters.Meter:
-    """Return a meter with nothing measured.
+    """Return an empty meter.
 
-    Encoding and decoding count to the time of a kind of message.
+    Encoding and decoding a message count as time of its class.
     """
     secret = secrets.token_hex(const.SECRET_BYTES)
     keyring = codec.new_keyring((settings.PeerKey(1, secret),))
@@ -90,7 +90,7 @@
     envelope = codec.Envelope(sender, 1, 0.0, message)
     started_s = time.process_time()
     frame = codec.encode(keyring, recipient, envelope)
-    codec.decode_body(frame[const.FRAME_HEAD_BYTES :])
+    codec.decode_body(frame[const.FRAME_HEADER_BYTES :])
     spent_s = time.process_time() - started_s
     tick_s[f'{type(message).__name__} codec'] += spent_s
     entry_s[sender.entry] += spent_s
--- a/packages/lab/src/zinnialead_lab/capacity/models.py
+++ b/packages/lab/src/zinnialead_lab/capacity/models.py
@@ -1,23 +1,26 @@
-"""Define what the capacity measurement finds."""
+"""Define the measured points, fitted curves and checks of capacity."""
 
 import typing
 
 
 class Curve(typing.NamedTuple):
-    """Hold ``square * x + linear + constant / x``, or a line.
+    """Hold ``linear * x + constant``, or the mean cost of ``x`` nodes.
 
-    The first is a share of what the whole fleet spends: a part for each
-    pair, for each node, and for the fleet, each divided by the nodes.
+    The mean is ``square * x + linear + constant / x``: the fleet's costs
+    for each pair of nodes, each node and the fleet, divided by the nodes.
     """
 
     square: float
     linear: float
     constant: float
-    shared: bool
+    is_node_mean: bool
 
 
 class Slope(typing.NamedTuple):
-    """Hold a quantity measured in steps, and the curve through it."""
+    """Hold a quantity ``y`` measured at sizes ``x``, and its fitted curve.
+
+    ``at_size`` is the curve's value at full size.
+    """
 
     role: str
     quantity: str
@@ -30,7 +33,7 @@
 
 
 class Check(typing.NamedTuple):
-    """Compare what a quantity comes to at full size with its budget."""
+    """Compare a quantity at full size with its budget."""
 
     role: str
     quantity: str
@@ -41,19 +44,19 @@
     within_goal: bool
 
 
-class Step(typing.NamedTuple):
-    """Hold one measured point of a quantity."""
+class Point(typing.NamedTuple):
+    """Hold a quantity ``y`` measured at one size ``x``."""
 
     role: str
     quantity: str
     unit: str
     x: float
     y: float
-    shared: bool = False
+    is_node_mean: bool = False
 
 
-class Finding(typing.NamedTuple):
-    """Hold one figure of the bad day."""
+class EventRow(typing.NamedTuple):
+    """Hold one quantity measured for an event."""
 
     event: str
     quantity: str
@@ -62,7 +65,7 @@
 
 
 class CapacityLine(typing.TypedDict):
-    """Write one slope or finding as a line of JSON."""
+    """Describe a slope or an event's quantity as one line of JSON."""
 
     role: str
     quantity: str
--- a/packages/lab/src/zinnialead_lab/capacity/report.py
+++ b/packages/lab/src/zinnialead_lab/capacity/report.py
@@ -1,4 +1,4 @@
-"""Print slopes, budgets and findings, and write them for programs."""
+"""Print the measurements as tables; write them as lines of JSON."""
 
 from collections import abc
 import json
@@ -12,37 +12,37 @@
 from zinnialead_lab.plots import models as plot_models
 
 
-def tables(
+def print_tables(
     slopes: abc.Sequence[models.Slope],
-    findings: abc.Sequence[models.Finding],
+    event_rows: abc.Sequence[models.EventRow],
 ) -> None:
-    """Print everything for people."""
+    """Print slopes, checks and events as tables."""
     console = rich.console.Console(width=130)
-    console.print(_slopes(slopes))
-    console.print(_checks(slopes))
-    made = rich.table.Table('event', 'quantity', 'unit', 'value')
-    for row in findings:
-        made.add_row(row.event, row.quantity, row.unit, f'{row.value:.4g}')
-    console.print(made)
+    console.print(_slope_table(slopes))
+    console.print(_check_table(slopes))
+    table = rich.table.Table('event', 'quantity', 'unit', 'value')
+    for row in event_rows:
+        table.add_row(row.event, row.quantity, row.unit, f'{row.value:.4g}')
+    console.print(table)
 
 
-def lines(
+def write_lines(
     slopes: abc.Iterable[models.Slope],
-    findings: abc.Iterable[models.Finding],
+    event_rows: abc.Iterable[models.EventRow],
     path: pathlib.Path,
 ) -> None:
-    """Write one line of JSON for each slope and finding."""
+    """Write one line of JSON for each slope and each row of an event."""
     with path.open('w') as file:
         for row in slopes:
             file.write(json.dumps(_slope_line(row)) + '\n')
-        for finding in findings:
-            file.write(json.dumps(_finding_line(finding)) + '\n')
+        for event_row in event_rows:
+            file.write(json.dumps(_event_line(event_row)) + '\n')
 
 
-def series(
+def plot_series(
     slopes: abc.Iterable[models.Slope],
 ) -> abc.Iterator[plot_models.Series]:
-    """Yield what is drawn of each slope."""
+    """Yield the points and the fitted values of each slope for a plot."""
     for row in slopes:
         yield plot_models.Series(
             f'{row.role} {row.quantity}',
@@ -54,12 +54,12 @@
         )
 
 
-def _slopes(slopes: abc.Iterable[models.Slope]) -> rich.table.Table:
-    made = rich.table.Table('role', 'quantity', 'unit', 'per')
+def _slope_table(slopes: abc.Iterable[models.Slope]) -> rich.table.Table:
+    table = rich.table.Table('role', 'quantity', 'unit', 'per')
     for name in ('measured', 'fitted', 'at size'):
-        made.add_column(name, justify='right')
+        table.add_column(name, justify='right')
     for row in slopes:
-        made.add_row(
+        table.add_row(
             row.role,
             row.quantity,
             row.unit,
@@ -68,15 +68,15 @@
             fit.formula(row.curve),
             f'{row.at_size:.4g}',
         )
-    return made
+    return table
 
 
-def _checks(slopes: abc.Iterable[models.Slope]) -> rich.table.Table:
-    made = rich.table.Table('role', 'quantity', 'unit')
+def _check_table(slopes: abc.Iterable[models.Slope]) -> rich.table.Table:
+    table = rich.table.Table('role', 'quantity', 'unit')
     for name in ('at size', 'budget', 'holds', 'half'):
-        made.add_column(name, justify='right')
+        table.add_column(name, justify='right')
     for row in coordinator.checks(slopes):
-        made.add_row(
+        table.add_row(
             row.role,
             row.quantity,
             row.unit,
@@ -85,7 +85,7 @@
             'yes' if row.within_budget else 'NO',
             'yes' if row.within_goal else 'no',
         )
-    return made
+    return table
 
 
 def _slope_line(row: models.Slope) -> models.CapacityLine:
@@ -101,7 +101,7 @@
     )
 
 
-def _finding_line(row: models.Finding) -> models.CapacityLine:
+def _event_line(row: models.EventRow) -> models.CapacityLine:
     return models.CapacityLine(
         role=row.event,
         quantity=row.quantity,
--- a/packages/lab/src/zinnialead_lab/capacity/sites.py
+++ b/packages/lab/src/zinnialead_lab/capacity/sites.py
@@ -1,4 +1,4 @@
-"""Measure state size and load reports in steps of the number of sites."""
+"""Measure sizes and codec times of messages by the number of sites."""
 
 from collections import abc
 import time
@@ -9,8 +9,8 @@
 from zinnialead_core import messages
 from zinnialead_daemon.components.peers import codec
 from zinnialead_lab.capacity import const
+from zinnialead_lab.capacity import fixtures
 from zinnialead_lab.capacity import models
-from zinnialead_lab.capacity import states
 
 SENDER = ids.EntryRef(ids.EntryId('entry'), 1)
 REPEATS = 20
@@ -18,18 +18,22 @@
 LoadRows = tuple[steering.LoadRow, ...]
 
 
-def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Step]:
-    """Yield sizes and codec times for each number of sites."""
+def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Point]:
+    """Yield sizes and codec times of the state and of load reports."""
     for count in counts:
-        data = tickets.StateData(states.state(count))
-        yield from _coded('spread of tickets', 'whole state', data, count)
-        report = steering.LoadReport(_loads(count))
-        yield from _coded('load exchange', 'report of all', report, count)
+        state_data = tickets.StateData(fixtures.state(count))
+        yield from _codec_points(
+            'spread of tickets', 'whole state', state_data, count
+        )
+        report = steering.LoadReport(_load_rows(count))
+        yield from _codec_points(
+            'load exchange', 'report of all', report, count
+        )
 
 
-def _coded(
-    role: str, name: str, message: messages.Message, count: int
-) -> abc.Iterator[models.Step]:
+def _codec_points(
+    role: str, label: str, message: messages.Message, count: int
+) -> abc.Iterator[models.Point]:
     envelope = codec.Envelope(SENDER, 1, 0.0, message)
     body = codec.encode_body(envelope)
     started_s = time.process_time()
@@ -40,14 +44,14 @@
         codec.decode_body(body)
     decoded_s = time.process_time()
     size = float(len(body))
-    yield models.Step(role, f'{name}, size', 'B', count, size)
+    yield models.Point(role, f'{label}, size', 'B', count, size)
     encode_ms = (encoded_s - started_s) * const.MS_PER_S / REPEATS
-    yield models.Step(role, f'{name}, encode', 'ms', count, encode_ms)
+    yield models.Point(role, f'{label}, encode', 'ms', count, encode_ms)
     decode_ms = (decoded_s - encoded_s) * const.MS_PER_S / REPEATS
-    yield models.Step(role, f'{name}, decode', 'ms', count, decode_ms)
+    yield models.Point(role, f'{label}, decode', 'ms', count, decode_ms)
 
 
-def _loads(count: int) -> LoadRows:
+def _load_rows(count: int) -> LoadRows:
     return tuple(
         steering.LoadRow(
             service=ids.ServiceId(f'service-{n % const.SERVICES}'),
--- a/tests/lab/capacity/test_capacity.py
+++ b/tests/lab/capacity/test_capacity.py
@@ -1,4 +1,4 @@
-"""Fit curves and measure a few nodes."""
+"""Test the fitted curves, the budgets and short measurements."""
 
 import pytest
 from zinnialead_lab.capacity import blocks
@@ -9,22 +9,22 @@
 from zinnialead_lab.capacity import sites
 
 
-def test_a_line_is_read_at_full_size():
-    steps = [models.Step('r', 'q', 'B', x, 3.0 * x + 5.0) for x in (1, 2, 3)]
-    [slope] = fit.slopes(steps, 'site', 100.0)
+def test_a_line_is_extrapolated_to_full_size():
+    points = [models.Point('r', 'q', 'B', x, 3.0 * x + 5.0) for x in (1, 2, 3)]
+    [slope] = fit.fit_slopes(points, 'site', 100.0)
     assert slope.at_size == pytest.approx(305.0)
 
 
-def test_what_a_fleet_shares_is_divided_by_its_nodes():
-    def each(x: float) -> float:
+def test_a_node_mean_is_extrapolated_to_full_size():
+    def node_mean(x: float) -> float:
         return 0.5 * x + 2.0 + 40.0 / x
 
-    steps = [
-        models.Step('r', 'q', 'B', x, each(x), shared=True)
+    points = [
+        models.Point('r', 'q', 'B', x, node_mean(x), is_node_mean=True)
         for x in (8.0, 16.0, 32.0, 64.0)
     ]
-    [slope] = fit.slopes(steps, 'node', 930.0)
-    assert slope.at_size == pytest.approx(each(930.0))
+    [slope] = fit.fit_slopes(points, 'node', 930.0)
+    assert slope.at_size == pytest.approx(node_mean(930.0))
 
 
 def test_a_slope_is_compared_with_its_budget_and_half_of_it():
@@ -46,13 +46,13 @@
 
 
 def test_the_table_in_use_takes_six_bytes_a_block():
-    steps = {x.quantity: x.y for x in blocks.measure([20_000])}
-    assert steps['table in use'] == pytest.approx(0.12, rel=0.1)
+    points = {x.quantity: x.y for x in blocks.measure([20_000])}
+    assert points['table in use'] == pytest.approx(0.12, rel=0.1)
 
 
 def test_every_role_of_control_is_metered():
-    steps = list(nodes.measure([8], seed=1))
-    roles = {step.role for step in steps}
+    points = list(nodes.measure([8], seed=1))
+    roles = {point.role for point in points}
     assert {'membership', 'load exchange', 'busiest node'} <= roles
-    sent = {x.role: x.y for x in steps if x.quantity == 'messages'}
+    sent = {x.role: x.y for x in points if x.quantity == 'messages'}
     assert sent['load exchange'] > 0
