--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -1,4 +1,4 @@
-"""Run a tick for each input and at each due timer."""
+"""Run a tick of the core for each input and each due timer."""
 
 from collections import abc
 import time
@@ -13,7 +13,7 @@
 
 
 def wall_clock() -> abc.Callable[[], float]:
-    """Return a clock in ms since 1970 that never goes back."""
+    """Return a monotonic clock in ms since 1970."""
     offset_s = time.time() - time.monotonic()
     return lambda: (offset_s + time.monotonic()) * const.MS_PER_S
 
@@ -21,17 +21,17 @@
 def new_engine(
     world: core.World, now_ms: abc.Callable[[], float] | None = None
 ) -> models.Engine:
-    """Return an engine that carries out nothing yet."""
+    """Return an engine without a handler for most kinds of output."""
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
-        handlers=_before_set_up(),
-        earlier=trio.Event(),
+        handlers=_initial_handlers(),
+        rescheduled=trio.Event(),
     )
 
 
-def _before_set_up() -> models.Handlers:
-    """Return handlers for what may be asked before the parts are there."""
+def _initial_handlers() -> models.Handlers:
+    """Return handlers that ignore outputs made before the set-up ends."""
     return models.Handlers(
         send_peer=lambda _: None,
         call_store=lambda _: None,
@@ -40,34 +40,34 @@
 
 
 def feed(engine: models.Engine, *inputs: inp.Input) -> None:
-    """Run one tick over ``inputs`` and carry out what it asks for."""
+    """Run one tick over ``inputs`` and execute its outputs."""
     outputs = list(core.tick(engine.world, engine.now_ms(), inputs))
     for output in outputs:
-        carry_out(engine.handlers, output)
+        _execute(engine.handlers, output)
     due_ms = core.next_due_ms(engine.world)
     if due_ms is None:
         return
-    if engine.awaited_ms is None or due_ms < engine.awaited_ms:
-        engine.earlier.set()
+    if engine.next_due_ms is None or due_ms < engine.next_due_ms:
+        engine.rescheduled.set()
 
 
 async def run_timers(engine: models.Engine) -> None:
-    """Sleep until the earliest timer is due, and tick, for good."""
+    """Run a tick whenever a timer is due, without end."""
     while True:
-        engine.earlier = trio.Event()
-        engine.awaited_ms = core.next_due_ms(engine.world)
-        if engine.awaited_ms is None:
-            await engine.earlier.wait()
+        engine.rescheduled = trio.Event()
+        engine.next_due_ms = core.next_due_ms(engine.world)
+        if engine.next_due_ms is None:
+            await engine.rescheduled.wait()
             continue
-        left_ms = engine.awaited_ms - engine.now_ms()
-        with trio.move_on_after(max(0.0, left_ms) / const.MS_PER_S):
-            await engine.earlier.wait()
+        wait_ms = engine.next_due_ms - engine.now_ms()
+        with trio.move_on_after(max(0.0, wait_ms) / const.MS_PER_S):
+            await engine.rescheduled.wait()
             continue
         feed(engine)
 
 
-def carry_out(handlers: models.Handlers, output: out.Output) -> None:
-    """Hand one output to the part that carries it out."""
+def _execute(handlers: models.Handlers, output: out.Output) -> None:
+    """Pass an output to the handler for its kind."""
     match output:
         case out.SendPeer():
             handlers['send_peer'](output)
@@ -84,4 +84,4 @@
         case out.Stopped():
             handlers['stopped']()
         case out.Notify():
-            raise AssertionError(f'{output} left the tick')
+            raise AssertionError(f'{output} must be handled within the tick')
--- a/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/documents.py
@@ -1,4 +1,4 @@
-"""Turn rows into JSON objects for operators."""
+"""Convert rows to JSON objects for operators."""
 
 from collections import abc
 import dataclasses
@@ -17,18 +17,18 @@
     | abc.Mapping[str, 'Json']
 )
 
-WORD = re.compile(r'(?<!^)(?=[A-Z])')
+WORD_START = re.compile(r'(?<!^)(?=[A-Z])')
 
 
 def encode(value: object) -> bytes:
-    """Return a JSON document, rows and variants as objects."""
+    """Return a value as JSON, with rows and data classes as objects."""
     return msgspec.json.encode(plain(value))
 
 
 def plain(value: object) -> Json:
-    """Return ``value`` made of objects, lists and scalars.
+    """Return ``value`` converted to dicts, lists and scalars.
 
-    A data class gets its kind as a member, to tell variants apart.
+    A data class gets its class name as ``kind``, to distinguish variants.
 
     >>> from zinnialead_core.components import tickets
     >>> plain(tickets.UpstreamDrain('intake-1'))
@@ -49,6 +49,8 @@
 
 def _variant(value: object) -> Json:
     fields = dataclasses.fields(typing.cast('typing.Any', value))
-    members = {item.name: plain(getattr(value, item.name)) for item in fields}
-    kind = WORD.sub('-', type(value).__name__).lower()
+    members = {
+        field.name: plain(getattr(value, field.name)) for field in fields
+    }
+    kind = WORD_START.sub('-', type(value).__name__).lower()
     return {'kind': kind, **members}
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/common.py
@@ -1,4 +1,4 @@
-"""Encode what several components' messages have in common."""
+"""Encode the structs shared by several components' messages."""
 
 import math
 
@@ -7,34 +7,34 @@
 from zinnialead_daemon.components.peers.codec import schema
 
 
-def finite(value: float) -> float:
-    """Return a number that can be compared, or raise ``ValueError``."""
+def require_finite(value: float) -> float:
+    """Return a finite number, or raise ``ValueError``."""
     if not math.isfinite(value):
         raise ValueError(f'{value} is not a finite number')
     return value
 
 
 def entry_ref(ref: ids.EntryRef) -> schema.Fields:
-    """Return the fields of an entry's run."""
+    """Return the fields of a reference to a run of an entry."""
     return {'entry': ref.entry, 'incarnation': ref.incarnation}
 
 
 def read_entry_ref(reader: schema.Reader) -> ids.EntryRef:
-    """Return an entry's run."""
+    """Return a reference to a run of an entry."""
     return ids.EntryRef(ids.EntryId(reader.entry), reader.incarnation)
 
 
-def ask_id(found: ids.AskId) -> schema.Fields:
-    """Return the fields of an ask's id."""
+def ask_id(value: ids.AskId) -> schema.Fields:
+    """Return the fields of the id of a slot or claim request."""
     return {
-        'asker': entry_ref(found.asker),
-        'requestId': found.request_id,
-        'attempt': found.attempt,
+        'asker': entry_ref(value.asker),
+        'requestId': value.request_id,
+        'attempt': value.attempt,
     }
 
 
 def read_ask_id(reader: schema.Reader) -> ids.AskId:
-    """Return an ask's id."""
+    """Return the id of a slot or claim request."""
     return ids.AskId(
         read_entry_ref(reader.asker),
         ids.RequestId(reader.requestId),
@@ -42,23 +42,23 @@
     )
 
 
-def refusal(found: verdict.Refusal) -> schema.Fields:
+def refusal(value: verdict.Refusal) -> schema.Fields:
     """Return the fields of a refusal."""
     return {
-        'verdict': found.verdict.value,
-        'reason': found.reason.value,
-        'detail': found.detail,
-        'retryAfterMs': found.retry_after_ms,
+        'verdict': value.verdict.value,
+        'reason': value.reason.value,
+        'detail': value.detail,
+        'retryAfterMs': value.retry_after_ms,
     }
 
 
 def read_refusal(reader: schema.Reader) -> verdict.Refusal:
-    """Return a refusal; a verdict that is not known may have run."""
+    """Return a refusal; an unknown verdict is read as may-have-run."""
     return verdict.Refusal(
         _verdict(reader.verdict),
         _reason(reader.reason),
         reader.detail,
-        finite(reader.retryAfterMs),
+        require_finite(reader.retryAfterMs),
     )
 
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/keys.py
@@ -7,8 +7,8 @@
 from zinnialead_daemon.components.peers.codec import schema
 
 
-def ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
-    """Return the fields of a claim or of a bar."""
+def claim_ask(message: messages.ClaimAsk | messages.BarKey) -> schema.Fields:
+    """Return the fields of a request to claim or to bar a key."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -16,7 +16,7 @@
 
 
 def read_claim_ask(reader: schema.Reader) -> messages.ClaimAsk:
-    """Return a claim."""
+    """Return a request to claim a key."""
     return messages.ClaimAsk(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -24,7 +24,7 @@
 
 
 def read_bar_key(reader: schema.Reader) -> messages.BarKey:
-    """Return a bar."""
+    """Return a request to bar a key."""
     return messages.BarKey(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -32,13 +32,13 @@
 
 
 def claim_answer(message: messages.ClaimAnswer) -> schema.Fields:
-    """Return the fields of an answer to a claim."""
+    """Return the fields of the answer to a claim."""
     fields = {'key': message.key, 'askId': common.ask_id(message.ask_id)}
     match message.answer:
         case models.Granted():
             return {**fields, 'granted': None}
         case models.Recorded(status, record):
-            return {**fields, 'recorded': _answer(status, record)}
+            return {**fields, 'recorded': _recorded(status, record)}
         case models.Denied(refusal):
             return {**fields, 'denied': common.refusal(refusal)}
         case models.Waiting():
@@ -50,36 +50,36 @@
 
 
 def read_claim_answer(reader: schema.Reader) -> messages.ClaimAnswer:
-    """Return an answer to a claim."""
+    """Return the answer to a claim."""
     return messages.ClaimAnswer(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
-        _read_answer_kind(reader),
+        _read_answer(reader),
     )
 
 
 def claim_end(message: messages.ClaimEnd) -> schema.Fields:
-    """Return the fields of the end of a key's work."""
+    """Return the fields of a report that a key's work ended."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
-        'state': _state(message.state),
+        'state': _key_end(message.state),
         'sequence': message.sequence,
     }
 
 
 def read_claim_end(reader: schema.Reader) -> messages.ClaimEnd:
-    """Return the end of a key's work."""
+    """Return a report that a key's work ended."""
     return messages.ClaimEnd(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
         reader.sequence,
-        _read_state(reader.state),
+        _read_key_end(reader.state),
     )
 
 
 def claim_end_ack(message: messages.ClaimEndAck) -> schema.Fields:
-    """Return the fields of the confirmation of an end."""
+    """Return the fields of the confirmation of a claim's end."""
     return {
         'key': message.key,
         'askId': common.ask_id(message.ask_id),
@@ -88,7 +88,7 @@
 
 
 def read_claim_end_ack(reader: schema.Reader) -> messages.ClaimEndAck:
-    """Return the confirmation of an end."""
+    """Return the confirmation of a claim's end."""
     return messages.ClaimEndAck(
         ids.Key(reader.key),
         common.read_ask_id(reader.askId),
@@ -96,10 +96,10 @@
     )
 
 
-def _state(state: models.KeyEnd) -> schema.Fields:
+def _key_end(state: models.KeyEnd) -> schema.Fields:
     match state:
         case models.Ended(status, record):
-            return {'ended': _answer(status, record)}
+            return {'ended': _recorded(status, record)}
         case models.Undecided():
             return {'undecided': None}
         case models.Barred():
@@ -108,11 +108,11 @@
             return {'notRun': None}
 
 
-def _read_state(reader: schema.Reader) -> models.KeyEnd:
+def _read_key_end(reader: schema.Reader) -> models.KeyEnd:
     match str(reader.which()):
         case 'ended':
-            found = _read_answer(reader.ended)
-            return models.Ended(found.status, found.record)
+            recorded = _read_recorded(reader.ended)
+            return models.Ended(recorded.status, recorded.record)
         case 'barred':
             return models.Barred()
         case 'notRun':
@@ -121,14 +121,14 @@
             return models.Undecided()
 
 
-def _read_answer_kind(
+def _read_answer(
     reader: schema.Reader,
 ) -> models.Answer:
     match str(reader.which()):
         case 'granted':
             return models.Granted()
         case 'recorded':
-            return _read_answer(reader.recorded)
+            return _read_recorded(reader.recorded)
         case 'waiting':
             return models.Waiting()
         case 'freed':
@@ -139,12 +139,12 @@
             return models.Denied(common.read_refusal(reader.denied))
 
 
-def _answer(status: int, record: bytes | None) -> schema.Fields:
+def _recorded(status: int, record: bytes | None) -> schema.Fields:
     if record is None:
         return {'status': status}
     return {'status': status, 'record': record}
 
 
-def _read_answer(reader: schema.Reader) -> models.Recorded:
+def _read_recorded(reader: schema.Reader) -> models.Recorded:
     record = bytes(reader.record) if reader._has('record') else None
     return models.Recorded(reader.status, record)
