--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -120,28 +120,25 @@
 
 
 def apply_changes(
-    world: world_module.World, now_ms: float, received: inp.PeerChanges
+    world: world_module.World, now_ms: float, batch: inp.PeerChanges
 ) -> abc.Iterator[out.Output]:
     """Apply changes that another entry has read, unless some are missing."""
-    row = world.store.watches[received.kind]
+    row = world.store.watches[batch.kind]
     known_revision = models.known_revision(row)
-    if received.kind is not models.Kind.ENTRIES:
-        if received.latest_revision <= known_revision:
+    if batch.kind is not models.Kind.ENTRIES:
+        if batch.latest_revision <= known_revision:
             return
-        if (
-            row.synced_revision is None
-            or known_revision < received.base_revision
-        ):
+        if row.synced_revision is None or known_revision < batch.base_revision:
             # The next heartbeat makes this entry request a snapshot.
             world.counters['store.told_with_gap'] += 1
             return
     world.counters['store.told_by_peers'] += 1
-    health.hold_removals(world, now_ms, received.removal_delay_ms)
-    latest_revision = max(received.latest_revision, row.latest_revision)
-    world.store.watches[received.kind] = row._replace(
+    health.hold_removals(world, now_ms, batch.removal_delay_ms)
+    latest_revision = max(batch.latest_revision, row.latest_revision)
+    world.store.watches[batch.kind] = row._replace(
         latest_revision=latest_revision
     )
-    for change in received.items:
+    for change in batch.items:
         yield out.Notify(typing.cast('inp.Input', change))
 
 
@@ -154,23 +151,20 @@
 ) -> abc.Iterator[out.Output]:
     """Send changes from the store to the other entries of the region.
 
-    A configuration is too large for that; the heartbeat announces its
-    revision, and the others request it.
+    A configuration is too large: a heartbeat makes others request it.
     """
-    addresses = members.peer_addresses(world, now_ms)
-    if not addresses:
+    peers = members.peer_addresses(world, now_ms)
+    if not peers:
         return
     if row.kind is models.Kind.CONFIGURATION:
-        yield out.SendHeartbeat(
-            addresses, members.own_heartbeat(world, now_ms)
-        )
+        yield out.SendHeartbeat(peers, members.own_heartbeat(world, now_ms))
         return
     source = str(world.node.ref.entry)
     delay_ms = health.removal_delay_ms(world, now_ms)
     changes = inp.PeerChanges(
         row.kind, base_revision, row.latest_revision, items, source, delay_ms
     )
-    yield out.SendChanges(addresses, changes)
+    yield out.SendChanges(peers, changes)
 
 
 def lacks_known(world: world_module.World, listed: inp.Input) -> bool:
