Say in tickets what is requested from whom

The docstring about a new entry's pace gave 17 KB/s for the whole transfer; one part of 64 rows a round makes that the rate of each holder. Others didn't say who is notified of what, when a newer state is requested while a request is open, or that floor_share is a minimum. A test that an entry "goes back" now says that it reverts to an older state; its body stays.

make check and the tests in tests/core pass.

--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -75,7 +75,7 @@
     sender: ids.EntryRef,
     number: int,
 ) -> abc.Iterator[out.Output]:
-    """Request the state of a peer that is ahead, notify one behind."""
+    """Request a newer state from the sender, or announce one to it."""
     state = in_force(world)
     if number < state.number:
         yield out.SendPeer(sender.entry, _state_number(state))
@@ -166,7 +166,7 @@
 ) -> abc.Iterator[out.Output]:
     """Count a state that has the same number but comes from another ticket.
 
-    Only the first is logged, since peers repeat it.
+    Only the first is logged, since peers repeat their digests.
     """
     state = in_force(world)
     own_digest = parts.digest(state)
--- a/packages/core/src/zinnialead_core/components/tickets/models.py
+++ b/packages/core/src/zinnialead_core/components/tickets/models.py
@@ -40,7 +40,8 @@
 class RankRow(typing.NamedTuple):
     """Describe one rank of requests; a lower ``order`` is more urgent.
 
-    ``floor_share`` is the share of slot time that it gets while it waits.
+    ``floor_share`` is the least share of slot time that the rank gets
+    while its requests wait.
     """
 
     rank: ids.RankId
--- a/packages/core/src/zinnialead_core/components/tickets/pulling.py
+++ b/packages/core/src/zinnialead_core/components/tickets/pulling.py
@@ -20,7 +20,10 @@
     holder: ids.EntryId,
     number: int,
 ) -> abc.Iterator[out.Output]:
-    """Request a state that is newer than any requested so far."""
+    """Request a state that is newer than any requested so far.
+
+    While a request is open, its timer requests the newer state later.
+    """
     target = next(iter(world.spread.target), None)
     newest = target.number if target else world.states[const.IN_FORCE].number
     if number <= newest:
@@ -54,7 +57,7 @@
 def retry(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Request the state of another holder after one did not answer."""
+    """Request the state from another holder after one did not answer."""
     target = next(iter(world.spread.target), None)
     if target is None:
         return
@@ -69,7 +72,7 @@
     sender: ids.EntryRef,
     data: messages.StateData,
 ) -> abc.Iterator[out.Output | models.State]:
-    """Store a part, request another; yield the state once it is complete."""
+    """Store a part and request more, or yield the complete state."""
     state, part = world.states[const.IN_FORCE], data.state
     if not 0 <= data.part < data.parts <= const.PARTS_MAX:
         world.counters['tickets.parts_refused'] += 1
@@ -100,8 +103,8 @@
 def _has_no_state(state: models.State) -> bool:
     """Return whether this entry has no state yet.
 
-    Such an entry requests one part from each holder in a round, which
-    keeps the transfer below 17 KB/s.
+    Such an entry requests one part from each holder in a round, so that
+    each sends it less than 17 KB/s.
     """
     return state.number == 0
 
--- a/packages/core/src/zinnialead_core/components/tickets/serving.py
+++ b/packages/core/src/zinnialead_core/components/tickets/serving.py
@@ -17,7 +17,7 @@
     sender: ids.EntryRef,
     request: messages.StateAsk,
 ) -> abc.Iterator[out.Output]:
-    """Send what changed since the sender's state, or one part of the state."""
+    """Send the deltas since the requester's state, or a part of the state."""
     state = world.states[const.IN_FORCE]
     if request.number >= state.number:
         return
@@ -59,7 +59,7 @@
 def _take_from_budget(
     world: world_module.World, now_ms: float, rows: int
 ) -> bool:
-    """Take rows from the budget; return whether it had enough."""
+    """Take rows from the budget; return whether it had that many."""
     full = buckets.BucketRow(const.SERVED_ROWS_BURST, now_ms)
     row = next(iter(world.spread.budget), full)
     taken = buckets.take(
--- a/packages/core/src/zinnialead_core/components/tickets/spread.py
+++ b/packages/core/src/zinnialead_core/components/tickets/spread.py
@@ -9,7 +9,7 @@
 
 
 class TargetRow(typing.NamedTuple):
-    """Hold the newest known state's number, and an entry that has it."""
+    """Hold the number of the state to get, and an entry that has it."""
 
     number: int
     holder: ids.EntryId
@@ -25,9 +25,10 @@
 
 
 class SpreadTable(typing.NamedTuple):
-    """Hold the state being requested, and what peers are served from.
+    """Hold the state being requested, and the deltas to serve to peers.
 
-    ``target``, ``transfer`` and ``budget`` hold one row at most.
+    ``target``, ``transfer`` and ``budget`` hold one row at most; the budget
+    limits the rows served to peers.
     """
 
     target: list[TargetRow]
@@ -37,5 +38,5 @@
 
 
 def new_spread() -> SpreadTable:
-    """Return a table without requests and deltas."""
+    """Return an empty table."""
     return SpreadTable([], [], [], [])
--- a/tests/core/components/tickets/test_spread.py
+++ b/tests/core/components/tickets/test_spread.py
@@ -1,4 +1,4 @@
-"""Test that states spread between entries and never go back."""
+"""Test that states spread between entries and never revert."""
 
 import hypothesis
 from hypothesis import strategies as st
@@ -100,7 +100,7 @@
     assert network.worlds['a9'].states[const.IN_FORCE] == state
 
 
-def test_no_entry_goes_back_over_partition_and_heal():
+def test_no_entry_reverts_to_an_older_state_after_a_partition():
     network = settled_fleet({'a': 4, 'b': 4})
     member_network.feed(network, 'a0', inp.StateRead(numbered_state(1)))
     member_network.run_until(network, 10_000.0)
