Say in store what is read, counted and known

"each is its own PeerSeen" and "no known peer has been in contact yet" read oddly: each VM arrives as a PeerSeen, and an entry has no contact while it knows live peers only from the list of VMs.

make check and the tests in tests/core pass.

--- a/packages/core/src/zinnialead_core/components/store/__init__.py
+++ b/packages/core/src/zinnialead_core/components/store/__init__.py
@@ -1,4 +1,4 @@
-"""Decide when to call the platform's store, and with what call."""
+"""Decide when to call the platform's store, and what to request."""
 
 from zinnialead_core.components.store.calls import BindingRow
 from zinnialead_core.components.store.calls import Call
--- a/packages/core/src/zinnialead_core/components/store/calls.py
+++ b/packages/core/src/zinnialead_core/components/store/calls.py
@@ -106,7 +106,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listed:
-    """Report that a page of VMs was read; each is its own ``PeerSeen``.
+    """Report that a page of VMs was read; each VM arrives as a ``PeerSeen``.
 
     The next page begins after ``next_after``, empty for the last page.
     """
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -41,7 +41,7 @@
 def overdue_calls(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[int]:
-    """Yield the open calls whose result is overdue."""
+    """Yield the numbers of the open calls whose result is overdue."""
     for call_id, row in list(world.store.open_calls.items()):
         if now_ms > row.deadline_ms + const.LOST_MARGIN_MS:
             yield call_id
--- a/packages/core/src/zinnialead_core/components/store/tasks.py
+++ b/packages/core/src/zinnialead_core/components/store/tasks.py
@@ -127,7 +127,7 @@
     row: models.TaskRow,
     result: calls.Result,
 ) -> models.TaskRow:
-    """Return a task's row after a result of its call."""
+    """Return the row of a task after its call had a result."""
     match result:
         case calls.Failed() | calls.Conflict():
             wait_ms = limits.backoff_ms(world, row.failures)
@@ -161,7 +161,7 @@
 
 
 def _has_no_contact(world: world_module.World) -> bool:
-    """Return whether no known peer has been in contact yet.
+    """Return whether live peers are known only from the list of VMs.
 
     Such an entry cannot get the state from a peer.
     """
