Give the reason why the first upstreams do not ramp up

The comment told what the first state doesn't show, not what follows: its upstreams may have run for long. The docstring of ids had "types of the keys of the tables".

make check and the tests in tests/core pass.

--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -92,7 +92,7 @@
 
 def _update_upstreams(world: world_module.World, now_ms: float) -> None:
     state = world.states['in-force']
-    # The first state does not show how long its upstreams have run.
+    # Upstreams of the first state may have run for long: they do not ramp up.
     ramp_start_ms = now_ms if world.upstreams else None
     for upstream, declared in state.upstreams.items():
         row = world.upstreams.get(upstream)
--- a/packages/core/src/zinnialead_core/ids.py
+++ b/packages/core/src/zinnialead_core/ids.py
@@ -1,4 +1,4 @@
-"""Define the types of the keys of the core's tables."""
+"""Define the identifiers that the core's tables use as keys."""
 
 import typing
 
