State the lab's commands in usual terms

`plain way` reads simple baseline, `promises` guarantees, `every choice` all random choices; _part is _import_command. Commands and flags are unchanged; only their help texts read anew.

--- a/packages/lab/src/zinnialead_lab/__main__.py
+++ b/packages/lab/src/zinnialead_lab/__main__.py
@@ -1,4 +1,4 @@
-"""Run the demonstration, the benches, the fuzzing or the slopes."""
+"""Run the demonstration, the bench, the fuzzing or the capacity run."""
 
 import enum
 import importlib
@@ -11,11 +11,11 @@
     help='Show, measure and fuzz zinnialead on one machine.',
     no_args_is_help=True,
 )
-Seed = typing.Annotated[int, typer.Option(help='Seed of every choice.')]
+Seed = typing.Annotated[int, typer.Option(help='Seed of all random choices.')]
 
 
 class Deployment(enum.StrEnum):
-    """Name the deployments whose declarations are in examples/."""
+    """List the deployments whose declarations are in examples/."""
 
     SABARMATI = 'sabarmati'
     UMUSOZI = 'umusozi'
@@ -29,7 +29,7 @@
 
     Example: python -m zinnialead_lab demo --deployment umusozi
     """
-    raise typer.Exit(_part('demo').main(deployment.value, seed))
+    raise typer.Exit(_import_command('demo').main(deployment.value, seed))
 
 
 @app.command()
@@ -39,11 +39,11 @@
         bool, typer.Option(help='Run the short form, as CI does.')
     ] = False,
 ) -> None:
-    """Compare the policy with the plain way on the same arrivals.
+    """Compare the policy with a simple baseline on the same arrivals.
 
     Example: python -m zinnialead_lab bench --seed 7
     """
-    raise typer.Exit(_part('bench').main(seed=seed, short=short))
+    raise typer.Exit(_import_command('bench').main(seed=seed, short=short))
 
 
 @app.command()
@@ -51,23 +51,23 @@
     seed: Seed = 1,
     steps: typing.Annotated[int, typer.Option(help='Steps of each run.')] = 60,
 ) -> None:
-    """Fuzz several cores against the oracle of the promises.
+    """Fuzz several cores against an oracle of the guarantees.
 
     Example: python -m zinnialead_lab fuzz --seed 7 --steps 200
     """
-    raise typer.Exit(_part('fuzz').main(seed=seed, steps=steps))
+    raise typer.Exit(_import_command('fuzz').main(seed=seed, steps=steps))
 
 
 @app.command()
 def capacity() -> None:
-    """Measure the slopes behind docs/CAPACITY.md.
+    """Measure the costs and slopes given in docs/CAPACITY.md.
 
     Example: python -m zinnialead_lab capacity
     """
-    raise typer.Exit(_part('capacity').main())
+    raise typer.Exit(_import_command('capacity').main())
 
 
-def _part(name: str) -> types.ModuleType:
+def _import_command(name: str) -> types.ModuleType:
     module = f'zinnialead_lab.{name}'
     try:
         return importlib.import_module(module)
