Restore the sizes in the docstrings of the capacity run

The range of block counts and the number of domains had been left out of the reworded docstrings.

make check passes; tests/lab/capacity passes.

--- a/packages/lab/src/zinnialead_lab/capacity/blocks.py
+++ b/packages/lab/src/zinnialead_lab/capacity/blocks.py
@@ -1,4 +1,4 @@
-"""Measure look-ups by the number of blocks of client addresses."""
+"""Measure look-ups over 10^4 to 1.9 million blocks of client addresses."""
 
 from collections import abc
 import random
--- a/packages/lab/src/zinnialead_lab/capacity/fixtures.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fixtures.py
@@ -16,7 +16,7 @@
 
 
 def state(sites: int, number: int = 1) -> tickets.State:
-    """Return a state with one upstream for each of ``sites`` sites."""
+    """Return a state of 8 domains and ``sites`` upstreams, one a site."""
     services = [
         tickets.ServiceRow(
             service=ids.ServiceId(f'service-{n}'),
