Name the demonstration's work, outcomes and checks plainly

Work that was sent is SentWork with an outcome (was WorkDone, answer), an Aim is a Target, a check has `observed` (was seen). Functions say what they do: read_ticket, send_steadily, send_flood, book_repeatedly, check_all (were ticket, calm, flood, book_twice, after). Constants name what they count or bound. The docstring of the repeated booking told of two sends; it sends three. Printed tables and checks keep their texts.

--- a/packages/lab/src/zinnialead_lab/demo/const.py
+++ b/packages/lab/src/zinnialead_lab/demo/const.py
@@ -10,18 +10,18 @@
 FIRST_TICKET = '0001-deployment.json'
 DRAIN_TICKET = '0002-drain-upstream.json'
 
-# Work of the calm part, over all domains.
-CALM_S = 4.0
-CALM_PER_S = 25.0
+# Steady work over all domains, at a rate below capacity.
+CALM_DURATION_S = 4.0
+CALM_REQUESTS_PER_S = 25.0
 RANK_SHARES = (('urgent', 0.3), ('normal', 0.5), ('night', 0.2))
 DEADLINE_MS = 8_000.0
 
-FLOOD_NIGHT = 60
-FLOOD_URGENT = 20
-FLOOD_SPREAD_S = 1.0
+FLOOD_NIGHT_COUNT = 60
+FLOOD_URGENT_COUNT = 20
+FLOOD_URGENT_SPAN_S = 1.0
 
-POLL_S = 0.02
+POLL_PERIOD_S = 0.02
 POLLS_MAX = 500
-IN_FORCE_BOUND_MS = 7_000.0
-DRAIN_BOUND_MS = 3_000.0
-EXIT_BROKEN = 1
+TICKET_SPREAD_MAX_MS = 7_000.0
+DRAIN_MAX_MS = 3_000.0
+EXIT_CHECK_FAILED = 1
--- a/packages/lab/src/zinnialead_lab/demo/declarations.py
+++ b/packages/lab/src/zinnialead_lab/demo/declarations.py
@@ -21,27 +21,27 @@
 Loaded = expression.Result[T, zinnialead_config.Problems]
 
 
-def folder(options: models.Options) -> pathlib.Path:
+def deployment_folder(options: models.Options) -> pathlib.Path:
     """Return the folder of the deployment's declarations."""
-    found = options.examples / options.deployment
-    if not found.is_dir():
-        raise typer.BadParameter(f'{found} holds no deployment')
-    return found
+    path = options.examples / options.deployment
+    if not path.is_dir():
+        raise typer.BadParameter(f'{path} holds no deployment')
+    return path
 
 
-def settings(options: models.Options) -> zinnialead_config.Settings:
+def read_settings(options: models.Options) -> zinnialead_config.Settings:
     """Return the settings that the deployment's entries share."""
-    path = folder(options) / const.SETTINGS_FILE
-    return _loaded(zinnialead_config.load_settings(path, {}))
+    path = deployment_folder(options) / const.SETTINGS_FILE
+    return _unwrap(zinnialead_config.load_settings(path, {}))
 
 
-def ticket(
+def read_ticket(
     options: models.Options, name: str, addresses: abc.Mapping[str, str]
 ) -> zinnialead_config.Ticket:
-    """Return a ticket with the upstreams at their addresses here."""
-    path = folder(options) / name
-    read = _loaded(zinnialead_config.load_ticket(path))
-    document = copy.deepcopy(read.document)
+    """Return a ticket with the upstreams' addresses in this process."""
+    path = deployment_folder(options) / name
+    loaded = _unwrap(zinnialead_config.load_ticket(path))
+    document = copy.deepcopy(loaded.document)
     for place in document.get('places', {}).values():
         if place is None:
             continue
@@ -52,23 +52,25 @@
 
 
 async def file_ticket(
-    address: str, wanted: zinnialead_config.Ticket
+    address: str, ticket: zinnialead_config.Ticket
 ) -> filing.Outcome:
-    """File a ticket the way the operators' command line does."""
-    return await trio.to_thread.run_sync(_file, address, wanted)
+    """File a ticket as the operators' command line does."""
+    return await trio.to_thread.run_sync(_file_ticket, address, ticket)
 
 
-def _file(address: str, wanted: zinnialead_config.Ticket) -> filing.Outcome:
-    steps = filing.file_ticket(wanted, time.time() * const.MS_PER_S)
-    call = next(steps)
+def _file_ticket(
+    address: str, ticket: zinnialead_config.Ticket
+) -> filing.Outcome:
+    calls = filing.file_ticket(ticket, time.time() * const.MS_PER_S)
+    call = next(calls)
     try:
         while True:
-            call = steps.send(clients.call_store(address, call))
+            call = calls.send(clients.call_store(address, call))
     except StopIteration as stop:
         return typing.cast('filing.Outcome', stop.value)
 
 
-def _loaded(result: Loaded[T]) -> T:
+def _unwrap(result: Loaded[T]) -> T:
     match result:
         case expression.Result(tag='ok', ok=value):
             return value
--- a/packages/lab/src/zinnialead_lab/demo/deployment.py
+++ b/packages/lab/src/zinnialead_lab/demo/deployment.py
@@ -32,7 +32,7 @@
     console: rich.console.Console,
     nursery: trio.Nursery,
 ) -> models.Demo:
-    """Return the deployment, started and without a ticket in force."""
+    """Return the started deployment; no ticket is in force yet."""
     store = stores.new_store()
     store_app = stores.asgi_app(store)
     demo = models.Demo(
@@ -40,15 +40,15 @@
         console=console,
         random=random.Random(options.seed),
         nursery=nursery,
-        settings=declarations.settings(options),
-        state=_state(options),
+        settings=declarations.read_settings(options),
+        state=_first_state(options),
         store=store,
         store_address=await _serve(nursery, store_app),
         ledger=upstreams.new_ledger(),
         upstreams={},
         entries={},
         callers={},
-        done=[],
+        sent_work=[],
         checks=[],
     )
     await _start_upstreams(demo)
@@ -57,29 +57,29 @@
     return demo
 
 
-def _state(options: models.Options) -> tickets.State:
-    first = declarations.ticket(options, const.FIRST_TICKET, {})
-    folded = folding.fold(tickets.empty_state(), first, 0.0)
-    return folded.default_value(tickets.empty_state())
+def _first_state(options: models.Options) -> tickets.State:
+    ticket = declarations.read_ticket(options, const.FIRST_TICKET, {})
+    result = folding.fold(tickets.empty_state(), ticket, 0.0)
+    return result.default_value(tickets.empty_state())
 
 
 async def _serve(nursery: trio.Nursery, app: http.AsgiApp) -> str:
-    run = functools.partial(http.serve, app, ANY_PORT, trio.sleep_forever)
-    address: str = await nursery.start(run)
+    serve = functools.partial(http.serve, app, ANY_PORT, trio.sleep_forever)
+    address: str = await nursery.start(serve)
     return address
 
 
 async def _start_upstreams(demo: models.Demo) -> None:
     rows = dict(demo.state.upstreams)
     for name, row in rows.items():
-        time_ms = demo.state.services[row.service].service_time_ms
-        plan = upstreams.WorkProfile(row.slots, time_ms)
-        made = upstreams.new_upstream(
-            name, plan, demo.ledger, demo.options.seed
+        service_time_ms = demo.state.services[row.service].service_time_ms
+        profile = upstreams.WorkProfile(row.slots, service_time_ms)
+        upstream = upstreams.new_upstream(
+            name, profile, demo.ledger, demo.options.seed
         )
-        address = await _serve(demo.nursery, upstreams.asgi_app(made))
+        address = await _serve(demo.nursery, upstreams.asgi_app(upstream))
         rows[name] = row._replace(address=address)
-        demo.upstreams[name] = made
+        demo.upstreams[name] = upstream
     demo.state = demo.state._replace(upstreams=rows)
 
 
@@ -90,14 +90,21 @@
         for number in range(1, const.ENTRIES_PER_DOMAIN + 1)
     ]
     seeds = tuple(
-        settings_models.Seed(item.entry, item.domain, item.peers_bind)
-        for item in settings
+        settings_models.Seed(
+            entry_settings.entry,
+            entry_settings.domain,
+            entry_settings.peers_bind,
+        )
+        for entry_settings in settings
     )
-    for item in settings:
-        vm = {'domain': item.domain, 'address': item.peers_bind}
-        stores.put(demo.store, objects.VMS_KIND, item.entry, vm)
-    for item in settings:
-        await _start_entry(demo, item._replace(seeds=seeds))
+    for entry_settings in settings:
+        vm = {
+            'domain': entry_settings.domain,
+            'address': entry_settings.peers_bind,
+        }
+        stores.put(demo.store, objects.VMS_KIND, entry_settings.entry, vm)
+    for entry_settings in settings:
+        await _start_entry(demo, entry_settings._replace(seeds=seeds))
 
 
 def _entry_settings(
@@ -121,35 +128,35 @@
     incarnation = int(time.time() * const.MS_PER_S)
     world = applications.new_world(settings, incarnation)
     application = applications.new_application(settings, world)
-    scope = trio.CancelScope()
-    addresses = await demo.nursery.start(_run_entry, application, scope)
+    cancel_scope = trio.CancelScope()
+    addresses = await demo.nursery.start(_run_entry, application, cancel_scope)
     demo.entries[settings.entry] = models.Entry(
-        application, addresses.callers, scope
+        application, addresses.callers, cancel_scope
     )
 
 
 async def _run_entry(
     application: applications.Application,
-    scope: trio.CancelScope,
+    cancel_scope: trio.CancelScope,
     task_status: 'trio.TaskStatus[applications.Addresses]',
 ) -> None:
-    with scope:
+    with cancel_scope:
         await applications.run(application, task_status)
 
 
 def _make_callers(demo: models.Demo) -> None:
     for domain in demo.state.domains:
-        near = [
+        local = [
             entry.callers_address
             for entry in demo.entries.values()
             if entry.application.settings.domain == domain
         ]
-        others = [
+        remote = [
             entry.callers_address
             for entry in demo.entries.values()
             if entry.application.settings.domain != domain
         ]
-        seeds = [*near, *itertools.islice(others, 2)]
+        seeds = [*local, *itertools.islice(remote, 2)]
         demo.callers[domain] = callers.new_caller(
             domain, seeds, _new_pool(), demo.options.seed
         )
@@ -163,7 +170,7 @@
 
 
 def _free_port() -> int:
-    with socket.socket() as held:
-        held.bind((const.HOST, 0))
-        port: int = held.getsockname()[1]
+    with socket.socket() as probe:
+        probe.bind((const.HOST, 0))
+        port: int = probe.getsockname()[1]
     return port
--- a/packages/lab/src/zinnialead_lab/demo/models.py
+++ b/packages/lab/src/zinnialead_lab/demo/models.py
@@ -1,4 +1,4 @@
-"""Define what the demonstration holds."""
+"""Define the options, the deployment and the checks of the demonstration."""
 
 import dataclasses
 import pathlib
@@ -17,7 +17,7 @@
 
 
 class Options(typing.NamedTuple):
-    """Say which deployment to show, and with which seed."""
+    """Hold which deployment to run, with which seed, from which folder."""
 
     deployment: str
     seed: int
@@ -30,28 +30,28 @@
 
     application: applications.Application
     callers_address: str
-    scope: trio.CancelScope
+    cancel_scope: trio.CancelScope
 
 
-class WorkDone(typing.NamedTuple):
-    """Hold one piece of work and what its caller was told."""
+class SentWork(typing.NamedTuple):
+    """Hold one piece of work, the part that sent it and its outcome."""
 
     work: callers.Work
     part: str
-    answer: callers.Outcome
+    outcome: callers.Outcome
 
 
 class Check(typing.NamedTuple):
-    """Say whether something that must hold did."""
+    """Hold whether a guarantee holds, and what was observed."""
 
     name: str
     holds: bool
-    seen: str
+    observed: str
 
 
 @dataclasses.dataclass(slots=True)
 class Demo:
-    """Hold the whole deployment and what was seen of it."""
+    """Hold the running deployment, the work sent to it and the checks."""
 
     options: Options
     console: rich.console.Console
@@ -65,5 +65,5 @@
     upstreams: dict[str, upstreams.Upstream]
     entries: dict[str, Entry]
     callers: dict[str, callers.Caller]
-    done: list[WorkDone]
+    sent_work: list[SentWork]
     checks: list[Check]
--- a/packages/lab/src/zinnialead_lab/demo/report.py
+++ b/packages/lab/src/zinnialead_lab/demo/report.py
@@ -1,4 +1,4 @@
-"""Print service by rank, and what must hold."""
+"""Format the outcomes by rank, and the checks, as tables."""
 
 from collections import abc
 import itertools
@@ -12,45 +12,45 @@
 
 
 def service_by_rank(demo: models.Demo) -> rich.table.Table:
-    """Return a table of what each rank got in each part."""
+    """Return a table of outcomes and latencies by part and rank."""
     table = rich.table.Table(title='Service by rank')
     table.add_column('part')
     table.add_column('rank')
     for column in COLUMNS:
         table.add_column(column, justify='right')
-    order = {row.rank: row.order for row in demo.state.ranks.values()}
-    parts = list(dict.fromkeys(row.part for row in demo.done))
-    ranks = sorted(order, key=lambda rank: order[rank])
+    order_by_rank = {row.rank: row.order for row in demo.state.ranks.values()}
+    parts = list(dict.fromkeys(row.part for row in demo.sent_work))
+    ranks = sorted(order_by_rank, key=lambda rank: order_by_rank[rank])
     for part, rank in itertools.product(parts, ranks):
-        answers = [
-            row.answer
-            for row in demo.done
+        outcomes = [
+            row.outcome
+            for row in demo.sent_work
             if (row.part, row.work.rank) == (part, rank)
         ]
-        if answers:
-            table.add_row(part, rank, *_cells(answers))
+        if outcomes:
+            table.add_row(part, rank, *_cells(outcomes))
     return table
 
 
 def checks(demo: models.Demo) -> rich.table.Table:
-    """Return a table of what must hold."""
+    """Return a table of the checks and what was observed."""
     table = rich.table.Table('what must hold', '', 'seen')
     for check in demo.checks:
         mark = '[green]holds' if check.holds else '[red]BROKEN'
-        table.add_row(check.name, mark, check.seen)
+        table.add_row(check.name, mark, check.observed)
     return table
 
 
-def _cells(answers: list[callers.Outcome]) -> abc.Iterator[str]:
-    kinds = [type(answer) for answer in answers]
-    yield str(len(answers))
-    for kind in (callers.Ran, callers.NotRun, callers.MayHaveRun):
-        yield str(kinds.count(kind))
+def _cells(outcomes: list[callers.Outcome]) -> abc.Iterator[str]:
+    outcome_types = [type(outcome) for outcome in outcomes]
+    yield str(len(outcomes))
+    for outcome_type in (callers.Ran, callers.NotRun, callers.MayHaveRun):
+        yield str(outcome_types.count(outcome_type))
     ran_ms = sorted(
-        answer.elapsed_ms
-        for answer in answers
-        if isinstance(answer, callers.Ran)
+        outcome.elapsed_ms
+        for outcome in outcomes
+        if isinstance(outcome, callers.Ran)
     )
-    for share in (0.5, 0.99):
-        place = int(share * (len(ran_ms) - 1))
-        yield f'{ran_ms[place]:.1f}' if ran_ms else '-'
+    for quantile in (0.5, 0.99):
+        index = int(quantile * (len(ran_ms) - 1))
+        yield f'{ran_ms[index]:.1f}' if ran_ms else '-'
--- a/packages/lab/src/zinnialead_lab/demo/work.py
+++ b/packages/lab/src/zinnialead_lab/demo/work.py
@@ -1,4 +1,4 @@
-"""Send work of every rank, and keep what its callers were told."""
+"""Send work of every rank, and record its outcomes."""
 
 from collections import abc
 import itertools
@@ -11,92 +11,98 @@
 from zinnialead_lab.demo import models
 from zinnialead_standins import caller as callers
 
-NUMBERS = itertools.count(1)
+WORK_NUMBERS = itertools.count(1)
 
 
-class Aim(typing.NamedTuple):
-    """Say which services of which domains to ask."""
+class Target(typing.NamedTuple):
+    """Hold the services that work is for and the domains it is sent from."""
 
     services: tuple[tickets.ServiceRow, ...]
     domains: tuple[str, ...]
 
 
-def everywhere(demo: models.Demo) -> Aim:
-    """Return an aim at all services from all domains."""
+def whole_deployment(demo: models.Demo) -> Target:
+    """Return all services as a target, called from all domains."""
     services = tuple(demo.state.services.values())
-    return Aim(services, tuple(demo.callers))
+    return Target(services, tuple(demo.callers))
 
 
-def at_upstream(demo: models.Demo, name: str) -> Aim:
-    """Return an aim at the service and domain of one upstream."""
-    row = next(x for x in demo.state.upstreams.values() if x.upstream == name)
-    return Aim((demo.state.services[row.service],), (row.domain,))
+def upstream_target(demo: models.Demo, name: str) -> Target:
+    """Return the service of one upstream, called from its domain."""
+    row = next(
+        candidate
+        for candidate in demo.state.upstreams.values()
+        if candidate.upstream == name
+    )
+    return Target((demo.state.services[row.service],), (row.domain,))
 
 
-async def calm(demo: models.Demo, part: str, aim: Aim) -> None:
+async def send_steadily(demo: models.Demo, part: str, target: Target) -> None:
     """Send work of every rank at a rate below capacity."""
     ranks = [rank for rank, _ in const.RANK_SHARES]
     shares = [share for _, share in const.RANK_SHARES]
-    until_s = trio.current_time() + const.CALM_S
+    end_s = trio.current_time() + const.CALM_DURATION_S
     async with trio.open_nursery() as nursery:
-        while trio.current_time() < until_s:
-            service = demo.random.choice(aim.services)
-            domain = demo.random.choice(aim.domains)
+        while trio.current_time() < end_s:
+            service = demo.random.choice(target.services)
+            domain = demo.random.choice(target.domains)
             [rank] = demo.random.choices(ranks, shares)
-            made = _work(service, rank)
-            nursery.start_soon(do, demo, domain, part, made)
-            pause_s = demo.random.expovariate(const.CALM_PER_S)
+            work = _new_work(service, rank)
+            nursery.start_soon(send_work, demo, domain, part, work)
+            pause_s = demo.random.expovariate(const.CALM_REQUESTS_PER_S)
             await trio.sleep(pause_s)
 
 
-async def flood(demo: models.Demo, part: str) -> None:
-    """Send night work at once to one domain, and urgent work during it."""
+async def send_flood(demo: models.Demo, part: str) -> None:
+    """Send a burst of night work to one domain, and urgent work during it."""
     domain = next(iter(demo.callers))
-    service = _scarce(demo, domain)
+    service = _scarcest_service(demo, domain)
     async with trio.open_nursery() as nursery:
-        for _ in range(const.FLOOD_NIGHT):
-            made = _work(service, 'night')
-            nursery.start_soon(do, demo, domain, part, made)
-        for _ in range(const.FLOOD_URGENT):
-            await trio.sleep(const.FLOOD_SPREAD_S / const.FLOOD_URGENT)
-            made = _work(service, 'urgent')
-            nursery.start_soon(do, demo, domain, part, made)
-
-
-async def book_twice(
+        for _ in range(const.FLOOD_NIGHT_COUNT):
+            work = _new_work(service, 'night')
+            nursery.start_soon(send_work, demo, domain, part, work)
+        for _ in range(const.FLOOD_URGENT_COUNT):
+            await trio.sleep(
+                const.FLOOD_URGENT_SPAN_S / const.FLOOD_URGENT_COUNT
+            )
+            work = _new_work(service, 'urgent')
+            nursery.start_soon(send_work, demo, domain, part, work)
+
+
+async def book_repeatedly(
     demo: models.Demo,
 ) -> abc.Sequence[callers.Outcome]:
-    """Send one booking twice at once with one key, at two entries."""
+    """Send one booking three times with one key: two at once, one later."""
     domain = next(iter(demo.callers))
     caller = demo.callers[domain]
-    service = _scarce(demo, domain)
+    service = _scarcest_service(demo, domain)
     addresses = await callers.entry_addresses(caller, service.service)
     key = await callers.fresh_key(caller, service.service, addresses[0])
-    made = _work(service, 'urgent')._replace(key=key)
-    answers: list[callers.Outcome] = []
+    work = _new_work(service, 'urgent')._replace(key=key)
+    outcomes: list[callers.Outcome] = []
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_book, caller, made, answers)
-        nursery.start_soon(_book, caller, made, answers)
-    await _book(caller, made, answers)
-    return answers
+        nursery.start_soon(_send_booking, caller, work, outcomes)
+        nursery.start_soon(_send_booking, caller, work, outcomes)
+    await _send_booking(caller, work, outcomes)
+    return outcomes
 
 
-async def do(
+async def send_work(
     demo: models.Demo, domain: str, part: str, work: callers.Work
 ) -> None:
-    """Send one piece of work and keep what became of it."""
-    answer = await callers.send(demo.callers[domain], work)
-    demo.done.append(models.WorkDone(work, part, answer))
+    """Send one piece of work and record its outcome."""
+    outcome = await callers.send(demo.callers[domain], work)
+    demo.sent_work.append(models.SentWork(work, part, outcome))
 
 
-async def _book(
-    caller: callers.Caller, work: callers.Work, answers: list[callers.Outcome]
+async def _send_booking(
+    caller: callers.Caller, work: callers.Work, outcomes: list[callers.Outcome]
 ) -> None:
-    answers.append(await callers.send(caller, work))
+    outcomes.append(await callers.send(caller, work))
 
 
-def _scarce(demo: models.Demo, domain: str) -> tickets.ServiceRow:
-    counts = {
+def _scarcest_service(demo: models.Demo, domain: str) -> tickets.ServiceRow:
+    slots = {
         row.service: sum(
             upstream.slots
             for upstream in demo.state.upstreams.values()
@@ -105,12 +111,12 @@
         for row in demo.state.services.values()
         if not row.idempotent
     }
-    return demo.state.services[min(counts, key=lambda name: counts[name])]
+    return demo.state.services[min(slots, key=lambda name: slots[name])]
 
 
-def _work(service: tickets.ServiceRow, rank: str) -> callers.Work:
+def _new_work(service: tickets.ServiceRow, rank: str) -> callers.Work:
     return callers.Work(
-        name=f'w-{next(NUMBERS)}',
+        name=f'w-{next(WORK_NUMBERS)}',
         service=service.service,
         rank=rank,
         keyed=not service.idempotent,
--- a/tests/lab/demo/test_checks.py
+++ b/tests/lab/demo/test_checks.py
@@ -1,4 +1,4 @@
-"""Break what must hold, and see that the demonstration says so."""
+"""Test that each violated guarantee fails its check by name."""
 
 import types
 
@@ -14,21 +14,23 @@
 RUN = upstreams.RunRow('w-1', 'k', 'u-1', 0.0)
 
 
-def broken(answer, runs, most=0):
+def failed_checks(outcome, runs, peak=0):
     work = callers.Work('w-1', 'intake', 'urgent', keyed=True)
     ledger = upstreams.Ledger({'w-1': runs} if runs else {})
-    made = upstreams.new_upstream('u-1', upstreams.WorkProfile(1, 0.0), ledger)
-    made.peak_in_flight = most
+    upstream = upstreams.new_upstream(
+        'u-1', upstreams.WorkProfile(1, 0.0), ledger
+    )
+    upstream.peak_in_flight = peak
     demo = types.SimpleNamespace(
-        done=[models.WorkDone(work, 'calm', answer)],
+        sent_work=[models.SentWork(work, 'calm', outcome)],
         ledger=ledger,
-        upstreams={'u-1': made},
+        upstreams={'u-1': upstream},
     )
-    return [check.name for check in checks.after(demo) if not check.holds]
+    return [check.name for check in checks.check_all(demo) if not check.holds]
 
 
 @pytest.mark.parametrize(
-    ('answer', 'runs', 'most', 'names'),
+    ('outcome', 'runs', 'peak', 'names'),
     [
         (RAN, [RUN], 1, []),
         (NOT_RUN, [], 1, []),
@@ -39,5 +41,5 @@
         (RAN, [RUN], 2, ['upstreams above their slots']),
     ],
 )
-def test_each_broken_promise_is_named(answer, runs, most, names):
-    assert broken(answer, runs, most) == names
+def test_each_violated_guarantee_is_named(outcome, runs, peak, names):
+    assert failed_checks(outcome, runs, peak) == names
