Say how the HTTP client resets its parser

"Prepare for another response after one to an earlier request" did not say why a request is given to a parser that sends nothing: h11 accepts a response only after the head of its request. The field `sent` had no explanation; it decides whether a cancelled attempt may have run. The connect timeout "is too short for the retransmission" read like a fault; it now says that an attempt that loses a packet fails instead of waiting. The errors say "Signal ...", as those of the daemon do. The front returns None if the caller "disconnects", the term of the HTTP server, and unloading closes the peers' socket, not "the sockets".

--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -132,7 +132,7 @@
 
 
 def unload(application: Application) -> None:
-    """Write the remaining log lines and close the sockets."""
+    """Write the remaining log lines and close the peers' socket."""
     logs.life_cycle(
         application.logs, 'stopped', in_hand=_count_pending(application)
     )
--- a/packages/gateway/src/zinnialead_gateway/front/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/front/coordinator.py
@@ -46,7 +46,7 @@
 async def handle(
     front: Front, caller: http_models.Caller, request: http_models.Request
 ) -> http_models.Response | None:
-    """Handle a caller's request; return None if the caller left."""
+    """Handle a caller's request; return None if the caller disconnects."""
     target = request.target.decode('latin-1')
     try:
         head = front.dialect.read_request(target, request.headers)
--- a/packages/gateway/src/zinnialead_gateway/http/client.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client.py
@@ -32,12 +32,15 @@
 
 
 class ProtocolError(Exception):
-    """Raised for an unusable response; the request was sent."""
+    """Signal an unusable response; the request was sent."""
 
 
 @dataclasses.dataclass(slots=True)
 class Connection:
-    """Hold a connection; ``last_used_ms`` is the end of its last exchange."""
+    """Hold a connection; ``last_used_ms`` is the end of its last exchange.
+
+    ``sent`` is set once bytes of the current request may have been sent.
+    """
 
     address: str
     stream: trio.SocketStream
@@ -141,7 +144,11 @@
 
 
 def expect_another_response(connection: Connection, request: Request) -> None:
-    """Prepare for another response after one to an earlier request."""
+    """Reset the parser after a response to an earlier request.
+
+    The new parser needs the request's head to accept a response to it;
+    nothing is sent.
+    """
     unread, is_closed = connection.parser.trailing_data
     parser = h11.Connection(h11.CLIENT)
     headers = [x for x in request.headers if x[0].lower() == b'host']
--- a/packages/gateway/src/zinnialead_gateway/http/const.py
+++ b/packages/gateway/src/zinnialead_gateway/http/const.py
@@ -10,8 +10,8 @@
 WRITE_TIMEOUT_S = 30.0
 CLOSE_LINGER_S = 0.5
 RESPONSE_BYTES_MAX = 16_777_216
-# Round trips between regions take 70 ms. The limit is too short for the
-# retransmission of a lost packet.
+# Round trips between regions take 70 ms. An attempt that loses a packet fails
+# instead of waiting for the retransmission.
 CONNECT_TIMEOUT_MS = 350.0
 # The kernel closes a connection whose data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 2_500
--- a/packages/gateway/src/zinnialead_gateway/http/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/models.py
@@ -76,7 +76,7 @@
 
 
 class BadRequestError(Exception):
-    """Raised for a request that is answered with an error status."""
+    """Signal a request that is answered with an error status."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
