Name the limits of logs and describe peers' messages

LINES_PER_S_MAX limits decisions only, beside limits named for routine decisions and state changes; it is DECISIONS_PER_S_MAX now. "Life-cycle lines have none" could mean that they have no budget to write with; they are not limited. A latency is observed for a route, no longer a `name`. The schema's struct names differ from those of the code, as they are part of the protocol; a comment says what each message is.

--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -14,11 +14,11 @@
 from zinnialead_gateway import engine as engines
 
 # Rate limit and burst of lines: about 1% of a core of the smallest machine.
-LINES_PER_S_MAX = 40.0
+DECISIONS_PER_S_MAX = 40.0
 LINES_BURST_MAX = 200.0
 # Every request has routine decisions; under load a sample is logged.
 ROUTINE_PER_S_MAX = 20.0
-# State changes have their own budget. Life-cycle lines have none.
+# State changes have their own limit; life-cycle lines are not limited.
 STATE_CHANGES_PER_S_MAX = 20.0
 QUEUED_LINES_MAX = 2_000
 FLUSH_PERIOD_S = 0.25
@@ -53,7 +53,7 @@
         entry,
         counters,
         collections.deque(),
-        _new_budget(LINES_PER_S_MAX, LINES_BURST_MAX),
+        _new_budget(DECISIONS_PER_S_MAX, LINES_BURST_MAX),
         _new_budget(STATE_CHANGES_PER_S_MAX, LINES_BURST_MAX),
         _new_budget(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
     )
@@ -92,7 +92,7 @@
 
 
 def life_cycle(logs: Logs, event: str, **fields: object) -> None:
-    """Log a start, stop or reload, without a rate limit."""
+    """Log an event such as a start or reload, without a rate limit."""
     eliot.log_message(
         message_type='life', entry=logs.entry, event=event, **fields
     )
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -22,13 +22,13 @@
     sums_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
-def observe(metrics: Metrics, name: str, elapsed_ms: float) -> None:
+def observe(metrics: Metrics, route: str, elapsed_ms: float) -> None:
     """Add a latency to the histogram of a route."""
-    counts = metrics.latencies.get(name)
+    counts = metrics.latencies.get(route)
     if counts is None:
-        counts = metrics.latencies[name] = [0] * (len(BUCKETS_MS) + 1)
+        counts = metrics.latencies[route] = [0] * (len(BUCKETS_MS) + 1)
     counts[bisect.bisect_left(BUCKETS_MS, elapsed_ms)] += 1
-    metrics.sums_ms[name] = metrics.sums_ms.get(name, 0.0) + elapsed_ms
+    metrics.sums_ms[route] = metrics.sums_ms.get(route, 0.0) + elapsed_ms
 
 
 def render_page(metrics: Metrics) -> http_models.Response:
--- a/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/operators/coordinator.py
@@ -45,7 +45,7 @@
 
 
 def _json(document: object) -> http_models.Response:
-    # Rows would be encoded as lists without field names.
+    # msgspec would encode rows as lists without field names.
     body = msgspec.json.encode(_to_plain(document))
     return http_models.Response(200, JSON, body)
 
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -225,6 +225,7 @@
 
 
 def _require_row(kind: store.Kind, row: object) -> object:
+    """Return a row; TypeError for a name, unless rows are names."""
     if isinstance(row, str) and kind is not store.Kind.DRAINS:
         raise TypeError(f'{row!r} is not a row')
     return row
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -51,8 +51,8 @@
     nursery.start_soon(_receive, peers)
     for address in snapshot_binds:
         listener = await sockets.listen(address)
-        answer = functools.partial(_serve_snapshots, peers)
-        nursery.start_soon(trio.serve_listeners, answer, [listener])
+        handler = functools.partial(_serve_snapshots, peers)
+        nursery.start_soon(trio.serve_listeners, handler, [listener])
     return peers
 
 
--- a/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
+++ b/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
@@ -1,5 +1,6 @@
 @0xc5f2a1d08b3e6f47;
 
+# A heartbeat.
 struct Beat {
   entry @0 :Text;
   incarnation @1 :UInt64;
@@ -10,6 +11,7 @@
   perS @6 :Float32;
 }
 
+# Changes of one kind of objects after the revision `base`.
 struct Told {
   kind @0 :Text;
   base @1 :UInt64;
@@ -26,10 +28,12 @@
   }
 }
 
+# A request for snapshots.
 struct Ask {
   kinds @0 :List(Text);
 }
 
+# A snapshot of one kind of objects.
 struct Known {
   kind @0 :Text;
   latest @1 :UInt64;
@@ -38,6 +42,7 @@
   settleMs @4 :Float64;
 }
 
+# The response to `Ask`.
 struct Answer {
   source @0 :Text;
   known @1 :List(Known);
