--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -46,7 +46,11 @@
 
 @dataclasses.dataclass
 class FakeUpstream:
-    """Hold an upstream, the requests it ran and how it behaves."""
+    """Hold an upstream, the requests it ran and how it behaves.
+
+    ``behaviour`` is 'well', 'cuts' (aborts the connection after running the
+    request), 'sheds' or 'unsealed'.
+    """
 
     instance: str
     slots: int = 4
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -50,7 +50,7 @@
         heads.read_request('/', [])
 
 
-def test_an_answer_is_read():
+def test_a_response_is_read():
     head = heads.read_response(
         200,
         [
@@ -71,7 +71,7 @@
 
 
 @pytest.mark.parametrize(
-    ('sent_verdict', 'reason', 'status'),
+    ('refusal_verdict', 'reason', 'status'),
     [
         (verdict.Verdict.NOT_RUN, verdict.Reason.NO_HEADROOM, 503),
         (verdict.Verdict.NOT_RUN, verdict.Reason.DEADLINE_PASSED, 503),
@@ -81,9 +81,9 @@
     ],
 )
 def test_only_requests_that_have_not_run_get_503_or_404(
-    sent_verdict, reason, status
+    refusal_verdict, reason, status
 ):
-    refusal = verdict.Refusal(sent_verdict, reason, 'why', 300.0)
+    refusal = verdict.Refusal(refusal_verdict, reason, 'why', 300.0)
     head = heads.write_refusal(None, refusal)
     assert head.status == status
     retry_after = dict(head.headers).get(b'Retry-After')
--- a/tests/gateway/test_codec.py
+++ b/tests/gateway/test_codec.py
@@ -1,4 +1,4 @@
-"""Encode the messages between entries; reject malformed ones."""
+"""Test encoding and decoding the messages between entries."""
 
 import contextlib
 
