--- a/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/coordinator.py
@@ -21,7 +21,7 @@
 def new_engine(
     world: core.World, now_ms: abc.Callable[[], float] | None = None
 ) -> models.Engine:
-    """Return an engine without a handler for most kinds of output."""
+    """Return an engine with only its initial handlers set."""
     return models.Engine(
         world=world,
         now_ms=now_ms or wall_clock(),
--- a/packages/daemon/src/zinnialead_daemon/components/engine/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/engine/models.py
@@ -26,8 +26,8 @@
 class Engine:
     """Hold an entry's tables, its clock and the handlers of its outputs.
 
-    ``rescheduled`` wakes the timer task when a timer becomes due before
-    ``next_due_ms``, the time for which that task sleeps.
+    ``rescheduled`` wakes the timer task when a new timer is due before
+    ``next_due_ms``, the time until which that task sleeps.
     """
 
     world: core.World
--- a/packages/daemon/src/zinnialead_daemon/components/front/const.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/const.py
@@ -21,10 +21,10 @@
 QUESTIONS_MAX = 1_000
 
 DEADLINE_DEFAULT_MS = 10_000.0
-# Upper limit of a caller's deadline; that of a service is lower.
+# Longest deadline that a caller may set; a service's own limit is lower.
 DEADLINE_MAX_MS = 3_600_000.0
-# Wait after the deadline, by which the core decides every request, before
-# a request without a decision is treated as an internal fault.
+# The core decides every request by its deadline. If a fault prevents that,
+# the caller gets a refusal this long after the deadline.
 UNDECIDED_GRACE_MS = 5_000.0
 MS_PER_S = 1_000.0
 # Request timings kept until the metrics component collects them.
--- a/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/look_ups.py
@@ -30,7 +30,7 @@
 
 
 class ChoiceDocument(typing.TypedDict):
-    """Define one entry that the client may use."""
+    """Describe one entry that the client may use."""
 
     entry: str
     domain: str
--- a/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
+++ b/packages/daemon/src/zinnialead_daemon/components/front/parsing.py
@@ -128,7 +128,7 @@
 def _control_headers(headers: http.Headers) -> ControlHeaders:
     control: ControlHeaders = {}
     for name, value in headers:
-        text = _text(value, f'header {name.decode("latin-1")}')
+        text = _decode_utf8(value, f'header {name.decode("latin-1")}')
         if name not in SINGLE_VALUE_HEADERS:
             continue
         if name in control:
@@ -148,10 +148,10 @@
     raw_path: bytes = scope['raw_path']
     path = raw_path[len(const.REQUEST_PREFIX) :]
     name, _, rest = path.partition(b'/')
-    _text(urllib.parse.unquote_to_bytes(rest), 'path')
+    _decode_utf8(urllib.parse.unquote_to_bytes(rest), 'path')
     query: bytes = scope['query_string']
-    _text(urllib.parse.unquote_to_bytes(query), 'query')
-    service = _text(urllib.parse.unquote_to_bytes(name), 'service')
+    _decode_utf8(urllib.parse.unquote_to_bytes(query), 'query')
+    service = _decode_utf8(urllib.parse.unquote_to_bytes(name), 'service')
     if not NAME_PATTERN.fullmatch(service):
         raise BadRequestError(400, f'{service!r} names no service')
     return Destination(service, b'/' + rest + (b'?' + query if query else b''))
@@ -163,7 +163,7 @@
     return raw_path + query
 
 
-def _text(value: bytes, part: str) -> str:
+def _decode_utf8(value: bytes, part: str) -> str:
     try:
         return value.decode('utf-8')
     except UnicodeDecodeError as error:
--- a/packages/daemon/src/zinnialead_daemon/components/operators/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/operators/models.py
@@ -23,7 +23,7 @@
 
 
 class MemberView(typing.TypedDict):
-    """Define one entry and the number of the state in force on it."""
+    """Describe one entry and the number of the state in force on it."""
 
     entry: str
     domain: str
@@ -36,7 +36,7 @@
 
 
 class UpstreamView(typing.TypedDict):
-    """Define one upstream; ``in_use`` is null if another entry owns it."""
+    """Describe one upstream; ``in_use`` is null if another entry owns it."""
 
     upstream: str
     service: str
@@ -49,7 +49,7 @@
 
 
 class QueueView(typing.TypedDict):
-    """Define the length of a queue that this entry owns."""
+    """Give the length of a queue that this entry owns."""
 
     service: str
     rank: str
@@ -57,7 +57,7 @@
 
 
 class DrainView(typing.TypedDict):
-    """Define a drain and its requests in flight, as this entry sees them."""
+    """Describe a drain and its requests in flight, as this entry sees them."""
 
     name: str
     kind: str
@@ -66,7 +66,7 @@
 
 
 class ShiftView(typing.TypedDict):
-    """Define this entry's shifts of the last second and their cap."""
+    """Give this entry's shifted requests of the last second and their cap."""
 
     name: str
     from_region: str
@@ -76,7 +76,7 @@
 
 
 class Fleet(typing.TypedDict):
-    """Define the fleet as one entry sees it."""
+    """Describe the fleet as one entry sees it."""
 
     entry: str
     domain: str
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/errors.py
@@ -1,4 +1,4 @@
-"""Define the reasons for which a frame is dropped."""
+"""Define the reasons for dropping a frame."""
 
 import dataclasses
 
--- a/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/codec/frames.py
@@ -174,9 +174,9 @@
 
 
 def _evict_oldest_sender(keyring: Keyring, now_ms: float) -> None:
-    """Remove the window of the sender idle for longest, once it is safe.
+    """Evict the sender idle for longest, if there are too many senders.
 
-    That is when its frames are older than any that is accepted.
+    Keeps it while its frames are recent enough to be replayed.
     """
     if len(keyring.windows) <= const.SENDERS_MAX:
         return
--- a/packages/daemon/src/zinnialead_daemon/components/peers/models.py
+++ b/packages/daemon/src/zinnialead_daemon/components/peers/models.py
@@ -55,7 +55,7 @@
     """Hold the links by peer and count the accepted connections.
 
     ``unauthenticated`` counts those without a correctly signed frame so
-    far; ``outboxes_empty`` exists while a stop waits for empty outboxes.
+    far; ``outboxes_empty`` is None unless a stop waits for that event.
     """
 
     engine: engine_models.Engine
--- a/packages/daemon/src/zinnialead_daemon/http/problems.py
+++ b/packages/daemon/src/zinnialead_daemon/http/problems.py
@@ -31,7 +31,7 @@
 async def send_problem(
     send: asgi.Send, problem: Problem, headers: asgi.Headers | None = None
 ) -> None:
-    """Send a problem document, with ``Retry-After`` if the problem has it."""
+    """Send a problem document, with ``Retry-After`` if it has a retry time."""
     all_headers = [(b'content-type', PROBLEM_TYPE), *(headers or [])]
     if problem.retry_after_ms is not None:
         seconds = max(1, round(problem.retry_after_ms / MS_PER_S))
--- a/packages/daemon/src/zinnialead_daemon/main.py
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -96,7 +96,7 @@
 
 def _serve(settings: zinnialead_config.Settings) -> int:
     logs.set_up(sys.stdout)
-    _raise_file_limit(settings.bounds.connections_max)
+    _set_file_limit(settings.bounds.connections_max)
     incarnation = int(time.time() * const.MS_PER_S)
     world = applications.new_world(settings, incarnation)
     application = applications.new_application(settings, world)
@@ -135,8 +135,8 @@
                 engines.feed(application.engine, inp.StopRequested())
 
 
-def _raise_file_limit(connections_max: int) -> None:
-    # Without a free file descriptor the server stops accepting.
+def _set_file_limit(connections_max: int) -> None:
+    # The server accepts no connection while no file descriptor is free.
     _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     file_limit = connections_max + const.FILES_RESERVED
     if hard_limit != resource.RLIM_INFINITY:
