Name what the daemon's tests start, decode and count

peer_samples.entry starts an entry: start_entry. The codec tests' `found`, `place` and `kinds` outside the derandomised bodies are raw, index and results; the store client's recorded `seen` are inputs, as in the function that it wraps; a counter's own key 'away' is 'rejected', written and read in the same test.

--- a/tests/daemon/components/peers/peer_samples.py
+++ b/tests/daemon/components/peers/peer_samples.py
@@ -16,7 +16,7 @@
 START_MS = 1_000_000.0
 
 
-async def entry(nursery, name, secret=SECRET):
+async def start_entry(nursery, name, secret=SECRET):
     """Start an entry that uses trio's clock."""
     ref = ids.EntryRef(name, 1)
     node = core.NodeRow(ref, samples.DOMAIN, 'kigali', '127.0.0.1:0')
--- a/tests/daemon/components/peers/test_codec.py
+++ b/tests/daemon/components/peers/test_codec.py
@@ -34,9 +34,9 @@
     return codec.encode(keyring, recipient, envelope)[4:]
 
 
-def decode(found, *keys, keyring=None):
+def decode(raw, *keys, keyring=None):
     keyring = keyring or codec.new_keyring(keys or (OLD,))
-    return codec.decode(keyring, ME, NOW_MS, found)
+    return codec.decode(keyring, ME, NOW_MS, raw)
 
 
 @pytest.mark.parametrize('kind', KINDS, ids=lambda x: x.__name__)
@@ -84,18 +84,18 @@
     probe = members.Probe(1, 1, ())
     body = codec.encode_body(codec.Envelope(SENDER, 1, 2.0, probe))
     unknown = bytes([200])
-    kinds = [
-        codec.decode_body(body[:place] + unknown + body[place + 1 :])
-        for place in range(len(body))
+    results = [
+        codec.decode_body(body[:index] + unknown + body[index + 1 :])
+        for index in range(len(body))
     ]
-    errors = [x.error for x in kinds if x.is_error()]
+    errors = [result.error for result in results if result.is_error()]
     assert codec.UnknownKind() in errors
 
 
 def test_a_newer_version_of_the_framing_is_unknown():
-    found = bytearray(frame(members.Probe(1, 1, ())))
-    found[0] = 9
-    assert decode(bytes(found)).error == codec.UnknownVersion(9)
+    raw = bytearray(frame(members.Probe(1, 1, ())))
+    raw[0] = 9
+    assert decode(bytes(raw)).error == codec.UnknownVersion(9)
 
 
 def test_keys_rotate_without_a_restart():
@@ -108,8 +108,8 @@
 
 
 def test_a_frame_for_another_entry_has_an_invalid_signature():
-    found = frame(members.Probe(1, 1, ()), recipient='e3')
-    assert decode(found).error == codec.InvalidSignature()
+    raw = frame(members.Probe(1, 1, ()), recipient='e3')
+    assert decode(raw).error == codec.InvalidSignature()
 
 
 @settings
--- a/tests/daemon/components/peers/test_transport.py
+++ b/tests/daemon/components/peers/test_transport.py
@@ -25,8 +25,8 @@
 
 
 async def test_entries_connect_and_a_state_spreads(nursery, mock_clock):
-    one = await peer_samples.entry(nursery, 'e1')
-    two = await peer_samples.entry(nursery, 'e2')
+    one = await peer_samples.start_entry(nursery, 'e1')
+    two = await peer_samples.start_entry(nursery, 'e2')
     peer_samples.introduce(one, two)
     engines.feed(one.engine, inp.StateRead(samples.state(number=7)))
     await peer_samples.until(
@@ -39,7 +39,7 @@
 
 
 async def test_unsigned_and_malformed_frames_are_counted(nursery, mock_clock):
-    one = await peer_samples.entry(nursery, 'e1')
+    one = await peer_samples.start_entry(nursery, 'e1')
     host, port = addresses.parse(one.address)
     counters = one.engine.world.counters
     stream = await trio.open_tcp_stream(host, port)
@@ -50,7 +50,7 @@
         while await stream.receive_some(100):
             pass
     assert counters['peers.frames_oversized'] == 1
-    unknown_peer = await peer_samples.entry(
+    unknown_peer = await peer_samples.start_entry(
         nursery, 'e2', 'another-secret-key'
     )
     peer_samples.introduce(unknown_peer, one)
@@ -72,7 +72,7 @@
 
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     nursery.start_soon(trio.serve_listeners, accept_silently, listeners)
-    one = await peer_samples.entry(nursery, 'e1')
+    one = await peer_samples.start_entry(nursery, 'e1')
     port = listeners[0].socket.getsockname()[1]
     peer_seen = inp.PeerSeen('e2', samples.DOMAIN, f'127.0.0.1:{port}')
     engines.feed(one.engine, peer_seen)
@@ -85,7 +85,7 @@
 async def test_a_full_outbox_drops_the_oldest_and_send_never_blocks(
     nursery, mock_clock
 ):
-    one = await peer_samples.entry(nursery, 'e1')
+    one = await peer_samples.start_entry(nursery, 'e1')
     engines.feed(one.engine, inp.PeerSeen('e2', 'x', '127.0.0.1:1'))
     for number in range(const.OUTBOX_MAX + 5):
         peers.send(one, out.SendPeer('e2', members.ProbeFor(number, 'e3')))
@@ -102,8 +102,8 @@
 async def test_a_message_outside_the_schema_is_dropped_and_counted(
     nursery, mock_clock
 ):
-    one = await peer_samples.entry(nursery, 'e1')
-    two = await peer_samples.entry(nursery, 'e2')
+    one = await peer_samples.start_entry(nursery, 'e1')
+    two = await peer_samples.start_entry(nursery, 'e2')
     peer_samples.introduce(one, two)
     peers.send(one, out.SendPeer('e2', members.ProbeFor(-1, 'e3')))
     counters = one.engine.world.counters
@@ -115,7 +115,7 @@
 async def test_unauthenticated_connections_are_limited_and_time_out(
     nursery, mock_clock
 ):
-    one = await peer_samples.entry(nursery, 'e1')
+    one = await peer_samples.start_entry(nursery, 'e1')
     host, port = addresses.parse(one.address)
     streams = [
         await trio.open_tcp_stream(host, port)
@@ -132,8 +132,8 @@
 
 
 async def test_an_entry_unknown_to_its_peer_is_answered(nursery, mock_clock):
-    one = await peer_samples.entry(nursery, 'e1')
-    two = await peer_samples.entry(nursery, 'e2')
+    one = await peer_samples.start_entry(nursery, 'e1')
+    two = await peer_samples.start_entry(nursery, 'e2')
     node = two.engine.world.node
     peer_seen = inp.PeerSeen('e2', node.domain, node.address)
     engines.feed(one.engine, peer_seen)
--- a/tests/daemon/components/store/test_client.py
+++ b/tests/daemon/components/store/test_client.py
@@ -38,9 +38,9 @@
     fed = []
     feed = clients.coordinator._feed
 
-    def record(client, output, outcome, *seen):
-        fed.append((outcome, seen))
-        feed(client, output, outcome, *seen)
+    def record(client, output, outcome, *inputs):
+        fed.append((outcome, inputs))
+        feed(client, output, outcome, *inputs)
 
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(clients.coordinator, '_feed', record)
--- a/tests/daemon/front/test_parsing.py
+++ b/tests/daemon/front/test_parsing.py
@@ -83,11 +83,11 @@
 
 def test_the_upstream_gets_the_path_unchanged_and_no_hop_by_hop():
     headers = [(b'connection', b'x-a'), (b'x-a', b'1'), (b'accept', b'*/*')]
-    found = head(
+    request = head(
         path=b'/v1/services/intake/a%20b', query=b'q=1', headers=headers
     ).ok
-    assert found.target == b'/a%20b?q=1'
-    assert found.headers == [(b'accept', b'*/*')]
+    assert request.target == b'/a%20b?q=1'
+    assert request.headers == [(b'accept', b'*/*')]
 
 
 def test_a_question_takes_no_unknown_fields():
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -43,14 +43,14 @@
     address = await start(
         nursery,
         connections_max=1,
-        on_rejected=functools.partial(rejections.update, ['away']),
+        on_rejected=functools.partial(rejections.update, ['rejected']),
     )
     host, _, port = address.rpartition(':')
     async with await trio.open_tcp_stream(host, int(port)) as connection:
         await connection.send_all(GET)
         assert await connection.receive_some()
         assert await exchange_or_reset(address) == b''
-        assert rejections['away'] == 1
+        assert rejections['rejected'] == 1
     nursery.cancel_scope.cancel()
 
 
