Name latencies, wake times and records of the fleet precisely

DOMAIN_LATENCY_MS was the latency within a region and REGION_LATENCY_MS that between regions: they are INTRA_ and INTER_REGION_LATENCY_MS now. COLD_FACTOR, wakes_ms, store_done and the oracles' ran are COLD_CACHE_FACTOR, wake_times_ms, finished_store_calls, run_counts and first_start_ms. SilenceConnections says when it ends.

--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -200,7 +200,7 @@
     fleet: models.Fleet, work: models.Work, entry: models.EntryRow
 ) -> float:
     between_ms = network.latency_ms(fleet, work.domain, entry.domain)
-    return const.CALLER_LATENCY_MS + between_ms - const.DOMAIN_LATENCY_MS
+    return const.CALLER_LATENCY_MS + between_ms - const.INTRA_REGION_LATENCY_MS
 
 
 def _assign_key(fleet: models.Fleet, work_id: models.WorkId) -> None:
--- a/packages/lab/src/zinnialead_lab/fleet/const.py
+++ b/packages/lab/src/zinnialead_lab/fleet/const.py
@@ -1,9 +1,10 @@
 """Define the constants of the simulated fleet."""
 
-# One-way latencies.
-DOMAIN_LATENCY_MS = 0.5
-REGION_LATENCY_MS = 35.0
+# One-way latencies; that of a caller is to an entry in its region.
+INTRA_REGION_LATENCY_MS = 0.5
+INTER_REGION_LATENCY_MS = 35.0
 CALLER_LATENCY_MS = 3.0
+
 STORE_SERVICE_MS = 2.0
 NEW_CONNECTION_MS = 1.0
 CONNECT_TIMEOUT_MS = 500.0
@@ -22,7 +23,7 @@
 # How long after the deadline a caller waits for an answer.
 CALLER_GRACE_MS = 500.0
 # Service times at an upstream with a cold cache are multiplied by this.
-COLD_FACTOR = 3.0
+COLD_CACHE_FACTOR = 3.0
 COLD_CACHE_MS = 3_000.0
 UPSTREAM_QUEUE_MAX = 4
 STATE_OBJECT = 'state'
--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -147,9 +147,9 @@
 ) -> None:
     call_ref = (event.ref, event.call_id)
     fleet.watches.pop(call_ref, None)
-    if call_ref in fleet.store_done:
+    if call_ref in fleet.finished_store_calls:
         return
-    fleet.store_done.add(call_ref)
+    fleet.finished_store_calls.add(call_ref)
     done = inp.StoreDone(event.call_id, event.result)
     follow_ups = _follow_up_inputs(fleet, event.result)
     entries.feed_incarnation(fleet, event.ref, done, *follow_ups)
@@ -174,13 +174,13 @@
         heap=[],
         state=state,
         entries={},
-        wakes_ms={},
+        wake_times_ms={},
         upstreams={},
         network=models.NetworkRow(),
         store=models.StoreRow(next(iter(state.domains))),
         objects={},
         watches={},
-        store_done=set(),
+        finished_store_calls=set(),
         states={},
         cached_look_ups={},
         works={},
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -105,8 +105,8 @@
 
 def run_due_timers(fleet: models.Fleet, ref: ids.EntryRef) -> None:
     """Run the due timers of an entry."""
-    if fleet.wakes_ms.get(ref.entry) == fleet.now_ms:
-        del fleet.wakes_ms[ref.entry]
+    if fleet.wake_times_ms.get(ref.entry) == fleet.now_ms:
+        del fleet.wake_times_ms[ref.entry]
         feed_incarnation(fleet, ref)
 
 
@@ -192,9 +192,9 @@
     if due_ms is None:
         return
     due_ms = max(due_ms, fleet.now_ms)
-    scheduled_ms = fleet.wakes_ms.get(row.ref.entry)
+    scheduled_ms = fleet.wake_times_ms.get(row.ref.entry)
     if scheduled_ms is None or due_ms < scheduled_ms:
-        fleet.wakes_ms[row.ref.entry] = due_ms
+        fleet.wake_times_ms[row.ref.entry] = due_ms
         network.schedule_at(fleet, due_ms, events.Wake(row.ref))
 
 
@@ -248,7 +248,7 @@
     fleet.entries[entry] = row._replace(
         process_state=process_state, ended_ms=fleet.now_ms
     )
-    fleet.wakes_ms.pop(entry, None)
+    fleet.wake_times_ms.pop(entry, None)
     interrupted = [call for call in fleet.calls if call.ref == row.ref]
     for call in interrupted:
         call_row = fleet.calls.pop(call)
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -97,7 +97,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceConnections:
-    """Drop all traffic on the open connections to an upstream."""
+    """Drop all traffic on the open connections to an upstream.
+
+    It ends when an entry replaces its connection.
+    """
 
     upstream: ids.UpstreamId
 
@@ -177,7 +180,7 @@
         process_state=process_state, ended_ms=fleet.now_ms
     )
     fleet.entries[entry] = row
-    fleet.wakes_ms.pop(entry, None)
+    fleet.wake_times_ms.pop(entry, None)
     return row
 
 
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -78,7 +78,7 @@
     """Describe one piece of work; ``demand_ms`` is its service time.
 
     ``keyed`` work may run only once; with ``free_key`` its key lacks the
-    prefix that names an entry.
+    key prefix of the chosen entry.
     """
 
     work_id: WorkId
@@ -275,13 +275,13 @@
     heap: list[tuple[float, int, object]]
     state: tickets.State
     entries: dict[ids.EntryId, EntryRow]
-    wakes_ms: dict[ids.EntryId, float]
+    wake_times_ms: dict[ids.EntryId, float]
     upstreams: dict[ids.UpstreamId, UpstreamRow]
     network: NetworkRow
     store: StoreRow
     objects: dict[str, StoredObject]
     watches: dict[tuple[ids.EntryRef, int], WatchRow]
-    store_done: set[tuple[ids.EntryRef, int]]
+    finished_store_calls: set[tuple[ids.EntryRef, int]]
     states: dict[bytes, tickets.State]
     cached_look_ups: dict[CallerName, CachedLookUp]
     works: dict[WorkId, Work]
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -32,8 +32,8 @@
     """Return the one-way latency between two failure domains."""
     domains = fleet.state.domains
     if domains[one].region == domains[other].region:
-        return const.DOMAIN_LATENCY_MS
-    return const.REGION_LATENCY_MS
+        return const.INTRA_REGION_LATENCY_MS
+    return const.INTER_REGION_LATENCY_MS
 
 
 def connected(
--- a/packages/lab/src/zinnialead_lab/fleet/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fleet/oracle.py
@@ -21,15 +21,16 @@
 
 def check(fleet: models.Fleet) -> Violations:
     """Return the number of violations of each promise."""
-    ran = collections.Counter(
+    run_counts = collections.Counter(
         row.work_id for row in fleet.runs if fleet.works[row.work_id].keyed
     )
     false_not_run = sum(
-        row.verdict is verdict.Verdict.NOT_RUN and ran[row.work.work_id] > 0
+        row.verdict is verdict.Verdict.NOT_RUN
+        and run_counts[row.work.work_id] > 0
         for row in fleet.completions
     )
     return Violations(
-        double_runs=sum(count > 1 for count in ran.values()),
+        double_runs=sum(count > 1 for count in run_counts.values()),
         false_not_run=false_not_run,
         mismatched_answers=sum(
             not row.is_own_answer for row in fleet.completions
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -175,7 +175,7 @@
     )
     demand_ms = row.work.demand_ms
     if fleet.now_ms < target.cold_until_ms:
-        demand_ms *= const.COLD_FACTOR
+        demand_ms *= const.COLD_CACHE_FACTOR
     network.schedule_after(fleet, demand_ms, events.RunEnds(row))
 
 
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -49,7 +49,9 @@
 
 
 def _wrong_answers(run: models.Run) -> abc.Iterator[str]:
-    ran = {x.work_id: x.started_ms for x in reversed(run.fleet.runs)}
+    first_start_ms = {
+        x.work_id: x.started_ms for x in reversed(run.fleet.runs)
+    }
     for row in run.fleet.completions:
         work_id = row.work.work_id
         if not row.is_own_answer:
@@ -60,7 +62,7 @@
         until_ms = row.ended_ms - const.ANSWER_DELAY_MAX_MS
         if work_id not in run.duplicated or row.reason == 'key-barred':
             until_ms = math.inf
-        if ran.get(work_id, math.inf) < until_ms:
+        if first_start_ms.get(work_id, math.inf) < until_ms:
             yield f'work {work_id} ran, and was told {row.reason}: not run'
 
 
@@ -70,7 +72,7 @@
     """Check that no entry sent work to an upstream it knew as drained."""
     earliest_sent_ms = row.started_ms - const.UPSTREAM_WAIT_MS
     grace_ms = const.DRAIN_GRACE_MS
-    adopted = sorted(_adopted(run, row))
+    adopted = sorted(_adopted_tickets(run, row))
     before = [n for n, at_ms in adopted if at_ms < earliest_sent_ms - grace_ms]
     during_grace = [
         n
@@ -90,7 +92,7 @@
             yield f'{row.upstream} leaves, and got work: {row}'
 
 
-def _adopted(
+def _adopted_tickets(
     run: models.Run, row: fleet_models.RunRow
 ) -> abc.Iterator[tuple[int, float]]:
     adoptions = [
@@ -115,9 +117,11 @@
             starts.setdefault((from_region, to_region), []).append(
                 row.started_ms
             )
-    for link, times in starts.items():
-        times.sort()
+    for link, start_times_ms in starts.items():
+        start_times_ms.sort()
         cap = int(const.SHIFT_CAP_PER_S)
-        for first, last in zip(times, times[cap:], strict=False):
+        for first, last in zip(
+            start_times_ms, start_times_ms[cap:], strict=False
+        ):
             if last - first < window_ms:
                 yield f'more than {cap} shifts in a second on {link}'
