Shorten names and docstrings of the fleet, fuzzing and studies

Some new names made lines wrap and some docstrings ran over several lines without need: unreachable is blocked, dispatch_id is dispatch as in the events, BaselineRequestRow is BaselineRow, the fuzzing's duplicated and duplicated_calls are duplicated_work and duplicates, a study's simulation is sim.

--- a/packages/lab/src/zinnialead_lab/fleet/baseline.py
+++ b/packages/lab/src/zinnialead_lab/fleet/baseline.py
@@ -1,7 +1,4 @@
-"""Implement the baseline policy that the benches compare with.
-
-Each attempt goes to a random upstream and has a timeout of its own.
-"""
+"""Implement the benches' baseline policy: random upstreams, timeouts."""
 
 from collections import abc
 import heapq
@@ -35,9 +32,7 @@
             case inp.RequestArrived(request_id):
                 remaining_ms = entry_input.deadline_ms - now_ms
                 timeout_ms = remaining_ms / const.BASELINE_ATTEMPTS_MAX
-                row = models.BaselineRequestRow(
-                    entry_input, 0, timeout_ms, False
-                )
+                row = models.BaselineRow(entry_input, 0, timeout_ms, False)
                 table.rows[request_id] = row
                 yield from _send_attempt(table, now_ms, row)
             case inp.DispatchDone(request_id, attempt, outcome):
@@ -54,7 +49,7 @@
 
 
 def _send_attempt(
-    table: models.BaselineTable, now_ms: float, row: models.BaselineRequestRow
+    table: models.BaselineTable, now_ms: float, row: models.BaselineRow
 ) -> abc.Iterator[out.Output]:
     request = row.request
     state = table.states['in-force']
@@ -124,7 +119,7 @@
 
 
 def _retry(
-    table: models.BaselineTable, now_ms: float, row: models.BaselineRequestRow
+    table: models.BaselineTable, now_ms: float, row: models.BaselineRow
 ) -> abc.Iterator[out.Output]:
     if row.attempt < const.BASELINE_ATTEMPTS_MAX:
         yield from _send_attempt(table, now_ms, row)
--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -98,10 +98,7 @@
 
 
 def handle_failure(fleet: models.Fleet, event: events.CallFails) -> None:
-    """Retry at another entry after a failed connection.
-
-    Work that may have been sent keeps its key.
-    """
+    """Retry elsewhere after a failed connection; sent work keeps its key."""
     row = fleet.callers.get(event.work_id)
     if row is None or row.attempt != event.attempt:
         return
@@ -159,8 +156,8 @@
 
 
 def _look_up(fleet: models.Fleet, work: models.Work) -> models.LookUpResult:
-    caller_name = _caller_name(work)
-    cached = fleet.cached_look_ups.get(caller_name)
+    caller = _caller_name(work)
+    cached = fleet.cached_look_ups.get(caller)
     if cached is not None and cached.expires_ms > fleet.now_ms:
         return models.LookUpResult(cached.answer, 0.0)
     usable = [
@@ -181,9 +178,7 @@
         case models.BaselinePolicy():
             answer = _random_choices(fleet)
     expires_ms = fleet.now_ms + answer.lifetime_ms
-    fleet.cached_look_ups[caller_name] = models.CachedLookUp(
-        answer, expires_ms
-    )
+    fleet.cached_look_ups[caller] = models.CachedLookUp(answer, expires_ms)
     return models.LookUpResult(answer, 2 * _latency_ms(fleet, work, chosen))
 
 
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -71,13 +71,10 @@
     fleet: models.Fleet, entry: ids.EntryId
 ) -> abc.Iterator[inp.PeerSeen]:
     """Yield an entry's configured seeds: itself and a few peers."""
-    domain_counts: collections.Counter[ids.DomainId] = collections.Counter()
+    counts: collections.Counter[ids.DomainId] = collections.Counter()
     for name, row in fleet.entries.items():
-        domain_counts[row.domain] += 1
-        if (
-            name == entry
-            or domain_counts[row.domain] <= const.SEEDS_PER_DOMAIN
-        ):
+        counts[row.domain] += 1
+        if name == entry or counts[row.domain] <= const.SEEDS_PER_DOMAIN:
             yield inp.PeerSeen(name, row.domain, address(name))
 
 
@@ -129,19 +126,17 @@
     feed_incarnation(fleet, call.ref, done)
 
 
-def cancel_timeout(
-    fleet: models.Fleet, dispatch_id: models.DispatchId
-) -> None:
+def cancel_timeout(fleet: models.Fleet, dispatch: models.DispatchId) -> None:
     """Close the connection of a cancellation that timed out."""
-    row = fleet.dispatches.get(dispatch_id)
+    row = fleet.dispatches.get(dispatch)
     if row is None:
         return
-    connection = (dispatch_id.call.ref.entry, row.upstream)
+    connection = (dispatch.call.ref.entry, row.upstream)
     fleet.silent_connections.discard(connection)
     fleet.last_outcome_ms.pop(connection, None)
     lost = verdict.Lost('no answer to the cancellation')
     deliver_outcome(
-        fleet, events.OutcomeArrives(dispatch_id, lost, row.work.work_id)
+        fleet, events.OutcomeArrives(dispatch, lost, row.work.work_id)
     )
 
 
--- a/packages/lab/src/zinnialead_lab/fleet/events.py
+++ b/packages/lab/src/zinnialead_lab/fleet/events.py
@@ -55,10 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallFails:
-    """Notify a caller that its connection failed.
-
-    ``sent`` says that its request may have reached the entry.
-    """
+    """Report a failed connection; ``sent`` if it carried the request."""
 
     work_id: models.WorkId
     attempt: int
@@ -67,10 +64,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallEnds:
-    """Deliver the answer or refusal of an entry to its caller.
-
-    ``is_own_answer`` says that the answer is that of the caller's work.
-    """
+    """Deliver the answer or refusal of an entry to its caller."""
 
     work_id: models.WorkId
     attempt: int
--- a/packages/lab/src/zinnialead_lab/fleet/injections.py
+++ b/packages/lab/src/zinnialead_lab/fleet/injections.py
@@ -97,10 +97,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilenceConnections:
-    """Drop all traffic on the open connections to an upstream.
-
-    It ends when an entry replaces its connection.
-    """
+    """Drop traffic on the connections to an upstream until replaced."""
 
     upstream: ids.UpstreamId
 
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -43,7 +43,7 @@
 Policy = CorePolicy | BaselinePolicy
 
 
-class BaselineRequestRow(typing.NamedTuple):
+class BaselineRow(typing.NamedTuple):
     """Hold one request in progress under the baseline policy."""
 
     request: inp.RequestArrived
@@ -56,7 +56,7 @@
     """Hold the state and the requests of a baseline entry."""
 
     states: dict[str, tickets.State]
-    rows: dict[ids.RequestId, BaselineRequestRow]
+    rows: dict[ids.RequestId, BaselineRow]
     due: list[tuple[float, ids.RequestId, int]]
     random: random.Random
 
@@ -224,10 +224,7 @@
 
 
 class NetworkRow(typing.NamedTuple):
-    """Hold the network faults between entries.
-
-    Each of ``isolated_groups`` is partitioned from all other domains.
-    """
+    """Hold the network faults; isolated groups are partitioned off."""
 
     drop_share: float = 0.0
     duplicate_share: float = 0.0
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -62,15 +62,13 @@
     copies = 1
     if network.duplicate_share:
         copies += fleet.random.random() < network.duplicate_share
-    peer_message = inp.PeerMessage(sender.ref, output.message)
+    message = inp.PeerMessage(sender.ref, output.message)
     for _ in range(copies):
         delay_ms = latency_ms(fleet, sender.domain, target.domain)
         share = network.reorder_share
         if share and fleet.random.random() < share:
             delay_ms += fleet.random.uniform(0, network.reorder_max_ms)
-        schedule_after(
-            fleet, delay_ms, events.Deliver(output.entry, peer_message)
-        )
+        schedule_after(fleet, delay_ms, events.Deliver(output.entry, message))
 
 
 def _record_message(
--- a/packages/lab/src/zinnialead_lab/fleet/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fleet/oracle.py
@@ -8,10 +8,7 @@
 
 
 class Violations(typing.NamedTuple):
-    """Count the violations of each promise.
-
-    ``mismatched_answers`` are answers that belong to other work.
-    """
+    """Count violations; a mismatched answer belongs to other work."""
 
     double_runs: int
     false_not_run: int
--- a/packages/lab/src/zinnialead_lab/fleet/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/fleet/upstreams.py
@@ -16,23 +16,21 @@
     """Send an attempt from an entry to its upstream."""
     call = models.CallId(entry.ref, output.request_id)
     call_row = fleet.calls[call]
-    dispatch_id = models.DispatchId(call, output.attempt)
+    dispatch = models.DispatchId(call, output.attempt)
     work = fleet.works[call_row.work_id]
     row = models.DispatchRow(
-        dispatch_id, output.upstream, work, call_row.key, output.deadline_ms
+        dispatch, output.upstream, work, call_row.key, output.deadline_ms
     )
-    fleet.dispatches[dispatch_id] = row
+    fleet.dispatches[dispatch] = row
     fleet.counters['upstream.sent'] += 1
     fleet.sent_works.add(work.work_id)
     target = fleet.upstreams[output.upstream]
-    unreachable = not network.connected(
-        fleet, entry.domain, target.config.domain
-    )
-    if unreachable or target.condition is models.Condition.DEAD:
+    blocked = not network.connected(fleet, entry.domain, target.config.domain)
+    if blocked or target.condition is models.Condition.DEAD:
         outcome_arrival = events.OutcomeArrives(
-            dispatch_id, verdict.NotSent(), work.work_id
+            dispatch, verdict.NotSent(), work.work_id
         )
-        failure_delay_ms = const.CONNECT_TIMEOUT_MS if unreachable else 1.0
+        failure_delay_ms = const.CONNECT_TIMEOUT_MS if blocked else 1.0
         network.schedule_after(fleet, failure_delay_ms, outcome_arrival)
         return
     delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
@@ -50,22 +48,20 @@
 ) -> None:
     """Send a cancellation to the upstream of an attempt."""
     call = models.CallId(entry.ref, output.request_id)
-    dispatch_id = models.DispatchId(call, output.attempt)
-    row = fleet.dispatches.get(dispatch_id)
+    dispatch = models.DispatchId(call, output.attempt)
+    row = fleet.dispatches.get(dispatch)
     if row is None:
         return
     network.schedule_after(
-        fleet, const.CANCEL_TIMEOUT_MS, events.CancelTimeout(dispatch_id)
+        fleet, const.CANCEL_TIMEOUT_MS, events.CancelTimeout(dispatch)
     )
     target = fleet.upstreams[row.upstream]
     connection = (entry.ref.entry, row.upstream)
-    unreachable = not network.connected(
-        fleet, entry.domain, target.config.domain
-    )
-    if unreachable or connection in fleet.silent_connections:
+    blocked = not network.connected(fleet, entry.domain, target.config.domain)
+    if blocked or connection in fleet.silent_connections:
         return
     delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
-    arrival = events.CancelArrives(dispatch_id, row.upstream)
+    arrival = events.CancelArrives(dispatch, row.upstream)
     network.schedule_after(fleet, delay_ms, arrival)
 
 
@@ -85,19 +81,17 @@
 
 
 def receive_cancel(
-    fleet: models.Fleet,
-    dispatch_id: models.DispatchId,
-    upstream: ids.UpstreamId,
+    fleet: models.Fleet, dispatch: models.DispatchId, upstream: ids.UpstreamId
 ) -> None:
     """Remove a cancelled attempt from the queue, or stop its run."""
     target = fleet.upstreams[upstream]
-    row = fleet.dispatches.get(dispatch_id)
+    row = fleet.dispatches.get(dispatch)
     if row is None or target.condition is models.Condition.SILENT:
         return
-    if target.queue.pop(dispatch_id, None) is not None:
+    if target.queue.pop(dispatch, None) is not None:
         _reply(fleet, row, verdict.NeverStarted())
         return
-    if dispatch_id in target.running:
+    if dispatch in target.running:
         _release_slot(fleet, target, row)
         _reply(fleet, row, verdict.Lost('cancelled'))
 
@@ -123,8 +117,8 @@
         fleet.runs[run_index] = ended_run
     target.running.clear()
     target.queue.clear()
-    for dispatch_id in lost_dispatches:
-        row = fleet.dispatches.get(dispatch_id)
+    for dispatch in lost_dispatches:
+        row = fleet.dispatches.get(dispatch)
         if row is not None:
             _reply(fleet, row, verdict.Lost('connection reset'))
 
@@ -186,8 +180,8 @@
     ended_run = fleet.runs[run_index]._replace(ended_ms=fleet.now_ms)
     fleet.runs[run_index] = ended_run
     while target.queue and len(target.running) < target.config.slots:
-        dispatch_id = next(iter(target.queue))
-        _start_run(fleet, target, target.queue.pop(dispatch_id))
+        dispatch = next(iter(target.queue))
+        _start_run(fleet, target, target.queue.pop(dispatch))
 
 
 def _reply(
@@ -196,10 +190,8 @@
     entry = fleet.entries[row.dispatch.call.ref.entry]
     target = fleet.upstreams[row.upstream]
     connection = (entry.ref.entry, row.upstream)
-    unreachable = not network.connected(
-        fleet, entry.domain, target.config.domain
-    )
-    if unreachable or connection in fleet.silent_connections:
+    blocked = not network.connected(fleet, entry.domain, target.config.domain)
+    if blocked or connection in fleet.silent_connections:
         return
     delay_ms = network.latency_ms(fleet, entry.domain, target.config.domain)
     arrival = events.OutcomeArrives(row.dispatch, outcome, row.work.work_id)
--- a/packages/lab/src/zinnialead_lab/fuzz/actions.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/actions.py
@@ -61,8 +61,8 @@
     # The copy may run, so the caller has to keep the key.
     caller = caller._replace(may_have_run=True)
     run.fleet.callers[caller.work.work_id] = caller
-    run.duplicated.add(caller.work.work_id)
-    run.duplicated_calls.append(caller)
+    run.duplicated_work.add(caller.work.work_id)
+    run.duplicates.append(caller)
     arrival = events.CallArrives(
         caller.work.work_id, caller.attempt, select_entry(run, pick // 7)
     )
@@ -71,11 +71,9 @@
 
 def retry_call(run: models.Run, pick: int, deadline_ms: float) -> None:
     """Retry a duplicated call with its key once its work is complete."""
-    if not run.duplicated_calls:
+    if not run.duplicates:
         return
-    caller = run.duplicated_calls[
-        -1 - pick % min(4, len(run.duplicated_calls))
-    ]
+    caller = run.duplicates[-1 - pick % min(4, len(run.duplicates))]
     work = caller.work._replace(deadline_ms=run.fleet.now_ms + deadline_ms)
     if work.work_id in run.fleet.callers:
         return
--- a/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
@@ -8,11 +8,7 @@
 
 
 def run(seed: int, steps: int, examples: int = const.EXAMPLES) -> None:
-    """Fuzz the fleet.
-
-    :raises AssertionError: with the shortest sequence found that breaks
-        a promise
-    """
+    """Raise the shortest sequence of rules found to break a promise."""
     settings = hypothesis.settings(
         max_examples=examples,
         stateful_step_count=steps,
--- a/packages/lab/src/zinnialead_lab/fuzz/machine.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/machine.py
@@ -19,7 +19,7 @@
 
 PICK = st.integers(0, 1_000)
 SHARE = st.sampled_from([0.0, 0.0, 0.1, 0.3])
-ISOLATED_GROUPS = st.sampled_from(
+GROUPS = st.sampled_from(
     [
         (),
         (frozenset(deployment.DOMAINS[:1]),),
@@ -110,9 +110,7 @@
             self.run.fleet, fleets.Stop(actions.select_entry(self.run, pick))
         )
 
-    @stateful.rule(
-        drop=SHARE, duplicate=SHARE, reorder=SHARE, groups=ISOLATED_GROUPS
-    )
+    @stateful.rule(drop=SHARE, duplicate=SHARE, reorder=SHARE, groups=GROUPS)
     def set_network(
         self,
         drop: float,
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -41,7 +41,7 @@
         if count > 1:
             yield f'key {key} ran {count} times'
     works = collections.Counter(
-        row.work_id for row in keyed if row.work_id not in run.duplicated
+        row.work_id for row in keyed if row.work_id not in run.duplicated_work
     )
     for work_id, count in works.items():
         if count > 1:
@@ -60,7 +60,7 @@
             continue
         # After one copy is refused another may run, unless the key is barred.
         until_ms = row.ended_ms - const.ANSWER_DELAY_MAX_MS
-        if work_id not in run.duplicated or row.reason == 'key-barred':
+        if work_id not in run.duplicated_work or row.reason == 'key-barred':
             until_ms = math.inf
         if first_start_ms.get(work_id, math.inf) < until_ms:
             yield f'work {work_id} ran, and was told {row.reason}: not run'
--- a/packages/lab/src/zinnialead_lab/studies/arrivals.py
+++ b/packages/lab/src/zinnialead_lab/studies/arrivals.py
@@ -31,10 +31,7 @@
 
 
 class Stream(typing.NamedTuple):
-    """Describe the Poisson arrivals of one rank in a time span.
-
-    ``load`` is a share of the capacity of all slots.
-    """
+    """Describe Poisson arrivals; ``load`` is a share of the capacity."""
 
     rank: ids.RankId
     load: float
--- a/packages/lab/src/zinnialead_lab/studies/floods.py
+++ b/packages/lab/src/zinnialead_lab/studies/floods.py
@@ -31,10 +31,7 @@
 
 
 class RankResult(typing.NamedTuple):
-    """Hold the load of one rank by result, and its 99th percentile wait.
-
-    ``late`` was sent to an upstream but not answered.
-    """
+    """Hold a rank's loads and wait; ``late`` was sent but not answered."""
 
     rank: ids.RankId
     offered: float
@@ -60,7 +57,7 @@
     finished = simulation.run(
         requests, condition=simulation.Shedding(SHED_SHARE)
     )
-    accepted = sum(result.sent_ms is not None for result in finished.results)
+    accepted = sum(row.sent_ms is not None for row in finished.results)
     return finished.sends / accepted
 
 
@@ -99,26 +96,24 @@
 ) -> RankResult:
     from_ms = arrivals.START_MS + CALM_MS
     rank_results = [
-        result
-        for result in results
-        if result.arrival.rank == rank and result.arrival.at_ms >= from_ms
+        row
+        for row in results
+        if row.arrival.rank == rank and row.arrival.at_ms >= from_ms
     ]
     waits_ms = sorted(simulation.waits_ms(rank_results))
     return RankResult(
         rank=rank,
         offered=_share(rank_results),
         served=_share(
-            result
-            for result in results
-            if result.arrival.rank == rank and _in_flood(result.answered_ms)
-        ),
-        refused=_share(
-            result for result in rank_results if result.sent_ms is None
+            row
+            for row in results
+            if row.arrival.rank == rank and _in_flood(row.answered_ms)
         ),
+        refused=_share(row for row in rank_results if row.sent_ms is None),
         late=_share(
-            result
-            for result in rank_results
-            if result.sent_ms and result.answered_ms is None
+            row
+            for row in rank_results
+            if row.sent_ms and row.answered_ms is None
         ),
         wait_p99_ms=waits_ms[int(len(waits_ms) * 0.99)] if waits_ms else 0.0,
     )
@@ -131,7 +126,7 @@
 
 def _share(results: abc.Iterable[simulation.ArrivalResult]) -> float:
     """Return the share of the slots' time that some requests take."""
-    busy_ms = sum(result.arrival.service_ms for result in results)
+    busy_ms = sum(row.arrival.service_ms for row in results)
     return busy_ms / (arrivals.SLOTS * FLOOD_MS)
 
 
--- a/packages/lab/src/zinnialead_lab/studies/outliers.py
+++ b/packages/lab/src/zinnialead_lab/studies/outliers.py
@@ -42,8 +42,8 @@
     finished = simulation.run(
         arrivals.merge([stream], seed), condition=condition
     )
-    accepted = sum(result.sent_ms is not None for result in finished.results)
-    served = sum(result.answered_ms is not None for result in finished.results)
+    accepted = sum(row.sent_ms is not None for row in finished.results)
+    served = sum(row.answered_ms is not None for row in finished.results)
     return Result(served / len(finished.results), finished.sends / accepted)
 
 
--- a/packages/lab/src/zinnialead_lab/studies/simulation.py
+++ b/packages/lab/src/zinnialead_lab/studies/simulation.py
@@ -106,7 +106,7 @@
 ) -> Simulation:
     """Run the simulation until every arrival is answered or refused."""
     names = [f'entry-{number}' for number in range(arrivals.ENTRIES)]
-    simulation = Simulation(
+    sim = Simulation(
         worlds={name: _world(name, names, queue_max) for name in names},
         heap=[
             _arrival_event(number, arrival)
@@ -117,51 +117,47 @@
         condition=condition,
         random=random.Random(1),
     )
-    heapq.heapify(simulation.heap)
+    heapq.heapify(sim.heap)
     order = remaining = len(requests)
     while remaining > 0:
-        step = _next_step(simulation)
-        world = simulation.worlds[step.entry]
+        step = _next_step(sim)
+        world = sim.worlds[step.entry]
         for output in core.tick(world, step.now_ms, step.inputs):
-            remaining -= _record_output(simulation, step.now_ms, output)
-            for event in _follow_up_events(
-                simulation, world, step.now_ms, output
-            ):
+            remaining -= _record_output(sim, step.now_ms, output)
+            for event in _follow_up_events(sim, world, step.now_ms, output):
                 order += 1
-                heapq.heappush(simulation.heap, event._replace(order=order))
-    return simulation
+                heapq.heappush(sim.heap, event._replace(order=order))
+    return sim
 
 
 def waits_ms(results: abc.Iterable[ArrivalResult]) -> list[float]:
     """Return how long each sent request waited for its slot."""
     return [
-        result.sent_ms - result.arrival.at_ms
-        for result in results
-        if result.sent_ms is not None
+        row.sent_ms - row.arrival.at_ms
+        for row in results
+        if row.sent_ms is not None
     ]
 
 
-def _next_step(simulation: Simulation) -> Step:
+def _next_step(sim: Simulation) -> Step:
     due = [
         (due_ms, entry)
-        for entry, world in simulation.worlds.items()
+        for entry, world in sim.worlds.items()
         if (due_ms := core.next_due_ms(world)) is not None
     ]
     due_ms, entry = min(due, default=(math.inf, ''))
-    if simulation.heap and simulation.heap[0].due_ms <= due_ms:
-        event = heapq.heappop(simulation.heap)
+    if sim.heap and sim.heap[0].due_ms <= due_ms:
+        event = heapq.heappop(sim.heap)
         return Step(event.due_ms, event.entry, [event.entry_input])
     return Step(due_ms, entry, [])
 
 
-def _record_output(
-    simulation: Simulation, now_ms: float, output: out.Output
-) -> int:
+def _record_output(sim: Simulation, now_ms: float, output: out.Output) -> int:
     """Record an output; return how many arrivals it completes."""
-    results = simulation.results
+    results = sim.results
     match output:
         case out.Dispatch(number):
-            simulation.sends += 1
+            sim.sends += 1
             if results[number].sent_ms is None:
                 results[number] = results[number]._replace(sent_ms=now_ms)
         case out.Relay(number):
@@ -174,7 +170,7 @@
 
 
 def _follow_up_events(
-    simulation: Simulation,
+    sim: Simulation,
     world: core.World,
     now_ms: float,
     output: out.Output,
@@ -185,17 +181,17 @@
             peer_message = inp.PeerMessage(ref, message)
             yield Event(now_ms + HOP_MS, 0, entry, peer_message)
         case out.Dispatch():
-            done = _dispatch_done(simulation, now_ms, output)
+            done = _dispatch_done(sim, now_ms, output)
             yield Event(now_ms + done.elapsed_ms, 0, ref.entry, done)
 
 
 def _dispatch_done(
-    simulation: Simulation, now_ms: float, sent: out.Dispatch
+    sim: Simulation, now_ms: float, sent: out.Dispatch
 ) -> inp.DispatchDone:
-    elapsed_ms = simulation.results[sent.request_id].arrival.service_ms
+    elapsed_ms = sim.results[sent.request_id].arrival.service_ms
     outcome: verdict.Outcome = verdict.Answered(200)
-    match simulation.condition:
-        case Shedding(share) if simulation.random.random() < share:
+    match sim.condition:
+        case Shedding(share) if sim.random.random() < share:
             elapsed_ms = HOP_MS
             outcome = verdict.Shed()
         case Refusing(upstream) if upstream == sent.upstream:
--- a/packages/lab/src/zinnialead_lab/studies/slots.py
+++ b/packages/lab/src/zinnialead_lab/studies/slots.py
@@ -45,10 +45,10 @@
     return MeanWaits(
         load=load,
         erlang=erlang_wait(load),
-        one_queue=_mean_in_service_times(fifo_waits(requests, arrivals.SLOTS)),
-        fixed_shares=_mean_in_service_times(fixed_shares(requests)),
-        two_choices=_mean_in_service_times(two_choices(requests, seed)),
-        owner=_mean_in_service_times(
+        one_queue=_mean_wait(fifo_waits(requests, arrivals.SLOTS)),
+        fixed_shares=_mean_wait(fixed_shares(requests)),
+        two_choices=_mean_wait(two_choices(requests, seed)),
+        owner=_mean_wait(
             simulation.waits_ms(
                 simulation.run(requests, queue_max=count).results
             )
@@ -100,9 +100,7 @@
     """Return the waits if each entry has slots of its own."""
     waits = []
     for entry in range(arrivals.ENTRIES):
-        entry_requests = [
-            request for request in requests if request.entry == entry
-        ]
+        entry_requests = [x for x in requests if x.entry == entry]
         waits += fifo_waits(entry_requests, arrivals.SLOTS // arrivals.ENTRIES)
     return waits
 
@@ -131,7 +129,7 @@
     return waits
 
 
-def _mean_in_service_times(waits_ms: abc.Iterable[float]) -> float:
+def _mean_wait(waits_ms: abc.Iterable[float]) -> float:
     return statistics.fmean(waits_ms) / arrivals.SERVICE_MS
 
 
