--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -71,13 +71,10 @@
     fleet: models.Fleet, entry: ids.EntryId
 ) -> abc.Iterator[inp.PeerSeen]:
     """Yield an entry's configured seeds: itself and a few peers."""
-    domain_counts: collections.Counter[ids.DomainId] = collections.Counter()
+    counts: collections.Counter[ids.DomainId] = collections.Counter()
     for name, row in fleet.entries.items():
-        domain_counts[row.domain] += 1
-        if (
-            name == entry
-            or domain_counts[row.domain] <= const.SEEDS_PER_DOMAIN
-        ):
+        counts[row.domain] += 1
+        if name == entry or counts[row.domain] <= const.SEEDS_PER_DOMAIN:
             yield inp.PeerSeen(name, row.domain, address(name))
 
 
@@ -105,8 +102,8 @@
 
 def run_due_timers(fleet: models.Fleet, ref: ids.EntryRef) -> None:
     """Run the due timers of an entry."""
-    if fleet.wakes_ms.get(ref.entry) == fleet.now_ms:
-        del fleet.wakes_ms[ref.entry]
+    if fleet.wake_times_ms.get(ref.entry) == fleet.now_ms:
+        del fleet.wake_times_ms[ref.entry]
         feed_incarnation(fleet, ref)
 
 
@@ -129,19 +126,17 @@
     feed_incarnation(fleet, call.ref, done)
 
 
-def cancel_timeout(
-    fleet: models.Fleet, dispatch_id: models.DispatchId
-) -> None:
+def cancel_timeout(fleet: models.Fleet, dispatch: models.DispatchId) -> None:
     """Close the connection of a cancellation that timed out."""
-    row = fleet.dispatches.get(dispatch_id)
+    row = fleet.dispatches.get(dispatch)
     if row is None:
         return
-    connection = (dispatch_id.call.ref.entry, row.upstream)
+    connection = (dispatch.call.ref.entry, row.upstream)
     fleet.silent_connections.discard(connection)
     fleet.last_outcome_ms.pop(connection, None)
     lost = verdict.Lost('no answer to the cancellation')
     deliver_outcome(
-        fleet, events.OutcomeArrives(dispatch_id, lost, row.work.work_id)
+        fleet, events.OutcomeArrives(dispatch, lost, row.work.work_id)
     )
 
 
@@ -192,9 +187,9 @@
     if due_ms is None:
         return
     due_ms = max(due_ms, fleet.now_ms)
-    scheduled_ms = fleet.wakes_ms.get(row.ref.entry)
+    scheduled_ms = fleet.wake_times_ms.get(row.ref.entry)
     if scheduled_ms is None or due_ms < scheduled_ms:
-        fleet.wakes_ms[row.ref.entry] = due_ms
+        fleet.wake_times_ms[row.ref.entry] = due_ms
         network.schedule_at(fleet, due_ms, events.Wake(row.ref))
 
 
@@ -248,7 +243,7 @@
     fleet.entries[entry] = row._replace(
         process_state=process_state, ended_ms=fleet.now_ms
     )
-    fleet.wakes_ms.pop(entry, None)
+    fleet.wake_times_ms.pop(entry, None)
     interrupted = [call for call in fleet.calls if call.ref == row.ref]
     for call in interrupted:
         call_row = fleet.calls.pop(call)
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -43,7 +43,7 @@
 Policy = CorePolicy | BaselinePolicy
 
 
-class BaselineRequestRow(typing.NamedTuple):
+class BaselineRow(typing.NamedTuple):
     """Hold one request in progress under the baseline policy."""
 
     request: inp.RequestArrived
@@ -56,7 +56,7 @@
     """Hold the state and the requests of a baseline entry."""
 
     states: dict[str, tickets.State]
-    rows: dict[ids.RequestId, BaselineRequestRow]
+    rows: dict[ids.RequestId, BaselineRow]
     due: list[tuple[float, ids.RequestId, int]]
     random: random.Random
 
@@ -78,7 +78,7 @@
     """Describe one piece of work; ``demand_ms`` is its service time.
 
     ``keyed`` work may run only once; with ``free_key`` its key lacks the
-    prefix that names an entry.
+    key prefix of the chosen entry.
     """
 
     work_id: WorkId
@@ -224,10 +224,7 @@
 
 
 class NetworkRow(typing.NamedTuple):
-    """Hold the network faults between entries.
-
-    Each of ``isolated_groups`` is partitioned from all other domains.
-    """
+    """Hold the network faults; isolated groups are partitioned off."""
 
     drop_share: float = 0.0
     duplicate_share: float = 0.0
@@ -275,13 +272,13 @@
     heap: list[tuple[float, int, object]]
     state: tickets.State
     entries: dict[ids.EntryId, EntryRow]
-    wakes_ms: dict[ids.EntryId, float]
+    wake_times_ms: dict[ids.EntryId, float]
     upstreams: dict[ids.UpstreamId, UpstreamRow]
     network: NetworkRow
     store: StoreRow
     objects: dict[str, StoredObject]
     watches: dict[tuple[ids.EntryRef, int], WatchRow]
-    store_done: set[tuple[ids.EntryRef, int]]
+    finished_store_calls: set[tuple[ids.EntryRef, int]]
     states: dict[bytes, tickets.State]
     cached_look_ups: dict[CallerName, CachedLookUp]
     works: dict[WorkId, Work]
