Tidy names that a second reading of the bench and capacity found

DOMAINS and SERVICES are counts and say so; waits have a unit; _rolling is _rolling_replacement, and the comment on WARM_UP_MS tells both of its uses.

make check passes.

--- a/packages/lab/src/zinnialead_lab/bench/const.py
+++ b/packages/lab/src/zinnialead_lab/bench/const.py
@@ -9,7 +9,7 @@
 SHORT_TIMES_MS = (700.0, 2_200.0, 2_500.0)
 # Runs on after the last arrival until every deadline and timeout is over.
 COOL_DOWN_MS = 8_000.0
-# Lets a flood fill the queues before its measured window begins.
+# Lets queues fill before a flood is measured or a rolling replacement starts.
 WARM_UP_MS = 1_000.0
 LOADS = (0.5, 0.7, 0.8, 0.9, 0.95)
 FAULT_LOAD = 0.7
--- a/packages/lab/src/zinnialead_lab/bench/fault_measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/fault_measures.py
@@ -188,10 +188,7 @@
 ) -> float:
     times_ms = [
         adopted_ms
-        for (
-            entry,
-            adopted_number,
-        ), adopted_ms in simulation.adopted_ms.items()
-        if entry == ref and adopted_number >= number
+        for (entry, adopted), adopted_ms in simulation.adopted_ms.items()
+        if entry == ref and adopted >= number
     ]
     return min(times_ms, default=float('inf'))
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -118,11 +118,11 @@
 def mean_wait_ms(run: models.ScenarioRun) -> float:
     """Return the mean time from a work's arrival to its start."""
     works = run.fleet.works
-    waits = [
+    waits_ms = [
         row.started_ms - works[row.work_id].arrived_ms
         for row in run.fleet.runs
     ]
-    return sum(waits) / max(1, len(waits))
+    return sum(waits_ms) / max(1, len(waits_ms))
 
 
 def wait_over_erlang(run: models.ScenarioRun) -> float:
--- a/packages/lab/src/zinnialead_lab/bench/scenarios.py
+++ b/packages/lab/src/zinnialead_lab/bench/scenarios.py
@@ -144,7 +144,7 @@
             for upstream in list(deployment.state.upstreams)[::4]:
                 yield _at(times.fault_ms, fleet.SilenceConnections(upstream))
         case models.RollingReplacement():
-            yield from _rolling(deployment)
+            yield from _rolling_replacement(deployment)
 
 
 def _at(due_ms: float, injection: fleet.Injection) -> models.TimedInjection:
@@ -195,7 +195,7 @@
     yield _at(times.repair_ms + 100.0, _file_ticket(deployment, 3))
 
 
-def _rolling(
+def _rolling_replacement(
     deployment: models.Deployment,
 ) -> abc.Iterator[models.TimedInjection]:
     by_domain = [
--- a/packages/lab/src/zinnialead_lab/capacity/fit.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fit.py
@@ -13,7 +13,9 @@
     """Yield the fitted slope of each quantity of each role."""
     sorted_points = sorted(points, key=_series_name)
     for _, group in itertools.groupby(sorted_points, key=_series_name):
-        yield _fit_slope(sorted(group, key=lambda x: x.x), per, full_size)
+        yield _fit_slope(
+            sorted(group, key=lambda point: point.x), per, full_size
+        )
 
 
 def value_at(curve: models.Curve, x: float) -> float:
--- a/packages/lab/src/zinnialead_lab/capacity/fixtures.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fixtures.py
@@ -27,7 +27,7 @@
             body_max_bytes=65_536,
             queue_max=1_000,
         )
-        for n in range(const.SERVICES)
+        for n in range(const.SERVICE_COUNT)
     ]
     domains = [
         tickets.DomainRow(
@@ -35,7 +35,7 @@
             ids.RegionId(f'region-{n // 2}'),
             const.DESIGN_NODES,
         )
-        for n in range(const.DOMAINS)
+        for n in range(const.DOMAIN_COUNT)
     ]
     upstreams = [_upstream(n, services, domains) for n in range(sites)]
     rank = tickets.RankRow(ids.RankId('urgent'), 0, 100.0, 0.0, 500.0)
@@ -50,7 +50,7 @@
 
 def settled_fleet(nodes: int, sites: int, seed: int) -> fleet.Fleet:
     """Return a fleet, not yet metered, whose members know each other."""
-    per_domain = nodes // const.DOMAINS
+    per_domain = nodes // const.DOMAIN_COUNT
     simulation = fleet.new_fleet(state(sites), per_domain, seed)
     fleet.run_until(simulation, const.SETTLE_MS)
     simulation.counters.clear()
--- a/packages/lab/src/zinnialead_lab/capacity/sites.py
+++ b/packages/lab/src/zinnialead_lab/capacity/sites.py
@@ -54,7 +54,7 @@
 def _load_rows(count: int) -> LoadRows:
     return tuple(
         steering.LoadRow(
-            service=ids.ServiceId(f'service-{n % const.SERVICES}'),
+            service=ids.ServiceId(f'service-{n % const.SERVICE_COUNT}'),
             domain=ids.DomainId(f'site-{n}'),
             slots=40,
             in_use=n % 40,
