--- a/packages/standins/src/zinnialead_standins/__init__.py
+++ b/packages/standins/src/zinnialead_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Simulate the store, the upstreams and the callers for tests."""
+"""Simulate the store, the upstreams and the callers."""
--- a/packages/standins/src/zinnialead_standins/caller/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/caller/coordinator.py
@@ -18,11 +18,9 @@
 KEY_BARRED = 'key-barred'
 KEY_REGISTRAR_DOWN = 'key-registrar-down'
 # Refusals that a repeated request can not change.
-PERMANENT_REFUSALS = frozenset(
-    {'bad-request', 'unknown-service', 'unknown-rank'}
-)
+PERMANENT = frozenset({'bad-request', 'unknown-service', 'unknown-rank'})
 # The outcome stays unknown however often the key is repeated.
-KEY_UNDECIDED = 'key-undecided'
+UNDECIDED = 'key-undecided'
 STOPPING = 'stopping'
 SENT_EVENT = 'http11.send_request_headers.started'
 LOOK_UP_DECODER = msgspec.json.Decoder(models.LookUpDocument)
@@ -52,7 +50,7 @@
 async def fresh_key(
     caller: models.Caller, service: str, address: str
 ) -> str | None:
-    """Return a new key with the key prefix of the entry at an address."""
+    """Return a new key for the entry at an address, or None if unknown."""
     row = await _look_up(caller, service)
     choices = [] if row is None else row.document['choices']
     prefixes = {choice['address']: choice['key_prefix'] for choice in choices}
@@ -68,46 +66,40 @@
 ) -> models.Outcome:
     key = work.key
     is_uncertain = False
-    last_refusal = models.NotRun('no-answer', 0.0)
+    refusal = models.NotRun('no-answer', 0.0)
     for attempt in range(const.ATTEMPTS_MAX):
-        remaining_ms = work.deadline_ms - (_now_ms() - started_ms)
-        if remaining_ms <= 0.0:
+        left_ms = work.deadline_ms - (_now_ms() - started_ms)
+        if left_ms <= 0.0:
             break
         addresses = await entry_addresses(caller, work.service)
         address = addresses[attempt % len(addresses)]
         if work.keyed and key is None:
             key = await fresh_key(caller, work.service, address)
-        match await _attempt(
-            caller, work, address, key, remaining_ms, started_ms
-        ):
+        match await _attempt(caller, work, address, key, left_ms, started_ms):
             case models.Broken(_, sent):
                 caller.unavailable.add(address)
                 # Only a repeat with the same key can tell whether it ran.
                 is_uncertain = is_uncertain or (sent and work.keyed)
                 key = key if is_uncertain else work.key
-            case models.NotRun(reason) as last_refusal if (
-                reason not in PERMANENT_REFUSALS
-            ):
-                if reason == STOPPING:
+            case models.NotRun(cause) as refusal if cause not in PERMANENT:
+                if cause == STOPPING:
                     caller.unavailable.add(address)
-                if not is_uncertain or reason == KEY_BARRED:
+                if not is_uncertain or cause == KEY_BARRED:
                     key, is_uncertain = work.key, False
-                if reason in {KEY_BARRED, KEY_REGISTRAR_DOWN}:
+                if cause in {KEY_BARRED, KEY_REGISTRAR_DOWN}:
                     # A new look-up returns the registrars that are up.
                     caller.look_ups.pop(work.service, None)
                 await _pause(caller)
-            case models.MayHaveRun(reason) if (
-                work.keyed and reason != KEY_UNDECIDED
-            ):
+            case models.MayHaveRun(cause) if work.keyed and cause != UNDECIDED:
                 is_uncertain = True
-                if reason == STOPPING:
+                if cause == STOPPING:
                     caller.unavailable.add(address)
                 await _pause(caller)
             case outcome:
                 return outcome
     if is_uncertain:
         return models.MayHaveRun('no-end-heard', _now_ms() - started_ms)
-    return last_refusal
+    return refusal
 
 
 async def _attempt(
