Say in config and cli what sections, places and pages hold

rows.upstreams spoke of upstreams "replaced for each given service and domain", merge_section left out that items are added, page_path listed "from after another name", and Sections described a ticket only, though the state has the same sections. Warnings are about lost capacity and newly drained regions. The problems that validation reports were a tuple named found, now field_problems.

--- a/packages/cli/src/zinnialead_cli/fleet/documents.py
+++ b/packages/cli/src/zinnialead_cli/fleet/documents.py
@@ -1,4 +1,4 @@
-"""Define the view of the fleet that an entry's operators' port gives."""
+"""Define the fleet view that an entry's operators' port returns."""
 
 import typing
 
--- a/packages/config/src/zinnialead_config/filing/planning.py
+++ b/packages/config/src/zinnialead_config/filing/planning.py
@@ -50,7 +50,7 @@
 def warnings(
     before: tickets.State, after: tickets.State
 ) -> abc.Iterator[PlanWarning]:
-    """Yield warnings about capacity and regions that a ticket drains."""
+    """Yield warnings about lost capacity and newly drained regions."""
     yield from _services_without_upstreams(after)
     yield from _drained_region_warnings(before, after)
     yield from _lost_capacity(before, after)
--- a/packages/config/src/zinnialead_config/objects.py
+++ b/packages/config/src/zinnialead_config/objects.py
@@ -80,7 +80,7 @@
 
 
 def page_path(name: str, after: str) -> str:
-    """Return the URL path to list a name's kind from after another name.
+    """Return the URL path to list a name's kind, starting after ``after``.
 
     >>> page_path('vms', ''), page_path('vms', 'e7')
     ('/objects/vms', '/objects/vms?after=e7')
--- a/packages/config/src/zinnialead_config/tickets/documents.py
+++ b/packages/config/src/zinnialead_config/tickets/documents.py
@@ -145,7 +145,7 @@
 
 
 class Sections(typing_extensions.TypedDict, total=False):
-    """Hold items to replace, each given in full; null removes an item."""
+    """Hold items by section and name, each in full; null removes one."""
 
     services: dict[Name, ServiceDocument | None]
     domains: dict[Name, DomainDocument | None]
--- a/packages/config/src/zinnialead_config/tickets/folding.py
+++ b/packages/config/src/zinnialead_config/tickets/folding.py
@@ -70,7 +70,7 @@
     items: abc.Mapping[str, typing.Any],
     make_row: abc.Callable[[str, typing.Any], V],
 ) -> Table[K, V]:
-    """Return a section with a ticket's items replaced or removed."""
+    """Return a section with a ticket's items added, replaced or removed."""
     result: Table[K, V] = dict(current)
     for name, item in items.items():
         key = typing.cast('K', name)
--- a/packages/config/src/zinnialead_config/tickets/rows.py
+++ b/packages/config/src/zinnialead_config/tickets/rows.py
@@ -49,7 +49,7 @@
     current: abc.Mapping[ids.UpstreamId, tickets.UpstreamRow],
     places: abc.Mapping[str, documents.PlaceDocument | None],
 ) -> UpstreamTable:
-    """Return the upstreams, replaced for each given service and domain."""
+    """Return the upstreams with those of each given place replaced."""
     result = {
         name: row
         for name, row in current.items()
--- a/packages/config/src/zinnialead_config/tickets/states.py
+++ b/packages/config/src/zinnialead_config/tickets/states.py
@@ -15,7 +15,7 @@
 from zinnialead_config import validation
 from zinnialead_core.components import tickets
 
-# Takes the place of the file's name in problems.
+# Stands in for the file name in problems of a state from the store.
 FILE = 'state'
 Section = dict[str, typing.Any]
 
--- a/packages/config/src/zinnialead_config/validation.py
+++ b/packages/config/src/zinnialead_config/validation.py
@@ -53,11 +53,11 @@
     try:
         return expression.Ok(adapter.validate_python(raw))
     except pydantic.ValidationError as error:
-        found = tuple(
+        field_problems = tuple(
             problems.Problem(file, _dotted_path(detail['loc']), detail['msg'])
             for detail in error.errors(include_url=False, include_input=False)
         )
-        return expression.Error(tuple(_without_parents(found)))
+        return expression.Error(tuple(_without_parents(field_problems)))
 
 
 def failure(
@@ -68,12 +68,12 @@
 
 
 def _without_parents(
-    found: problems.Problems,
+    field_problems: problems.Problems,
 ) -> abc.Iterator[problems.Problem]:
     # pydantic reports a list with an invalid item also as too short.
-    for problem in found:
+    for problem in field_problems:
         prefix = f'{problem.path}.'
-        if not any(other.path.startswith(prefix) for other in found):
+        if not any(other.path.startswith(prefix) for other in field_problems):
             yield problem
 
 
