Name what the tests of config, cli and standins hold

Locals named found, item, name, other, late and parts hid settings, problems, request headers and fields. A test "is requested with the same key" read as a first request: it keeps its key, like its neighbour. Bodies under hypothesis.given are as they were; assertions are the same but for these names.

--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -64,7 +64,7 @@
 def test_in_force_is_read_from_entries_without_the_store(monkeypatch):
     calls = []
 
-    def get(entry, path, kind):
+    def get(entry, path, document_type):
         calls.append((entry.address, entry.token, path))
         return expression.Ok({'number': 7})
 
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -9,10 +9,10 @@
 
 def test_flags_override_environment_and_file():
     environment = {'ZINNIALEAD_ENTRY': 'e-1', 'ZINNIALEAD_DOMAIN': 'd-1'}
-    found = settings.load(EXAMPLE, environment, {'entry': 'e-2'}).ok
-    assert (found.entry, found.domain) == ('e-2', 'd-1')
-    assert found.region == 'kigali'
-    assert found.peer_keys[0].key_id == 1
+    loaded = settings.load(EXAMPLE, environment, {'entry': 'e-2'}).ok
+    assert (loaded.entry, loaded.domain) == ('e-2', 'd-1')
+    assert loaded.region == 'kigali'
+    assert loaded.peer_keys[0].key_id == 1
 
 
 def test_problems_name_the_field():
--- a/tests/config/test_tickets.py
+++ b/tests/config/test_tickets.py
@@ -25,7 +25,7 @@
     result = tickets.parse(text, 't.json').bind(
         lambda ticket: config.fold(core_tickets.empty_state(), ticket)
     )
-    return {item.path: item.reason for item in result.error}
+    return {problem.path: problem.reason for problem in result.error}
 
 
 @pytest.mark.parametrize('deployment', DEPLOYMENTS)
@@ -45,11 +45,11 @@
     assert 'surprise' in problems_of(
         '{"number": 1, "operator": "x", "surprise": {}}'
     )
-    found = problems_of(
+    problems = problems_of(
         '{"number": 1, "operator": "x", "drains":'
         ' {"d": {"kind": "region", "region": "kigali"}}}'
     )
-    assert found == {'drains.d': "no domain is in region 'kigali'"}
+    assert problems == {'drains.d': "no domain is in region 'kigali'"}
 
 
 def test_a_ticket_out_of_sequence_is_refused():
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -66,8 +66,8 @@
 TRUNCATED = (None, None, None)
 
 
-async def send_work(caller, **parts):
-    work = callers.Work('w-1', 'intake', 'urgent', True, **parts)
+async def send_work(caller, **fields):
+    work = callers.Work('w-1', 'intake', 'urgent', True, **fields)
     return await callers.send(caller, work)
 
 
@@ -80,7 +80,7 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_a_truncated_answer_is_requested_with_the_same_key(nursery):
+async def test_work_with_a_truncated_answer_keeps_its_key(nursery):
     entry, caller = await start_entry(nursery)
     entry.verdicts = [TRUNCATED, REFUSED, RAN]
     assert isinstance(await send_work(caller), callers.Ran)
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -9,8 +9,8 @@
 from zinnialead_standins import upstream as upstreams
 
 
-async def start_upstream(nursery, **parts):
-    profile = upstreams.WorkProfile(1, 0.0, **parts)
+async def start_upstream(nursery, **fields):
+    profile = upstreams.WorkProfile(1, 0.0, **fields)
     upstream = upstreams.new_upstream('u-1', profile, upstreams.new_ledger())
     app = upstreams.asgi_app(upstream)
     run = functools.partial(http.serve, app, '127.0.0.1:0', trio.sleep_forever)
@@ -45,20 +45,20 @@
 
 async def test_a_cancelled_request_never_starts(nursery):
     upstream, address = await start_upstream(nursery)
-    name = (b'zinnialead-request-id', b'e.1.1.1')
-    response = await call(address, '/zinnialead/cancel', name)
+    request = (b'zinnialead-request-id', b'e.1.1.1')
+    response = await call(address, '/zinnialead/cancel', request)
     assert response.content == b'never-started'
-    assert (await call(address, '/book', name)).status == 503
-    other = (b'zinnialead-request-id', b'e.1.2.1')
-    await call(address, '/book', other)
-    response = await call(address, '/zinnialead/cancel', other)
+    assert (await call(address, '/book', request)).status == 503
+    other_request = (b'zinnialead-request-id', b'e.1.2.1')
+    await call(address, '/book', other_request)
+    response = await call(address, '/zinnialead/cancel', other_request)
     assert response.content == b'started'
     nursery.cancel_scope.cancel()
 
 
 async def test_work_past_its_deadline_is_shed(nursery):
     upstream, address = await start_upstream(nursery, start_delay_ms=5.0)
-    late = (b'zinnialead-deadline-ms', b'1')
-    assert (await call(address, '/book', late)).status == 503
+    deadline = (b'zinnialead-deadline-ms', b'1')
+    assert (await call(address, '/book', deadline)).status == 503
     assert upstream.started == 0
     nursery.cancel_scope.cancel()
