--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -62,7 +62,8 @@
     """Cancel an attempt; its task still reports the outcome.
 
     Work that must run at most once is cancelled only if the upstream
-    promises not to start it; otherwise the attempt waits for its answer.
+    promises not to start it; otherwise the attempt still waits for its
+    answer.
     """
     attempt_id = models.AttemptId(output.request_id, output.attempt)
     attempt = pools.attempts.get(attempt_id)
@@ -140,7 +141,7 @@
 async def _request_cancellation(
     pools: models.Pools, attempt: models.Attempt
 ) -> bool:
-    """Ask the upstream to cancel; return whether it never starts."""
+    """Ask the upstream not to start; return whether it promises that."""
     address = attempt.dispatch.address
     with trio.move_on_after(const.CANCEL_TIMEOUT_MS / const.MS_PER_S):
         try:
