--- a/packages/lab/src/zinnialead_lab/fleet/store.py
+++ b/packages/lab/src/zinnialead_lab/fleet/store.py
@@ -68,7 +68,7 @@
 
 
 def file_ticket(fleet: models.Fleet, state: tickets.State) -> bool:
-    """Write a ticket's state; return False while the store is down."""
+    """Write a state as the command line does; False if the store is down."""
     if fleet.store.down:
         return False
     value = f'state {state.number}'.encode()
