--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,10 +14,10 @@
     seconds: float = 40.0,
     folder: pathlib.Path | None = None,
 ) -> None:
-    """Play one run; end with 1 if a promise was not kept."""
+    """Run the soak once; exit with 1 if a check failed."""
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-    tables = trio.run(functools.partial(run.play, seed, seconds, folder))
+    tables = trio.run(functools.partial(run.run_seed, seed, seconds, folder))
     print(f'seed {seed}, {seconds:.0f} s')
     for line in run.summary(tables):
         print(line)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Send requests as callers do, on connections that stay open."""
+"""Send requests as callers do, over persistent connections."""
 
 import dataclasses
 
@@ -9,8 +9,8 @@
 from soak import models
 from soak import proxy as proxies
 
-CHUNK = 65_536
-CALL_MAX_MS = 6_000.0
+CHUNK_BYTES = 65_536
+CALL_TIMEOUT_MS = 6_000.0
 
 
 @dataclasses.dataclass
@@ -18,11 +18,11 @@
     """Hold one open connection to an entry."""
 
     stream: trio.SocketStream
-    state: h11.Connection
+    protocol: h11.Connection
 
 
-class Answer:
-    """Hold what came back of one request so far."""
+class PartialResponse:
+    """Hold the part of a response that has arrived."""
 
     def __init__(self):
         self.status = 0
@@ -31,59 +31,66 @@
         self.is_ended = False
 
 
-async def run(soak, number):
-    """Send one request after the other until the run is over."""
-    kept = {}
+async def send_requests(soak, number):
+    """Send requests one after the other until the run is over."""
+    idle_connections = {}
     count = 0
     while not soak.is_over:
-        pause_ms = soak.random.expovariate(1.0) * const.CALLER_PAUSE_MS
+        pause_ms = soak.random.expovariate(1.0) * const.MEAN_CALLER_PAUSE_MS
         await trio.sleep(pause_ms / const.MS_PER_S)
         count += 1
         entry = soak.random.choice(const.ENTRIES)
-        await _one(soak, kept, entry, f'c{number}-{count}')
-    for connection in kept.values():
+        await _send_request(
+            soak, idle_connections, entry, f'c{number}-{count}'
+        )
+    for connection in idle_connections.values():
         connection.stream.socket.close()
 
 
-async def _one(soak, kept, entry, name):
-    connection = kept.pop(entry, None)
+async def _send_request(soak, idle_connections, entry, name):
+    connection = idle_connections.pop(entry, None)
     if connection is None:
         connection = await _connect(soak, entry)
     if connection is None:
         return
     services = soak.tables.versions[-1].services
     prefix = soak.random.choice(sorted(services))
-    once = prefix in soak.once
+    non_idempotent = prefix in soak.non_idempotent_prefixes
     sent_ms = soak.now_ms()
-    answer = Answer()
+    response = PartialResponse()
     detail = ''
-    with trio.move_on_after(CALL_MAX_MS / const.MS_PER_S) as scope:
-        detail = await _exchange(connection, answer, prefix, once, name)
+    with trio.move_on_after(CALL_TIMEOUT_MS / const.MS_PER_S) as scope:
+        detail = await _exchange(
+            connection, response, prefix, non_idempotent, name
+        )
     if scope.cancelled_caught:
         detail = 'no answer in time'
-    # Behind a proxy such a connection seems to be open for a moment.
-    own = connection.stream.socket.getsockname()
-    if detail and own in soak.members[entry].front.refused:
+    # The proxy accepts a connection before it finds that the entry is down.
+    local_address = connection.stream.socket.getsockname()
+    if (
+        detail
+        and local_address in soak.members[entry].front_proxy.refused_peers
+    ):
         detail = 'unsent'
-    if detail or answer.headers.get(b'connection') == b'close':
+    if detail or response.headers.get(b'connection') == b'close':
         connection.stream.socket.close()
     else:
-        connection.state.start_next_cycle()
-        kept[entry] = connection
+        connection.protocol.start_next_cycle()
+        idle_connections[entry] = connection
     if detail == 'unsent':
         return
     is_whole = (
-        answer.headers.get(b'zinnialead-response-seal') is not None
-        and answer.body == b'done ' + name.encode()
-        and answer.is_ended
+        response.headers.get(b'zinnialead-response-seal') is not None
+        and response.body == b'done ' + name.encode()
+        and response.is_ended
     )
-    status = answer.status if answer.is_ended else 0
+    status = response.status if response.is_ended else 0
     soak.tables.requests.append(
         models.RequestRow(
             name,
             entry,
             prefix,
-            once,
+            non_idempotent,
             sent_ms,
             soak.now_ms(),
             status,
@@ -94,7 +101,7 @@
 
 
 async def _connect(soak, entry):
-    host, _, port = soak.members[entry].front.address.rpartition(':')
+    host, _, port = soak.members[entry].front_proxy.address.rpartition(':')
     try:
         stream = await trio.open_tcp_stream(host, int(port))
     except OSError:
@@ -102,11 +109,11 @@
     return Connection(stream, h11.Connection(h11.CLIENT))
 
 
-async def _exchange(connection, answer, prefix, once, name):
-    """Send one request and read its answer; return what went wrong."""
-    state = connection.state
-    head = h11.Request(
-        method=b'POST' if once else b'GET',
+async def _exchange(connection, response, prefix, non_idempotent, name):
+    """Send one request and read its response; return the error or ''."""
+    protocol = connection.protocol
+    request = h11.Request(
+        method=b'POST' if non_idempotent else b'GET',
         target=f'{prefix}{name}'.encode(),
         headers=[
             (b'Host', b'desk.example'),
@@ -115,29 +122,29 @@
             (b'Content-Length', b'0'),
         ],
     )
-    data = state.send(head) + state.send(h11.EndOfMessage())
+    data = protocol.send(request) + protocol.send(h11.EndOfMessage())
     try:
         await connection.stream.send_all(data)
-    except proxies.BROKEN:
+    except proxies.CONNECTION_ERRORS:
         return 'unsent'
     while True:
-        event = state.next_event()
+        event = protocol.next_event()
         match event:
             case h11.NEED_DATA:
                 try:
-                    data = await connection.stream.receive_some(CHUNK)
-                except proxies.BROKEN:
+                    data = await connection.stream.receive_some(CHUNK_BYTES)
+                except proxies.CONNECTION_ERRORS:
                     return 'reset'
-                if not data and state.their_state is h11.SEND_RESPONSE:
+                if not data and protocol.their_state is h11.SEND_RESPONSE:
                     return 'closed'
-                state.receive_data(data)
+                protocol.receive_data(data)
             case h11.Response():
-                answer.status = event.status_code
-                answer.headers = dict(event.headers)
+                response.status = event.status_code
+                response.headers = dict(event.headers)
             case h11.Data():
-                answer.body += bytes(event.data)
+                response.body += bytes(event.data)
             case h11.EndOfMessage():
-                answer.is_ended = True
+                response.is_ended = True
                 return ''
             case _:
                 return f'unexpected {event!r}'
--- a/tests/soak/clock/sitecustomize.py
+++ b/tests/soak/clock/sitecustomize.py
@@ -1,4 +1,4 @@
-"""Set the clock of a program that the soak starts."""
+"""Shift the wall clock of a program that the soak starts."""
 
 import os
 import time
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,4 +1,4 @@
-"""Start the real programs, and let faults strike them."""
+"""Start the real programs and inject faults."""
 
 import dataclasses
 import json
@@ -20,63 +20,63 @@
 from zinnialead_standins import store as stores
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / 'platform' / 'entry.py'
-CLOCK = pathlib.Path(__file__).with_name('clock')
-TICK_MS = 20.0
-# An entry's ports, and the place of the one that other entries ask.
-PORTS = 6
+ENTRY_PROGRAM = ROOT / 'platform' / 'entry.py'
+CLOCK_FOLDER = pathlib.Path(__file__).with_name('clock')
+POLL_PERIOD_MS = 20.0
+# Ports of an entry, and the index of the one that its peers connect to.
+PORTS_PER_ENTRY = 6
 CONTROL_PORT = 2
-# The interpreter's own start takes some 30 ms of an idle core.
-INTERPRETER_MS = 400.0
-# Routes of the first version, and whether work on them runs once.
-FIRST = {'/look/': 'desk', '/book/': 'ledger', '/move/': 'desk'}
-CONDITIONS = {
+# Time allowed for the start of the interpreter, some 30 ms on an idle core.
+INTERPRETER_START_MS = 400.0
+# Path prefixes and services of the first configuration.
+INITIAL_ROUTES = {'/look/': 'desk', '/book/': 'ledger', '/move/': 'desk'}
+STORE_CONDITIONS = {
     'down': stores.Down(),
     'busy': stores.Busy(),
     'silent': stores.Silent(),
     'lost': stores.LosesAnswers(),
     'deaf': stores.WithholdsEvents(),
 }
-ONCE = frozenset(('/book/',))
+NON_IDEMPOTENT_PREFIXES = frozenset(('/book/',))
 
 
 @dataclasses.dataclass
 class Member:
-    """Hold one entry's process and the proxies before and behind it."""
+    """Hold one entry's process and its proxies to callers and the store."""
 
     name: str
-    settings: pathlib.Path
+    settings_path: pathlib.Path
     front_address: str
-    directory: str
-    front: proxies.Proxy
-    store: proxies.Proxy
+    directory_address: str
+    front_proxy: proxies.Proxy
+    store_proxy: proxies.Proxy
     process: subprocess.Popen | None = None
-    # What ended it: '' while it should run.
-    ending: str = ''
+    # Name of the signal that was sent to end it; '' while it should run.
+    stop_signal: str = ''
     started_ms: float = float('-inf')
 
 
 @dataclasses.dataclass
 class Soak:
-    """Hold one run."""
+    """Hold the state of one run."""
 
     folder: pathlib.Path
     random: random.Random
     tables: models.Tables
     store: stores.Store
     members: dict
-    places: list
-    began_s: float
-    once: frozenset = ONCE
+    endpoints: list
+    start_s: float
+    non_idempotent_prefixes: frozenset = NON_IDEMPOTENT_PREFIXES
     is_over: bool = False
-    made: int = 0
+    upstream_count: int = 0
 
     def now_ms(self):
         """Return the time since the run began, in ms."""
-        return (trio.current_time() - self.began_s) * const.MS_PER_S
+        return (trio.current_time() - self.start_s) * const.MS_PER_S
 
 
-async def set_up(nursery, folder, seed):
+async def start_fleet(nursery, folder, seed):
     """Start the store, upstreams and entries of a run."""
     store = stores.new_store()
     soak = Soak(
@@ -88,35 +88,35 @@
         [],
         trio.current_time(),
     )
-    configure(soak, dict(FIRST))
+    put_configuration(soak, dict(INITIAL_ROUTES))
     domains = list(const.DOMAINS)
     for service, count in const.SERVICES.items():
         for number in range(count):
-            await _add_place(nursery, soak, service, domains[number % 3])
+            await _add_endpoint(nursery, soak, service, domains[number % 3])
     address = await fakes.serve_store(nursery, store)
-    ports = deployments.free_ports(PORTS * len(const.ENTRIES))
+    ports = deployments.free_ports(PORTS_PER_ENTRY * len(const.ENTRIES))
     for number, name in enumerate(const.ENTRIES):
         await _add_member(nursery, soak, name, address, ports, number)
     return soak
 
 
-async def _add_place(nursery, soak, service, domain):
+async def _add_endpoint(nursery, soak, service, domain):
     upstream = _new_upstream(soak, service, domain)
     target = await upstreams.serve(nursery, soak, upstream)
     proxy = await proxies.start(nursery, target)
-    soak.places.append(upstreams.Place(proxy, upstream))
-    _register(soak, soak.places[-1])
+    soak.endpoints.append(upstreams.Endpoint(proxy, upstream))
+    _register(soak, soak.endpoints[-1])
 
 
 def _new_upstream(soak, service, domain):
-    soak.made += 1
-    return upstreams.Upstream(f'i-{soak.made}', service, domain)
+    soak.upstream_count += 1
+    return upstreams.Upstream(f'i-{soak.upstream_count}', service, domain)
 
 
-def _register(soak, place, state='ready'):
-    upstream = place.upstream
+def _register(soak, endpoint, state='ready'):
+    upstream = endpoint.upstream
     spec = deployments.registration(
-        place.proxy.address,
+        endpoint.proxy.address,
         service=upstream.service,
         zone=upstream.domain,
         state=state,
@@ -125,16 +125,18 @@
 
 
 async def _add_member(nursery, soak, name, store_address, ports, number):
-    own = ports[PORTS * number : PORTS * (number + 1)]
-    front, _, _, directory, _, _ = own
-    store = await proxies.start(nursery, store_address)
-    proxy = await proxies.start(nursery, f'127.0.0.1:{front}')
-    controls = ports[CONTROL_PORT::PORTS]
+    entry_ports = ports[
+        PORTS_PER_ENTRY * number : PORTS_PER_ENTRY * (number + 1)
+    ]
+    front_port, _, _, directory_port, _, _ = entry_ports
+    store_proxy = await proxies.start(nursery, store_address)
+    front_proxy = await proxies.start(nursery, f'127.0.0.1:{front_port}')
+    controls = ports[CONTROL_PORT::PORTS_PER_ENTRY]
     text = deployments.settings_text(
-        store.address,
+        store_proxy.address,
         name,
         ', '.join(f'"127.0.0.1:{x}"' for x in controls),
-        own,
+        entry_ports,
         list(const.DOMAINS)[number % len(const.DOMAINS)],
         const.DOMAINS,
         const.GRACE_MS,
@@ -144,42 +146,44 @@
     member = Member(
         name,
         path,
-        f'127.0.0.1:{front}',
-        f'127.0.0.1:{directory}',
-        proxy,
-        store,
+        f'127.0.0.1:{front_port}',
+        f'127.0.0.1:{directory_port}',
+        front_proxy,
+        store_proxy,
     )
     soak.members[name] = member
     start(soak, member)
 
 
-def start(soak, member, clock_ms=0):
+def start(soak, member, clock_offset_ms=0):
     """Start an entry's program."""
     environment = {
         **os.environ,
-        'ZINNIALEAD_BOOT': str(member.settings),
-        'SOAK_CLOCK_OFFSET_MS': str(clock_ms),
-        'PYTHONPATH': os.pathsep.join([str(CLOCK), *sys.path]),
+        'ZINNIALEAD_BOOT': str(member.settings_path),
+        'SOAK_CLOCK_OFFSET_MS': str(clock_offset_ms),
+        'PYTHONPATH': os.pathsep.join([str(CLOCK_FOLDER), *sys.path]),
     }
     log = soak.folder / f'{member.name}.log'
     with log.open('ab') as file:
         member.process = subprocess.Popen(
-            [sys.executable, str(PROGRAM)],
+            [sys.executable, str(ENTRY_PROGRAM)],
             env=environment,
             stdout=file,
             stderr=file,
         )
-    member.ending = ''
+    member.stop_signal = ''
     member.started_ms = soak.now_ms()
 
 
-def configure(soak, services):
-    """Put the next version of the configuration in force."""
+def put_configuration(soak, services):
+    """Put the next version of the configuration into the store."""
     version = len(soak.tables.versions) + 1
     spec = deployments.configuration(version)
     spec['routes'] = {
         f'r-{prefix.strip("/")}': deployments.route(
-            'non_idempotent' if prefix in ONCE else 'idempotent',
+            'non_idempotent'
+            if prefix in NON_IDEMPOTENT_PREFIXES
+            else 'idempotent',
             path_prefix=prefix,
             service=service,
             timeout=f'{const.ROUTE_TIMEOUT_MS:.0f}ms',
@@ -195,28 +199,31 @@
     soak.tables.versions.append(row)
 
 
-async def strike(nursery, soak, fault):
-    """Let a fault strike, and note when it did and whom it concerned."""
+async def inject(nursery, soak, fault):
+    """Inject a fault; record its time span for each affected entry."""
     begin_ms = soak.now_ms()
-    entries, is_planned = _concerned(fault)
-    places = [
+    entries, is_planned = _affected_entries(fault)
+    indexed_entries = [
         (len(soak.tables.spans) + n, entry) for n, entry in enumerate(entries)
     ]
-    kind = type(fault).__name__
-    for _, entry in places:
-        span = models.SpanRow(kind, entry, is_planned, begin_ms, 1e12)
+    fault_name = type(fault).__name__
+    for _, entry in indexed_entries:
+        span = models.SpanRow(fault_name, entry, is_planned, begin_ms, 1e12)
         soak.tables.spans.append(span)
     try:
-        await _strike(nursery, soak, fault)
+        await _inject(nursery, soak, fault)
     finally:
-        for place, _ in places:
-            span = soak.tables.spans[place]
+        for index, _ in indexed_entries:
+            span = soak.tables.spans[index]
             ended = span._replace(end_ms=soak.now_ms())
-            soak.tables.spans[place] = ended
+            soak.tables.spans[index] = ended
+
 
+def _affected_entries(fault):
+    """Return the entries that a fault affects, and whether it is planned.
 
-def _concerned(fault):
-    """Return the entries that a fault concerns, and whether it is planned."""
+    The entry None stands for all entries.
+    """
     match fault:
         case models.Kill(entries) | models.StoreLink(entries):
             return entries, False
@@ -230,196 +237,203 @@
             return (None,), False
 
 
-async def _strike(nursery, soak, fault):
+async def _inject(nursery, soak, fault):
     match fault:
-        case models.Kill(entries, down_ms, clock_ms):
+        case models.Kill(entries, down_ms, clock_offset_ms):
             for entry in entries:
-                _signal(soak, entry, signal.SIGKILL)
+                _send_signal(soak, entry, signal.SIGKILL)
             await _sleep(down_ms)
             for entry in entries:
-                await _return(soak, entry, clock_ms)
+                await _restart(soak, entry, clock_offset_ms)
         case models.Stop(entry, down_ms):
-            _signal(soak, entry, signal.SIGTERM)
-            await _gone(soak, entry)
+            _send_signal(soak, entry, signal.SIGTERM)
+            await _wait_for_exit(soak, entry)
             await _sleep(down_ms)
-            await _return(soak, entry)
-        case models.Pause(entry, for_ms):
-            _signal(soak, entry, signal.SIGSTOP)
-            await _sleep(for_ms)
-            _signal(soak, entry, signal.SIGCONT)
+            await _restart(soak, entry)
+        case models.Pause(entry, duration_ms):
+            _send_signal(soak, entry, signal.SIGSTOP)
+            await _sleep(duration_ms)
+            _send_signal(soak, entry, signal.SIGCONT)
         case models.Reload(entry):
-            await _until_running(soak, entry)
-            _signal(soak, entry, signal.SIGHUP)
+            await _wait_until_running(soak, entry)
+            _send_signal(soak, entry, signal.SIGHUP)
         case _:
-            await _strike_around(nursery, soak, fault)
+            await _inject_external(nursery, soak, fault)
 
 
-async def _strike_around(nursery, soak, fault):
-    """Let a fault strike the store, links or upstreams."""
+async def _inject_external(nursery, soak, fault):
+    """Inject a fault into the store, links, upstreams or configuration."""
     match fault:
         case models.StoreFault('compacted', _):
             stores.forget_before(soak.store, soak.store.revision)
-        case models.StoreFault(trouble, for_ms):
-            stores.set_condition(soak.store, CONDITIONS[trouble])
-            await _sleep(for_ms)
+        case models.StoreFault(store_condition, duration_ms):
+            stores.set_condition(soak.store, STORE_CONDITIONS[store_condition])
+            await _sleep(duration_ms)
             stores.set_condition(soak.store, stores.Up())
-        case models.StoreLink(entries, condition, for_ms):
-            links = [soak.members[entry].store for entry in entries]
-            await _harm(links, condition, for_ms)
-        case models.FrontLink(entry, condition, for_ms):
-            await _harm([soak.members[entry].front], condition, for_ms)
-        case models.UpstreamLink(place, condition, for_ms):
-            await _harm([soak.places[place].proxy], condition, for_ms)
-        case models.Replace(place, missing_ms):
-            await _replace(nursery, soak, soak.places[place], missing_ms)
-        case models.Drain(place):
-            await _drain(nursery, soak, soak.places[place])
-        case models.Evacuate(domain, for_ms):
-            await _evacuate(soak, domain, for_ms)
+        case models.StoreLink(entries, condition, duration_ms):
+            links = [soak.members[entry].store_proxy for entry in entries]
+            await _impair(links, condition, duration_ms)
+        case models.FrontLink(entry, condition, duration_ms):
+            await _impair(
+                [soak.members[entry].front_proxy], condition, duration_ms
+            )
+        case models.UpstreamLink(index, condition, duration_ms):
+            await _impair(
+                [soak.endpoints[index].proxy], condition, duration_ms
+            )
+        case models.Replace(index, missing_ms):
+            await _replace(nursery, soak, soak.endpoints[index], missing_ms)
+        case models.Drain(index):
+            await _drain(nursery, soak, soak.endpoints[index])
+        case models.Evacuate(domain, duration_ms):
+            await _evacuate(soak, domain, duration_ms)
         case models.Configure(is_new):
-            _change(soak, is_new)
+            _change_routes(soak, is_new)
 
 
-async def _sleep(for_ms):
-    await trio.sleep(for_ms / const.MS_PER_S)
+async def _sleep(duration_ms):
+    await trio.sleep(duration_ms / const.MS_PER_S)
 
 
-async def _until_running(soak, entry):
+async def _wait_until_running(soak, entry):
     """Wait until an interpreter that was just started runs the program.
 
-    Before that no program can take a signal in.
+    Before that, the program can't have installed its signal handlers.
     """
     member = soak.members[entry]
-    while soak.now_ms() - member.started_ms < INTERPRETER_MS:
-        await _sleep(TICK_MS)
+    while soak.now_ms() - member.started_ms < INTERPRETER_START_MS:
+        await _sleep(POLL_PERIOD_MS)
 
 
-def _signal(soak, entry, number):
-    """Send a signal to a process that the soak started and that runs."""
+def _send_signal(soak, entry, number):
+    """Send a signal to an entry's process if it still runs."""
     member = soak.members[entry]
     if member.process.poll() is not None:
         return
     if number in (signal.SIGKILL, signal.SIGTERM):
-        member.ending = member.ending or number.name
+        member.stop_signal = member.stop_signal or number.name
         if number == signal.SIGKILL:
-            member.ending = number.name
-            down = models.DownRow(entry, soak.now_ms(), float('inf'))
-            soak.tables.down.append(down)
+            member.stop_signal = number.name
+            outage = models.DownRow(entry, soak.now_ms(), float('inf'))
+            soak.tables.outages.append(outage)
     member.process.send_signal(number)
 
 
-async def _gone(soak, entry):
-    """Wait for the end of a process that was told to stop."""
+async def _wait_for_exit(soak, entry):
+    """Wait for a process to exit; kill it once it is overdue."""
     process = soak.members[entry].process
     begin_ms = soak.now_ms()
     while process.poll() is None:
-        await _sleep(TICK_MS)
-        late_ms = soak.now_ms() - begin_ms - const.GRACE_MS
-        if late_ms > const.EXIT_SLACK_MS:
-            hidden = ('Pause', 'lag', 'Kill')
+        await _sleep(POLL_PERIOD_MS)
+        overrun_ms = soak.now_ms() - begin_ms - const.GRACE_MS
+        if overrun_ms > const.EXIT_SLACK_MS:
+            excusing_faults = ('Pause', 'lag', 'Kill')
             if not any(
-                span.fault in hidden
+                span.fault in excusing_faults
                 and span.entry in (None, entry)
                 and span.end_ms > begin_ms - const.STABLE_WINDOW_MS
                 for span in soak.tables.spans
             ):
                 row = models.ViolationRow('GRACE', f'{entry} still runs')
                 soak.tables.violations.append(row)
-            _signal(soak, entry, signal.SIGKILL)
-            await _sleep(TICK_MS)
+            _send_signal(soak, entry, signal.SIGKILL)
+            await _sleep(POLL_PERIOD_MS)
 
 
-async def _return(soak, entry, clock_ms=0):
-    """Start an entry again, unless another fault has done so."""
+async def _restart(soak, entry, clock_offset_ms=0):
+    """Restart an entry, unless another fault has done so."""
     member = soak.members[entry]
-    if not member.ending:
+    if not member.stop_signal:
         return
-    await _gone(soak, entry)
-    for place, down in enumerate(soak.tables.down):
-        if down.entry == entry and down.until_ms == float('inf'):
+    await _wait_for_exit(soak, entry)
+    for index, outage in enumerate(soak.tables.outages):
+        if outage.entry == entry and outage.until_ms == float('inf'):
             until_ms = soak.now_ms()
-            soak.tables.down[place] = down._replace(until_ms=until_ms)
-    if member.ending:
-        start(soak, member, clock_ms)
+            soak.tables.outages[index] = outage._replace(until_ms=until_ms)
+    if member.stop_signal:
+        start(soak, member, clock_offset_ms)
 
 
-async def _harm(links, condition, for_ms):
+async def _impair(links, condition, duration_ms):
     for link in links:
-        proxies.harm(link, condition)
-    await _sleep(for_ms)
+        proxies.set_condition(link, condition)
+    await _sleep(duration_ms)
     for link in links:
         if link.condition is condition:
-            proxies.harm(link, models.Clear())
-            # What was silent hears nothing more on its old connections.
+            proxies.set_condition(link, models.Clear())
+            # Connections that lost bytes stay silent and are of no use.
             proxies.reset_all(link)
 
 
-async def _replace(nursery, soak, place, missing_ms):
-    """Let an upstream die; its address goes to another service.
+async def _replace(nursery, soak, endpoint, missing_ms):
+    """Stop an upstream; an upstream of another service takes its address.
 
-    Its own service gets another one elsewhere, or it would run dry.
+    The first service gets an upstream at a new address; otherwise it would
+    run out of upstreams.
     """
-    old = place.upstream
-    others = [x for x in const.SERVICES if x != old.service]
-    upstream = _new_upstream(soak, soak.random.choice(others), old.domain)
+    old = endpoint.upstream
+    other_services = [x for x in const.SERVICES if x != old.service]
+    upstream = _new_upstream(
+        soak, soak.random.choice(other_services), old.domain
+    )
     target = await upstreams.serve(nursery, soak, upstream)
-    proxies.harm(place.proxy, models.Reset())
-    place.upstream = upstream
-    place.proxy.target = target
+    proxies.set_condition(endpoint.proxy, models.Reset())
+    endpoint.upstream = upstream
+    endpoint.proxy.target = target
     await _sleep(missing_ms)
     if old.instance in soak.store.objects['servers']:
         stores.remove(soak.store, 'servers', old.instance)
-    proxies.harm(place.proxy, models.Clear())
-    await _add_place(nursery, soak, old.service, old.domain)
-    if place.upstream is upstream:
-        _register(soak, place)
+    proxies.set_condition(endpoint.proxy, models.Clear())
+    await _add_endpoint(nursery, soak, old.service, old.domain)
+    if endpoint.upstream is upstream:
+        _register(soak, endpoint)
 
 
-async def _drain(nursery, soak, place):
-    """Let an upstream leave for good once another one has come."""
-    old = place.upstream
+async def _drain(nursery, soak, endpoint):
+    """Drain an upstream for good after adding another one."""
+    old = endpoint.upstream
     if old.instance not in soak.store.objects['servers']:
         return
-    await _add_place(nursery, soak, old.service, old.domain)
-    _register(soak, place, 'draining')
+    await _add_endpoint(nursery, soak, old.service, old.domain)
+    _register(soak, endpoint, 'draining')
     row = models.LeftRow(old.instance, None, soak.now_ms(), float('inf'))
-    soak.tables.left.append(row)
+    soak.tables.departures.append(row)
 
 
-async def _evacuate(soak, domain, for_ms):
+async def _evacuate(soak, domain, duration_ms):
     if domain in soak.store.objects['evacuations']:
         return
     stores.put(soak.store, 'evacuations', domain, {})
     acked_ms = soak.now_ms()
-    await _sleep(for_ms)
+    await _sleep(duration_ms)
     stores.remove(soak.store, 'evacuations', domain)
     row = models.LeftRow(None, domain, acked_ms, soak.now_ms())
-    soak.tables.left.append(row)
+    soak.tables.departures.append(row)
 
 
-def _change(soak, is_new):
+def _change_routes(soak, is_new):
     services = dict(soak.tables.versions[-1].services)
     if is_new:
         services[f'/add{len(soak.tables.versions)}/'] = 'desk'
     else:
         other = {'desk': 'ledger', 'ledger': 'desk'}
         services['/move/'] = other[services['/move/']]
-    configure(soak, services)
+    put_configuration(soak, services)
 
 
-def watch_ends(soak):
-    """Note each program that ended by itself, and start it again."""
+def restart_exited(soak):
+    """Record and restart each program that exited by itself."""
     for member in soak.members.values():
         code = member.process.poll()
-        if code is None or member.ending:
+        if code is None or member.stop_signal:
             continue
         row = models.ViolationRow('ENDED', f'{member.name} with {code}')
         soak.tables.violations.append(row)
         start(soak, member)
 
 
-def read_logs(soak):
-    """Note what no log of a program may hold."""
+def check_logs(soak):
+    """Record lines that aren't JSON and failed connections in the logs."""
     for member in soak.members.values():
         text = (soak.folder / f'{member.name}.log').read_text()
         for line in text.splitlines():
@@ -434,8 +448,8 @@
                 soak.tables.violations.append(row)
 
 
-def unload(soak):
-    """End every program that the soak started."""
+def kill_all(soak):
+    """Kill every program that the soak started."""
     for member in soak.members.values():
         if member.process.poll() is None:
             member.process.kill()
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -5,7 +5,11 @@
 
 
 class RequestRow(typing.NamedTuple):
-    """Hold a request as its caller saw it; ``status`` 0 is no answer."""
+    """Hold a request as its caller saw it; ``status`` 0 is no response.
+
+    ``once`` marks a non-idempotent request; ``is_whole`` a response that is
+    complete, sealed and the request's own.
+    """
 
     name: str
     entry: str
@@ -19,7 +23,7 @@
 
 
 class RunRow(typing.NamedTuple):
-    """Hold one run of a request as an upstream saw it."""
+    """Hold one execution of a request by an upstream."""
 
     name: str
     upstream: str
@@ -29,7 +33,7 @@
 
 
 class SpanRow(typing.NamedTuple):
-    """Hold when a fault struck; ``entry`` None is all of them."""
+    """Hold the time span of a fault; ``entry`` None stands for all."""
 
     fault: str
     entry: str | None
@@ -39,7 +43,7 @@
 
 
 class VersionRow(typing.NamedTuple):
-    """Hold a configuration and when it was acknowledged."""
+    """Hold a configuration and when the store acknowledged it."""
 
     version: int
     acked_ms: float
@@ -47,7 +51,7 @@
 
 
 class LeftRow(typing.NamedTuple):
-    """Hold an upstream or a domain that is to get nothing for a time."""
+    """Hold an upstream or a domain that is drained for a time."""
 
     upstream: str | None
     domain: str | None
@@ -56,7 +60,7 @@
 
 
 class LookUpRow(typing.NamedTuple):
-    """Hold which entries an entry named."""
+    """Hold which entries the answer to a look-up named."""
 
     entry: str
     at_ms: float
@@ -64,7 +68,7 @@
 
 
 class DownRow(typing.NamedTuple):
-    """Hold when an entry was gone."""
+    """Hold when an entry was down."""
 
     entry: str
     since_ms: float
@@ -72,69 +76,69 @@
 
 
 class ViolationRow(typing.NamedTuple):
-    """Hold a promise that was not kept, and by what it shows."""
+    """Hold the name of a failed check and what it found."""
 
-    promise: str
+    check: str
     detail: str
 
 
 class Tables(typing.NamedTuple):
-    """Hold all that was seen in one run."""
+    """Hold everything recorded in one run."""
 
     requests: list[RequestRow]
     runs: list[RunRow]
     spans: list[SpanRow]
     versions: list[VersionRow]
-    left: list[LeftRow]
+    departures: list[LeftRow]
     look_ups: list[LookUpRow]
-    down: list[DownRow]
+    outages: list[DownRow]
     violations: list[ViolationRow]
 
 
 def new_tables():
-    """Return tables of a run in which nothing was seen yet."""
+    """Return the empty tables of a run."""
     return Tables([], [], [], [], [], [], [], [])
 
 
 @dataclasses.dataclass(frozen=True)
 class Clear:
-    """Pass everything on."""
+    """Forward everything."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Delayed:
-    """Pass everything on after a time."""
+    """Forward everything after a delay."""
 
     delay_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Silent:
-    """Take everything and pass nothing on."""
+    """Accept everything and forward nothing."""
 
 
 @dataclasses.dataclass(frozen=True)
 class OneWay:
-    """Pass nothing back."""
+    """Forward requests but no responses."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Reset:
-    """Reset what is open, and each new connection."""
+    """Reset open connections and each new one."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Kill:
-    """Kill some entries and start them again, with a clock that is off."""
+    """Kill entries and restart them with their clocks shifted."""
 
     entries: tuple[str, ...]
     down_ms: float
-    clock_ms: int = 0
+    clock_offset_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class Stop:
-    """Tell an entry to stop, and start it again once it is gone."""
+    """Stop an entry with SIGTERM, and restart it after its exit."""
 
     entry: str
     down_ms: float
@@ -142,75 +146,75 @@
 
 @dataclasses.dataclass(frozen=True)
 class Pause:
-    """Let an entry stand still."""
+    """Suspend an entry with SIGSTOP."""
 
     entry: str
-    for_ms: float
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Reload:
-    """Tell an entry that its settings have changed."""
+    """Send SIGHUP to an entry, so that it reloads its settings."""
 
     entry: str
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreFault:
-    """Let the store misbehave for all entries."""
+    """Make the store misbehave for all entries."""
 
-    trouble: str
-    for_ms: float
+    store_condition: str
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreLink:
-    """Harm the links of some entries to the store."""
+    """Impair the links of some entries to the store."""
 
     entries: tuple[str, ...]
     condition: object
-    for_ms: float
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class FrontLink:
-    """Harm the link between callers and an entry."""
+    """Impair the link between callers and an entry."""
 
     entry: str
     condition: object
-    for_ms: float
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamLink:
-    """Harm the link to an upstream."""
+    """Impair the link to an upstream."""
 
-    place: int
+    endpoint_index: int
     condition: object
-    for_ms: float
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Replace:
-    """Let an upstream die; another service takes its address."""
+    """Stop an upstream; another service takes its address."""
 
-    place: int
+    endpoint_index: int
     missing_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
 class Drain:
-    """Let an upstream leave, and another one of its service come."""
+    """Drain an upstream after adding another one to its service."""
 
-    place: int
+    endpoint_index: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Evacuate:
-    """Ask that nothing more is sent to a domain's upstreams."""
+    """Evacuate a domain: its upstreams get no more requests."""
 
     domain: str
-    for_ms: float
+    duration_ms: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,21 +5,21 @@
 
 
 def faults(random, seconds):
-    """Yield when each fault of a run strikes, in ms, and the fault."""
+    """Yield the start time of each fault, in ms, and the fault."""
     last_ms = seconds * const.MS_PER_S
     last_ms -= const.RECOVERY_MS + const.LAST_CHECK_MS
     at_ms = const.FIRST_FAULT_MS
     while at_ms < last_ms:
-        fault = _fault(random)
-        # No fault may last into the time that is left to recover.
+        fault = _draw_fault(random)
+        # Every fault ends before the recovery time at the end of a run.
         if at_ms + duration_ms(fault) <= last_ms:
             yield at_ms, fault
         if random.random() < 0.75:
-            at_ms += random.expovariate(1.0) * const.FAULT_GAP_MS
+            at_ms += random.expovariate(1.0) * const.MEAN_FAULT_GAP_MS
 
 
 def duration_ms(fault):
-    """Return how long a fault lasts, with what it needs to end."""
+    """Return how long a fault lasts, including the time until it has ended."""
     match fault:
         case models.Kill(_, down_ms, _):
             return down_ms
@@ -30,15 +30,15 @@
         case models.Reload() | models.Configure() | models.Drain():
             return const.CONFIG_APPLY_MS
         case _:
-            return fault.for_ms
+            return fault.duration_ms
 
 
-def _fault(random):
+def _draw_fault(random):
     entry = random.choice(const.ENTRIES)
-    some = tuple(random.sample(const.ENTRIES, random.choice((1, 2, 5))))
-    for_ms = random.uniform(300.0, 5_000.0)
+    entries = tuple(random.sample(const.ENTRIES, random.choice((1, 2, 5))))
+    fault_ms = random.uniform(300.0, 5_000.0)
     down_ms = random.uniform(50.0, 2_000.0)
-    place = random.randrange(sum(const.SERVICES.values()))
+    endpoint_index = random.randrange(sum(const.SERVICES.values()))
     condition = random.choice(
         (
             models.Delayed(random.uniform(50.0, 1_500.0)),
@@ -47,26 +47,26 @@
             models.Reset(),
         )
     )
-    trouble = random.choice(
+    store_condition = random.choice(
         ('down', 'busy', 'silent', 'lost', 'deaf', 'compacted')
     )
-    clock_ms = random.choice((0, 0, -60_000, 60_000))
+    clock_offset_ms = random.choice((0, 0, -60_000, 60_000))
     domain = random.choice(tuple(const.DOMAINS))
     return random.choice(
         (
-            models.Kill((entry,), down_ms, clock_ms),
-            models.Kill(some, down_ms, clock_ms),
+            models.Kill((entry,), down_ms, clock_offset_ms),
+            models.Kill(entries, down_ms, clock_offset_ms),
             models.Stop(entry, down_ms),
             models.Stop(entry, down_ms),
-            models.Pause(entry, for_ms),
+            models.Pause(entry, fault_ms),
             models.Reload(entry),
-            models.StoreFault(trouble, for_ms),
-            models.StoreLink(some, condition, for_ms),
-            models.FrontLink(entry, condition, for_ms),
-            models.UpstreamLink(place, condition, for_ms),
-            models.Replace(place, down_ms),
-            models.Drain(place),
-            models.Evacuate(domain, for_ms),
+            models.StoreFault(store_condition, fault_ms),
+            models.StoreLink(entries, condition, fault_ms),
+            models.FrontLink(entry, condition, fault_ms),
+            models.UpstreamLink(endpoint_index, condition, fault_ms),
+            models.Replace(endpoint_index, down_ms),
+            models.Drain(endpoint_index),
+            models.Evacuate(domain, fault_ms),
             models.Configure(is_new=random.random() < 0.5),
             models.Configure(is_new=random.random() < 0.5),
         )
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Pass connections on over loopback, and harm them on request."""
+"""Forward connections over loopback, and impair them on request."""
 
 import contextlib
 import dataclasses
@@ -10,27 +10,33 @@
 from soak import const
 from soak import models
 
-BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
-CHUNK = 65_536
+CONNECTION_ERRORS = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+CHUNK_BYTES = 65_536
+# A struct linger with which closing a socket resets its connection.
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
 @dataclasses.dataclass
 class Proxy:
-    """Hold where a proxy leads, and how it treats what it passes on.
+    """Hold the target of a proxy and the condition of its link.
 
-    ``refused`` are callers' ends of connections that nobody took behind it.
+    ``refused_peers`` are the addresses of clients whose connections the target
+    refused.
     """
 
     target: str
     condition: object = dataclasses.field(default_factory=models.Clear)
-    open: set = dataclasses.field(default_factory=set)
+    open_streams: set = dataclasses.field(default_factory=set)
     address: str = ''
-    refused: set = dataclasses.field(default_factory=set)
+    refused_peers: set = dataclasses.field(default_factory=set)
 
 
 async def start(nursery, target, port=0):
-    """Return a proxy that leads to ``target``."""
+    """Start and return a proxy that forwards to ``target``."""
     proxy = Proxy(target)
     (listener,) = await trio.open_tcp_listeners(port, host='127.0.0.1')
     proxy.address = f'127.0.0.1:{listener.socket.getsockname()[1]}'
@@ -42,8 +48,8 @@
     return proxy
 
 
-def harm(proxy, condition):
-    """Treat what is open, and what comes, in another way from now on."""
+def set_condition(proxy, condition):
+    """Change how open and new connections are treated."""
     proxy.condition = condition
     if isinstance(condition, models.Reset):
         reset_all(proxy)
@@ -51,58 +57,58 @@
 
 def reset_all(proxy):
     """Reset every open connection."""
-    for stream in list(proxy.open):
+    for stream in list(proxy.open_streams):
         reset(stream)
 
 
 def reset(stream):
     """Close a connection so that its peer sees a reset."""
-    with contextlib.suppress(*BROKEN):
+    with contextlib.suppress(*CONNECTION_ERRORS):
         stream.socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
         )
     stream.socket.close()
 
 
-async def _serve(proxy, near):
+async def _serve(proxy, client):
     if isinstance(proxy.condition, models.Reset):
-        reset(near)
+        reset(client)
         return
     host, _, port = proxy.target.rpartition(':')
     try:
-        far = await trio.open_tcp_stream(host, int(port))
+        target = await trio.open_tcp_stream(host, int(port))
     except OSError:
-        proxy.refused.add(near.socket.getpeername())
-        reset(near)
+        proxy.refused_peers.add(client.socket.getpeername())
+        reset(client)
         return
-    pair = {near, far}
-    proxy.open |= pair
+    streams = {client, target}
+    proxy.open_streams |= streams
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_pump, proxy, near, far, False)
-            nursery.start_soon(_pump, proxy, far, near, True)
+            nursery.start_soon(_forward, proxy, client, target, False)
+            nursery.start_soon(_forward, proxy, target, client, True)
     finally:
-        proxy.open -= pair
-        near.socket.close()
-        far.socket.close()
+        proxy.open_streams -= streams
+        client.socket.close()
+        target.socket.close()
 
 
-async def _pump(proxy, source, sink, is_back):
-    """Pass one direction on; once a byte is lost, no later one passes."""
-    is_deaf = False
+async def _forward(proxy, source, sink, is_from_target):
+    """Forward one direction; after a dropped byte, drop all later ones."""
+    is_dropping = False
     try:
-        while data := await source.receive_some(CHUNK):
+        while data := await source.receive_some(CHUNK_BYTES):
             match proxy.condition:
                 case models.Delayed(delay_ms):
                     await trio.sleep(delay_ms / const.MS_PER_S)
                 case models.Silent():
-                    is_deaf = True
-                case models.OneWay() if is_back:
-                    is_deaf = True
-            if not is_deaf:
+                    is_dropping = True
+                case models.OneWay() if is_from_target:
+                    is_dropping = True
+            if not is_dropping:
                 await sink.send_all(data)
-        if not is_deaf:
+        if not is_dropping:
             await sink.send_eof()
-    except BROKEN:
+    except CONNECTION_ERRORS:
         reset(source)
         reset(sink)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""Play one run of a seed, and return what it showed."""
+"""Run the soak with the faults of one seed."""
 
 import collections
 import pathlib
@@ -16,93 +16,98 @@
 from soak import plan
 from zinnialead_gateway.http import client
 
-WATCH_MS = 50.0
-LOOK_UP_MS = 500.0
-# How a question ends that a fault concerns.
-BROKEN = (OSError, trio.BrokenResourceError, client.ProtocolError)
+WATCH_PERIOD_MS = 50.0
+LOOK_UP_PERIOD_MS = 500.0
+# Errors that a fault can cause in a look-up.
+LOOK_UP_ERRORS = (OSError, trio.BrokenResourceError, client.ProtocolError)
 
 
-async def play(seed, seconds, folder=None):
-    """Return the tables of a run, with its violations."""
-    with tempfile.TemporaryDirectory() as made:
-        return await _play(seed, seconds, pathlib.Path(folder or made))
+async def run_seed(seed, seconds, folder=None):
+    """Run the soak; return its tables, including violations."""
+    with tempfile.TemporaryDirectory() as temporary_folder:
+        return await _run_seed(
+            seed, seconds, pathlib.Path(folder or temporary_folder)
+        )
 
 
-async def _play(seed, seconds, folder):
+async def _run_seed(seed, seconds, folder):
     async with trio.open_nursery() as nursery:
-        soak = await fleet.set_up(nursery, folder, seed)
+        soak = await fleet.start_fleet(nursery, folder, seed)
         try:
-            await _until_all_serve(soak)
-            soak.began_s = trio.current_time()
-            first = soak.tables.versions[0]._replace(acked_ms=-60_000.0)
-            soak.tables.versions[0] = first
-            nursery.start_soon(_watch, soak)
-            nursery.start_soon(_look_up, soak)
-            for number in range(const.CALLERS):
-                nursery.start_soon(callers.run, soak, number)
-            # What callers draw must not change the faults of a seed.
-            drawn = list(plan.faults(random.Random(seed), seconds))
-            for at_ms, fault in drawn:
-                left_ms = at_ms - soak.now_ms()
-                await trio.sleep(max(0.0, left_ms) / const.MS_PER_S)
-                nursery.start_soon(fleet.strike, nursery, soak, fault)
-            left_s = seconds - soak.now_ms() / const.MS_PER_S
-            await trio.sleep(max(0.0, left_s))
+            await _wait_until_all_serve(soak)
+            soak.start_s = trio.current_time()
+            initial = soak.tables.versions[0]._replace(acked_ms=-60_000.0)
+            soak.tables.versions[0] = initial
+            nursery.start_soon(_watch_processes, soak)
+            nursery.start_soon(_poll_look_ups, soak)
+            for number in range(const.CALLER_COUNT):
+                nursery.start_soon(callers.send_requests, soak, number)
+            # A generator of its own, so that draws of callers don't change the
+            # faults of a seed.
+            schedule = list(plan.faults(random.Random(seed), seconds))
+            for at_ms, fault in schedule:
+                wait_ms = at_ms - soak.now_ms()
+                await trio.sleep(max(0.0, wait_ms) / const.MS_PER_S)
+                nursery.start_soon(fleet.inject, nursery, soak, fault)
+            remaining_s = seconds - soak.now_ms() / const.MS_PER_S
+            await trio.sleep(max(0.0, remaining_s))
             soak.is_over = True
-            # Requests that are open are answered by then.
-            await trio.sleep(callers.CALL_MAX_MS / const.MS_PER_S / 2)
+            # Time for open requests to complete.
+            await trio.sleep(callers.CALL_TIMEOUT_MS / const.MS_PER_S / 2)
         finally:
-            fleet.unload(soak)
+            fleet.kill_all(soak)
         nursery.cancel_scope.cancel()
-    fleet.read_logs(soak)
+    fleet.check_logs(soak)
     soak.tables.violations.extend(checks.violations(soak.tables))
     return soak.tables
 
 
-async def _until_all_serve(soak):
+async def _wait_until_all_serve(soak):
     with trio.fail_after(30.0):
         for member in soak.members.values():
-            found = 0
-            while found != 200:
+            status = 0
+            while status != 200:
                 await trio.sleep(0.05)
                 try:
-                    answer = await deployments.ask(
+                    response = await deployments.ask(
                         member.front_address, target=b'/look/0', name=b'first'
                     )
                 except OSError:
                     continue
-                found = answer.status
+                status = response.status
     soak.tables.runs.clear()
 
 
-async def _watch(soak):
-    """Look for programs that ended, and for a loop that stands still."""
+async def _watch_processes(soak):
+    """Watch for programs that exited and for stalls of the event loop."""
     while not soak.is_over:
         begin_ms = soak.now_ms()
-        await trio.sleep(WATCH_MS / const.MS_PER_S)
+        await trio.sleep(WATCH_PERIOD_MS / const.MS_PER_S)
         end_ms = soak.now_ms()
-        if end_ms - begin_ms - WATCH_MS > const.LAG_MAX_MS:
+        if end_ms - begin_ms - WATCH_PERIOD_MS > const.LAG_MAX_MS:
             lag = models.SpanRow('lag', None, False, begin_ms, end_ms)
             soak.tables.spans.append(lag)
-        fleet.watch_ends(soak)
+        fleet.restart_exited(soak)
 
 
-async def _look_up(soak):
+async def _poll_look_ups(soak):
     """Ask each entry which entries callers should use."""
-    fronts = {x.front_address: x.name for x in soak.members.values()}
+    entry_names = {x.front_address: x.name for x in soak.members.values()}
     target = b'/resolve?name=a&region=guj&zone=guj-a'
     while not soak.is_over:
-        await trio.sleep(LOOK_UP_MS / const.MS_PER_S)
+        await trio.sleep(LOOK_UP_PERIOD_MS / const.MS_PER_S)
         for member in soak.members.values():
-            with trio.move_on_after(LOOK_UP_MS / const.MS_PER_S):
+            with trio.move_on_after(LOOK_UP_PERIOD_MS / const.MS_PER_S):
                 try:
-                    answer = await deployments.ask(
-                        member.directory, target=target
+                    response = await deployments.ask(
+                        member.directory_address, target=target
                     )
-                except BROKEN:
+                except LOOK_UP_ERRORS:
                     continue
-                body = answer.body.decode()
-                named = {x for at, x in fronts.items() if at in body}
+                body = response.body.decode()
+                named = {
+                    x for address, x in entry_names.items() if address in body
+                }
                 row = models.LookUpRow(
                     member.name, soak.now_ms(), frozenset(named)
                 )
@@ -110,7 +115,7 @@
 
 
 def summary(tables):
-    """Yield the lines that tell of a run."""
+    """Yield the lines of the report on a run."""
     statuses = collections.Counter(x.status for x in tables.requests)
     faults = collections.Counter(x.fault for x in tables.spans)
     yield f'requests by status: {dict(sorted(statuses.items()))}'
@@ -124,4 +129,4 @@
     ]
     yield f'calm requests: {len(calm)}, look-ups: {len(tables.look_ups)}'
     for row in tables.violations:
-        yield f'VIOLATION {row.promise}: {row.detail}'
+        yield f'VIOLATION {row.check}: {row.detail}'
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,4 +1,4 @@
-"""Show that each check of the soak finds what it is there for."""
+"""Test that each check of the soak finds its violation."""
 
 import random
 
@@ -19,67 +19,67 @@
     return row._replace(**fields)
 
 
-def a_run(name='r-1', **fields):
+def run_row(name='r-1', **fields):
     row = models.RunRow(name, 'i-1', 'desk', 'guj-a', AT_MS + 20.0)
     return row._replace(**fields)
 
 
 def tables(requests, runs, **fields):
-    made = models.new_tables()
+    recorded = models.new_tables()
     services = {'/look/': 'desk'}
-    made.versions.append(models.VersionRow(1, -AT_MS, services))
-    # What each entry serves in the end.
+    recorded.versions.append(models.VersionRow(1, -AT_MS, services))
+    # Each entry serves a request at the end, or RECOVERY would fail.
     for entry in const.ENTRIES:
         name = f'last-{entry}'
         requests = [*requests, request(name, entry=entry)]
-        runs = [*runs, a_run(name)]
-    made.requests.extend(requests)
-    made.runs.extend(runs)
+        runs = [*runs, run_row(name)]
+    recorded.requests.extend(requests)
+    recorded.runs.extend(runs)
     for field, rows in fields.items():
-        getattr(made, field).extend(rows)
-    return made
+        getattr(recorded, field).extend(rows)
+    return recorded
 
 
-def found(made):
-    return {row.promise for row in checks.violations(made)}
+def failed_checks(recorded):
+    return {row.check for row in checks.violations(recorded)}
 
 
-def test_a_run_without_faults_breaks_nothing():
-    assert not found(tables([request()], [a_run()]))
+def test_a_run_without_faults_has_no_violation():
+    assert not failed_checks(tables([request()], [run_row()]))
 
 
 @pytest.mark.parametrize(
-    ('promise', 'asked', 'runs'),
+    ('check', 'sent', 'runs'),
     [
-        ('TWICE', request(once=True), [a_run(), a_run(upstream='i-2')]),
-        ('ATTEMPTS', request(), [a_run()] * 3),
-        ('REFUSED', request(once=True, status=503), [a_run()]),
-        ('MIXED', request(is_whole=False), [a_run()]),
+        ('TWICE', request(once=True), [run_row(), run_row(upstream='i-2')]),
+        ('ATTEMPTS', request(), [run_row()] * 3),
+        ('REFUSED', request(once=True, status=503), [run_row()]),
+        ('MIXED', request(is_whole=False), [run_row()]),
         ('MIXED', request(), []),
-        ('LOST', request(status=0, detail='closed'), [a_run()]),
+        ('LOST', request(status=0, detail='closed'), [run_row()]),
         ('LOST', request(status=0, done_ms=AT_MS + 300.0), []),
-        ('LATE', request(done_ms=AT_MS + 2_600.0), [a_run()]),
-        ('ROUTE', request(), [a_run(service='ledger')]),
+        ('LATE', request(done_ms=AT_MS + 2_600.0), [run_row()]),
+        ('ROUTE', request(), [run_row(service='ledger')]),
         ('CONFIG', request(status=404), []),
         ('SERVED', request(status=503), []),
     ],
 )
-def test_a_broken_promise_is_found(promise, asked, runs):
-    assert promise in found(tables([asked], runs))
+def test_each_violation_is_found(check, sent, runs):
+    assert check in failed_checks(tables([sent], runs))
 
 
 @pytest.mark.parametrize('entry', ['edge-1', None])
 def test_a_fault_that_hides_an_answer_excuses_its_loss(entry):
     span = models.SpanRow('Kill', entry, False, AT_MS - 100.0, AT_MS + 90.0)
-    made = tables([request(status=0)], [a_run()], spans=[span])
-    assert 'LOST' not in found(made)
+    recorded = tables([request(status=0)], [run_row()], spans=[span])
+    assert 'LOST' not in failed_checks(recorded)
 
 
 @pytest.mark.parametrize('fault', ['Stop', 'StoreFault', 'StoreLink'])
-def test_a_stop_or_the_store_excuses_no_loss(fault):
+def test_a_stop_or_store_fault_excuses_no_loss(fault):
     span = models.SpanRow(fault, 'edge-1', True, AT_MS - 100.0, AT_MS + 90.0)
-    made = tables([request(status=0)], [a_run()], spans=[span])
-    assert 'LOST' in found(made)
+    recorded = tables([request(status=0)], [run_row()], spans=[span])
+    assert 'LOST' in failed_checks(recorded)
 
 
 @pytest.mark.parametrize(
@@ -90,36 +90,40 @@
     ],
 )
 @pytest.mark.parametrize('late_ms', [-100.0, 100.0])
-def test_what_leaves_gets_nothing_after_its_time(
+def test_what_is_drained_gets_nothing_after_the_bound(
     upstream, domain, bound_ms, late_ms
 ):
     acked_ms = AT_MS + 20.0 - bound_ms - late_ms
-    left = models.LeftRow(upstream, domain, acked_ms, float('inf'))
-    made = tables([request()], [a_run()], left=[left])
-    assert ('DRAIN' in found(made)) == (late_ms > 0.0)
+    departure = models.LeftRow(upstream, domain, acked_ms, float('inf'))
+    recorded = tables([request()], [run_row()], departures=[departure])
+    assert ('DRAIN' in failed_checks(recorded)) == (late_ms > 0.0)
 
 
 @pytest.mark.parametrize('late_ms', [-100.0, 100.0])
-def test_a_version_is_followed_once_it_is_due(late_ms):
+def test_a_configuration_is_applied_within_the_bound(late_ms):
     acked_ms = AT_MS - const.CONFIG_APPLY_MS - late_ms
     newer = models.VersionRow(2, acked_ms, {'/look/': 'ledger'})
-    made = tables([request()], [a_run()], versions=[newer])
-    assert ('CONFIG' in found(made)) == (late_ms > 0.0)
+    recorded = tables([request()], [run_row()], versions=[newer])
+    assert ('CONFIG' in failed_checks(recorded)) == (late_ms > 0.0)
 
 
 @pytest.mark.parametrize('late_ms', [-100.0, 100.0])
-def test_an_entry_that_is_gone_is_named_no_more(late_ms):
-    since_ms = AT_MS - const.NAMED_MS - late_ms
-    down = models.DownRow('edge-2', since_ms, float('inf'))
+def test_a_dead_entry_is_no_longer_named(late_ms):
+    since_ms = AT_MS - const.DEAD_ENTRY_NAMED_MS - late_ms
+    outage = models.DownRow('edge-2', since_ms, float('inf'))
     look_up = models.LookUpRow('edge-1', AT_MS, frozenset(('edge-2',)))
-    made = tables([request()], [a_run()], down=[down], look_ups=[look_up])
-    assert ('NAMED' in found(made)) == (late_ms > 0.0)
+    recorded = tables(
+        [request()], [run_row()], outages=[outage], look_ups=[look_up]
+    )
+    assert ('NAMED' in failed_checks(recorded)) == (late_ms > 0.0)
 
 
-def test_an_entry_that_serves_nothing_in_the_end_is_found():
-    made = tables([request()], [a_run()])
-    made.requests[:] = [x for x in made.requests if x.entry != 'edge-3']
-    assert 'RECOVERY' in found(made)
+def test_an_entry_that_serves_nothing_at_the_end_is_found():
+    recorded = tables([request()], [run_row()])
+    recorded.requests[:] = [
+        x for x in recorded.requests if x.entry != 'edge-3'
+    ]
+    assert 'RECOVERY' in failed_checks(recorded)
 
 
 def test_a_plan_is_drawn_from_its_seed_and_leaves_time_to_recover():
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,4 +1,4 @@
-"""Pass connections on, and note those that nobody takes."""
+"""Test the proxy: forwarding, impairments and refused connections."""
 
 import contextlib
 import socket
@@ -22,50 +22,50 @@
 
 
 @pytest.fixture
-async def made(nursery):
+async def proxy(nursery):
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     port = listeners[0].socket.getsockname()[1]
     nursery.start_soon(trio.serve_listeners, echo, listeners)
     return await proxies.start(nursery, f'127.0.0.1:{port}')
 
 
-async def test_a_connection_that_nobody_takes_is_noted(nursery):
-    """Soak, seed 142: its request was taken for a lost one."""
-    with socket.socket() as held:
-        held.bind(('127.0.0.1', 0))
+async def test_a_refused_connection_is_recorded(nursery):
+    """Soak, seed 142: a request on such a connection counted as lost."""
+    with socket.socket() as reserved:
+        reserved.bind(('127.0.0.1', 0))
         proxy = await proxies.start(
-            nursery, f'127.0.0.1:{held.getsockname()[1]}'
+            nursery, f'127.0.0.1:{reserved.getsockname()[1]}'
         )
         stream = await connect(proxy)
         with pytest.raises(trio.BrokenResourceError):
             await stream.receive_some(1)
-        assert stream.socket.getsockname() in proxy.refused
+        assert stream.socket.getsockname() in proxy.refused_peers
 
 
-async def test_what_is_clear_passes_both_ways(made):
-    stream = await connect(made)
+async def test_a_clear_proxy_forwards_both_ways(proxy):
+    stream = await connect(proxy)
     await stream.send_all(b'x')
     assert await stream.receive_some(1) == b'x'
-    assert not made.refused
+    assert not proxy.refused_peers
 
 
 @pytest.mark.parametrize('condition', [models.Silent(), models.OneWay()])
-async def test_a_connection_that_lost_a_byte_stays_silent(made, condition):
-    stream = await connect(made)
-    proxies.harm(made, condition)
+async def test_a_connection_that_lost_a_byte_stays_silent(proxy, condition):
+    stream = await connect(proxy)
+    proxies.set_condition(proxy, condition)
     await stream.send_all(b'x')
     await trio.sleep(0.05)
-    proxies.harm(made, models.Clear())
+    proxies.set_condition(proxy, models.Clear())
     await stream.send_all(b'y')
     with trio.move_on_after(0.1) as scope:
         await stream.receive_some(1)
     assert scope.cancelled_caught
 
 
-async def test_a_reset_ends_what_is_open_and_what_comes(made):
-    stream = await connect(made)
+async def test_a_reset_closes_open_and_new_connections(proxy):
+    stream = await connect(proxy)
     await stream.send_all(b'x')
     assert await stream.receive_some(1) == b'x'
-    proxies.harm(made, models.Reset())
+    proxies.set_condition(proxy, models.Reset())
     with pytest.raises(trio.BrokenResourceError):
         await stream.receive_some(1)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,21 +1,21 @@
-"""Play short seeded runs, also of the seeds that failed once."""
+"""Run the soak briefly with seeds that failed before."""
 
 import os
 import subprocess
 import sys
 
-# Long enough for some faults, the time to recover and the last check.
+# Long enough for some faults, the recovery time and the last check.
 SECONDS = 40
 SEEDS = (
-    # A program ended by SIGHUP, as it had no handler yet.
+    # SIGHUP ended a program that had not installed its handler yet.
     1,
-    # A request late in a short grace was cut at work.
+    # A request late in a short grace period was aborted while it ran.
     2,
-    # The soak's own fault: each upstream of a service had been replaced by
-    # one of another service, so that calm requests were refused in truth.
+    # A fault of the soak: every upstream of a service had been replaced by
+    # one of another service, so that calm requests were rightly refused.
     33,
-    # The soak's own fault: a proxy took a connection while its entry was
-    # down, so that a request which nobody had read counted as lost.
+    # A fault of the soak: a proxy accepted a connection while its entry was
+    # down, so that a request that no entry had read counted as lost.
     142,
 )
 
@@ -33,9 +33,11 @@
 
 
 def test_no_promise_is_broken(tmp_path):
-    """Play the seeds at once, each in processes of its own."""
+    """Run all seeds concurrently, each in processes of its own."""
     runs = {seed: start(seed, tmp_path) for seed in SEEDS}
-    told = {seed: run.communicate(timeout=180) for seed, run in runs.items()}
+    outputs = {
+        seed: run.communicate(timeout=180) for seed, run in runs.items()
+    }
     for seed, run in runs.items():
-        assert run.returncode == 0, told[seed][0]
-        assert f'seed {seed}' in told[seed][0]
+        assert run.returncode == 0, outputs[seed][0]
+        assert f'seed {seed}' in outputs[seed][0]
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,4 +1,4 @@
-"""Serve as the upstreams of a run, and count what they run."""
+"""Serve the upstreams of a run, and record what they execute."""
 
 import dataclasses
 import functools
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass
 class Upstream:
-    """Hold one upstream behind its address."""
+    """Hold one upstream; ``slots`` is its limit of concurrent requests."""
 
     instance: str
     service: str
@@ -26,27 +26,27 @@
 
 
 @dataclasses.dataclass
-class Place:
-    """Hold an address, and the upstream that has it."""
+class Endpoint:
+    """Hold an address (a proxy's) and the upstream that has it now."""
 
     proxy: proxies.Proxy
     upstream: Upstream
 
 
 async def serve(nursery, soak, upstream):
-    """Serve an upstream; return the address behind its proxy."""
+    """Serve an upstream; return its address, the target of a proxy."""
     handle = functools.partial(_handle, soak, upstream)
     return await fakes.serve(nursery, handle)
 
 
-async def _handle(soak, upstream, _caller, asked):
-    headers = {key.lower(): value for key, value in asked.headers}
+async def _handle(soak, upstream, _caller, request):
+    headers = {key.lower(): value for key, value in request.headers}
     name = headers[b'zinnialead-request-id']
-    echo = [(b'Zinnialead-Request-Id', name)]
+    echoed = [(b'Zinnialead-Request-Id', name)]
     if headers[b'zinnialead-expect-instance'].decode() != upstream.instance:
-        return http_models.Response(421, echo, b'')
+        return http_models.Response(421, echoed, b'')
     if upstream.running >= upstream.slots:
-        refusal = [*echo, (b'Zinnialead-Not-Executed', b'1')]
+        refusal = [*echoed, (b'Zinnialead-Not-Executed', b'1')]
         return http_models.Response(503, refusal, b'')
     soak.tables.runs.append(
         models.RunRow(
@@ -64,5 +64,5 @@
     finally:
         upstream.running -= 1
     load = f'{upstream.running},0,{upstream.slots}'.encode()
-    told = [(SEAL, b'seal'), (b'Zinnialead-Server-Load', load)]
-    return http_models.Response(200, echo + told, b'done ' + name)
+    load_headers = [(SEAL, b'seal'), (b'Zinnialead-Server-Load', load)]
+    return http_models.Response(200, echoed + load_headers, b'done ' + name)
