Say more plainly what the simulated fleet's rows and functions mean

`add_injections(timed)` hid what it holds; the parameter is now `timed_injections` and the docstring gives its unit. "Such an entry" in the callers had nothing to refer to, and wasn't true of a barred key; the comment now says which entry didn't check the key and why the key stays. "left the tick" now says that a tick returned an internal output (an assertion inside the process). The test of a killed entry is named for what it checks, that every piece of work is completed; its body stays.

--- a/packages/lab/src/zinnialead_lab/fleet/callers.py
+++ b/packages/lab/src/zinnialead_lab/fleet/callers.py
@@ -141,8 +141,8 @@
 def _retry_elsewhere(
     fleet: models.Fleet, row: models.CallerRow, event: events.CallEnds
 ) -> None:
-    # Such an entry did not check the key, so an earlier call whose
-    # connection was lost, and its key, stay unresolved.
+    # Unless the key is barred, the entry did not check it: an earlier call
+    # whose connection was lost may still have run, so the key stays.
     reported_verdict = event.verdict
     if row.may_have_run:
         reported_verdict = verdict.Verdict.MAY_HAVE_RUN
--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -63,10 +63,10 @@
 
 def add_injections(
     fleet: models.Fleet,
-    timed: abc.Iterable[tuple[float, injections.Injection]],
+    timed_injections: abc.Iterable[tuple[float, injections.Injection]],
 ) -> None:
-    """Schedule faults and operator actions."""
-    for due_ms, injection in timed:
+    """Schedule faults and operator actions, each at its time in ms."""
+    for due_ms, injection in timed_injections:
         network.schedule_at(fleet, due_ms, events.Inject(injection))
 
 
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -226,7 +226,7 @@
         case out.LogChange():
             fleet.counters['log_changes'] += 1
         case out.Notify():
-            raise AssertionError(f'{output} left the tick')
+            raise AssertionError(f'the tick returned the internal {output}')
 
 
 def stop(fleet: models.Fleet, entry: ids.EntryId) -> None:
--- a/packages/lab/src/zinnialead_lab/fleet/models.py
+++ b/packages/lab/src/zinnialead_lab/fleet/models.py
@@ -77,8 +77,7 @@
 class Work(typing.NamedTuple):
     """Describe one piece of work; ``demand_ms`` is its service time.
 
-    ``keyed`` work may run only once; with ``free_key`` its key lacks the
-    key prefix of the chosen entry.
+    ``keyed`` work may run only once; ``free_key`` omits the entry's prefix.
     """
 
     work_id: WorkId
--- a/tests/lab/fleet/test_fleet.py
+++ b/tests/lab/fleet/test_fleet.py
@@ -32,7 +32,7 @@
     assert first.counters == second.counters
 
 
-def test_callers_leave_a_dead_entry_at_once():
+def test_callers_of_a_killed_entry_complete_their_work():
     small_fleet = samples.busy_fleet(seed=1)
     fleet.run_until(small_fleet, 500.0)
     fleet.inject(small_fleet, fleet.Kill('kigali-a-entry-1'))
