Say what the fuzzing's oracle yields and what its run raises

"Raise the shortest sequence" raised a sequence; the docstring now says that the run raises AssertionError for the shortest violating sequence. The drain check didn't mention leaving upstreams, and "less the time in the queues" didn't say why the cap's window is short: runs start up to the upstream's longest wait after their sends.

--- a/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/coordinator.py
@@ -8,7 +8,10 @@
 
 
 def run(seed: int, steps: int, examples: int = const.EXAMPLES) -> None:
-    """Raise the shortest sequence of rules found to break a promise."""
+    """Run random sequences of rules against the promises.
+
+    Raise AssertionError for the shortest sequence found that breaks one.
+    """
     settings = hypothesis.settings(
         max_examples=examples,
         stateful_step_count=steps,
--- a/packages/lab/src/zinnialead_lab/fuzz/oracle.py
+++ b/packages/lab/src/zinnialead_lab/fuzz/oracle.py
@@ -69,7 +69,7 @@
 def _runs_after_drain(
     run: models.Run, row: fleet_models.RunRow
 ) -> abc.Iterator[str]:
-    """Check that no entry sent work to an upstream it knew as drained."""
+    """Yield sends to an upstream known to be drained or leaving."""
     earliest_sent_ms = row.started_ms - const.UPSTREAM_WAIT_MS
     grace_ms = const.DRAIN_GRACE_MS
     adopted = sorted(_adopted_tickets(run, row))
@@ -107,7 +107,11 @@
 
 
 def _cap_excesses(run: models.Run) -> abc.Iterator[str]:
-    """Check the shift caps, less the time in the upstreams' queues."""
+    """Yield excesses over the shift caps.
+
+    The window is a second less the longest wait in an upstream's queue,
+    because runs start up to that much after their sends.
+    """
     window_ms = 1_000.0 - const.UPSTREAM_WAIT_MS
     starts: dict[tuple[ids.RegionId, ids.RegionId], list[float]] = {}
     for row in run.fleet.runs:
