Correct the wording of the capacity measurements

The command's docstring said "capacity event_row" for "capacity measurement", the trace of a rename. Costs were extrapolated to a "full size" in one module and to the "design size" in another: it is the design size everywhere, also as fit.fit_slopes's parameter and in the names of two tests.

nodes.measure said "for each node, second and role", as if it yielded a point a second: it is "per node and second, by role". The time that ticket_spread_ms returns begins with the filing. The memory of the members' tables is measured with DESIGN_SITES sites, which its docstring had lost. The comments on the timers' role and on a node's share of the look-ups give the reason.

--- a/packages/lab/src/zinnialead_lab/capacity/blocks.py
+++ b/packages/lab/src/zinnialead_lab/capacity/blocks.py
@@ -70,7 +70,7 @@
     spent_s = time.process_time() - started_s
     each_us = spent_s * US_PER_S / len(clients)
     yield models.Point(ROLE, 'whole decision', 'us', count, each_us)
-    # Processor time a second on each node for the whole fleet's look-ups.
+    # Processor time of each node for its equal share of the design look-ups.
     per_s = const.DESIGN_LOOK_UPS_PER_S / const.DESIGN_NODES
     node_ms_per_s = each_us * per_s / const.MS_PER_S
     yield models.Point(
--- a/packages/lab/src/zinnialead_lab/capacity/command.py
+++ b/packages/lab/src/zinnialead_lab/capacity/command.py
@@ -1,4 +1,4 @@
-"""Run the capacity event_row as a command."""
+"""Run the capacity measurement as a command."""
 
 import pathlib
 
--- a/packages/lab/src/zinnialead_lab/capacity/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/capacity/coordinator.py
@@ -30,7 +30,7 @@
 
 
 def slopes(seed: int, short: bool) -> abc.Iterator[models.Slope]:
-    """Yield the costs over the numbers of blocks, nodes and sites."""
+    """Yield each cost's slope over the number of blocks, nodes or sites."""
     block_counts = const.SHORT_BLOCK_COUNTS if short else const.BLOCK_COUNTS
     points = blocks.measure(block_counts)
     yield from fit.fit_slopes(points, 'block', const.DESIGN_BLOCKS)
--- a/packages/lab/src/zinnialead_lab/capacity/fit.py
+++ b/packages/lab/src/zinnialead_lab/capacity/fit.py
@@ -1,4 +1,4 @@
-"""Fit curves to measured points, and extrapolate to full size."""
+"""Fit curves to measured points, and extrapolate them to the design size."""
 
 from collections import abc
 import itertools
@@ -8,13 +8,13 @@
 
 
 def fit_slopes(
-    points: abc.Iterable[models.Point], per: str, full_size: float
+    points: abc.Iterable[models.Point], per: str, design_size: float
 ) -> abc.Iterator[models.Slope]:
     """Yield the fitted slope of each quantity of each role."""
     sorted_points = sorted(points, key=_series_name)
     for _, group in itertools.groupby(sorted_points, key=_series_name):
         yield _fit_slope(
-            sorted(group, key=lambda point: point.x), per, full_size
+            sorted(group, key=lambda point: point.x), per, design_size
         )
 
 
@@ -50,7 +50,7 @@
 
 
 def _fit_slope(
-    points: abc.Sequence[models.Point], per: str, full_size: float
+    points: abc.Sequence[models.Point], per: str, design_size: float
 ) -> models.Slope:
     first = points[0]
     curve = _fit_node_mean(points) if first.is_node_mean else _fit_line(points)
@@ -62,7 +62,7 @@
         tuple(point.x for point in points),
         tuple(point.y for point in points),
         curve,
-        value_at(curve, full_size),
+        value_at(curve, design_size),
     )
 
 
--- a/packages/lab/src/zinnialead_lab/capacity/member_memory.py
+++ b/packages/lab/src/zinnialead_lab/capacity/member_memory.py
@@ -13,7 +13,7 @@
 
 
 def measure(counts: abc.Iterable[int]) -> abc.Iterator[models.Point]:
-    """Yield the memory of a world for each number of members."""
+    """Yield the memory of a world with DESIGN_SITES sites, by member count."""
     for count in counts:
         tracemalloc.start()
         world = _world(count)
--- a/packages/lab/src/zinnialead_lab/capacity/models.py
+++ b/packages/lab/src/zinnialead_lab/capacity/models.py
@@ -19,7 +19,7 @@
 class Slope(typing.NamedTuple):
     """Hold a quantity ``y`` measured at sizes ``x``, and its fitted curve.
 
-    ``at_size`` is the curve's value at full size.
+    ``at_size`` is the curve's value at the design size.
     """
 
     role: str
@@ -33,7 +33,7 @@
 
 
 class Check(typing.NamedTuple):
-    """Compare a quantity at full size with its budget."""
+    """Compare a quantity at the design size with its budget."""
 
     role: str
     quantity: str
--- a/packages/lab/src/zinnialead_lab/capacity/nodes.py
+++ b/packages/lab/src/zinnialead_lab/capacity/nodes.py
@@ -38,14 +38,14 @@
 }
 
 REQUEST_INPUTS = frozenset({'RequestArrived', 'DispatchDone'})
-# Ticks by timer start rounds of probes as well as of load reports.
+# Timers start rounds of both probes and load reports: no role above fits.
 TIMER_ROLE = 'rounds by timer'
 
 
 def measure(
     counts: abc.Iterable[int], seed: int
 ) -> abc.Iterator[models.Point]:
-    """Yield messages, bytes and time for each node, second and role."""
+    """Yield messages, bytes and time per node and second, by role."""
     for count in counts:
         simulation = fixtures.settled_fleet(count, const.DESIGN_SITES, seed)
         yield from _steady_points(simulation, count)
@@ -95,7 +95,7 @@
 
 
 def ticket_spread_ms(simulation: fleet.Fleet, number: int) -> float:
-    """Return the time until all running entries adopted a ticket."""
+    """Return how long after filing all running entries adopted a ticket."""
     filed_ms = simulation.filed_ms[number]
     spread_ms = 0.0
     for row in simulation.entries.values():
--- a/tests/lab/capacity/test_capacity.py
+++ b/tests/lab/capacity/test_capacity.py
@@ -9,13 +9,13 @@
 from zinnialead_lab.capacity import sites
 
 
-def test_a_line_is_extrapolated_to_full_size():
+def test_a_line_is_extrapolated_to_design_size():
     points = [models.Point('r', 'q', 'B', x, 3.0 * x + 5.0) for x in (1, 2, 3)]
     [slope] = fit.fit_slopes(points, 'site', 100.0)
     assert slope.at_size == pytest.approx(305.0)
 
 
-def test_a_node_mean_is_extrapolated_to_full_size():
+def test_a_node_mean_is_extrapolated_to_design_size():
     def node_mean(x: float) -> float:
         return 0.5 * x + 2.0 + 40.0 / x
 
