Correct the wording of the bench

A scenario was held in a local `pool`, next to a process pool: it is `one_pool`. `in_flight_ms` held how long the longest run goes on after a drain is filed: it is `remaining_ms`. A comment says that ticket 2 orders the drain. OnePool again says that it runs long enough to compare with Erlang C. "Begin of the faults", "Runs on after" and "work's end" are plain English now; "ends of the work" are completions; ServiceSize says that it holds a number of upstreams. A deadline's reason may stand behind may-have-run without a fault, which the comment on DEADLINE_PASSED says in so many words.

--- a/packages/lab/src/zinnialead_lab/bench/const.py
+++ b/packages/lab/src/zinnialead_lab/bench/const.py
@@ -4,10 +4,10 @@
 IDEMPOTENT_SERVICE_TIME_MS = 100.0
 NON_IDEMPOTENT_SERVICE_TIME_MS = 250.0
 MS_PER_S = 1_000.0
-# Begin of the faults, their repair, and the last arrival.
+# Start of the faults, their repair, and the end of arrivals.
 LONG_TIMES_MS = (3_000.0, 7_000.0, 10_000.0)
 SHORT_TIMES_MS = (700.0, 2_200.0, 2_500.0)
-# Runs on after the last arrival until every deadline and timeout is over.
+# Time after the last arrival in which every deadline and timeout expires.
 COOL_DOWN_MS = 8_000.0
 # Lets queues fill before a flood is measured or a rolling replacement starts.
 WARM_UP_MS = 1_000.0
--- a/packages/lab/src/zinnialead_lab/bench/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/bench/coordinator.py
@@ -150,8 +150,8 @@
         const.ERLANG_SHORT_DURATION_MS if short else const.ERLANG_DURATION_MS
     )
     if not short:
-        pool = scenarios.one_pool(duration_ms)
-        yield Job(pool, deployments.one_pool(), seed)
+        one_pool = scenarios.one_pool(duration_ms)
+        yield Job(one_pool, deployments.one_pool(), seed)
     selected = scenarios.short() if short else scenarios.full()
     for scenario in selected:
         for new_deployment in (deployments.sabarmati, deployments.umusozi):
--- a/packages/lab/src/zinnialead_lab/bench/deployments.py
+++ b/packages/lab/src/zinnialead_lab/bench/deployments.py
@@ -10,7 +10,7 @@
 
 
 class ServiceSize(typing.NamedTuple):
-    """Hold a service's upstreams, and the limits of each upstream."""
+    """Hold how many upstreams a service has, and each one's limits."""
 
     service: ids.ServiceId
     upstreams: int
--- a/packages/lab/src/zinnialead_lab/bench/fault_measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/fault_measures.py
@@ -10,7 +10,7 @@
 from zinnialead_lab.bench import spans
 from zinnialead_lab import fleet
 
-# Work that outlasts its deadline may have run, even without a fault.
+# Work that outlasts its deadline may end as may-have-run without a fault.
 DEADLINE_PASSED = verdict.Reason.DEADLINE_PASSED.value
 
 
@@ -124,6 +124,7 @@
 def _drain_measures(
     run: models.ScenarioRun, upstreams: frozenset[ids.UpstreamId]
 ) -> abc.Iterator[models.Measure]:
+    # Ticket 2 orders the drain.
     filed_ms = run.fleet.filed_ms[2]
     runs = [row for row in run.fleet.runs if row.upstream in upstreams]
     now_ms = run.fleet.now_ms
@@ -131,7 +132,7 @@
     last_end_ms = max(
         (row.ended_ms or now_ms for row in runs), default=filed_ms
     )
-    in_flight_ms = max(
+    remaining_ms = max(
         (
             (row.ended_ms or now_ms) - filed_ms
             for row in runs
@@ -145,7 +146,7 @@
         max(0.0, last_start_ms - filed_ms),
         models.AtMost(const.LAST_START_MAX_MS),
     )
-    drain_max_ms = max(0.0, in_flight_ms) + const.DRAIN_MARGIN_MS
+    drain_max_ms = max(0.0, remaining_ms) + const.DRAIN_MARGIN_MS
     yield models.Measure(
         'drain time',
         'ms',
--- a/packages/lab/src/zinnialead_lab/bench/measures.py
+++ b/packages/lab/src/zinnialead_lab/bench/measures.py
@@ -66,7 +66,7 @@
 def answered_in_time(
     run: models.ScenarioRun,
 ) -> abc.Iterator[fleet.CompletionRow]:
-    """Yield the ends of the work that was answered by its deadline."""
+    """Yield the completions of work that was answered by its deadline."""
     for row in run.fleet.completions:
         due_ms = row.work.deadline_ms + const.RESPONSE_TRAVEL_MAX_MS
         ran = row.verdict is verdict.Verdict.RAN
--- a/packages/lab/src/zinnialead_lab/bench/models.py
+++ b/packages/lab/src/zinnialead_lab/bench/models.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OnePool:
-    """Run one service in one domain, to compare its wait with Erlang C."""
+    """Run one service in one domain long enough to compare with Erlang C."""
 
     duration_ms: float
 
@@ -104,7 +104,7 @@
 
 
 class Times(typing.NamedTuple):
-    """Hold when faults begin, when they are repaired, and work's end."""
+    """Hold when faults start, when they are repaired and when work ends."""
 
     fault_ms: float
     repair_ms: float
