--- a/packages/lab/src/zinnialead_lab/demo/deployment.py
+++ b/packages/lab/src/zinnialead_lab/demo/deployment.py
@@ -32,7 +32,7 @@
     console: rich.console.Console,
     nursery: trio.Nursery,
 ) -> models.Demo:
-    """Return the started deployment; no ticket is in force yet."""
+    """Start and return the deployment, with no ticket in force yet."""
     store = stores.new_store()
     store_app = stores.asgi_app(store)
     demo = models.Demo(
