Say what the soak's checks and bounds stand for

The statuses that guarantee that nothing ran had lost that sense, and the list of disruptive faults no longer said that its faults excuse an entry; both say so again. Two checks without a docstring have one. _check_answer is _check_response, as the code says response elsewhere. STABLE_WINDOW_MS, RECOVERY_MS, LOSS_SLACK_MS and LAST_CHECK_MS say what they bound.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,7 @@
 from soak import const
 from soak import models
 
+# Statuses that guarantee that a non-idempotent request was not executed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Faults that can keep a response from its caller, whatever the entry does.
 HIDING_FAULTS = frozenset(
@@ -19,7 +20,7 @@
         runs[run.name].append(run)
     for request in tables.requests:
         yield from _check_execution(request, runs[request.name])
-        yield from _check_answer(tables, request, runs[request.name])
+        yield from _check_response(tables, request, runs[request.name])
         yield from _check_routes(tables, request, runs[request.name])
     yield from _check_departures(tables)
     yield from _check_versions(tables, runs)
@@ -28,9 +29,10 @@
 
 
 def is_calm(tables, entry, begin_ms, end_ms, faults=None):
-    """Return whether no fault affected an entry during or just before a time.
+    """Return whether no fault affected an entry in or just before a period.
 
-    ``faults`` limits the check to these names of faults.
+    "Just before" is STABLE_WINDOW_MS; ``faults`` limits the check to faults
+    of these names.
     """
     since_ms = begin_ms - const.STABLE_WINDOW_MS
     return not any(
@@ -43,6 +45,7 @@
 
 
 def _check_execution(request, runs):
+    """Check how often a request ran, and that its response agrees."""
     if request.once and len(runs) > 1:
         yield models.ViolationRow('TWICE', f'{request} ran as {runs}')
     if len(runs) > const.ATTEMPTS_MAX:
@@ -54,7 +57,7 @@
         yield models.ViolationRow('MIXED', f'{request} ran as {runs}')
 
 
-def _check_answer(tables, request, runs):
+def _check_response(tables, request, runs):
     """Check that each request that was read got a response in time."""
     if not is_calm(
         tables, request.entry, request.sent_ms, request.done_ms, HIDING_FAULTS
@@ -68,6 +71,7 @@
 
 
 def _check_routes(tables, request, runs):
+    """Check that a request ran only at services its route has had."""
     allowed = {
         version.services.get(request.prefix) for version in tables.versions
     }
@@ -99,7 +103,8 @@
                 yield models.ViolationRow('DRAIN', f'{run} after {departure}')
 
 
-# Drains, evacuations and new configurations disrupt no entry and aren't here.
+# Faults that excuse an entry from applying a change in time. Drains,
+# evacuations and new configurations are planned changes and no excuse.
 DISRUPTIVE_FAULTS = HIDING_FAULTS | {
     'StoreFault',
     'StoreLink',
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -5,8 +5,11 @@
 DRAIN_MS = 3_000.0
 CONFIG_APPLY_MS = 3_000.0
 EVACUATION_MS = 5_000.0
+# An entry counts as disturbed for this long after a fault.
 STABLE_WINDOW_MS = 4_000.0
+# Time without faults at the end of a run, before the last check.
 RECOVERY_MS = 15_000.0
+# A request that never ran may lose its connection within this time.
 LOSS_SLACK_MS = 200.0
 # Look-ups may name a dead entry for this long.
 DEAD_ENTRY_NAMED_MS = 7_000.0
@@ -24,6 +27,7 @@
 LAG_MAX_MS = 250.0
 
 FIRST_FAULT_MS = 5_000.0
+# Each entry must serve a request in this time at the end of a run.
 LAST_CHECK_MS = 3_000.0
 MEAN_FAULT_GAP_MS = 900.0
 CALLER_COUNT = 12
