Name signals, ports and headers of the soak's fleet

number (of a signal) is signal_number, controls control_ports, SEAL SEAL_HEADER. "The first service" in _replace could be read as the first of all services: it is the service of the stopped upstream. The comment at CLOCK_FOLDER says what the folder holds; _wait_for_exit that it checks GRACE. A local of callers is shorter again, so that a condition fits on a line.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -66,11 +66,8 @@
     if scope.cancelled_caught:
         detail = 'no answer in time'
     # The proxy accepts a connection before it finds that the entry is down.
-    local_address = connection.stream.socket.getsockname()
-    if (
-        detail
-        and local_address in soak.members[entry].front_proxy.refused_peers
-    ):
+    address = connection.stream.socket.getsockname()
+    if detail and address in soak.members[entry].front_proxy.refused_peers:
         detail = 'unsent'
     if detail or response.headers.get(b'connection') == b'close':
         connection.stream.socket.close()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ENTRY_PROGRAM = ROOT / 'platform' / 'entry.py'
+# Holds the sitecustomize module that shifts the clock of an entry.
 CLOCK_FOLDER = pathlib.Path(__file__).with_name('clock')
 POLL_PERIOD_MS = 20.0
 # Ports of an entry, and the index of the one that its peers connect to.
@@ -131,11 +132,11 @@
     front_port, _, _, directory_port, _, _ = entry_ports
     store_proxy = await proxies.start(nursery, store_address)
     front_proxy = await proxies.start(nursery, f'127.0.0.1:{front_port}')
-    controls = ports[CONTROL_PORT::PORTS_PER_ENTRY]
+    control_ports = ports[CONTROL_PORT::PORTS_PER_ENTRY]
     text = deployments.settings_text(
         store_proxy.address,
         name,
-        ', '.join(f'"127.0.0.1:{x}"' for x in controls),
+        ', '.join(f'"127.0.0.1:{x}"' for x in control_ports),
         entry_ports,
         list(const.DOMAINS)[number % len(const.DOMAINS)],
         const.DOMAINS,
@@ -220,10 +221,7 @@
 
 
 def _affected_entries(fault):
-    """Return the entries that a fault affects, and whether it is planned.
-
-    The entry None stands for all entries.
-    """
+    """Return the affected entries (None: all), and whether it is planned."""
     match fault:
         case models.Kill(entries) | models.StoreLink(entries):
             return entries, False
@@ -305,22 +303,22 @@
         await _sleep(POLL_PERIOD_MS)
 
 
-def _send_signal(soak, entry, number):
+def _send_signal(soak, entry, signal_number):
     """Send a signal to an entry's process if it still runs."""
     member = soak.members[entry]
     if member.process.poll() is not None:
         return
-    if number in (signal.SIGKILL, signal.SIGTERM):
-        member.stop_signal = member.stop_signal or number.name
-        if number == signal.SIGKILL:
-            member.stop_signal = number.name
+    if signal_number in (signal.SIGKILL, signal.SIGTERM):
+        member.stop_signal = member.stop_signal or signal_number.name
+        if signal_number == signal.SIGKILL:
+            member.stop_signal = signal_number.name
             outage = models.DownRow(entry, soak.now_ms(), float('inf'))
             soak.tables.outages.append(outage)
-    member.process.send_signal(number)
+    member.process.send_signal(signal_number)
 
 
 async def _wait_for_exit(soak, entry):
-    """Wait for a process to exit; kill it once it is overdue."""
+    """Wait for a process to exit; kill it if late (GRACE unless excused)."""
     process = soak.members[entry].process
     begin_ms = soak.now_ms()
     while process.poll() is None:
@@ -368,8 +366,8 @@
 async def _replace(nursery, soak, endpoint, missing_ms):
     """Stop an upstream; an upstream of another service takes its address.
 
-    The first service gets an upstream at a new address; otherwise it would
-    run out of upstreams.
+    The service of the stopped upstream gets another one at a new address;
+    otherwise it would run out of upstreams.
     """
     old = endpoint.upstream
     other_services = [x for x in const.SERVICES if x != old.service]
@@ -433,7 +431,7 @@
 
 
 def check_logs(soak):
-    """Record lines that aren't JSON and failed connections in the logs."""
+    """Record log lines that aren't JSON or report a failed connection."""
     for member in soak.members.values():
         text = (soak.folder / f'{member.name}.log').read_text()
         for line in text.splitlines():
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,7 +11,7 @@
 from soak import proxy as proxies
 from zinnialead_gateway.http import models as http_models
 
-SEAL = b'Zinnialead-Response-Seal'
+SEAL_HEADER = b'Zinnialead-Response-Seal'
 
 
 @dataclasses.dataclass
@@ -64,5 +64,5 @@
     finally:
         upstream.running -= 1
     load = f'{upstream.running},0,{upstream.slots}'.encode()
-    load_headers = [(SEAL, b'seal'), (b'Zinnialead-Server-Load', load)]
+    load_headers = [(SEAL_HEADER, b'seal'), (b'Zinnialead-Server-Load', load)]
     return http_models.Response(200, echoed + load_headers, b'done ' + name)
