Explain the soak's plan and rows

duration_ms said that a fault lasts until it has ended; it now names what counts. Comments say that one fault in four starts together with the next, why Stop and Configure are listed twice, and why the first version is dated back. VersionRow, LeftRow and StoreFault say what they hold. test_no_promise_is_broken is test_no_guarantee_is_broken, as the checks say guarantee.

--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -43,7 +43,7 @@
 
 
 class VersionRow(typing.NamedTuple):
-    """Hold a configuration and when the store acknowledged it."""
+    """Hold services by path prefix, and when the store acknowledged them."""
 
     version: int
     acked_ms: float
@@ -51,7 +51,7 @@
 
 
 class LeftRow(typing.NamedTuple):
-    """Hold an upstream or a domain that is drained for a time."""
+    """Hold the drain of an upstream or a domain; the other one is None."""
 
     upstream: str | None
     domain: str | None
@@ -161,7 +161,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreFault:
-    """Make the store misbehave for all entries."""
+    """Make the store fail for all entries, or drop its history (compacted)."""
 
     store_condition: str
     duration_ms: float
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -14,12 +14,13 @@
         # Every fault ends before the recovery time at the end of a run.
         if at_ms + duration_ms(fault) <= last_ms:
             yield at_ms, fault
+        # One time in four, the next fault starts at the same time.
         if random.random() < 0.75:
             at_ms += random.expovariate(1.0) * const.MEAN_FAULT_GAP_MS
 
 
 def duration_ms(fault):
-    """Return how long a fault lasts, including the time until it has ended."""
+    """Return the time until a fault is over and has taken effect, in ms."""
     match fault:
         case models.Kill(_, down_ms, _):
             return down_ms
@@ -52,6 +53,7 @@
     )
     clock_offset_ms = random.choice((0, 0, -60_000, 60_000))
     domain = random.choice(tuple(const.DOMAINS))
+    # Stop and Configure are listed twice, so they are drawn twice as often.
     return random.choice(
         (
             models.Kill((entry,), down_ms, clock_offset_ms),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,7 @@
         try:
             await _wait_until_all_serve(soak)
             soak.start_s = trio.current_time()
+            # All entries serve: the first version counts as long applied.
             initial = soak.tables.versions[0]._replace(acked_ms=-60_000.0)
             soak.tables.versions[0] = initial
             nursery.start_soon(_watch_processes, soak)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,7 +32,7 @@
     )
 
 
-def test_no_promise_is_broken(tmp_path):
+def test_no_guarantee_is_broken(tmp_path):
     """Run all seeds concurrently, each in processes of its own."""
     runs = {seed: start(seed, tmp_path) for seed in SEEDS}
     outputs = {
