Name the core's inputs and rows for what they hold

The coordinators of both halves of the core bound each input to `item`: it is `event`. The gateway's store coordinator notifies a `change`. In entries, `own` and `found` were rows: they are `own_row`, `existing_row` and `listed_row`; `own` in the announcement was a tuple of changes, in the ranking a sort key and in the retry budget an entry: `changes`, `own_key`, `own_entry`. `other` in the loops over ranks is `other_rank`, or `waiting_rank` where the loop includes the rank itself. `taken` was a TakeResult: it is `take_result`.

Only local variables, match captures and private parameters change. Each of the 21 files was compiled before and after, and the code objects compared recursively by co_code, co_names, co_flags, exception table and co_consts, without line numbers, docstrings and annotations of parameters (these were compared as a list): all 21 are identical.

--- a/packages/core/src/zinnialead_core/components/keys/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/keys/coordinator.py
@@ -27,10 +27,10 @@
     Reads ``members``; writes ``claims``, ``registrations``,
     ``bindings``, ``store`` and ``timers``.
     """
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.ClaimRequested():
-                yield from _start_claim(world, now_ms, item)
+                yield from _start_claim(world, now_ms, event)
             case inp.ConfirmationRequested(request_id):
                 yield from claims.confirm(world, now_ms, request_id)
             case inp.ClaimEnded(request_id, outcome):
--- a/packages/core/src/zinnialead_core/components/lookups/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/lookups/coordinator.py
@@ -24,8 +24,8 @@
 
     Reads ``states``; writes ``lookups``.
     """
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.StateChanged():
                 _clear_caches(world)
                 _build_blocks(world)
--- a/packages/core/src/zinnialead_core/components/members/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/members/coordinator.py
@@ -28,10 +28,10 @@
     yield from _add_own_row(world, now_ms)
     if _was_paused(world, now_ms):
         probing.reset_after_pause(world, now_ms)
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.PeerSeen():
-                yield from updates.apply_listing(world, now_ms, item)
+                yield from updates.apply_listing(world, now_ms, event)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
--- a/packages/core/src/zinnialead_core/components/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/requests/coordinator.py
@@ -27,21 +27,21 @@
 
     Reads ``states`` and ``claims``; writes ``requests`` and ``timers``.
     """
-    for item in inputs:
-        yield from _on_claim_event(world, now_ms, item)
-        match item:
+    for event in inputs:
+        yield from _on_claim_event(world, now_ms, event)
+        match event:
             case inp.RequestArrived():
-                yield from _on_arrival(world, now_ms, item)
+                yield from _on_arrival(world, now_ms, event)
             case inp.SlotHeld(request_id, attempt, upstream):
                 yield from attempts.dispatch(
                     world, now_ms, request_id, attempt, upstream
                 )
             case inp.SlotRefused():
-                yield from _on_slot_refused(world, item)
+                yield from _on_slot_refused(world, event)
             case inp.AnswerStarted(request_id, attempt):
                 yield from answers.on_started(world, request_id, attempt)
             case inp.DispatchDone():
-                yield from attempts.on_done(world, now_ms, item)
+                yield from attempts.on_done(world, now_ms, event)
             case inp.CallerDisconnected(request_id):
                 yield from completion.on_caller_gone(world, now_ms, request_id)
             case inp.TimerDue(timers.RequestDeadline(request_id)):
@@ -54,9 +54,9 @@
 
 
 def _on_claim_event(
-    world: world_module.World, now_ms: float, item: inp.Input
+    world: world_module.World, now_ms: float, event: inp.Input
 ) -> abc.Iterator[out.Output]:
-    match item:
+    match event:
         case inp.ClaimHeld(request_id):
             yield from _request_slot(world, request_id)
         case inp.ClaimConfirmed(request_id):
--- a/packages/core/src/zinnialead_core/components/slots/admission.py
+++ b/packages/core/src/zinnialead_core/components/slots/admission.py
@@ -146,8 +146,10 @@
     rank_order = rank_queues.rank_order(world, rank)
     return sum(
         len(rank_queue)
-        for other, rank_queue in rank_queues.by_rank(world, service).items()
-        if rank_queues.rank_order(world, other) < rank_order
+        for other_rank, rank_queue in rank_queues.by_rank(
+            world, service
+        ).items()
+        if rank_queues.rank_order(world, other_rank) < rank_order
     )
 
 
@@ -161,9 +163,9 @@
     """Return the share of grants left by floors and by more urgent work."""
     rank_order = rank_queues.rank_order(world, rank)
     available_share = 1.0
-    for other in rank_queues.by_rank(world, service):
-        if rank_queues.rank_order(world, other) > rank_order:
-            available_share -= rank_queues.floor_share(world, other)
+    for other_rank in rank_queues.by_rank(world, service):
+        if rank_queues.rank_order(world, other_rank) > rank_order:
+            available_share -= rank_queues.floor_share(world, other_rank)
     for row in world.states['in-force'].ranks.values():
         if row.order < rank_order:
             rate = scheduling.arrivals_per_ms(world, now_ms, service, row.rank)
--- a/packages/core/src/zinnialead_core/components/slots/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/slots/coordinator.py
@@ -29,12 +29,12 @@
     ``queues``, ``upstreams`` and ``timers``.
     """
     yield from _members_changed(world, now_ms, inputs)
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.SlotRequested(request_id, attempt):
                 yield from asker.ask(world, now_ms, request_id, attempt)
             case inp.SlotReleased():
-                yield from asker.release(world, now_ms, item)
+                yield from asker.release(world, now_ms, event)
             case inp.PeerMessage(sender, message):
                 yield from _on_message(world, now_ms, sender, message)
             case inp.TimerDue(timer):
@@ -86,8 +86,8 @@
     """Apply all membership changes of a tick at once."""
     changed = False
     restarted: set[ids.EntryId] = set()
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.MemberLost(ref):
                 _on_entry_lost(world, now_ms, ref)
                 changed = True
--- a/packages/core/src/zinnialead_core/components/slots/scheduling.py
+++ b/packages/core/src/zinnialead_core/components/slots/scheduling.py
@@ -45,15 +45,15 @@
     loads = world.queues.rank_loads
     waiting = rank_queues.by_rank(world, service)
     in_order = rank == _most_urgent(world, waiting)
-    for other in waiting:
-        row = _rank_load(world, service, other)
-        new_credit = row.credit + _credit_share(world, other)
-        if other == rank and in_order:
+    for waiting_rank in waiting:
+        row = _rank_load(world, service, waiting_rank)
+        new_credit = row.credit + _credit_share(world, waiting_rank)
+        if waiting_rank == rank and in_order:
             # A grant in order of urgency settles the credit of its rank.
             new_credit = 0.0
-        elif other == rank:
+        elif waiting_rank == rank:
             new_credit -= 1.0
-        loads[service, other] = row._replace(credit=_clamp(new_credit))
+        loads[service, waiting_rank] = row._replace(credit=_clamp(new_credit))
 
 
 def correct_credits(
@@ -65,12 +65,14 @@
     """Correct the credits by the actual use of a slot, in grants."""
     loads = world.queues.rank_loads
     extra_grants = grants - 1.0
-    for other in rank_queues.by_rank(world, service):
-        row = _rank_load(world, service, other)
-        share = _credit_share(world, other)
+    for waiting_rank in rank_queues.by_rank(world, service):
+        row = _rank_load(world, service, waiting_rank)
+        share = _credit_share(world, waiting_rank)
         if share > 0.0:
             new_credit = row.credit + share * extra_grants
-            loads[service, other] = row._replace(credit=_clamp(new_credit))
+            loads[service, waiting_rank] = row._replace(
+                credit=_clamp(new_credit)
+            )
     if rank_queues.floor_share(world, rank) > 0.0:
         row = _rank_load(world, service, rank)
         credit = _clamp(row.credit - extra_grants)
--- a/packages/core/src/zinnialead_core/components/steering/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/steering/coordinator.py
@@ -25,8 +25,8 @@
     Reads ``queues``, ``states`` and ``members``; writes ``loads``,
     ``shifts`` and ``timers``.
     """
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.PeerMessage(_, messages.LoadReport(rows)):
                 for row in rows:
                     redirects.apply_load(world, now_ms, row)
--- a/packages/core/src/zinnialead_core/components/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/store/coordinator.py
@@ -19,8 +19,8 @@
     Reads ``members``; writes ``store`` and ``timers``.
     """
     tasks.plan_first_calls(world, now_ms)
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.StoreDone(call_id, result):
                 tasks.finish_call(world, now_ms, call_id, result)
                 yield from tasks.make_due_calls(world, now_ms)
--- a/packages/core/src/zinnialead_core/components/store/limits.py
+++ b/packages/core/src/zinnialead_core/components/store/limits.py
@@ -66,9 +66,9 @@
     full = buckets.BucketRow(const.BURST_CALLS, now_ms)
     row = world.store.budgets.get(budget, full)
     per_s = _share_per_s(world, budget)
-    taken = buckets.take(row, now_ms, per_s, const.BURST_CALLS)
-    world.store.budgets[budget] = taken.row
-    return taken.is_allowed
+    take_result = buckets.take(row, now_ms, per_s, const.BURST_CALLS)
+    world.store.budgets[budget] = take_result.row
+    return take_result.is_allowed
 
 
 def _share_per_s(world: world_module.World, budget: models.Budget) -> float:
--- a/packages/core/src/zinnialead_core/components/tickets/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/tickets/coordinator.py
@@ -31,8 +31,8 @@
 
     Reads ``members``; writes ``states``, ``spread`` and ``timers``.
     """
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.StateRead(state):
                 yield from _adopt(world, state)
             case inp.PeerMessage(sender, message):
--- a/packages/core/src/zinnialead_core/components/tickets/serving.py
+++ b/packages/core/src/zinnialead_core/components/tickets/serving.py
@@ -62,8 +62,8 @@
     """Take rows from the budget; return whether it had that many."""
     full = buckets.BucketRow(const.SERVED_ROWS_BURST, now_ms)
     row = next(iter(world.spread.budget), full)
-    taken = buckets.take(
+    take_result = buckets.take(
         row, now_ms, const.SERVED_ROWS_PER_S, const.SERVED_ROWS_BURST, rows
     )
-    world.spread.budget[:] = [taken.row]
-    return taken.is_allowed
+    world.spread.budget[:] = [take_result.row]
+    return take_result.is_allowed
--- a/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/components/upstreams/coordinator.py
@@ -23,10 +23,10 @@
     Reads ``states`` and ``queues``; writes ``upstreams`` and the peaks
     of ``queues``.
     """
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.UpstreamReport():
-                yield from _record_report(world, now_ms, item)
+                yield from _record_report(world, now_ms, event)
             case inp.StateChanged():
                 _update_upstreams(world, now_ms)
 
--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -22,8 +22,8 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Maintain ``entries`` and send a heartbeat each period."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.Started():
                 _next_round(world, now_ms, 0.0)
             case inp.EntryRegistered(row):
@@ -57,13 +57,15 @@
     match result:
         case store.Written():
             return
-        case store.Conflict(found) if found is not None:
+        case store.Conflict(existing_row) if existing_row is not None:
             # The list that was read before the write did not contain this
             # entry's registration.
             entry = world.node.ref.entry
-            own = members.own_row(world)._replace(revision=found.revision)
-            world.entries.rows[entry] = own
-            if not _is_same_run(found, own):
+            own_row = members.own_row(world)._replace(
+                revision=existing_row.revision
+            )
+            world.entries.rows[entry] = own_row
+            if not _is_same_run(existing_row, own_row):
                 yield _register(world)
             return
     world.counters['entries.registration_failed'] += 1
@@ -72,9 +74,9 @@
     timer_table.start(world.timers, timer, due_ms)
 
 
-def _is_same_run(row: models.EntryRow, own: models.EntryRow) -> bool:
+def _is_same_run(row: models.EntryRow, own_row: models.EntryRow) -> bool:
     """Return whether a registration was made by this run of the entry."""
-    return row.incarnation == own.incarnation
+    return row.incarnation == own_row.incarnation
 
 
 def _apply_registration(
@@ -84,9 +86,9 @@
     previous = table.rows.get(row.entry)
     if row.entry == world.node.ref.entry:
         if previous is None or row.revision > previous.revision:
-            own = members.own_row(world)._replace(revision=row.revision)
-            is_own = row.incarnation == own.incarnation
-            table.rows[row.entry] = row if is_own else own
+            own_row = members.own_row(world)._replace(revision=row.revision)
+            is_own = row.incarnation == own_row.incarnation
+            table.rows[row.entry] = row if is_own else own_row
         return
     if previous is not None and not _supersedes(row, previous):
         return
@@ -120,9 +122,9 @@
 
 
 def _announcement(world: world_module.World) -> inp.PeerChanges:
-    own = (inp.EntryRegistered(members.own_row(world)),)
+    changes = (inp.EntryRegistered(members.own_row(world)),)
     source = str(world.node.ref.entry)
-    return inp.PeerChanges(store.Kind.ENTRIES, 0, 0, own, source)
+    return inp.PeerChanges(store.Kind.ENTRIES, 0, 0, changes, source)
 
 
 def _apply_removal(
@@ -154,18 +156,20 @@
     now_ms: float,
     rows: abc.Sequence[models.EntryRow],
 ) -> abc.Iterator[out.Output]:
-    own = members.own_row(world)
+    own_row = members.own_row(world)
     listed = {row.entry: row for row in rows}
     for row in rows:
         yield from _apply_registration(world, now_ms, row)
     for entry in [x for x in world.entries.rows if x not in listed]:
-        if entry != own.entry:
+        if entry != own_row.entry:
             yield from _apply_removal(world, now_ms, entry)
-    found = listed.get(own.entry)
-    if world.entries.leaving or (found and _is_same_run(found, own)):
+    listed_row = listed.get(own_row.entry)
+    if world.entries.leaving or (
+        listed_row and _is_same_run(listed_row, own_row)
+    ):
         return
-    if found is None:
-        world.entries.rows[own.entry] = own._replace(revision=0)
+    if listed_row is None:
+        world.entries.rows[own_row.entry] = own_row._replace(revision=0)
     yield _register(world)
 
 
--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -39,5 +39,5 @@
     world: world_module.World, rows: abc.Iterable[models.EntryRow]
 ) -> int:
     """Return how many of ``rows`` rank before this entry."""
-    own = sort_key(world.node.speed, world.node.ref.entry)
-    return sum(sort_key(row.speed, row.entry) < own for row in rows)
+    own_key = sort_key(world.node.speed, world.node.ref.entry)
+    return sum(sort_key(row.speed, row.entry) < own_key for row in rows)
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -22,8 +22,8 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Rebalance between regions, and drop rows of removed upstreams."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.Started():
                 _schedule_rebalance(world, now_ms)
             case inp.TimerDue(timers.BalanceRound()):
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -22,12 +22,12 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Process the inputs of requests; writes ``requests`` and ``loads``."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.RequestArrived():
-                yield from _arrive(world, now_ms, item)
+                yield from _arrive(world, now_ms, event)
             case inp.AttemptDone():
-                yield from attempts.finish(world, now_ms, item)
+                yield from attempts.finish(world, now_ms, event)
             case inp.CallerDisconnected(request_id):
                 yield from completion.caller_disconnected(world, request_id)
             case inp.TimerDue(timers.RequestDeadline(request_id)):
--- a/packages/core/src/zinnialead_core/gateway/requests/retry_budget.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/retry_budget.py
@@ -34,9 +34,11 @@
 
 def _speed_share(world: world_module.World) -> float:
     """Return this entry's share of the speed of all entries."""
-    own = world.node.ref.entry
+    own_entry = world.node.ref.entry
     other_speeds = sum(
-        row.speed for row in world.entries.rows.values() if row.entry != own
+        row.speed
+        for row in world.entries.rows.values()
+        if row.entry != own_entry
     )
     return world.node.speed / (world.node.speed + other_speeds)
 
--- a/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/coordinator.py
@@ -15,8 +15,8 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Apply configurations of a higher version; writes ``routes``."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.ConfigurationRead(configuration, source):
                 yield from _apply(world, configuration, source)
             case inp.ConfigurationsListed(items):
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -21,8 +21,8 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Keep one call per kind open while this entry reads; writes ``store``."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.Started():
                 health_row = models.HealthRow(started_ms=now_ms)
                 world.store.health[models.STORE] = health_row
@@ -43,9 +43,9 @@
             case inp.StoreDone(kind, result):
                 yield from health.record_result(world, now_ms, result)
             case inp.PeerSnapshot():
-                yield from peer_sync.apply_snapshot(world, now_ms, item)
+                yield from peer_sync.apply_snapshot(world, now_ms, event)
             case inp.PeerChanges():
-                yield from peer_sync.apply_changes(world, now_ms, item)
+                yield from peer_sync.apply_changes(world, now_ms, event)
             case inp.HeartbeatReceived(heartbeat):
                 yield from health.infer_availability(world, now_ms, heartbeat)
                 yield from peer_sync.catch_up(world, now_ms, heartbeat)
@@ -140,8 +140,8 @@
         failures=0,
     )
     _save_row(world, updated)
-    for item in changes.items:
-        yield out.Notify(typing.cast('inp.Input', item))
+    for change in changes.items:
+        yield out.Notify(typing.cast('inp.Input', change))
     if changes.items:
         yield from peer_sync.send_changes(
             world, now_ms, updated, row.latest_revision, changes.items
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -20,8 +20,8 @@
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
     """Keep ``upstreams`` in line with the store; reads ``store``."""
-    for item in inputs:
-        match item:
+    for event in inputs:
+        match event:
             case inp.UpstreamRegistered(row):
                 yield from _apply_registration(world, now_ms, row)
             case inp.UpstreamDeregistered(upstream):
