Name locals outside the core for what they hold

`place`, a service and a domain in one word, is `place_name`. `done` is `store_done`, `dispatch_done` or `attempt_done` after its input. The two domains of a network path were `one` and `other`: `from_domain` and `to_domain`; the ratios of the slot study (`one`, `fixed`, `two`, `owner`) end in `_ratio`. The transport's tests have `first_entry`, `second_entry` and `local_entry` for `one` and `two`. `wanted` in the version flag's callback is `is_requested`; Typer finds this parameter by its type, not by its name.

Only local variables, match captures and parameters that are passed by position change; bodies under @given stay. No test's text or assertion changes but for these names.

--- a/packages/config/src/zinnialead_config/filing/planning.py
+++ b/packages/config/src/zinnialead_config/filing/planning.py
@@ -65,8 +65,8 @@
     )
 
 
-def _as_text(item: object) -> str | None:
-    return None if item is None else str(item)
+def _as_text(value: object) -> str | None:
+    return None if value is None else str(value)
 
 
 def _services_without_upstreams(
--- a/packages/config/src/zinnialead_config/tickets/rows.py
+++ b/packages/config/src/zinnialead_config/tickets/rows.py
@@ -9,40 +9,44 @@
 UpstreamTable = dict[ids.UpstreamId, tickets.UpstreamRow]
 
 
-def service(name: str, item: documents.ServiceDocument) -> tickets.ServiceRow:
+def service(
+    name: str, document: documents.ServiceDocument
+) -> tickets.ServiceRow:
     """Return the row of a service."""
     return tickets.ServiceRow(
         service=ids.ServiceId(name),
-        idempotent=item['idempotent'],
-        default_rank=ids.RankId(item['default_rank']),
-        deadline_max_ms=item['deadline_max_ms'],
-        service_time_ms=item['service_time_ms'],
-        body_max_bytes=item['body_max_bytes'],
-        queue_max=item['queue_max'],
+        idempotent=document['idempotent'],
+        default_rank=ids.RankId(document['default_rank']),
+        deadline_max_ms=document['deadline_max_ms'],
+        service_time_ms=document['service_time_ms'],
+        body_max_bytes=document['body_max_bytes'],
+        queue_max=document['queue_max'],
     )
 
 
-def domain(name: str, item: documents.DomainDocument) -> tickets.DomainRow:
+def domain(name: str, document: documents.DomainDocument) -> tickets.DomainRow:
     """Return the row of a failure domain."""
     return tickets.DomainRow(
-        ids.DomainId(name), ids.RegionId(item['region']), item['entries_max']
+        ids.DomainId(name),
+        ids.RegionId(document['region']),
+        document['entries_max'],
     )
 
 
-def rank(name: str, item: documents.RankDocument) -> tickets.RankRow:
+def rank(name: str, document: documents.RankDocument) -> tickets.RankRow:
     """Return the row of a rank."""
     return tickets.RankRow(
         ids.RankId(name),
-        item['order'],
-        item['worth'],
-        item['floor_share'],
-        item['target_ms'],
+        document['order'],
+        document['worth'],
+        document['floor_share'],
+        document['target_ms'],
     )
 
 
-def block(prefix: str, item: documents.BlockDocument) -> tickets.BlockRow:
+def block(prefix: str, document: documents.BlockDocument) -> tickets.BlockRow:
     """Return the row of a block of client addresses."""
-    return tickets.BlockRow(prefix, ids.DomainId(item['domain']))
+    return tickets.BlockRow(prefix, ids.DomainId(document['domain']))
 
 
 def upstreams(
@@ -55,19 +59,19 @@
         for name, row in current.items()
         if f'{row.service}/{row.domain}' not in places
     }
-    for place, item in places.items():
-        for row in _place_upstreams(place, item):
+    for place_name, document in places.items():
+        for row in _place_upstreams(place_name, document):
             result[row.upstream] = row
     return result
 
 
 def _place_upstreams(
-    place: str, item: documents.PlaceDocument | None
+    place_name: str, document: documents.PlaceDocument | None
 ) -> abc.Iterator[tickets.UpstreamRow]:
-    if item is None:
+    if document is None:
         return
-    service_name, _, domain_name = place.partition('/')
-    for name, upstream in item['upstreams'].items():
+    service_name, _, domain_name = place_name.partition('/')
+    for name, upstream in document['upstreams'].items():
         yield tickets.UpstreamRow(
             ids.UpstreamId(name),
             ids.ServiceId(service_name),
@@ -78,44 +82,44 @@
         )
 
 
-def drain(_name: str, item: documents.DrainDocument) -> tickets.Drain:
+def drain(_name: str, document: documents.DrainDocument) -> tickets.Drain:
     """Return the data class of a drain."""
-    match item:
+    match document:
         case {'kind': 'upstream', 'upstream': str(upstream)}:
             return tickets.UpstreamDrain(ids.UpstreamId(upstream))
         case {'kind': 'domain', 'domain': str(domain_name)}:
             return tickets.DomainDrain(ids.DomainId(domain_name))
         case {'kind': 'region', 'region': str(region)}:
             return tickets.RegionDrain(ids.RegionId(region))
-    raise AssertionError(f'unchecked drain: {item}')
+    raise AssertionError(f'unchecked drain: {document}')
 
 
-def cap(_name: str, item: documents.CapDocument) -> tickets.Cap:
+def cap(_name: str, document: documents.CapDocument) -> tickets.Cap:
     """Return the data class of a cap."""
-    match item['kind']:
+    match document['kind']:
         case 'shift':
             return tickets.ShiftCap(
-                ids.RegionId(item['from_region']),
-                ids.RegionId(item['to_region']),
-                item['requests_per_s'],
+                ids.RegionId(document['from_region']),
+                ids.RegionId(document['to_region']),
+                document['requests_per_s'],
             )
         case 'region':
             return tickets.RegionLimit(
-                ids.RegionId(item['region']),
-                ids.ServiceId(item['service']),
-                item['in_flight'],
+                ids.RegionId(document['region']),
+                ids.ServiceId(document['service']),
+                document['in_flight'],
             )
         case 'link':
             return tickets.LinkBudget(
-                ids.RegionId(item['from_region']),
-                ids.RegionId(item['to_region']),
-                item['bytes_per_s'],
+                ids.RegionId(document['from_region']),
+                ids.RegionId(document['to_region']),
+                document['bytes_per_s'],
             )
 
 
-def drain_document(item: tickets.Drain) -> documents.DrainDocument:
+def drain_document(drain_row: tickets.Drain) -> documents.DrainDocument:
     """Return the document of a drain."""
-    match item:
+    match drain_row:
         case tickets.UpstreamDrain(upstream):
             return {'kind': 'upstream', 'upstream': upstream}
         case tickets.DomainDrain(domain_name):
@@ -124,9 +128,9 @@
             return {'kind': 'region', 'region': region}
 
 
-def cap_document(item: tickets.Cap) -> documents.CapDocument:
+def cap_document(cap_row: tickets.Cap) -> documents.CapDocument:
     """Return the document of a cap."""
-    match item:
+    match cap_row:
         case tickets.ShiftCap(from_region, to_region, requests_per_s):
             return {
                 'kind': 'shift',
--- a/packages/config/src/zinnialead_config/tickets/states.py
+++ b/packages/config/src/zinnialead_config/tickets/states.py
@@ -45,8 +45,8 @@
     """Return the document of a state."""
     places: dict[str, documents.PlaceDocument | None] = {}
     for row in state.upstreams.values():
-        place = f'{row.service}/{row.domain}'
-        item = places.setdefault(place, {'upstreams': {}})
+        place_name = f'{row.service}/{row.domain}'
+        item = places.setdefault(place_name, {'upstreams': {}})
         if item is not None:
             item['upstreams'][row.upstream] = {
                 'address': row.address,
--- a/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/store/coordinator.py
@@ -149,5 +149,5 @@
     result: store.Result,
     *inputs: inp.Input,
 ) -> None:
-    done = inp.StoreDone(output.call_id, result)
-    engines.feed(client.engine, *inputs, done)
+    store_done = inp.StoreDone(output.call_id, result)
+    engines.feed(client.engine, *inputs, store_done)
--- a/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
+++ b/packages/daemon/src/zinnialead_daemon/components/upstreams/coordinator.py
@@ -46,14 +46,14 @@
         outcome = await _send_attempt(pools, attempt)
     finally:
         del pools.attempts[attempt_id]
-    done = inp.DispatchDone(
+    dispatch_done = inp.DispatchDone(
         dispatch.request_id,
         dispatch.attempt,
         outcome,
         pools.engine.now_ms() - started_ms,
         attempt.answer_bytes,
     )
-    engines.feed(pools.engine, done)
+    engines.feed(pools.engine, dispatch_done)
 
 
 async def cancel_attempt(
--- a/packages/daemon/src/zinnialead_daemon/main.py
+++ b/packages/daemon/src/zinnialead_daemon/main.py
@@ -35,8 +35,8 @@
 ]
 
 
-def _print_version(wanted: bool) -> None:
-    if wanted:
+def _print_version(is_requested: bool) -> None:
+    if is_requested:
         typer.echo(importlib.metadata.version('zinnialead-daemon'))
         raise typer.Exit
 
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -212,8 +212,8 @@
     value: object
 
 
-def _to_change(item: object) -> Change:
-    match item:
+def _to_change(event: object) -> Change:
+    match event:
         case (
             inp.UpstreamDeregistered(name)
             | inp.EntryDeregistered(name)
@@ -221,7 +221,7 @@
         ):
             return Change(is_removed=True, value=name)
         case _:
-            return Change(is_removed=False, value=_to_row(item))
+            return Change(is_removed=False, value=_to_row(event))
 
 
 def _require_row(kind: store.Kind, row: object) -> object:
@@ -245,15 +245,15 @@
             raise ValueError('configurations are never removed')
 
 
-def _to_row(item: object) -> object:
-    match item:
+def _to_row(event: object) -> object:
+    match event:
         case inp.UpstreamRegistered(row) | inp.EntryRegistered(row):
             return row
         case inp.DrainAdded(domain):
             return domain
         case inp.ConfigurationRead(configuration):
             return configuration
-    raise ValueError(f'{item!r} is not a row that entries share')
+    raise ValueError(f'{event!r} is not a row that entries share')
 
 
 def _to_input(
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -135,8 +135,12 @@
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
             kinds = codec.decode_snapshot_request(await _read_frame(stream))
             now_ms = engines.now_ms()
-            found = [peer_sync.snapshot(world, now_ms, kind) for kind in kinds]
-            snapshots = [item for item in found if item is not None]
+            candidates = [
+                peer_sync.snapshot(world, now_ms, kind) for kind in kinds
+            ]
+            snapshots = [
+                snapshot for snapshot in candidates if snapshot is not None
+            ]
             source = str(world.node.ref.entry)
             await _write_frame(
                 stream, codec.encode_snapshots(source, snapshots)
--- a/packages/gateway/src/zinnialead_gateway/store/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/store/coordinator.py
@@ -45,8 +45,8 @@
 
 async def _call(store: Store, output: out.CallStore) -> None:
     result = await _fetch_result(store, output.call)
-    done = inp.StoreDone(output.kind, result, output.call_number)
-    engines.feed(store.engine, done)
+    store_done = inp.StoreDone(output.kind, result, output.call_number)
+    engines.feed(store.engine, store_done)
 
 
 async def _fetch_result(
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -106,10 +106,10 @@
     elapsed_ms = engines.now_ms() - attempt.started_ms
     misdirected = received is not None and received.head.misdirected
     load = received.head.load if received is not None else None
-    done = inp.AttemptDone(
+    attempt_done = inp.AttemptDone(
         *key, outcome, elapsed_ms, load, misdirected, cancelled
     )
-    engines.feed(upstreams.engine, done)
+    engines.feed(upstreams.engine, attempt_done)
     upstreams.responses.pop(key, None)
 
 
--- a/packages/lab/src/zinnialead_lab/fleet/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/fleet/coordinator.py
@@ -150,9 +150,9 @@
     if call_ref in fleet.finished_store_calls:
         return
     fleet.finished_store_calls.add(call_ref)
-    done = inp.StoreDone(event.call_id, event.result)
+    store_done = inp.StoreDone(event.call_id, event.result)
     follow_ups = _follow_up_inputs(fleet, event.result)
-    entries.feed_incarnation(fleet, event.ref, done, *follow_ups)
+    entries.feed_incarnation(fleet, event.ref, store_done, *follow_ups)
 
 
 def _follow_up_inputs(
--- a/packages/lab/src/zinnialead_lab/fleet/entries.py
+++ b/packages/lab/src/zinnialead_lab/fleet/entries.py
@@ -122,8 +122,8 @@
             fleet.last_outcome_ms[connection] = fleet.now_ms
         case _:
             fleet.last_outcome_ms[connection] = fleet.now_ms
-    done = inp.DispatchDone(call.request_id, attempt, event.outcome)
-    feed_incarnation(fleet, call.ref, done)
+    dispatch_done = inp.DispatchDone(call.request_id, attempt, event.outcome)
+    feed_incarnation(fleet, call.ref, dispatch_done)
 
 
 def cancel_timeout(fleet: models.Fleet, dispatch: models.DispatchId) -> None:
--- a/packages/lab/src/zinnialead_lab/fleet/network.py
+++ b/packages/lab/src/zinnialead_lab/fleet/network.py
@@ -27,21 +27,21 @@
 
 
 def latency_ms(
-    fleet: models.Fleet, one: ids.DomainId, other: ids.DomainId
+    fleet: models.Fleet, from_domain: ids.DomainId, to_domain: ids.DomainId
 ) -> float:
     """Return the one-way latency between two failure domains."""
     domains = fleet.state.domains
-    if domains[one].region == domains[other].region:
+    if domains[from_domain].region == domains[to_domain].region:
         return const.INTRA_REGION_LATENCY_MS
     return const.INTER_REGION_LATENCY_MS
 
 
 def connected(
-    fleet: models.Fleet, one: ids.DomainId, other: ids.DomainId
+    fleet: models.Fleet, from_domain: ids.DomainId, to_domain: ids.DomainId
 ) -> bool:
     """Return whether no partition separates two domains."""
     return all(
-        (one in group) == (other in group)
+        (from_domain in group) == (to_domain in group)
         for group in fleet.network.isolated_groups
     )
 
--- a/packages/lab/src/zinnialead_lab/studies/simulation.py
+++ b/packages/lab/src/zinnialead_lab/studies/simulation.py
@@ -181,8 +181,10 @@
             peer_message = inp.PeerMessage(ref, message)
             yield Event(now_ms + HOP_MS, 0, entry, peer_message)
         case out.Dispatch():
-            done = _dispatch_done(sim, now_ms, output)
-            yield Event(now_ms + done.elapsed_ms, 0, ref.entry, done)
+            dispatch_done = _dispatch_done(sim, now_ms, output)
+            yield Event(
+                now_ms + dispatch_done.elapsed_ms, 0, ref.entry, dispatch_done
+            )
 
 
 def _dispatch_done(
--- a/packages/lab/src/zinnialead_lab/studies/slots.py
+++ b/packages/lab/src/zinnialead_lab/studies/slots.py
@@ -62,12 +62,15 @@
     for load in LOADS:
         row = study(load, count, seed)
         ratios = [wait / row.erlang for wait in row[2:]]
-        one, fixed, two, owner = ratios
+        one_queue_ratio, fixed_shares_ratio, two_choices_ratio, owner_ratio = (
+            ratios
+        )
         typer.echo(
-            f'{load:4.2f}  {row.erlang:6.3f}  {one:9.2f}  {fixed:12.2f}'
-            f'  {two:11.2f}  {owner:5.2f}'
+            f'{load:4.2f}  {row.erlang:6.3f}  {one_queue_ratio:9.2f}'
+            f'  {fixed_shares_ratio:12.2f}  {two_choices_ratio:11.2f}'
+            f'  {owner_ratio:5.2f}'
         )
-        if load == CHECKED_LOAD and owner > WAIT_RATIO_MAX:
+        if load == CHECKED_LOAD and owner_ratio > WAIT_RATIO_MAX:
             raise typer.Exit(1)
 
 
--- a/packages/standins/src/zinnialead_standins/store/coordinator.py
+++ b/packages/standins/src/zinnialead_standins/store/coordinator.py
@@ -117,8 +117,8 @@
         case 'GET' if 'watch' in request.query:
             return await _watch(store, request)
         case 'GET' if request.name:
-            found = store.objects[request.kind].get(request.name)
-            return _reply(200, found) if found else models.Reply(404)
+            stored = store.objects[request.kind].get(request.name)
+            return _reply(200, stored) if stored else models.Reply(404)
         case 'GET':
             return _page(store, request)
         case 'POST' | 'PUT':
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -168,10 +168,12 @@
 
 async def until_ready(settings, status=200):
     with trio.fail_after(5.0):
-        found = 0
-        while found != status:
+        last_status = 0
+        while last_status != status:
             await trio.sleep(0.02)
-            found = (await ask(settings.ready_bind, target=b'/ready')).status
+            last_status = (
+                await ask(settings.ready_bind, target=b'/ready')
+            ).status
 
 
 async def until_served(settings, target):
--- a/tests/adapter/test_names.py
+++ b/tests/adapter/test_names.py
@@ -20,11 +20,11 @@
 def test_the_gateway_contains_no_name_of_the_platform():
     gateway = pathlib.Path(zinnialead_gateway.__file__).parent
     core = pathlib.Path(zinnialead_core.__file__).parent / 'gateway'
-    found = [
+    matches = [
         (path.name, name)
         for root in (gateway, core)
         for path in root.rglob('*.py')
         for name in NAMES
         if name.lower() in path.read_text().lower()
     ]
-    assert not found
+    assert not matches
--- a/tests/core/components/keys/key_network.py
+++ b/tests/core/components/keys/key_network.py
@@ -103,8 +103,8 @@
             check_denial(network, network.copies[request_id], denial)
         case out.Notify(inp.ClaimClosed()):
             pass
-        case other:
-            raise AssertionError(other)
+        case unexpected:
+            raise AssertionError(unexpected)
     return []
 
 
@@ -232,9 +232,9 @@
         case 'restart':
             restart(network, name)
         case 'lost' if name not in network.paused:
-            other = NAMES[choice // 4 % len(NAMES)]
-            ref = network.worlds[other].node.ref
-            if other != name:
+            other_name = NAMES[choice // 4 % len(NAMES)]
+            ref = network.worlds[other_name].node.ref
+            if other_name != name:
                 feed(network, name, inp.MemberLost(ref))
 
 
@@ -271,8 +271,10 @@
 
 def _report_late_answer(network: Network, copy: Copy) -> None:
     set_state(network, copy.request_id, 'ran')
-    done = inp.DispatchDone(copy.request_id, 1, verdict.Answered(201, b'x'))
-    feed(network, copy.holder.entry, done)
+    dispatch_done = inp.DispatchDone(
+        copy.request_id, 1, verdict.Answered(201, b'x')
+    )
+    feed(network, copy.holder.entry, dispatch_done)
 
 
 OPERATIONS = (
--- a/tests/core/components/keys/test_binding.py
+++ b/tests/core/components/keys/test_binding.py
@@ -46,8 +46,8 @@
 
 
 def complete_call(shard, world, call, now_ms=NOW_MS):
-    done = inp.StoreDone(call.call_id, serve(shard, call.call))
-    return feed(world, now_ms, done)
+    store_done = inp.StoreDone(call.call_id, serve(shard, call.call))
+    return feed(world, now_ms, store_done)
 
 
 def refusal(outputs):
--- a/tests/core/components/members/test_members.py
+++ b/tests/core/components/members/test_members.py
@@ -51,8 +51,8 @@
     restarted = alive._replace(incarnation=2)
     dead = restarted._replace(health=DEAD)
     ref = world.node.ref._replace(entry='b0')
-    for item in (listed, *(_news(ref, x) for x in (alive, restarted, dead))):
-        for output in coordinator.run(world, 0.0, [item]):
+    for event in (listed, *(_news(ref, x) for x in (alive, restarted, dead))):
+        for output in coordinator.run(world, 0.0, [event]):
             match output:
                 case out.Notify(inp.MemberJoined(who)):
                     events.append(('joined', *who))
--- a/tests/core/components/slots/asking.py
+++ b/tests/core/components/slots/asking.py
@@ -119,8 +119,10 @@
         for output in tick(worlds[name], now_ms, *given):
             match output:
                 case out.SendPeer(to, message):
-                    item = inp.PeerMessage(worlds[name].node.ref, message)
-                    pending += [(to, [item])] if to in worlds else []
+                    peer_message = inp.PeerMessage(
+                        worlds[name].node.ref, message
+                    )
+                    pending += [(to, [peer_message])] if to in worlds else []
                 case _:
                     other_outputs.append(output)
     return other_outputs
--- a/tests/core/components/slots/test_handover.py
+++ b/tests/core/components/slots/test_handover.py
@@ -53,8 +53,8 @@
     world = worlds[other]
     assert world.queues.in_use['pricebook-1'] == 3
     assert not asking.run_until_idle(worlds, 1_000.0 + LATER_MS, other)
-    done = inp.DispatchDone(0, 1, verdict.Answered(200))
-    outputs = asking.run_until_idle(worlds, 1_400.0, other, done)
+    dispatch_done = inp.DispatchDone(0, 1, verdict.Answered(200))
+    outputs = asking.run_until_idle(worlds, 1_400.0, other, dispatch_done)
     assert [x.request_id for x in dispatches(outputs)] == [9]
 
 
@@ -62,8 +62,8 @@
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
     for number in range(4):
-        item = request(number, LATER_MS)
-        asking.run_until_idle(worlds, LATER_MS, other, item)
+        arrival = request(number, LATER_MS)
+        asking.run_until_idle(worlds, LATER_MS, other, arrival)
     assert worlds[owner].queues.queued
     asking.run_until_idle(worlds, 1_000.0, owner, inp.StopRequested())
     assert not worlds[owner].queues.queued
@@ -173,8 +173,8 @@
 def test_slots_in_use_are_handed_over_once():
     worlds = asking.two_worlds()
     owner, other = owner_and_other(worlds)
-    item = request(1, LATER_MS)
-    asking.run_until_idle(worlds, LATER_MS, other, item)
+    arrival = request(1, LATER_MS)
+    asking.run_until_idle(worlds, LATER_MS, other, arrival)
     stop = inp.StopRequested()
     sent = [*core.tick(worlds[owner], 1_000.0, [stop])]
     sent += core.tick(worlds[owner], 1_000.0, [stop])
--- a/tests/core/components/slots/test_leaving.py
+++ b/tests/core/components/slots/test_leaving.py
@@ -13,8 +13,8 @@
     owner, other = handover.owner_and_other(worlds)
     now_ms = handover.LATER_MS
     for number in range(3):
-        item = handover.request(number, now_ms)
-        asking.run_until_idle(worlds, now_ms, other, item)
+        arrival = handover.request(number, now_ms)
+        asking.run_until_idle(worlds, now_ms, other, arrival)
     world = worlds[other]
     row = world.members[owner]
     world.members[owner] = row._replace(health=members.Health.LEAVING)
--- a/tests/core/components/slots/test_queueing.py
+++ b/tests/core/components/slots/test_queueing.py
@@ -113,12 +113,12 @@
     }
     limit = tickets.RegionLimit('kigali', 'pricebook', 3)
     world = asking.world_with(caps={'x': limit}, domains=domains)
-    other = (
+    other_upstream = (
         world.states['in-force']
         .upstreams['pricebook-1']
         ._replace(upstream='b', domain='kigali-b')
     )
-    upstreams = {**world.states['in-force'].upstreams, 'b': other}
+    upstreams = {**world.states['in-force'].upstreams, 'b': other_upstream}
     asking.put_in_force(world, 2.0, upstreams=upstreams)
     answers = asking.tell(world, 3.0, *map(asking.ask, (1, 2, 3)))
     assert asking.granted(answers) == [1]
--- a/tests/core/components/slots/test_queueing_properties.py
+++ b/tests/core/components/slots/test_queueing_properties.py
@@ -49,15 +49,15 @@
 )
 
 
-def act(world, now_ms, item):
+def act(world, now_ms, event):
     """Apply one generated event and return the owner's answers."""
-    match item:
+    match event:
         case slots.SlotAsk() | slots.SlotReturn():
-            given = inp.PeerMessage(asking.ASKER, item)
+            given = inp.PeerMessage(asking.ASKER, event)
         case inp.UpstreamReport():
-            given = item
+            given = event
         case list():
-            drains = {str(n): drain for n, drain in enumerate(item)}
+            drains = {str(n): drain for n, drain in enumerate(event)}
             return asking.put_in_force(world, now_ms, drains=drains)
     outputs = core.tick(world, now_ms, [given])
     return [x.message for x in outputs if isinstance(x, out.SendPeer)]
--- a/tests/core/components/store/test_tasks.py
+++ b/tests/core/components/store/test_tasks.py
@@ -23,8 +23,8 @@
         counts[type(output.call).__name__, entry] += 1
         result = answer(output.call)
         if result is not None and entry not in network.stopped:
-            done = inp.StoreDone(output.call_id, result)
-            member_network.feed(network, entry, done)
+            store_done = inp.StoreDone(output.call_id, result)
+            member_network.feed(network, entry, store_done)
     return counts
 
 
@@ -105,8 +105,8 @@
         (store.Missing('state'), store.Watch('state', 0)),
     ):
         [call_id] = [x.call_id for x in outputs if x.call.name == 'state']
-        done = inp.StoreDone(call_id, result)
-        outputs = list(core.tick(world, now_ms, [done]))
+        store_done = inp.StoreDone(call_id, result)
+        outputs = list(core.tick(world, now_ms, [store_done]))
         outputs = [x for x in outputs if isinstance(x, out.CallStore)]
         now_ms += 1_000.0
         outputs += _calls(world, now_ms)
@@ -166,9 +166,9 @@
         for _, entry, output in due:
             result = answer_normally(output.call)
             if result is not None:
-                done = inp.StoreDone(output.call_id, result)
+                store_done = inp.StoreDone(output.call_id, result)
                 read = [inp.StateRead(state)] if 'state' in str(result) else []
-                member_network.feed(network, entry, *read, done)
+                member_network.feed(network, entry, *read, store_done)
     numbers = {w.states['in-force'].number for w in network.worlds.values()}
     assert numbers == {9}
     assert calls <= 2 * 40
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -94,14 +94,18 @@
 
 def test_a_starting_entry_and_the_others_exchange_registrations():
     world = fleet()
-    own = inp.EntryRegistered(samples.entry_row('entry-9', revision=0))
-    announcement = inp.PeerChanges(store.Kind.ENTRIES, 0, 0, (own,), 'entry-9')
+    registration = inp.EntryRegistered(
+        samples.entry_row('entry-9', revision=0)
+    )
+    announcement = inp.PeerChanges(
+        store.Kind.ENTRIES, 0, 0, (registration,), 'entry-9'
+    )
     outputs = samples.feed(world, 20.0, announcement)
     (sent,) = samples.of_type(outputs, out.SendHeartbeat)
     assert sent.addresses == ('entry-9:2',)
     (sent_changes,) = samples.of_type(outputs, out.SendChanges)
-    (item,) = sent_changes.changes.items
-    assert item.row.entry == 'entry-1'
+    (change,) = sent_changes.changes.items
+    assert change.row.entry == 'entry-1'
     samples.feed(world, 21.0, heartbeat('entry-9'))
     assert 'entry-9:1' in selected(world, 22.0)
     assert not samples.of_type(
@@ -146,9 +150,11 @@
 def test_after_a_conflict_the_found_revision_is_replaced():
     world = samples.serving_world()
     registration(world)
-    found = samples.entry_row('entry-1', revision=8)._replace(incarnation=0)
+    existing_row = samples.entry_row('entry-1', revision=8)._replace(
+        incarnation=0
+    )
     outputs = samples.feed(
-        world, 4.0, inp.StoreDone('registration', store.Conflict(found))
+        world, 4.0, inp.StoreDone('registration', store.Conflict(existing_row))
     )
     ((call),) = [x.call for x in samples.of_type(outputs, out.CallStore)]
     assert (call.row.incarnation, call.row.revision) == (1, 8)
@@ -209,28 +215,30 @@
     rows = (*map(samples.entry_row, names), remote)
     samples.feed(world, 0.0, inp.EntriesListed(rows), inp.Started())
     world.entries.traffic[0] = models.TrafficRow(requests_per_s=per_s)
-    found = collections.Counter()
+    counts = collections.Counter()
     for number in range(rounds):
         now_ms = 1_200.0 * (number + 1)
-        others = [heartbeat(x) for x in names if x != name]
+        heartbeats = [heartbeat(x) for x in names if x != name]
         world.counters['requests.arrived'] += int(per_s * 1.2)
-        outputs = samples.feed(world, now_ms, *others)
+        outputs = samples.feed(world, now_ms, *heartbeats)
         for sent in samples.of_type(outputs, out.SendHeartbeat):
-            found['remote'] += remote.peer_address in sent.addresses
-            found['local'] += len(sent.addresses) > 1
-    return found
+            counts['remote'] += remote.peer_address in sent.addresses
+            counts['local'] += len(sent.addresses) > 1
+    return counts
 
 
 def test_some_entries_of_a_region_send_to_other_regions():
     """With 134 entries, heartbeats were most of the cross-region traffic."""
-    found = [count_heartbeats(f'entry-{n}', 12) for n in range(1, 13)]
-    assert sum(x['remote'] > 0 for x in found) == const.REMOTE_SENDERS
+    counts = [count_heartbeats(f'entry-{n}', 12) for n in range(1, 13)]
+    assert sum(x['remote'] > 0 for x in counts) == const.REMOTE_SENDERS
 
 
 def test_an_entry_without_callers_sends_fewer_heartbeats():
-    found = [count_heartbeats(f'entry-{n}', 12)['local'] for n in range(1, 13)]
+    counts = [
+        count_heartbeats(f'entry-{n}', 12)['local'] for n in range(1, 13)
+    ]
     assert (
-        sorted(found)
+        sorted(counts)
         == [2] * (12 - const.REMOTE_SENDERS) + [4] * const.REMOTE_SENDERS
     )
     used = [
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -62,8 +62,8 @@
 
 
 def test_two_entries_of_a_region_read():
-    found = [readers.is_reader(fleet(name), 10_000.0) for name in NAMES]
-    assert found.count(True) == const.READERS
+    reader_flags = [readers.is_reader(fleet(name), 10_000.0) for name in NAMES]
+    assert reader_flags.count(True) == const.READERS
 
 
 def test_other_entries_make_no_calls():
@@ -135,8 +135,8 @@
     *_, last = names_by_rank()
     world = fleet(last)
     row = samples.upstream('u-9', revision=55)
-    item = peer_changes(40, 55, inp.UpstreamRegistered(row))
-    outputs = samples.feed(world, 10_001.0, item)
+    changes = peer_changes(40, 55, inp.UpstreamRegistered(row))
+    outputs = samples.feed(world, 10_001.0, changes)
     assert 'u-9' in world.upstreams.rows
     removal = peer_changes(55, 60, inp.UpstreamDeregistered('u-9'))
     outputs += samples.feed(world, 10_002.0, removal)
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -25,9 +25,9 @@
 
 def until_called(world, now_ms, kind=UPSTREAMS):
     for step in range(200):
-        found = calls(samples.feed(world, now_ms + 50.0 * step), kind)
-        if found:
-            return found[0], now_ms + 50.0 * step
+        store_calls = calls(samples.feed(world, now_ms + 50.0 * step), kind)
+        if store_calls:
+            return store_calls[0], now_ms + 50.0 * step
     raise AssertionError('no call came')
 
 
@@ -109,8 +109,8 @@
     world, _ = started()
     rows = (samples.entry_row('entry-2'),)
     page = store.Listed((), None, revision, revision)
-    done = samples.store_done(world, UPSTREAMS, page)
-    samples.feed(world, 1.0, inp.EntriesListed(rows), done)
+    store_done = samples.store_done(world, UPSTREAMS, page)
+    samples.feed(world, 1.0, inp.EntriesListed(rows), store_done)
     until_called(world, 1.0)
     return world
 
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -55,8 +55,8 @@
     )
     for now_ms, result in steps:
         kind = store.Kind.DRAINS
-        done = samples.store_done(world, kind, result)
-        samples.feed(world, now_ms, done)
+        store_done = samples.store_done(world, kind, result)
+        samples.feed(world, now_ms, store_done)
 
 
 def test_an_upstream_that_expired_in_an_outage_is_removed_later():
--- a/tests/core/test_tick.py
+++ b/tests/core/test_tick.py
@@ -13,8 +13,10 @@
     world = samples.world()
     [dispatch] = core.tick(world, 0.0, [samples.request(1)])
     assert isinstance(dispatch, out.Dispatch)
-    done = inp.DispatchDone(1, dispatch.attempt, verdict.Answered(200))
-    assert list(core.tick(world, 10.0, [done])) == [out.Relay(1, 1)]
+    dispatch_done = inp.DispatchDone(
+        1, dispatch.attempt, verdict.Answered(200)
+    )
+    assert list(core.tick(world, 10.0, [dispatch_done])) == [out.Relay(1, 1)]
     assert world.queues.in_use[dispatch.upstream] == 0
 
 
@@ -30,8 +32,8 @@
     assert refusal.refusal.verdict is verdict.Verdict.MAY_HAVE_RUN
     third = samples.request(3, service='intake', key=key)
     assert list(core.tick(world, 6.0, [third])) == []
-    done = inp.DispatchDone(1, 1, verdict.Answered(201, b'booked'))
-    outputs = list(core.tick(world, 10.0, [done]))
+    dispatch_done = inp.DispatchDone(1, 1, verdict.Answered(201, b'booked'))
+    outputs = list(core.tick(world, 10.0, [dispatch_done]))
     assert outputs == [out.Relay(1, 1), out.Replay(3, 201, b'booked')]
     late = samples.request(4, service='intake', key=key)
     [replay] = core.tick(world, 20.0, [late])
@@ -44,8 +46,8 @@
     list(core.tick(world, 0.0, [samples.request(1)]))
     later = [samples.request(2, rank='night'), samples.request(3)]
     assert list(core.tick(world, 1.0, later)) == []
-    done = inp.DispatchDone(1, 1, verdict.Answered(200))
-    outputs = list(core.tick(world, 9.0, [done]))
+    dispatch_done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [dispatch_done]))
     assert [x.request_id for x in outputs] == [1, 3]
 
 
@@ -62,8 +64,8 @@
     world = samples.world()
     list(core.tick(world, 0.0, [samples.request(1)]))
     assert list(core.tick(world, 1.0, [inp.StopRequested()])) == []
-    done = inp.DispatchDone(1, 1, verdict.Answered(200))
-    outputs = list(core.tick(world, 9.0, [done]))
+    dispatch_done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [dispatch_done]))
     assert outputs == [out.Relay(1, 1), out.Stopped()]
 
 
@@ -99,8 +101,8 @@
     granted = keys.ClaimAnswer(claim.key, ask_id, keys.Granted())
     list(core.tick(world, 1.0, [inp.PeerMessage(registrar, granted)]))
     list(core.tick(world, 2.0, [inp.StopRequested()]))
-    done = inp.DispatchDone(1, 1, verdict.Answered(200))
-    outputs = list(core.tick(world, 9.0, [done]))
+    dispatch_done = inp.DispatchDone(1, 1, verdict.Answered(200))
+    outputs = list(core.tick(world, 9.0, [dispatch_done]))
     assert out.Stopped() not in outputs
     ack = keys.ClaimEndAck(claim.key, ask_id, 1)
     outputs = list(core.tick(world, 10.0, [inp.PeerMessage(registrar, ack)]))
--- a/tests/daemon/components/peers/test_transport.py
+++ b/tests/daemon/components/peers/test_transport.py
@@ -25,23 +25,23 @@
 
 
 async def test_entries_connect_and_a_state_spreads(nursery, mock_clock):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    two = await peer_samples.start_entry(nursery, 'e2')
-    peer_samples.introduce(one, two)
-    engines.feed(one.engine, inp.StateRead(samples.state(number=7)))
+    first_entry = await peer_samples.start_entry(nursery, 'e1')
+    second_entry = await peer_samples.start_entry(nursery, 'e2')
+    peer_samples.introduce(first_entry, second_entry)
+    engines.feed(first_entry.engine, inp.StateRead(samples.state(number=7)))
     await peer_samples.until(
-        lambda: two.engine.world.states['in-force'].number == 7
+        lambda: second_entry.engine.world.states['in-force'].number == 7
     )
-    row = two.engine.world.members['e1']
+    row = second_entry.engine.world.members['e1']
     assert row.health is members.Health.ALIVE
-    assert diagnostics.dump(two)['links']['e1']['connected']
+    assert diagnostics.dump(second_entry)['links']['e1']['connected']
     nursery.cancel_scope.cancel()
 
 
 async def test_unsigned_and_malformed_frames_are_counted(nursery, mock_clock):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    host, port = addresses.parse(one.address)
-    counters = one.engine.world.counters
+    local_entry = await peer_samples.start_entry(nursery, 'e1')
+    host, port = addresses.parse(local_entry.address)
+    counters = local_entry.engine.world.counters
     stream = await trio.open_tcp_stream(host, port)
     await stream.send_all(b'\x04\x00\x00\x00junk' * 3)
     await peer_samples.until(lambda: counters['peers.frames_malformed'] == 3)
@@ -53,7 +53,7 @@
     unknown_peer = await peer_samples.start_entry(
         nursery, 'e2', 'another-secret-key'
     )
-    peer_samples.introduce(unknown_peer, one)
+    peer_samples.introduce(unknown_peer, local_entry)
     probe = members.Probe(1, 0, ())
     peers.send(unknown_peer, out.SendPeer('e1', probe))
     # The row of the entry with the other key, and the probe.
@@ -72,11 +72,11 @@
 
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     nursery.start_soon(trio.serve_listeners, accept_silently, listeners)
-    one = await peer_samples.start_entry(nursery, 'e1')
+    local_entry = await peer_samples.start_entry(nursery, 'e1')
     port = listeners[0].socket.getsockname()[1]
     peer_seen = inp.PeerSeen('e2', samples.DOMAIN, f'127.0.0.1:{port}')
-    engines.feed(one.engine, peer_seen)
-    counters = one.engine.world.counters
+    engines.feed(local_entry.engine, peer_seen)
+    counters = local_entry.engine.world.counters
     await peer_samples.until(lambda: counters['peers.links_silent'] > 0)
     await peer_samples.until(lambda: len(accepted) > 1)
     nursery.cancel_scope.cancel()
@@ -85,16 +85,18 @@
 async def test_a_full_outbox_drops_the_oldest_and_send_never_blocks(
     nursery, mock_clock
 ):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    engines.feed(one.engine, inp.PeerSeen('e2', 'x', '127.0.0.1:1'))
+    local_entry = await peer_samples.start_entry(nursery, 'e1')
+    engines.feed(local_entry.engine, inp.PeerSeen('e2', 'x', '127.0.0.1:1'))
     for number in range(const.OUTBOX_MAX + 5):
-        peers.send(one, out.SendPeer('e2', members.ProbeFor(number, 'e3')))
-    link = one.links['e2']
+        peers.send(
+            local_entry, out.SendPeer('e2', members.ProbeFor(number, 'e3'))
+        )
+    link = local_entry.links['e2']
     assert len(link.outbox) == const.OUTBOX_MAX
     assert link.outbox[-1].message.sequence == const.OUTBOX_MAX + 4
-    counters = one.engine.world.counters
+    counters = local_entry.engine.world.counters
     assert counters['peers.dropped_full'] == 5
-    peers.send(one, out.SendPeer('e9', members.ProbeFor(1, 'e3')))
+    peers.send(local_entry, out.SendPeer('e9', members.ProbeFor(1, 'e3')))
     assert counters['peers.unknown_recipient'] == 1
     nursery.cancel_scope.cancel()
 
@@ -102,44 +104,44 @@
 async def test_a_message_outside_the_schema_is_dropped_and_counted(
     nursery, mock_clock
 ):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    two = await peer_samples.start_entry(nursery, 'e2')
-    peer_samples.introduce(one, two)
-    peers.send(one, out.SendPeer('e2', members.ProbeFor(-1, 'e3')))
-    counters = one.engine.world.counters
+    first_entry = await peer_samples.start_entry(nursery, 'e1')
+    second_entry = await peer_samples.start_entry(nursery, 'e2')
+    peer_samples.introduce(first_entry, second_entry)
+    peers.send(first_entry, out.SendPeer('e2', members.ProbeFor(-1, 'e3')))
+    counters = first_entry.engine.world.counters
     await peer_samples.until(lambda: counters['peers.unencodable'] == 1)
-    await peer_samples.until(lambda: one.links['e2'].connected)
+    await peer_samples.until(lambda: first_entry.links['e2'].connected)
     nursery.cancel_scope.cancel()
 
 
 async def test_unauthenticated_connections_are_limited_and_time_out(
     nursery, mock_clock
 ):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    host, port = addresses.parse(one.address)
+    local_entry = await peer_samples.start_entry(nursery, 'e1')
+    host, port = addresses.parse(local_entry.address)
     streams = [
         await trio.open_tcp_stream(host, port)
         for _ in range(const.UNAUTHENTICATED_MAX + 3)
     ]
-    counters = one.engine.world.counters
+    counters = local_entry.engine.world.counters
     await peer_samples.until(lambda: counters['peers.accept_refused'] == 3)
-    assert one.unauthenticated == const.UNAUTHENTICATED_MAX
-    await peer_samples.until(lambda: one.unauthenticated == 0)
-    assert one.accepted == 0
+    assert local_entry.unauthenticated == const.UNAUTHENTICATED_MAX
+    await peer_samples.until(lambda: local_entry.unauthenticated == 0)
+    assert local_entry.accepted == 0
     for stream in streams:
         await stream.aclose()
     nursery.cancel_scope.cancel()
 
 
 async def test_an_entry_unknown_to_its_peer_is_answered(nursery, mock_clock):
-    one = await peer_samples.start_entry(nursery, 'e1')
-    two = await peer_samples.start_entry(nursery, 'e2')
-    node = two.engine.world.node
+    first_entry = await peer_samples.start_entry(nursery, 'e1')
+    second_entry = await peer_samples.start_entry(nursery, 'e2')
+    node = second_entry.engine.world.node
     peer_seen = inp.PeerSeen('e2', node.domain, node.address)
-    engines.feed(one.engine, peer_seen)
-    peers.send(one, out.SendPeer('e2', members.MembersAsk('', '')))
+    engines.feed(first_entry.engine, peer_seen)
+    peers.send(first_entry, out.SendPeer('e2', members.MembersAsk('', '')))
     await peer_samples.until(
-        lambda: one.engine.world.members['e2'].incarnation
+        lambda: first_entry.engine.world.members['e2'].incarnation
     )
-    assert two.engine.world.counters['peers.unknown_recipient'] == 0
+    assert second_entry.engine.world.counters['peers.unknown_recipient'] == 0
     nursery.cancel_scope.cancel()
--- a/tests/daemon/front/test_front.py
+++ b/tests/daemon/front/test_front.py
@@ -194,8 +194,8 @@
         body = b'{"questions": [{"service": "intake"}, {"service": "x"}]}'
         answer = await pool.request('POST', url, content=body)
         assert answer.content.count(b'"choices"') == 2
-        one = await pool.request('GET', f'{url}?service=intake')
-        assert b'entry-1' in one.content
+        response = await pool.request('GET', f'{url}?service=intake')
+        assert b'entry-1' in response.content
         bad = await pool.request('POST', url, content=b'{"questions": [')
         assert (bad.status, verdict_of(bad)) == (400, b'not-run')
     nursery.cancel_scope.cancel()
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -46,8 +46,8 @@
     status, created = await call(address, 'POST', KIND, {'n': 1})
     assert (status, created['spec']) == (201, {'n': 1})
     first = created['metadata']['rev']
-    status, found = await call(address, 'POST', KIND, {'n': 2})
-    assert (status, found['metadata']['rev']) == (409, first)
+    status, reply = await call(address, 'POST', KIND, {'n': 2})
+    assert (status, reply['metadata']['rev']) == (409, first)
     assert (await call(address, 'PUT', STATE, {'n': 2}, 99))[0] == 409
     assert (await call(address, 'PUT', STATE, {'n': 2}, first))[0] == 200
     assert (await call(address, 'GET', STATE))[1]['spec'] == {'n': 2}
@@ -103,8 +103,8 @@
     after = first['items'][-1]['metadata']['name']
     _, rest = await call(address, 'GET', f'/objects/vms?after={after}')
     assert not rest['has_more']
-    found = [*first['items'], *rest['items']]
-    assert [x['metadata']['name'] for x in found] == names
+    objects = [*first['items'], *rest['items']]
+    assert [x['metadata']['name'] for x in objects] == names
     nursery.cancel_scope.cancel()
 
 
