Play loads on the gateway's placement on a mock clock

'make load' plays callers with deadlines and one retry, entries' real tables and systems, and upstreams with slots, queues, caches and slowed machines, and prints what callers get by kind and region.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,10 @@
 SEED ?= 1
 STEPS ?= 60
 SECONDS ?= 45
+SCENARIO ?=
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test bench fuzz capacity soak check format lint types \
+.PHONY: setup demo test bench fuzz load capacity soak check format lint types \
 	contract
 
 setup: $(STAMP)
@@ -42,6 +43,10 @@
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tests $(BIN)/python -m soak \
 		--seed $(SEED) --seconds $(SECONDS)
 
+load: setup
+	$(BIN)/python -m zinnialead_lab load --scenario "$(SCENARIO)" \
+		--seed $(SEED)
+
 capacity: setup
 	$(BIN)/python -m zinnialead_lab capacity
 
--- a/packages/lab/src/zinnialead_lab/__main__.py
+++ b/packages/lab/src/zinnialead_lab/__main__.py
@@ -67,6 +67,20 @@
     raise typer.Exit(_import_command('capacity').main())
 
 
+@app.command()
+def load(
+    scenario: typing.Annotated[
+        str, typer.Option(help='Name of one scenario; all by default.')
+    ] = '',
+    seed: Seed = 1,
+) -> None:
+    """Play loads on the gateway's placement and show what callers get.
+
+    Example: python -m zinnialead_lab load --scenario short-region
+    """
+    raise typer.Exit(_import_command('load').main(scenario, seed))
+
+
 def _import_command(name: str) -> types.ModuleType:
     module = f'zinnialead_lab.{name}'
     try:
