Read the work time that upstreams report with their load

Endpoints of some services add a fourth figure to their load: how long work takes on their machine now. The adapter matched three figures in full, so such a report read as none: those upstreams looked as empty as an entry's own count, and nothing counted it.

Three figures are read whatever follows them; a fourth one that can't be read is counted (upstreams.unreadable_loads) and costs no other. The core takes a machine's slowness out of what it holds against the upstream itself, for answers and for cancelled attempts.

The new tests of the header and of slowness fail on the code before.

--- a/packages/core/src/zinnialead_core/gateway/inputs.py
+++ b/packages/core/src/zinnialead_core/gateway/inputs.py
@@ -39,11 +39,16 @@
 
 
 class ReportedLoad(typing.NamedTuple):
-    """Hold the load that an upstream reports in a response."""
+    """Hold the load that an upstream reports in a response.
+
+    ``work_time_percent`` is how long work takes on its machine at present,
+    100 as usual, None if it does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -3,6 +3,8 @@
 # Age at which the load that other entries put on an upstream, as it last
 # reported, no longer counts.
 REPORTED_LOAD_MAX_AGE_MS = 1_200.0
+USUAL_WORK_TIME_PERCENT = 100.0
+WORK_TIME_RATIO_MAX = 10.0
 # All loads are in requests per slot.  Up to this load an upstream gets more
 # work, by rank, the most urgent first: less urgent work leaves slots free,
 # urgent work may queue at the upstream.
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -48,11 +48,15 @@
         reported = result.load.running + result.load.waiting
         # The reported load still includes the attempt that has ended.
         others = max(0.0, float(reported - load.in_flight - 1))
-        load = load._replace(others=others, told_ms=now_ms)
+        load = load._replace(
+            others=others,
+            told_ms=now_ms,
+            work_time_ratio=_work_time_ratio(result.load),
+        )
     match result.outcome:
         case verdict.Answered(status) if status < 500:
             load = _record_success(world, now_ms, upstream, load)
-            load = _record_pace(world, load, route, result.elapsed_ms)
+            load = _record_pace(world, now_ms, load, route, result.elapsed_ms)
         case verdict.Answered():
             load = load._replace(failing=_raised_failing(load), failures=0)
         case verdict.Shed():
@@ -66,7 +70,9 @@
         case verdict.NotSent():
             load = _record_failure(now_ms, load, 1)
         case verdict.Lost() if result.cancelled:
-            load = _record_cancelled(world, load, route, result.elapsed_ms)
+            load = _record_cancelled(
+                world, now_ms, load, route, result.elapsed_ms
+            )
         case verdict.Lost():
             load = _record_failure(now_ms, load, const.LOST_BEFORE_EJECTION)
         case verdict.NeverStarted():
@@ -140,26 +146,35 @@
 
 def _record_pace(
     world: world_module.World,
+    now_ms: float,
     load: models.LoadRow,
     route: str,
     elapsed_ms: float,
 ) -> models.LoadRow:
-    """Update the route's mean service time and the upstream's pace."""
+    """Update the route's mean service time and the upstream's pace.
+
+    What slows the upstream's whole machine is not its own slowness.
+    """
     means = world.placement.mean_service_ms
     mean_ms = means.get(route, elapsed_ms)
     means[route] = mean_ms + const.SERVICE_TIME_WEIGHT * (elapsed_ms - mean_ms)
     pace = elapsed_ms / max(1.0, means[route])
+    if load.told_ms == now_ms:
+        pace /= load.work_time_ratio
     return load._replace(pace=_moving_mean(load.pace, pace))
 
 
 def _record_cancelled(
     world: world_module.World,
+    now_ms: float,
     load: models.LoadRow,
     route: str,
     elapsed_ms: float,
 ) -> models.LoadRow:
     """Count a cancelled attempt as a failure if it was slow."""
     mean_ms = world.placement.mean_service_ms.get(route, elapsed_ms)
+    if load.told_ms >= now_ms - elapsed_ms:
+        mean_ms *= load.work_time_ratio
     if elapsed_ms < const.PACE_MAX * mean_ms:
         return load
     return load._replace(failing=_raised_failing(load))
@@ -185,6 +200,14 @@
     return load._replace(out_until_ms=now_ms + ejection_ms)
 
 
+def _work_time_ratio(reported: inp.ReportedLoad) -> float:
+    """Return the reported work time relative to the usual one, at least 1."""
+    if reported.work_time_percent is None:
+        return 1.0
+    ratio = reported.work_time_percent / const.USUAL_WORK_TIME_PERCENT
+    return min(const.WORK_TIME_RATIO_MAX, max(1.0, ratio))
+
+
 def _raised_failing(load: models.LoadRow) -> float:
     return load.failing + const.FAILURE_WEIGHT * (1.0 - load.failing)
 
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -42,6 +42,8 @@
     ends.  ``failing`` and ``pace`` are moving means of failures per attempt
     and of service time relative to the route's mean.  The upstream counts as
     faulty until ``faulty_until_ms``, 0 if it has broken no protocol.
+    ``work_time_ratio`` is how long work took on its machine at ``told_ms``,
+    1 as usual: other work there slows the upstream for a moment.
     """
 
     in_flight: int = 0
@@ -52,6 +54,7 @@
     failing: float = 0.0
     pace: float = 1.0
     faulty_until_ms: float = 0.0
+    work_time_ratio: float = 1.0
 
 
 class RemoteShareRow(typing.NamedTuple):
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -37,7 +37,8 @@
     ``name`` is the id of the answered request, None if missing; ``sealed``
     says whether the upstream marked the response as its own; ``headers`` are
     the ones to return to the caller; ``notices`` is what the upstream
-    announces about itself.
+    announces about itself; ``unreadable_loads`` counts the reports of its load
+    that could not be read in full.
     """
 
     name: str | None
@@ -47,6 +48,7 @@
     load: inp.ReportedLoad | None
     headers: Headers
     notices: tuple[core_notices.Notice, ...] = ()
+    unreadable_loads: int = 0
 
 
 class RefusalHead(typing.NamedTuple):
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -138,6 +138,7 @@
     if received is not None:
         upstreams.responses[key] = received
         _report_notices(upstreams, attempt.dispatch, received.head)
+        _count_unreadable_loads(upstreams.engine, received.head)
     elapsed_ms = engines.now_ms() - attempt.started_ms
     misdirected = received is not None and received.head.misdirected
     load = received.head.load if received is not None else None
@@ -247,6 +248,14 @@
         engines.feed(upstreams.engine, announced)
 
 
+def _count_unreadable_loads(
+    engine: engines.Engine, head: dialects.ResponseHead
+) -> None:
+    if head.unreadable_loads:
+        name = 'upstreams.unreadable_loads'
+        engine.world.counters[name] += head.unreadable_loads
+
+
 def _report_stray_bytes(engine: engines.Engine, address: str) -> None:
     _report_fault(engine, address, placement.StrayBytes())
 
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -68,6 +68,44 @@
     assert not head.not_run
 
 
+def read_load(value):
+    return heads.read_response(200, [(b'Zinnialead-Server-Load', value)])
+
+
+@pytest.mark.parametrize(
+    ('value', 'load', 'unreadable_loads'),
+    [
+        (b'3,0,8', inp.ReportedLoad(3, 0, 8), 0),
+        (b' 3 , 0 ,8,120', inp.ReportedLoad(3, 0, 8, 120), 0),
+        (b'3,0,8,120,7,x', inp.ReportedLoad(3, 0, 8, 120), 0),
+        (b'3,0,8,', inp.ReportedLoad(3, 0, 8), 1),
+        (b'3,0,8,0', inp.ReportedLoad(3, 0, 8), 1),
+        (b'3,0,8,slow,9', inp.ReportedLoad(3, 0, 8), 1),
+        (b'3,0,8,-5', inp.ReportedLoad(3, 0, 8), 1),
+        (b'3,0,8,' + b'9' * 40, inp.ReportedLoad(3, 0, 8), 1),
+        (b'3,0', None, 1),
+        (b'3,,8,120', None, 1),
+        (b'', None, 1),
+    ],
+)
+def test_a_malformed_work_time_costs_no_other_figure_of_the_load(
+    value, load, unreadable_loads
+):
+    head = read_load(value)
+    assert head.load == load
+    assert head.unreadable_loads == unreadable_loads
+
+
+@hypothesis.given(st.lists(st.binary(max_size=12), max_size=6).map(b','.join))
+def test_any_report_of_a_load_is_read_or_counted(value):
+    head = read_load(value)
+    if head.load is None:
+        assert head.unreadable_loads == 1
+    else:
+        assert min(head.load[:3]) >= 0
+        assert head.load.work_time_percent != 0
+
+
 def test_a_sealed_response_is_not_misdirected():
     assert heads.read_response(421, []).misdirected
     sealed = heads.read_response(421, [(b'Zinnialead-Response-Seal', b'1')])
