Answer the registration of an entry in its own region only

Every entry sent a heartbeat and its address to every entry that it saw for the first time: with 195 that start together 388 datagrams sent and as many received by each. Entries of other regions need neither: they list each other from the store, and four senders of a region keep them current.

The new test fails on the code before: a remote registration was answered.

--- a/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/coordinator.py
@@ -113,11 +113,13 @@
         # A later run has a lower incarnation if the clock was set back.
         table.heartbeats.pop(row.entry, None)
     table.seen_ms[row.entry] = now_ms
-    # An entry that has just started learns at once that this one is live,
-    # and its address.
-    addresses = (row.peer_address,)
-    yield out.SendHeartbeat(addresses, members.own_heartbeat(world, now_ms))
-    yield out.SendChanges(addresses, _announcement(world))
+    if row.region == world.node.region:
+        # An entry of the region that has just started learns at once that
+        # this one is live, and its address.
+        addresses = (row.peer_address,)
+        heartbeat = members.own_heartbeat(world, now_ms)
+        yield out.SendHeartbeat(addresses, heartbeat)
+        yield out.SendChanges(addresses, _announcement(world))
     yield out.LogStateChange(
         'entries', row.entry, 'unknown', 'registered', row.front_address
     )
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -113,6 +113,18 @@
     )
 
 
+def test_only_entries_of_the_same_region_answer_a_registration():
+    """Each of 195 entries answered each one that started with two messages."""
+    world = fleet()
+    remote = samples.entry_row('entry-8', 'tn-a')
+    outputs = samples.feed(world, 20.0, inp.EntryRegistered(remote))
+    sent = (out.SendHeartbeat, out.SendChanges)
+    assert not any(samples.of_type(outputs, kind) for kind in sent)
+    local = samples.entry_row('entry-9')
+    outputs = samples.feed(world, 21.0, inp.EntryRegistered(local))
+    assert all(samples.of_type(outputs, kind) for kind in sent)
+
+
 def test_a_list_older_than_an_announcement_removes_no_entry():
     world = fleet()
     rows = tuple(samples.entry_row(name) for name in ('entry-1', 'entry-2'))
