--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -109,6 +109,19 @@
     latest_revision: int
 
 
+class SnapshotRequest(typing.NamedTuple):
+    """Request snapshots of some kinds of objects from another entry.
+
+    ``known_revisions`` are the revisions up to which the requesting entry
+    knows each kind, in the order of ``kinds`` and as of the store's ``era``,
+    -1 for a kind that it knows nothing of.
+    """
+
+    kinds: tuple[Kind, ...]
+    known_revisions: tuple[int, ...] = ()
+    era: int = 0
+
+
 class StoreTable(typing.NamedTuple):
     """Hold the watches, one health row, and the kinds that are behind.
 
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -237,6 +237,39 @@
     timer_table.start(world.timers, timer, now_ms + const.SEED_QUERY_MS)
 
 
+def snapshot_request(
+    world: world_module.World, kinds: tuple[models.Kind, ...]
+) -> models.SnapshotRequest:
+    """Return the request for what this entry does not know of some kinds."""
+    return models.SnapshotRequest(
+        kinds,
+        tuple(_known_or_nothing(world, kind) for kind in kinds),
+        eras.current(world),
+    )
+
+
+def _known_or_nothing(world: world_module.World, kind: models.Kind) -> int:
+    is_synced = world.store.watches[kind].synced_revision is not None
+    return positions.known(world, kind) if is_synced else -1
+
+
+def snapshots(
+    world: world_module.World, now_ms: float, request: models.SnapshotRequest
+) -> abc.Iterator[inp.PeerSnapshot]:
+    """Yield the requested snapshots that tell the requesting entry more."""
+    known = dict(zip(request.kinds, request.known_revisions, strict=False))
+    for kind in request.kinds:
+        found = snapshot(world, now_ms, kind)
+        if found is None:
+            continue
+        is_same_era = kind is models.Kind.CONFIGURATION or (
+            request.era == found.era
+        )
+        synced_revision = max(found.latest_revision, found.synced_revision)
+        if not is_same_era or synced_revision > known.get(kind, -1):
+            yield found
+
+
 def snapshot(
     world: world_module.World, now_ms: float, kind: models.Kind
 ) -> inp.PeerSnapshot | None:
--- a/packages/gateway/src/zinnialead_gateway/peers/codec.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/codec.py
@@ -102,18 +102,24 @@
         raise ValueError(f'malformed datagram: {error}') from error
 
 
-def encode_snapshot_request(kinds: abc.Sequence[store.Kind]) -> bytes:
+def encode_snapshot_request(request: store.SnapshotRequest) -> bytes:
     """Encode a request for snapshots of some kinds of objects."""
     message = _SCHEMA.Ask.new_message()
-    message.kinds = [kind.value for kind in kinds]
+    message.kinds = [kind.value for kind in request.kinds]
+    message.known = list(request.known_revisions)
+    message.era = request.era
     return _add_checksum(message.to_bytes_packed())
 
 
-def decode_snapshot_request(data: bytes) -> list[store.Kind]:
-    """Decode the requested kinds; ValueError if they are malformed."""
+def decode_snapshot_request(data: bytes) -> store.SnapshotRequest:
+    """Decode a request for snapshots; ValueError if it is malformed."""
     try:
         message = _SCHEMA.Ask.from_bytes_packed(_strip_checksum(data))
-        return [store.Kind(kind) for kind in message.kinds]
+        return store.SnapshotRequest(
+            tuple(store.Kind(kind) for kind in message.kinds),
+            tuple(message.known),
+            message.era,
+        )
     except DECODE_ERRORS as error:
         raise ValueError(f'malformed snapshot request: {error}') from error
 
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -155,12 +155,13 @@
 
 async def _fetch_snapshots(peers: Peers, output: out.RequestSnapshots) -> None:
     snapshots: list[inp.PeerSnapshot] = []
+    request = peer_sync.snapshot_request(peers.engine.world, output.kinds)
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
             stream = await sockets.connect(output.address, tcp_keepalive=False)
             async with stream:
                 await _write_frame(
-                    stream, codec.encode_snapshot_request(output.kinds)
+                    stream, codec.encode_snapshot_request(request)
                 )
                 data = await _read_frame(stream, codec.FRAME_BYTES_MAX)
                 snapshots = codec.decode_snapshots(data)
@@ -175,14 +176,9 @@
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
             data = await _read_frame(stream, codec.REQUEST_BYTES_MAX)
-            kinds = codec.decode_snapshot_request(data)
+            request = codec.decode_snapshot_request(data)
             now_ms = engines.now_ms()
-            candidates = [
-                peer_sync.snapshot(world, now_ms, kind) for kind in kinds
-            ]
-            snapshots = [
-                snapshot for snapshot in candidates if snapshot is not None
-            ]
+            snapshots = list(peer_sync.snapshots(world, now_ms, request))
             source = str(world.node.ref.entry)
             await _write_frame(
                 stream, codec.encode_snapshots(source, snapshots)
--- a/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
+++ b/packages/gateway/src/zinnialead_gateway/peers/peers.capnp
@@ -35,6 +35,9 @@
 # A request for snapshots.
 struct Ask {
   kinds @0 :List(Text);
+  # What the asking entry knows of each kind, -1 for nothing yet.
+  known @1 :List(Int64);
+  era @2 :UInt64;
 }
 
 # A snapshot of one kind of objects.
--- a/tests/core/gateway/store_network.py
+++ b/tests/core/gateway/store_network.py
@@ -174,8 +174,9 @@
                 _send(network, entry, address, changes)
         case out.RequestSnapshots(address, kinds):
             delay_ms = _delay_ms(network)
+            request = peer_sync.snapshot_request(network.worlds[entry], kinds)
             schedule(
-                network, delay_ms, _ask, entry, incarnation, address, kinds
+                network, delay_ms, _ask, entry, incarnation, address, request
             )
         case out.CallStore():
             watch = Watch(entry, incarnation, output)
@@ -212,7 +213,7 @@
     feed(network, target, *network.inboxes.pop(target))
 
 
-def _ask(network, entry, incarnation, address, kinds):
+def _ask(network, entry, incarnation, address, request):
     target = address.partition(':')[0]
     reached = (
         target in network.worlds
@@ -221,11 +222,11 @@
     )
     snapshots = []
     if reached:
-        known = (
-            peer_sync.snapshot(network.worlds[target], network.now_ms, kind)
-            for kind in kinds
+        snapshots = list(
+            peer_sync.snapshots(
+                network.worlds[target], network.now_ms, request
+            )
         )
-        snapshots = [x for x in known if x is not None]
     delay_ms = _delay_ms(network) if reached else ASK_TIMEOUT_MS
     done = inp.SnapshotRequestDone(address)
     schedule(network, delay_ms, _deliver, entry, incarnation, *snapshots, done)
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -384,3 +384,34 @@
     gone = samples.store_done(world, UPSTREAMS, store.HistoryGone())
     samples.feed(world, 6_000.0, dataclasses.replace(gone, era=2))
     assert world.counters['store.restored'] == 1
+
+
+def asked(world, known_revision, era=0):
+    """Return the revisions of the snapshots that an entry gets."""
+    request = store.SnapshotRequest((UPSTREAMS,), (known_revision,), era)
+    found = peer_sync.snapshots(world, 2_000.0, request)
+    return [row.synced_revision for row in found]
+
+
+def test_a_snapshot_is_sent_only_to_an_entry_that_lacks_changes():
+    """Each entry got every registration each 10 s, known or not."""
+    world = watching()
+    request = peer_sync.snapshot_request(world, (UPSTREAMS,))
+    assert request == store.SnapshotRequest((UPSTREAMS,), (40,), 0)
+    assert asked(world, 40) == []
+    assert asked(world, 39) == asked(world, -1) == [40]
+
+
+def test_an_entry_of_an_earlier_era_gets_a_snapshot():
+    """Its revisions say nothing about those after a restore."""
+    world = watching()
+    health = world.store.health[store.STORE]
+    world.store.health[store.STORE] = health._replace(era=3)
+    assert asked(world, 40, era=2) == [40]
+    assert asked(world, 40, era=3) == []
+
+
+def test_an_entry_that_knows_nothing_requests_everything():
+    world, _ = started()
+    request = peer_sync.snapshot_request(world, tuple(store.Kind))
+    assert set(request.known_revisions) == {-1}
--- a/tests/gateway/test_codec.py
+++ b/tests/gateway/test_codec.py
@@ -22,6 +22,13 @@
     assert decoded == inp.HeartbeatReceived(HEARTBEAT)
 
 
+def test_a_request_for_snapshots_survives_encoding_and_decoding():
+    kinds = (store.Kind.UPSTREAMS, store.Kind.DRAINS)
+    request = store.SnapshotRequest(kinds, (7, -1), 3)
+    encoded = codec.encode_snapshot_request(request)
+    assert codec.decode_snapshot_request(encoded) == request
+
+
 @hypothesis.given(st.binary(max_size=600))
 def test_malformed_bytes_raise_only_value_errors(data):
     for decode in (
