Look at the upstreams that a choice is among, not at a region's

Each choice sorted all upstreams of a region to use two, each order was derived again for all services and regions after any upstream's change, each check of a cold upstream hashed and sorted all entries of the region, and balancing visited every upstream twice each half-second.

Candidates are a generator; orders are kept by service, region and object, and a change begins a new generation of its own service only; an entry counts just the peers that rank before it; balancing visits upstreams that had load. The new tests of what is visited fail on the code before.

--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -80,14 +80,6 @@
     return world.entries.traffic[0].requests_per_s >= const.USED_MIN_PER_S
 
 
-def speed(world: world_module.World, entry: ids.EntryId) -> float:
-    """Return an entry's processor time in s per second."""
-    if entry == world.node.ref.entry:
-        return world.node.speed
-    row = world.entries.rows.get(entry)
-    return row.speed if row else 1.0
-
-
 def peer_addresses(
     world: world_module.World, now_ms: float
 ) -> tuple[str, ...]:
--- a/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -1,6 +1,7 @@
 """Limit the rate at which cold upstreams get requests from all entries."""
 
-from zinnialead_core.gateway.entries import members as entries
+from zinnialead_core.gateway.entries import members
+from zinnialead_core.gateway.entries import ranking
 from zinnialead_core.gateway import hashing
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.routes import coordinator as routes
@@ -58,14 +59,24 @@
     row = world.upstreams.rows[upstream]
     if world.node.regions.get(row.domain) != world.node.region:
         return False
-    present = entries.present_in_region(world, now_ms)
-    # Callers are directed to the fastest entries.
-    ordered = sorted(
-        present,
-        key=lambda name: (
-            -entries.speed(world, ids.EntryId(name)),
-            hashing.stable_hash(upstream, name),
-        ),
-    )
-    senders = ordered[: const.COLD_SENDERS]
-    return str(world.node.ref.entry) in senders
+    own_entry = world.node.ref.entry
+    own_key = _sender_key(upstream, world.node.speed, own_entry)
+    ahead = 0
+    for peer in ranking.region_peers(world):
+        # Callers are directed to the fastest entries.
+        if peer.speed < world.node.speed:
+            continue
+        if _sender_key(upstream, peer.speed, peer.entry) > own_key:
+            continue
+        if members.is_silent(world, now_ms, peer):
+            continue
+        ahead += 1
+        if ahead == const.COLD_SENDERS:
+            return False
+    return True
+
+
+def _sender_key(
+    upstream: ids.UpstreamId, speed: float, entry: ids.EntryId
+) -> tuple[float, int]:
+    return (-speed, hashing.stable_hash(upstream, entry))
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -25,7 +25,8 @@
 IDLE_RANK_MAX = 1
 # An upstream must be less loaded than the best so far by this much.
 LOAD_MARGIN = 0.3
-ORDERS_MAX = 5_000
+# Orders of a region's upstreams that are kept, by service.
+GROUPS_MAX = 5_000
 # An upstream is ejected at once if it can't be reached, or after
 # ``LOST_BEFORE_EJECTION`` lost requests in a row, and twice as long after
 # each further failure.
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -1,6 +1,7 @@
 """Choose upstreams, and shift objects to other regions under load."""
 
 from collections import abc
+import itertools
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
@@ -53,13 +54,15 @@
     world: world_module.World, now_ms: float, request: models.PlacementRequest
 ) -> ids.UpstreamId | None:
     """Return the upstream for a request, None if none has capacity."""
-    order = rendezvous.order_upstreams(world, request)
-    groups = [order.local, *order.remote]
-    if order.local and order.remote and _is_placed_remotely(world, request):
-        groups[0], groups[1] = groups[1], groups[0]
-    for index, group in enumerate(groups):
-        if index == 1 and not _may_leave(world, now_ms, request, groups[0]):
-            return None
+    regions = rendezvous.order_regions(world, request)
+    if len(regions) > 1 and _is_placed_remotely(world, request):
+        regions[0], regions[1] = regions[1], regions[0]
+    for index, region in enumerate(regions):
+        if index == 1:
+            first_group = rendezvous.group(world, request, regions[0])
+            if not _may_leave(world, now_ms, request, first_group):
+                return None
+        group = rendezvous.group(world, request, region)
         chosen = _choose_in_group(world, now_ms, request, group)
         if chosen is not None:
             return chosen
@@ -73,14 +76,17 @@
 
     That is now if it is only full, and None if there is no upstream.
     """
-    order = rendezvous.order_upstreams(world, request)
-    ends_ms = (
-        max(now_ms, loads.excluded_until_ms(world, upstream))
-        for group in (order.local, *order.remote)
-        for upstream in group
-        if upstream not in request.tried_upstreams
-    )
-    return min(ends_ms, default=None)
+    first_ms: float | None = None
+    for region in rendezvous.order_regions(world, request):
+        for upstream in rendezvous.group(world, request, region):
+            if upstream in request.tried_upstreams:
+                continue
+            until_ms = loads.excluded_until_ms(world, upstream)
+            if until_ms <= now_ms:
+                return now_ms
+            if first_ms is None or until_ms < first_ms:
+                first_ms = until_ms
+    return first_ms
 
 
 def _may_leave(
@@ -107,6 +113,9 @@
 def _is_placed_remotely(
     world: world_module.World, request: models.PlacementRequest
 ) -> bool:
+    """Return whether an object of a region with upstreams leaves it."""
+    if not rendezvous.group(world, request, world.node.region):
+        return False
     share = remote_share.get(world, request.service).share
     if share <= 0.0:
         return False
@@ -128,11 +137,8 @@
     best: ids.UpstreamId | None = None
     load_max = const.LOAD_MAX_BY_RANK[rank]
     accepted_load = const.PREFERRED_LOAD_MAX_BY_RANK[rank]
-    candidates = _healthy_first(
-        world, _available(world, now_ms, request, group)
-    )
-    spread = _spread(group)
-    for upstream in candidates[:spread]:
+    candidates = _healthy_first(world, now_ms, request, group)
+    for upstream in itertools.islice(candidates, _spread(group)):
         load = loads.estimate(world, now_ms, upstream)
         if load >= load_max or not cold_rate_limit.may_send(
             world, now_ms, upstream
@@ -143,41 +149,43 @@
         accepted_load = const.ALTERNATIVE_LOAD_MAX_BY_RANK[rank]
         best, load_max = upstream, load - const.LOAD_MARGIN
     if best is None and rank <= const.IDLE_RANK_MAX:
-        return _first_idle(world, now_ms, candidates[spread:])
+        return _first_idle(world, now_ms, candidates)
     return best
 
 
-def _available(
+def _spread(group: tuple[ids.UpstreamId, ...]) -> int:
+    """Return how many of a region's upstreams an object uses."""
+    share = int(len(group) * const.SPREAD_SHARE)
+    return max(1, min(const.SPREAD_MAX, share))
+
+
+def _healthy_first(
     world: world_module.World,
     now_ms: float,
     request: models.PlacementRequest,
     group: tuple[ids.UpstreamId, ...],
 ) -> abc.Iterator[ids.UpstreamId]:
-    """Yield the upstreams that are neither tried nor excluded."""
+    """Yield the upstreams that are neither tried nor excluded, in order.
+
+    Those that fail often or are slow come last.
+    """
+    suspects: list[ids.UpstreamId] = []
     for upstream in group:
         if upstream in request.tried_upstreams:
             continue
-        if not loads.is_excluded(world, now_ms, upstream):
+        if loads.is_excluded(world, now_ms, upstream):
+            continue
+        if loads.is_suspect(world, upstream):
+            suspects.append(upstream)
+        else:
             yield upstream
-
-
-def _spread(group: tuple[ids.UpstreamId, ...]) -> int:
-    """Return how many of a region's upstreams an object uses."""
-    share = int(len(group) * const.SPREAD_SHARE)
-    return max(1, min(const.SPREAD_MAX, share))
-
-
-def _healthy_first(
-    world: world_module.World, upstreams: abc.Iterable[ids.UpstreamId]
-) -> list[ids.UpstreamId]:
-    """Return upstreams in order, those that fail often or are slow last."""
-    return sorted(upstreams, key=lambda name: loads.is_suspect(world, name))
+    yield from suspects
 
 
 def _first_idle(
     world: world_module.World,
     now_ms: float,
-    candidates: list[ids.UpstreamId],
+    candidates: abc.Iterable[ids.UpstreamId],
 ) -> ids.UpstreamId | None:
     """Return the first upstream that is nearly idle."""
     for upstream in candidates:
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -93,19 +93,35 @@
     remote: tuple[tuple[ids.UpstreamId, ...], ...]
 
 
+class RegionRow(typing.NamedTuple):
+    """Hold the usable upstreams of a service in a region, and their slots."""
+
+    upstreams: tuple[ids.UpstreamId, ...]
+    slots: int
+
+
+class ServiceRow(typing.NamedTuple):
+    """Hold what is derived from the usable upstreams of a service.
+
+    ``generation`` is theirs at that time, and ``domains`` maps each failure
+    domain to its region.  ``groups`` are a region's
+    upstreams by region and object, the preferred first.
+    """
+
+    generation: int
+    domains: dict[ids.DomainId, ids.RegionId]
+    regions: dict[ids.RegionId, RegionRow]
+    groups: dict[tuple[ids.RegionId, str], tuple[ids.UpstreamId, ...]]
+
+
 class PlacementTable(typing.NamedTuple):
-    """Hold cached orders, remote shares and statistics of upstreams.
+    """Hold derived orders, remote shares and statistics of upstreams.
 
-    ``orders_generation`` is the generation of the upstreams that the orders
-    were derived from.  ``mean_service_ms`` is by route name, and
-    ``cold_sends_ms`` are the times of the requests to each cold upstream in
-    the last second.
+    ``mean_service_ms`` is by route name, and ``cold_sends_ms`` are the times
+    of the requests to each cold upstream in the last second.
     """
 
-    orders: dict[
-        tuple[ids.ServiceId, str, frozenset[ids.RegionId]], UpstreamOrder
-    ]
-    orders_generation: list[int]
+    services: dict[ids.ServiceId, ServiceRow]
     remote_shares: dict[ids.ServiceId, RemoteShareRow]
     mean_service_ms: dict[str, float]
     cold_sends_ms: dict[ids.UpstreamId, list[float]]
@@ -113,4 +129,4 @@
 
 def new_table() -> PlacementTable:
     """Return an empty placement table."""
-    return PlacementTable({}, [0], {}, {}, {})
+    return PlacementTable({}, {}, {}, {})
--- a/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
@@ -5,12 +5,13 @@
 its objects move then in any case.
 """
 
+from collections import abc
 import typing
 
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models
-from zinnialead_core.gateway.upstreams import coordinator as upstreams
+from zinnialead_core.gateway.placement import rendezvous
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
 
@@ -80,32 +81,40 @@
 
 
 def _slots(world: world_module.World, service: ids.ServiceId) -> RegionSplit:
-    regions = world.node.regions
-    local = remote = 0.0
-    for row in upstreams.usable(world, service):
-        if regions.get(row.domain) == world.node.region:
-            local += row.slots
-        else:
-            remote += row.slots
-    return RegionSplit(local, remote, len(set(regions.values())))
+    own_region = world.node.region
+    regions = rendezvous.service_row(world, service).regions
+    local = regions[own_region].slots if own_region in regions else 0
+    total = sum(row.slots for row in regions.values())
+    return RegionSplit(local, total - local, _region_count(world))
 
 
 def _mean_loads(
     world: world_module.World, now_ms: float, service: ids.ServiceId
 ) -> RegionSplit:
     """Return the mean load of the local and of the remote upstreams."""
-    regions = world.node.regions
+    regions = rendezvous.service_row(world, service).regions
     local: list[float] = []
     remote: list[float] = []
-    for row in upstreams.usable(world, service):
-        if loads.is_excluded(world, now_ms, row.upstream):
-            continue
-        values = (
-            local if regions.get(row.domain) == world.node.region else remote
-        )
-        values.append(loads.estimate(world, now_ms, row.upstream))
+    for region, row in regions.items():
+        values = local if region == world.node.region else remote
+        values.extend(_loads(world, now_ms, row))
     return RegionSplit(
         sum(local) / max(1, len(local)),
         sum(remote) / max(1, len(remote)),
-        len(set(regions.values())),
+        _region_count(world),
     )
+
+
+def _loads(
+    world: world_module.World, now_ms: float, row: models.RegionRow
+) -> abc.Iterator[float]:
+    """Yield the load of each upstream of a region that is not excluded."""
+    for upstream in row.upstreams:
+        if upstream not in world.loads:
+            yield 0.0
+        elif not loads.is_excluded(world, now_ms, upstream):
+            yield loads.estimate(world, now_ms, upstream)
+
+
+def _region_count(world: world_module.World) -> int:
+    return len(set(world.node.regions.values()))
--- a/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
@@ -3,6 +3,7 @@
 All entries derive the same order without communication.
 """
 
+import collections
 from collections import abc
 import math
 
@@ -16,24 +17,82 @@
 HASH_RANGE = float(1 << 64)
 
 
-def order_upstreams(
+def service_row(
+    world: world_module.World, service: ids.ServiceId
+) -> models.ServiceRow:
+    """Return what is derived from a service's usable upstreams."""
+    table = world.placement.services
+    generation = world.upstreams.generations[service]
+    domains = world.node.regions
+    row = table.get(service)
+    if (
+        row is None
+        or row.generation != generation
+        or row.domains is not domains
+    ):
+        regions = _regions(world, service)
+        row = models.ServiceRow(generation, domains, regions, {})
+        table[service] = row
+    return row
+
+
+def order_regions(
     world: world_module.World, request: models.PlacementRequest
-) -> models.UpstreamOrder:
-    """Return the local and remote upstreams of an object, from the cache.
+) -> list[ids.RegionId]:
+    """Return the regions that may serve a request, the preferred first.
+
+    This entry's own region comes first, also without upstreams.
+    """
+    own_region = world.node.region
+    key = request.object_key
+    found = service_row(world, request.service).regions
+    remote = [
+        region
+        for region in found
+        if region != own_region and _is_home(request, region)
+    ]
+    # All entries order a region's upstreams alike, so that an object from
+    # another region reaches the upstream that has it cached already.
+    remote.sort(
+        key=lambda region: _region_weight(key, region, found[region].slots),
+        reverse=True,
+    )
+    return [own_region, *remote]
+
+
+def group(
+    world: world_module.World,
+    request: models.PlacementRequest,
+    region: ids.RegionId,
+) -> tuple[ids.UpstreamId, ...]:
+    """Return a region's upstreams for a request, the preferred first.
 
     An upstream that is removed moves only its own objects.
     """
-    table = world.placement
-    is_stale = table.orders_generation != world.upstreams.generation
-    if is_stale or len(table.orders) >= const.ORDERS_MAX:
-        table.orders.clear()
-        table.orders_generation[:] = world.upstreams.generation
-    key = (request.service, request.object_key, request.home_regions)
-    order = table.orders.get(key)
-    if order is None:
-        order = _derive_order(world, request)
-        table.orders[key] = order
-    return order
+    if not _is_home(request, region):
+        return ()
+    row = service_row(world, request.service)
+    key = (region, request.object_key)
+    names = row.groups.get(key)
+    if names is None:
+        if len(row.groups) >= const.GROUPS_MAX:
+            row.groups.clear()
+        region_row = row.regions.get(region)
+        upstream_names = region_row.upstreams if region_row else ()
+        names = by_weight(upstream_names, request.object_key)
+        row.groups[key] = names
+    return names
+
+
+def order_upstreams(
+    world: world_module.World, request: models.PlacementRequest
+) -> models.UpstreamOrder:
+    """Return the local and remote upstreams of a request."""
+    local, *remote = (
+        group(world, request, region)
+        for region in order_regions(world, request)
+    )
+    return models.UpstreamOrder(local, tuple(remote))
 
 
 def hash_fraction(text: str) -> float:
@@ -54,32 +113,24 @@
     )
 
 
-def _derive_order(
-    world: world_module.World, request: models.PlacementRequest
-) -> models.UpstreamOrder:
-    regions = world.node.regions
+def _regions(
+    world: world_module.World, service: ids.ServiceId
+) -> dict[ids.RegionId, models.RegionRow]:
+    """Return a service's usable upstreams by region."""
     names: dict[ids.RegionId, list[ids.UpstreamId]] = {}
-    slots: dict[ids.RegionId, int] = {}
-    for row in upstreams.usable(world, request.service):
-        region = regions.get(row.domain)
-        if region is None:
-            continue
-        if request.home_regions and region not in request.home_regions:
-            continue
+    slots: collections.Counter[ids.RegionId] = collections.Counter()
+    for row in upstreams.usable(world, service):
+        region = world.node.regions[row.domain]
         names.setdefault(region, []).append(row.upstream)
-        slots[region] = slots.get(region, 0) + row.slots
-    key = request.object_key
-    own_region = world.node.region
-    local = by_weight(names.pop(own_region, ()), key)
-    # All entries order a region's upstreams alike, so that an object from
-    # another region reaches the upstream that has it cached already.
-    ordered_regions = sorted(
-        names,
-        key=lambda region: _region_weight(key, region, slots[region]),
-        reverse=True,
-    )
-    remote = tuple(by_weight(names[region], key) for region in ordered_regions)
-    return models.UpstreamOrder(local, remote)
+        slots[region] += row.slots
+    return {
+        region: models.RegionRow(tuple(found), slots[region])
+        for region, found in names.items()
+    }
+
+
+def _is_home(request: models.PlacementRequest, region: ids.RegionId) -> bool:
+    return not request.home_regions or region in request.home_regions
 
 
 def _region_weight(key: str, region: ids.RegionId, slots: int) -> float:
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -128,9 +128,11 @@
     timer_table.stop(world.timers, timers.UpstreamExpiry(row.upstream))
     set_cold(world, now_ms, row.upstream, row.cold_ms)
     table.rows[row.upstream] = row
-    table.generation[0] += 1
+    table.generations[row.service] += 1
     if previous is None or previous.service != row.service:
-        _rebuild_index(table)
+        if previous is not None:
+            _remove_from_index(table, previous)
+        _add_to_index(table, row)
     if previous is not None and previous.born_ms != row.born_ms:
         world.loads.pop(row.upstream, None)
         pauses.forget(world.pauses, row.upstream)
@@ -217,20 +219,27 @@
     if row is None:
         return
     doubts.record_end(world, now_ms, row)
-    table.generation[0] += 1
-    _rebuild_index(table)
+    _remove_from_index(table, row)
     yield out.Notify(inp.UpstreamRemoved(upstream))
     yield out.CloseIdleConnections(row.address)
     yield out.LogStateChange('upstreams', upstream, 'known', 'unknown', reason)
 
 
-def _rebuild_index(table: models.UpstreamTable) -> None:
-    by_service: dict[ids.ServiceId, list[ids.UpstreamId]] = {}
-    for row in table.rows.values():
-        by_service.setdefault(row.service, []).append(row.upstream)
-    table.by_service.clear()
-    for service, upstreams in by_service.items():
-        table.by_service[service] = tuple(upstreams)
+def _add_to_index(
+    table: models.UpstreamTable, row: models.UpstreamRow
+) -> None:
+    names = table.by_service.get(row.service, ())
+    table.by_service[row.service] = (*names, row.upstream)
+
+
+def _remove_from_index(
+    table: models.UpstreamTable, row: models.UpstreamRow
+) -> None:
+    names = table.by_service.get(row.service, ())
+    table.by_service[row.service] = tuple(
+        name for name in names if name != row.upstream
+    )
+    table.generations[row.service] += 1
 
 
 def _apply_drain_list(
@@ -251,6 +260,11 @@
             yield from _remove_drain(world, now_ms, domain)
 
 
+def _start_generations(table: models.UpstreamTable) -> None:
+    """Begin a new generation of every service, as a drain changes."""
+    table.generations.update(table.by_service.keys())
+
+
 def _add_drain(
     world: world_module.World, domain: ids.DomainId
 ) -> abc.Iterator[out.Output]:
@@ -258,7 +272,7 @@
     if domain in world.upstreams.drained:
         return
     world.upstreams.drained.add(domain)
-    world.upstreams.generation[0] += 1
+    _start_generations(world.upstreams)
     yield out.LogStateChange(
         'upstreams', domain, 'in service', 'drained', 'store'
     )
@@ -299,7 +313,7 @@
     if domain not in world.upstreams.drained:
         return
     world.upstreams.drained.discard(domain)
-    world.upstreams.generation[0] += 1
+    _start_generations(world.upstreams)
     for row in world.upstreams.rows.values():
         if row.domain == domain:
             cold_ms = warm_up_ms(world, row.service)
--- a/packages/core/src/zinnialead_core/gateway/upstreams/models.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/models.py
@@ -1,5 +1,6 @@
 """Define the rows of the upstreams tables."""
 
+import collections
 import typing
 
 from zinnialead_core import ids
@@ -42,8 +43,8 @@
     ``expiring_drains`` are drains that a restored store lacks.  ``ended``
     are runs that were removed lately.  ``doubtful`` are registrations that
     a restored store shows of runs that have ended or were replaced.
-    ``generation`` is increased whenever the usable upstreams may change,
-    so that caches of values derived from them can be invalidated.
+    ``generations`` are increased whenever a service's usable upstreams may
+    change, so that caches of values derived from them can be invalidated.
     """
 
     rows: dict[ids.UpstreamId, UpstreamRow]
@@ -51,7 +52,7 @@
     drained: set[ids.DomainId]
     cold_until_ms: dict[ids.UpstreamId, float]
     expiring: dict[ids.UpstreamId, float]
-    generation: list[int]
+    generations: 'collections.Counter[ids.ServiceId]'
     expiring_drains: set[ids.DomainId]
     ended: dict[ids.UpstreamId, EndedRow]
     doubtful: dict[ids.UpstreamId, UpstreamRow]
@@ -59,4 +60,6 @@
 
 def new_table() -> UpstreamTable:
     """Return a table without upstreams."""
-    return UpstreamTable({}, {}, set(), {}, {}, [0], set(), {}, {})
+    return UpstreamTable(
+        {}, {}, set(), {}, {}, collections.Counter(), set(), {}, {}
+    )
--- a/packages/core/src/zinnialead_core/gateway/upstreams/notices.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/notices.py
@@ -47,7 +47,7 @@
     if row.leaving:
         return
     world.upstreams.rows[row.upstream] = row._replace(leaving=True)
-    world.upstreams.generation[0] += 1
+    world.upstreams.generations[row.service] += 1
     world.counters['upstreams.announced_leaving'] += 1
     yield out.LogStateChange(
         'upstreams', row.upstream, 'in service', 'leaving', f'answer to {name}'
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -181,3 +181,66 @@
     for _ in range(8):
         loads.decay(world)
     assert not loads.is_suspect(world, 'u-1')
+
+
+def count_calls(monkeypatch, module, name):
+    """Return a list that gets an item for each call of a function."""
+    calls = []
+    function = getattr(module, name)
+
+    def counted(*arguments):
+        calls.append(arguments)
+        return function(*arguments)
+
+    monkeypatch.setattr(module, name, counted)
+    return calls
+
+
+def test_a_choice_among_free_upstreams_looks_at_one(monkeypatch):
+    """It walked and sorted all upstreams of a region."""
+    rows = [samples.upstream(f'u-{n}') for n in range(200)]
+    world = samples.serving_world(upstreams_=rows)
+    choose(world, '7')
+    calls = count_calls(monkeypatch, loads, 'is_excluded')
+    assert choose(world, '7') is not None
+    assert len(calls) == 1
+
+
+def test_a_change_of_one_service_keeps_the_orders_of_the_others(monkeypatch):
+    rows = [samples.upstream(f'u-{n}') for n in range(20)]
+    world = samples.serving_world(upstreams_=rows)
+    choose(world, '7')
+    calls = count_calls(monkeypatch, rendezvous, 'by_weight')
+    other = samples.upstream('other', service='qualgate', revision=2)
+    samples.feed(world, 2.0, inp.UpstreamRegistered(other))
+    choose(world, '7')
+    assert not calls
+    samples.feed(world, 3.0, inp.UpstreamDeregistered('u-3'))
+    choose(world, '7')
+    assert len(calls) == 1
+
+
+def test_a_drain_changes_the_orders_of_all_services():
+    rows = [samples.upstream('near'), samples.upstream('next', 'guj-b')]
+    world = samples.serving_world(upstreams_=rows)
+    before = {choose(world, str(n)) for n in range(20)}
+    samples.feed(world, 2.0, inp.DrainAdded('guj-a'))
+    after = {choose(world, str(n)) for n in range(20)}
+    assert (before, after) == ({'near', 'next'}, {'next'})
+
+
+def test_an_upstream_that_changes_its_service_leaves_the_earlier_one():
+    rows = [samples.upstream('u-1'), samples.upstream('u-2')]
+    world = samples.serving_world(upstreams_=rows)
+    moved = samples.upstream('u-1', service='qualgate', revision=2)
+    samples.feed(world, 2.0, inp.UpstreamRegistered(moved))
+    assert {choose(world, str(n)) for n in range(20)} == {'u-2'}
+
+
+def test_idle_balancing_does_not_visit_upstreams_without_load(monkeypatch):
+    rows = [samples.upstream(f'u-{n}') for n in range(200)]
+    world = samples.serving_world(upstreams_=rows)
+    choose(world, '7')
+    calls = count_calls(monkeypatch, loads, 'estimate')
+    remote_share.rebalance(world, 2.0)
+    assert not calls
