Expect the load that other entries put on upstreams

Urgent work was lost behind long work: where work takes seconds, an upstream's report comes seconds late and counted for 1.2 s, so each entry of a region filled the same upstreams as if it were alone. A trace of 'make load' shows it: of 87 lost urgent requests all reached an upstream whose slots were full of long work, at which their entry estimated a load of 0.2 to 0.8, its last report 2 to 4 s old.

--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -80,6 +80,24 @@
     return world.entries.traffic[0].requests_per_s >= const.USED_MIN_PER_S
 
 
+def peer_traffic_ratio(world: world_module.World, now_ms: float) -> float:
+    """Return the traffic of the region's other entries per this one's.
+
+    An entry with less than their mean counts as one of them.
+    """
+    rates_per_s = [
+        row.heartbeat.requests_per_s
+        for peer in _present_peers(world, now_ms)
+        if (row := world.entries.heartbeats.get(peer.entry)) is not None
+        and row.heartbeat.requests_per_s >= const.USED_MIN_PER_S
+    ]
+    if not rates_per_s:
+        return 0.0
+    total_per_s = sum(rates_per_s)
+    own_per_s = world.entries.traffic[0].requests_per_s
+    return total_per_s / max(own_per_s, total_per_s / len(rates_per_s))
+
+
 def peer_addresses(
     world: world_module.World, now_ms: float
 ) -> tuple[str, ...]:
--- a/packages/core/src/zinnialead_core/gateway/placement/const.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/const.py
@@ -1,8 +1,10 @@
 """Hold the constants of the placement component."""
 
 # Age at which the load that other entries put on an upstream, as it last
-# reported, no longer counts.
-REPORTED_LOAD_MAX_AGE_MS = 1_200.0
+# reported, no longer counts.  Where work takes long, it ages as the work does.
+REPORTED_LOAD_AGE_MIN_MS = 1_200.0
+REPORTED_LOAD_AGE_MAX_MS = 6_000.0
+REPORTED_LOAD_AGE_TIMES = 2.5
 USUAL_WORK_TIME_PERCENT = 100.0
 WORK_TIME_RATIO_MAX = 10.0
 # All loads are in requests per slot.  Up to this load an upstream gets more
@@ -37,6 +39,8 @@
 FAULTY_MS = 10_000.0
 # Weight of the latest value in a moving mean over about ten attempts.
 MEAN_WEIGHT = 0.1
+# The mean of requests in flight covers about two seconds.
+IN_FLIGHT_WEIGHT = 0.25
 # The mean service time of a route covers about fifty answers.
 SERVICE_TIME_WEIGHT = 0.02
 # Failures weigh more: two in a row exceed ``FAILING_MAX``.
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -11,6 +11,7 @@
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models
 from zinnialead_core.gateway.placement import pauses
+from zinnialead_core.gateway.placement import peer_load
 from zinnialead_core.gateway.placement import remote_share
 from zinnialead_core.gateway.placement import rendezvous
 from zinnialead_core.gateway import timers
@@ -35,6 +36,7 @@
                 _schedule_rebalance(world, now_ms)
             case inp.TimerDue(timers.BalanceRound()):
                 remote_share.rebalance(world, now_ms)
+                peer_load.update(world, now_ms)
                 loads.decay(world)
                 yield from faults.expire(world, now_ms)
                 _schedule_rebalance(world, now_ms)
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -3,6 +3,7 @@
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import models
+from zinnialead_core.gateway.placement import peer_load
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
@@ -22,10 +23,31 @@
 ) -> float:
     """Return the estimated load of an upstream in requests per slot."""
     load = get(world, upstream)
-    slots = world.upstreams.rows[upstream].slots
-    age = (now_ms - load.told_ms) / const.REPORTED_LOAD_MAX_AGE_MS
-    others = load.others * max(0.0, 1.0 - age)
-    return (load.in_flight + others) / max(1, slots)
+    row = world.upstreams.rows[upstream]
+    age = (now_ms - load.told_ms) / _load_age_ms(world, row.service)
+    known = max(0.0, 1.0 - age)
+    expected = peer_load.expected(
+        world, row.service, row.domain, load.in_flight
+    )
+    others = known * load.others + (1.0 - known) * expected
+    return (load.in_flight + others) / max(1, row.slots)
+
+
+def _load_age_ms(world: world_module.World, service: ids.ServiceId) -> float:
+    """Return the age at which a reported load of a service is over.
+
+    It follows the mean time of the work in progress, of which long work is
+    a larger part than it is of all requests.
+    """
+    work = world.placement.work.get(service)
+    if work is None:
+        return const.REPORTED_LOAD_AGE_MIN_MS
+    in_progress_ms = work.mean_square / max(1.0, work.mean_ms)
+    age_ms = const.REPORTED_LOAD_AGE_TIMES * in_progress_ms
+    return min(
+        const.REPORTED_LOAD_AGE_MAX_MS,
+        max(const.REPORTED_LOAD_AGE_MIN_MS, age_ms),
+    )
 
 
 def record_start(world: world_module.World, upstream: ids.UpstreamId) -> None:
@@ -56,6 +78,7 @@
     match result.outcome:
         case verdict.Answered(status) if status < 500:
             load = _record_success(world, now_ms, upstream, load)
+            _record_work(world, upstream, result.elapsed_ms)
             load = _record_pace(world, now_ms, load, route, result.elapsed_ms)
         case verdict.Answered():
             load = load._replace(failing=_raised_failing(load), failures=0)
@@ -144,6 +167,24 @@
     return load._replace(failures=0, out_until_ms=0.0, failing=failing)
 
 
+def _record_work(
+    world: world_module.World, upstream: ids.UpstreamId, elapsed_ms: float
+) -> None:
+    """Update the means of the service's times."""
+    row = world.upstreams.rows.get(upstream)
+    if row is None:
+        return
+    square = elapsed_ms * elapsed_ms
+    work = world.placement.work.get(row.service)
+    if work is None:
+        work = models.WorkRow(elapsed_ms, square)
+    weight = const.SERVICE_TIME_WEIGHT
+    world.placement.work[row.service] = models.WorkRow(
+        work.mean_ms + weight * (elapsed_ms - work.mean_ms),
+        work.mean_square + weight * (square - work.mean_square),
+    )
+
+
 def _record_pace(
     world: world_module.World,
     now_ms: float,
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -114,19 +114,41 @@
     groups: dict[tuple[ids.RegionId, str], tuple[ids.UpstreamId, ...]]
 
 
+class WorkRow(typing.NamedTuple):
+    """Hold moving means of a service's times, in ms, and of their squares."""
+
+    mean_ms: float
+    mean_square: float
+
+
+class PeerLoadRow(typing.NamedTuple):
+    """Hold what the load of the region's other entries is estimated from.
+
+    ``mean_in_flight`` is the mean number of this entry's requests at an
+    upstream, and ``traffic_ratio`` the other entries' traffic relative to
+    this one's.
+    """
+
+    mean_in_flight: float
+    traffic_ratio: float
+
+
 class PlacementTable(typing.NamedTuple):
     """Hold derived orders, remote shares and statistics of upstreams.
 
-    ``mean_service_ms`` is by route name, and ``cold_sends_ms`` are the times
-    of the requests to each cold upstream in the last second.
+    ``mean_service_ms`` is by route name, ``work`` and ``peer_loads`` are by
+    service, and ``cold_sends_ms`` are the times of the requests to each cold
+    upstream in the last second.
     """
 
     services: dict[ids.ServiceId, ServiceRow]
     remote_shares: dict[ids.ServiceId, RemoteShareRow]
     mean_service_ms: dict[str, float]
+    work: dict[ids.ServiceId, WorkRow]
+    peer_loads: dict[ids.ServiceId, PeerLoadRow]
     cold_sends_ms: dict[ids.UpstreamId, list[float]]
 
 
 def new_table() -> PlacementTable:
     """Return an empty placement table."""
-    return PlacementTable({}, {}, {}, {})
+    return PlacementTable({}, {}, {}, {}, {}, {})
--- a/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
@@ -110,9 +110,7 @@
 ) -> abc.Iterator[float]:
     """Yield the load of each upstream of a region that is not excluded."""
     for upstream in row.upstreams:
-        if upstream not in world.loads:
-            yield 0.0
-        elif not loads.is_excluded(world, now_ms, upstream):
+        if not loads.is_excluded(world, now_ms, upstream):
             yield loads.estimate(world, now_ms, upstream)
 
 
--- a/packages/lab/src/zinnialead_lab/load/coordinator.py
+++ b/packages/lab/src/zinnialead_lab/load/coordinator.py
@@ -16,6 +16,7 @@
 # Callers honour a time to return up to this share of what they have left.
 RETURN_SHARE_MAX = 1.0 / 3.0
 TRIES_MAX = 2
+HEARTBEAT_DELAY_MS = 50.0
 # The caller gets this from an entry that knows that its request has not run.
 REFUSED = 503
 FAILED = 504
@@ -25,8 +26,8 @@
     """Play a scenario until every caller has its answer."""
     world = deployment.new_world(scenario)
     for entry in world.entries:
-        balance = inp.TimerDue(timers.BalanceRound())
-        _feed(world, 0.0, entry, balance)
+        for timer in (timers.HeartbeatRound(), timers.BalanceRound()):
+            _feed(world, 0.0, entry, inp.TimerDue(timer))
     for caller in _draw_callers(world):
         schedule(world, caller.sent_ms, models.CallerSends(caller))
     end_ms = scenario.length_ms + max(x.deadline_ms for x in scenario.kinds)
@@ -52,8 +53,8 @@
             _schedule_all(world, upstreams.receive(world, now_ms, job))
         case models.WorkEnds(job):
             _schedule_all(world, upstreams.finish(world, now_ms, job))
-        case models.AnswerArrives(entry, result):
-            _feed(world, now_ms, entry, result)
+        case models.InputArrives(entry, received):
+            _feed(world, now_ms, entry, received)
         case models.TimerFires(entry):
             _feed(world, now_ms, entry)
 
@@ -137,7 +138,14 @@
             lost = inp.AttemptDone(
                 request_id, attempt, verdict.Lost('cancelled'), cancelled=True
             )
-            schedule(world, now_ms, models.AnswerArrives(entry, lost))
+            schedule(world, now_ms, models.InputArrives(entry, lost))
+        case out.SendHeartbeat(addresses, heartbeat):
+            received = inp.HeartbeatReceived(heartbeat)
+            for address in addresses:
+                arrival = models.InputArrives(
+                    deployment.entry_at(address), received
+                )
+                schedule(world, now_ms + HEARTBEAT_DELAY_MS, arrival)
         case out.Relay(request_id):
             _end(world, now_ms, entry, request_id, 200)
         case out.Refuse(request_id, refusal):
--- a/packages/lab/src/zinnialead_lab/load/deployment.py
+++ b/packages/lab/src/zinnialead_lab/load/deployment.py
@@ -61,6 +61,11 @@
     )
 
 
+def entry_at(address: str) -> str:
+    """Return the name of the entry at an address."""
+    return address.partition(':')[0]
+
+
 def delay_ms(world: models.World, region: str, upstream: str) -> float:
     """Return the time one way between a region and an upstream."""
     is_local = world.upstreams[upstream].region == region
--- a/packages/lab/src/zinnialead_lab/load/models.py
+++ b/packages/lab/src/zinnialead_lab/load/models.py
@@ -140,11 +140,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class AnswerArrives:
-    """Let an entry receive the end of an attempt."""
+class InputArrives:
+    """Let an entry receive the end of an attempt, or a heartbeat."""
 
     entry: str
-    result: inp.AttemptDone
+    received: inp.Input
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,7 +154,7 @@
     entry: str
 
 
-Event = CallerSends | AttemptReaches | WorkEnds | AnswerArrives | TimerFires
+Event = CallerSends | AttemptReaches | WorkEnds | InputArrives | TimerFires
 
 
 class World(typing.NamedTuple):
--- a/packages/lab/src/zinnialead_lab/load/scenarios.py
+++ b/packages/lab/src/zinnialead_lab/load/scenarios.py
@@ -75,10 +75,30 @@
     return models.Scenario('short-region', services, _kinds(1.0), seed=seed)
 
 
+def burst_of_long(seed: int = 1) -> models.Scenario:
+    """Return a burst of work that takes seconds, beside urgent work.
+
+    Upstreams answer so late that an entry learns little of their load.
+    """
+    service = models.ServiceRow(
+        'book', {'north': 4, 'south': 10, 'west': 12}, cached_objects=9
+    )
+    new = models.KindRow
+    kinds = (
+        new('release', 'book', 0, False, 7, 816, 500, 3_000, 1_500, 26),
+        new('pull', 'book', 2, True, 4.5, 4_656, 5_000, 20_000, 15_000, 16),
+    )
+    burst = models.BurstRow('pull', 2.6, 2_000.0, 8_000.0)
+    return models.Scenario(
+        'burst-of-long', (service,), kinds, (burst,), seed=seed
+    )
+
+
 SCENARIOS = {
     'steady': steady,
     'noisy-machines': noisy_machines,
     'burst-of-patient': burst_of_patient,
     'burst-of-urgent': burst_of_urgent,
     'short-region': short_region,
+    'burst-of-long': burst_of_long,
 }
--- a/packages/lab/src/zinnialead_lab/load/upstreams.py
+++ b/packages/lab/src/zinnialead_lab/load/upstreams.py
@@ -114,4 +114,4 @@
         now_ms + 2 * delay_ms - job.reached_ms,
         load,
     )
-    return now_ms + delay_ms, models.AnswerArrives(job.entry, done)
+    return now_ms + delay_ms, models.InputArrives(job.entry, done)
