--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -18,7 +18,7 @@
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
 from zinnialead_core.notices import pauses as notice_pauses
-from zinnialead_core import timers as timer_table
+from zinnialead_core import timer_table
 
 
 def run(
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -13,7 +13,7 @@
 from zinnialead_core.gateway.requests import wait_queue
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import timers as timer_table
+from zinnialead_core import timer_table
 from zinnialead_core import verdict
 
 
--- a/packages/core/src/zinnialead_core/gateway/requests/stopping.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/stopping.py
@@ -5,7 +5,7 @@
 from zinnialead_core.gateway.routes import models as routes
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import timers as timer_table
+from zinnialead_core import timer_table
 
 
 def begin(world: world_module.World, now_ms: float) -> None:
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -14,7 +14,7 @@
 from zinnialead_core.gateway.store import unreadable
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import timers as timer_table
+from zinnialead_core import timer_table
 
 
 def run(
--- a/packages/core/src/zinnialead_core/gateway/store/eras.py
+++ b/packages/core/src/zinnialead_core/gateway/store/eras.py
@@ -12,7 +12,7 @@
 from zinnialead_core.gateway.store import models
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import timers as timer_table
+from zinnialead_core import timer_table
 
 
 def current(world: world_module.World) -> int:
--- a/packages/core/src/zinnialead_core/gateway/tick.py
+++ b/packages/core/src/zinnialead_core/gateway/tick.py
@@ -11,7 +11,7 @@
 from zinnialead_core.gateway.store import coordinator as store
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
 from zinnialead_core.gateway import world as world_module
-from zinnialead_core import timers
+from zinnialead_core import timer_table
 
 # Each system sees what the earlier ones wrote in the same pass.
 SYSTEMS = (
@@ -34,7 +34,7 @@
     The systems run again over the inputs that they notify each other of,
     until there are none left.
     """
-    due = timers.pop_due(world.timers, now_ms)
+    due = timer_table.pop_due(world.timers, now_ms)
     batch = [*inputs, *map(inp.TimerDue, due)]
     while batch:
         notified: list[inp.Input] = []
@@ -50,4 +50,4 @@
 
 def next_due_ms(world: world_module.World) -> float | None:
     """Return when the next timer is due, None without timers."""
-    return timers.next_due_ms(world.timers)
+    return timer_table.next_due_ms(world.timers)
--- a/packages/core/src/zinnialead_core/gateway/world.py
+++ b/packages/core/src/zinnialead_core/gateway/world.py
@@ -13,7 +13,7 @@
 from zinnialead_core.gateway.upstreams import models as upstreams
 from zinnialead_core import ids
 from zinnialead_core import notices
-from zinnialead_core import timers
+from zinnialead_core import timer_table
 
 
 class Bounds(typing.NamedTuple):
@@ -69,7 +69,7 @@
     requests: requests.RequestTable
     entries: entries.EntryTable
     store: store.StoreTable
-    timers: timers.TimerTable[gateway_timers.Timer]
+    timers: timer_table.TimerTable[gateway_timers.Timer]
     counters: collections.Counter[str]
     random: random.Random
 
@@ -86,7 +86,7 @@
         requests=requests.new_table(),
         entries=entries.new_table(),
         store=store.new_table(),
-        timers=timers.new_table(),
+        timers=timer_table.new_table(),
         counters=collections.Counter(),
         random=random.Random(seed),
     )
--- a/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/logs/coordinator.py
@@ -3,9 +3,8 @@
 import collections
 import dataclasses
 import os
-import typing
+import time
 
-import eliot
 import msgspec
 import trio
 
@@ -48,8 +47,9 @@
 
 
 def set_up(entry: str, counters: 'collections.Counter[str]') -> Logs:
-    """Route the log messages of this process to standard output."""
-    logs = Logs(
+    """Return the logs of this process, which go to standard output."""
+    os.set_blocking(STDOUT, False)
+    return Logs(
         entry,
         counters,
         collections.deque(),
@@ -57,9 +57,6 @@
         _new_budget(STATE_CHANGES_PER_S_MAX, LINES_BURST_MAX),
         _new_budget(ROUTINE_PER_S_MAX, ROUTINE_PER_S_MAX),
     )
-    os.set_blocking(STDOUT, False)
-    eliot.add_destinations(lambda message: _enqueue(logs, message))
-    return logs
 
 
 def decision(logs: Logs, output: out.LogDecision) -> None:
@@ -67,9 +64,9 @@
     budget = logs.routine if output.is_routine else logs.decisions
     if not _take_token(logs, budget):
         return
-    eliot.log_message(
-        message_type='decision',
-        entry=logs.entry,
+    _enqueue(
+        logs,
+        'decision',
         request=output.name,
         decision=output.decision,
         **output.inputs,
@@ -80,9 +77,9 @@
     """Log a change of a component's state."""
     if not _take_token(logs, logs.state_changes):
         return
-    eliot.log_message(
-        message_type='belief',
-        entry=logs.entry,
+    _enqueue(
+        logs,
+        'belief',
         component=output.component,
         subject=output.subject,
         before=output.before,
@@ -93,9 +90,7 @@
 
 def life_cycle(logs: Logs, event: str, **fields: object) -> None:
     """Log an event such as a start or reload, without a rate limit."""
-    eliot.log_message(
-        message_type='life', entry=logs.entry, event=event, **fields
-    )
+    _enqueue(logs, 'life', event=event, **fields)
 
 
 async def run(logs: Logs) -> None:
@@ -121,10 +116,17 @@
     logs.unwritten = data[written:]
 
 
-def _enqueue(logs: Logs, message: dict[str, typing.Any]) -> None:
+def _enqueue(logs: Logs, message_type: str, **fields: object) -> None:
+    """Queue a line with the time of day in s since the Unix epoch."""
     if len(logs.lines) >= QUEUED_LINES_MAX:
         logs.counters['logs.dropped'] += 1
         return
+    message = {
+        'message_type': message_type,
+        'entry': logs.entry,
+        'timestamp': time.time(),
+        **fields,
+    }
     line = msgspec.json.encode(message, enc_hook=str)
     logs.lines.append(line + b'\n')
 
