Expect other entries' load only as far as reports lag behind

It also made the local region look busier than others, of which nothing is expected, so that more objects left it: bytes between regions became the largest price.

--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -21,33 +21,57 @@
 def estimate(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> float:
-    """Return the estimated load of an upstream in requests per slot."""
+    """Return the estimated load of an upstream in requests per slot.
+
+    Where work takes long, other entries' load is expected as far as no
+    recent report tells it.
+    """
     load = get(world, upstream)
     row = world.upstreams.rows[upstream]
-    age = (now_ms - load.told_ms) / _load_age_ms(world, row.service)
-    known = max(0.0, 1.0 - age)
+    in_progress_ms = _in_progress_ms(world, row.service)
+    known = _known_share(load, now_ms, in_progress_ms)
+    unreported = min(1.0, in_progress_ms / const.REPORTED_LOAD_AGE_MIN_MS)
     expected = peer_load.expected(
         world, row.service, row.domain, load.in_flight
     )
-    others = known * load.others + (1.0 - known) * expected
+    others = known * load.others + (1.0 - known) * unreported * expected
     return (load.in_flight + others) / max(1, row.slots)
 
 
-def _load_age_ms(world: world_module.World, service: ids.ServiceId) -> float:
-    """Return the age at which a reported load of a service is over.
+def known_load(
+    world: world_module.World, now_ms: float, upstream: ids.UpstreamId
+) -> float:
+    """Return the load of an upstream that is known, in requests per slot."""
+    load = get(world, upstream)
+    row = world.upstreams.rows[upstream]
+    in_progress_ms = _in_progress_ms(world, row.service)
+    others = load.others * _known_share(load, now_ms, in_progress_ms)
+    return (load.in_flight + others) / max(1, row.slots)
 
-    It follows the mean time of the work in progress, of which long work is
-    a larger part than it is of all requests.
-    """
-    work = world.placement.work.get(service)
-    if work is None:
-        return const.REPORTED_LOAD_AGE_MIN_MS
-    in_progress_ms = work.mean_square / max(1.0, work.mean_ms)
-    age_ms = const.REPORTED_LOAD_AGE_TIMES * in_progress_ms
-    return min(
+
+def _known_share(
+    load: models.LoadRow, now_ms: float, in_progress_ms: float
+) -> float:
+    """Return the share of a reported load that still counts at its age."""
+    age_max_ms = min(
         const.REPORTED_LOAD_AGE_MAX_MS,
-        max(const.REPORTED_LOAD_AGE_MIN_MS, age_ms),
+        max(
+            const.REPORTED_LOAD_AGE_MIN_MS,
+            const.REPORTED_LOAD_AGE_TIMES * in_progress_ms,
+        ),
     )
+    return max(0.0, 1.0 - (now_ms - load.told_ms) / age_max_ms)
+
+
+def _in_progress_ms(
+    world: world_module.World, service: ids.ServiceId
+) -> float:
+    """Return the mean time of a service's work in progress.
+
+    Long work is a larger part of it than it is of all requests.
+    """
+    work = world.placement.work.get(service)
+    return work.mean_square / max(1.0, work.mean_ms) if work else 0.0
 
 
 def record_start(world: world_module.World, upstream: ids.UpstreamId) -> None:
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -33,6 +33,10 @@
 Fault = StrayAnswer | StrayBytes | MalformedAnswer | EndlessAnswer
 
 
+# Time of a report that was never made; no clock starts as early.
+NEVER_MS = -1e9
+
+
 class LoadRow(typing.NamedTuple):
     """Hold what this entry estimates of one upstream's load.
 
@@ -48,7 +52,7 @@
 
     in_flight: int = 0
     others: float = 0.0
-    told_ms: float = 0.0
+    told_ms: float = NEVER_MS
     failures: int = 0
     out_until_ms: float = 0.0
     failing: float = 0.0
--- a/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/remote_share.py
@@ -110,8 +110,10 @@
 ) -> abc.Iterator[float]:
     """Yield the load of each upstream of a region that is not excluded."""
     for upstream in row.upstreams:
-        if not loads.is_excluded(world, now_ms, upstream):
-            yield loads.estimate(world, now_ms, upstream)
+        if upstream not in world.loads:
+            yield 0.0
+        elif not loads.is_excluded(world, now_ms, upstream):
+            yield loads.known_load(world, now_ms, upstream)
 
 
 def _region_count(world: world_module.World) -> int:
--- a/tests/core/gateway/test_peer_load.py
+++ b/tests/core/gateway/test_peer_load.py
@@ -8,6 +8,7 @@
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import loads
+from zinnialead_core.gateway.placement import models
 from zinnialead_core.gateway.placement import peer_load
 from zinnialead_core.gateway.placement import remote_share
 from zinnialead_core import verdict
@@ -15,6 +16,8 @@
 from zinnialead_lab.load import report
 from zinnialead_lab.load import scenarios
 
+LONG_WORK = models.WorkRow(2_000.0, 4e6)
+
 
 def fleet(own_per_s, *peers_per_s):
     """Return a world with two upstreams and peers with the given traffic."""
@@ -55,6 +58,7 @@
 
 def test_an_upstream_without_a_report_has_the_load_of_other_entries():
     world = fleet(10.0, 10.0)
+    world.placement.work['specdesk'] = LONG_WORK
     remote_share.get(world, 'specdesk')
     for _ in range(2):
         loads.record_start(world, 'u-1')
@@ -65,8 +69,21 @@
     assert loads.estimate(world, 2.0, 'far') == 0.0
 
 
+def test_less_is_expected_where_answers_come_soon():
+    world = fleet(10.0, 10.0)
+    remote_share.get(world, 'specdesk')
+    loads.record_start(world, 'u-1')
+    peer_load.update(world, 2.0)
+    found = []
+    for work in (models.WorkRow(100.0, 1e4), LONG_WORK):
+        world.placement.work['specdesk'] = work
+        found.append(loads.estimate(world, 2.0, 'u-2'))
+    assert 0.0 < found[0] < 0.1 * found[1]
+
+
 def test_a_recent_report_goes_before_what_is_expected():
     world = fleet(10.0, 10.0, 10.0, 10.0)
+    world.placement.work['specdesk'] = LONG_WORK
     remote_share.get(world, 'specdesk')
     loads.record_start(world, 'u-1')
     loads.record_start(world, 'u-1')
@@ -90,6 +107,15 @@
         assert load_later == pytest.approx(expected)
 
 
+def test_an_upstream_that_has_reported_nothing_is_not_known_to_be_free():
+    """The clock of a machine that has just started is near 0."""
+    world = fleet(10.0, 10.0)
+    world.placement.work['specdesk'] = LONG_WORK
+    world.placement.peer_loads['specdesk'] = models.PeerLoadRow(2.0, 1.0)
+    loads.record_start(world, 'u-1')
+    assert loads.estimate(world, 1.0, 'u-1') > 1 / 5
+
+
 def test_no_entry_expects_load_before_it_has_sent_any():
     world = fleet(10.0, 10.0)
     assert loads.estimate(world, 1.0, 'u-1') == 0.0
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -6,6 +6,7 @@
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.placement import cold_rate_limit
+from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import coordinator as placement
 from zinnialead_core.gateway.placement import loads
 from zinnialead_core.gateway.placement import models
@@ -240,7 +241,23 @@
 def test_idle_balancing_does_not_visit_upstreams_without_load(monkeypatch):
     rows = [samples.upstream(f'u-{n}') for n in range(200)]
     world = samples.serving_world(upstreams_=rows)
-    choose(world, '7')
-    calls = count_calls(monkeypatch, loads, 'estimate')
+    remote_share.get(world, 'specdesk')
+    calls = count_calls(monkeypatch, loads, 'known_load')
     remote_share.rebalance(world, 2.0)
     assert not calls
+    loads.record_start(world, 'u-7')
+    remote_share.rebalance(world, 2.0)
+    assert len(calls) == 1
+
+
+def test_load_that_is_only_expected_sends_no_objects_abroad():
+    """It is expected of local upstreams alone, so they looked busier."""
+    remote = [samples.upstream(f'far-{n}', 'tn-a') for n in range(4)]
+    local = [samples.upstream(f'near-{n}') for n in range(4)]
+    world = samples.serving_world(upstreams_=[*local, *remote])
+    remote_share.get(world, 'specdesk')
+    world.placement.work['specdesk'] = models.WorkRow(2e3, 4e6)
+    world.placement.peer_loads['specdesk'] = models.PeerLoadRow(2.0, 9.0)
+    assert loads.estimate(world, 2.0, 'near-1') > const.LOCAL_LOAD_HIGH
+    remote_share.rebalance(world, 2.0)
+    assert remote_share.get(world, 'specdesk').share == 0.0
