--- a/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -78,5 +78,5 @@
 
 def _sender_key(
     upstream: ids.UpstreamId, speed: float, entry: ids.EntryId
-) -> tuple[float, int]:
-    return (-speed, hashing.stable_hash(upstream, entry))
+) -> ranking.SortKey:
+    return ranking.SortKey(-speed, hashing.stable_hash(upstream, entry))
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -95,7 +95,7 @@
     world: world_module.World,
     now_ms: float,
     request: models.PlacementRequest,
-    group: tuple[ids.UpstreamId, ...],
+    group: abc.Sequence[ids.UpstreamId],
 ) -> bool:
     """Return whether a request may leave the region of its object.
 
@@ -128,7 +128,7 @@
     world: world_module.World,
     now_ms: float,
     request: models.PlacementRequest,
-    group: tuple[ids.UpstreamId, ...],
+    group: abc.Sequence[ids.UpstreamId],
 ) -> ids.UpstreamId | None:
     """Return the preferred upstream, or another one if that is busy.
 
@@ -155,7 +155,7 @@
     return best
 
 
-def _spread(group: tuple[ids.UpstreamId, ...]) -> int:
+def _spread(group: abc.Sequence[ids.UpstreamId]) -> int:
     """Return how many of a region's upstreams an object uses."""
     share = int(len(group) * const.SPREAD_SHARE)
     return max(1, min(const.SPREAD_MAX, share))
@@ -165,7 +165,7 @@
     world: world_module.World,
     now_ms: float,
     request: models.PlacementRequest,
-    group: tuple[ids.UpstreamId, ...],
+    group: abc.Sequence[ids.UpstreamId],
 ) -> abc.Iterator[ids.UpstreamId]:
     """Yield the upstreams that are neither tried nor excluded, in order.
 
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -91,14 +91,7 @@
     load = get(world, upstream)
     load = load._replace(in_flight=max(0, load.in_flight - 1))
     if result.load is not None:
-        reported = result.load.running + result.load.waiting
-        # The reported load still includes the attempt that has ended.
-        others = max(0.0, float(reported - load.in_flight - 1))
-        load = load._replace(
-            others=others,
-            told_ms=now_ms,
-            work_time_ratio=_work_time_ratio(result.load),
-        )
+        load = _record_report(now_ms, load, result.load)
     match result.outcome:
         case verdict.Answered(status) if status < 500:
             load = _record_success(world, now_ms, upstream, load)
@@ -127,6 +120,18 @@
     world.loads[upstream] = load
 
 
+def _record_report(
+    now_ms: float, load: models.LoadRow, reported: inp.ReportedLoad
+) -> models.LoadRow:
+    """Update a row from a report, which still includes the ended attempt."""
+    others = reported.running + reported.waiting - load.in_flight - 1
+    return load._replace(
+        others=max(0.0, float(others)),
+        told_ms=now_ms,
+        work_time_ratio=_work_time_ratio(reported),
+    )
+
+
 def record_stray(world: world_module.World, upstream: ids.UpstreamId) -> None:
     """Count bytes that answer no request as a failure."""
     load = get(world, upstream)
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -1,5 +1,6 @@
 """Define the rows of the placement tables."""
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -100,6 +101,7 @@
 class RegionRow(typing.NamedTuple):
     """Hold the usable upstreams of a service in a region, and their slots."""
 
+    region: ids.RegionId
     upstreams: tuple[ids.UpstreamId, ...]
     slots: int
 
@@ -115,7 +117,7 @@
     generation: int
     domains: dict[ids.DomainId, ids.RegionId]
     regions: dict[ids.RegionId, RegionRow]
-    groups: dict[tuple[ids.RegionId, str], tuple[ids.UpstreamId, ...]]
+    groups: dict[tuple[ids.RegionId, str], abc.Sequence[ids.UpstreamId]]
 
 
 class WorkRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/rendezvous.py
@@ -30,7 +30,7 @@
         or row.generation != generation
         or row.domains is not domains
     ):
-        regions = _regions(world, service)
+        regions = {x.region: x for x in _regions(world, service)}
         row = models.ServiceRow(generation, domains, regions, {})
         table[service] = row
     return row
@@ -64,7 +64,7 @@
     world: world_module.World,
     request: models.PlacementRequest,
     region: ids.RegionId,
-) -> tuple[ids.UpstreamId, ...]:
+) -> abc.Sequence[ids.UpstreamId]:
     """Return a region's upstreams for a request, the preferred first.
 
     An upstream that is removed moves only its own objects.
@@ -92,7 +92,7 @@
         group(world, request, region)
         for region in order_regions(world, request)
     )
-    return models.UpstreamOrder(local, tuple(remote))
+    return models.UpstreamOrder(tuple(local), tuple(map(tuple, remote)))
 
 
 def hash_fraction(text: str) -> float:
@@ -102,7 +102,7 @@
 
 def by_weight(
     names: abc.Iterable[ids.UpstreamId], object_key: str
-) -> tuple[ids.UpstreamId, ...]:
+) -> abc.Sequence[ids.UpstreamId]:
     """Return upstreams by their weight for an object, the highest first."""
     return tuple(
         sorted(
@@ -115,18 +115,16 @@
 
 def _regions(
     world: world_module.World, service: ids.ServiceId
-) -> dict[ids.RegionId, models.RegionRow]:
-    """Return a service's usable upstreams by region."""
+) -> abc.Iterator[models.RegionRow]:
+    """Yield a service's usable upstreams by region."""
     names: dict[ids.RegionId, list[ids.UpstreamId]] = {}
     slots: collections.Counter[ids.RegionId] = collections.Counter()
     for row in upstreams.usable(world, service):
         region = world.node.regions[row.domain]
         names.setdefault(region, []).append(row.upstream)
         slots[region] += row.slots
-    return {
-        region: models.RegionRow(tuple(found), slots[region])
-        for region, found in names.items()
-    }
+    for region, found in names.items():
+        yield models.RegionRow(region, tuple(found), slots[region])
 
 
 def _is_home(request: models.PlacementRequest, region: ids.RegionId) -> bool:
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -9,6 +9,7 @@
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway.upstreams import const
 from zinnialead_core.gateway.upstreams import doubts
+from zinnialead_core.gateway.upstreams import index
 from zinnialead_core.gateway.upstreams import models
 from zinnialead_core.gateway.upstreams import notices
 from zinnialead_core.gateway import world as world_module
@@ -131,8 +132,8 @@
     table.generations[row.service] += 1
     if previous is None or previous.service != row.service:
         if previous is not None:
-            _remove_from_index(table, previous)
-        _add_to_index(table, row)
+            index.remove(table, previous)
+        index.add(table, row)
     if previous is not None and previous.born_ms != row.born_ms:
         world.loads.pop(row.upstream, None)
         pauses.forget(world.pauses, row.upstream)
@@ -219,29 +220,12 @@
     if row is None:
         return
     doubts.record_end(world, now_ms, row)
-    _remove_from_index(table, row)
+    index.remove(table, row)
     yield out.Notify(inp.UpstreamRemoved(upstream))
     yield out.CloseIdleConnections(row.address)
     yield out.LogStateChange('upstreams', upstream, 'known', 'unknown', reason)
 
 
-def _add_to_index(
-    table: models.UpstreamTable, row: models.UpstreamRow
-) -> None:
-    names = table.by_service.get(row.service, ())
-    table.by_service[row.service] = (*names, row.upstream)
-
-
-def _remove_from_index(
-    table: models.UpstreamTable, row: models.UpstreamRow
-) -> None:
-    names = table.by_service.get(row.service, ())
-    table.by_service[row.service] = tuple(
-        name for name in names if name != row.upstream
-    )
-    table.generations[row.service] += 1
-
-
 def _apply_drain_list(
     world: world_module.World,
     now_ms: float,
@@ -260,11 +244,6 @@
             yield from _remove_drain(world, now_ms, domain)
 
 
-def _start_generations(table: models.UpstreamTable) -> None:
-    """Begin a new generation of every service, as a drain changes."""
-    table.generations.update(table.by_service.keys())
-
-
 def _add_drain(
     world: world_module.World, domain: ids.DomainId
 ) -> abc.Iterator[out.Output]:
@@ -272,7 +251,7 @@
     if domain in world.upstreams.drained:
         return
     world.upstreams.drained.add(domain)
-    _start_generations(world.upstreams)
+    index.start_generations(world.upstreams)
     yield out.LogStateChange(
         'upstreams', domain, 'in service', 'drained', 'store'
     )
@@ -313,7 +292,7 @@
     if domain not in world.upstreams.drained:
         return
     world.upstreams.drained.discard(domain)
-    _start_generations(world.upstreams)
+    index.start_generations(world.upstreams)
     for row in world.upstreams.rows.values():
         if row.domain == domain:
             cold_ms = warm_up_ms(world, row.service)
--- a/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/peers/coordinator.py
@@ -10,7 +10,7 @@
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
-from zinnialead_core.gateway.store import peer_sync
+from zinnialead_core.gateway.store import snapshots
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import sockets
 from zinnialead_gateway.peers import codec
@@ -154,8 +154,8 @@
 
 
 async def _fetch_snapshots(peers: Peers, output: out.RequestSnapshots) -> None:
-    snapshots: list[inp.PeerSnapshot] = []
-    request = peer_sync.snapshot_request(peers.engine.world, output.kinds)
+    received: list[inp.PeerSnapshot] = []
+    request = snapshots.snapshot_request(peers.engine.world, output.kinds)
     try:
         with trio.fail_after(EXCHANGE_TIMEOUT_S):
             stream = await sockets.connect(output.address, tcp_keepalive=False)
@@ -164,11 +164,11 @@
                     stream, codec.encode_snapshot_request(request)
                 )
                 data = await _read_frame(stream, codec.FRAME_BYTES_MAX)
-                snapshots = codec.decode_snapshots(data)
+                received = codec.decode_snapshots(data)
     except EXCHANGE_ERRORS:
         peers.engine.world.counters['peers.asks_failed'] += 1
     done = inp.SnapshotRequestDone(output.address)
-    engines.feed(peers.engine, *snapshots, done)
+    engines.feed(peers.engine, *received, done)
 
 
 async def _serve_snapshots(peers: Peers, stream: trio.SocketStream) -> None:
@@ -178,11 +178,9 @@
             data = await _read_frame(stream, codec.REQUEST_BYTES_MAX)
             request = codec.decode_snapshot_request(data)
             now_ms = engines.now_ms()
-            snapshots = list(peer_sync.snapshots(world, now_ms, request))
+            found = list(snapshots.snapshots(world, now_ms, request))
             source = str(world.node.ref.entry)
-            await _write_frame(
-                stream, codec.encode_snapshots(source, snapshots)
-            )
+            await _write_frame(stream, codec.encode_snapshots(source, found))
             world.counters['peers.asks_answered'] += 1
     except EXCHANGE_ERRORS:
         world.counters['peers.answers_failed'] += 1
--- a/tests/adapter/test_odd_properties.py
+++ b/tests/adapter/test_odd_properties.py
@@ -14,7 +14,7 @@
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import models as store
-from zinnialead_core.gateway.store import peer_sync
+from zinnialead_core.gateway.store import snapshots
 from zinnialead_gateway import diagnostics
 from zinnialead_gateway.operators import coordinator as operators
 from zinnialead_gateway.peers import codec
@@ -131,8 +131,8 @@
                     codec.encode_changes(changes)
             case out.LogStateChange():
                 assert len(msgspec.json.encode(output)) < 2_000
-    snapshots = [peer_sync.snapshot(world, 3_000.0, x) for x in store.Kind]
-    codec.encode_snapshots('entry-1', [x for x in snapshots if x])
+    found = [snapshots.snapshot(world, 3_000.0, x) for x in store.Kind]
+    codec.encode_snapshots('entry-1', [x for x in found if x])
     operators._json(diagnostics.dump(world, 3_000.0))
     operators._json(world.routes.active)
 
--- a/tests/core/gateway/store_network.py
+++ b/tests/core/gateway/store_network.py
@@ -11,7 +11,7 @@
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import models as store
-from zinnialead_core.gateway.store import peer_sync
+from zinnialead_core.gateway.store import snapshots
 from zinnialead_core import ids
 
 LATENCY_MS = 4.0
@@ -174,7 +174,7 @@
                 _send(network, entry, address, changes)
         case out.RequestSnapshots(address, kinds):
             delay_ms = _delay_ms(network)
-            request = peer_sync.snapshot_request(network.worlds[entry], kinds)
+            request = snapshots.snapshot_request(network.worlds[entry], kinds)
             schedule(
                 network, delay_ms, _ask, entry, incarnation, address, request
             )
@@ -220,16 +220,16 @@
         and target not in network.frozen
         and _can_reach(network, entry, target)
     )
-    snapshots = []
+    found = []
     if reached:
-        snapshots = list(
-            peer_sync.snapshots(
+        found = list(
+            snapshots.snapshots(
                 network.worlds[target], network.now_ms, request
             )
         )
     delay_ms = _delay_ms(network) if reached else ASK_TIMEOUT_MS
     done = inp.SnapshotRequestDone(address)
-    schedule(network, delay_ms, _deliver, entry, incarnation, *snapshots, done)
+    schedule(network, delay_ms, _deliver, entry, incarnation, *found, done)
 
 
 def _deliver(network, entry, incarnation, *inputs):
--- a/tests/core/gateway/test_store.py
+++ b/tests/core/gateway/test_store.py
@@ -9,7 +9,7 @@
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.routes import coordinator as routes
 from zinnialead_core.gateway.store import models as store
-from zinnialead_core.gateway.store import peer_sync
+from zinnialead_core.gateway.store import snapshots
 
 UPSTREAMS = store.Kind.UPSTREAMS
 
@@ -77,7 +77,7 @@
     row = samples.upstream('b', revision=9)
     last = store.Listed((inp.UpstreamRegistered(row),), None, 10, 9)
     samples.feed(world, now_ms, samples.store_done(world, UPSTREAMS, last))
-    snapshot = peer_sync.snapshot(world, now_ms, UPSTREAMS)
+    snapshot = snapshots.snapshot(world, now_ms, UPSTREAMS)
     assert (snapshot.latest_revision, snapshot.synced_revision) == (7, 7)
     call, _ = until_called(world, now_ms)
     assert call == store.WatchKind(UPSTREAMS, 7, call.wait_ms)
@@ -96,7 +96,7 @@
         UPSTREAMS, 42, 43, (inp.UpstreamRegistered(row),), 'entry-2'
     )
     samples.feed(world, now_ms, changes)
-    snapshot = peer_sync.snapshot(world, now_ms, UPSTREAMS)
+    snapshot = snapshots.snapshot(world, now_ms, UPSTREAMS)
     assert (snapshot.latest_revision, snapshot.items) == (40, ())
 
 
@@ -389,14 +389,14 @@
 def asked(world, known_revision, era=0):
     """Return the revisions of the snapshots that an entry gets."""
     request = store.SnapshotRequest((UPSTREAMS,), (known_revision,), era)
-    found = peer_sync.snapshots(world, 2_000.0, request)
+    found = snapshots.snapshots(world, 2_000.0, request)
     return [row.synced_revision for row in found]
 
 
 def test_a_snapshot_is_sent_only_to_an_entry_that_lacks_changes():
     """Each entry got every registration each 10 s, known or not."""
     world = watching()
-    request = peer_sync.snapshot_request(world, (UPSTREAMS,))
+    request = snapshots.snapshot_request(world, (UPSTREAMS,))
     assert request == store.SnapshotRequest((UPSTREAMS,), (40,), 0)
     assert asked(world, 40) == []
     assert asked(world, 39) == asked(world, -1) == [40]
@@ -413,5 +413,5 @@
 
 def test_an_entry_that_knows_nothing_requests_everything():
     world, _ = started()
-    request = peer_sync.snapshot_request(world, tuple(store.Kind))
+    request = snapshots.snapshot_request(world, tuple(store.Kind))
     assert set(request.known_revisions) == {-1}
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -8,7 +8,7 @@
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway.store import models as store
-from zinnialead_core.gateway.store import peer_sync
+from zinnialead_core.gateway.store import snapshots
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
 
 
@@ -216,7 +216,7 @@
 def test_a_doubted_run_that_is_alive_is_not_lost_by_a_snapshot():
     rows = samples.upstream('u-1'), samples.upstream('u-2', 'guj-b')
     reader, other = (listed_after_restore(*rows) for _ in range(2))
-    snapshot = peer_sync.snapshot(reader, 1_200.0, store.Kind.UPSTREAMS)
+    snapshot = snapshots.snapshot(reader, 1_200.0, store.Kind.UPSTREAMS)
     samples.feed(
         other, 1_200.0, dataclasses.replace(snapshot, synced_revision=10)
     )
