--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -49,6 +49,13 @@
     return (load.in_flight + others) / max(1, row.slots)
 
 
+def report_age_ms(now_ms: float, load: models.LoadRow) -> int | None:
+    """Return the age of an upstream's last report, None if it made none."""
+    if load.told_ms == models.NEVER_MS:
+        return None
+    return round(now_ms - load.told_ms)
+
+
 def _known_share(
     load: models.LoadRow, now_ms: float, in_progress_ms: float
 ) -> float:
--- a/packages/core/src/zinnialead_core/gateway/placement/models.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/models.py
@@ -110,8 +110,8 @@
     """Hold what is derived from the usable upstreams of a service.
 
     ``generation`` is theirs at that time, and ``domains`` maps each failure
-    domain to its region.  ``groups`` are a region's
-    upstreams by region and object, the preferred first.
+    domain to its region.  ``groups`` holds a region's upstreams by region and
+    object, the preferred first.
     """
 
     generation: int
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -115,7 +115,7 @@
         'version': configuration.version if configuration else 0,
         'revision': world.upstreams.rows[upstream].revision,
         'load': round(loads.estimate(world, now_ms, upstream), 2),
-        'load_age_ms': round(now_ms - load.told_ms),
+        'load_age_ms': loads.report_age_ms(now_ms, load),
         'work_time': round(load.work_time_ratio, 2),
         'abroad': round(remote_share.get(world, row.service).share, 3),
         'stopping_ms': stopping.elapsed_ms(world, now_ms),
--- a/tests/core/gateway/test_peer_load.py
+++ b/tests/core/gateway/test_peer_load.py
@@ -116,6 +116,17 @@
     assert loads.estimate(world, 1.0, 'u-1') > 1 / 5
 
 
+def test_the_age_of_a_report_that_was_never_made_is_unknown():
+    """Decision lines showed the time since the clock's start."""
+    world = fleet(10.0)
+    assert loads.report_age_ms(9e6, loads.get(world, 'u-1')) is None
+    answer = inp.AttemptDone(
+        1, 1, verdict.Answered(200), 100.0, inp.ReportedLoad(1, 0, 5)
+    )
+    loads.record_end(world, 9e6, 'u-1', 'lookup', answer)
+    assert loads.report_age_ms(9e6 + 70.4, loads.get(world, 'u-1')) == 70
+
+
 def test_no_entry_expects_load_before_it_has_sent_any():
     world = fleet(10.0, 10.0)
     assert loads.estimate(world, 1.0, 'u-1') == 0.0
