Log and count when an entry begins or stops to read the store

Their logs told when each entry took a version and from whom, but not which entries were reading at that time, so that two causes looked alike: both readers lost at once, or a reader that is there and doesn't see the change.

Now each entry logs 'store reader follows -> reads' and back with its rank, and counts store.reader_changes. Checked where an entry decides whether to watch the configuration.

Test: an entry whose readers fall silent and return logs both changes.

--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -86,6 +86,8 @@
     world: world_module.World, now_ms: float, kind: models.Kind
 ) -> abc.Iterator[out.Output]:
     row = world.store.watches[kind]
+    if kind is models.Kind.CONFIGURATION:
+        yield from readers.record(world, now_ms)
     if _should_call(world, now_ms, row):
         yield _call(world, kind)
         return
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -91,6 +91,7 @@
     failure of a call of its own was at ``failed_ms``.  ``era`` is the highest
     one that the store has reported, 0 before the first, and ``restored_ms``
     is when this entry learned of the last restore from a copy.
+    ``is_reader`` is whether it read for its region at its last check.
     """
 
     is_available: bool = False
@@ -100,6 +101,7 @@
     failed_ms: float = float('-inf')
     era: int = 0
     restored_ms: float = float('-inf')
+    is_reader: bool = False
 
 
 class BehindRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -4,6 +4,7 @@
 
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway.entries import ranking
+from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models
 from zinnialead_core.gateway import world as world_module
@@ -46,6 +47,23 @@
     return rank(world, now_ms) < const.READERS
 
 
+def record(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Log and count when this entry begins or stops to read."""
+    health = world.store.health[models.STORE]
+    reader_rank = rank(world, now_ms)
+    reads = reader_rank < const.READERS
+    if reads == health.is_reader:
+        return
+    world.store.health[models.STORE] = health._replace(is_reader=reads)
+    world.counters['store.reader_changes'] += 1
+    before, after = ('follows', 'reads') if reads else ('reads', 'follows')
+    yield out.LogStateChange(
+        'store', 'reader', before, after, f'rank {reader_rank} in the region'
+    )
+
+
 def _reading_peers(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[entries.EntryRow]:
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -278,3 +278,25 @@
         if name != world.node.ref.entry:
             samples.feed(world, 10_001.0, inp.EntryRegistered(fast))
     assert not readers.is_reader(world, 10_002.0)
+
+
+def reader_changes(outputs):
+    changes = samples.of_type(outputs, out.LogStateChange)
+    return [x.after for x in changes if x.subject == 'reader']
+
+
+def test_an_entry_logs_when_it_begins_and_stops_to_read():
+    first, second, third, *others = names_by_rank()
+    world = fleet(third)
+    outputs = []
+    for step in range(120):
+        beats = [heartbeat(x) for x in others]
+        if not 40 <= step < 80:
+            beats += [heartbeat(first), heartbeat(second)]
+        if step == 80:
+            page = store.Listed((), None, 50)
+            beats.append(samples.store_done(world, CONFIGURATION, page))
+        outputs += samples.feed(world, 10_000.0 + 100.0 * step, *beats)
+    # It was the only entry when it started.
+    assert reader_changes(outputs) == ['follows', 'reads', 'follows']
+    assert world.counters['store.reader_changes'] == 4
