Let the readers of a region stand in different failure domains

Cause: the two entries that read the store for a region are the first by speed and a hash of their names. Failure domains were not looked at, so that both stood in kigali-b and the loss of one domain ended all reading. The others took over only after 2.5 s of silence and the next check.

A watch that was slow or a lost message is ruled out: no entry that was alive had a watch open.

Change: an entry's rank counts its place within its own domain first, so that the first entry of every domain ranks before the second one of any. With one reader in each of two domains, the loss of a domain leaves one that watches. The same rank selects the four entries that send heartbeats to other regions: they could all stand in one domain too, whose loss would have made the whole region look silent elsewhere for up to 6.2 s.

Tests, each failed before: one reader in each domain; on the mock network, the loss of either domain delays no version and no drain beyond 1.25 s; two senders to other regions in each domain.

--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -1,4 +1,4 @@
-"""Rank the entries of a region by speed, then by a hash of their names."""
+"""Rank the entries of a region by domain and speed, then by a hash."""
 
 from collections import abc
 import functools
@@ -38,6 +38,23 @@
 def count_ahead(
     world: world_module.World, rows: abc.Iterable[models.EntryRow]
 ) -> int:
-    """Return how many of ``rows`` rank before this entry."""
-    own_key = sort_key(world.node.speed, world.node.ref.entry)
-    return sum(sort_key(row.speed, row.entry) < own_key for row in rows)
+    """Return how many of ``rows`` rank before this entry.
+
+    The first entry of each failure domain ranks before the second one of any,
+    so that the loss of a domain leaves some of the first ones.  ``rows`` are
+    other entries than this one.
+    """
+    node = world.node
+    own_key = sort_key(node.speed, node.ref.entry)
+    keys_by_domain: dict[ids.DomainId, list[SortKey]] = {}
+    for row in rows:
+        keys = keys_by_domain.setdefault(row.domain, [])
+        keys.append(sort_key(row.speed, row.entry))
+    local_keys = keys_by_domain.pop(node.domain, [])
+    own_place = sum(key < own_key for key in local_keys)
+    ahead = own_place
+    for keys in keys_by_domain.values():
+        keys.sort()
+        ahead += len(keys[:own_place])
+        ahead += sum(key < own_key for key in keys[own_place : own_place + 1])
+    return ahead
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -7,7 +7,8 @@
 # The store accepts at most 30 s.
 ENTRIES_WATCH_WAIT_MS = 25_000
 # Entries of a region that read the store and send changes to the others.
-# With two, the death of one delays no change.
+# With two in different failure domains, the loss of one entry or of a domain
+# delays no change.
 READERS = 2
 # Two lost heartbeats of a reader, after which another entry takes over.
 READER_SILENCE_MS = 2_500.0
--- a/tests/core/gateway/test_entries.py
+++ b/tests/core/gateway/test_entries.py
@@ -278,3 +278,18 @@
     samples.feed(world, 22.0, inp.EntryRegistered(earlier))
     assert world.entries.rows['entry-2'].incarnation == 7
     assert 'entry-2:1' in selected(world, 23.0)
+
+
+def test_the_loss_of_a_domain_leaves_senders_to_other_regions():
+    """Other regions would see a whole region silent with one domain."""
+    names = [f'entry-{number}' for number in range(2, 13)]
+    domains = {x: 'guj-a' if x < 'entry-5' else 'guj-b' for x in names}
+    rows = [samples.entry_row(x, domains[x]) for x in names]
+    senders = []
+    for row in rows:
+        node = samples.node(row.entry, row.domain)
+        world = gateway.new_world(node, seed=1)
+        samples.feed(world, 1.0, inp.EntriesListed(tuple(rows)))
+        if members.sends_to_remote_regions(world, 2.0):
+            senders.append(row.domain)
+    assert sorted(senders) == ['guj-a', 'guj-a', 'guj-b', 'guj-b']
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -1,6 +1,7 @@
 """Test that two entries of a region read the store for the others."""
 
 from core.gateway import samples
+from core.gateway import store_network as networks
 from zinnialead_core import gateway
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
@@ -300,3 +301,45 @@
     # It was the only entry when it started.
     assert reader_changes(outputs) == ['follows', 'reads', 'follows']
     assert world.counters['store.reader_changes'] == 4
+
+
+def domain_of(name):
+    return 'guj-a' if name < 'entry-4' else 'guj-b'
+
+
+def fleet_in_two_domains(name):
+    """Return the world of one of six entries, three in each domain."""
+    world = fleet(name)
+    node = samples.node(name, domain_of(name))
+    world = world._replace(node=node)
+    for other in NAMES:
+        row = samples.entry_row(other, domain_of(other), revision=50)
+        samples.feed(world, 10_000.0, inp.EntryRegistered(row))
+    return world
+
+
+def test_the_loss_of_a_domain_leaves_a_reader():
+    """Both readers stood in one domain, and its loss blinded the region."""
+    readers_found = [
+        name
+        for name in NAMES
+        if readers.is_reader(fleet_in_two_domains(name), 10_000.0)
+    ]
+    domains = [domain_of(name) for name in readers_found]
+    assert sorted(domains) == ['guj-a', 'guj-b']
+
+
+def test_the_other_domain_follows_a_change_while_a_domain_is_lost():
+    """Entries acted on an old version for 3.3 s, 2.5 s after it at most."""
+    for lost in networks.DOMAINS[:2]:
+        network = networks.new_network(seed=1, entries=12)
+        networks.run_until(network, 15_000.0)
+        for name in list(network.worlds):
+            if network.worlds[name].node.domain == lost:
+                networks.kill(network, name)
+        networks.put_configuration(network, 2)
+        networks.register(network, 'u-0', leaving=True)
+        networks.run_until(network, 16_250.0)
+        for name, world in network.worlds.items():
+            assert networks.version(world) == 2, name
+            assert world.upstreams.rows['u-0'].leaving, name
