--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -42,6 +42,26 @@
     assert sent[b'Zinnialead-Request-Id'] == b'9c41'
 
 
+@pytest.mark.parametrize('name', [b'Host', b'Zinnialead-Request-Id'])
+def test_a_caller_can_not_take_a_header_that_upstreams_need(name):
+    """A request without Host could not be sent, and ended the process."""
+    listed = (b'Connection', b'close, %s ,X-Kept' % name.lower())
+    head = heads.read_request('/', [listed, *REQUEST])
+    sent = dict(heads.write_request(head, 'i-7', 900))
+    assert sent[name] == dict(REQUEST)[name]
+    assert b'X-Kept' not in sent
+
+
+@pytest.mark.parametrize(
+    'name',
+    [b'Zinnialead-Request-Id', b'Zinnialead-Response-Seal', b'Retry-After'],
+)
+def test_an_upstream_can_not_take_a_header_that_callers_need(name):
+    """A success without its seal is no answer of the upstream's."""
+    headers = [(b'Connection', b'x,' + name), (name, b'1')]
+    assert heads.read_response(503, headers).headers == [(name, b'1')]
+
+
 def test_a_malformed_deadline_is_ignored():
     head = heads.read_request(
         '/', [(b'Host', b'a'), (b'Zinnialead-Deadline-Ms', b'soon')]
--- a/tests/adapter/test_odd_headers.py
+++ b/tests/adapter/test_odd_headers.py
@@ -20,12 +20,13 @@
 ]
 
 
-async def ask(settings, deadline):
+async def ask(settings, deadline, *extra_headers):
     """Send a request with the given value of its deadline."""
     headers = [
         (b'Host', b'desk.example'),
         (b'Zinnialead-Request-Id', b'r-1'),
         (b'Zinnialead-Deadline-Ms', deadline),
+        *extra_headers,
     ]
     pool = client.Pool(tcp_keepalive=False)
     connection = await client.acquire(pool, settings.front_bind, 1_000.0)
@@ -63,3 +64,36 @@
         request_name = f'r-{number}'.encode()
         answer = await deployments.ask(settings.front_bind, name=request_name)
         assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    'option',
+    [
+        b'host',
+        b'Host, close',
+        b'zinnialead-request-id',
+        b'zinnialead-deadline-ms',
+        b'zinnialead-expect-instance',
+        b'cookie',
+        b'content-length',
+        b',',
+    ],
+)
+async def test_a_caller_that_lists_a_header_in_connection_is_answered(
+    nursery, option
+):
+    """One such request ended the entry and lost all others in hand."""
+    _, upstreams, settings, _ = await deployments.deployment(nursery, count=1)
+    upstreams[0].work_s = 0.2
+    statuses = []
+
+    async def ask_beside():
+        answer = await deployments.ask(settings.front_bind, name=b'r-2')
+        statuses.append(answer.status)
+
+    async with trio.open_nursery() as callers:
+        callers.start_soon(ask_beside)
+        await trio.sleep(0.05)
+        statuses.append(await ask(settings, b'900', (b'Connection', option)))
+    assert statuses == [200, 200]
+    assert sorted(upstreams[0].ran) == ['r-1', 'r-2']
