--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -225,9 +225,7 @@
             )
         case inp.ConfigurationsListed(items):
             version = positions.latest(world, row.kind)
-            return tuple(
-                x for x in items if x.configuration.version > version
-            )
+            return tuple(x for x in items if x.configuration.version > version)
         case _:
             return ()
 
