Refuse a request that can't be written in place of ending the process

Cause: client.send raises h11's error for a request that HTTP does not allow. Neither an attempt nor a call to the store expected it, so it ended the task, the nursery that all tasks share and the process.

The attempt's outcome is Unsendable: no upstream can be sent the request, so it is refused at once with 400 as not run, is not tried again and is no fault of the upstream.

Test, which failed before with the process's nursery: a whole entry whose adapter writes a request without Host, and one with an odd name, answers 400 and serves the next request at the same upstream.

--- a/packages/core/src/zinnialead_core/components/keys/end_reports.py
+++ b/packages/core/src/zinnialead_core/components/keys/end_reports.py
@@ -149,5 +149,10 @@
             return models.Ended(status, record)
         case verdict.Lost():
             return models.Undecided()
-        case verdict.Shed() | verdict.NotSent() | verdict.NeverStarted():
+        case (
+            verdict.Shed()
+            | verdict.NotSent()
+            | verdict.Unsendable()
+            | verdict.NeverStarted()
+        ):
             return None
--- a/packages/core/src/zinnialead_core/components/slots/asker.py
+++ b/packages/core/src/zinnialead_core/components/slots/asker.py
@@ -266,7 +266,7 @@
 
 def _slot_end(released: inp.SlotReleased) -> models.SlotEnd:
     match released.outcome:
-        case None | verdict.NeverStarted():
+        case None | verdict.NeverStarted() | verdict.Unsendable():
             return models.SlotEnd.UNUSED
         case verdict.Answered(502 | 503 | 504):
             return models.SlotEnd.FAILED
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -122,7 +122,7 @@
             )
         case verdict.Lost():
             load = _record_failure(now_ms, load, const.LOST_BEFORE_EJECTION)
-        case verdict.NeverStarted():
+        case verdict.NeverStarted() | verdict.Unsendable():
             pass
     world.loads[upstream] = load
 
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -156,6 +156,12 @@
                     return
             yield from completion.relay(world, now_ms, row, status)
             return
+        case verdict.Unsendable(detail):
+            refusal = verdict.Refusal(
+                verdict.Verdict.NOT_RUN, verdict.Reason.BAD_REQUEST, detail
+            )
+            yield from completion.refuse(world, now_ms, row, refusal)
+            return
         case verdict.NotSent() if not result.misdirected:
             row = row._replace(send_count=row.send_count - 1)
         case verdict.Lost():
--- a/packages/core/src/zinnialead_core/verdict.py
+++ b/packages/core/src/zinnialead_core/verdict.py
@@ -75,6 +75,13 @@
     detail: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsendable:
+    """Report a request that can't be written to any upstream."""
+
+    detail: str = ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NeverStarted:
     """Report a cancelled request that the upstream confirmed as not run."""
@@ -91,7 +98,7 @@
     is_faulty: bool = False
 
 
-Outcome = Answered | Shed | NotSent | NeverStarted | Lost
+Outcome = Answered | Shed | NotSent | Unsendable | NeverStarted | Lost
 
 
 def verdict_of(outcome: Outcome) -> Verdict:
@@ -105,7 +112,7 @@
     match outcome:
         case Answered():
             return Verdict.RAN
-        case Shed() | NotSent() | NeverStarted():
+        case Shed() | NotSent() | Unsendable() | NeverStarted():
             return Verdict.NOT_RUN
         case Lost():
             return Verdict.MAY_HAVE_RUN
--- a/packages/gateway/src/zinnialead_gateway/http/client/__init__.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client/__init__.py
@@ -9,6 +9,7 @@
 from zinnialead_gateway.http.client.models import Request
 from zinnialead_gateway.http.client.models import Response
 from zinnialead_gateway.http.client.models import ResponseHead
+from zinnialead_gateway.http.client.models import UnsendableError
 from zinnialead_gateway.http.client.pool import acquire
 from zinnialead_gateway.http.client.pool import close
 from zinnialead_gateway.http.client.pool import close_idle
@@ -32,6 +33,7 @@
     'Request',
     'Response',
     'ResponseHead',
+    'UnsendableError',
     'acquire',
     'close',
     'close_idle',
--- a/packages/gateway/src/zinnialead_gateway/http/client/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client/models.py
@@ -42,6 +42,10 @@
     """Signal an unusable response; the request was sent."""
 
 
+class UnsendableError(Exception):
+    """Signal a request that can't be written; none of it was sent."""
+
+
 class MalformedError(ProtocolError):
     """Signal bytes that are no response."""
 
--- a/packages/gateway/src/zinnialead_gateway/store/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/store/coordinator.py
@@ -26,6 +26,7 @@
     trio.ClosedResourceError,
     trio.TooSlowError,
     client.ProtocolError,
+    client.UnsendableError,
 )
 
 
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -183,6 +183,8 @@
         received = await _receive_response(
             upstreams, caller_request, connection, request
         )
+    except client.UnsendableError as error:
+        return verdict.Unsendable(str(error)), None
     except CONNECTION_ERRORS as error:
         fault = _to_fault(error)
         if fault is not None:
--- a/tests/adapter/test_odd_headers.py
+++ b/tests/adapter/test_odd_headers.py
@@ -1,10 +1,18 @@
 """Test an entry against numbers out of range in headers."""
 
+import functools
+
 import pytest
 import trio
 
 from adapter import deployments
+from adapter import fakes
+from zinnialead_gateway import application
 from zinnialead_gateway.http import client
+from zinnialead_platform import adapter
+from zinnialead_platform import boot
+from zinnialead_platform import heads
+from zinnialead_standins import store as stores
 
 NUMBERS = [
     b'nan',
@@ -97,3 +105,36 @@
         statuses.append(await ask(settings, b'900', (b'Connection', option)))
     assert statuses == [200, 200]
     assert sorted(upstreams[0].ran) == ['r-1', 'r-2']
+
+
+async def test_a_request_that_can_not_be_written_ends_no_process(
+    nursery,
+):
+    """An error of the HTTP client in one attempt ended the process."""
+    upstream = fakes.FakeUpstream('i-0')
+    store = stores.new_store()
+    stores.put(store, 'config', 'main', deployments.configuration())
+    address = await fakes.serve_upstream(nursery, upstream)
+    registration = deployments.registration(address)
+    stores.put(store, 'servers', 'i-0', registration)
+    text = deployments.settings_text(await fakes.serve_store(nursery, store))
+    read = functools.partial(boot.parse, text, 7)
+    settings = read()
+    odd_names = {'r-odd': [(b'not a name', b'1')], 'r-no-host': []}
+
+    def write_request(head, *arguments):
+        if head.name in odd_names:
+            return odd_names[head.name]
+        return heads.write_request(head, *arguments)
+
+    dialect = adapter.DIALECT._replace(write_request=write_request)
+    await application.set_up(nursery, settings, read, dialect)
+    await deployments.until_ready(settings)
+    for name in odd_names:
+        answer = await deployments.ask(
+            settings.front_bind, name=name.encode(), method=b'POST'
+        )
+        assert answer.status == 400
+        # The upstream is not at fault, and takes the next request at once.
+        assert (await deployments.ask(settings.front_bind)).status == 200
+    assert upstream.ran == ['r-1', 'r-1']
