Test bodies without end behind a sound head, with a whole program

The answers without end that were played so far had heads of their own kind; of those with the request's id only one, with a length.

--- a/tests/adapter/test_answers_memory.py
+++ b/tests/adapter/test_answers_memory.py
@@ -44,16 +44,19 @@
     await endless.write(exchange.stream, FLOODING[kind])
 
 
-async def flood_with_id(exchange):
-    head = raw.response(
-        200,
-        [
-            b'Zinnialead-Request-Id: ' + exchange.request.name.encode(),
-            b'Zinnialead-Response-Seal: seal',
-            b'Content-Length: 1000000000000',
-        ],
-    )
-    response = endless.Endless(head, b'a' * 65_536)
+LENGTH = b'Content-Length: 1000000000000'
+CHUNKED = b'Transfer-Encoding: chunked'
+SEAL = b'Zinnialead-Response-Seal: seal'
+NOT_RUN = b'Zinnialead-Not-Executed: 1'
+BYTES = b'a' * 65_536
+CHUNKS = b'1000\r\n' + b'a' * 4_096 + b'\r\n'
+TINY_CHUNKS = b'2\r\nab\r\n' * 512
+
+
+async def flood_with_id(status, headers, unit, exchange):
+    """Write a response whose head is sound, and its body without end."""
+    name = b'Zinnialead-Request-Id: ' + exchange.request.name.encode()
+    response = endless.Endless(raw.response(status, [name, *headers]), unit)
     await endless.write(exchange.stream, response)
 
 
@@ -105,8 +108,21 @@
     return time.monotonic() - started_s
 
 
+WITH_ID = {
+    'long answer': (200, [SEAL, LENGTH], BYTES),
+    'answer in chunks': (200, [SEAL, CHUNKED], CHUNKS),
+    'answer in tiny chunks': (200, [SEAL, CHUNKED], TINY_CHUNKS),
+    'answer without length': (200, [SEAL], BYTES),
+    'long failure': (500, [SEAL, LENGTH], BYTES),
+    'long refusal': (503, [NOT_RUN, LENGTH], BYTES),
+    'refusal in chunks': (429, [NOT_RUN, CHUNKED], CHUNKS),
+    'long misdirection': (421, [LENGTH], BYTES),
+}
 RESPONDERS = {
-    'long answer': flood_with_id,
+    **{
+        kind: functools.partial(flood_with_id, *response)
+        for kind, response in WITH_ID.items()
+    },
     **{kind: functools.partial(flood, kind) for kind in FLOODING},
 }
 
