Discard what a refused caller goes on to send

Before that, the buffer had a limit only while a request was being handled; the parser read on as fast as it could, and what it had not yet parsed was not counted.

--- a/packages/gateway/src/zinnialead_gateway/http/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/models.py
@@ -49,7 +49,8 @@
     """Hold a caller's connection.
 
     ``on_disconnect`` is called once if the caller disconnects while its
-    request is being handled; ``resume`` wakes a paused reader.
+    request is being handled; ``resume`` wakes a paused reader.  What arrives
+    once the connection ``is_closing`` is discarded.
     """
 
     stream: trio.SocketStream
@@ -59,6 +60,7 @@
     buffered_bytes: int = 0
     resume: trio.Event | None = None
     on_disconnect: abc.Callable[[], None] | None = None
+    is_closing: bool = False
 
 
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
--- a/packages/gateway/src/zinnialead_gateway/http/server.py
+++ b/packages/gateway/src/zinnialead_gateway/http/server.py
@@ -52,7 +52,10 @@
 
 
 async def _read_input(caller: models.Caller) -> None:
-    """Feed received data to the parser until the caller disconnects."""
+    """Feed received data to the parser until the caller disconnects.
+
+    Reading pauses while the parser holds much that it has not parsed yet.
+    """
     while not caller.closed:
         try:
             data = await caller.stream.receive_some(const.READ_BYTES)
@@ -60,22 +63,24 @@
             data = b''
         if not data:
             caller.closed = True
-        try:
-            caller.parser.receive_data(data)
-        except RuntimeError:
-            caller.closed = True
-        caller.buffered_bytes += len(data)
+        if not caller.is_closing:
+            _feed_parser(caller, data)
         caller.data_received.set()
         if caller.closed and caller.on_disconnect is not None:
             caller.on_disconnect()
-        if (
-            caller.on_disconnect
-            and caller.buffered_bytes > const.BUFFERED_BYTES_MAX
-        ):
+        if caller.buffered_bytes > const.BUFFERED_BYTES_MAX:
             caller.resume = trio.Event()
             await caller.resume.wait()
 
 
+def _feed_parser(caller: models.Caller, data: bytes) -> None:
+    try:
+        caller.parser.receive_data(data)
+    except RuntimeError:
+        caller.closed = True
+    caller.buffered_bytes += len(data)
+
+
 async def _serve_requests(
     server: models.Server, caller: models.Caller
 ) -> None:
@@ -175,11 +180,15 @@
 async def _linger(caller: models.Caller) -> None:
     """Give the caller time to read the response before closing.
 
-    Closing a socket with unread input resets the connection.
+    Closing a socket with unread input resets the connection.  What arrives
+    until then is discarded.
     """
+    caller.is_closing = True
+    caller.buffered_bytes = 0
+    if caller.resume is not None:
+        caller.resume.set()
     with trio.move_on_after(const.CLOSE_LINGER_S):
         await caller.stream.send_eof()
         while not caller.closed:
             caller.data_received = trio.Event()
-            caller.buffered_bytes = 0
             await caller.data_received.wait()
