Limit the length and the time of responses to the command line

An operator's zinnialead that called a faulty process, or something else at its address, kept all that came until its machine had no memory left, and never ended if the bytes only dripped: each read had a limit, the response had none.

Cause: the only HTTP client without limits; tests/endless.py was played against the entries' clients alone.

Change: a body ends at 64 MB or after 20 s, with the error that the command prints for a call that failed.

--- a/packages/cli/src/zinnialead_cli/clients/http.py
+++ b/packages/cli/src/zinnialead_cli/clients/http.py
@@ -1,5 +1,6 @@
 """Make an HTTP call with a timeout."""
 
+import time
 import typing
 
 import expression
@@ -15,6 +16,10 @@
 )
 
 
+class EndlessError(Exception):
+    """Signal a response that exceeds a limit."""
+
+
 class Response(typing.NamedTuple):
     """Hold the status and body of a response."""
 
@@ -32,13 +37,26 @@
     timeout_s = const.CALL_TIMEOUT_MS / const.MS_PER_S
     timeouts = dict.fromkeys(('connect', 'read', 'write', 'pool'), timeout_s)
     try:
-        response = httpcore.request(
+        with httpcore.stream(
             method,
             url,
             headers=headers,
             content=content,
             extensions={'timeout': timeouts},
-        )
-    except CALL_ERRORS as error:
+        ) as response:
+            return expression.Ok(Response(response.status, _read(response)))
+    except (*CALL_ERRORS, EndlessError) as error:
         return expression.Error(f'{method} {url}: {error!r}')
-    return expression.Ok(Response(response.status, response.content))
+
+
+def _read(response: httpcore.Response) -> bytes:
+    """Return the body; raises EndlessError if it is too long or too slow."""
+    end_s = time.monotonic() + const.BODY_TIMEOUT_MS / const.MS_PER_S
+    body = bytearray()
+    for part in response.iter_stream():
+        body += part
+        if len(body) > const.BODY_BYTES_MAX:
+            raise EndlessError(f'a body of over {const.BODY_BYTES_MAX} bytes')
+        if time.monotonic() > end_s:
+            raise EndlessError(f'a body over {const.BODY_TIMEOUT_MS:.0f} ms')
+    return bytes(body)
--- a/packages/cli/src/zinnialead_cli/const.py
+++ b/packages/cli/src/zinnialead_cli/const.py
@@ -7,6 +7,9 @@
 TOKEN_VARIABLE = 'ZINNIALEAD_TOKEN'  # noqa: S105 (a name, not a token)
 STATE_OBJECT = 'state'
 CALL_TIMEOUT_MS = 5_000.0
+# The body of a response, and the time that it takes in all.
+BODY_BYTES_MAX = 67_108_864
+BODY_TIMEOUT_MS = 20_000.0
 WATCH_PERIOD_MS = 2_000.0
 MS_PER_S = 1_000.0
 
