Go on reading from a caller once its long body is parsed

Callers: after a request with a body of over 64 KB, the entry could fail to notice that its caller had left, and its upstream worked on for nobody.

Cause: a paused reader goes on when the parser asks for more. A body that is complete asks for nothing, so that reading stayed paused while its request was in hand.

Change: at the end of a body the bytes that are not parsed yet are counted anew, and reading goes on if they are within the limit.

--- a/packages/gateway/src/zinnialead_gateway/http/request_reader.py
+++ b/packages/gateway/src/zinnialead_gateway/http/request_reader.py
@@ -67,6 +67,7 @@
     finally:
         if not is_complete:
             server.body_bytes -= len(body)
+    _resume_reader(caller)
     headers = list(head.headers.raw_items())
     return models.Request(head.method, head.target, headers, bytes(body))
 
@@ -100,6 +101,18 @@
         await caller.data_received.wait()
 
 
+def _resume_reader(caller: models.Caller) -> None:
+    """Let reading go on if it was paused for what has been parsed since.
+
+    A paused reader would not notice that the caller disconnects.
+    """
+    if caller.resume is None:
+        return
+    caller.buffered_bytes = len(caller.parser.trailing_data[0])
+    if caller.buffered_bytes <= const.BUFFERED_BYTES_MAX:
+        caller.resume.set()
+
+
 async def _send_continue(caller: models.Caller) -> None:
     if caller.parser.they_are_waiting_for_100_continue:
         event = h11.InformationalResponse(status_code=100, headers=[])
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -114,6 +114,29 @@
     assert max(steps) <= 2 * const.EVENTS_PER_TURN
 
 
+async def test_a_disconnect_after_a_long_body_is_noticed(nursery):
+    """Reading was paused for a body that had been parsed in the meantime."""
+    disconnects = []
+    handled = trio.Event()
+
+    async def handle(caller, request):
+        caller.on_disconnect = functools.partial(disconnects.append, None)
+        handled.set()
+        await trio.sleep(0.5)
+
+    limits = LIMITS._replace(body_bytes_max=1_000_000)
+    _, connect = await serve(nursery, handle, limits)
+    for number in range(1, 11):
+        handled = trio.Event()
+        stream = await connect()
+        head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n'
+        await stream.send_all(head + bytes(400_000))
+        await handled.wait()
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert len(disconnects) == number
+
+
 async def test_an_incomplete_head_is_refused(nursery):
     _, connect = await serve(nursery)
     data = await ask(connect, b'GET /x HTTP/1.1\r\nHost:')
