--- a/tests/core/gateway/store_network.py
+++ b/tests/core/gateway/store_network.py
@@ -68,6 +68,7 @@
     entry: str
     incarnation: int
     output: out.CallStore
+    opened_ms: float
 
 
 @dataclasses.dataclass
@@ -85,6 +86,8 @@
     inboxes: dict = dataclasses.field(default_factory=dict)
     cut_from_store: set = dataclasses.field(default_factory=set)
     cut_from_peers: set = dataclasses.field(default_factory=set)
+    silent_to_store: set = dataclasses.field(default_factory=set)
+    lag_ms: dict = dataclasses.field(default_factory=dict)
     cut_upstreams: set = dataclasses.field(default_factory=set)
     drop_share: float = 0.0
     delay_max_ms: float = 20.0
@@ -179,7 +182,7 @@
                 network, delay_ms, _ask, entry, incarnation, address, request
             )
         case out.CallStore():
-            watch = Watch(entry, incarnation, output)
+            watch = Watch(entry, incarnation, output, network.now_ms)
             schedule(network, _delay_ms(network), _call, watch)
         case out.LogStateChange():
             network.log.append((network.now_ms, entry, output))
@@ -206,7 +209,8 @@
     inbox = network.inboxes.setdefault(target, [])
     inbox.append(message)
     if len(inbox) == 1:
-        schedule(network, BATCH_MS, _process_inbox, target)
+        delay_ms = BATCH_MS + network.lag_ms.get(target, 0.0)
+        schedule(network, delay_ms, _process_inbox, target)
 
 
 def _process_inbox(network, target):
@@ -240,11 +244,28 @@
 
 def _reply(network, watch, result, era, delay_ms=None):
     output = watch.output
+    if watch.entry in network.silent_to_store:
+        result, era, delay_ms = (
+            store.Failed('silent'),
+            0,
+            _left_ms(network, watch),
+        )
     done = inp.StoreDone(output.kind, result, output.call_number, era)
     delay_ms = _delay_ms(network) if delay_ms is None else delay_ms
+    delay_ms += network.lag_ms.get(watch.entry, 0.0)
     schedule(network, delay_ms, _deliver, watch.entry, watch.incarnation, done)
 
 
+def _left_ms(network, watch):
+    """Return how long the entry still waits for the result of a call."""
+    match watch.output.call:
+        case store.WatchKind(_, _, wait_ms):
+            timeout_ms = CALL_TIMEOUT_MS + wait_ms
+        case _:
+            timeout_ms = CALL_TIMEOUT_MS
+    return max(0.0, watch.opened_ms + timeout_ms - network.now_ms)
+
+
 def _call(network, watch):
     one = network.store
     one.calls.append((network.now_ms, watch.entry, watch.output.call))
@@ -367,6 +388,30 @@
     schedule(network, COPY_PERIOD_MS, _keep_copy)
 
 
+def cut_off(network, name):
+    """Cut an entry off from the store and from all other entries."""
+    network.cut_from_peers.add(name)
+    refuse(network, name)
+
+
+def refuse(network, name):
+    """Let the store break the watches of an entry and refuse its calls."""
+    network.cut_from_store.add(name)
+    for watch in [x for x in network.store.watches if x.entry == name]:
+        network.store.watches.remove(watch)
+        _reply(network, watch, store.Failed('cut'), 0)
+
+
+def silence_store(network, name):
+    """Let nothing more arrive on an entry's connections to the store."""
+    network.silent_to_store.add(name)
+
+
+def delay_inputs(network, name, lag_ms=2_000.0):
+    """Let an entry process what arrives only after a time."""
+    network.lag_ms[name] = lag_ms
+
+
 def go_away(network, *, silent=False):
     """Let the store answer nothing, or fail every call."""
     network.store.is_up = False
