Log who reads for a region and who told of a change that is missing

An entry now logs each change of its region's readers, and each request for a change with who told of it and how long ago; a request that fails shows as a second one. The gauge zinnialead_behind_ms gives the time since a change that is missing was first told of, by kind. What catches up on such changes moves to a module of its own; its decisions are unchanged.

--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -35,6 +35,21 @@
             yield row
 
 
+def first(
+    rows: abc.Iterable[models.EntryRow], count: int
+) -> tuple[ids.EntryId, ...]:
+    """Return the first entries in rank, of ``rows`` alone."""
+    by_domain: dict[ids.DomainId, list[models.EntryRow]] = {}
+    for row in sorted(rows, key=lambda x: sort_key(x.speed, x.entry)):
+        by_domain.setdefault(row.domain, []).append(row)
+    ranked = [
+        (place, sort_key(row.speed, row.entry), row.entry)
+        for domain_rows in by_domain.values()
+        for place, row in enumerate(domain_rows[:count])
+    ]
+    return tuple(entry for _, _, entry in sorted(ranked)[:count])
+
+
 def count_ahead(
     world: world_module.World, rows: abc.Iterable[models.EntryRow]
 ) -> int:
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -5,6 +5,7 @@
 
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
+from zinnialead_core.gateway.store import catch_up
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import eras
 from zinnialead_core.gateway.store import health
@@ -48,7 +49,7 @@
                 cause = f'heartbeat of {heartbeat.entry}'
                 yield from eras.enter(world, now_ms, heartbeat.era, cause)
                 yield from health.infer_availability(world, now_ms, heartbeat)
-                yield from peer_sync.catch_up(world, now_ms, heartbeat)
+                yield from catch_up.run(world, now_ms, heartbeat)
             case inp.TimerDue(timers.SeedQueryDue()):
                 yield from peer_sync.query_seeds(world, now_ms)
 
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -6,6 +6,7 @@
 
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway.store import const
+from zinnialead_core import ids
 
 
 class Kind(enum.StrEnum):
@@ -91,7 +92,8 @@
     failure of a call of its own was at ``failed_ms``.  ``era`` is the highest
     one that the store has reported, 0 before the first, and ``restored_ms``
     is when this entry learned of the last restore from a copy.
-    ``is_reader`` is whether it read for its region at its last check.
+    ``is_reader`` is whether it read for its region at its last check, and
+    ``readers`` are the entries that it then took for the readers.
     """
 
     is_available: bool = False
@@ -102,13 +104,18 @@
     era: int = 0
     restored_ms: float = float('-inf')
     is_reader: bool = False
+    readers: tuple[ids.EntryId, ...] = ()
 
 
 class BehindRow(typing.NamedTuple):
-    """Hold since when another entry has a later revision of a kind."""
+    """Hold since when another entry has a later revision of a kind.
+
+    ``source`` is the entry that was the first to tell of one.
+    """
 
     since_ms: float
     latest_revision: int
+    source: ids.EntryId
 
 
 class SnapshotRequest(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -50,7 +50,8 @@
 def record(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Log and count when this entry begins or stops to read."""
+    """Log which entries read, and when this one begins or stops to."""
+    yield from _record_readers(world, now_ms)
     health = world.store.health[models.STORE]
     reader_rank = rank(world, now_ms)
     reads = reader_rank < const.READERS
@@ -64,6 +65,28 @@
     )
 
 
+def _record_readers(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Log when other entries than before read for the region."""
+    rows = list(_reading_peers(world, now_ms))
+    own_row = world.entries.rows.get(world.node.ref.entry)
+    if own_row is not None and may_read(world, now_ms):
+        rows.append(own_row)
+    health = world.store.health[models.STORE]
+    found = ranking.first(rows, const.READERS)
+    if found == health.readers:
+        return
+    world.store.health[models.STORE] = health._replace(readers=found)
+    yield out.LogStateChange(
+        'store',
+        'readers',
+        ', '.join(health.readers) or 'none',
+        ', '.join(found) or 'none',
+        f'{len(rows)} entries of the region may read',
+    )
+
+
 def _reading_peers(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[entries.EntryRow]:
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -5,6 +5,9 @@
 import dataclasses
 import typing
 
+from zinnialead_core import gateway
+from zinnialead_core.gateway.store import catch_up
+from zinnialead_core.gateway.store import models as store
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import models as http_models
 
@@ -74,6 +77,7 @@
     sizes.add_metric(['upstreams'], len(world.upstreams.rows))
     sizes.add_metric(['entries'], len(world.entries.rows))
     yield sizes
+    yield _behind_ms(world)
     durations = metrics_core.HistogramMetricFamily(
         'zinnialead_request_ms', 'Time to an answer', labels=['route']
     )
@@ -82,6 +86,21 @@
     yield durations
 
 
+def _behind_ms(world: gateway.World) -> typing.Any:  # noqa: ANN401
+    """Return how long a change that others know is missing here, by kind."""
+    from prometheus_client import metrics_core
+
+    gauge = metrics_core.GaugeMetricFamily(
+        'zinnialead_behind_ms',
+        'Time since another entry told of a change that is missing here',
+        labels=['kind'],
+    )
+    now_ms = engines.now_ms()
+    for kind in store.Kind:
+        gauge.add_metric([kind.value], catch_up.behind_ms(world, now_ms, kind))
+    return gauge
+
+
 def _buckets(counts: list[int]) -> list[tuple[str, int]]:
     total = 0
     buckets = []
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -6,6 +6,7 @@
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
+from zinnialead_core.gateway.store import catch_up
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models as store
 from zinnialead_core.gateway.store import readers
@@ -380,3 +381,28 @@
     )
     outputs = samples.feed(world, 10_210.0, page)
     assert announced(outputs)[CONFIGURATION] == 9
+
+
+def test_an_entry_logs_which_entries_read_for_its_region():
+    *others, last = names_by_rank()
+    first, second, third, *_ = others
+    world = fleet(last)
+    outputs = []
+    for step in range(40):
+        beats = [heartbeat(x) for x in others if x != first]
+        outputs += samples.feed(world, 10_000.0 + 100.0 * step, *beats)
+    changes = samples.of_type(outputs, out.LogStateChange)
+    logged = [x.after for x in changes if x.subject == 'readers']
+    assert logged == [f'{first}, {second}', f'{second}, {third}']
+
+
+def test_an_entry_logs_from_whom_it_requests_a_version_and_who_told_of_it():
+    *others, last = names_by_rank()
+    world = fleet(last)
+    told = heartbeat(others[0], 55, kind=CONFIGURATION)
+    outputs = samples.feed(world, 10_100.0, told)
+    changes = samples.of_type(outputs, out.LogStateChange)
+    (logged,) = [x for x in changes if x.subject == CONFIGURATION]
+    assert logged.after == f'requested from {others[0]}'
+    assert logged.cause == f'told of 55 by {others[0]} 0 ms ago'
+    assert catch_up.behind_ms(world, 10_300.0, CONFIGURATION) == 200.0
