Tell other regions of a change at once, and let them catch up in time

Cause: a region followed the store through two entries alone. Whatever stopped both, or the store's answers to both, left it without news until 2.5 s of silence and a check each 0.5 s were over, or until heartbeats of other regions, 2 s apart, had told it twice. The class is that of the region without readers: redundancy that one loss can take away whole.

Change: a reader tells three entries of each other region, in several domains, of each change as it tells its own region. One that is told of a change asks its region's entries after 150 ms and the remote one after 300 ms, by a timer in place of the next heartbeat, and then tells its own region. A reader that loses the store says so at once, and the next one takes over at once; what a list shows is announced whoever made it. A region that hears from no other one has four readers. Why it works: a change now reaches a region by the readers of any region.

Tests of readers in which a region stood alone now hear from another one, as two readers are right only there; they check as much as before.

--- a/packages/core/src/zinnialead_core/gateway/entries/const.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/const.py
@@ -6,6 +6,10 @@
 # expensive, and remote entries are given only to callers of their region.
 REMOTE_SENDERS = 4
 SPARSE_ROUND_INTERVAL = 2
+# Entries of each other region that a reader tells of a change at once.  In
+# three, spread over domains, one is left after the loss of any two entries or
+# of a domain.
+REMOTE_CONTACTS = 3
 # An entry with a lower request rate counts as unused by callers, and sends
 # heartbeats only in every second round.
 USED_MIN_PER_S = 0.5
--- a/packages/core/src/zinnialead_core/gateway/entries/members.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/members.py
@@ -153,7 +153,36 @@
 def announce(
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
-    """Tell the region at once how far this entry has read the store."""
+    """Tell the region at once how far this entry knows the store.
+
+    A reader tells other regions as well.
+    """
     peers = peer_addresses(world, now_ms)
     if peers:
         yield out.SendHeartbeat(peers, own_heartbeat(world, now_ms))
+    if readers.is_reader(world, now_ms):
+        yield from announce_remotely(world, now_ms)
+
+
+def announce_remotely(
+    world: world_module.World, now_ms: float
+) -> abc.Iterator[out.Output]:
+    """Tell some entries of each other region how far this one knows.
+
+    They tell their region if its own readers do not.
+    """
+    contacts = tuple(_remote_contacts(world))
+    if contacts:
+        yield out.SendHeartbeat(contacts, own_heartbeat(world, now_ms))
+
+
+def _remote_contacts(world: world_module.World) -> abc.Iterator[str]:
+    """Yield addresses of each other region's entries, in several domains."""
+    rows_by_region: dict[ids.RegionId, list[models.EntryRow]] = {}
+    for row in world.entries.rows.values():
+        if row.region != world.node.region:
+            rows_by_region.setdefault(row.region, []).append(row)
+    for rows in rows_by_region.values():
+        world.random.shuffle(rows)
+        for row in ranking.spread(rows)[: const.REMOTE_CONTACTS]:
+            yield row.peer_address
--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -1,7 +1,9 @@
 """Rank the entries of a region by domain and speed, then by a hash."""
 
+import collections
 from collections import abc
 import functools
+import operator
 import typing
 
 from zinnialead_core.gateway.entries import models
@@ -35,19 +37,27 @@
             yield row
 
 
+def spread(rows: abc.Iterable[models.EntryRow]) -> list[models.EntryRow]:
+    """Return rows in their order, but the first of each domain first.
+
+    The second ones follow, and so on, so that the loss of a domain leaves
+    some of the first rows.
+    """
+    placed: list[tuple[int, models.EntryRow]] = []
+    counts: collections.Counter[ids.DomainId] = collections.Counter()
+    for row in rows:
+        placed.append((counts[row.domain], row))
+        counts[row.domain] += 1
+    placed.sort(key=operator.itemgetter(0))
+    return [row for _, row in placed]
+
+
 def first(
     rows: abc.Iterable[models.EntryRow], count: int
 ) -> tuple[ids.EntryId, ...]:
     """Return the first entries in rank, of ``rows`` alone."""
-    by_domain: dict[ids.DomainId, list[models.EntryRow]] = {}
-    for row in sorted(rows, key=lambda x: sort_key(x.speed, x.entry)):
-        by_domain.setdefault(row.domain, []).append(row)
-    ranked = [
-        (place, sort_key(row.speed, row.entry), row.entry)
-        for domain_rows in by_domain.values()
-        for place, row in enumerate(domain_rows[:count])
-    ]
-    return tuple(entry for _, _, entry in sorted(ranked)[:count])
+    ranked = spread(sorted(rows, key=lambda x: sort_key(x.speed, x.entry)))
+    return tuple(row.entry for row in ranked[:count])
 
 
 def count_ahead(
--- a/packages/core/src/zinnialead_core/gateway/store/const.py
+++ b/packages/core/src/zinnialead_core/gateway/store/const.py
@@ -10,6 +10,9 @@
 # With two in different failure domains, the loss of one entry or of a domain
 # delays no change.
 READERS = 2
+# With more, a region that no other one can tell of a change bears the loss of
+# any two entries.
+READERS_ALONE = 4
 # Two lost heartbeats of a reader, after which another entry takes over.
 READER_SILENCE_MS = 2_500.0
 # How often an entry that does not read compares its objects with a reader's:
@@ -40,15 +43,20 @@
 # A registration expires after three heartbeats, so a shorter outage of the
 # store lets none expire.
 OUTAGE_MIN_MS = 1_500.0
-# How long a change that another entry has may be missing: a watch reports it
-# within its pause.
+# How long a change that another entry has may be missing.  A reader's watch
+# reports it within its pause; after the first time a reader lists the kind
+# again, and after the second one it requests the change.
 BEHIND_MIN_MS = 450.0
-# After that time a reader lists the kind again, and an entry that does not
-# read requests a snapshot from an entry of its region.  After the next time
-# both request it from any entry, and after the last one an entry that does
-# not read lists the kind itself.
 BEHIND_REQUEST_MS = 900.0
+# An entry that does not read requests it from an entry of its region once the
+# changes that readers send must have arrived, and from one of another region
+# once its own readers must have read it.  After the last time it lists the
+# kind itself.
+BEHIND_LOCAL_MS = 150.0
+BEHIND_REMOTE_MS = 300.0
 BEHIND_READ_MS = 1_600.0
+# How often an entry checks whether it still lacks a change.
+BEHIND_CHECK_PERIOD_MS = 150.0
 # How long a starting entry waits for the store before it queries the seeds.
 SEED_QUERY_MS = 600.0
 # All entries look for their registration after a restore of the store, over
--- a/packages/core/src/zinnialead_core/gateway/store/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/store/coordinator.py
@@ -3,6 +3,8 @@
 from collections import abc
 import typing
 
+from zinnialead_core.gateway.entries import members
+from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import catch_up
@@ -20,6 +22,11 @@
 from zinnialead_core import timer_table
 
 
+# A configuration is announced once it is in force; entries of other regions
+# are known by their heartbeats.
+REMOTELY_TOLD = (models.Kind.DRAINS, models.Kind.UPSTREAMS)
+
+
 def run(
     world: world_module.World,
     now_ms: float,
@@ -50,6 +57,9 @@
                 yield from eras.enter(world, now_ms, heartbeat.era, cause)
                 yield from health.infer_availability(world, now_ms, heartbeat)
                 yield from catch_up.run(world, now_ms, heartbeat)
+                _check_readers_soon(world, now_ms, heartbeat)
+            case inp.TimerDue(timers.BehindDue(kind)):
+                yield from catch_up.check(world, now_ms, models.Kind(kind))
             case inp.TimerDue(timers.SeedQueryDue()):
                 yield from peer_sync.query_seeds(world, now_ms)
 
@@ -156,7 +166,10 @@
     row: models.WatchRow,
     result: models.Result,
 ) -> abc.Iterator[out.Output]:
+    could_read = readers.may_read(world, now_ms)
     yield from health.record_result(world, now_ms, result)
+    if could_read and not readers.may_read(world, now_ms):
+        yield from members.announce(world, now_ms)
     match result:
         case models.Listed():
             yield from lists.apply_page(world, now_ms, row, result)
@@ -197,6 +210,9 @@
         yield from peer_sync.send_changes(
             world, now_ms, updated, row.latest_revision, changes.items
         )
+        is_told_remotely = row.kind in REMOTELY_TOLD
+        if is_told_remotely and not _is_first_start(world, now_ms):
+            yield from members.announce_remotely(world, now_ms)
     pause_ms = _pause_ms(world, now_ms, row.kind) if changes.items else 0.0
     watches.schedule(world, row.kind, now_ms + pause_ms)
 
@@ -206,13 +222,33 @@
 ) -> float:
     if kind is models.Kind.ENTRIES:
         return const.ENTRIES_PAUSE_MS
-    started_ms = world.store.health[models.STORE].started_ms
-    if world.node.first_start and now_ms - started_ms < const.FIRST_START_MS:
+    if _is_first_start(world, now_ms):
         return const.FIRST_START_PAUSE_MS
     reader_rank = min(readers.rank(world, now_ms), const.READERS - 1)
     return const.WATCH_PAUSES_MS[reader_rank]
 
 
+def _is_first_start(world: world_module.World, now_ms: float) -> bool:
+    """Return whether the upstreams of a new deployment still register."""
+    started_ms = world.store.health[models.STORE].started_ms
+    return (
+        world.node.first_start and now_ms - started_ms < const.FIRST_START_MS
+    )
+
+
+def _check_readers_soon(
+    world: world_module.World, now_ms: float, heartbeat: entries.Heartbeat
+) -> None:
+    """Check at once whether to read, when a reader has lost the store."""
+    known = world.store.health[models.STORE].readers
+    if heartbeat.may_read or heartbeat.entry not in known:
+        return
+    for kind in models.Kind:
+        timer = timers.StoreCallDue(kind)
+        if timer in world.timers.due_ms:
+            timer_table.start(world.timers, timer, now_ms)
+
+
 def _retry_later(
     world: world_module.World,
     now_ms: float,
--- a/packages/core/src/zinnialead_core/gateway/store/lists.py
+++ b/packages/core/src/zinnialead_core/gateway/store/lists.py
@@ -8,7 +8,6 @@
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models
 from zinnialead_core.gateway.store import peer_sync
-from zinnialead_core.gateway.store import readers
 from zinnialead_core.gateway.store import unreadable
 from zinnialead_core.gateway.store import watches
 from zinnialead_core.gateway import world as world_module
@@ -86,7 +85,7 @@
     )
     watches.save(world, updated)
     has_changes = latest_revision > row.latest_revision
-    if has_changes and not is_first and readers.is_reader(world, now_ms):
+    if has_changes and not is_first:
         yield from _announce(world, now_ms, listed)
 
 
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -110,7 +110,7 @@
 class BehindRow(typing.NamedTuple):
     """Hold since when another entry has a later revision of a kind.
 
-    ``source`` is the entry that was the first to tell of one.
+    ``source`` is an entry that told of one, of this region if any did.
     """
 
     since_ms: float
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -14,6 +14,7 @@
 from zinnialead_core.gateway.store import readers
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway import world as world_module
+from zinnialead_core import ids
 from zinnialead_core import timer_table
 
 
@@ -24,6 +25,8 @@
     cause = f'from {received.source}'
     yield from eras.enter(world, now_ms, received.era, cause)
     kind = received.kind
+    # What changed since it was made can be requested at once.
+    world.store.requested_ms.pop(kind, None)
     row = world.store.watches[kind]
     synced_revision = max(received.latest_revision, received.synced_revision)
     if not positions.is_comparable(world, kind, received.era) or (
@@ -32,12 +35,19 @@
     ):
         return
     world.counters['store.heard_from_peers'] += 1
+    is_news = row.synced_revision is not None and _is_remote(
+        world, received.source
+    )
     health.hold_removals(world, now_ms, received.removal_delay_ms)
     if kind is models.Kind.CONFIGURATION:
         # Its numbers are versions; the routes' system logs the change.
         synced_row = row._replace(synced_revision=row.synced_revision or 0)
         world.store.watches[kind] = synced_row
         yield out.Notify(complete_list(kind, received.items, synced_revision))
+        if is_news:
+            # The entries' system announces the version once it is in force.
+            configurations = typing.cast('tuple[inp.Input]', received.items)
+            yield from map(out.Notify, configurations)
         return
     latest_revision = max(received.latest_revision, row.latest_revision)
     world.store.watches[kind] = row._replace(
@@ -52,6 +62,8 @@
         yield out.Notify(complete_list(kind, received.items, synced_revision))
     if latest_revision == row.latest_revision:
         return
+    if is_news:
+        yield from members.announce(world, now_ms)
     yield out.LogStateChange(
         'store',
         kind,
@@ -61,6 +73,15 @@
     )
 
 
+def _is_remote(world: world_module.World, entry: str) -> bool:
+    """Return whether an entry is of another region, whose readers it tells.
+
+    This entry's region may not know yet what it has from there.
+    """
+    row = world.entries.rows.get(ids.EntryId(entry))
+    return row is not None and row.region != world.node.region
+
+
 def apply_changes(
     world: world_module.World, now_ms: float, batch: inp.PeerChanges
 ) -> abc.Iterator[out.Output]:
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from zinnialead_core.gateway.entries import const as entries_const
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway.entries import ranking
 from zinnialead_core.gateway import outputs as out
@@ -44,7 +45,24 @@
 
 def is_reader(world: world_module.World, now_ms: float) -> bool:
     """Return whether this entry reads the store for its region."""
-    return rank(world, now_ms) < const.READERS
+    return _reads(world, now_ms, rank(world, now_ms))
+
+
+def _reads(world: world_module.World, now_ms: float, reader_rank: int) -> bool:
+    if reader_rank < const.READERS:
+        return True
+    return reader_rank < const.READERS_ALONE and _is_alone(world, now_ms)
+
+
+def _is_alone(world: world_module.World, now_ms: float) -> bool:
+    """Return whether no other region can tell this one of a change."""
+    node = world.node
+    since_ms = world.store.health[models.STORE].started_ms
+    for entry, row in world.entries.rows.items():
+        last = world.entries.heartbeats.get(entry)
+        if last is not None and row.region != node.region:
+            since_ms = max(since_ms, last.received_ms)
+    return now_ms - since_ms > entries_const.REMOTE_SILENCE_MAX_MS
 
 
 def record(
@@ -54,7 +72,7 @@
     yield from _record_readers(world, now_ms)
     health = world.store.health[models.STORE]
     reader_rank = rank(world, now_ms)
-    reads = reader_rank < const.READERS
+    reads = _reads(world, now_ms, reader_rank)
     if reads == health.is_reader:
         return
     world.store.health[models.STORE] = health._replace(is_reader=reads)
--- a/packages/core/src/zinnialead_core/gateway/timers.py
+++ b/packages/core/src/zinnialead_core/gateway/timers.py
@@ -69,6 +69,13 @@
     kind: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BehindDue:
+    """Fire when an entry is to check whether it still lacks a change."""
+
+    kind: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SeedQueryDue:
     """Fire when a starting entry is to query the seeds for snapshots."""
@@ -85,5 +92,6 @@
     | BalanceRound
     | HeartbeatRound
     | StoreCallDue
+    | BehindDue
     | SeedQueryDue
 )
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -3,6 +3,7 @@
 from core.gateway import samples
 from core.gateway import store_network as networks
 from zinnialead_core import gateway
+from zinnialead_core.gateway.entries import const as entries_const
 from zinnialead_core.gateway.entries import models as entries
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
@@ -14,6 +15,8 @@
 UPSTREAMS = store.Kind.UPSTREAMS
 CONFIGURATION = store.Kind.CONFIGURATION
 NAMES = tuple(f'entry-{number}' for number in range(1, 7))
+# An entry of another region, without which this one would stand alone.
+REMOTE = 'remote-1'
 
 
 def heartbeat(entry, latest=0, may_read=True, kind=UPSTREAMS):
@@ -24,17 +27,22 @@
 
 
 def fleet(name, now_ms=10_000.0):
-    """Return the world of one of six entries that have read every kind."""
+    """Return the world of one of six entries that have read every kind.
+
+    It hears from an entry of another region as well.
+    """
     world = gateway.new_world(samples.node(name), seed=1)
     samples.feed(world, 0.0, inp.Started())
-    rows = tuple(samples.entry_row(x) for x in NAMES)
+    remote_row = samples.entry_row(REMOTE, 'tn-a')
+    rows = (*map(samples.entry_row, NAMES), remote_row)
     pages = [
         samples.store_done(world, kind, store.Listed((), None, 40, 40))
         for kind in store.Kind
     ]
     samples.feed(world, 1.0, *pages)
     samples.feed(world, 2.0, inp.EntriesListed(rows))
-    samples.feed(world, now_ms, *(heartbeat(x) for x in NAMES if x != name))
+    others = (x for x in (*NAMES, REMOTE) if x != name)
+    samples.feed(world, now_ms, *map(heartbeat, others))
     watch_results = [
         samples.store_done(world, kind, store.Changed((), 41))
         for kind in store.Kind
@@ -57,6 +65,7 @@
     calls = []
     for step in range(int(span_ms / 50.0)):
         heartbeats = [heartbeat(x, may_read=may_read) for x in others]
+        heartbeats.append(heartbeat(REMOTE))
         calls += store_calls(
             samples.feed(world, now_ms + 50.0 * step, *heartbeats)
         )
@@ -127,6 +136,18 @@
     )
 
 
+def announced(outputs):
+    """Return the revisions by kind that the region is told at once.
+
+    Another region's entry is told the same.
+    """
+    sent, sent_remotely = samples.of_type(outputs, out.SendHeartbeat)
+    assert len(sent.addresses) == len(NAMES) - 1
+    assert sent_remotely.addresses == (f'{REMOTE}:2',)
+    assert sent_remotely.heartbeat == sent.heartbeat
+    return dict(zip(store.Kind, sent.heartbeat.latest_revisions, strict=True))
+
+
 def test_a_reader_announces_a_configuration_as_soon_as_it_is_in_force():
     first, *_ = names_by_rank()
     world = fleet(first)
@@ -135,12 +156,7 @@
         world, CONFIGURATION, store.Changed((read,), 56, 55)
     )
     outputs = samples.feed(world, 10_001.0, changed)
-    (sent,) = samples.of_type(outputs, out.SendHeartbeat)
-    assert len(sent.addresses) == len(NAMES) - 1
-    announced = dict(
-        zip(store.Kind, sent.heartbeat.latest_revisions, strict=True)
-    )
-    assert announced[CONFIGURATION] == 9
+    assert announced(outputs)[CONFIGURATION] == 9
 
 
 def peer_changes(base, latest, *items, removal_delay_ms=0.0):
@@ -263,7 +279,7 @@
     world = fleet(last)
     requested = []
     for step in range(120):
-        items = [heartbeat(x) for x in (first, *others)]
+        items = [heartbeat(x) for x in (first, *others, REMOTE)]
         now_ms = 10_000.0 + 100.0 * step
         requested += samples.of_type(
             samples.feed(world, now_ms, *items), out.RequestSnapshots
@@ -292,7 +308,7 @@
     world = fleet(third)
     outputs = []
     for step in range(120):
-        beats = [heartbeat(x) for x in others]
+        beats = [heartbeat(x) for x in (*others, REMOTE)]
         if not 40 <= step < 80:
             beats += [heartbeat(first), heartbeat(second)]
         if step == 80:
@@ -346,13 +362,6 @@
             assert world.upstreams.rows['u-0'].leaving, name
 
 
-def announced(outputs):
-    """Return the revisions by kind that the region is told at once."""
-    (sent,) = samples.of_type(outputs, out.SendHeartbeat)
-    assert len(sent.addresses) == len(NAMES) - 1
-    return dict(zip(store.Kind, sent.heartbeat.latest_revisions, strict=True))
-
-
 def test_a_reader_announces_changes_that_only_its_list_shows():
     """After a broken watch, the others waited for the next heartbeat."""
     first, *_ = names_by_rank()
@@ -389,7 +398,7 @@
     world = fleet(last)
     outputs = []
     for step in range(40):
-        beats = [heartbeat(x) for x in others if x != first]
+        beats = [heartbeat(x) for x in (*others, REMOTE) if x != first]
         outputs += samples.feed(world, 10_000.0 + 100.0 * step, *beats)
     changes = samples.of_type(outputs, out.LogStateChange)
     logged = [x.after for x in changes if x.subject == 'readers']
@@ -404,5 +413,82 @@
     changes = samples.of_type(outputs, out.LogStateChange)
     (logged,) = [x for x in changes if x.subject == CONFIGURATION]
     assert logged.after == f'requested from {others[0]}'
-    assert logged.cause == f'told of 55 by {others[0]} 0 ms ago'
+    assert logged.cause == 'told of 55 0 ms ago'
     assert catch_up.behind_ms(world, 10_300.0, CONFIGURATION) == 200.0
+
+
+def test_a_region_that_hears_from_no_other_has_four_readers():
+    """The loss of two readers left a single region without any for 3 s."""
+    later_ms = 10_000.0 + entries_const.REMOTE_SILENCE_MAX_MS + 100.0
+    flags = []
+    for name in NAMES:
+        world = fleet(name)
+        others = [x for x in NAMES if x != name]
+        samples.feed(world, later_ms, *map(heartbeat, others))
+        flags.append(readers.is_reader(world, later_ms))
+    assert flags.count(True) == const.READERS_ALONE
+
+
+def test_a_reader_that_the_store_refuses_tells_its_region_at_once():
+    """The others waited for its next heartbeat before one took over."""
+    first, *_ = names_by_rank()
+    world = fleet(first)
+    failed = samples.store_done(world, UPSTREAMS, store.Failed('reset'))
+    (sent,) = samples.of_type(
+        samples.feed(world, 10_001.0, failed), out.SendHeartbeat
+    )
+    assert len(sent.addresses) == len(NAMES) - 1
+    assert not sent.heartbeat.may_read
+
+
+def test_an_entry_reads_as_soon_as_it_is_told_that_a_reader_can_not():
+    first, second, third, *others = names_by_rank()
+    world = fleet(third)
+    run_for(world, 10_000.0, 600.0, first, second, *others)
+    refused = heartbeat(first, may_read=False)
+    samples.feed(world, 10_601.0, refused)
+    assert store_calls(samples.feed(world, 10_602.0))
+
+
+def test_an_entry_asks_another_region_if_its_own_readers_tell_nothing():
+    *_, last = names_by_rank()
+    world = fleet(last)
+    early = samples.feed(world, 10_100.0, heartbeat(REMOTE, 55))
+    early += samples.feed(world, 10_250.0)
+    assert not samples.of_type(early, out.RequestSnapshots)
+    outputs = samples.feed(world, 10_100.0 + const.BEHIND_REMOTE_MS)
+    (request,) = samples.of_type(outputs, out.RequestSnapshots)
+    assert request.address == f'{REMOTE}:2'
+
+
+def test_an_entry_asks_again_without_a_further_heartbeat():
+    """What a failed exchange held up waited for a heartbeat, up to 2 s."""
+    *others, last = names_by_rank()
+    world = fleet(last)
+    samples.feed(world, 10_100.0, heartbeat(others[0], 55, kind=CONFIGURATION))
+    requests = []
+    for step in range(10):
+        outputs = samples.feed(world, 10_150.0 + 50.0 * step)
+        requests += samples.of_type(outputs, out.RequestSnapshots)
+    (request,) = requests
+    assert request.kinds == (CONFIGURATION,)
+
+
+def test_an_entry_tells_its_region_what_it_got_from_another_one():
+    *_, last = names_by_rank()
+    world = fleet(last)
+    row = samples.upstream('u-9', revision=55)
+    items = (inp.UpstreamRegistered(row),)
+    snapshot = inp.PeerSnapshot(UPSTREAMS, 55, items, REMOTE, 55)
+    (sent,) = samples.of_type(
+        samples.feed(world, 10_100.0, snapshot), out.SendHeartbeat
+    )
+    assert len(sent.addresses) == len(NAMES) - 1
+    assert 55 in sent.heartbeat.latest_revisions
+    read = inp.ConfigurationRead(samples.configuration(9), REMOTE)
+    snapshot = inp.PeerSnapshot(CONFIGURATION, 9, (read,), REMOTE, 9)
+    (sent,) = samples.of_type(
+        samples.feed(world, 10_200.0, snapshot), out.SendHeartbeat
+    )
+    assert len(sent.addresses) == len(NAMES) - 1
+    assert 9 in sent.heartbeat.latest_revisions
