Hold removals only for what other entries know of an outage

What callers saw: on the mock network, requests went on to an upstream that had been removed for 2.3 s after the others knew of it, where 2.5 s are allowed in all (DRAIN); found by test_reader_loss.py.

Cause: an entry whose own calls to the store fail doesn't believe removals, and told everyone who asked it for anything, a configuration too, to keep what is removed for 2.3 s. That the store refuses one reader is no outage.

Change: what is passed on is the hold after an outage that is over, learned by this entry or from others, never the entry's own lack of answers.

--- a/packages/core/src/zinnialead_core/gateway/store/health.py
+++ b/packages/core/src/zinnialead_core/gateway/store/health.py
@@ -56,8 +56,15 @@
 
 
 def removal_delay_ms(world: world_module.World, now_ms: float) -> float:
-    """Return for how long removals are held back from now."""
-    left_ms = models.hold_until_ms(world.store) - now_ms
+    """Return for how long other entries are to hold removals back.
+
+    That this entry's own calls fail does not show an outage to the others.
+    """
+    hold_until_ms = max(
+        world.store.health[models.STORE].hold_until_ms,
+        models.renewed_by_ms(world.store),
+    )
+    left_ms = hold_until_ms - now_ms
     return min(max(0.0, left_ms), const.REMOVAL_DELAY_MS)
 
 
@@ -67,10 +74,10 @@
     health = world.store.health[models.STORE]
     if health.is_available:
         return
-    hold_until_ms = 0.0
+    hold_until_ms = health.hold_until_ms
     lost_ms = health.lost_ms
     if lost_ms is not None and now_ms - lost_ms > const.OUTAGE_MIN_MS:
-        hold_until_ms = now_ms + const.REMOVAL_DELAY_MS
+        hold_until_ms = max(hold_until_ms, now_ms + const.REMOVAL_DELAY_MS)
     world.store.health[models.STORE] = health._replace(
         is_available=True, hold_until_ms=hold_until_ms
     )
@@ -84,6 +91,6 @@
     if not health.is_available:
         return
     world.store.health[models.STORE] = health._replace(
-        is_available=False, hold_until_ms=float('inf'), lost_ms=now_ms
+        is_available=False, lost_ms=now_ms
     )
     yield out.LogStateChange('store', 'store', 'answers', 'away', cause)
--- a/packages/core/src/zinnialead_core/gateway/store/models.py
+++ b/packages/core/src/zinnialead_core/gateway/store/models.py
@@ -87,11 +87,12 @@
     """Hold whether the store is available, and when it failed.
 
     Registrations that disappear before ``hold_until_ms`` may have expired
-    in an outage and are kept for a while.  The store became unavailable at
-    ``lost_ms``; this entry started to read at ``started_ms``, and the last
-    failure of a call of its own was at ``failed_ms``.  ``era`` is the highest
-    one that the store has reported, 0 before the first, and ``restored_ms``
-    is when this entry learned of the last restore from a copy.
+    in an outage that is over and are kept for a while.  The store became
+    unavailable at ``lost_ms``; this entry started to read at ``started_ms``,
+    and the last failure of a call of its own was at ``failed_ms``.  ``era``
+    is the highest one that the store has reported, 0 before the first, and
+    ``restored_ms`` is when this entry learned of the last restore from a
+    copy.
     ``is_reader`` is whether it read for its region at its last check, and
     ``readers`` are the entries that it then took for the readers.
     """
@@ -159,8 +160,14 @@
 
 
 def hold_until_ms(table: StoreTable) -> float:
-    """Return when removals from the store take effect at once again."""
-    return max(table.health[STORE].hold_until_ms, renewed_by_ms(table))
+    """Return when removals from the store take effect at once again.
+
+    They do not while this entry's own calls fail.
+    """
+    health = table.health[STORE]
+    if health.lost_ms is not None and not health.is_available:
+        return float('inf')
+    return max(health.hold_until_ms, renewed_by_ms(table))
 
 
 def renewed_by_ms(table: StoreTable) -> float:
--- a/tests/core/gateway/test_readers.py
+++ b/tests/core/gateway/test_readers.py
@@ -11,6 +11,7 @@
 from zinnialead_core.gateway.store import const
 from zinnialead_core.gateway.store import models as store
 from zinnialead_core.gateway.store import readers
+from zinnialead_core.gateway.store import snapshots
 
 UPSTREAMS = store.Kind.UPSTREAMS
 CONFIGURATION = store.Kind.CONFIGURATION
@@ -492,3 +493,23 @@
     )
     assert len(sent.addresses) == len(NAMES) - 1
     assert 9 in sent.heartbeat.latest_revisions
+
+
+def test_a_reader_that_the_store_refuses_delays_no_removal_of_others():
+    """A configuration from it made others keep what was removed for 2.3 s."""
+    first, *_, last = names_by_rank()
+    refused, world = fleet(first), fleet(last)
+    failed = samples.store_done(refused, UPSTREAMS, store.Failed('reset'))
+    samples.feed(refused, 10_001.0, failed)
+    read = inp.ConfigurationRead(samples.configuration(9), 'store at 55')
+    samples.feed(refused, 10_002.0, read)
+    received = snapshots.snapshot(refused, 10_003.0, CONFIGURATION)
+    row = samples.upstream('u-9', revision=50)
+    samples.feed(
+        world, 10_004.0, peer_changes(40, 50, inp.UpstreamRegistered(row))
+    )
+    samples.feed(world, 10_005.0, received)
+    removal = peer_changes(50, 55, inp.UpstreamDeregistered('u-9'))
+    samples.feed(world, 10_006.0, removal)
+    assert networks.version(world) == 9
+    assert 'u-9' not in world.upstreams.rows
