Let the soak lose the readers of a region at once

Seeds that five divides draw it, from a generator of their own, so that the other seeds stay as they were; the readers are found by the entries' logs.

Test of the plan and of finding the readers; both failed without.

--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -66,6 +66,9 @@
 # after its return, and how long after it they may start.
 DRILL_FAULT_COUNTS = (1, 6)
 DRILL_AFTER_MS = 8_000.0
+# The seeds that lose the readers of a region, and for how long.
+READERS_LOST_SEED_INTERVAL = 5
+READERS_LOST_MS = (3_000.0, 5_500.0)
 # Upstreams that joined last may be drained too.
 JOINED_LAST = 3
 MS_PER_S = 1_000.0
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,6 +17,7 @@
 from soak import const
 from soak import models
 from soak import proxy as proxies
+from soak import readers
 from soak import upstreams
 from zinnialead_standins import store as stores
 
@@ -245,6 +246,27 @@
 
 async def inject(nursery, soak, fault):
     """Inject a fault; record its time span for each affected entry."""
+    async with trio.open_nursery() as parts:
+        for part in _parts(soak, fault):
+            parts.start_soon(_inject_part, nursery, soak, part)
+
+
+def _parts(soak, fault):
+    """Return the faults that a fault of a region's readers consists of."""
+    match fault:
+        case models.ReadersKilled(region, duration_ms):
+            return [models.Kill(readers.find(soak, region), duration_ms)]
+        case models.ReadersPaused(region, duration_ms):
+            found = readers.find(soak, region)
+            return [models.Pause(entry, duration_ms) for entry in found]
+        case models.ReadersSilenced(region, duration_ms):
+            found = readers.find(soak, region)
+            return [models.StoreLink(found, models.Silent(), duration_ms)]
+        case _:
+            return [fault]
+
+
+async def _inject_part(nursery, soak, fault):
     begin_ms = soak.now_ms()
     entries, is_planned = _affected_entries(fault)
     indexed_entries = [
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -198,6 +198,30 @@
     duration_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ReadersKilled:
+    """Kill the readers of a region at once, and restart them."""
+
+    region: str
+    duration_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadersPaused:
+    """Suspend the readers of a region at once."""
+
+    region: str
+    duration_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadersSilenced:
+    """Let the links of a region's readers to the store carry nothing."""
+
+    region: str
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class FrontLink:
     """Impair the link between callers and an entry."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,14 +16,18 @@
 
     Each part has a generator of its own, so that the draws of the others and
     those of callers don't change it.  Even seeds restart entries in a row;
-    odd seeds let the store come back from a copy.
+    odd seeds let the store come back from a copy.  Every fifth seed loses
+    the readers of a region at once, again and again.
     """
     if seed % 2:
         series = drill(random.Random(f'drill {seed}'), seconds)
     else:
         series = rolling_restart(random.Random(f'rolling {seed}'), seconds)
+    losses = ()
+    if seed % const.READERS_LOST_SEED_INTERVAL == 0:
+        losses = reader_losses(random.Random(f'readers {seed}'), seconds)
     return sorted(
-        (*faults(random.Random(seed), seconds), *series),
+        (*faults(random.Random(seed), seconds), *series, *losses),
         key=operator.itemgetter(0),
     )
 
@@ -56,6 +60,25 @@
         yield first_ms + number * gap_ms, stop
 
 
+def reader_losses(draw, seconds):
+    """Yield losses of a region's readers, with changes at that moment."""
+    losses = (
+        models.ReadersKilled,
+        models.ReadersPaused,
+        models.ReadersSilenced,
+    )
+    at_ms = const.FIRST_FAULT_MS
+    while at_ms + const.READERS_LOST_MS[1] <= _last_ms(seconds):
+        loss = draw.choice(losses)
+        region = draw.choice(tuple(const.DOMAINS.values()))
+        duration_ms = draw.uniform(*const.READERS_LOST_MS)
+        yield at_ms, loss(region, duration_ms)
+        for is_new in (False, True):
+            change_ms = at_ms + draw.uniform(0.0, duration_ms / 2.0)
+            yield change_ms, models.Configure(is_new)
+        at_ms += duration_ms + draw.uniform(0.0, const.STABLE_WINDOW_MS)
+
+
 def drill(draw, seconds):
     """Yield faults before, while and after the store comes from a copy."""
     condition = draw.choice((stores.Down(), models.Reset(), models.Silent()))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,11 +1,15 @@
 """Test that each check of the soak finds its violation."""
 
+import random
+import types
+
 import pytest
 
 from soak import checks
 from soak import const
 from soak import models
 from soak import plan
+from soak import readers
 
 AT_MS = 60_000.0
 
@@ -262,3 +266,36 @@
 def test_an_added_route_that_an_entry_does_not_serve_is_found():
     recorded = tables([request(prefix='/add2/', status=503)], [])
     assert 'ADDED' in failed_checks(recorded)
+
+
+def test_every_fifth_seed_loses_readers_and_the_others_stay_as_they_were():
+    losses = (
+        models.ReadersKilled,
+        models.ReadersPaused,
+        models.ReadersSilenced,
+    )
+    found = {
+        seed: sum(isinstance(x, losses) for _, x in plan.schedule(seed, 60))
+        for seed in range(1, 21)
+    }
+    assert all(count >= 2 for seed, count in found.items() if seed % 5 == 0)
+    assert not any(count for seed, count in found.items() if seed % 5)
+    drawn = {type(x) for _, x in plan.reader_losses(random.Random(1), 120)}
+    assert drawn.issuperset(losses)
+
+
+def test_the_readers_of_a_region_are_found_by_their_logs(tmp_path):
+    reader = '{"subject":"reader","after":"%s"}\n'
+    started = '{"message_type":"life","event":"started"}\n'
+    logs = {
+        'edge-1': reader % 'reads',
+        'edge-2': reader % 'reads' + reader % 'follows',
+        'edge-3': reader % 'reads',
+        'edge-4': reader % 'reads' + started,
+        'edge-5': started + reader % 'reads' + '{"subject":"reader","af',
+    }
+    for name, text in logs.items():
+        (tmp_path / f'{name}.log').write_text(text)
+    soak = types.SimpleNamespace(members=logs, folder=tmp_path)
+    assert readers.find(soak, 'guj') == ('edge-1', 'edge-5')
+    assert readers.find(soak, 'tn') == ('edge-3',)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,8 @@
     # A fault of the soak: a proxy accepted a connection while its entry was
     # down, so that a request that no entry had read counted as lost.
     142,
+    # The readers of a region are lost at once, with changes at that moment.
+    5,
 )
 # Five stops in a row, and no other fault at these entries.
 ROLLING_RESTART_SEED = 72
