Look once at who may read when the readers are recorded

The two systems that know who reads looked through the region one after the other, at each check, and a heartbeat that tells nothing new ran through what catches up. No decision changes.

--- a/packages/core/src/zinnialead_core/gateway/store/catch_up.py
+++ b/packages/core/src/zinnialead_core/gateway/store/catch_up.py
@@ -19,6 +19,8 @@
 ) -> abc.Iterator[out.Output]:
     """Catch up on kinds of which another entry has a later change."""
     kinds = list(_record(world, now_ms, heartbeat))
+    if not kinds:
+        return
     for kind in kinds:
         _check_later(world, now_ms, kind)
     yield from _remedy_all(world, now_ms, kinds)
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -46,7 +46,9 @@
         yield out.Notify(complete_list(kind, received.items, synced_revision))
         if is_news:
             # The entries' system announces the version once it is in force.
-            configurations = typing.cast('tuple[inp.Input]', received.items)
+            configurations = typing.cast(
+                'tuple[inp.Input, ...]', received.items
+            )
             yield from map(out.Notify, configurations)
         return
     latest_revision = max(received.latest_revision, row.latest_revision)
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -17,9 +17,14 @@
     It counts only entries that sent a heartbeat lately and that the store
     answers, so that an entry that hears from none of them reads itself.
     """
-    rows = _reading_peers(world, now_ms)
+    return _rank_among(world, now_ms, list(_reading_peers(world, now_ms)))
+
+
+def _rank_among(
+    world: world_module.World, now_ms: float, rows: list[entries.EntryRow]
+) -> int:
     if not may_read(world, now_ms):
-        return sum(1 for _ in rows)
+        return len(rows)
     return ranking.count_ahead(world, rows)
 
 
@@ -69,9 +74,10 @@
     world: world_module.World, now_ms: float
 ) -> abc.Iterator[out.Output]:
     """Log which entries read, and when this one begins or stops to."""
-    yield from _record_readers(world, now_ms)
+    rows = list(_reading_peers(world, now_ms))
+    yield from _record_readers(world, now_ms, rows)
     health = world.store.health[models.STORE]
-    reader_rank = rank(world, now_ms)
+    reader_rank = _rank_among(world, now_ms, rows)
     reads = _reads(world, now_ms, reader_rank)
     if reads == health.is_reader:
         return
@@ -84,13 +90,15 @@
 
 
 def _record_readers(
-    world: world_module.World, now_ms: float
+    world: world_module.World, now_ms: float, rows: list[entries.EntryRow]
 ) -> abc.Iterator[out.Output]:
-    """Log when other entries than before read for the region."""
-    rows = list(_reading_peers(world, now_ms))
+    """Log when other entries than before read for the region.
+
+    ``rows`` are the other entries that may read.
+    """
     own_row = world.entries.rows.get(world.node.ref.entry)
     if own_row is not None and may_read(world, now_ms):
-        rows.append(own_row)
+        rows = [*rows, own_row]
     health = world.store.health[models.STORE]
     found = ranking.first(rows, const.READERS)
     if found == health.readers:
