--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -1,6 +1,8 @@
 """Test a complete entry over loopback."""
 
 import functools
+import re
+import socket
 
 import msgspec
 import pytest
@@ -10,6 +12,9 @@
 from adapter import deployments
 from adapter import fakes
 from zinnialead_cli import main
+from zinnialead_core.gateway.entries import models as entries
+from zinnialead_core.gateway.store import models as store_models
+from zinnialead_gateway.peers import codec
 from zinnialead_standins import store as stores
 
 
@@ -178,3 +183,19 @@
     result = await trio.to_thread.run_sync(run, ['dump', *options])
     document = msgspec.json.decode(result.stdout)
     assert {x['upstream'] for x in document['upstreams']} == {'i-0', 'i-1'}
+
+
+async def test_the_metrics_show_for_how_long_a_change_is_missing(nursery):
+    _, _, settings, _ = await deployments.deployment(nursery)
+    told = entries.Heartbeat('edge-9', 1, False, True, (99, 0, 0, 0))
+    host, port = settings.peers_bind.split(':')
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        data = codec.encode_heartbeat(told)
+        sock.sendto(data, (host, int(port)))
+    await trio.sleep(0.3)
+    page = await deployments.ask(settings.metrics_bind, target=b'/metrics')
+    gauge = re.compile(rb'zinnialead_behind_ms{kind="([^"]+)"} (\S+)')
+    found = {kind: float(value) for kind, value in gauge.findall(page.body)}
+    assert found.keys() == {x.value.encode() for x in store_models.Kind}
+    missing = {kind for kind, value in found.items() if value > 0.0}
+    assert missing == {b'configuration'}
