--- a/packages/core/src/zinnialead_core/gateway/entries/ranking.py
+++ b/packages/core/src/zinnialead_core/gateway/entries/ranking.py
@@ -52,12 +52,9 @@
     return [row for _, row in placed]
 
 
-def first(
-    rows: abc.Iterable[models.EntryRow], count: int
-) -> tuple[ids.EntryId, ...]:
-    """Return the first entries in rank, of ``rows`` alone."""
-    ranked = spread(sorted(rows, key=lambda x: sort_key(x.speed, x.entry)))
-    return tuple(row.entry for row in ranked[:count])
+def ordered(rows: abc.Iterable[models.EntryRow]) -> list[models.EntryRow]:
+    """Return rows in the order of their rank."""
+    return spread(sorted(rows, key=lambda x: sort_key(x.speed, x.entry)))
 
 
 def count_ahead(
--- a/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
+++ b/packages/core/src/zinnialead_core/gateway/store/peer_sync.py
@@ -21,65 +21,105 @@
 def apply_snapshot(
     world: world_module.World, now_ms: float, received: inp.PeerSnapshot
 ) -> abc.Iterator[out.Output]:
-    """Apply another entry's snapshot if it is later than what is known."""
+    """Apply another entry's snapshot if it is later than what is known.
+
+    What comes from another region is told to this one, whose readers may
+    not have it.
+    """
     cause = f'from {received.source}'
     yield from eras.enter(world, now_ms, received.era, cause)
-    kind = received.kind
     # What changed since it was made can be requested at once.
-    world.store.requested_ms.pop(kind, None)
-    row = world.store.watches[kind]
-    synced_revision = max(received.latest_revision, received.synced_revision)
-    if not positions.is_comparable(world, kind, received.era) or (
-        row.synced_revision is not None
-        and synced_revision <= positions.known(world, kind)
-    ):
+    world.store.requested_ms.pop(received.kind, None)
+    row = world.store.watches[received.kind]
+    if not _is_later(world, row, received):
         return
     world.counters['store.heard_from_peers'] += 1
     is_news = row.synced_revision is not None and _is_remote(
         world, received.source
     )
     health.hold_removals(world, now_ms, received.removal_delay_ms)
-    if kind is models.Kind.CONFIGURATION:
-        # Its numbers are versions; the routes' system logs the change.
-        synced_row = row._replace(synced_revision=row.synced_revision or 0)
-        world.store.watches[kind] = synced_row
-        yield out.Notify(complete_list(kind, received.items, synced_revision))
-        if is_news:
-            # The entries' system announces the version once it is in force.
-            configurations = typing.cast(
-                'tuple[inp.Input, ...]', received.items
-            )
-            yield from map(out.Notify, configurations)
+    if received.kind is models.Kind.CONFIGURATION:
+        yield from _apply_configuration(world, row, received, is_news=is_news)
         return
     latest_revision = max(received.latest_revision, row.latest_revision)
-    world.store.watches[kind] = row._replace(
-        latest_revision=latest_revision,
-        synced_revision=max(synced_revision, row.synced_revision or 0),
-    )
-    if kind is models.Kind.ENTRIES:
-        # Not as a list: the other entry may lack one that has just started.
-        for entry in received.items:
-            yield out.Notify(typing.cast('inp.Input', entry))
-    else:
-        yield out.Notify(complete_list(kind, received.items, synced_revision))
+    yield from _apply_objects(world, row, received, latest_revision)
     if latest_revision == row.latest_revision:
         return
     if is_news:
         yield from members.announce(world, now_ms)
     yield out.LogStateChange(
         'store',
-        kind,
+        received.kind,
         f'revision {row.latest_revision}',
         f'revision {latest_revision}',
         cause,
     )
 
 
-def _is_remote(world: world_module.World, entry: str) -> bool:
-    """Return whether an entry is of another region, whose readers it tells.
+def _synced_revision(received: inp.PeerSnapshot) -> int:
+    return max(received.latest_revision, received.synced_revision)
+
+
+def _is_later(
+    world: world_module.World,
+    row: models.WatchRow,
+    received: inp.PeerSnapshot,
+) -> bool:
+    """Return whether a snapshot holds more than is known of its kind."""
+    kind = received.kind
+    return positions.is_comparable(world, kind, received.era) and (
+        row.synced_revision is None
+        or _synced_revision(received) > positions.known(world, kind)
+    )
+
 
-    This entry's region may not know yet what it has from there.
+def _apply_configuration(
+    world: world_module.World,
+    row: models.WatchRow,
+    received: inp.PeerSnapshot,
+    *,
+    is_news: bool,
+) -> abc.Iterator[out.Output]:
+    """Apply a configuration, whose numbers are versions.
+
+    The routes' system logs the change, and the entries' system announces it
+    once it is in force.
     """
+    world.store.watches[row.kind] = row._replace(
+        synced_revision=row.synced_revision or 0
+    )
+    items = received.items
+    yield out.Notify(
+        complete_list(row.kind, items, _synced_revision(received))
+    )
+    if is_news:
+        yield from map(out.Notify, typing.cast('list[inp.Input]', items))
+
+
+def _apply_objects(
+    world: world_module.World,
+    row: models.WatchRow,
+    received: inp.PeerSnapshot,
+    latest_revision: int,
+) -> abc.Iterator[out.Output]:
+    """Apply a snapshot of upstreams, drains or entries."""
+    synced_revision = _synced_revision(received)
+    world.store.watches[row.kind] = row._replace(
+        latest_revision=latest_revision,
+        synced_revision=max(synced_revision, row.synced_revision or 0),
+    )
+    if row.kind is models.Kind.ENTRIES:
+        # Not as a list: the other entry may lack one that has just started.
+        for entry in received.items:
+            yield out.Notify(typing.cast('inp.Input', entry))
+    else:
+        yield out.Notify(
+            complete_list(row.kind, received.items, synced_revision)
+        )
+
+
+def _is_remote(world: world_module.World, entry: str) -> bool:
+    """Return whether an entry is known to be of another region."""
     row = world.entries.rows.get(ids.EntryId(entry))
     return row is not None and row.region != world.node.region
 
--- a/packages/core/src/zinnialead_core/gateway/store/readers.py
+++ b/packages/core/src/zinnialead_core/gateway/store/readers.py
@@ -100,7 +100,8 @@
     if own_row is not None and may_read(world, now_ms):
         rows = [*rows, own_row]
     health = world.store.health[models.STORE]
-    found = ranking.first(rows, const.READERS)
+    first_rows = ranking.ordered(rows)[: const.READERS]
+    found = tuple(row.entry for row in first_rows)
     if found == health.readers:
         return
     world.store.health[models.STORE] = health._replace(readers=found)
--- a/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/metrics/coordinator.py
@@ -5,7 +5,6 @@
 import dataclasses
 import typing
 
-from zinnialead_core import gateway
 from zinnialead_core.gateway.store import catch_up
 from zinnialead_core.gateway.store import models as store
 from zinnialead_gateway import engine as engines
@@ -77,28 +76,22 @@
     sizes.add_metric(['upstreams'], len(world.upstreams.rows))
     sizes.add_metric(['entries'], len(world.entries.rows))
     yield sizes
-    yield _behind_ms(world)
-    durations = metrics_core.HistogramMetricFamily(
-        'zinnialead_request_ms', 'Time to an answer', labels=['route']
-    )
-    for name, counts in metrics.latencies.items():
-        durations.add_metric([name], _buckets(counts), metrics.sums_ms[name])
-    yield durations
-
-
-def _behind_ms(world: gateway.World) -> typing.Any:  # noqa: ANN401
-    """Return how long a change that others know is missing here, by kind."""
-    from prometheus_client import metrics_core
-
-    gauge = metrics_core.GaugeMetricFamily(
+    behind = metrics_core.GaugeMetricFamily(
         'zinnialead_behind_ms',
         'Time since another entry told of a change that is missing here',
         labels=['kind'],
     )
     now_ms = engines.now_ms()
     for kind in store.Kind:
-        gauge.add_metric([kind.value], catch_up.behind_ms(world, now_ms, kind))
-    return gauge
+        missing_ms = catch_up.behind_ms(world, now_ms, kind)
+        behind.add_metric([kind.value], missing_ms)
+    yield behind
+    durations = metrics_core.HistogramMetricFamily(
+        'zinnialead_request_ms', 'Time to an answer', labels=['route']
+    )
+    for name, counts in metrics.latencies.items():
+        durations.add_metric([name], _buckets(counts), metrics.sums_ms[name])
+    yield durations
 
 
 def _buckets(counts: list[int]) -> list[tuple[str, int]]:
