--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -76,6 +76,14 @@
     return world.upstreams.cold_until_ms.get(upstream, 0.0) > now_ms
 
 
+def cold_left_ms(
+    world: world_module.World, now_ms: float, upstream: ids.UpstreamId
+) -> float:
+    """Return how long an upstream still counts as cold, 0 if it is warm."""
+    until_ms = world.upstreams.cold_until_ms.get(upstream, 0.0)
+    return max(0.0, until_ms - now_ms)
+
+
 def set_cold(
     world: world_module.World,
     now_ms: float,
@@ -137,6 +145,8 @@
     if previous is not None and previous.born_ms != row.born_ms:
         world.loads.pop(row.upstream, None)
         pauses.forget(world.pauses, row.upstream)
+        world.counters['upstreams.restarted'] += 1
+        yield _run_change(previous, row)
     if previous is None or previous.leaving != row.leaving:
         yield _state_change(row, 'known' if previous else 'unknown')
 
@@ -304,15 +314,27 @@
 
 def _state_change(row: models.UpstreamRow, before: str) -> out.LogStateChange:
     after = 'leaving' if row.leaving else 'in service'
+    return out.LogStateChange(
+        'upstreams', row.upstream, before, after, _registration(row)
+    )
+
+
+def _run_change(
+    previous: models.UpstreamRow, row: models.UpstreamRow
+) -> out.LogStateChange:
     return out.LogStateChange(
         'upstreams',
         row.upstream,
-        before,
-        after,
-        f'revision {row.revision}, cold for {row.cold_ms:.0f} ms',
+        f'run {previous.born_ms}',
+        f'run {row.born_ms}',
+        _registration(row),
     )
 
 
+def _registration(row: models.UpstreamRow) -> str:
+    return f'revision {row.revision}, cold for {row.cold_ms:.0f} ms'
+
+
 def warm_up_ms(world: world_module.World, service: ids.ServiceId) -> float:
     """Return how long an upstream of a service is assumed to stay cold."""
     configuration = routes.active_configuration(world)
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -7,6 +7,7 @@
 from core.gateway import samples
 from zinnialead_core import gateway
 from zinnialead_core.gateway import inputs as inp
+from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.store import models as store
 from zinnialead_core.gateway.store import snapshots
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
@@ -233,3 +234,13 @@
     assert usable(world) == {'u-2'}
     samples.feed(world, 3_500.0, inp.UpstreamRegistered(row))
     assert usable(world) == {'u-1', 'u-2'}
+
+
+def test_a_start_under_the_same_id_is_logged_and_counted():
+    world = samples.serving_world()
+    again = samples.upstream('u-1', born_ms=2, revision=2, cold_ms=3_000.0)
+    outputs = samples.feed(world, 5.0, inp.UpstreamRegistered(again))
+    (line,) = samples.of_type(outputs, out.LogStateChange)
+    assert (line.before, line.after) == ('run 1', 'run 2')
+    assert world.counters['upstreams.restarted'] == 1
+    assert upstreams.cold_left_ms(world, 6.0, 'u-1') == 2_999.0
