--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -69,7 +69,12 @@
         'version': version,
         'routes': {'r-1': route(**fields)},
         'services': {
-            'desk': {'max_conns': 100, 'warmup': '3s', 'cold_per_s': 50.0}
+            'desk': {
+                'health_path': '/health',
+                'max_conns': 100,
+                'warmup': '3s',
+                'cold_per_s': 50.0,
+            }
         },
         'limits': {
             'max_header_bytes': 16384,
--- a/tests/adapter/fakes.py
+++ b/tests/adapter/fakes.py
@@ -13,9 +13,9 @@
 LIMITS = http_models.Limits(65_536, 1_000_000, 5.0, 30.0)
 
 
-async def serve(nursery, handle):
+async def serve(nursery, handle, address='127.0.0.1:0'):
     """Serve a handler and return its address."""
-    listener = await sockets.listen('127.0.0.1:0')
+    listener = await sockets.listen(address)
     http_server = http_models.Server(
         handle,
         lambda: LIMITS,
@@ -51,7 +51,9 @@
 
     ``behaviour`` is 'well', 'cuts' (aborts the connection after running the
     request), 'sheds' or 'unsealed'.  ``extra_headers`` go into each response,
-    and ``arrived`` holds the times at which requests did.
+    and ``arrived`` holds the times at which requests did.  Until
+    ``cold_until_s`` its answers to health checks, which ``checked`` counts,
+    say that it is cold.
     """
 
     instance: str
@@ -61,13 +63,28 @@
     work_s: float = 0.0
     extra_headers: list = dataclasses.field(default_factory=list)
     arrived: list = dataclasses.field(default_factory=list)
+    cold_until_s: float = 0.0
+    checked: int = 0
 
 
-async def serve_upstream(nursery, upstream):
-    return await serve(nursery, functools.partial(_upstream, upstream))
+async def serve_upstream(nursery, upstream, address='127.0.0.1:0'):
+    handle = functools.partial(_upstream, upstream)
+    return await serve(nursery, handle, address)
+
+
+def _check_health(upstream):
+    upstream.checked += 1
+    instance = upstream.instance.encode()
+    headers = [(b'Zinnialead-Instance-Id', instance)]
+    cold_s = upstream.cold_until_s - trio.current_time()
+    if cold_s > 0.0:
+        headers.append((b'Zinnialead-Cold-Ms', b'%d' % (cold_s * 1e3)))
+    return http_models.Response(200, headers, b'')
 
 
 async def _upstream(upstream, _caller, request):
+    if request.target == b'/health':
+        return _check_health(upstream)
     headers = {k.lower(): v for k, v in request.headers}
     name = headers[b'zinnialead-request-id']
     upstream.arrived.append(trio.current_time())
