--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -107,7 +107,7 @@
     upstream: ids.UpstreamId,
 ) -> out.LogDecision:
     load = loads.get(world, upstream)
-    cold_left_ms = upstreams.cold_left_ms(world, now_ms, upstream)
+    cold_for_ms = upstreams.cold_for_ms(world, now_ms, upstream)
     configuration = routes.active_configuration(world)
     inputs: dict[str, str | float | int | None] = {
         'upstream': upstream,
@@ -118,13 +118,13 @@
         'revision': world.upstreams.rows[upstream].revision,
         'load': round(loads.estimate(world, now_ms, upstream), 2),
         'load_age_ms': loads.report_age_ms(now_ms, load),
-        'cold_left_ms': round(cold_left_ms),
+        'cold_for_ms': round(cold_for_ms),
         'work_time': round(load.work_time_ratio, 2),
         'abroad': round(remote_share.get(world, row.service).share, 3),
         'stopping_ms': stopping.elapsed_ms(world, now_ms),
     }
     return out.LogDecision(
-        row.request_id, row.name, 'sent', inputs, is_routine=not cold_left_ms
+        row.request_id, row.name, 'sent', inputs, is_routine=not cold_for_ms
     )
 
 
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -76,7 +76,7 @@
     return world.upstreams.cold_until_ms.get(upstream, 0.0) > now_ms
 
 
-def cold_left_ms(
+def cold_for_ms(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> float:
     """Return how long an upstream still counts as cold, 0 if it is warm."""
--- a/tests/core/gateway/test_upstreams.py
+++ b/tests/core/gateway/test_upstreams.py
@@ -243,4 +243,4 @@
     (line,) = samples.of_type(outputs, out.LogStateChange)
     assert (line.before, line.after) == ('run 1', 'run 2')
     assert world.counters['upstreams.restarted'] == 1
-    assert upstreams.cold_left_ms(world, 6.0, 'u-1') == 2_999.0
+    assert upstreams.cold_for_ms(world, 6.0, 'u-1') == 2_999.0
