--- a/packages/core/src/zinnialead_core/gateway/inputs.py
+++ b/packages/core/src/zinnialead_core/gateway/inputs.py
@@ -4,6 +4,7 @@
 import typing
 
 from zinnialead_core.gateway.entries import models as entries
+from zinnialead_core.gateway.health_checks import models as health_checks
 from zinnialead_core.gateway.placement import models as placement
 from zinnialead_core.gateway.routes import models as routes
 from zinnialead_core.gateway.store import models as store
@@ -131,6 +132,32 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRestarted:
+    """Notify the systems that a registration is of another run."""
+
+    upstream: ids.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamDisconnected:
+    """Report that no connection to an upstream could be opened or kept.
+
+    A connection that ends when its idle time is over is not reported.
+    """
+
+    address: str
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthChecked:
+    """Report the result of a ``CheckHealth`` output."""
+
+    upstream: ids.UpstreamId
+    result: health_checks.Result
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainAdded:
     """Report that a domain's upstreams must not get new requests."""
@@ -276,6 +303,9 @@
     | UpstreamRegistered
     | UpstreamDeregistered
     | UpstreamRemoved
+    | UpstreamRestarted
+    | UpstreamDisconnected
+    | HealthChecked
     | UpstreamsListed
     | DrainAdded
     | DrainRemoved
--- a/packages/core/src/zinnialead_core/gateway/outputs.py
+++ b/packages/core/src/zinnialead_core/gateway/outputs.py
@@ -78,6 +78,15 @@
     heartbeat: entries.Heartbeat
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckHealth:
+    """Check an upstream's health, answered by ``HealthChecked``."""
+
+    upstream: ids.UpstreamId
+    address: str
+    path: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallStore:
     """Make one call to the platform's store, answered by ``StoreDone``."""
@@ -137,6 +146,7 @@
     | Refuse
     | CloseIdleConnections
     | SendHeartbeat
+    | CheckHealth
     | CallStore
     | RequestSnapshots
     | SendChanges
--- a/packages/core/src/zinnialead_core/gateway/placement/loads.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/loads.py
@@ -4,7 +4,6 @@
 from zinnialead_core.gateway.placement import const
 from zinnialead_core.gateway.placement import models
 from zinnialead_core.gateway.placement import peer_load
-from zinnialead_core.gateway.upstreams import coordinator as upstreams
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
 from zinnialead_core.notices import pauses
@@ -101,7 +100,7 @@
         load = _record_report(now_ms, load, result.load)
     match result.outcome:
         case verdict.Answered(status) if status < 500:
-            load = _record_success(world, now_ms, upstream, load)
+            load = _record_success(load)
             _record_work(world, upstream, result.elapsed_ms)
             load = _record_pace(world, now_ms, load, route, result.elapsed_ms)
         case verdict.Answered():
@@ -184,18 +183,7 @@
             )
 
 
-def _record_success(
-    world: world_module.World,
-    now_ms: float,
-    upstream: ids.UpstreamId,
-    load: models.LoadRow,
-) -> models.LoadRow:
-    if load.failures >= const.LOST_BEFORE_EJECTION:
-        # The upstream was unreachable and may have restarted cold.
-        row = world.upstreams.rows.get(upstream)
-        if row is not None:
-            warm_up_ms = upstreams.warm_up_ms(world, row.service)
-            upstreams.set_cold(world, now_ms, upstream, warm_up_ms)
+def _record_success(load: models.LoadRow) -> models.LoadRow:
     failing = _moving_mean(load.failing, 0.0)
     if load.faulty_until_ms:
         # Some answers of a faulty upstream are sound all the same.
--- a/packages/core/src/zinnialead_core/gateway/routes/models.py
+++ b/packages/core/src/zinnialead_core/gateway/routes/models.py
@@ -36,13 +36,15 @@
 class ServiceRow(typing.NamedTuple):
     """Describe what the upstreams of a service have in common.
 
-    ``cold_per_s`` is the request rate that one tolerates while it is cold.
+    ``cold_per_s`` is the request rate that one tolerates while it is cold,
+    and ``health_path`` is where it answers health checks, empty if nowhere.
     """
 
     service: ids.ServiceId
     connections_max: int
     warm_up_ms: float
     cold_per_s: float
+    health_path: str = ''
 
 
 class LimitsRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/tick.py
+++ b/packages/core/src/zinnialead_core/gateway/tick.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from zinnialead_core.gateway.entries import coordinator as entries
+from zinnialead_core.gateway.health_checks import coordinator as health_checks
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.placement import coordinator as placement
@@ -18,6 +19,7 @@
     store.run,
     routes.run,
     upstreams.run,
+    health_checks.run,
     entries.run,
     placement.run,
     requests.run,
--- a/packages/core/src/zinnialead_core/gateway/timers.py
+++ b/packages/core/src/zinnialead_core/gateway/timers.py
@@ -52,6 +52,13 @@
     domain: ids.DomainId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HealthCheckDue:
+    """Fire when an upstream's health is to be checked once more."""
+
+    upstream: ids.UpstreamId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BalanceRound:
     """Fire when the shares sent to other regions are to be adjusted."""
@@ -89,6 +96,7 @@
     | PauseEnd
     | DoubtEnd
     | DrainExpiry
+    | HealthCheckDue
     | BalanceRound
     | HeartbeatRound
     | StoreCallDue
--- a/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/upstreams/coordinator.py
@@ -72,7 +72,12 @@
 def is_cold(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> bool:
-    """Return whether an upstream is limited to its service's cold rate."""
+    """Return whether an upstream is limited to its service's cold rate.
+
+    One that may have started again unnoticed is, too.
+    """
+    if upstream in world.health_checks.rows:
+        return True
     return world.upstreams.cold_until_ms.get(upstream, 0.0) > now_ms
 
 
@@ -146,6 +151,7 @@
         world.loads.pop(row.upstream, None)
         pauses.forget(world.pauses, row.upstream)
         world.counters['upstreams.restarted'] += 1
+        yield out.Notify(inp.UpstreamRestarted(row.upstream))
         yield _run_change(previous, row)
     if previous is None or previous.leaving != row.leaving:
         yield _state_change(row, 'known' if previous else 'unknown')
--- a/packages/core/src/zinnialead_core/gateway/world.py
+++ b/packages/core/src/zinnialead_core/gateway/world.py
@@ -5,6 +5,7 @@
 import typing
 
 from zinnialead_core.gateway.entries import models as entries
+from zinnialead_core.gateway.health_checks import models as health_checks
 from zinnialead_core.gateway.placement import models as placement
 from zinnialead_core.gateway.requests import models as requests
 from zinnialead_core.gateway.routes import models as routes
@@ -63,6 +64,7 @@
     node: NodeRow
     routes: routes.RouteTable
     upstreams: upstreams.UpstreamTable
+    health_checks: health_checks.HealthCheckTable
     loads: dict[ids.UpstreamId, placement.LoadRow]
     pauses: notices.PauseTable
     placement: placement.PlacementTable
@@ -80,6 +82,7 @@
         node=node,
         routes=routes.new_table(),
         upstreams=upstreams.new_table(),
+        health_checks=health_checks.new_table(),
         loads={},
         pauses=notices.new_pauses('placement'),
         placement=placement.new_table(),
--- a/packages/gateway/src/zinnialead_gateway/application.py
+++ b/packages/gateway/src/zinnialead_gateway/application.py
@@ -165,6 +165,8 @@
             peers.send_changes(application.peers, output)
         case out.RequestSnapshots():
             peers.request_snapshots(application.peers, output)
+        case out.CheckHealth():
+            upstreams.check_health(application.front.upstreams, output)
         case out.CallStore():
             stores.call(application.store, output)
         case out.CloseIdleConnections():
--- a/packages/gateway/src/zinnialead_gateway/diagnostics.py
+++ b/packages/gateway/src/zinnialead_gateway/diagnostics.py
@@ -86,6 +86,8 @@
             for_ms = pauses.left_ms(world.pauses, now_ms, row.upstream)
         elif load.out_until_ms > now_ms:
             reason, for_ms = 'ejected', load.out_until_ms - now_ms
+        elif row.upstream in world.health_checks.rows:
+            reason = 'unconfirmed'
         if reason is not None:
             yield (
                 str(row.upstream),
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -51,6 +51,17 @@
     unreadable_loads: int = 0
 
 
+class HealthHead(typing.NamedTuple):
+    """Hold the decoded head of a response to a health check.
+
+    ``upstream`` is the one that answered and ``cold_ms`` how long it stays
+    cold, 0 if it is warm; both are None if the response does not tell.
+    """
+
+    upstream: ids.UpstreamId | None
+    cold_ms: float | None
+
+
 class RefusalHead(typing.NamedTuple):
     """Hold the status and headers of a refusal by the entry."""
 
@@ -84,6 +95,7 @@
     read_request: abc.Callable[[str, Headers], RequestHead]
     write_request: abc.Callable[[RequestHead, ids.UpstreamId, int], Headers]
     read_response: abc.Callable[[int, Headers], ResponseHead]
+    read_health: abc.Callable[[int, Headers], HealthHead]
     write_refusal: abc.Callable[
         [RequestHead | None, verdict.Refusal], RefusalHead
     ]
--- a/packages/gateway/src/zinnialead_gateway/http/client/models.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client/models.py
@@ -88,8 +88,9 @@
     """Hold idle connections by address, most recently used last.
 
     ``on_stray_bytes`` is called with the address of a connection that
-    received bytes without a request. ``memory`` is for received bodies, and
-    long responses are parsed in ``turns``.
+    received bytes without a request, and ``on_early_end`` with that of one
+    that ended before its keep-alive timeout. ``memory`` is for received
+    bodies, and long responses are parsed in ``turns``.
     """
 
     tcp_keepalive: bool
@@ -98,6 +99,7 @@
     )
     turns: trio.Lock = dataclasses.field(default_factory=trio.Lock)
     on_stray_bytes: abc.Callable[[str], None] = lambda _: None
+    on_early_end: abc.Callable[[str], None] = lambda _: None
     idle: dict[str, collections.deque[Connection]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/gateway/src/zinnialead_gateway/http/client/pool.py
+++ b/packages/gateway/src/zinnialead_gateway/http/client/pool.py
@@ -136,3 +136,12 @@
     close(connection)
     if data:
         pool.on_stray_bytes(connection.address)
+    elif engines.now_ms() < _kept_until_ms(connection):
+        pool.on_early_end(connection.address)
+
+
+def _kept_until_ms(connection: models.Connection) -> float:
+    """Return until when the other end keeps an idle connection open."""
+    if connection.expires_ms < float('inf'):
+        return connection.expires_ms
+    return connection.last_used_ms + const.UNANNOUNCED_IDLE_MIN_MS
--- a/packages/gateway/src/zinnialead_gateway/http/const.py
+++ b/packages/gateway/src/zinnialead_gateway/http/const.py
@@ -33,6 +33,9 @@
 KEEPALIVE_PERIOD_S = 1
 KEEPALIVE_PROBES = 2
 IDLE_CONNECTIONS_MAX = 64
+# An upstream that announces no keep-alive timeout keeps a connection open for
+# at least this long.
+UNANNOUNCED_IDLE_MIN_MS = 1_000.0
 # Bytes that arrive on an idle connection take memory until it is closed.
 IDLE_CHECK_PERIOD_S = 0.5
 # A connection is closed after this many refusals, whose ids it remembers.
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from zinnialead_core.gateway.health_checks import models as health_checks
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.placement import models as placement
@@ -23,6 +24,7 @@
     trio.ClosedResourceError,
     client.ProtocolError,
 )
+HEALTH_CHECK_TIMEOUT_S = 1.0
 # Responses to earlier requests that are skipped before giving up.
 STRAY_RESPONSES_MAX = 3
 
@@ -86,6 +88,7 @@
         tcp_keepalive=False,
         memory=memory,
         on_stray_bytes=functools.partial(_report_stray_bytes, engine),
+        on_early_end=functools.partial(_report_early_end, engine),
     )
     nursery.start_soon(client.watch_idle, pool)
     return Upstreams(engine, dialect, nursery, pool)
@@ -105,6 +108,11 @@
         attempt.scope.cancel()
 
 
+def check_health(upstreams: Upstreams, output: out.CheckHealth) -> None:
+    """Start a health check."""
+    upstreams.nursery.start_soon(_check_health, upstreams, output)
+
+
 def discard(upstreams: Upstreams, request_id: ids.RequestId) -> None:
     """Discard an answered request."""
     upstreams.requests.pop(request_id, None)
@@ -163,6 +171,7 @@
             upstreams.pool, dispatch, caller_request.head.name
         )
     except (OSError, ValueError, trio.TooSlowError) as error:
+        _report_disconnected(upstreams.engine, dispatch.address, error)
         return verdict.NotSent(f'{dispatch.address}: {error!r}'), None
     attempt.connection = connection
     spent_ms = engines.now_ms() - attempt.started_ms
@@ -259,6 +268,17 @@
     _report_fault(engine, address, placement.StrayBytes())
 
 
+def _report_early_end(engine: engines.Engine, address: str) -> None:
+    cause = 'an idle connection ended early'
+    engines.feed(engine, inp.UpstreamDisconnected(address, cause))
+
+
+def _report_disconnected(
+    engine: engines.Engine, address: str, error: Exception
+) -> None:
+    engines.feed(engine, inp.UpstreamDisconnected(address, repr(error)))
+
+
 def _report_fault(
     engine: engines.Engine, address: str, fault: placement.Fault
 ) -> None:
@@ -272,6 +292,8 @@
     fault = _to_fault(error)
     if fault is not None:
         _report_fault(engine, address, fault)
+    elif not isinstance(error, trio.ClosedResourceError):
+        _report_disconnected(engine, address, error)
     return verdict.Lost(f'{address}: {error!r}')
 
 
@@ -315,6 +337,59 @@
     return verdict.Answered(received.response.status)
 
 
+async def _check_health(upstreams: Upstreams, output: out.CheckHealth) -> None:
+    """Check an upstream's health once and report the result."""
+    result: health_checks.Result = health_checks.Unreachable('timeout')
+    with trio.move_on_after(HEALTH_CHECK_TIMEOUT_S):
+        try:
+            result = await _receive_health(upstreams, output)
+        except (
+            *CONNECTION_ERRORS,
+            ValueError,
+            trio.TooSlowError,
+            client.UnsendableError,
+        ) as error:
+            result = health_checks.Unreachable(repr(error))
+    checked = inp.HealthChecked(output.upstream, result)
+    engines.feed(upstreams.engine, checked)
+
+
+async def _receive_health(
+    upstreams: Upstreams, output: out.CheckHealth
+) -> health_checks.Result:
+    """Check an upstream's health over a new connection.
+
+    Raises what opening a connection, sending and receiving raise.
+    """
+    pool = upstreams.pool
+    connection = await client.open_connection(pool, output.address)
+    try:
+        host_header = (b'Host', output.address.encode())
+        request = client.Request(
+            b'GET', output.path.encode(), [host_header], b''
+        )
+        await client.send(connection, request)
+        response = await client.receive(connection)
+    except BaseException:
+        client.close(connection)
+        raise
+    memories.release(pool.memory, len(response.body))
+    client.release(pool, connection)
+    head = upstreams.dialect.read_health(response.status, response.headers)
+    return _to_health(output, head, response.status)
+
+
+def _to_health(
+    output: out.CheckHealth, head: dialects.HealthHead, status: int
+) -> health_checks.Result:
+    """Return the result that a response to a health check reports."""
+    if head.upstream not in (None, output.upstream):
+        return health_checks.Misdirected()
+    if head.upstream is None or head.cold_ms is None:
+        return health_checks.Unclear(f'status {status}')
+    return health_checks.Healthy(head.cold_ms)
+
+
 async def unload(upstreams: Upstreams) -> None:
     """Close all idle connections."""
     for address in list(upstreams.pool.idle):
--- a/tests/adapter/raw_upstreams.py
+++ b/tests/adapter/raw_upstreams.py
@@ -20,6 +20,7 @@
 
     name: str
     expected_instance: str
+    target: str = ''
 
 
 @dataclasses.dataclass
@@ -36,7 +37,9 @@
 class RawUpstream:
     """Hold an upstream, the requests it ran and what it writes for one.
 
-    ``closed`` is set when a connection to it has ended.
+    ``closed`` is set when a connection to it has ended.  ``respond_health``
+    writes the response to a health check, by default one of a warm upstream;
+    ``checked`` counts them.
     """
 
     instance: str
@@ -44,6 +47,10 @@
     ran: list[str] = dataclasses.field(default_factory=list)
     connections: int = 0
     closed: trio.Event = dataclasses.field(default_factory=trio.Event)
+    respond_health: abc.Callable[[trio.SocketStream], abc.Awaitable[None]] = (
+        None
+    )
+    checked: int = 0
 
 
 async def serve(nursery, upstream):
@@ -73,12 +80,24 @@
     earlier = []
     request, unread = await _read_request(stream, b'')
     while request is not None:
-        exchange = Exchange(upstream, stream, request, earlier)
-        await upstream.respond(exchange)
-        earlier.append(request)
+        if request.target == '/health':
+            await _answer_health(upstream, stream)
+        else:
+            exchange = Exchange(upstream, stream, request, earlier)
+            await upstream.respond(exchange)
+            earlier.append(request)
         request, unread = await _read_request(stream, unread)
 
 
+async def _answer_health(upstream, stream):
+    upstream.checked += 1
+    if upstream.respond_health is not None:
+        await upstream.respond_health(stream)
+        return
+    instance = b'Zinnialead-Instance-Id: ' + upstream.instance.encode()
+    await stream.send_all(response(200, [instance, b'Content-Length: 0']))
+
+
 async def _read_request(stream, unread):
     while BLANK_LINE not in unread:
         data = await stream.receive_some(65_536)
@@ -87,7 +106,8 @@
         unread += data
     head, _, rest = unread.partition(BLANK_LINE)
     headers = {}
-    for line in head.split(b'\r\n')[1:]:
+    request_line, *lines = head.split(b'\r\n')
+    for line in lines:
         key, _, value = line.partition(b':')
         headers[key.lower()] = value.strip().decode()
     body_bytes = int(headers.get(b'content-length', '0'))
@@ -96,6 +116,7 @@
     request = Request(
         headers.get(b'zinnialead-request-id', ''),
         headers.get(b'zinnialead-expect-instance', ''),
+        request_line.split(b' ')[1].decode(),
     )
     return request, rest[body_bytes:]
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -40,6 +40,12 @@
     'lost': stores.LosesAnswers(),
     'deaf': stores.WithholdsEvents(),
 }
+SERVICE = {
+    'health_path': upstreams.HEALTH_PATH,
+    'max_conns': 100,
+    'warmup': '1s',
+    'cold_per_s': 9.0,
+}
 NON_IDEMPOTENT_PREFIXES = frozenset(('/book/',))
 
 
@@ -235,9 +241,7 @@
         )
         for prefix, service in services.items()
     }
-    spec['services'] = dict.fromkeys(
-        const.SERVICES, {'max_conns': 100, 'warmup': '1s', 'cold_per_s': 9.0}
-    )
+    spec['services'] = dict.fromkeys(const.SERVICES, SERVICE)
     soak.configuration = spec
     stores.put(soak.store, 'config', 'main', spec)
     row = models.VersionRow(version, soak.now_ms(), services)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -15,6 +15,7 @@
 # The part of a path that asks for work of a large part of the grace period.
 SLOW_PATH = 'slow/'
 SEAL_HEADER = b'Zinnialead-Response-Seal'
+HEALTH_PATH = '/health'
 
 
 class State(enum.Enum):
@@ -56,6 +57,12 @@
 
 
 async def _handle(soak, upstream, _caller, request):
+    if request.target == HEALTH_PATH.encode():
+        instance_header = (
+            b'Zinnialead-Instance-Id',
+            upstream.instance.encode(),
+        )
+        return http_models.Response(200, [instance_header], b'')
     headers = {key.lower(): value for key, value in request.headers}
     name = headers[b'zinnialead-request-id']
     echoed = [(b'Zinnialead-Request-Id', name)]
