--- a/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/cold_rate_limit.py
@@ -30,6 +30,17 @@
         _recent_sends_ms(world, now_ms, upstream).append(now_ms)
 
 
+def use_up(
+    world: world_module.World, now_ms: float, upstream: ids.UpstreamId
+) -> None:
+    """Use up this second's rate of an upstream that has started again.
+
+    Entries may have sent it requests before they learned that it is cold.
+    """
+    count = _rate_per_s(world, upstream)
+    world.placement.cold_sends_ms[upstream] = [now_ms] * count
+
+
 def _recent_sends_ms(
     world: world_module.World, now_ms: float, upstream: ids.UpstreamId
 ) -> list[float]:
--- a/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/placement/coordinator.py
@@ -46,6 +46,9 @@
                 yield from pauses.apply(world, now_ms, event)
             case inp.TimerDue(timers.PauseEnd(upstream)):
                 yield from pauses.end(world, now_ms, upstream)
+            case inp.UpstreamRestarted(upstream):
+                if upstream in world.upstreams.rows:
+                    cold_rate_limit.use_up(world, now_ms, upstream)
             case inp.UpstreamRemoved(upstream):
                 world.loads.pop(upstream, None)
                 notice_pauses.forget(world.pauses, upstream)
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -119,6 +119,15 @@
     assert 0 < send_count <= 4.3 * 1.5 + 5
 
 
+def test_a_restart_found_late_leaves_nothing_of_the_rate_for_a_second():
+    """Requests were sent as to a warm upstream until it was found cold."""
+    world = samples.serving_world()
+    again = samples.upstream('u-1', born_ms=2, revision=2, cold_ms=3_000.0)
+    samples.feed(world, 5_000.0, inp.UpstreamRegistered(again))
+    assert not cold_rate_limit.may_send(world, 5_999.0, 'u-1')
+    assert cold_rate_limit.may_send(world, 6_001.0, 'u-1')
+
+
 def new_heartbeat(entry):
     from zinnialead_core.gateway.entries import models as entries
 
