--- a/packages/core/src/zinnialead_core/gateway/health_checks/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/health_checks/coordinator.py
@@ -16,6 +16,7 @@
 from zinnialead_core.gateway.upstreams import models as upstream_models
 from zinnialead_core.gateway import world as world_module
 from zinnialead_core import ids
+from zinnialead_core.notices import pauses
 from zinnialead_core import timer_table
 
 
@@ -24,7 +25,10 @@
     now_ms: float,
     inputs: abc.Sequence[inp.Input],
 ) -> abc.Iterator[out.Output]:
-    """Check upstreams; reads ``upstreams``, writes ``health_checks``."""
+    """Check upstreams that ended a connection; writes ``health_checks``.
+
+    Reads ``upstreams``, ``routes`` and ``pauses``.
+    """
     for event in inputs:
         match event:
             case inp.UpstreamDisconnected(address, cause):
@@ -44,7 +48,10 @@
 ) -> abc.Iterator[out.Output]:
     """Check the upstreams at an address, unless they leave anyway."""
     for row in list(world.upstreams.rows.values()):
-        if row.address == address and not row.leaving:
+        if row.address != address or row.leaving:
+            continue
+        # A drained domain's upstreams return cold in any case.
+        if row.domain not in world.upstreams.drained:
             yield from _begin(world, now_ms, row, cause)
 
 
@@ -71,9 +78,14 @@
     row = world.upstreams.rows.get(upstream)
     if row is None or upstream not in world.health_checks.rows:
         return
+    if row.leaving:
+        _end(world, upstream)
+        return
     path = _health_path(world, row.service)
-    if not path:
-        # The configuration has changed since the check began.
+    is_paused = pauses.is_paused(world.pauses, now_ms, upstream)
+    is_drained = row.domain in world.upstreams.drained
+    if not path or is_paused or is_drained:
+        # One that wants no requests wants no checks either.
         _retry_later(world, now_ms, upstream)
         return
     world.counters['health_checks.sent'] += 1
@@ -91,7 +103,7 @@
     if check is None or row is None:
         return
     match result:
-        case models.Healthy(cold_ms):
+        case models.Answered(cold_ms):
             world.counters['health_checks.answered'] += 1
             cold_ms = min(cold_ms, const.COLD_MAX_MS)
             upstreams.set_cold(world, now_ms, upstream, cold_ms)
--- a/packages/core/src/zinnialead_core/gateway/health_checks/models.py
+++ b/packages/core/src/zinnialead_core/gateway/health_checks/models.py
@@ -7,8 +7,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Healthy:
-    """Report an upstream that serves and stays cold for ``cold_ms``."""
+class Answered:
+    """Report an upstream that stays cold for ``cold_ms``, 0 if it is warm."""
 
     cold_ms: float
 
@@ -32,7 +32,7 @@
     """Report that another upstream has the address."""
 
 
-Result = Healthy | Unclear | Unreachable | Misdirected
+Result = Answered | Unclear | Unreachable | Misdirected
 
 
 class CheckRow(typing.NamedTuple):
--- a/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/coordinator.py
@@ -43,6 +43,7 @@
                 inp.UpstreamsListed()
                 | inp.UpstreamRegistered()
                 | inp.DrainRemoved()
+                | inp.HealthChecked()
             ):
                 yield from wait_queue.send_all_waiting(world, now_ms)
 
--- a/packages/gateway/src/zinnialead_gateway/dialect.py
+++ b/packages/gateway/src/zinnialead_gateway/dialect.py
@@ -55,7 +55,7 @@
     """Hold the decoded head of a response to a health check.
 
     ``upstream`` is the one that answered and ``cold_ms`` how long it stays
-    cold, 0 if it is warm; both are None if the response does not tell.
+    cold, 0 if it is warm; each is None if the response does not tell.
     """
 
     upstream: ids.UpstreamId | None
--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -387,7 +387,7 @@
         return health_checks.Misdirected()
     if head.upstream is None or head.cold_ms is None:
         return health_checks.Unclear(f'status {status}')
-    return health_checks.Healthy(head.cold_ms)
+    return health_checks.Answered(head.cold_ms)
 
 
 async def unload(upstreams: Upstreams) -> None:
--- a/tests/core/gateway/test_health_checks.py
+++ b/tests/core/gateway/test_health_checks.py
@@ -10,6 +10,7 @@
 from zinnialead_core.gateway.routes import models as routes
 from zinnialead_core.gateway import timers
 from zinnialead_core.gateway.upstreams import coordinator as upstreams
+from zinnialead_core import notices
 
 WARM_UP_MS = 3_000.0
 
@@ -57,7 +58,7 @@
 def test_an_upstream_that_is_warm_gets_requests_again():
     world = new_world()
     disconnect(world, 10.0)
-    report(world, 15.0, models.Healthy(0.0))
+    report(world, 15.0, models.Answered(0.0))
     assert not is_cold(world, 15.0)
     assert timers.HealthCheckDue('u-1') not in world.timers.due_ms
 
@@ -66,7 +67,7 @@
 def test_an_upstream_is_cold_for_as_long_as_it_says(told_ms):
     world = new_world()
     disconnect(world, 10.0)
-    report(world, 15.0, models.Healthy(told_ms))
+    report(world, 15.0, models.Answered(told_ms))
     cold_ms = min(told_ms, const.COLD_MAX_MS)
     assert is_cold(world, 14.0 + cold_ms)
     assert not is_cold(world, 16.0 + cold_ms)
@@ -123,7 +124,7 @@
     world = new_world()
     disconnect(world, 0.0)
     samples.feed(world, 1.0, inp.UpstreamDeregistered('u-1'))
-    report(world, 2.0, models.Healthy(100.0))
+    report(world, 2.0, models.Answered(100.0))
     assert not world.health_checks.rows
     assert not is_cold(world, 2.0)
 
@@ -135,6 +136,56 @@
     assert not checks(disconnect(world, 2.0))
 
 
+def test_an_upstream_that_begins_to_leave_is_not_checked_again():
+    world = new_world()
+    disconnect(world, 0.0)
+    report(world, 1.0, models.Unreachable('refused'))
+    row = samples.upstream('u-1', leaving=True, revision=2)
+    samples.feed(world, 2.0, inp.UpstreamRegistered(row))
+    assert not checks(samples.feed(world, 201.0))
+    assert not world.health_checks.rows
+
+
+def test_a_drained_domain_s_upstreams_are_not_checked():
+    world = new_world()
+    samples.feed(world, 0.0, inp.DrainAdded('guj-a'))
+    assert not checks(disconnect(world, 1.0))
+    assert checks(disconnect(world, 1.0, 'u-2'))
+    samples.feed(world, 2.0, inp.DrainAdded('guj-b'))
+    report(world, 3.0, models.Unreachable('refused'), 'u-2')
+    assert not checks(samples.feed(world, 203.0))
+    samples.feed(world, 204.0, inp.DrainRemoved('guj-b'))
+    assert checks(samples.feed(world, 603.0))
+
+
+def test_a_paused_upstream_is_not_checked_before_its_pause_ends():
+    world = new_world()
+    pause = inp.UpstreamAnnounced(
+        'u-1',
+        samples.upstream('u-1').address,
+        False,
+        notices.Pauses(1_000.0),
+        'r-1',
+    )
+    samples.feed(world, 0.0, pause)
+    assert not checks(disconnect(world, 1.0))
+    assert not checks(samples.feed(world, 999.0))
+    assert checks(samples.feed(world, 2_001.0))
+
+
+def test_a_request_that_waits_is_sent_once_its_upstream_is_confirmed():
+    world = new_world()
+    for name in ('u-1', 'u-2'):
+        disconnect(world, 0.0, name)
+        row = samples.entry_row(f'entry-{name}')
+        samples.feed(world, 0.0, inp.EntryRegistered(row))
+    world = world._replace(node=world.node._replace(speed=0.1))
+    outputs = samples.feed(world, 1.0, samples.arrival())
+    assert not samples.of_type(outputs, out.Dispatch)
+    outputs = report(world, 2.0, models.Answered(0.0), 'u-1')
+    assert samples.single_dispatch(outputs).upstream == 'u-1'
+
+
 def test_without_a_health_path_an_upstream_is_cold_for_the_warm_up_time():
     world = new_world(health_path='')
     assert not checks(disconnect(world, 10.0))
