--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,7 +10,15 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Faults that can keep a response from its caller, whatever the entry does.
 HIDING_FAULTS = frozenset(
-    ('Kill', 'Pause', 'FrontLink', 'UpstreamLink', 'Replace', 'lag')
+    (
+        'Kill',
+        'Pause',
+        'FrontLink',
+        'UpstreamLink',
+        'RestartUpstream',
+        'Replace',
+        'lag',
+    )
 )
 SLOWING_FAULTS = frozenset(('Pause', 'lag'))
 
@@ -30,6 +38,7 @@
     yield from _check_reverts(tables, runs)
     yield from _check_look_ups(tables)
     yield from _check_availability(tables)
+    yield from _check_cold(tables)
 
 
 def is_calm(tables, entry, begin_ms, end_ms, faults=None):
@@ -48,6 +57,21 @@
     )
 
 
+def _check_cold(tables):
+    """Check that an upstream that has just started is not flooded."""
+    runs_max = const.COLD_PER_S * const.COLD_FACTOR + const.COLD_SLACK_PER_S
+    for start in tables.upstream_starts:
+        end_ms = start.started_ms + const.WARM_UP_MS
+        runs = [
+            run
+            for run in tables.runs
+            if run.upstream == start.upstream
+            and start.started_ms <= run.began_ms < end_ms
+        ]
+        if len(runs) > runs_max:
+            yield models.ViolationRow('COLD', f'{start} ran {runs}')
+
+
 def _check_execution(request, runs):
     """Check how often a request ran, and that its response agrees."""
     if request.once and len(runs) > 1:
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -69,6 +69,18 @@
 # The seeds that lose the readers of a region, and for how long.
 READERS_LOST_SEED_INTERVAL = 5
 READERS_LOST_MS = (3_000.0, 5_500.0)
+# The seeds in which upstreams start again under their ids, how long each is
+# down, when it has registered again, and the time between two starts.
+RESTARTS_SEED_INTERVAL = 7
+RESTART_DOWN_MS = (50.0, 1_500.0)
+RESTART_REGISTERED_MS = (0.0, 1_500.0)
+RESTART_GAP_MS = (200.0, 2_500.0)
+# An upstream that starts is cold for this long, and tolerates this rate of
+# requests from all entries together.
+WARM_UP_MS = 1_000.0
+COLD_PER_S = 1.0
+COLD_FACTOR = 1.5
+COLD_SLACK_PER_S = 5.0
 # Upstreams that joined last may be drained too.
 JOINED_LAST = 3
 MS_PER_S = 1_000.0
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -43,8 +43,8 @@
 SERVICE = {
     'health_path': upstreams.HEALTH_PATH,
     'max_conns': 100,
-    'warmup': '1s',
-    'cold_per_s': 9.0,
+    'warmup': f'{const.WARM_UP_MS:.0f}ms',
+    'cold_per_s': const.COLD_PER_S,
 }
 NON_IDEMPOTENT_PREFIXES = frozenset(('/book/',))
 
@@ -153,6 +153,8 @@
         zone=upstream.domain,
         slots=upstream.slots,
         state=upstream.state.value,
+        born=upstream.born,
+        cold_left=f'{max(0.0, upstream.cold_until_ms - soak.now_ms()):.0f}ms',
     )
     stores.put(soak.store, 'servers', instance, spec)
 
@@ -334,7 +336,7 @@
 
 
 async def _inject_external(nursery, soak, fault):
-    """Inject a fault into the store, links, upstreams or configuration."""
+    """Inject a fault into the store or links, or what the operator does."""
     match fault:
         case models.StoreFault('compacted', _):
             stores.forget_before(soak.store, soak.store.revision)
@@ -358,6 +360,20 @@
             await _impair(
                 [soak.endpoints[index].proxy], condition, duration_ms
             )
+        case models.Evacuate(domain, duration_ms):
+            await _evacuate(soak, domain, duration_ms)
+        case models.Configure(is_new):
+            await _change_routes(soak, is_new)
+        case _:
+            await _inject_upstreams(nursery, soak, fault)
+
+
+async def _inject_upstreams(nursery, soak, fault):
+    """Restart, replace, drain or add an upstream."""
+    match fault:
+        case models.RestartUpstream(index, down_ms, registered_ms):
+            endpoint = soak.endpoints[index]
+            await _restart_upstream(soak, endpoint, down_ms, registered_ms)
         case models.Replace(index, missing_ms):
             await _replace(nursery, soak, soak.endpoints[index], missing_ms)
         case models.Drain(index, is_announced):
@@ -365,10 +381,6 @@
             await _drain(nursery, soak, endpoint, is_announced)
         case models.Join(service, domain):
             await _add_endpoint(nursery, soak, service, domain)
-        case models.Evacuate(domain, duration_ms):
-            await _evacuate(soak, domain, duration_ms)
-        case models.Configure(is_new):
-            await _change_routes(soak, is_new)
 
 
 async def _sleep(duration_ms):
@@ -462,6 +474,25 @@
             proxies.reset_all(link)
 
 
+async def _restart_upstream(soak, endpoint, down_ms, registered_ms):
+    """Refuse connections for a while, then serve as a new, cold run."""
+    upstream = endpoint.upstream
+    condition = models.Reset()
+    proxies.set_condition(endpoint.proxy, condition)
+    await _sleep(down_ms)
+    if endpoint.upstream is not upstream:
+        return
+    upstream.born += 1
+    upstream.cold_until_ms = soak.now_ms() + const.WARM_UP_MS
+    row = models.UpstreamStartRow(upstream.instance, soak.now_ms())
+    soak.tables.upstream_starts.append(row)
+    if endpoint.proxy.condition is condition:
+        proxies.set_condition(endpoint.proxy, models.Clear())
+    await _sleep(registered_ms)
+    await _wait_for_store(soak)
+    _write_upstream(soak, upstream)
+
+
 async def _replace(nursery, soak, endpoint, missing_ms):
     """Stop an upstream; an upstream of another service takes its address.
 
--- a/tests/soak/models.py
+++ b/tests/soak/models.py
@@ -33,6 +33,13 @@
     until_ms: float
 
 
+class UpstreamStartRow(typing.NamedTuple):
+    """Hold when a run of an upstream began, after an earlier one."""
+
+    upstream: str
+    started_ms: float
+
+
 class SpanRow(typing.NamedTuple):
     """Hold the time span of a fault; ``entry`` None stands for all."""
 
@@ -102,12 +109,13 @@
     look_ups: list[LookUpRow]
     outages: list[DownRow]
     processes: list[ProcessRow]
+    upstream_starts: list[UpstreamStartRow]
     violations: list[ViolationRow]
 
 
 def new_tables():
     """Return the empty tables of a run."""
-    return Tables([], [], [], [], [], [], [], [], [])
+    return Tables([], [], [], [], [], [], [], [], [], [])
 
 
 @dataclasses.dataclass(frozen=True)
@@ -240,6 +248,18 @@
     duration_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class RestartUpstream:
+    """Crash an upstream, and start it again under its id.
+
+    The store may show the earlier run for ``registered_ms`` more.
+    """
+
+    endpoint_index: int
+    duration_ms: float
+    registered_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Replace:
     """Stop an upstream; another service takes its address."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -17,7 +17,8 @@
     Each part has a generator of its own, so that the draws of the others and
     those of callers don't change it.  Even seeds restart entries in a row;
     odd seeds let the store come back from a copy.  Every fifth seed loses
-    the readers of a region at once, again and again.
+    the readers of a region at once, again and again; in every seventh one,
+    upstreams start again under their ids, one after the other.
     """
     if seed % 2:
         series = drill(random.Random(f'drill {seed}'), seconds)
@@ -26,8 +27,11 @@
     losses = ()
     if seed % const.READERS_LOST_SEED_INTERVAL == 0:
         losses = reader_losses(random.Random(f'readers {seed}'), seconds)
+    restarts = ()
+    if seed % const.RESTARTS_SEED_INTERVAL == 0:
+        restarts = upstream_restarts(random.Random(f'starts {seed}'), seconds)
     return sorted(
-        (*faults(random.Random(seed), seconds), *series, *losses),
+        (*faults(random.Random(seed), seconds), *series, *losses, *restarts),
         key=operator.itemgetter(0),
     )
 
@@ -79,6 +83,17 @@
         at_ms += duration_ms + draw.uniform(0.0, const.STABLE_WINDOW_MS)
 
 
+def upstream_restarts(draw, seconds):
+    """Yield restarts of upstreams; some strike while the store is away."""
+    at_ms = const.FIRST_FAULT_MS
+    while at_ms + const.RESTART_DOWN_MS[1] <= _last_ms(seconds):
+        index = draw.randrange(sum(const.SERVICES.values()))
+        down_ms = draw.uniform(*const.RESTART_DOWN_MS)
+        registered_ms = draw.uniform(*const.RESTART_REGISTERED_MS)
+        yield at_ms, models.RestartUpstream(index, down_ms, registered_ms)
+        at_ms += draw.uniform(*const.RESTART_GAP_MS)
+
+
 def drill(draw, seconds):
     """Yield faults before, while and after the store comes from a copy."""
     condition = draw.choice((stores.Down(), models.Reset(), models.Silent()))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -299,3 +299,22 @@
     soak = types.SimpleNamespace(members=logs, folder=tmp_path)
     assert readers.find(soak, 'guj') == ('edge-1', 'edge-5')
     assert readers.find(soak, 'tn') == ('edge-3',)
+
+
+@pytest.mark.parametrize(('count', 'is_flooded'), [(6, False), (7, True)])
+def test_an_upstream_that_has_just_started_is_not_flooded(count, is_flooded):
+    start = models.UpstreamStartRow('i-1', AT_MS)
+    runs = [run_row(f'r-{n}', began_ms=AT_MS + 9.0) for n in range(count)]
+    earlier = [run_row('r-8', began_ms=AT_MS - 1.0)]
+    later = [run_row('r-9', began_ms=AT_MS + const.WARM_UP_MS)]
+    recorded = tables([], [*earlier, *runs, *later], upstream_starts=[start])
+    # The runs of the last requests are on the same upstream.
+    recorded.runs[:] = [x for x in recorded.runs if x.name[:2] == 'r-']
+    assert ('COLD' in failed_checks(recorded)) == is_flooded
+
+
+def test_every_seventh_seed_starts_upstreams_again():
+    faults = [fault for _, fault in plan.schedule(7, 40.0)]
+    assert any(isinstance(x, models.RestartUpstream) for x in faults)
+    faults = [fault for _, fault in plan.schedule(8, 40.0)]
+    assert not any(isinstance(x, models.RestartUpstream) for x in faults)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,8 @@
     142,
     # The readers of a region are lost at once, with changes at that moment.
     5,
+    # Upstreams that started again under their ids were not treated as cold.
+    7,
 )
 # Five stops in a row, and no other fault at these entries.
 ROLLING_RESTART_SEED = 72
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -30,7 +30,8 @@
 class Upstream:
     """Hold one upstream; ``slots`` is its limit of concurrent requests.
 
-    ``address`` is that of its proxy, empty before it has one.
+    ``address`` is that of its proxy, empty before it has one, and ``born`` is
+    the number of its run.
     """
 
     instance: str
@@ -40,6 +41,8 @@
     running: int = 0
     address: str = ''
     state: State = State.READY
+    born: int = 5
+    cold_until_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -56,13 +59,17 @@
     return await fakes.serve(nursery, handle)
 
 
+def _check_health(soak, upstream):
+    headers = [(b'Zinnialead-Instance-Id', upstream.instance.encode())]
+    cold_ms = upstream.cold_until_ms - soak.now_ms()
+    if cold_ms > 0.0:
+        headers.append((b'Zinnialead-Cold-Ms', b'%d' % cold_ms))
+    return http_models.Response(200, headers, b'')
+
+
 async def _handle(soak, upstream, _caller, request):
     if request.target == HEALTH_PATH.encode():
-        instance_header = (
-            b'Zinnialead-Instance-Id',
-            upstream.instance.encode(),
-        )
-        return http_models.Response(200, [instance_header], b'')
+        return _check_health(soak, upstream)
     headers = {key.lower(): value for key, value in request.headers}
     name = headers[b'zinnialead-request-id']
     echoed = [(b'Zinnialead-Request-Id', name)]
