--- a/packages/core/src/zinnialead_core/gateway/health_checks/coordinator.py
+++ b/packages/core/src/zinnialead_core/gateway/health_checks/coordinator.py
@@ -41,6 +41,26 @@
                 _end(world, upstream)
             case inp.UpstreamRemoved(upstream):
                 _end(world, upstream)
+                world.health_checks.used.discard(upstream)
+
+
+def check_first_use(
+    world: world_module.World,
+    now_ms: float,
+    row: upstream_models.UpstreamRow,
+) -> abc.Iterator[out.Output]:
+    """Check an upstream that this entry begins to use, beside its request.
+
+    An entry that has just started has seen no connection end, and what it
+    read of the upstream may be of an earlier run.
+    """
+    used = world.health_checks.used
+    if world.node.first_start or row.upstream in used:
+        return
+    used.add(row.upstream)
+    is_cold = upstreams.is_cold(world, now_ms, row.upstream)
+    if not is_cold and _health_path(world, row.service):
+        yield from _begin(world, now_ms, row, 'not used before')
 
 
 def _begin_all(
--- a/packages/core/src/zinnialead_core/gateway/health_checks/models.py
+++ b/packages/core/src/zinnialead_core/gateway/health_checks/models.py
@@ -49,12 +49,14 @@
 class HealthCheckTable(typing.NamedTuple):
     """Hold the upstreams that may have started again unnoticed.
 
-    They count as cold until a check or a registration tells.
+    They count as cold until a check or a registration tells.  ``used`` are
+    those that this entry has sent a request to since its start.
     """
 
     rows: dict[ids.UpstreamId, CheckRow]
+    used: set[ids.UpstreamId]
 
 
 def new_table() -> HealthCheckTable:
     """Return a table without upstreams."""
-    return HealthCheckTable({})
+    return HealthCheckTable({}, set())
--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -2,6 +2,9 @@
 
 from collections import abc
 
+from zinnialead_core.gateway.health_checks import (
+    coordinator as health_checks,
+)
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.placement import cold_rate_limit
@@ -98,6 +101,7 @@
         row.deadline_ms - now_ms,
         idle_max_ms,
     )
+    yield from health_checks.check_first_use(world, now_ms, upstream_row)
 
 
 def _log_sent(
--- a/tests/core/gateway/test_health_checks.py
+++ b/tests/core/gateway/test_health_checks.py
@@ -191,3 +191,23 @@
     assert not checks(disconnect(world, 10.0))
     assert is_cold(world, 9.0 + WARM_UP_MS)
     assert not is_cold(world, 11.0 + WARM_UP_MS)
+
+
+def test_an_upstream_is_checked_beside_an_entry_s_first_request_to_it():
+    """A store that was slow showed an earlier run to entries that started."""
+    world = new_world()
+    first = samples.feed(world, 1.0, samples.arrival(1))
+    dispatch = samples.single_dispatch(first)
+    (check,) = checks(first)
+    assert check.upstream == dispatch.upstream
+    assert is_cold(world, 1.0, check.upstream)
+    report(world, 5.0, models.Answered(0.0), check.upstream)
+    again = samples.feed(world, 6.0, samples.arrival(2))
+    assert samples.single_dispatch(again).upstream == check.upstream
+    assert not checks(again)
+
+
+def test_nothing_is_checked_at_the_first_start_of_a_deployment():
+    world = new_world()
+    world = world._replace(node=world.node._replace(first_start=True))
+    assert not checks(samples.feed(world, 1.0, samples.arrival(1)))
