--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -4,6 +4,7 @@
 import functools
 import random
 import socket
+import typing
 
 import trio
 
@@ -48,6 +49,11 @@
 """
 
 
+# The ports below the ephemeral ones, and the part that each process gets.
+FIRST_PORT, END_PORT = 10_000, 32_000
+PORTS_PER_PROCESS = 1_000
+
+
 def route(kind='idempotent', **fields):
     return {
         'host': 'desk.example',
@@ -100,13 +106,39 @@
     }
 
 
+class Reservation(typing.NamedTuple):
+    """Hold the first port of a process's range, and its lock."""
+
+    first: int
+    lock: socket.socket
+
+
+@functools.cache
+def reserve_ports():
+    """Reserve a range of ports for this process until it ends.
+
+    Other processes could take a port while an entry that uses it is down.
+    """
+    for first in range(FIRST_PORT, END_PORT, PORTS_PER_PROCESS):
+        lock = socket.socket(socket.AF_UNIX)
+        try:
+            lock.bind(f'\0zinnialead-test-ports-{first}')
+        except OSError:
+            lock.close()
+            continue
+        return Reservation(first, lock)
+    raise RuntimeError('too many processes run tests')
+
+
 def free_ports(count):
-    """Return consecutive free ports below the ephemeral range.
+    """Return consecutive free ports of this process's range.
 
-    Another process could take an ephemeral port before an entry binds it.
+    It is below the ephemeral ports: another process could take one of those
+    before an entry binds it.
     """
+    start = reserve_ports().first
     while True:
-        first = random.randrange(10_000, 32_000)
+        first = random.randrange(start, start + PORTS_PER_PROCESS - count)
         ports = list(range(first, first + count))
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
             for port in ports:
--- /dev/null
+++ b/tests/adapter/test_ports.py
@@ -0,0 +1,22 @@
+"""Test that processes that run tests at a time use different ports."""
+
+import subprocess
+import sys
+
+from adapter import deployments
+
+RESERVE = (
+    'from adapter import deployments as x; print(x.reserve_ports().first)'
+)
+
+
+def test_two_processes_reserve_different_ports():
+    own = deployments.reserve_ports().first
+    command = [sys.executable, '-c', RESERVE]
+    environment = {'PYTHONPATH': ':'.join(sys.path)}
+    other = subprocess.run(
+        command, env=environment, check=True, stdout=subprocess.PIPE, text=True
+    )
+    assert int(other.stdout) != own
+    ports = deployments.free_ports(48)
+    assert own <= ports[0] <= ports[-1] < own + deployments.PORTS_PER_PROCESS
