--- a/packages/core/src/zinnialead_core/gateway/requests/attempts.py
+++ b/packages/core/src/zinnialead_core/gateway/requests/attempts.py
@@ -2,9 +2,7 @@
 
 from collections import abc
 
-from zinnialead_core.gateway.health_checks import (
-    coordinator as health_checks,
-)
+from zinnialead_core.gateway.health_checks import coordinator as health_checks
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.placement import cold_rate_limit
--- a/tests/adapter/test_ports.py
+++ b/tests/adapter/test_ports.py
@@ -5,14 +5,16 @@
 
 from adapter import deployments
 
-RESERVE = (
-    'from adapter import deployments as x; print(x.reserve_ports().first)'
-)
+PROGRAM = '''
+from adapter import deployments
+
+print(deployments.reserve_ports().first)
+'''
 
 
 def test_two_processes_reserve_different_ports():
     own = deployments.reserve_ports().first
-    command = [sys.executable, '-c', RESERVE]
+    command = [sys.executable, '-c', PROGRAM]
     environment = {'PYTHONPATH': ':'.join(sys.path)}
     other = subprocess.run(
         command, env=environment, check=True, stdout=subprocess.PIPE, text=True
