--- a/tests/adapter/test_ports.py
+++ b/tests/adapter/test_ports.py
@@ -5,11 +5,11 @@
 
 from adapter import deployments
 
-PROGRAM = '''
+PROGRAM = """
 from adapter import deployments
 
 print(deployments.reserve_ports().first)
-'''
+"""
 
 
 def test_two_processes_reserve_different_ports():
