--- a/tests/core/gateway/test_health_checks.py
+++ b/tests/core/gateway/test_health_checks.py
@@ -175,9 +175,11 @@
 
 def test_a_request_that_waits_is_sent_once_its_upstream_is_confirmed():
     world = new_world()
-    for name in ('u-1', 'u-2'):
-        disconnect(world, 0.0, name)
-        row = samples.entry_row(f'entry-{name}')
+    disconnect(world, 0.0)
+    disconnect(world, 0.0, 'u-2')
+    # Two faster entries are those that send to cold upstreams.
+    for name in ('entry-2', 'entry-3'):
+        row = samples.entry_row(name)
         samples.feed(world, 0.0, inp.EntryRegistered(row))
     world = world._replace(node=world.node._replace(speed=0.1))
     outputs = samples.feed(world, 1.0, samples.arrival())
