--- a/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
+++ b/packages/gateway/src/zinnialead_gateway/upstreams/coordinator.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from zinnialead_core.gateway.health_checks import models as health_checks
 from zinnialead_core.gateway import inputs as inp
 from zinnialead_core.gateway import outputs as out
 from zinnialead_core.gateway.placement import models as placement
@@ -16,15 +15,16 @@
 from zinnialead_gateway import engine as engines
 from zinnialead_gateway.http import client
 from zinnialead_gateway.http import memory as memories
+from zinnialead_gateway.upstreams import health_checks
 
 AttemptKey = tuple[ids.RequestId, int]
+CONNECT_ERRORS = (OSError, ValueError, trio.TooSlowError)
 CONNECTION_ERRORS = (
     OSError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     client.ProtocolError,
 )
-HEALTH_CHECK_TIMEOUT_S = 1.0
 # Responses to earlier requests that are skipped before giving up.
 STRAY_RESPONSES_MAX = 3
 
@@ -110,7 +110,13 @@
 
 def check_health(upstreams: Upstreams, output: out.CheckHealth) -> None:
     """Start a health check."""
-    upstreams.nursery.start_soon(_check_health, upstreams, output)
+    upstreams.nursery.start_soon(
+        health_checks.run,
+        upstreams.engine,
+        upstreams.dialect,
+        upstreams.pool,
+        output,
+    )
 
 
 def discard(upstreams: Upstreams, request_id: ids.RequestId) -> None:
@@ -168,10 +174,9 @@
         return verdict.NotSent('the caller left'), None
     try:
         connection = await _connect(
-            upstreams.pool, dispatch, caller_request.head.name
+            upstreams, dispatch, caller_request.head.name
         )
-    except (OSError, ValueError, trio.TooSlowError) as error:
-        _report_disconnected(upstreams.engine, dispatch.address, error)
+    except CONNECT_ERRORS as error:
         return verdict.NotSent(f'{dispatch.address}: {error!r}'), None
     attempt.connection = connection
     spent_ms = engines.now_ms() - attempt.started_ms
@@ -203,14 +208,17 @@
 
 
 async def _connect(
-    pool: client.Pool, dispatch: out.Dispatch, name: str
+    upstreams: Upstreams, dispatch: out.Dispatch, name: str
 ) -> client.Connection:
     """Return a connection on which an answer is certain to be recognised."""
-    if not name:
-        return await client.open_connection(pool, dispatch.address)
-    return await client.acquire(
-        pool, dispatch.address, dispatch.idle_max_ms, name
-    )
+    pool, address = upstreams.pool, dispatch.address
+    try:
+        if not name:
+            return await client.open_connection(pool, address)
+        return await client.acquire(pool, address, dispatch.idle_max_ms, name)
+    except CONNECT_ERRORS as error:
+        _report_disconnected(upstreams.engine, address, error)
+        raise
 
 
 async def _receive_response(
@@ -337,59 +345,6 @@
     return verdict.Answered(received.response.status)
 
 
-async def _check_health(upstreams: Upstreams, output: out.CheckHealth) -> None:
-    """Check an upstream's health once and report the result."""
-    result: health_checks.Result = health_checks.Unreachable('timeout')
-    with trio.move_on_after(HEALTH_CHECK_TIMEOUT_S):
-        try:
-            result = await _receive_health(upstreams, output)
-        except (
-            *CONNECTION_ERRORS,
-            ValueError,
-            trio.TooSlowError,
-            client.UnsendableError,
-        ) as error:
-            result = health_checks.Unreachable(repr(error))
-    checked = inp.HealthChecked(output.upstream, result)
-    engines.feed(upstreams.engine, checked)
-
-
-async def _receive_health(
-    upstreams: Upstreams, output: out.CheckHealth
-) -> health_checks.Result:
-    """Check an upstream's health over a new connection.
-
-    Raises what opening a connection, sending and receiving raise.
-    """
-    pool = upstreams.pool
-    connection = await client.open_connection(pool, output.address)
-    try:
-        host_header = (b'Host', output.address.encode())
-        request = client.Request(
-            b'GET', output.path.encode(), [host_header], b''
-        )
-        await client.send(connection, request)
-        response = await client.receive(connection)
-    except BaseException:
-        client.close(connection)
-        raise
-    memories.release(pool.memory, len(response.body))
-    client.release(pool, connection)
-    head = upstreams.dialect.read_health(response.status, response.headers)
-    return _to_health(output, head, response.status)
-
-
-def _to_health(
-    output: out.CheckHealth, head: dialects.HealthHead, status: int
-) -> health_checks.Result:
-    """Return the result that a response to a health check reports."""
-    if head.upstream not in (None, output.upstream):
-        return health_checks.Misdirected()
-    if head.upstream is None or head.cold_ms is None:
-        return health_checks.Unclear(f'status {status}')
-    return health_checks.Answered(head.cold_ms)
-
-
 async def unload(upstreams: Upstreams) -> None:
     """Close all idle connections."""
     for address in list(upstreams.pool.idle):
