--- a/review/standins2.py
+++ b/review/standins2.py
@@ -66,8 +66,8 @@
         self.events = []
         self.changed = asyncio.Event()
         self.page = 500
-        self.hook = None
-        self.log = []
+        self.silenced = set()
+        self.watching = {}
 
     def put(self, kind, name, spec):
         objects = self.kinds.setdefault(kind, {})
@@ -95,22 +95,32 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def serve(self, host='127.0.0.1', port=0):
-        server = await asyncio.start_server(self._client, host, port, limit=1 << 20)
-        self.server = server
+    async def serve(self, machine=''):
+        """Serve a machine at an address of its own, and return it."""
+
+        async def client(reader, writer):
+            await self._client(machine, reader, writer)
+
+        server = await asyncio.start_server(client, '127.0.0.1', 0, limit=1 << 20)
         return '%s:%d' % server.sockets[0].getsockname()[:2]
 
-    async def _client(self, reader, writer):
+    async def _client(self, machine, reader, writer):
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 method, target, _ = line.split(' ')
                 body = await read_body(reader, headers)
-                if self.hook is not None:
-                    done = await self.hook(method, target, writer)
-                    if done:
-                        continue
-                status, document = await self._answer(method, target, body)
+                if machine in self.silenced:
+                    continue
+                watched = (machine, target.partition('?')[0]) if 'watch=' in target else None
+                if watched:
+                    self.watching[watched] = now()
+                try:
+                    status, document = await self._answer(method, target, body)
+                finally:
+                    self.watching.pop(watched, None)
+                if machine in self.silenced:
+                    continue
                 writer.write(answer(status, [('Content-Type', 'application/json'), ('Store-Era', '1')], json.dumps(document).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
